core: decisions of configuration, dispatch, routes, limits, membership, claims, leases

Change: the library with its state charts, without I/O, threads or a clock. Conclusion: basis for the thin path.

--- /dev/null
+++ b/crates/plumgate-standin/src/lib.rs
@@ -0,0 +1,1 @@
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/plumgate/src/chart.rs
@@ -0,0 +1,172 @@
+//! State charts, kept in files and interpreted.
+//!
+//! A chart names its states, the events that each state expects, and what follows.
+//! Reading one refuses unknown names, unreachable states and states without a way out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::config::TableReader;
+use crate::config::{Placed, SourceFile};
+use crate::errors::{Error, Result};
+use crate::outcome::RunOutcome;
+
+/// One state of a chart.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChartState {
+    /// What follows on each event, by name.
+    transitions: BTreeMap<String, String>,
+    /// Whether the chart ends here.
+    is_end: bool,
+    /// What a caller is told when its request ends here.
+    outcome: Option<RunOutcome>,
+}
+
+/// A checked chart.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StateChart {
+    name: String,
+    start: String,
+    states: BTreeMap<String, ChartState>,
+}
+
+impl StateChart {
+    /// Reads and checks the text of a chart file; all findings come back together.
+    pub fn read(file: &str, text: &str) -> Result<Self> {
+        let source = SourceFile::new(file, text);
+        let table = source.parse();
+        let root = TableReader::new(&source, &table);
+        let chart = read_chart(&root);
+        root.finish();
+        drop(table);
+        let findings = source.into_findings();
+        match chart {
+            Some(chart) if findings.is_empty() => Ok(chart),
+            _ => Err(Error::Findings(findings)),
+        }
+    }
+
+    /// The name of the chart.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+}
+
+fn read_chart(root: &TableReader<'_, '_>) -> Option<StateChart> {
+    let name = root.required_string("name");
+    let start = root.required_string("start");
+    let readers = root.tables("states");
+    let known: Vec<&str> = readers.iter().map(|(name, _)| name.as_str()).collect();
+    let mut states = BTreeMap::new();
+    for (name, reader) in &readers {
+        states.insert(name.clone(), read_state(reader, &known));
+    }
+    let start = start?;
+    root.check_name(&start, "state", &known);
+    let reachable = reach(&start.value, |state| targets(&states, state));
+    let leads_out = states_that_end(&states);
+    for (name, reader) in readers {
+        if !reachable.contains(&name) {
+            reader.report("can't be reached from the start");
+        }
+        if !leads_out.contains(&name) {
+            reader.report("has no way to an end");
+        }
+        reader.finish();
+    }
+    Some(StateChart { name: name?.value, start: start.value, states })
+}
+
+fn read_state(reader: &TableReader<'_, '_>, known: &[&str]) -> ChartState {
+    let mut transitions = BTreeMap::new();
+    for (event, target) in reader.string_fields("on") {
+        reader.check_name(&target, "state", known);
+        transitions.insert(event, target.value);
+    }
+    let outcome = reader.string("outcome").and_then(|word| read_outcome(reader, &word));
+    ChartState { transitions, is_end: reader.boolean("end", false), outcome }
+}
+
+fn read_outcome(reader: &TableReader<'_, '_>, word: &Placed<String>) -> Option<RunOutcome> {
+    let outcomes = [RunOutcome::NotRun, RunOutcome::Answered, RunOutcome::Unknown];
+    reader.check_name(word, "outcome", &outcomes.map(RunOutcome::as_str));
+    outcomes.into_iter().find(|outcome| outcome.as_str() == word.value)
+}
+
+fn targets(states: &BTreeMap<String, ChartState>, state: &str) -> Vec<String> {
+    let state = states.get(state);
+    state.map_or_else(Vec::new, |state| state.transitions.values().cloned().collect())
+}
+
+fn states_that_end(states: &BTreeMap<String, ChartState>) -> BTreeSet<String> {
+    let leads = |name: &String| {
+        reach(name, |state| targets(states, state))
+            .iter()
+            .any(|state| states.get(state).is_some_and(|state| state.is_end))
+    };
+    states.keys().filter(|name| leads(name)).cloned().collect()
+}
+
+fn reach(start: &str, next: impl Fn(&str) -> Vec<String>) -> BTreeSet<String> {
+    let mut reached = BTreeSet::from([start.to_owned()]);
+    let mut open = vec![start.to_owned()];
+    while let Some(state) = open.pop() {
+        for target in next(&state) {
+            if reached.insert(target.clone()) {
+                open.push(target);
+            }
+        }
+    }
+    reached
+}
+
+/// A place in a chart, moved by events.
+#[derive(Clone, Debug)]
+pub struct ChartRun {
+    chart: Arc<StateChart>,
+    state: String,
+}
+
+impl ChartRun {
+    /// A run that stands at the start of the chart.
+    pub fn new(chart: Arc<StateChart>) -> Self {
+        let state = chart.start.clone();
+        Self { chart, state }
+    }
+
+    /// Follows an event; an unexpected one changes nothing and is an error.
+    pub fn apply(&mut self, event: &str) -> Result<()> {
+        let next = self.current().and_then(|state| state.transitions.get(event));
+        match next {
+            Some(next) => {
+                self.state = next.clone();
+                Ok(())
+            }
+            None => Err(Error::UnexpectedEvent(self.state.clone(), event.to_owned())),
+        }
+    }
+
+    /// Whether the current state expects an event.
+    pub fn expects(&self, event: &str) -> bool {
+        self.current().is_some_and(|state| state.transitions.contains_key(event))
+    }
+
+    /// The name of the current state.
+    pub fn state(&self) -> &str {
+        &self.state
+    }
+
+    /// Whether the run has ended.
+    pub fn is_ended(&self) -> bool {
+        self.current().is_some_and(|state| state.is_end)
+    }
+
+    /// What the current state says about the run of a request.
+    pub fn outcome(&self) -> Option<RunOutcome> {
+        self.current().and_then(|state| state.outcome)
+    }
+
+    fn current(&self) -> Option<&ChartState> {
+        self.chart.states.get(&self.state)
+    }
+}
--- /dev/null
+++ b/crates/plumgate/src/membership.rs
@@ -0,0 +1,309 @@
+//! Which nodes there are, joined from the platform's lagging list and peer heartbeats.
+//!
+//! Each node tells a digest of itself to a few others at a time, and they relay it. How
+//! often it does so follows the number of nodes, so that the bytes that a node receives
+//! stay bounded while the fleet grows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use sha2::{Digest, Sha256};
+
+use crate::ids::{DataCentreId, NodeId};
+use crate::wire::NodeDigest;
+
+/// Shortest time between two rounds of gossip.
+const SHORTEST_ROUND: Duration = Duration::from_millis(500);
+/// Peers of the own data centre that a round reaches.
+const FAN_OUT: usize = 3;
+/// Nodes of a data centre that talk to other data centres.
+const BRIDGES: usize = 2;
+/// Digests that one message carries at most.
+const DIGESTS_MOST: usize = 24;
+/// Rounds without a new heartbeat after which a node counts as gone.
+const ROUNDS_TO_LIVE: u32 = 8;
+/// How long a node that is gone is remembered, so that relayed old digests don't revive it.
+const GRAVE_LIFETIME: Duration = Duration::from_secs(120);
+/// A gap between two ticks that shows that this process was frozen.
+const FREEZE_GAP: Duration = Duration::from_secs(2);
+/// Times that a digest is relayed.
+const RELAYS_MOST: u32 = 4;
+
+/// A node on the platform's list of VMs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedNode {
+    /// The node.
+    pub node: NodeId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Where peers reach it.
+    pub address: String,
+    /// Whether the platform is about to take it away.
+    pub leaving: bool,
+}
+
+/// What is known of another node.
+#[derive(Clone, Debug)]
+struct PeerState {
+    digest: NodeDigest,
+    heard: Instant,
+    relays: u32,
+    gone: bool,
+}
+
+/// What a tick found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberEvent {
+    /// A node was heard of for the first time, or again.
+    Joined(NodeId),
+    /// Nothing new was heard of a node for long.
+    Gone(NodeId),
+    /// A node says that it is stopping.
+    Stopping(NodeId),
+    /// This process stood still for so long: what it believes is old.
+    Frozen(Duration),
+}
+
+/// A round of gossip: one message to some peers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GossipRound {
+    /// The addresses of the peers.
+    pub addresses: Vec<String>,
+    /// The digests, the sender's own first.
+    pub digests: Vec<NodeDigest>,
+}
+
+/// All nodes as one node sees them.
+#[derive(Debug)]
+pub struct MemberTable {
+    own: NodeDigest,
+    peers: BTreeMap<NodeId, PeerState>,
+    listed: BTreeMap<NodeId, ListedNode>,
+    seeds: BTreeSet<String>,
+    rng: fastrand::Rng,
+    next_round: Option<Instant>,
+    last_tick: Option<Instant>,
+    distrusts_until: Option<Instant>,
+}
+
+impl MemberTable {
+    /// A table of a node that knows the addresses of some others.
+    pub fn new(own: NodeDigest, seeds: impl IntoIterator<Item = String>, seed: u64) -> Self {
+        let address = own.address.clone();
+        Self {
+            own,
+            peers: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            seeds: seeds.into_iter().filter(|seed| *seed != address).collect(),
+            rng: fastrand::Rng::with_seed(seed),
+            next_round: None,
+            last_tick: None,
+            distrusts_until: None,
+        }
+    }
+
+    /// This node's own digest, to be filled with what it has to tell.
+    pub fn own_mut(&mut self) -> &mut NodeDigest {
+        &mut self.own
+    }
+
+    /// This node's own digest.
+    pub fn own(&self) -> &NodeDigest {
+        &self.own
+    }
+
+    /// Takes over the platform's list. It lags: a node on it may be gone, and one that is
+    /// missing may be alive, so it only adds addresses and leaving marks.
+    pub fn apply_list(&mut self, nodes: Vec<ListedNode>) {
+        self.listed = nodes.into_iter().map(|node| (node.node.clone(), node)).collect();
+    }
+
+    /// Takes in digests that a peer sent; returns those that were news.
+    pub fn apply(&mut self, digests: Vec<NodeDigest>, now: Instant) -> Vec<NodeDigest> {
+        digests.into_iter().filter(|digest| self.apply_one(digest, now)).collect()
+    }
+
+    fn apply_one(&mut self, digest: &NodeDigest, now: Instant) -> bool {
+        if digest.node == self.own.node {
+            return false;
+        }
+        let known = self.peers.get(digest.node.as_str());
+        let age = |digest: &NodeDigest| (digest.incarnation, digest.beat);
+        if known.is_some_and(|peer| age(&peer.digest) >= age(digest)) {
+            return false;
+        }
+        let state = PeerState { digest: digest.clone(), heard: now, relays: 0, gone: false };
+        self.peers.insert(digest.node.as_str().into(), state);
+        true
+    }
+
+    /// Finds out who is gone and whether this process stood still.
+    pub fn tick(&mut self, now: Instant) -> Vec<MemberEvent> {
+        let mut events = Vec::new();
+        let gap = self.last_tick.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+        self.last_tick = Some(now);
+        if gap > FREEZE_GAP {
+            events.push(MemberEvent::Frozen(gap));
+            self.distrust(now);
+        }
+        let lifetime = self.lifetime();
+        for (id, peer) in &mut self.peers {
+            let silent = now.saturating_duration_since(peer.heard);
+            if !peer.gone && silent > lifetime {
+                peer.gone = true;
+                events.push(MemberEvent::Gone(id.clone()));
+            }
+        }
+        self.peers.retain(|_, peer| {
+            now.saturating_duration_since(peer.heard) < lifetime + GRAVE_LIFETIME
+        });
+        events
+    }
+
+    /// After a freeze every peer looks silent, and the node itself may have been given up by
+    /// the others. It waits until it has heard peers again before it judges anyone.
+    fn distrust(&mut self, now: Instant) {
+        for peer in self.peers.values_mut().filter(|peer| !peer.gone) {
+            peer.heard = now;
+        }
+        self.distrusts_until = Some(now + self.round_length() * 2);
+    }
+
+    /// Whether what this node believes about others is too old to act on.
+    pub fn distrusts_itself(&self, now: Instant) -> bool {
+        self.distrusts_until.is_some_and(|until| now < until)
+    }
+
+    /// The next round of gossip, when it is due.
+    pub fn gossip(&mut self, now: Instant) -> Option<GossipRound> {
+        if self.next_round.is_some_and(|due| now < due) {
+            return None;
+        }
+        self.next_round = Some(now + self.round_length());
+        self.own.beat += 1;
+        let addresses = self.partners();
+        if addresses.is_empty() {
+            return None;
+        }
+        Some(GossipRound { addresses, digests: self.digests_to_send() })
+    }
+
+    /// When the next round is due.
+    pub fn next_round(&self) -> Option<Instant> {
+        self.next_round
+    }
+
+    /// The time between two rounds. With more nodes than one message carries it grows, so
+    /// that what a node receives a second stays the same.
+    pub fn round_length(&self) -> Duration {
+        let messages = self.live_count().div_ceil(DIGESTS_MOST).max(1);
+        SHORTEST_ROUND * u32::try_from(messages).unwrap_or(u32::MAX)
+    }
+
+    fn lifetime(&self) -> Duration {
+        self.round_length() * ROUNDS_TO_LIVE
+    }
+
+    fn partners(&mut self) -> Vec<String> {
+        let mut near = Vec::new();
+        let mut far: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        let mut known = BTreeSet::new();
+        for peer in self.peers.values().filter(|peer| !peer.gone) {
+            known.insert(peer.digest.address.clone());
+            if peer.digest.data_centre == self.own.data_centre {
+                near.push(peer.digest.address.clone());
+            } else {
+                let data_centre = peer.digest.data_centre.clone();
+                far.entry(data_centre).or_default().push(peer.digest.address.clone());
+            }
+        }
+        self.rng.shuffle(&mut near);
+        near.truncate(FAN_OUT);
+        if self.is_bridge() {
+            for addresses in far.values_mut() {
+                near.extend(self.rng.choice(addresses.iter()).cloned());
+            }
+        }
+        near.extend(self.stranger(&known));
+        near
+    }
+
+    /// One address that nothing was heard from, so that separated groups find each other again.
+    fn stranger(&mut self, known: &BTreeSet<String>) -> Option<String> {
+        let listed = self.listed.values().filter(|node| !node.leaving).map(|node| &node.address);
+        let silent = listed.chain(&self.seeds).filter(|address| {
+            !known.contains(*address) && **address != self.own.address
+        });
+        let silent: Vec<String> = silent.cloned().collect();
+        self.rng.choice(silent)
+    }
+
+    fn digests_to_send(&mut self) -> Vec<NodeDigest> {
+        let mut peers: Vec<&mut PeerState> =
+            self.peers.values_mut().filter(|peer| !peer.gone && peer.relays < RELAYS_MOST).collect();
+        peers.sort_by_key(|peer| peer.relays);
+        let mut digests = vec![self.own.clone()];
+        for peer in peers.into_iter().take(DIGESTS_MOST - 1) {
+            peer.relays += 1;
+            digests.push(peer.digest.clone());
+        }
+        digests
+    }
+
+    /// Whether this node talks to other data centres on behalf of its own.
+    pub fn is_bridge(&self) -> bool {
+        self.is_chosen("bridge", BRIDGES)
+    }
+
+    /// Whether this node is one of the few of its data centre that are chosen for a role.
+    ///
+    /// The choice needs no agreement: two views may choose different nodes for a while, and
+    /// each role is harmless when more or others do it.
+    pub fn is_chosen(&self, role: &str, count: usize) -> bool {
+        let own = self.own.data_centre.as_str();
+        let peers = self.live().filter(|digest| digest.data_centre == own);
+        let weight = rendezvous_weight(role, &self.own.node);
+        let better = peers.filter(|digest| rendezvous_weight(role, &digest.node) > weight).count();
+        better < count
+    }
+
+    /// The node of all that are alive that is preferred for a role, this one included.
+    pub fn preferred(&self, role: &str) -> &NodeDigest {
+        let all = self.live().chain([&self.own]);
+        let best = all.max_by_key(|digest| rendezvous_weight(role, &digest.node));
+        best.unwrap_or(&self.own)
+    }
+
+    /// The other nodes that are alive, not those that are stopping.
+    pub fn live(&self) -> impl Iterator<Item = &NodeDigest> {
+        let alive = self.peers.values().filter(|peer| !peer.gone && !peer.digest.stopping);
+        alive.map(|peer| &peer.digest)
+    }
+
+    /// How many nodes are alive, this one included.
+    pub fn live_count(&self) -> usize {
+        self.live().count() + 1
+    }
+
+    /// The nodes that share servers and limits: those alive, and those that the platform lists
+    /// though nothing was heard of them. Cut off, they may go on serving.
+    pub fn sharing_count(&self) -> usize {
+        let mut sharing: BTreeSet<&str> = self.live().map(|digest| digest.node.as_str()).collect();
+        sharing.extend(self.listed.values().filter(|node| !node.leaving).map(|node| &*node.node));
+        sharing.insert(&self.own.node);
+        sharing.len()
+    }
+
+    /// The digest of a peer that is alive.
+    pub fn peer(&self, node: &str) -> Option<&NodeDigest> {
+        self.peers.get(node).filter(|peer| !peer.gone).map(|peer| &peer.digest)
+    }
+}
+
+/// How much a node is preferred for a role; the highest wins.
+pub fn rendezvous_weight(role: &str, node: &str) -> u64 {
+    let digest = Sha256::new().chain_update(role).chain_update([0]).chain_update(node).finalize();
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest[..8]);
+    u64::from_be_bytes(first)
+}
--- /dev/null
+++ b/crates/plumgate/src/route/estimate.rs
@@ -0,0 +1,163 @@
+//! What one node believes about the load and the speed of one backend server.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{NodeId, TierRank};
+use crate::retry::CircuitBreaker;
+
+/// Reports older than this say nothing about the present.
+const REPORT_LIFETIME: Duration = Duration::from_secs(5);
+/// Weight of one new observation of the speed.
+const LEARNING_RATE: f64 = 0.2;
+/// Highest number of ranks that are counted apart.
+pub(crate) const RANKS: usize = 10;
+
+/// Requests in flight on one server, by rank; rank 0 is unused.
+pub(crate) type RankCounts = [u32; RANKS];
+
+/// The load that a backend server tells about itself, measured some time ago.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests that the server works on.
+    pub running: u32,
+    /// Requests that wait within the server.
+    pub waiting: u32,
+    /// Whether the server says that it is leaving.
+    pub leaving: bool,
+    /// How long ago the server measured this, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A report with the time of its measurement on this node's clock.
+#[derive(Clone, Copy, Debug)]
+struct DatedReport {
+    report: LoadReport,
+    measured: Instant,
+}
+
+/// What a peer tells about its own work on the server.
+#[derive(Clone, Copy, Debug)]
+struct PeerCount {
+    counts: RankCounts,
+    told: Instant,
+}
+
+/// What one node believes about one server.
+#[derive(Clone, Debug, Default)]
+pub struct ServerEstimate {
+    own: RankCounts,
+    peers: HashMap<NodeId, PeerCount>,
+    report: Option<DatedReport>,
+    seconds_per_token: Option<f64>,
+    seconds_to_first: Option<f64>,
+    /// Guards against servers that refuse new connections.
+    pub(crate) circuit: CircuitBreaker,
+}
+
+impl ServerEstimate {
+    /// A server that nothing is known about counts as idle.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A request of this node went to the server.
+    pub(crate) fn start(&mut self, rank: TierRank) {
+        self.own[usize::from(rank).min(RANKS - 1)] += 1;
+    }
+
+    /// A request of this node left the server.
+    pub(crate) fn finish(&mut self, rank: TierRank) {
+        let count = &mut self.own[usize::from(rank).min(RANKS - 1)];
+        *count = count.saturating_sub(1);
+    }
+
+    /// Folds in a report, unless it was measured before the one already held.
+    pub(crate) fn apply_report(&mut self, report: LoadReport, now: Instant) {
+        let age = Duration::from_millis(report.age_ms);
+        let measured = now.checked_sub(age).unwrap_or(now);
+        // Reports overtake each other on the way. An older one would bring back load that has
+        // since finished, and steer requests away from an idle server.
+        if self.report.is_some_and(|held| measured <= held.measured) {
+            return;
+        }
+        self.report = Some(DatedReport { report, measured });
+    }
+
+    /// Takes in a peer's own work on the server.
+    pub(crate) fn apply_peer(&mut self, node: NodeId, counts: RankCounts, now: Instant) {
+        if counts == RankCounts::default() {
+            self.peers.remove(&node);
+        } else {
+            self.peers.insert(node, PeerCount { counts, told: now });
+        }
+    }
+
+    /// Folds in the speed of an answer that ended well.
+    pub(crate) fn observe(&mut self, to_first: Duration, to_end: Duration, tokens: u32) {
+        let generating = to_end.saturating_sub(to_first);
+        if tokens > 1 {
+            let per_token = generating.as_secs_f64() / f64::from(tokens - 1);
+            fold(&mut self.seconds_per_token, per_token);
+        }
+        fold(&mut self.seconds_to_first, to_first.as_secs_f64());
+    }
+
+    /// Requests of this node on the server.
+    pub fn own_in_flight(&self) -> u32 {
+        self.own.iter().sum()
+    }
+
+    /// Requests of this node on the server, by rank.
+    pub(crate) fn own_counts(&self) -> RankCounts {
+        self.own
+    }
+
+    /// Requests of other nodes on the server, as far as they told lately.
+    pub fn peers_in_flight(&self, now: Instant) -> u32 {
+        self.fresh_peers(now).map(|peer| peer.counts.iter().sum::<u32>()).sum()
+    }
+
+    /// Requests of other nodes that are of a lower tier than a rank.
+    pub(crate) fn peers_below(&self, rank: TierRank, now: Instant) -> u32 {
+        let below = usize::from(rank) + 1;
+        self.fresh_peers(now).map(|peer| peer.counts[below.min(RANKS)..].iter().sum::<u32>()).sum()
+    }
+
+    /// Requests on the server by its own report, if that is fresh.
+    pub fn reported(&self, now: Instant) -> Option<u32> {
+        let held = self.report?;
+        let fresh = now.saturating_duration_since(held.measured) < REPORT_LIFETIME;
+        fresh.then_some(held.report.running + held.report.waiting)
+    }
+
+    /// Whether the server's last report says that it is leaving.
+    pub(crate) fn says_leaving(&self) -> bool {
+        self.report.is_some_and(|held| held.report.leaving)
+    }
+
+    /// Seconds between tokens, as seen by this node.
+    pub fn seconds_per_token(&self) -> Option<f64> {
+        self.seconds_per_token
+    }
+
+    /// Seconds to the first token, as seen by this node.
+    pub fn seconds_to_first(&self) -> Option<f64> {
+        self.seconds_to_first
+    }
+
+    fn fresh_peers(&self, now: Instant) -> impl Iterator<Item = &PeerCount> {
+        self.peers
+            .values()
+            .filter(move |peer| now.saturating_duration_since(peer.told) < REPORT_LIFETIME)
+    }
+}
+
+fn fold(mean: &mut Option<f64>, observed: f64) {
+    *mean = Some(match *mean {
+        Some(held) => held + LEARNING_RATE * (observed - held),
+        None => observed,
+    });
+}
--- /dev/null
+++ b/crates/plumgate/src/route/table.rs
@@ -0,0 +1,456 @@
+//! All backend servers as one node sees them, and the choice among them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::estimate::{LoadReport, RankCounts, ServerEstimate};
+use super::prefix::PrefixTable;
+use crate::config::{FleetConfig, Server};
+use crate::dispatch::RequestTicket;
+use crate::ids::{DataCentreId, NodeId, PoolId, ServerId, TierRank};
+
+/// Seconds between tokens that a server is given before any were seen.
+const DEFAULT_SECONDS_PER_TOKEN: f64 = 0.02;
+/// What a server in another data centre has to be better by.
+const REMOTE_PENALTY: Duration = Duration::from_millis(20);
+/// Share of the time to the first token that a cached prefix saves.
+const PREFIX_SAVING: f64 = 0.5;
+/// Seconds to the first token that a server is given before any were seen.
+const DEFAULT_SECONDS_TO_FIRST: f64 = 0.05;
+
+/// How a server is chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RoutePolicy {
+    /// Lowest predicted wait from own work, peers' work and the speed seen.
+    #[default]
+    PredictedWait,
+    /// Each server in turn: a baseline.
+    RoundRobin,
+    /// Fewest own requests in flight: a baseline.
+    LeastInFlight,
+    /// Lowest load by the servers' own reports: a baseline.
+    LeastReported,
+    /// Any server with room: a baseline.
+    Random,
+}
+
+/// What the choice depends on besides the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct RouteOptions {
+    /// The data centre of this node.
+    pub data_centre: DataCentreId,
+    /// The seed of the choice among equals.
+    pub seed: u64,
+    /// How a server is chosen.
+    pub policy: RoutePolicy,
+}
+
+impl RouteOptions {
+    /// Options for a node in a data centre.
+    pub fn new(data_centre: impl Into<DataCentreId>) -> Self {
+        Self { data_centre: data_centre.into(), ..Self::default() }
+    }
+
+    /// The same with a seed.
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// The same with a policy.
+    pub fn with_policy(mut self, policy: RoutePolicy) -> Self {
+        self.policy = policy;
+        self
+    }
+}
+
+/// Who says that a server is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LeavingSource {
+    /// The platform's list of VMs.
+    Platform,
+    /// An operator's drain in the configuration.
+    Operator,
+    /// The server itself.
+    Server,
+    /// Another node.
+    Peer,
+}
+
+impl LeavingSource {
+    /// The word in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Platform => "platform",
+            Self::Operator => "operator",
+            Self::Server => "server",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// A peer's own work on one server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerServerLoad {
+    /// The server.
+    pub server: ServerId,
+    /// Requests by rank, as pairs of rank and count.
+    pub counts: Vec<(TierRank, u32)>,
+}
+
+/// The server chosen for a request, with what spoke for it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteChoice {
+    /// The server.
+    pub server: Server,
+    /// The predicted wait on it.
+    pub wait: Duration,
+    /// The second best server and its predicted wait.
+    pub runner_up: Option<(ServerId, Duration)>,
+    /// What decided, for the log.
+    pub reason: &'static str,
+}
+
+/// All servers of the configuration as one node sees them.
+#[derive(Debug)]
+pub struct RouteTable {
+    options: RouteOptions,
+    config: Option<Arc<FleetConfig>>,
+    pools: BTreeMap<PoolId, Vec<ServerId>>,
+    estimates: BTreeMap<ServerId, ServerEstimate>,
+    leaving: BTreeMap<ServerId, BTreeSet<LeavingSource>>,
+    prefixes: PrefixTable,
+    rng: fastrand::Rng,
+    turn: usize,
+    nodes: u32,
+}
+
+impl RouteTable {
+    /// A table without servers.
+    pub fn new(options: RouteOptions) -> Self {
+        let rng = fastrand::Rng::with_seed(options.seed);
+        Self {
+            options,
+            config: None,
+            pools: BTreeMap::new(),
+            estimates: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            prefixes: PrefixTable::default(),
+            rng,
+            turn: 0,
+            nodes: 1,
+        }
+    }
+
+    /// Takes over a new version; what is known about servers that stay is kept.
+    pub fn set_config(&mut self, config: Arc<FleetConfig>) {
+        self.pools.clear();
+        for server in config.inventory.servers.values() {
+            self.pools.entry(server.pool.clone()).or_default().push(server.id.clone());
+            self.estimates.entry(server.id.clone()).or_default();
+        }
+        self.estimates.retain(|id, _| config.inventory.servers.contains_key(id));
+        self.leaving.retain(|id, _| config.inventory.servers.contains_key(id));
+        self.config = Some(config);
+    }
+
+    /// Says how many nodes send to the same servers, this one included.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
+    }
+
+    /// Marks servers as leaving by one source; servers that the source no longer names stay
+    /// only by other sources. Returns the servers whose state changed.
+    pub fn set_leaving(
+        &mut self,
+        source: LeavingSource,
+        servers: &BTreeSet<ServerId>,
+    ) -> Vec<ServerId> {
+        let mut changed = Vec::new();
+        for id in self.estimates.keys() {
+            let was = self.leaving.get(id).is_some_and(|sources| !sources.is_empty());
+            let sources = self.leaving.entry(id.clone()).or_default();
+            if servers.contains(id) {
+                sources.insert(source);
+            } else {
+                sources.remove(&source);
+            }
+            if was == sources.is_empty() {
+                changed.push(id.clone());
+            }
+        }
+        self.leaving.retain(|_, sources| !sources.is_empty());
+        changed
+    }
+
+    /// A server said in an answer that it is leaving.
+    pub fn mark_leaving(&mut self, server: &ServerId) {
+        if self.estimates.contains_key(server) {
+            self.leaving.entry(server.clone()).or_default().insert(LeavingSource::Server);
+        }
+    }
+
+    /// The servers that get no new work, with who says so.
+    pub fn leaving(&self) -> BTreeMap<ServerId, Vec<LeavingSource>> {
+        let mut leaving: BTreeMap<ServerId, Vec<LeavingSource>> = BTreeMap::new();
+        for (id, sources) in &self.leaving {
+            leaving.entry(id.clone()).or_default().extend(sources);
+        }
+        let drained = self.config.iter().flat_map(|config| &config.drained);
+        for id in drained {
+            leaving.entry(id.clone()).or_default().push(LeavingSource::Operator);
+        }
+        leaving
+    }
+
+    /// Whether a server gets no new work.
+    pub fn is_leaving(&self, server: &ServerId) -> bool {
+        self.leaving.contains_key(server)
+            || self.config.as_ref().is_some_and(|config| config.drained.contains(server))
+            || self.estimates.get(server).is_some_and(ServerEstimate::says_leaving)
+    }
+
+    /// Folds in a server's report.
+    pub fn apply_report(&mut self, server: &ServerId, report: LoadReport, now: Instant) {
+        if let Some(estimate) = self.estimates.get_mut(server) {
+            estimate.apply_report(report, now);
+        }
+    }
+
+    /// Takes in all of a peer's own work; servers that it doesn't name are free of it.
+    pub fn apply_peer(&mut self, node: &NodeId, loads: &[PeerServerLoad], now: Instant) {
+        let mut named: BTreeMap<&ServerId, RankCounts> = BTreeMap::new();
+        for load in loads {
+            let counts = named.entry(&load.server).or_default();
+            for (rank, count) in &load.counts {
+                if let Some(slot) = counts.get_mut(usize::from(*rank)) {
+                    *slot = *count;
+                }
+            }
+        }
+        for (id, estimate) in &mut self.estimates {
+            let counts = named.get(id).copied().unwrap_or_default();
+            estimate.apply_peer(node.clone(), counts, now);
+        }
+    }
+
+    /// This node's own work by server, for its peers; only servers with any.
+    pub fn own_loads(&self) -> Vec<PeerServerLoad> {
+        let busy = self.estimates.iter().filter(|(_, estimate)| estimate.own_in_flight() > 0);
+        busy.map(|(id, estimate)| {
+            let counts = estimate.own_counts();
+            let ranks = counts.iter().enumerate().filter(|(_, count)| **count > 0);
+            let counts = ranks.map(|(rank, count)| (rank as TierRank, *count)).collect();
+            PeerServerLoad { server: id.clone(), counts }
+        })
+        .collect()
+    }
+
+    /// Whether the pool has any server at all that may get work.
+    pub fn has_servers(&self, pool: &PoolId) -> bool {
+        self.pools.get(pool).into_iter().flatten().any(|id| !self.is_leaving(id))
+    }
+
+    /// The best server with room for the request, if there is one.
+    pub fn choose(
+        &mut self,
+        ticket: &RequestTicket,
+        as_rank: TierRank,
+        now: Instant,
+    ) -> Option<RouteChoice> {
+        let config = self.config.clone()?;
+        let candidates = self.candidates(&config, ticket, as_rank, now);
+        if candidates.is_empty() {
+            return None;
+        }
+        let scored = self.score(&candidates, ticket, now);
+        let (best, reason) = self.pick(&scored, now);
+        let (server, wait) = scored.get(best)?;
+        let others = scored.iter().enumerate().filter(|(index, _)| *index != best);
+        let runner_up = others.min_by(|a, b| a.1.1.cmp(&b.1.1)).map(|(_, (s, w))| (s.id.clone(), *w));
+        Some(RouteChoice { server: (*server).clone(), wait: *wait, runner_up, reason })
+    }
+
+    fn candidates<'a>(
+        &self,
+        config: &'a FleetConfig,
+        ticket: &RequestTicket,
+        as_rank: TierRank,
+        now: Instant,
+    ) -> Vec<&'a Server> {
+        let pool = self.pools.get(&ticket.pool).into_iter().flatten();
+        let servers = pool.filter_map(|id| config.inventory.servers.get(id));
+        let open = servers.filter(|server| self.has_room(config, server, as_rank, now));
+        let open: Vec<&Server> = open.collect();
+        // A server on which an attempt failed is used again only if there is no other.
+        let fresh: Vec<&Server> =
+            open.iter().copied().filter(|server| !ticket.avoid.contains(&server.id)).collect();
+        if fresh.is_empty() { open } else { fresh }
+    }
+
+    /// Whether one more request of a rank may go to the server.
+    fn has_room(
+        &self,
+        config: &FleetConfig,
+        server: &Server,
+        rank: TierRank,
+        now: Instant,
+    ) -> bool {
+        let Some(estimate) = self.estimates.get(&server.id) else { return false };
+        if self.is_leaving(&server.id) || !estimate.circuit.allows(now) {
+            return false;
+        }
+        let own = estimate.own_in_flight();
+        // After a pause one request tries the server; the rest wait for how it ends.
+        if estimate.circuit.is_probing() {
+            return own == 0;
+        }
+        let slots = usable_slots(config, server, rank);
+        // Peers' counts are late. A node's equal share is its own whatever they say, so that
+        // two nodes that see each other's old work don't both leave a free server idle.
+        let equal = slots.div_ceil(self.nodes);
+        let free = slots.saturating_sub(estimate.peers_in_flight(now));
+        own < free.max(equal)
+    }
+
+    fn score<'a>(
+        &self,
+        candidates: &[&'a Server],
+        ticket: &RequestTicket,
+        now: Instant,
+    ) -> Vec<(&'a Server, Duration)> {
+        let typical = self.typical_speed(candidates);
+        let cached = ticket.prefix.and_then(|prefix| self.prefixes.server(prefix, now));
+        let score = |server: &'a Server| {
+            let wait = self.predicted_wait(server, ticket, typical, cached, now);
+            (server, wait)
+        };
+        candidates.iter().map(|server| score(server)).collect()
+    }
+
+    /// The median speed of the candidates, for servers that this node has not seen at work.
+    fn typical_speed(&self, candidates: &[&Server]) -> f64 {
+        let estimates = candidates.iter().filter_map(|server| self.estimates.get(&server.id));
+        let mut speeds: Vec<f64> = estimates.filter_map(ServerEstimate::seconds_per_token).collect();
+        speeds.sort_by(f64::total_cmp);
+        speeds.get(speeds.len() / 2).copied().unwrap_or(DEFAULT_SECONDS_PER_TOKEN)
+    }
+
+    fn predicted_wait(
+        &self,
+        server: &Server,
+        ticket: &RequestTicket,
+        typical: f64,
+        cached: Option<&ServerId>,
+        now: Instant,
+    ) -> Duration {
+        let Some(estimate) = self.estimates.get(&server.id) else { return Duration::MAX };
+        let speed = estimate.seconds_per_token().unwrap_or(typical);
+        let in_flight = f64::from(estimate.own_in_flight() + estimate.peers_in_flight(now));
+        let occupancy = (in_flight + 1.0) / f64::from(server.slots.max(1));
+        let work = speed * f64::from(ticket.expected_tokens.max(1));
+        let to_first = estimate.seconds_to_first().unwrap_or(DEFAULT_SECONDS_TO_FIRST);
+        let saving = if cached == Some(&server.id) { PREFIX_SAVING } else { 0.0 };
+        let mut seconds = work * occupancy + to_first * (1.0 - saving);
+        if server.data_centre != self.options.data_centre {
+            seconds += REMOTE_PENALTY.as_secs_f64();
+        }
+        Duration::from_secs_f64(seconds.min(86_400.0))
+    }
+
+    /// The index of the server to take, and what decided.
+    fn pick(&mut self, scored: &[(&Server, Duration)], now: Instant) -> (usize, &'static str) {
+        let load = |table: &Self, of: &dyn Fn(&ServerEstimate) -> u32| {
+            let loads = scored.iter().map(|(server, _)| table.estimates.get(&server.id).map_or(0, of));
+            loads.enumerate().min_by_key(|(_, load)| *load).map_or(0, |(index, _)| index)
+        };
+        match self.options.policy {
+            RoutePolicy::RoundRobin => {
+                self.turn = self.turn.wrapping_add(1);
+                (self.turn % scored.len(), "turn")
+            }
+            RoutePolicy::Random => (self.rng.usize(..scored.len()), "random"),
+            RoutePolicy::LeastInFlight => {
+                (load(self, &ServerEstimate::own_in_flight), "least_in_flight")
+            }
+            RoutePolicy::LeastReported => {
+                (load(self, &|estimate| estimate.reported(now).unwrap_or(0)), "least_reported")
+            }
+            RoutePolicy::PredictedWait => self.pick_lowest(scored),
+        }
+    }
+
+    /// Equals are drawn by lot, so that nodes with the same view don't choose the same server.
+    fn pick_lowest(&mut self, scored: &[(&Server, Duration)]) -> (usize, &'static str) {
+        let lowest = scored.iter().map(|(_, wait)| *wait).min().unwrap_or_default();
+        let equals = scored.iter().enumerate().filter(|(_, (_, wait))| *wait == lowest);
+        let equals: Vec<usize> = equals.map(|(index, _)| index).collect();
+        let drawn = self.rng.usize(..equals.len().max(1));
+        (equals.get(drawn).copied().unwrap_or(0), "lowest_wait")
+    }
+
+    /// A request was sent to a server.
+    pub fn start(&mut self, server: &ServerId, ticket: &RequestTicket, now: Instant) {
+        if let Some(estimate) = self.estimates.get_mut(server) {
+            estimate.start(ticket.rank);
+        }
+        if let Some(prefix) = ticket.prefix {
+            self.prefixes.record(prefix, server.clone(), now);
+        }
+    }
+
+    /// A request left a server.
+    pub fn finish(&mut self, server: &ServerId, rank: TierRank) {
+        if let Some(estimate) = self.estimates.get_mut(server) {
+            estimate.finish(rank);
+        }
+    }
+
+    /// Folds in the speed of an answer that ended well.
+    pub fn observe(&mut self, server: &ServerId, to_first: Duration, to_end: Duration, tokens: u32) {
+        if let Some(estimate) = self.estimates.get_mut(server) {
+            estimate.observe(to_first, to_end, tokens);
+            estimate.circuit.record_success();
+        }
+    }
+
+    /// A new connection to a server failed.
+    pub fn record_failure(&mut self, server: &ServerId, now: Instant) {
+        if let Some(estimate) = self.estimates.get_mut(server) {
+            estimate.circuit.record_failure(now);
+        }
+    }
+
+    /// A server's cache dropped a prefix.
+    pub fn forget_prefix(&mut self, prefix: u64, server: &ServerId) {
+        self.prefixes.forget(prefix, server);
+    }
+
+    /// Whether other nodes hold work of a lower tier on servers of the pool.
+    pub fn peers_hold_below(&self, pool: &PoolId, rank: TierRank, now: Instant) -> bool {
+        let servers = self.pools.get(pool).into_iter().flatten();
+        let mut estimates = servers.filter_map(|id| self.estimates.get(id));
+        estimates.any(|estimate| estimate.peers_below(rank, now) > 0)
+    }
+
+    /// What is believed about a server.
+    pub fn estimate(&self, server: &ServerId) -> Option<&ServerEstimate> {
+        self.estimates.get(server)
+    }
+
+    /// The servers whose circuit is open.
+    pub fn open_circuits(&self, now: Instant) -> Vec<ServerId> {
+        let open = self.estimates.iter().filter(|(_, estimate)| !estimate.circuit.allows(now));
+        open.map(|(id, _)| id.clone()).collect()
+    }
+}
+
+/// The slots that a rank may fill: lower tiers leave a reserve for a burst of the highest.
+fn usable_slots(config: &FleetConfig, server: &Server, rank: TierRank) -> u32 {
+    if rank <= 1 {
+        return server.slots;
+    }
+    let usable = f64::from(server.slots) * (1.0 - config.rules.burst_reserve);
+    (usable as u32).max(1)
+}
