--- /dev/null
+++ b/crates/plumgate-cli/src/commands.rs
@@ -0,0 +1,329 @@
+//! The commands of the tool.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use clap_complete::{Shell, generate};
+use plumgate::config::{ConfigBundle, config_changes, key_digest};
+use plumgate::follow::ConfigHead;
+use plumgate_node::status::NodeStatus;
+use serde_json::json;
+
+use crate::apply::{ApplyBase, apply_files, check, raced, set_drained};
+use crate::errors::{Error, Result};
+use crate::flags;
+use crate::nodes::{statuses, versions_in_force, wait_in_force};
+use crate::output::print_line;
+use crate::store::ConfigStore;
+
+/// Runs the command that was named.
+pub(crate) async fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let context = CommandContext { matches };
+    match matches.subcommand() {
+        Some(("check", sub)) => context.check(sub),
+        Some(("diff", sub)) => context.diff(sub).await,
+        Some(("apply", sub)) => context.apply(sub).await,
+        Some(("status", _)) => context.status().await,
+        Some(("show", sub)) => context.show(sub).await,
+        Some(("drain", sub)) => context.drain(sub, true).await,
+        Some(("undrain", sub)) => context.drain(sub, false).await,
+        Some(("history", sub)) => context.history(sub).await,
+        Some(("key-digest", _)) => print_digest(),
+        Some(("completions", sub)) => Ok(print_completions(sub)),
+        _ => Ok(ExitCode::from(2)),
+    }
+}
+
+fn print_digest() -> Result<ExitCode> {
+    let mut key = String::new();
+    let read = std::io::stdin().read_line(&mut key);
+    read.map_err(|error| Error::File("standard input".to_owned(), error))?;
+    print_line(key_digest(key.trim()));
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_completions(matches: &ArgMatches) -> ExitCode {
+    if let Some(shell) = matches.get_one::<Shell>("shell") {
+        generate(
+            *shell,
+            &mut flags::command(),
+            "plumgate",
+            &mut std::io::stdout(),
+        );
+    }
+    ExitCode::SUCCESS
+}
+
+/// The flags that all commands share.
+struct CommandContext<'a> {
+    matches: &'a ArgMatches,
+}
+
+impl CommandContext<'_> {
+    fn store(&self) -> Result<ConfigStore> {
+        let address = self.matches.get_one::<SocketAddr>("platform");
+        let missing = || {
+            let missing = std::io::Error::other("is missing");
+            Error::File("--platform (PLUMGATE_PLATFORM)".to_owned(), missing)
+        };
+        address
+            .map(|address| ConfigStore::new(*address))
+            .ok_or_else(missing)
+    }
+
+    fn nodes(&self) -> Vec<SocketAddr> {
+        self.matches
+            .get_many::<SocketAddr>("nodes")
+            .unwrap_or_default()
+            .copied()
+            .collect()
+    }
+
+    fn is_json(&self) -> bool {
+        self.matches.get_flag("json")
+    }
+
+    fn print(&self, json: &serde_json::Value, text: &str) {
+        if self.is_json() {
+            print_line(json);
+        } else {
+            print_line(text);
+        }
+    }
+
+    fn check(&self, matches: &ArgMatches) -> Result<ExitCode> {
+        let config = check(&read_files(matches)?, 0)?;
+        let inventory = &config.inventory;
+        let (servers, workspaces) = (inventory.servers.len(), inventory.workspaces.len());
+        let classes = config.rules.classes.len();
+        let counts = json!({ "servers": servers, "workspaces": workspaces, "classes": classes });
+        let text =
+            format!("{servers} servers, {workspaces} workspaces, {classes} classes; no findings");
+        self.print(&counts, &text);
+        Ok(ExitCode::SUCCESS)
+    }
+
+    async fn diff(&self, matches: &ArgMatches) -> Result<ExitCode> {
+        let base = ApplyBase::read(&self.store()?).await?;
+        let bundle = read_files(matches)?.with_drained(base.bundle.drained.clone());
+        let new = check(&bundle, base.version() + 1)?;
+        let changes: Vec<String> = match base.head {
+            Some(_) => {
+                let old = check(&base.bundle, base.version())?;
+                config_changes(&old, &new)
+                    .iter()
+                    .map(ToString::to_string)
+                    .collect()
+            }
+            None => vec!["+ everything: no configuration was applied yet".to_owned()],
+        };
+        let text = if changes.is_empty() {
+            "no changes".to_owned()
+        } else {
+            changes.join("\n")
+        };
+        self.print(
+            &json!({ "version": base.version(), "changes": changes }),
+            &text,
+        );
+        Ok(ExitCode::SUCCESS)
+    }
+
+    async fn apply(&self, matches: &ArgMatches) -> Result<ExitCode> {
+        let store = self.store()?;
+        let base = ApplyBase::read(&store).await?;
+        if let Some(expected) = matches.get_one::<u64>("expect")
+            && *expected != base.version()
+        {
+            return Err(self.unexpected(&store, &base, *expected).await?);
+        }
+        let bundle = read_files(matches)?.with_drained(base.bundle.drained.clone());
+        let head = apply_files(&store, &base, &bundle, &author(matches)).await?;
+        self.finish_change(matches, &head, &bundle).await
+    }
+
+    /// The operator looked at another version than the one that is there now.
+    async fn unexpected(
+        &self,
+        store: &ConfigStore,
+        base: &ApplyBase,
+        expected: u64,
+    ) -> Result<Error> {
+        let seen = store
+            .version(expected)
+            .await?
+            .ok_or(Error::NoVersion(expected))?;
+        let bundle = store.bundle(&seen).await?;
+        let Some(found) = base.head.clone() else {
+            return Ok(Error::NoConfig);
+        };
+        let seen_row = plumgate_node::platform::TableRow {
+            version: 0,
+            value: seen,
+        };
+        let seen = ApplyBase {
+            head: Some(seen_row),
+            bundle,
+        };
+        Ok(raced(store, &seen, found).await)
+    }
+
+    async fn drain(&self, matches: &ArgMatches, drained: bool) -> Result<ExitCode> {
+        let store = self.store()?;
+        let server = matches
+            .get_one::<String>("server")
+            .cloned()
+            .unwrap_or_default();
+        let head = set_drained(&store, &server, drained, &author(matches)).await?;
+        let bundle = store.bundle(&head).await?;
+        self.finish_change(matches, &head, &bundle).await
+    }
+
+    async fn finish_change(
+        &self,
+        matches: &ArgMatches,
+        head: &ConfigHead,
+        bundle: &ConfigBundle,
+    ) -> Result<ExitCode> {
+        let version = head.version;
+        if !matches.get_flag("wait") {
+            let json = json!({ "version": version, "change": head.change });
+            self.print(
+                &json,
+                &format!("version {version} accepted, change {}", head.change),
+            );
+            return Ok(ExitCode::SUCCESS);
+        }
+        let config = check(bundle, version)?;
+        let names: Vec<String> = config
+            .inventory
+            .data_centres
+            .keys()
+            .map(ToString::to_string)
+            .collect();
+        let bound = matches
+            .get_one::<u64>("wait-ms")
+            .copied()
+            .unwrap_or_default();
+        let bound = Duration::from_millis(bound);
+        let taken = wait_in_force(&self.nodes(), version, &names, bound).await?;
+        let json = json!({
+            "version": version,
+            "change": head.change,
+            "in_force_ms": taken.as_millis() as u64,
+        });
+        let text = format!(
+            "version {version} in force in {} after {} ms, change {}",
+            names.join(", "),
+            taken.as_millis(),
+            head.change
+        );
+        self.print(&json, &text);
+        Ok(ExitCode::SUCCESS)
+    }
+
+    async fn status(&self) -> Result<ExitCode> {
+        let statuses = statuses(&self.nodes()).await?;
+        if self.is_json() {
+            print_line(json!(statuses));
+            return Ok(ExitCode::SUCCESS);
+        }
+        print_line("data centres:");
+        for (data_centre, version) in versions_in_force(&statuses) {
+            print_line(format!("  {data_centre}: version {version} or newer"));
+        }
+        for status in &statuses {
+            print_node(status);
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+
+    async fn show(&self, matches: &ArgMatches) -> Result<ExitCode> {
+        let store = self.store()?;
+        let head = match matches.get_one::<u64>("version") {
+            Some(version) => store
+                .version(*version)
+                .await?
+                .ok_or(Error::NoVersion(*version))?,
+            None => store.head().await?.ok_or(Error::NoConfig)?.value,
+        };
+        let bundle = store.bundle(&head).await?;
+        let drained: Vec<&str> = bundle.drained.iter().map(String::as_str).collect();
+        let text = format!(
+            "# version {} by {}, drained: [{}]\n# inventory.toml\n{}\n# rules.toml\n{}",
+            head.version,
+            head.author,
+            drained.join(", "),
+            bundle.inventory,
+            bundle.rules
+        );
+        self.print(&json!({ "head": head, "bundle": bundle }), &text);
+        Ok(ExitCode::SUCCESS)
+    }
+
+    async fn history(&self, matches: &ArgMatches) -> Result<ExitCode> {
+        let store = self.store()?;
+        let newest = store.head().await?.ok_or(Error::NoConfig)?.value.version;
+        let count = matches.get_one::<u64>("count").copied().unwrap_or_default();
+        let mut heads = Vec::new();
+        for version in (1..=newest).rev().take(count as usize) {
+            heads.extend(store.version(version).await?);
+        }
+        let lines: Vec<String> = heads
+            .iter()
+            .map(|head| {
+                format!(
+                    "{} by {} at {} ms, change {}",
+                    head.version, head.author, head.made_ms, head.change
+                )
+            })
+            .collect();
+        self.print(&json!(heads), &lines.join("\n"));
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+fn print_node(status: &NodeStatus) {
+    print_line(format!(
+        "{} in {}: {}, version {}",
+        status.node, status.data_centre, status.state, status.config
+    ));
+    print_line(format!(
+        "  waiting {:?}, running {:?}",
+        status.waiting, status.running
+    ));
+    if !status.open_circuits.is_empty() {
+        print_line(format!(
+            "  not reached: {}",
+            status.open_circuits.join(", ")
+        ));
+    }
+    for server in status
+        .servers
+        .iter()
+        .filter(|server| !server.leaving.is_empty())
+    {
+        print_line(format!(
+            "  {} is leaving, says {}",
+            server.server,
+            server.leaving.join(" and ")
+        ));
+    }
+}
+
+fn author(matches: &ArgMatches) -> String {
+    matches
+        .get_one::<String>("author")
+        .cloned()
+        .unwrap_or_default()
+}
+
+fn read_files(matches: &ArgMatches) -> Result<ConfigBundle> {
+    let read = |name: &str| {
+        let path = matches.get_one::<String>(name).cloned().unwrap_or_default();
+        std::fs::read_to_string(&path).map_err(|error| Error::File(path, error))
+    };
+    Ok(ConfigBundle::new(read("inventory")?, read("rules")?))
+}
--- /dev/null
+++ b/crates/plumgate-cli/src/errors.rs
@@ -0,0 +1,51 @@
+//! The errors of the tool and their exit codes.
+
+use std::process::ExitCode;
+
+use displaydoc::Display;
+use plumgate::FindingList;
+
+/// The result that the tool's functions return.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+/// What can go wrong.
+#[derive(Debug, Display)]
+pub(crate) enum Error {
+    /// {0}
+    Findings(FindingList),
+    /// {0}: {1}
+    File(String, std::io::Error),
+    /// version {0} was applied meanwhile by {1}; nothing of yours was applied. It changed:{2}
+    Raced(u64, String, String),
+    /// the platform does not answer; nothing was applied
+    NotApplied,
+    /// the platform does not answer; whether the change was applied is not known. Look with "plumgate history" for change {0}
+    InDoubt(String),
+    /// no configuration was applied yet
+    NoConfig,
+    /// there is no version {0}
+    NoVersion(u64),
+    /// "{0}" is not a backend server
+    NoServer(String),
+    /// version {0} is not in force in: {1}
+    NotInForce(u64, String),
+    /// no node answers at the addresses given by --nodes
+    NoNode,
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    /// The exit code, as the operators' page lists it.
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        let code = match self {
+            Self::Findings(_) | Self::File(..) | Self::NoServer(_) => 2,
+            Self::Raced(..) => 3,
+            Self::NotApplied | Self::NoNode => 4,
+            Self::InDoubt(_) => 5,
+            Self::NotInForce(..) => 6,
+            Self::NoConfig | Self::NoVersion(_) => 7,
+        };
+        ExitCode::from(code)
+    }
+}
--- /dev/null
+++ b/crates/plumgate-cli/src/flags.rs
@@ -0,0 +1,129 @@
+//! The command line of the tool.
+
+use std::net::SocketAddr;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use clap_complete::Shell;
+
+/// The command line.
+pub(crate) fn command() -> Command {
+    Command::new("plumgate")
+        .about("Checks and applies configurations of plumgate, and shows what is in force")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg(platform())
+        .arg(nodes())
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .global(true)
+                .action(ArgAction::SetTrue)
+                .help("Print JSON"),
+        )
+        .subcommands([
+            files(Command::new("check").about("Checks inventory and rules; applies nothing")),
+            files(Command::new("diff").about("Shows what an apply would change")),
+            change(files(
+                Command::new("apply").about("Applies inventory and rules"),
+            ))
+            .arg(
+                Arg::new("expect")
+                    .long("expect")
+                    .value_parser(value_parser!(u64))
+                    .help("Apply only on top of this version"),
+            ),
+            Command::new("status").about("Shows data centres, nodes, servers and queues"),
+            Command::new("show")
+                .about("Prints the configuration in force, or an earlier one")
+                .arg(
+                    Arg::new("version")
+                        .long("version")
+                        .value_parser(value_parser!(u64)),
+                ),
+            change(server(
+                Command::new("drain").about("Takes a backend server out of use"),
+            )),
+            change(server(
+                Command::new("undrain").about("Brings a drained server back"),
+            )),
+            Command::new("history")
+                .about("Lists the versions that were applied")
+                .arg(
+                    Arg::new("count")
+                        .long("count")
+                        .default_value("20")
+                        .value_parser(value_parser!(u64)),
+                ),
+            Command::new("key-digest").about(
+                "Reads an API key from standard input and prints its digest for the inventory",
+            ),
+            Command::new("completions")
+                .about("Prints completions for a shell")
+                .arg(
+                    Arg::new("shell")
+                        .required(true)
+                        .value_parser(value_parser!(Shell)),
+                ),
+        ])
+}
+
+fn platform() -> Arg {
+    Arg::new("platform")
+        .long("platform")
+        .env("PLUMGATE_PLATFORM")
+        .global(true)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Address of the platform, IP:PORT")
+}
+
+fn nodes() -> Arg {
+    Arg::new("nodes")
+        .long("nodes")
+        .env("PLUMGATE_NODES")
+        .global(true)
+        .value_delimiter(',')
+        .value_parser(value_parser!(SocketAddr))
+        .help("Operators' addresses of some nodes, separated by commas")
+}
+
+fn files(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("inventory")
+                .long("inventory")
+                .default_value("inventory.toml"),
+        )
+        .arg(Arg::new("rules").long("rules").default_value("rules.toml"))
+}
+
+fn server(command: Command) -> Command {
+    command.arg(
+        Arg::new("server")
+            .required(true)
+            .help("Name of the backend server"),
+    )
+}
+
+fn change(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("author")
+                .long("author")
+                .env("USER")
+                .default_value("operator")
+                .help("Who makes the change"),
+        )
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .action(ArgAction::SetTrue)
+                .help("Wait until in force in every data centre"),
+        )
+        .arg(
+            Arg::new("wait-ms")
+                .long("wait-ms")
+                .default_value("10000")
+                .value_parser(value_parser!(u64))
+                .help("How long to wait"),
+        )
+}
--- a/crates/plumgate-cli/src/main.rs
+++ b/crates/plumgate-cli/src/main.rs
@@ -1,1 +1,25 @@
-fn main() {}
+//! The operators' tool: checks and applies configurations, and shows what is in force.
+
+#![forbid(unsafe_code)]
+
+mod apply;
+mod commands;
+mod errors;
+mod flags;
+mod nodes;
+mod output;
+mod store;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = flags::command().get_matches();
+    let done = async_io::block_on(commands::run(&matches));
+    match done {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{error}");
+            error.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/plumgate-cli/src/nodes.rs
@@ -0,0 +1,77 @@
+//! What the nodes say of themselves.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use plumgate_node::status::{NodeStatus, fetch_status};
+
+use crate::errors::{Error, Result};
+
+/// Pause between two looks at the nodes.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
+/// The statuses of the nodes that answer.
+pub(crate) async fn statuses(addresses: &[SocketAddr]) -> Result<Vec<NodeStatus>> {
+    let mut statuses = Vec::new();
+    for address in addresses {
+        statuses.extend(fetch_status(*address).await);
+    }
+    if statuses.is_empty() {
+        Err(Error::NoNode)
+    } else {
+        Ok(statuses)
+    }
+}
+
+/// The lowest version in force in each data centre that some node knows of.
+pub(crate) fn versions_in_force(statuses: &[NodeStatus]) -> BTreeMap<String, u64> {
+    let mut nodes: BTreeMap<&str, (&str, u64)> = BTreeMap::new();
+    for status in statuses {
+        for node in &status.nodes {
+            let known = nodes
+                .entry(&node.node)
+                .or_insert((&node.data_centre, node.config));
+            known.1 = known.1.max(node.config);
+        }
+    }
+    let mut lowest: BTreeMap<String, u64> = BTreeMap::new();
+    for (data_centre, version) in nodes.into_values() {
+        let held = lowest.entry(data_centre.to_owned()).or_insert(version);
+        *held = (*held).min(version);
+    }
+    lowest
+}
+
+/// Waits until a version is in force on all nodes of the data centres; how long that took.
+pub(crate) async fn wait_in_force(
+    addresses: &[SocketAddr],
+    version: u64,
+    data_centres: &[String],
+    bound: Duration,
+) -> Result<Duration> {
+    let start = Instant::now();
+    loop {
+        let versions = match statuses(addresses).await {
+            Ok(statuses) => versions_in_force(&statuses),
+            Err(_) => BTreeMap::new(),
+        };
+        let lagging = |name: &&String| versions.get(*name).is_none_or(|held| *held < version);
+        let missing: Vec<&String> = data_centres.iter().filter(lagging).collect();
+        if missing.is_empty() {
+            return Ok(start.elapsed());
+        }
+        if start.elapsed() > bound {
+            let told = missing.iter().map(|name| match versions.get(*name) {
+                Some(held) => format!("{name} (version {held})"),
+                None => format!("{name} (can't be reached)"),
+            });
+            return Err(Error::NotInForce(
+                version,
+                told.collect::<Vec<_>>().join(", "),
+            ));
+        }
+        Timer::after(LOOK_PAUSE).await;
+    }
+}
--- a/crates/plumgate-node/src/lib.rs
+++ b/crates/plumgate-node/src/lib.rs
@@ -1,1 +1,36 @@
+//! One node of plumgate: it takes callers' requests, sends them to backend servers, and
+//! keeps in touch with the platform and the other nodes.
+//!
+//! All decisions are taken by the `plumgate` crate. Control state has one owner, the control
+//! thread; traffic threads read what it publishes and share the dispatcher behind one lock.
+
 #![forbid(unsafe_code)]
+
+pub mod clock;
+pub mod errors;
+pub mod log;
+pub mod platform;
+pub mod settings;
+pub mod status;
+
+mod admin;
+mod backend;
+mod body;
+mod caller_error;
+mod caller_sink;
+mod callers;
+mod claims;
+mod control;
+mod exchange;
+mod http;
+mod life;
+mod metrics;
+mod node;
+mod peers;
+mod relay;
+mod shared;
+
+pub use clock::{Clock, PausedClock, SystemClock};
+pub use errors::{Error, Result};
+pub use node::{Node, NodeAddresses};
+pub use settings::NodeSettings;
--- /dev/null
+++ b/crates/plumgate-node/src/relay.rs
@@ -0,0 +1,520 @@
+//! One caller's request from its arrival to its last byte.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use futures_lite::future;
+use hyper::StatusCode;
+use plumgate::RunOutcome;
+use plumgate::attempt::{AttemptEvent, AttemptRun};
+use plumgate::claim::{ClaimRun, claim_row_name};
+use plumgate::config::{Server, ServerKind};
+use plumgate::dispatch::{AttemptEnd, RefusalReason, RequestTicket};
+use plumgate::retry::may_run_again;
+use plumgate::route::RouteChoice;
+
+use crate::caller_error::CallerError;
+use crate::caller_sink::{CallerAnswer, CallerSink};
+use crate::callers::BackendCall;
+use crate::claims::{
+    ClaimEnd, HeldClaim, OtherEnd, SettledRun, await_other, claim_key, settle_claim,
+};
+use crate::clock::Clock;
+use crate::exchange::{AnswerSink, AttemptOrder, AttemptResult, ServerAttempt};
+use crate::log::LogLine;
+use crate::shared::{NodeShared, Verdict};
+
+/// Attempts that one request gets at most.
+const ATTEMPTS_MOST: u32 = 5;
+/// How long the answer waits until a copy is kept for a repeated request.
+const KEEP_BOUND: Duration = Duration::from_millis(300);
+/// When to come back after no claim was possible.
+const CLAIM_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Shortest silence after which a plain service is given up: it has no run to look at.
+const SERVICE_SILENCE: Duration = Duration::from_secs(10);
+/// Longest time that a request may run.
+const LONGEST_RUN: Duration = Duration::from_secs(900);
+
+/// A caller's request, checked.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerRequest {
+    /// What the dispatcher knows of it.
+    pub(crate) ticket: RequestTicket,
+    /// What is sent to a server.
+    pub(crate) call: BackendCall,
+    /// The name that the caller gave it across its own retries.
+    pub(crate) key: Option<String>,
+    /// A digest of the request, since one key must name one request.
+    pub(crate) digest: String,
+    /// How long a claimed key and its answer are kept.
+    pub(crate) key_lifetime: Duration,
+    /// How long a server may be silent.
+    pub(crate) progress_timeout: Duration,
+}
+
+/// What to do after an attempt.
+enum NextStep {
+    /// Wait for another server.
+    Again,
+    /// The answer is complete.
+    Finish,
+    /// There is no answer.
+    Fail(CallerError),
+    /// Nobody waits any more.
+    Drop,
+    /// The answer of another attempt with the same key.
+    Replay(crate::exchange::WholeAnswer),
+}
+
+/// Serves one request; the caller's side listens on the other end of `answers`.
+pub(crate) async fn relay_request<C: Clock>(
+    shared: Arc<NodeShared<C>>,
+    request: CallerRequest,
+    answers: Sender<CallerAnswer>,
+) {
+    shared.open_request();
+    let id = request.ticket.id.clone();
+    let verdicts = shared.submit(request.ticket.clone());
+    let mut relay = RequestRelay {
+        shared: &shared,
+        request: &request,
+        verdicts,
+        run: AttemptRun::new(),
+        claim: None,
+        outcome: RunOutcome::NotRun,
+    };
+    relay.serve(answers).await;
+    shared.forget(&id);
+    shared.close_request();
+}
+
+/// One request on its way.
+struct RequestRelay<'a, C> {
+    shared: &'a Arc<NodeShared<C>>,
+    request: &'a CallerRequest,
+    verdicts: Receiver<Verdict>,
+    run: AttemptRun,
+    claim: Option<HeldClaim>,
+    outcome: RunOutcome,
+}
+
+impl<C: Clock> RequestRelay<'_, C> {
+    async fn serve(&mut self, answers: Sender<CallerAnswer>) {
+        let first = {
+            let shared = self.shared.clone();
+            let id = self.request.ticket.id.clone();
+            let class = self.request.ticket.class.clone();
+            let arrived = self.request.ticket.arrived;
+            move || {
+                let after = shared.clock.now().saturating_duration_since(arrived);
+                shared.metrics.observe_first_byte(&class, after);
+                shared.dispatcher().pin(&id);
+            }
+        };
+        let mut sink = CallerSink::new(answers.clone(), first);
+        if self.needs_claim() {
+            sink = sink.with_copy();
+        }
+        let step = loop {
+            match self.next_step(&mut sink).await {
+                NextStep::Again => {}
+                step => break step,
+            }
+        };
+        let late = self.shared.clock.now() > self.request.ticket.due && !sink.has_delivered();
+        match step {
+            NextStep::Finish => {
+                self.outcome = RunOutcome::Answered;
+                self.keep_answer(sink.whole_answer()).await;
+                self.report(None, late);
+                sink.finish().await;
+            }
+            NextStep::Replay(whole) => {
+                self.outcome = RunOutcome::Answered;
+                self.report(Some("replayed"), late);
+                // A caller that went away may repeat its request once more.
+                let _ = answers.send(CallerAnswer::Whole(whole)).await;
+            }
+            NextStep::Fail(error) => {
+                self.outcome = error.outcome;
+                self.settle(SettledRun::Ended(error.outcome));
+                self.report(Some(error.kind), true);
+                sink.fail(error, &self.request.ticket.id).await;
+            }
+            NextStep::Drop | NextStep::Again => {
+                self.outcome = self.run.outcome();
+                self.settle(SettledRun::Ended(self.outcome));
+                self.report(Some("caller_gone"), true);
+            }
+        }
+    }
+
+    /// Waits for a verdict and carries it out.
+    async fn next_step<S: RelaySink>(&mut self, sink: &mut S) -> NextStep {
+        let verdict = async { Some(self.verdicts.recv().await) };
+        let gone = async {
+            sink.gone().await;
+            None
+        };
+        match future::or(verdict, gone).await {
+            None => NextStep::Drop,
+            Some(Ok(Verdict::Preempt)) => NextStep::Again,
+            Some(Ok(Verdict::Refuse(reason, retry_after))) => {
+                NextStep::Fail(self.refusal(reason, retry_after))
+            }
+            Some(Ok(Verdict::Start(choice))) => self.attempt(choice, sink).await,
+            Some(Err(_)) => NextStep::Fail(self.give_up("stopping", "the node is stopping")),
+        }
+    }
+
+    async fn attempt<S: RelaySink>(&mut self, choice: RouteChoice, sink: &mut S) -> NextStep {
+        let server = choice.server;
+        let dispatched = self.run.dispatch(server.id.clone());
+        debug_assert!(
+            dispatched.is_ok(),
+            "the chart expects a dispatch: {dispatched:?}"
+        );
+        if self.needs_claim()
+            && self.claim.is_none()
+            && let Some(step) = self.claim().await
+        {
+            self.shared
+                .finish(&self.request.ticket.id, AttemptEnd::GivenUp);
+            return step;
+        }
+        let result = self.exchange(&server, sink).await;
+        self.log_attempt(&server, result);
+        self.after_attempt(&server, result, sink)
+    }
+
+    async fn exchange<S: RelaySink>(&mut self, server: &Server, sink: &mut S) -> AttemptResult {
+        let ticket = &self.request.ticket;
+        let progress_timeout = match server.kind {
+            ServerKind::Engine => self.request.progress_timeout,
+            ServerKind::Service => self.request.progress_timeout.max(SERVICE_SILENCE),
+        };
+        let order = AttemptOrder {
+            server,
+            call: &self.request.call,
+            run_id: format!("{}.{}", ticket.id, self.run.number()),
+            rank: ticket.rank,
+            idempotent: ticket.idempotent,
+            progress_timeout,
+            deadline: self.shared.clock.now() + LONGEST_RUN,
+        };
+        let mut attempt = ServerAttempt::new(self.shared, order, &self.verdicts, &mut self.run);
+        attempt.carry_out(sink).await
+    }
+
+    fn after_attempt<S: RelaySink>(
+        &mut self,
+        server: &Server,
+        result: AttemptResult,
+        sink: &S,
+    ) -> NextStep {
+        let id = &self.request.ticket.id;
+        let (end, reason) = match result {
+            AttemptResult::Answered {
+                to_first,
+                to_end,
+                tokens,
+            } => {
+                self.shared.metrics.tokens.inc_by(tokens.into());
+                self.shared.finish(
+                    id,
+                    AttemptEnd::Answered {
+                        to_first,
+                        to_end,
+                        tokens,
+                    },
+                );
+                return NextStep::Finish;
+            }
+            AttemptResult::CallerGone => {
+                self.shared.finish(id, AttemptEnd::GivenUp);
+                return NextStep::Drop;
+            }
+            AttemptResult::ConnectFailed => (AttemptEnd::ConnectionFailed, "connect_failed"),
+            AttemptResult::Refused { leaving } => (AttemptEnd::Refused { leaving }, "refused"),
+            AttemptResult::InDoubt {
+                blames_server: true,
+            } => (AttemptEnd::ConnectionFailed, "broken"),
+            AttemptResult::InDoubt {
+                blames_server: false,
+            } => (AttemptEnd::GivenUp, "in_doubt"),
+            AttemptResult::Preempted => (AttemptEnd::GivenUp, "preempted"),
+        };
+        let labels = crate::metrics::ReasonLabels { reason };
+        self.shared
+            .metrics
+            .failed_attempts
+            .get_or_create(&labels)
+            .inc();
+        self.shared.finish(id, end);
+        self.run_again(server, result, sink)
+    }
+
+    fn run_again<S: RelaySink>(
+        &mut self,
+        server: &Server,
+        result: AttemptResult,
+        sink: &S,
+    ) -> NextStep {
+        let outcome = match result {
+            AttemptResult::ConnectFailed | AttemptResult::Refused { .. } => RunOutcome::NotRun,
+            _ => RunOutcome::Unknown,
+        };
+        let allowed = may_run_again(outcome, self.request.ticket.idempotent)
+            && !sink.has_delivered()
+            && self.run.number() < ATTEMPTS_MOST;
+        if !allowed {
+            return NextStep::Fail(self.give_up("backend_failed", "the backend server failed"));
+        }
+        if outcome == RunOutcome::Unknown {
+            let applied = self.run.apply(AttemptEvent::RunAgain);
+            debug_assert!(
+                applied.is_ok(),
+                "the chart expects another run: {applied:?}"
+            );
+        }
+        let gave_way = result == AttemptResult::Preempted;
+        let avoid = (!gave_way).then(|| server.id.clone());
+        let paid = outcome == RunOutcome::Unknown && !gave_way;
+        let mut ticket = self.request.ticket.clone();
+        ticket.avoid = self.run.tried().to_vec();
+        if self.shared.resubmit(ticket, avoid, paid) {
+            return NextStep::Again;
+        }
+        NextStep::Fail(self.give_up(
+            "backend_failed",
+            "the backend server failed; no retry is left",
+        ))
+    }
+
+    fn needs_claim(&self) -> bool {
+        !self.request.ticket.idempotent && self.request.key.is_some()
+    }
+
+    /// Claims the key; `None` says that the request may run here.
+    async fn claim(&mut self) -> Option<NextStep> {
+        let key = self.request.key.as_deref()?;
+        let ticket = &self.request.ticket;
+        let name = claim_row_name(&ticket.workspace, key);
+        let node = self.shared.settings.node.to_string();
+        let mut run = ClaimRun::new(&*ticket.id, node, &self.request.digest);
+        let lifetime = self.request.key_lifetime;
+        let end = claim_key(self.shared, &name, &mut run, lifetime).await;
+        let line = LogLine::new("claim")
+            .with("request", &ticket.id)
+            .with("row", &name);
+        match end {
+            ClaimEnd::Granted(version) => {
+                line.with("end", "granted").info(&self.shared.log);
+                self.claim = Some(HeldClaim {
+                    name,
+                    run,
+                    version: Some(version),
+                    lifetime,
+                });
+                None
+            }
+            ClaimEnd::Taken(row) => {
+                line.with("end", "taken")
+                    .with("claimer", &row.claimer)
+                    .info(&self.shared.log);
+                self.shared.finish(&ticket.id, AttemptEnd::GivenUp);
+                Some(self.follow_other(&name, row).await)
+            }
+            ClaimEnd::Mismatched => {
+                line.with("end", "mismatched").info(&self.shared.log);
+                let message = "the Idempotency-Key was used for another request";
+                let status = StatusCode::UNPROCESSABLE_ENTITY;
+                Some(NextStep::Fail(CallerError::invalid(
+                    status,
+                    "key_reused",
+                    message,
+                )))
+            }
+            ClaimEnd::Unavailable => {
+                line.with("end", "unavailable").warn(&self.shared.log);
+                // The write may still take effect; then the row must say that nothing ran.
+                self.claim = Some(HeldClaim {
+                    name,
+                    run,
+                    version: None,
+                    lifetime,
+                });
+                let message = "the key can't be claimed now; nothing was run";
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                let error =
+                    CallerError::not_run(status, "claim_unavailable", message, CLAIM_RETRY_AFTER);
+                Some(NextStep::Fail(error))
+            }
+        }
+    }
+
+    /// Another attempt has the key: its answer is this request's answer.
+    async fn follow_other(&self, name: &str, row: plumgate::claim::ClaimRow) -> NextStep {
+        let deadline = self.shared.clock.now() + LONGEST_RUN;
+        match await_other(self.shared, name, row, deadline).await {
+            OtherEnd::Answered(whole) => NextStep::Replay(whole),
+            OtherEnd::NotRun => {
+                let message = "the earlier request with this key was not run; repeat it";
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                NextStep::Fail(CallerError::not_run(
+                    status,
+                    "not_run",
+                    message,
+                    Duration::from_secs(1),
+                ))
+            }
+            OtherEnd::Unknown => {
+                let message = "an earlier request with this key may have run";
+                NextStep::Fail(CallerError::unknown("key_in_doubt", message))
+            }
+        }
+    }
+
+    /// Keeps a copy of the answer before its end goes out, but holds it up only for so long.
+    async fn keep_answer(&mut self, whole: Option<crate::exchange::WholeAnswer>) {
+        if self.claim.is_none() {
+            return;
+        }
+        let settled = match whole {
+            Some(whole) => SettledRun::Answered(whole),
+            None => SettledRun::Ended(RunOutcome::Unknown),
+        };
+        let Some(kept) = self.settle(settled) else {
+            return;
+        };
+        let bound: Instant = self.shared.clock.now() + KEEP_BOUND;
+        let _ = self.shared.until(bound, kept.recv()).await;
+    }
+
+    /// Writes down how the run of a claimed key ended; the channel closes once that is done.
+    fn settle(&mut self, settled: SettledRun) -> Option<Receiver<()>> {
+        let claim = self.claim.take()?;
+        let (done, settling) = async_channel::bounded(1);
+        let shared = self.shared.clone();
+        // A graceful stop waits for it like for the request itself.
+        shared.open_request();
+        let work = async move {
+            settle_claim(shared.clone(), claim, settled).await;
+            shared.close_request();
+            drop(done);
+        };
+        self.shared.executor.spawn(work).detach();
+        Some(settling)
+    }
+
+    fn refusal(&mut self, reason: RefusalReason, retry_after: Duration) -> CallerError {
+        let labels = crate::metrics::ReasonLabels {
+            reason: reason.as_str(),
+        };
+        self.shared.metrics.refusals.get_or_create(&labels).inc();
+        let outcome = self.run.outcome();
+        let (status, message) = match reason {
+            RefusalReason::RateLimit => (
+                StatusCode::TOO_MANY_REQUESTS,
+                "the workspace is over its rate",
+            ),
+            RefusalReason::NoServer => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no server takes work for this model",
+            ),
+            RefusalReason::QueueFull => (StatusCode::SERVICE_UNAVAILABLE, "the queue is full"),
+            RefusalReason::WaitTooLong => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no server can start this class within its target",
+            ),
+            RefusalReason::Expired => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no server came free in time",
+            ),
+            RefusalReason::Shed => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "room was made for a higher tier",
+            ),
+            RefusalReason::Stopping => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "this node is stopping; another takes the request",
+            ),
+        };
+        let error = CallerError::not_run(status, reason.as_str(), message, retry_after);
+        CallerError { outcome, ..error }
+    }
+
+    fn give_up(&mut self, kind: &'static str, message: &str) -> CallerError {
+        match self.run.outcome() {
+            RunOutcome::NotRun => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                CallerError::not_run(status, kind, message, Duration::from_secs(1))
+            }
+            RunOutcome::Unknown | RunOutcome::Answered => CallerError::unknown(kind, message),
+        }
+    }
+
+    fn log_attempt(&self, server: &Server, result: AttemptResult) {
+        let word = match result {
+            AttemptResult::Answered { .. } => "answered",
+            AttemptResult::ConnectFailed => "connect_failed",
+            AttemptResult::Refused { .. } => "refused",
+            AttemptResult::InDoubt { .. } => "in_doubt",
+            AttemptResult::CallerGone => "caller_gone",
+            AttemptResult::Preempted => "preempted",
+        };
+        let line = LogLine::new("attempt")
+            .with("request", &self.request.ticket.id)
+            .with("attempt", self.run.number())
+            .with("server", &server.id)
+            .with("end", word)
+            .with("state", self.run.state());
+        match result {
+            AttemptResult::Answered {
+                tokens,
+                to_first,
+                to_end,
+            } => line
+                .with("tokens", tokens)
+                .with("first_ms", to_first.as_millis())
+                .with("end_ms", to_end.as_millis())
+                .info(&self.shared.log),
+            _ => line.info(&self.shared.log),
+        }
+    }
+
+    fn report(&self, reason: Option<&str>, late: bool) {
+        let ticket = &self.request.ticket;
+        let taken = self
+            .shared
+            .clock
+            .now()
+            .saturating_duration_since(ticket.arrived);
+        self.shared
+            .metrics
+            .count_request(&ticket.class, ticket.rank, self.outcome.as_str(), !late);
+        LogLine::new("request")
+            .with("request", &ticket.id)
+            .with("workspace", &ticket.workspace)
+            .with("class", &ticket.class)
+            .with("tier", ticket.rank)
+            .with("outcome", self.outcome.as_str())
+            .with_some("reason", reason)
+            .with("attempts", self.run.number())
+            .with("ms", taken.as_millis())
+            .info(&self.shared.log);
+    }
+}
+
+/// A sink that knows whether its caller has got anything.
+pub(crate) trait RelaySink: AnswerSink {
+    /// Whether the caller has got bytes of the answer.
+    fn has_delivered(&self) -> bool;
+}
+
+impl<F: FnMut() + Send + Sync> RelaySink for CallerSink<F> {
+    fn has_delivered(&self) -> bool {
+        Self::has_delivered(self)
+    }
+}
--- /dev/null
+++ b/crates/plumgate-standin/src/engine.rs
@@ -0,0 +1,822 @@
+//! A model engine's stand-in: batches with slots and priorities, streams, resumes, cancels.
+
+use std::cell::{Ref, RefCell, RefMut};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::Async;
+use bytes::Bytes;
+use event_listener::Event;
+use futures_lite::future;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use plumgate_node::Clock;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::http::{
+    ConnectionCut, StandinBody, StandinResponse, cut, read_body, respond, respond_json, serve,
+};
+
+/// Pieces of a stream that wait for a slow reader.
+const CHUNKS_WAITING: usize = 16;
+/// Runs that are remembered after their end, so that they can be resumed.
+const RUNS_KEPT: usize = 4096;
+/// Share of the first token's time that a cached prefix leaves.
+const CACHED_SHARE: f64 = 0.3;
+/// Bytes of a prompt that make its prefix.
+const PREFIX_BYTES: usize = 512;
+
+/// How an engine works.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// The name of the engine.
+    pub name: String,
+    /// Runs at once.
+    pub slots: usize,
+    /// Time to the first token.
+    pub first_token: Duration,
+    /// Time between tokens.
+    pub token_pause: Duration,
+    /// How late the load report is.
+    pub report_lag: Duration,
+    /// Prefixes that the cache holds.
+    pub cached_prefixes: usize,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// How long a run goes on that nobody listens to.
+    pub orphan_time: Duration,
+}
+
+impl EngineOptions {
+    /// Options of a small, quick engine.
+    pub fn new(name: impl Into<String>) -> Self {
+        Self {
+            name: name.into(),
+            slots: 8,
+            first_token: Duration::from_millis(20),
+            token_pause: Duration::from_millis(5),
+            report_lag: Duration::from_millis(500),
+            cached_prefixes: 64,
+            checks_fencing: true,
+            orphan_time: Duration::from_secs(10),
+        }
+    }
+
+    /// The same with a number of slots.
+    pub fn with_slots(mut self, slots: usize) -> Self {
+        self.slots = slots;
+        self
+    }
+
+    /// The same with other times.
+    pub fn with_times(mut self, first_token: Duration, token_pause: Duration) -> Self {
+        self.first_token = first_token;
+        self.token_pause = token_pause;
+        self
+    }
+
+    /// The same, checking fencing numbers or not.
+    pub fn with_fencing(mut self, checks: bool) -> Self {
+        self.checks_fencing = checks;
+        self
+    }
+}
+
+/// Faults that a test switches on; a new set replaces the old one.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EngineFaults {
+    /// New requests are refused as not run.
+    pub refuse: bool,
+    /// New requests are refused as not run, and the engine says that it is leaving.
+    pub leaving: bool,
+    /// So many requests are cut before they run.
+    pub cut_before_run: u32,
+    /// So many requests run and are cut before the head of their answer.
+    pub cut_before_head: u32,
+    /// So many streams are cut after `after_tokens`; their runs go on.
+    pub cut_streams: u32,
+    /// So many streams go silent after `after_tokens`; their runs go on.
+    pub silent_streams: u32,
+    /// So many runs are lost after `after_tokens`, as by a crash that forgets them.
+    pub lose_runs: u32,
+    /// So many requests get the head of another request's answer.
+    pub wrong_ids: u32,
+    /// So many streams repeat events that they already sent when they are resumed.
+    pub repeat_events: u32,
+    /// The process ends once a run has `after_tokens`.
+    pub crash: bool,
+    /// After how many tokens the faults of streams and runs happen.
+    pub after_tokens: u32,
+    /// All times are so many times longer; 0 means 1.
+    pub slow_factor: f64,
+    /// Nothing is generated and nothing answered until this is switched off.
+    pub frozen: bool,
+    /// Orders take effect only after so long, in milliseconds.
+    pub order_delay_ms: u64,
+}
+
+/// One run of a request.
+#[derive(Debug)]
+struct EngineRun {
+    digest: String,
+    total: u32,
+    produced: u32,
+    done: bool,
+    lost: bool,
+    stream: bool,
+    listeners: u32,
+    orphaned_at: Option<Instant>,
+}
+
+/// An order to load or unload a model.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// The fencing number of the holder.
+    pub fencing: u64,
+    /// The model.
+    pub model: String,
+    /// Whether the model is to be there.
+    pub loaded: bool,
+}
+
+/// The load at a time, for the lagging report.
+#[derive(Clone, Copy, Debug)]
+struct DatedLoad {
+    at: Instant,
+    running: usize,
+    waiting: usize,
+}
+
+#[derive(Default)]
+struct EngineState {
+    faults: EngineFaults,
+    runs: HashMap<String, EngineRun>,
+    order_of_runs: VecDeque<String>,
+    waiting: BTreeMap<(u16, u64), String>,
+    running: usize,
+    arrivals: u64,
+    runs_by_key: BTreeMap<String, u64>,
+    tokens: u64,
+    cancelled: u64,
+    loads: VecDeque<DatedLoad>,
+    prefixes: VecDeque<u64>,
+    cache_events: Vec<(u64, u64, bool)>,
+    highest_fencing: u64,
+    models: BTreeMap<String, bool>,
+    orders: Vec<EngineOrder>,
+    refused_orders: u64,
+}
+
+/// The stand-in of one engine.
+#[derive(Clone)]
+pub struct StandinEngine<C> {
+    clock: C,
+    options: EngineOptions,
+    executor: Rc<LocalExecutor<'static>>,
+    state: Rc<RefCell<EngineState>>,
+    changed: Rc<Event>,
+}
+
+/// The part of a request that the engine reads.
+#[derive(Deserialize)]
+struct EngineRequest {
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u32>,
+    /// How many tokens this stand-in makes, which the router doesn't know.
+    standin_tokens: Option<u32>,
+    messages: Option<Value>,
+    prompt: Option<Value>,
+}
+
+impl<C: Clock> StandinEngine<C> {
+    /// An idle engine.
+    pub fn new(clock: C, options: EngineOptions, executor: Rc<LocalExecutor<'static>>) -> Self {
+        Self {
+            clock,
+            options,
+            executor,
+            state: Rc::default(),
+            changed: Rc::new(Event::new()),
+        }
+    }
+
+    /// Serves until the executor ends.
+    pub async fn run(self, listener: Async<TcpListener>) {
+        let executor = self.executor.clone();
+        let handler = move |request| {
+            let engine = self.clone();
+            async move { engine.handle(request).await }
+        };
+        serve(executor, listener, handler).await;
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Result<StandinResponse, ConnectionCut> {
+        let (head, body) = request.into_parts();
+        let body = read_body(body).await;
+        let path = head.uri.path().to_owned();
+        match (&head.method, path.as_str()) {
+            (&Method::POST, "/faults") => return Ok(self.set_faults(&body)),
+            (&Method::GET, "/counts") => return Ok(self.counts()),
+            _ => {}
+        }
+        self.until_thawed().await;
+        if let Some(id) = path.strip_prefix("/v1/runs/") {
+            return self.handle_run(&head.method, id, &head.headers).await;
+        }
+        match (&head.method, path.as_str()) {
+            (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+                self.handle_request(&head.headers, &body).await
+            }
+            (&Method::GET, "/load") => Ok(self.load_report()),
+            (&Method::GET, "/cache/events") => Ok(self.cache_events(head.uri.query())),
+            (&Method::POST, "/orders") => Ok(self.take_order(&body).await),
+            (&Method::GET, "/orders") => Ok(self.orders()),
+            _ => Ok(respond(StatusCode::NOT_FOUND, "nothing here")),
+        }
+    }
+
+    async fn until_thawed(&self) {
+        loop {
+            let changed = self.changed.listen();
+            if !self.state().faults.frozen {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn state(&self) -> Ref<'_, EngineState> {
+        self.state.borrow()
+    }
+
+    fn state_mut(&self) -> RefMut<'_, EngineState> {
+        self.state.borrow_mut()
+    }
+
+    fn set_faults(&self, body: &[u8]) -> StandinResponse {
+        match serde_json::from_slice(body) {
+            Ok(faults) => {
+                self.state_mut().faults = faults;
+                self.changed.notify(usize::MAX);
+                respond(StatusCode::OK, "ok")
+            }
+            Err(error) => respond(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
+    fn counts(&self) -> StandinResponse {
+        let state = self.state();
+        let body = json!({
+            "name": self.options.name,
+            "runs": state.runs_by_key,
+            "tokens": state.tokens,
+            "cancelled": state.cancelled,
+            "running": state.running,
+            "waiting": state.waiting.len(),
+        });
+        respond_json(StatusCode::OK, &body)
+    }
+
+    /// Takes one of a counted fault, if any is left.
+    fn takes(&self, fault: impl Fn(&mut EngineFaults) -> &mut u32) -> bool {
+        let mut state = self.state_mut();
+        let left = fault(&mut state.faults);
+        let takes = *left > 0;
+        *left = left.saturating_sub(1);
+        takes
+    }
+
+    async fn handle_request(
+        &self,
+        headers: &HeaderMap,
+        body: &[u8],
+    ) -> Result<StandinResponse, ConnectionCut> {
+        let Ok(request) = serde_json::from_slice::<EngineRequest>(body) else {
+            return Ok(respond_json(
+                StatusCode::BAD_REQUEST,
+                &json!({"error": {"message": "malformed"}}),
+            ));
+        };
+        let faults = self.state().faults.clone();
+        if faults.refuse || faults.leaving {
+            return Ok(refuse(faults.leaving));
+        }
+        if self.takes(|faults| &mut faults.cut_before_run) {
+            return cut();
+        }
+        let id = self.begin(headers, &request, body);
+        if self.takes(|faults| &mut faults.cut_before_head) {
+            return cut();
+        }
+        let mut response = self.answer(&id, request.stream, 0).await?;
+        let wrong = self.takes(|faults| &mut faults.wrong_ids);
+        let named = if wrong {
+            "another-request"
+        } else {
+            id.as_str()
+        };
+        if let Ok(value) = HeaderValue::from_str(named) {
+            response.headers_mut().insert("x-request-id", value);
+        }
+        Ok(response)
+    }
+
+    /// Puts a new run into the batch's queue.
+    fn begin(&self, headers: &HeaderMap, request: &EngineRequest, body: &[u8]) -> String {
+        let header = |name| headers.get(name).and_then(|value| value.to_str().ok());
+        let prompt = request.messages.as_ref().or(request.prompt.as_ref());
+        let prompt = prompt.map_or_else(String::new, Value::to_string);
+        let wanted = request.standin_tokens.unwrap_or(8);
+        let mut state = self.state_mut();
+        state.arrivals += 1;
+        let arrival = state.arrivals;
+        let id = header("x-request-id").map_or_else(|| format!("run-{arrival}"), str::to_owned);
+        let key = header("idempotency-key")
+            .map_or_else(|| String::from_utf8_lossy(body).into_owned(), str::to_owned);
+        *state.runs_by_key.entry(key).or_default() += 1;
+        let run = EngineRun {
+            digest: format!("{:08x}", digest(prompt.as_bytes()) as u32),
+            total: wanted.min(request.max_tokens.unwrap_or(u32::MAX)).max(1),
+            produced: 0,
+            done: false,
+            lost: false,
+            stream: request.stream,
+            listeners: 0,
+            orphaned_at: None,
+        };
+        state.runs.insert(id.clone(), run);
+        state.order_of_runs.push_back(id.clone());
+        forget_old_runs(&mut state);
+        let priority = header("x-priority")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(u16::MAX);
+        state.waiting.insert((priority, arrival), id.clone());
+        drop(state);
+        self.note_load();
+        let prefix = digest(&prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)]);
+        let generate = self
+            .clone()
+            .generate(id.clone(), (priority, arrival), prefix);
+        self.executor.spawn(generate).detach();
+        id
+    }
+
+    /// One run from its wait for a slot to its last token.
+    async fn generate(self, id: String, place: (u16, u64), prefix: u64) {
+        if !self.until_admitted(place).await {
+            return;
+        }
+        let cached = self.touch_prefix(prefix);
+        let share = if cached { CACHED_SHARE } else { 1.0 };
+        self.pause(self.options.first_token.mul_f64(share)).await;
+        loop {
+            self.until_thawed().await;
+            if self.is_over(&id) || self.produce(&id) {
+                break;
+            }
+            self.pause(self.options.token_pause).await;
+        }
+        self.leave();
+    }
+
+    /// Waits for a slot; `false` says that the run was cancelled before it got one.
+    async fn until_admitted(&self, place: (u16, u64)) -> bool {
+        loop {
+            let changed = self.changed.listen();
+            {
+                let mut state = self.state_mut();
+                if !state.waiting.contains_key(&place) {
+                    return false;
+                }
+                let is_first = state.waiting.keys().next() == Some(&place);
+                if is_first && state.running < self.options.slots {
+                    state.waiting.remove(&place);
+                    state.running += 1;
+                    break;
+                }
+            }
+            changed.await;
+        }
+        self.note_load();
+        self.changed.notify(usize::MAX);
+        true
+    }
+
+    fn leave(&self) {
+        self.state_mut().running -= 1;
+        self.note_load();
+        self.changed.notify(usize::MAX);
+    }
+
+    async fn pause(&self, time: Duration) {
+        let factor = self.state().faults.slow_factor;
+        let factor = if factor > 0.0 { factor } else { 1.0 };
+        self.clock.sleep(time.mul_f64(factor)).await;
+    }
+
+    /// Makes one token; whether that was the last one.
+    fn produce(&self, id: &str) -> bool {
+        let crashes = {
+            let mut state = self.state_mut();
+            state.tokens += 1;
+            let faults = state.faults.clone();
+            let Some(run) = state.runs.get_mut(id) else {
+                return true;
+            };
+            run.produced += 1;
+            run.done = run.produced >= run.total;
+            let reached = run.produced >= faults.after_tokens;
+            if faults.lose_runs > 0 && reached {
+                run.lost = true;
+                run.done = true;
+                state.faults.lose_runs -= 1;
+            }
+            faults.crash && reached
+        };
+        if crashes {
+            std::process::exit(3);
+        }
+        self.changed.notify(usize::MAX);
+        self.state().runs.get(id).is_none_or(|run| run.done)
+    }
+
+    /// Whether a run was cancelled, lost or left alone for too long.
+    fn is_over(&self, id: &str) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state_mut();
+        let Some(run) = state.runs.get_mut(id) else {
+            return true;
+        };
+        let orphaned = run
+            .orphaned_at
+            .is_some_and(|at| now > at + self.options.orphan_time);
+        if orphaned {
+            run.done = true;
+            run.lost = true;
+        }
+        run.done
+    }
+
+    fn touch_prefix(&self, prefix: u64) -> bool {
+        let mut state = self.state_mut();
+        let cached = state.prefixes.contains(&prefix);
+        state.prefixes.retain(|held| *held != prefix);
+        state.prefixes.push_back(prefix);
+        if !cached {
+            let number = state.cache_events.len() as u64 + 1;
+            state.cache_events.push((number, prefix, true));
+        }
+        if state.prefixes.len() > self.options.cached_prefixes
+            && let Some(dropped) = state.prefixes.pop_front()
+        {
+            let number = state.cache_events.len() as u64 + 1;
+            state.cache_events.push((number, dropped, false));
+        }
+        cached
+    }
+
+    async fn handle_run(
+        &self,
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+    ) -> Result<StandinResponse, ConnectionCut> {
+        let (id, wants_answer) = match path.strip_suffix("/answer") {
+            Some(id) => (id, true),
+            None => (path, false),
+        };
+        let known = self
+            .state()
+            .runs
+            .get(id)
+            .filter(|run| !run.lost)
+            .map(|run| run.stream);
+        let Some(stream) = known else {
+            return Ok(respond(StatusCode::NOT_FOUND, "no such run"));
+        };
+        if *method == Method::DELETE {
+            self.cancel(id);
+            return Ok(respond(StatusCode::OK, "cancelled"));
+        }
+        if !wants_answer {
+            let state = self.state();
+            let run = state
+                .runs
+                .get(id)
+                .map(|run| json!({ "done": run.done, "tokens": run.produced }));
+            return Ok(respond_json(StatusCode::OK, &run.unwrap_or_default()));
+        }
+        let last = headers
+            .get("last-event-id")
+            .and_then(|value| value.to_str().ok());
+        let from: u32 = last.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let repeats = if self.takes(|faults| &mut faults.repeat_events) {
+            2
+        } else {
+            0
+        };
+        let mut response = self
+            .answer(id, stream, from.saturating_sub(repeats))
+            .await?;
+        if let Ok(value) = HeaderValue::from_str(id) {
+            response.headers_mut().insert("x-request-id", value);
+        }
+        Ok(response)
+    }
+
+    fn cancel(&self, id: &str) {
+        let mut state = self.state_mut();
+        if let Some(run) = state.runs.get_mut(id)
+            && !run.done
+        {
+            run.done = true;
+            run.lost = true;
+            state.cancelled += 1;
+            state.waiting.retain(|_, waiting| waiting != id);
+        }
+        drop(state);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// The answer of a run, from an event on.
+    async fn answer(
+        &self,
+        id: &str,
+        stream: bool,
+        from: u32,
+    ) -> Result<StandinResponse, ConnectionCut> {
+        if !stream {
+            return self.whole_answer(id).await;
+        }
+        let (sender, receiver) = async_channel::bounded(CHUNKS_WAITING);
+        let feeding = self.clone().feed(id.to_owned(), from, sender);
+        self.executor.spawn(feeding).detach();
+        let mut response = Response::new(StandinBody::Fed(Box::pin(receiver)));
+        let content_type = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(CONTENT_TYPE, content_type);
+        Ok(response)
+    }
+
+    async fn whole_answer(&self, id: &str) -> Result<StandinResponse, ConnectionCut> {
+        loop {
+            let changed = self.changed.listen();
+            if let Some((digest, total, lost)) = self.finished(id) {
+                if lost {
+                    return cut();
+                }
+                let content: String = (1..=total).map(|number| token(&digest, number)).collect();
+                let body = json!({
+                    "id": id,
+                    "object": "chat.completion",
+                    "choices": [{
+                        "index": 0,
+                        "message": { "role": "assistant", "content": content },
+                        "finish_reason": "stop",
+                    }],
+                    "usage": { "prompt_tokens": 1, "completion_tokens": total },
+                });
+                return Ok(respond_json(StatusCode::OK, &body));
+            }
+            changed.await;
+        }
+    }
+
+    fn finished(&self, id: &str) -> Option<(String, u32, bool)> {
+        let state = self.state();
+        match state.runs.get(id) {
+            Some(run) if run.done => Some((run.digest.clone(), run.total, run.lost)),
+            Some(_) => None,
+            None => Some((String::new(), 0, true)),
+        }
+    }
+
+    /// Feeds a stream with a run's events.
+    async fn feed(self, id: String, from: u32, chunks: Sender<Result<Bytes, ConnectionCut>>) {
+        self.attach(&id, 1);
+        let fault = self.stream_fault();
+        let mut sent = from;
+        let end = loop {
+            let changed = self.changed.listen();
+            let next = self.next_event(&id, sent);
+            let Some(next) = next else {
+                let gone = async {
+                    chunks.closed().await;
+                    true
+                };
+                let waited = async {
+                    changed.await;
+                    false
+                };
+                if future::or(gone, waited).await {
+                    break None;
+                }
+                continue;
+            };
+            self.until_thawed().await;
+            match fault {
+                Some(StreamFault::Cut) if sent >= self.state().faults.after_tokens => {
+                    break Some(Err(ConnectionCut));
+                }
+                Some(StreamFault::Silent) if sent >= self.state().faults.after_tokens => {
+                    chunks.closed().await;
+                    break None;
+                }
+                _ => {}
+            }
+            match next {
+                NextEvent::Token(data) => {
+                    sent += 1;
+                    if chunks
+                        .send(Ok(format!("id: {sent}\ndata: {data}\n\n").into()))
+                        .await
+                        .is_err()
+                    {
+                        break None;
+                    }
+                }
+                NextEvent::End => {
+                    let mark = format!("id: {}\ndata: [DONE]\n\n", sent + 1);
+                    break Some(Ok(mark.into()));
+                }
+                NextEvent::Lost => break Some(Err(ConnectionCut)),
+            }
+        };
+        if let Some(last) = end {
+            // The reader may be gone by now; the run stays for it to resume.
+            let _ = chunks.send(last).await;
+        }
+        self.attach(&id, -1);
+    }
+
+    fn stream_fault(&self) -> Option<StreamFault> {
+        if self.takes(|faults| &mut faults.cut_streams) {
+            return Some(StreamFault::Cut);
+        }
+        self.takes(|faults| &mut faults.silent_streams)
+            .then_some(StreamFault::Silent)
+    }
+
+    fn attach(&self, id: &str, by: i32) {
+        let now = self.clock.now();
+        if let Some(run) = self.state_mut().runs.get_mut(id) {
+            run.listeners = run.listeners.saturating_add_signed(by);
+            run.orphaned_at = (run.listeners == 0).then_some(now);
+        }
+    }
+
+    fn next_event(&self, id: &str, sent: u32) -> Option<NextEvent> {
+        let state = self.state();
+        let Some(run) = state.runs.get(id) else {
+            return Some(NextEvent::Lost);
+        };
+        if run.lost {
+            return Some(NextEvent::Lost);
+        }
+        if sent < run.produced {
+            let content = token(&run.digest, sent + 1);
+            let data = json!({
+                "id": id,
+                "object": "chat.completion.chunk",
+                "choices": [{ "index": 0, "delta": { "content": content }, "finish_reason": null }],
+            });
+            return Some(NextEvent::Token(data.to_string()));
+        }
+        run.done.then_some(NextEvent::End)
+    }
+
+    fn note_load(&self) {
+        let at = self.clock.now();
+        let mut state = self.state_mut();
+        let load = DatedLoad {
+            at,
+            running: state.running,
+            waiting: state.waiting.len(),
+        };
+        state.loads.push_back(load);
+        let lag = self.options.report_lag;
+        while state.loads.len() > 1 && state.loads.get(1).is_some_and(|next| next.at + lag <= at) {
+            state.loads.pop_front();
+        }
+    }
+
+    /// The load as it was a while ago.
+    fn load_report(&self) -> StandinResponse {
+        let now = self.clock.now();
+        let lag = self.options.report_lag;
+        let state = self.state();
+        let seen = state.loads.iter().rev().find(|load| load.at + lag <= now);
+        let body = json!({
+            "running": seen.map_or(0, |load| load.running),
+            "waiting": seen.map_or(0, |load| load.waiting),
+            "leaving": state.faults.leaving,
+            "age_ms": lag.as_millis() as u64,
+        });
+        respond_json(StatusCode::OK, &body)
+    }
+
+    /// Cache events after a number; every tenth is missing, as from a lossy feed.
+    fn cache_events(&self, query: Option<&str>) -> StandinResponse {
+        let after = query
+            .and_then(|query| query.strip_prefix("after="))
+            .and_then(|text| text.parse().ok());
+        let after: u64 = after.unwrap_or(0);
+        let state = self.state();
+        let events = state
+            .cache_events
+            .iter()
+            .filter(|(number, _, _)| *number > after && number % 10 != 0);
+        let events: Vec<Value> = events
+            .map(|(number, prefix, stored)| json!({ "number": number, "prefix": prefix, "stored": stored }))
+            .collect();
+        respond_json(StatusCode::OK, &json!(events))
+    }
+
+    async fn take_order(&self, body: &[u8]) -> StandinResponse {
+        let Ok(order) = serde_json::from_slice::<EngineOrder>(body) else {
+            return respond(StatusCode::BAD_REQUEST, "malformed order");
+        };
+        let delay = self.state().faults.order_delay_ms;
+        if delay > 0 {
+            self.clock.sleep(Duration::from_millis(delay)).await;
+        }
+        let mut state = self.state_mut();
+        if self.options.checks_fencing && order.fencing < state.highest_fencing {
+            state.refused_orders += 1;
+            return respond(StatusCode::CONFLICT, "old fencing number");
+        }
+        state.highest_fencing = state.highest_fencing.max(order.fencing);
+        state.models.insert(order.model.clone(), order.loaded);
+        state.orders.push(order);
+        respond(StatusCode::OK, "ok")
+    }
+
+    fn orders(&self) -> StandinResponse {
+        let state = self.state();
+        let body = json!({ "models": state.models, "orders": state.orders, "refused": state.refused_orders });
+        respond_json(StatusCode::OK, &body)
+    }
+}
+
+/// What happens to a stream on its way.
+#[derive(Clone, Copy, Debug)]
+enum StreamFault {
+    Cut,
+    Silent,
+}
+
+/// What comes next in a stream.
+enum NextEvent {
+    Token(String),
+    End,
+    Lost,
+}
+
+fn refuse(leaving: bool) -> StandinResponse {
+    let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, "full");
+    response
+        .headers_mut()
+        .insert("x-not-run", HeaderValue::from_static("full"));
+    if leaving {
+        response
+            .headers_mut()
+            .insert("x-leaving", HeaderValue::from_static("yes"));
+    }
+    response
+}
+
+fn forget_old_runs(state: &mut EngineState) {
+    while state.order_of_runs.len() > RUNS_KEPT {
+        let Some(oldest) = state.order_of_runs.pop_front() else {
+            return;
+        };
+        if state.runs.get(&oldest).is_some_and(|run| run.done) {
+            state.runs.remove(&oldest);
+        }
+    }
+}
+
+/// Each token names its prompt and its number, so that a reader sees whose answer it has and
+/// whether it is whole.
+pub fn token(digest: &str, number: u32) -> String {
+    format!("{digest}:{number} ")
+}
+
+/// The digest of a prompt that its answer's tokens carry.
+pub fn prompt_digest(prompt: &Value) -> String {
+    format!("{:08x}", digest(prompt.to_string().as_bytes()) as u32)
+}
+
+fn digest(bytes: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    bytes.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/plumgate-standin/src/load/measure.rs
@@ -0,0 +1,214 @@
+//! The three measures of the brief: attainment by class, goodput and wasted work.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde_json::json;
+
+/// Longest time that is told apart, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
+/// How one request ended.
+#[derive(Clone, Debug)]
+pub struct RequestEnd {
+    /// Its class.
+    pub class: String,
+    /// The target of its class.
+    pub target: Duration,
+    /// The time to the first byte.
+    pub first: Duration,
+    /// The time to the end.
+    pub total: Duration,
+    /// Whether the answer was its own, and whole.
+    pub correct: bool,
+    /// Whether it was refused as not run.
+    pub refused: bool,
+    /// The tokens of its answer.
+    pub tokens: u32,
+}
+
+impl RequestEnd {
+    fn in_time(&self) -> bool {
+        self.correct && self.first <= self.target
+    }
+}
+
+/// What was measured of one class.
+#[derive(Clone, Debug)]
+pub struct ClassMeasure {
+    /// Requests sent.
+    pub sent: u64,
+    /// Requests answered correctly within the target.
+    pub in_time: u64,
+    /// Requests answered correctly.
+    pub correct: u64,
+    /// Requests refused as not run.
+    pub refused: u64,
+    first: Histogram<u64>,
+}
+
+impl ClassMeasure {
+    fn new() -> Self {
+        let first = Histogram::new_with_max(LONGEST_US, 3);
+        let first = first.expect("the bounds of the histogram are constants that fit");
+        Self {
+            sent: 0,
+            in_time: 0,
+            correct: 0,
+            refused: 0,
+            first,
+        }
+    }
+
+    /// Share of the requests answered correctly within the target.
+    pub fn attainment(&self) -> f64 {
+        share(self.in_time, self.sent)
+    }
+
+    /// A quantile of the time to the first byte of correct answers.
+    pub fn first_byte(&self, quantile: f64) -> Duration {
+        Duration::from_micros(self.first.value_at_quantile(quantile))
+    }
+}
+
+/// What was measured of one run.
+#[derive(Clone, Debug)]
+pub struct RunMeasure {
+    classes: BTreeMap<String, ClassMeasure>,
+    useful_tokens: u64,
+    generated_tokens: u64,
+    length: Duration,
+}
+
+impl Default for RunMeasure {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl RunMeasure {
+    /// A run of which nothing was measured yet.
+    pub fn new() -> Self {
+        Self {
+            classes: BTreeMap::new(),
+            useful_tokens: 0,
+            generated_tokens: 0,
+            length: Duration::ZERO,
+        }
+    }
+
+    /// Counts one request.
+    pub fn record(&mut self, end: RequestEnd) {
+        let in_time = end.in_time();
+        let class = self
+            .classes
+            .entry(end.class)
+            .or_insert_with(ClassMeasure::new);
+        class.sent += 1;
+        class.in_time += u64::from(in_time);
+        class.correct += u64::from(end.correct);
+        class.refused += u64::from(end.refused);
+        if end.correct {
+            self.useful_tokens += u64::from(end.tokens);
+            let micros = u64::try_from(end.first.as_micros()).unwrap_or(LONGEST_US);
+            class.first.saturating_record(micros);
+        }
+    }
+
+    /// Says how many tokens the engines made during the run.
+    pub fn set_generated(&mut self, tokens: u64) {
+        self.generated_tokens = tokens;
+    }
+
+    /// Says how long the run took.
+    pub fn set_length(&mut self, length: Duration) {
+        self.length = length;
+    }
+
+    /// The measures by class.
+    pub fn classes(&self) -> &BTreeMap<String, ClassMeasure> {
+        &self.classes
+    }
+
+    /// Correct answers in time, a second.
+    pub fn goodput(&self) -> f64 {
+        let in_time: u64 = self.classes.values().map(|class| class.in_time).sum();
+        in_time as f64 / self.length.as_secs_f64().max(1e-9)
+    }
+
+    /// Share of the generated tokens that reached nobody as part of a correct answer.
+    pub fn wasted(&self) -> f64 {
+        share(
+            self.generated_tokens.saturating_sub(self.useful_tokens),
+            self.generated_tokens,
+        )
+    }
+
+    /// The measures as JSON.
+    pub fn to_json(&self) -> serde_json::Value {
+        let classes: BTreeMap<&str, serde_json::Value> = self
+            .classes
+            .iter()
+            .map(|(name, class)| {
+                let body = json!({
+                    "sent": class.sent,
+                    "in_time": class.in_time,
+                    "correct": class.correct,
+                    "refused": class.refused,
+                    "attainment": class.attainment(),
+                    "first_ms_p50": class.first_byte(0.5).as_secs_f64() * 1000.0,
+                    "first_ms_p95": class.first_byte(0.95).as_secs_f64() * 1000.0,
+                    "first_ms_p99": class.first_byte(0.99).as_secs_f64() * 1000.0,
+                });
+                (name.as_str(), body)
+            })
+            .collect();
+        json!({
+            "classes": classes,
+            "goodput": self.goodput(),
+            "wasted": self.wasted(),
+            "seconds": self.length.as_secs_f64(),
+        })
+    }
+}
+
+impl fmt::Display for RunMeasure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<14} {:>6} {:>8} {:>8} {:>8} {:>10} {:>10} {:>10}",
+            "class", "sent", "in time", "correct", "refused", "attained", "p50 ms", "p95 ms"
+        )?;
+        for (name, class) in &self.classes {
+            let milliseconds = |quantile| class.first_byte(quantile).as_secs_f64() * 1000.0;
+            writeln!(
+                f,
+                "{:<14} {:>6} {:>8} {:>8} {:>8} {:>10.3} {:>10.1} {:>10.1}",
+                name,
+                class.sent,
+                class.in_time,
+                class.correct,
+                class.refused,
+                class.attainment(),
+                milliseconds(0.5),
+                milliseconds(0.95)
+            )?;
+        }
+        write!(
+            f,
+            "goodput {:.2}/s, wasted work {:.3}",
+            self.goodput(),
+            self.wasted()
+        )
+    }
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        0.0
+    } else {
+        part as f64 / whole as f64
+    }
+}
--- a/crates/plumgate/src/attempt.rs
+++ b/crates/plumgate/src/attempt.rs
@@ -75,7 +75,11 @@
 impl AttemptRun {
     /// A request that nothing was done for yet.
     pub fn new() -> Self {
-        Self { run: ChartRun::new(CHART.clone()), number: 0, tried: Vec::new() }
+        Self {
+            run: ChartRun::new(CHART.clone()),
+            number: 0,
+            tried: Vec::new(),
+        }
     }
 
     /// Follows an event.
--- a/crates/plumgate/src/chart.rs
+++ b/crates/plumgate/src/chart.rs
@@ -11,6 +11,9 @@
 use crate::errors::{Error, Result};
 use crate::outcome::RunOutcome;
 
+/// The text of the chart of a node's life.
+pub const NODE_CHART: &str = include_str!("../charts/node.toml");
+
 /// One state of a chart.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ChartState {
@@ -74,7 +77,11 @@
         }
         reader.finish();
     }
-    Some(StateChart { name: name?.value, start: start.value, states })
+    Some(StateChart {
+        name: name?.value,
+        start: start.value,
+        states,
+    })
 }
 
 fn read_state(reader: &TableReader<'_, '_>, known: &[&str]) -> ChartState {
@@ -83,19 +90,33 @@
         reader.check_name(&target, "state", known);
         transitions.insert(event, target.value);
     }
-    let outcome = reader.string("outcome").and_then(|word| read_outcome(reader, &word));
-    ChartState { transitions, is_end: reader.boolean("end", false), outcome }
+    let outcome = reader
+        .string("outcome")
+        .and_then(|word| read_outcome(reader, &word));
+    ChartState {
+        transitions,
+        is_end: reader.boolean("end", false),
+        outcome,
+    }
 }
 
 fn read_outcome(reader: &TableReader<'_, '_>, word: &Placed<String>) -> Option<RunOutcome> {
-    let outcomes = [RunOutcome::NotRun, RunOutcome::Answered, RunOutcome::Unknown];
+    let outcomes = [
+        RunOutcome::NotRun,
+        RunOutcome::Answered,
+        RunOutcome::Unknown,
+    ];
     reader.check_name(word, "outcome", &outcomes.map(RunOutcome::as_str));
-    outcomes.into_iter().find(|outcome| outcome.as_str() == word.value)
+    outcomes
+        .into_iter()
+        .find(|outcome| outcome.as_str() == word.value)
 }
 
 fn targets(states: &BTreeMap<String, ChartState>, state: &str) -> Vec<String> {
     let state = states.get(state);
-    state.map_or_else(Vec::new, |state| state.transitions.values().cloned().collect())
+    state.map_or_else(Vec::new, |state| {
+        state.transitions.values().cloned().collect()
+    })
 }
 
 fn states_that_end(states: &BTreeMap<String, ChartState>) -> BTreeSet<String> {
@@ -136,7 +157,9 @@
 
     /// Follows an event; an unexpected one changes nothing and is an error.
     pub fn apply(&mut self, event: &str) -> Result<()> {
-        let next = self.current().and_then(|state| state.transitions.get(event));
+        let next = self
+            .current()
+            .and_then(|state| state.transitions.get(event));
         match next {
             Some(next) => {
                 self.state = next.clone();
@@ -148,7 +171,8 @@
 
     /// Whether the current state expects an event.
     pub fn expects(&self, event: &str) -> bool {
-        self.current().is_some_and(|state| state.transitions.contains_key(event))
+        self.current()
+            .is_some_and(|state| state.transitions.contains_key(event))
     }
 
     /// The name of the current state.
--- a/crates/plumgate/src/claim.rs
+++ b/crates/plumgate/src/claim.rs
@@ -80,7 +80,10 @@
 /// The name of a key's row: workspaces never share rows, whatever their keys are.
 pub fn claim_row_name(workspace: &WorkspaceId, key: &str) -> String {
     use sha2::{Digest, Sha256};
-    let digest = Sha256::new().chain_update(workspace.as_bytes()).chain_update([0]).chain_update(key);
+    let digest = Sha256::new()
+        .chain_update(workspace.as_bytes())
+        .chain_update([0])
+        .chain_update(key);
     crate::config::hex(&digest.finalize())
 }
 
@@ -150,17 +153,28 @@
         ClaimAction::Taken(row)
     }
 
+    /// Whether a row is this attempt's claim.
+    pub fn owns(&self, row: &ClaimRow) -> bool {
+        row.claimer == self.row.claimer
+    }
+
     /// The row after the attempt ended without a kept answer.
     pub fn ended(&self, outcome: RunOutcome) -> ClaimRow {
         let state = match outcome {
             RunOutcome::NotRun => ClaimState::NotRun,
             RunOutcome::Answered | RunOutcome::Unknown => ClaimState::Unknown,
         };
-        ClaimRow { state, ..self.row.clone() }
+        ClaimRow {
+            state,
+            ..self.row.clone()
+        }
     }
 
     /// The row after the answer was kept under a name.
     pub fn answered(&self, object: impl Into<String>) -> ClaimRow {
-        ClaimRow { state: ClaimState::Answered(object.into()), ..self.row.clone() }
+        ClaimRow {
+            state: ClaimState::Answered(object.into()),
+            ..self.row.clone()
+        }
     }
 }
--- a/crates/plumgate/src/config/bundle.rs
+++ b/crates/plumgate/src/config/bundle.rs
@@ -31,7 +31,11 @@
 impl ConfigBundle {
     /// A bundle of two texts, with nothing drained.
     pub fn new(inventory: impl Into<String>, rules: impl Into<String>) -> Self {
-        Self { inventory: inventory.into(), rules: rules.into(), drained: BTreeSet::new() }
+        Self {
+            inventory: inventory.into(),
+            rules: rules.into(),
+            drained: BTreeSet::new(),
+        }
     }
 
     /// The same bundle with these servers drained.
@@ -54,7 +58,12 @@
         findings.extend(more);
         let drained = self.read_drained(&inventory, &mut findings);
         if findings.is_empty() {
-            Ok(FleetConfig { version, inventory, rules, drained })
+            Ok(FleetConfig {
+                version,
+                inventory,
+                rules,
+                drained,
+            })
         } else {
             Err(Error::Findings(findings))
         }
@@ -81,7 +90,10 @@
                 message,
             });
         }
-        self.drained.iter().map(|name| name.as_str().into()).collect()
+        self.drained
+            .iter()
+            .map(|name| name.as_str().into())
+            .collect()
     }
 }
 
@@ -114,12 +126,20 @@
     /// The rank at which a workspace's request of a class is served: the lower
     /// of what the class asks for and what the workspace pays for.
     pub fn rank_of(&self, workspace: &Workspace, class: &RequestClass) -> TierRank {
-        let rank = |tier| self.rules.tiers.get(tier).map_or(TierRank::MAX, |tier| tier.rank);
+        let rank = |tier| {
+            self.rules
+                .tiers
+                .get(tier)
+                .map_or(TierRank::MAX, |tier| tier.rank)
+        };
         rank(&workspace.tier).max(rank(&class.tier))
     }
 
     /// The servers of a pool.
     pub fn pool<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Server> {
-        self.inventory.servers.values().filter(move |server| &*server.pool == pool)
+        self.inventory
+            .servers
+            .values()
+            .filter(move |server| &*server.pool == pool)
     }
 }
--- a/crates/plumgate/src/config/diff.rs
+++ b/crates/plumgate/src/config/diff.rs
@@ -29,13 +29,38 @@
 /// All entries that differ, by kind and name.
 pub fn config_changes(old: &FleetConfig, new: &FleetConfig) -> Vec<ConfigChange> {
     let mut changes = Vec::new();
-    compare("data_centres", &old.inventory.data_centres, &new.inventory.data_centres, &mut changes);
-    compare("servers", &old.inventory.servers, &new.inventory.servers, &mut changes);
-    compare("workspaces", &old.inventory.workspaces, &new.inventory.workspaces, &mut changes);
+    compare(
+        "data_centres",
+        &old.inventory.data_centres,
+        &new.inventory.data_centres,
+        &mut changes,
+    );
+    compare(
+        "servers",
+        &old.inventory.servers,
+        &new.inventory.servers,
+        &mut changes,
+    );
+    compare(
+        "workspaces",
+        &old.inventory.workspaces,
+        &new.inventory.workspaces,
+        &mut changes,
+    );
     compare("keys", &keys(old), &keys(new), &mut changes);
     compare("tiers", &old.rules.tiers, &new.rules.tiers, &mut changes);
-    compare("classes", &old.rules.classes, &new.rules.classes, &mut changes);
-    compare("services", &old.rules.services, &new.rules.services, &mut changes);
+    compare(
+        "classes",
+        &old.rules.classes,
+        &new.rules.classes,
+        &mut changes,
+    );
+    compare(
+        "services",
+        &old.rules.services,
+        &new.rules.services,
+        &mut changes,
+    );
     compare("rules", &settings(old), &settings(new), &mut changes);
     compare("drained", &drained(old), &drained(new), &mut changes);
     changes
@@ -43,11 +68,16 @@
 
 fn keys(config: &FleetConfig) -> BTreeMap<String, String> {
     let keys = config.inventory.keys.iter();
-    keys.map(|(digest, workspace)| (digest.clone(), workspace.to_string())).collect()
+    keys.map(|(digest, workspace)| (digest.clone(), workspace.to_string()))
+        .collect()
 }
 
 fn drained(config: &FleetConfig) -> BTreeMap<String, bool> {
-    config.drained.iter().map(|server| (server.to_string(), true)).collect()
+    config
+        .drained
+        .iter()
+        .map(|server| (server.to_string(), true))
+        .collect()
 }
 
 fn settings(config: &FleetConfig) -> BTreeMap<String, String> {
--- a/crates/plumgate/src/config/inventory.rs
+++ b/crates/plumgate/src/config/inventory.rs
@@ -108,7 +108,9 @@
 fn read_data_centres(root: &TableReader<'_, '_>, inventory: &mut FleetInventory) {
     for (name, reader) in root.tables("data_centres") {
         let region = reader.required_string("region").map(|placed| placed.value);
-        let data_centre = DataCentre { region: region.unwrap_or_default() };
+        let data_centre = DataCentre {
+            region: region.unwrap_or_default(),
+        };
         inventory.data_centres.insert(name.into(), data_centre);
         reader.finish();
     }
@@ -136,7 +138,9 @@
 ) -> Option<Server> {
     let known: Vec<&str> = inventory.data_centres.keys().map(AsRef::as_ref).collect();
     let data_centre = reader.required_name_of("data_centre", "data centre", &known);
-    let address = reader.required_string("address").and_then(|text| read_address(reader, &text));
+    let address = reader
+        .required_string("address")
+        .and_then(|text| read_address(reader, &text));
     let slots = reader.required_integer("slots", MOST_SLOTS) as u32;
     let checks_fencing = reader.boolean("checks_fencing", false);
     let model = reader.string("model");
@@ -172,7 +176,9 @@
 fn read_workspaces(root: &TableReader<'_, '_>, inventory: &mut FleetInventory, tiers: &[&str]) {
     for (name, reader) in root.tables("workspaces") {
         let id: WorkspaceId = name.as_str().into();
-        let tier = reader.required_name_of("tier", "tier", tiers).unwrap_or_default();
+        let tier = reader
+            .required_name_of("tier", "tier", tiers)
+            .unwrap_or_default();
         let workspace = Workspace {
             id: id.clone(),
             tier: tier.into(),
@@ -194,14 +200,20 @@
     inventory: &mut FleetInventory,
 ) {
     let well_formed = digest.value.len() == DIGEST_DIGITS
-        && digest.value.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        && digest
+            .value
+            .bytes()
+            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
     if !well_formed {
         let message = "is not a SHA-256 digest in lower-case hexadecimal; see plumgate key-digest";
         reader.report_placed(digest, message.to_owned());
         return;
     }
     // One key in two workspaces would mix two customers' data.
-    if let Some(other) = inventory.keys.insert(digest.value.clone(), workspace.clone()) {
+    if let Some(other) = inventory
+        .keys
+        .insert(digest.value.clone(), workspace.clone())
+    {
         reader.report_placed(digest, format!("already names workspace \"{other}\""));
     }
 }
--- a/crates/plumgate/src/config/reader.rs
+++ b/crates/plumgate/src/config/reader.rs
@@ -18,7 +18,11 @@
 impl<'a> SourceFile<'a> {
     /// A file that is read under this name.
     pub(crate) fn new(name: &'a str, text: &'a str) -> Self {
-        Self { name, text, findings: RefCell::default() }
+        Self {
+            name,
+            text,
+            findings: RefCell::default(),
+        }
     }
 
     /// Parses the text; syntax errors become findings.
@@ -34,7 +38,11 @@
     /// Records a finding at a byte offset of the text.
     pub(crate) fn report(&self, offset: usize, field: &str, message: String) {
         let end = offset.min(self.text.len());
-        let line = self.text.as_bytes()[..end].iter().filter(|b| **b == b'\n').count() + 1;
+        let line = self.text.as_bytes()[..end]
+            .iter()
+            .filter(|b| **b == b'\n')
+            .count()
+            + 1;
         self.findings.borrow_mut().push(FileFinding {
             file: self.name.to_owned(),
             line: Some(line),
@@ -80,12 +88,20 @@
         path: String,
         offset: usize,
     ) -> Self {
-        Self { source, table, path, offset, asked: RefCell::default() }
+        Self {
+            source,
+            table,
+            path,
+            offset,
+            asked: RefCell::default(),
+        }
     }
 
     /// The named tables below a field, each with its reader.
     pub(crate) fn tables(&self, field: &'static str) -> Vec<(String, TableReader<'f, 't>)> {
-        let Some(value) = self.find(field) else { return Vec::new() };
+        let Some(value) = self.find(field) else {
+            return Vec::new();
+        };
         let DeValue::Table(table) = value.get_ref() else {
             self.wrong_type::<()>(field, value, "a table");
             return Vec::new();
@@ -128,7 +144,9 @@
 
     /// All texts of a table below a field, by name.
     pub(crate) fn string_fields(&self, field: &'static str) -> Vec<(String, Placed<String>)> {
-        let Some(value) = self.find(field) else { return Vec::new() };
+        let Some(value) = self.find(field) else {
+            return Vec::new();
+        };
         let DeValue::Table(table) = value.get_ref() else {
             self.wrong_type::<()>(field, value, "a table");
             return Vec::new();
@@ -151,7 +169,9 @@
 
     /// A list of texts; empty where the field is missing.
     pub(crate) fn strings(&self, field: &'static str) -> Vec<Placed<String>> {
-        let Some(value) = self.find(field) else { return Vec::new() };
+        let Some(value) = self.find(field) else {
+            return Vec::new();
+        };
         let DeValue::Array(array) = value.get_ref() else {
             self.wrong_type::<()>(field, value, "a list of texts");
             return Vec::new();
@@ -170,7 +190,9 @@
 
     /// A whole number within bounds; the default where the field is missing.
     pub(crate) fn integer(&self, field: &'static str, default: u64, most: u64) -> u64 {
-        let Some(value) = self.find(field) else { return default };
+        let Some(value) = self.find(field) else {
+            return default;
+        };
         let DeValue::Integer(number) = value.get_ref() else {
             self.wrong_type::<()>(field, value, "a whole number");
             return default;
@@ -180,7 +202,8 @@
             Some(number) => number,
             None => {
                 let message = format!("{} is not between 0 and {most}", number.as_str());
-                self.source.report(value.span().start, &self.path_of(field), message);
+                self.source
+                    .report(value.span().start, &self.path_of(field), message);
                 default
             }
         }
@@ -194,14 +217,20 @@
         };
         let number = self.integer(field, 1, most);
         if number == 0 {
-            self.source.report(value.span().start, &self.path_of(field), "must be above 0".into());
+            self.source.report(
+                value.span().start,
+                &self.path_of(field),
+                "must be above 0".into(),
+            );
         }
         number
     }
 
     /// A share from 0 to 1; the default where the field is missing.
     pub(crate) fn share(&self, field: &'static str, default: f64) -> f64 {
-        let Some(value) = self.find(field) else { return default };
+        let Some(value) = self.find(field) else {
+            return default;
+        };
         let parsed = match value.get_ref() {
             DeValue::Float(number) => number.as_str().parse::<f64>().ok(),
             DeValue::Integer(number) => number.as_str().parse::<f64>().ok(),
@@ -209,21 +238,32 @@
         };
         match parsed.filter(|share| (0.0..=1.0).contains(share)) {
             Some(share) => share,
-            None => self.wrong_type(field, value, "a share from 0 to 1").unwrap_or(default),
+            None => self
+                .wrong_type(field, value, "a share from 0 to 1")
+                .unwrap_or(default),
         }
     }
 
     /// A yes-or-no field; the default where it is missing.
     pub(crate) fn boolean(&self, field: &'static str, default: bool) -> bool {
-        let Some(value) = self.find(field) else { return default };
+        let Some(value) = self.find(field) else {
+            return default;
+        };
         match value.get_ref() {
             DeValue::Boolean(flag) => *flag,
-            _ => self.wrong_type(field, value, "true or false").unwrap_or(default),
+            _ => self
+                .wrong_type(field, value, "true or false")
+                .unwrap_or(default),
         }
     }
 
     /// A name that must be one of the known ones, where the field is there.
-    pub(crate) fn name_of(&self, field: &'static str, noun: &str, known: &[&str]) -> Option<String> {
+    pub(crate) fn name_of(
+        &self,
+        field: &'static str,
+        noun: &str,
+        known: &[&str],
+    ) -> Option<String> {
         let placed = self.string(field)?;
         self.check_name(&placed, noun, known);
         Some(placed.value)
@@ -262,7 +302,8 @@
 
     /// Records a finding about the table as a whole.
     pub(crate) fn report(&self, message: &str) {
-        self.source.report(self.offset, &self.path, message.to_owned());
+        self.source
+            .report(self.offset, &self.path, message.to_owned());
     }
 
     /// Reports fields that nobody asked for: most are misspelt ones.
@@ -287,21 +328,31 @@
     }
 
     fn path_of(&self, field: &str) -> String {
-        if self.path.is_empty() { field.to_owned() } else { format!("{}.{field}", self.path) }
+        if self.path.is_empty() {
+            field.to_owned()
+        } else {
+            format!("{}.{field}", self.path)
+        }
     }
 
     fn placed<T>(&self, field: &str, value: &Spanned<DeValue<'t>>, inner: T) -> Placed<T> {
-        Placed { value: inner, offset: value.span().start, field: self.path_of(field) }
+        Placed {
+            value: inner,
+            offset: value.span().start,
+            field: self.path_of(field),
+        }
     }
 
     fn missing(&self, field: &str) {
-        self.source.report(self.offset, &self.path_of(field), "is missing".to_owned());
+        self.source
+            .report(self.offset, &self.path_of(field), "is missing".to_owned());
     }
 
     fn wrong_type<T>(&self, field: &str, value: &Spanned<DeValue<'t>>, wanted: &str) -> Option<T> {
         let found = value.get_ref().type_str();
         let message = format!("is of type {found}, where {wanted} belongs");
-        self.source.report(value.span().start, &self.path_of(field), message);
+        self.source
+            .report(value.span().start, &self.path_of(field), message);
         None
     }
 }
--- a/crates/plumgate/src/config/rules.rs
+++ b/crates/plumgate/src/config/rules.rs
@@ -69,6 +69,8 @@
     pub tier: TierId,
     /// The time from arrival to the first token, or to the whole answer of a service.
     pub target: Duration,
+    /// How long a request of the class waits for a server before it is refused.
+    pub patience: Duration,
     /// Whether a request of the class may run more than once.
     pub idempotent: bool,
     /// The tokens that an answer has on average, before any were observed.
@@ -90,7 +92,8 @@
     /// Whether a call may be repeated.
     pub fn is_idempotent(&self, method: &str, path: &str) -> bool {
         !self.non_idempotent.iter().any(|call| {
-            call.split_once(' ').is_some_and(|(m, p)| m == method && path.starts_with(p))
+            call.split_once(' ')
+                .is_some_and(|(m, p)| m == method && path.starts_with(p))
         })
     }
 }
@@ -104,11 +107,12 @@
     let classes = read_classes(&root, &tiers);
     let services = read_services(&root, &classes);
     let known: Vec<&str> = classes.keys().map(AsRef::as_ref).collect();
-    let milliseconds = |field, default| {
-        Duration::from_millis(root.integer(field, default, MOST_MILLISECONDS))
-    };
+    let milliseconds =
+        |field, default| Duration::from_millis(root.integer(field, default, MOST_MILLISECONDS));
     let rules = FleetRules {
-        default_class: root.name_of("default_class", "class", &known).map(Into::into),
+        default_class: root
+            .name_of("default_class", "class", &known)
+            .map(Into::into),
         queue_length: root.integer("queue_length", DEFAULT_QUEUE, MOST_TOKENS) as usize,
         longest_wait: milliseconds("longest_wait_ms", DEFAULT_LONGEST_WAIT),
         key_lifetime: milliseconds("key_lifetime_ms", DEFAULT_KEY_LIFETIME),
@@ -155,12 +159,19 @@
     let mut classes = BTreeMap::new();
     for (name, reader) in root.tables("classes") {
         let id: ClassId = name.into();
-        let tier = reader.required_name_of("tier", "tier", &known).unwrap_or_default();
+        let tier = reader
+            .required_name_of("tier", "tier", &known)
+            .unwrap_or_default();
         let target = reader.required_integer("target_ms", MOST_MILLISECONDS);
         let class = RequestClass {
             id: id.clone(),
             tier: tier.into(),
             target: Duration::from_millis(target),
+            patience: Duration::from_millis(reader.integer(
+                "patience_ms",
+                target,
+                MOST_MILLISECONDS,
+            )),
             idempotent: reader.boolean("idempotent", true),
             expected_tokens: reader.integer("expected_tokens", 100, MOST_TOKENS) as u32,
         };
@@ -178,25 +189,31 @@
     let mut services = BTreeMap::new();
     for (name, reader) in root.tables("services") {
         let id: PoolId = name.into();
-        let class = reader.required_name_of("class", "class", &known).unwrap_or_default();
+        let class = reader
+            .required_name_of("class", "class", &known)
+            .unwrap_or_default();
         let calls = reader.strings("non_idempotent");
         for call in &calls {
             check_call(&reader, call);
         }
         let non_idempotent = calls.into_iter().map(|call| call.value).collect();
-        services.insert(id.clone(), ServiceRule { id, class: class.into(), non_idempotent });
+        services.insert(
+            id.clone(),
+            ServiceRule {
+                id,
+                class: class.into(),
+                non_idempotent,
+            },
+        );
         reader.finish();
     }
     services
 }
 
 fn check_call(reader: &TableReader<'_, '_>, call: &Placed<String>) {
-    let well_formed = call
-        .value
-        .split_once(' ')
-        .is_some_and(|(method, path)| {
-            method.bytes().all(|b| b.is_ascii_uppercase()) && path.starts_with('/')
-        });
+    let well_formed = call.value.split_once(' ').is_some_and(|(method, path)| {
+        method.bytes().all(|b| b.is_ascii_uppercase()) && path.starts_with('/')
+    });
     if !well_formed {
         let message = format!("\"{}\" is not a call such as \"POST /issue\"", call.value);
         reader.report_placed(call, message);
--- a/crates/plumgate/src/dispatch/dispatcher.rs
+++ b/crates/plumgate/src/dispatch/dispatcher.rs
@@ -6,12 +6,13 @@
 
 use super::queue::{PoolQueue, QueueHead, QueuePolicy};
 use super::service_time::ServiceTime;
-use super::ticket::{DispatchAction, QueueLoad, RefusalReason, RequestTicket};
+use super::ticket::{DispatchAction, QueueLoad, RefusalReason, RequestTicket, StartOrder};
 use crate::config::FleetConfig;
 use crate::ids::{PoolId, RequestId, ServerId, TierRank, WorkspaceId};
 use crate::limits::LimitTable;
 use crate::retry::RetryBudget;
 use crate::route::{RouteChoice, RouteOptions, RouteTable};
+use crate::wire::PoolLoad;
 
 /// Shortest time after which a refused caller is told to come back.
 const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -34,7 +35,10 @@
 impl DispatchOptions {
     /// Options with these for the choice of a server.
     pub fn new(route: RouteOptions) -> Self {
-        Self { route, queue: QueuePolicy::default() }
+        Self {
+            route,
+            queue: QueuePolicy::default(),
+        }
     }
 
     /// The same with an order of service.
@@ -119,7 +123,10 @@
     pub fn set_config(&mut self, config: Arc<FleetConfig>, now: Instant) -> Vec<DispatchAction> {
         self.budget.set_share(config.rules.retry_share);
         let tiers = config.rules.tiers.values();
-        self.floors = tiers.filter(|tier| tier.floor > 0.0).map(|tier| (tier.rank, tier.floor)).collect();
+        self.floors = tiers
+            .filter(|tier| tier.floor > 0.0)
+            .map(|tier| (tier.rank, tier.floor))
+            .collect();
         self.routes.set_config(config.clone());
         self.config = Some(config);
         self.dispatch_all(now)
@@ -149,8 +156,14 @@
     /// Refuses new requests from now on, and those that wait.
     pub fn stop(&mut self) -> Vec<DispatchAction> {
         self.stopping = true;
-        let waiting: Vec<RequestTicket> = self.queues.values_mut().flat_map(PoolQueue::drain).collect();
-        let refuse = |ticket: RequestTicket| self.refuse(&ticket, RefusalReason::Stopping, SHORTEST_RETRY_AFTER);
+        let waiting: Vec<RequestTicket> = self
+            .queues
+            .values_mut()
+            .flat_map(PoolQueue::drain)
+            .collect();
+        let refuse = |ticket: RequestTicket| {
+            self.refuse(&ticket, RefusalReason::Stopping, SHORTEST_RETRY_AFTER)
+        };
         waiting.into_iter().map(refuse).collect()
     }
 
@@ -173,15 +186,27 @@
         if !self.routes.has_servers(&ticket.pool) {
             return Some(self.refuse(ticket, RefusalReason::NoServer, Duration::from_secs(1)));
         }
-        let workspace = self.config.as_ref()?.inventory.workspaces.get(&ticket.workspace)?;
-        let admitted = self.limits.admit(&ticket.workspace, workspace.requests_per_second, now);
-        admitted.err().map(|pause| self.refuse(ticket, RefusalReason::RateLimit, pause))
+        let workspace = self
+            .config
+            .as_ref()?
+            .inventory
+            .workspaces
+            .get(&ticket.workspace)?;
+        let admitted = self
+            .limits
+            .admit(&ticket.workspace, workspace.requests_per_second, now);
+        admitted
+            .err()
+            .map(|pause| self.refuse(ticket, RefusalReason::RateLimit, pause))
     }
 
     /// Puts a request into its queue; a full queue sheds the lowest tier first.
     fn enqueue(&mut self, ticket: RequestTicket, now: Instant) -> Vec<DispatchAction> {
         let mut actions = Vec::new();
-        let most = self.config.as_ref().map_or(0, |config| config.rules.queue_length);
+        let most = self
+            .config
+            .as_ref()
+            .map_or(0, |config| config.rules.queue_length);
         if self.waiting() >= most {
             match self.shed_below(ticket.rank) {
                 Some(shed) => actions.push(self.refuse_with_wait(&shed, RefusalReason::Shed)),
@@ -196,7 +221,10 @@
             return actions;
         }
         self.pool_of.insert(ticket.id.clone(), ticket.pool.clone());
-        self.queues.entry(ticket.pool.clone()).or_default().push(ticket);
+        self.queues
+            .entry(ticket.pool.clone())
+            .or_default()
+            .push(ticket);
         actions
     }
 
@@ -226,7 +254,10 @@
         if ahead == 0 {
             return None;
         }
-        let running = self.held.get(&ticket.pool).map_or(0, |held| held.values().sum());
+        let running = self
+            .held
+            .get(&ticket.pool)
+            .map_or(0, |held| held.values().sum());
         self.times.get(&ticket.pool)?.wait_behind(ahead, running)
     }
 
@@ -234,8 +265,12 @@
     pub fn dispatch(&mut self, pool: &PoolId, now: Instant) -> Vec<DispatchAction> {
         let mut actions = Vec::new();
         while let Some((head, choice)) = self.next_start(pool, now) {
-            let Some(queue) = self.queues.get_mut(pool) else { break };
-            let Some(ticket) = queue.take(&head, &self.floors) else { break };
+            let Some(queue) = self.queues.get_mut(pool) else {
+                break;
+            };
+            let Some(ticket) = queue.take(&head, &self.floors) else {
+                break;
+            };
             actions.push(self.start(ticket, choice, head.by_floor, now));
         }
         actions
@@ -243,7 +278,10 @@
 
     fn dispatch_all(&mut self, now: Instant) -> Vec<DispatchAction> {
         let pools: Vec<PoolId> = self.queues.keys().cloned().collect();
-        pools.iter().flat_map(|pool| self.dispatch(pool, now)).collect()
+        pools
+            .iter()
+            .flat_map(|pool| self.dispatch(pool, now))
+            .collect()
     }
 
     /// The next request that may start, and its server.
@@ -256,11 +294,19 @@
         let held = self.held.get(pool).cloned().unwrap_or_default();
         for head in queue.heads(self.options.queue, &held) {
             let ticket = queue.ticket(&head)?;
-            let limit = config.inventory.workspaces.get(&head.workspace).map_or(0, |w| w.concurrency);
+            let limit = config
+                .inventory
+                .workspaces
+                .get(&head.workspace)
+                .map_or(0, |w| w.concurrency);
             if !self.limits.has_room(&head.workspace, limit, now) {
                 continue;
             }
-            let as_rank = if head.by_floor { HIGHEST_RANK } else { head.rank };
+            let as_rank = if head.by_floor {
+                HIGHEST_RANK
+            } else {
+                head.rank
+            };
             match self.routes.choose(ticket, as_rank, now) {
                 Some(choice) => return Some((head, choice)),
                 // No room for this rank means none for the lower ones, which may use less.
@@ -285,9 +331,19 @@
         let request = ticket.id.clone();
         // What runs by its tier's floor is not taken away again, or the floor would serve nobody.
         let preemptible = ticket.idempotent && !by_floor;
-        let running = RunningRequest { ticket, server, started: now, preemptible, giving_way: false };
-        self.running.insert(request.clone(), running);
-        DispatchAction::Start { request, choice, by_floor }
+        let running = RunningRequest {
+            ticket: ticket.clone(),
+            server,
+            started: now,
+            preemptible,
+            giving_way: false,
+        };
+        self.running.insert(request, running);
+        DispatchAction::Start(Box::new(StartOrder {
+            ticket,
+            choice,
+            by_floor,
+        }))
     }
 
     /// Lets requests of a lower tier give way where one would wait too long.
@@ -295,11 +351,22 @@
         if self.options.queue == QueuePolicy::Arrival || !self.is_waiting(&ticket.id) {
             return Vec::new();
         }
-        let bearable = ticket.due.saturating_duration_since(ticket.arrived).mul_f64(PREEMPT_AFTER_SHARE);
-        let running = self.held.get(&ticket.pool).map_or(0, |held| held.values().sum());
+        let bearable = ticket
+            .due
+            .saturating_duration_since(ticket.arrived)
+            .mul_f64(PREEMPT_AFTER_SHARE);
+        let running = self
+            .held
+            .get(&ticket.pool)
+            .map_or(0, |held| held.values().sum());
         let queue = self.queues.get(&ticket.pool);
-        let ahead = queue.map_or(0, |queue| queue.ahead_of(ticket.rank, ticket.due).saturating_sub(1));
-        let wait = self.times.get(&ticket.pool).and_then(|times| times.wait_behind(ahead, running));
+        let ahead = queue.map_or(0, |queue| {
+            queue.ahead_of(ticket.rank, ticket.due).saturating_sub(1)
+        });
+        let wait = self
+            .times
+            .get(&ticket.pool)
+            .and_then(|times| times.wait_behind(ahead, running));
         if wait.is_some_and(|wait| wait <= bearable) {
             return Vec::new();
         }
@@ -310,9 +377,17 @@
         // One that already gives way makes room for one that waits; no more are needed.
         let queue = self.queues.get(&ticket.pool);
         let waiting: usize = queue.map_or(0, |queue| {
-            queue.ranks().filter(|rank| *rank <= ticket.rank).map(|rank| queue.len_of(rank)).sum()
+            queue
+                .ranks()
+                .filter(|rank| *rank <= ticket.rank)
+                .map(|rank| queue.len_of(rank))
+                .sum()
         });
-        let giving_way = self.running.values().filter(|r| r.giving_way && r.ticket.pool == ticket.pool).count();
+        let giving_way = self
+            .running
+            .values()
+            .filter(|r| r.giving_way && r.ticket.pool == ticket.pool)
+            .count();
         if giving_way >= waiting {
             return Vec::new();
         }
@@ -325,10 +400,17 @@
             if let Some(running) = self.running.get_mut(&request) {
                 running.giving_way = true;
             }
-            return vec![DispatchAction::Preempt { request, server, for_request: ticket.id.clone() }];
+            return vec![DispatchAction::Preempt {
+                request,
+                server,
+                for_request: ticket.id.clone(),
+            }];
         }
         if self.routes.peers_hold_below(&ticket.pool, ticket.rank, now) {
-            return vec![DispatchAction::AskForRoom { pool: ticket.pool.clone(), rank: ticket.rank }];
+            return vec![DispatchAction::AskForRoom {
+                pool: ticket.pool.clone(),
+                rank: ticket.rank,
+            }];
         }
         Vec::new()
     }
@@ -342,7 +424,11 @@
         let (request, server) = victim?;
         self.running.get_mut(&request)?.giving_way = true;
         let for_request = "peer".into();
-        Some(DispatchAction::Preempt { request, server, for_request })
+        Some(DispatchAction::Preempt {
+            request,
+            server,
+            for_request,
+        })
     }
 
     fn victims<'a>(
@@ -372,12 +458,22 @@
         end: AttemptEnd,
         now: Instant,
     ) -> Vec<DispatchAction> {
-        let Some(running) = self.release(request, now) else { return Vec::new() };
+        let Some(running) = self.release(request, now) else {
+            return Vec::new();
+        };
         match end {
-            AttemptEnd::Answered { to_first, to_end, tokens } => {
-                self.routes.observe(&running.server, to_first, to_end, tokens);
+            AttemptEnd::Answered {
+                to_first,
+                to_end,
+                tokens,
+            } => {
+                self.routes
+                    .observe(&running.server, to_first, to_end, tokens);
                 let held = now.saturating_duration_since(running.started);
-                self.times.entry(running.ticket.pool.clone()).or_default().observe(held);
+                self.times
+                    .entry(running.ticket.pool.clone())
+                    .or_default()
+                    .observe(held);
             }
             AttemptEnd::ConnectionFailed => self.routes.record_failure(&running.server, now),
             AttemptEnd::Refused { leaving: true } => self.routes.mark_leaving(&running.server),
@@ -435,8 +531,11 @@
     /// Refuses what has waited too long and serves what has room by now.
     pub fn tick(&mut self, now: Instant) -> Vec<DispatchAction> {
         self.limits.tick(now);
-        let expired: Vec<RequestTicket> =
-            self.queues.values_mut().flat_map(|queue| queue.remove_expired(now)).collect();
+        let expired: Vec<RequestTicket> = self
+            .queues
+            .values_mut()
+            .flat_map(|queue| queue.remove_expired(now))
+            .collect();
         let mut actions: Vec<DispatchAction> = Vec::new();
         for ticket in expired {
             self.pool_of.remove(&ticket.id);
@@ -448,7 +547,10 @@
 
     /// When the next waiting request is given up.
     pub fn next_give_up(&self) -> Option<Instant> {
-        self.queues.values().filter_map(PoolQueue::next_give_up).min()
+        self.queues
+            .values()
+            .filter_map(PoolQueue::next_give_up)
+            .min()
     }
 
     /// How many requests wait and run, by rank.
@@ -465,6 +567,33 @@
         load
     }
 
+    /// How many requests wait and run in each pool, for the peers.
+    pub fn pool_loads(&self) -> Vec<PoolLoad> {
+        let mut running: BTreeMap<&PoolId, BTreeMap<TierRank, u32>> = BTreeMap::new();
+        for request in self.running.values() {
+            let counts = running.entry(&request.ticket.pool).or_default();
+            *counts.entry(request.ticket.rank).or_default() += 1;
+        }
+        let mut loads = Vec::new();
+        for (pool, queue) in &self.queues {
+            let count = |rank| u32::try_from(queue.len_of(rank)).unwrap_or(u32::MAX);
+            let waiting: Vec<_> = queue.ranks().map(|rank| (rank, count(rank))).collect();
+            let running: Vec<_> = running
+                .remove(pool)
+                .unwrap_or_default()
+                .into_iter()
+                .collect();
+            if !waiting.is_empty() || !running.is_empty() {
+                loads.push(PoolLoad {
+                    pool: pool.to_string(),
+                    running,
+                    waiting,
+                });
+            }
+        }
+        loads
+    }
+
     /// Whether nothing waits and nothing runs.
     pub fn is_idle(&self) -> bool {
         self.running.is_empty() && self.waiting() == 0
@@ -491,8 +620,17 @@
         self.refuse(ticket, reason, wait)
     }
 
-    fn refuse(&self, ticket: &RequestTicket, reason: RefusalReason, wait: Duration) -> DispatchAction {
+    fn refuse(
+        &self,
+        ticket: &RequestTicket,
+        reason: RefusalReason,
+        wait: Duration,
+    ) -> DispatchAction {
         let retry_after = wait.clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER);
-        DispatchAction::Refuse { request: ticket.id.clone(), reason, retry_after }
+        DispatchAction::Refuse {
+            request: ticket.id.clone(),
+            reason,
+            retry_after,
+        }
     }
 }
--- a/crates/plumgate/src/dispatch/mod.rs
+++ b/crates/plumgate/src/dispatch/mod.rs
@@ -5,6 +5,6 @@
 mod service_time;
 mod ticket;
 
-pub use dispatcher::{AttemptEnd, Dispatcher, DispatchOptions};
+pub use dispatcher::{AttemptEnd, DispatchOptions, Dispatcher};
 pub use queue::QueuePolicy;
-pub use ticket::{DispatchAction, QueueLoad, RefusalReason, RequestTicket};
+pub use ticket::{DispatchAction, QueueLoad, RefusalReason, RequestTicket, StartOrder};
--- a/crates/plumgate/src/dispatch/queue.rs
+++ b/crates/plumgate/src/dispatch/queue.rs
@@ -54,7 +54,9 @@
         self.arrivals += 1;
         let place = (ticket.due, self.arrivals);
         let rank = self.ranks.entry(ticket.rank).or_default();
-        rank.entry(ticket.workspace.clone()).or_default().insert(place, ticket);
+        rank.entry(ticket.workspace.clone())
+            .or_default()
+            .insert(place, ticket);
         self.length += 1;
     }
 
@@ -65,7 +67,9 @@
 
     /// How many requests of a rank wait.
     pub(crate) fn len_of(&self, rank: TierRank) -> usize {
-        self.ranks.get(&rank).map_or(0, |queues| queues.values().map(BTreeMap::len).sum())
+        self.ranks
+            .get(&rank)
+            .map_or(0, |queues| queues.values().map(BTreeMap::len).sum())
     }
 
     /// The ranks that have waiting requests, highest first.
@@ -75,9 +79,16 @@
 
     /// How many requests go before a new one of a rank with this due time.
     pub(crate) fn ahead_of(&self, rank: TierRank, due: Instant) -> usize {
-        let higher: usize = self.ranks.range(..rank).map(|(rank, _)| self.len_of(*rank)).sum();
+        let higher: usize = self
+            .ranks
+            .range(..rank)
+            .map(|(rank, _)| self.len_of(*rank))
+            .sum();
         let same = self.ranks.get(&rank).map_or(0, |queues| {
-            queues.values().map(|queue| queue.range(..=(due, u64::MAX)).count()).sum()
+            queues
+                .values()
+                .map(|queue| queue.range(..=(due, u64::MAX)).count())
+                .sum()
         });
         higher + same
     }
@@ -97,7 +108,11 @@
                 heads.sort_by_key(|head| head.place.1);
             }
             QueuePolicy::Tiered => {
-                let due_floor = self.credits.iter().rev().find(|(_, credit)| **credit >= 1.0);
+                let due_floor = self
+                    .credits
+                    .iter()
+                    .rev()
+                    .find(|(_, credit)| **credit >= 1.0);
                 if let Some((rank, _)) = due_floor {
                     self.push_heads(*rank, true, &mut heads);
                     sort_fairly(&mut heads, running);
@@ -116,14 +131,22 @@
     fn push_heads(&self, rank: TierRank, by_floor: bool, heads: &mut Vec<QueueHead>) {
         for (workspace, queue) in self.ranks.get(&rank).into_iter().flatten() {
             if let Some(place) = queue.keys().next() {
-                heads.push(QueueHead { rank, workspace: workspace.clone(), place: *place, by_floor });
+                heads.push(QueueHead {
+                    rank,
+                    workspace: workspace.clone(),
+                    place: *place,
+                    by_floor,
+                });
             }
         }
     }
 
     /// The request behind a head.
     pub(crate) fn ticket(&self, head: &QueueHead) -> Option<&RequestTicket> {
-        self.ranks.get(&head.rank)?.get(&head.workspace)?.get(&head.place)
+        self.ranks
+            .get(&head.rank)?
+            .get(&head.workspace)?
+            .get(&head.place)
     }
 
     /// Takes the request behind a head out of the queue, to be served.
@@ -160,15 +183,24 @@
 
     /// Takes out all requests that have waited as long as they may.
     pub(crate) fn remove_expired(&mut self, now: Instant) -> Vec<RequestTicket> {
-        let expired = self.iter().filter(|(_, _, _, ticket)| ticket.give_up <= now);
-        let places: Vec<_> = expired.map(|(rank, name, place, _)| (rank, name.clone(), place)).collect();
-        places.into_iter().filter_map(|(rank, name, place)| self.remove_at(rank, &name, place)).collect()
+        let expired = self
+            .iter()
+            .filter(|(_, _, _, ticket)| ticket.give_up <= now);
+        let places: Vec<_> = expired
+            .map(|(rank, name, place, _)| (rank, name.clone(), place))
+            .collect();
+        places
+            .into_iter()
+            .filter_map(|(rank, name, place)| self.remove_at(rank, &name, place))
+            .collect()
     }
 
     /// Takes out the request that is served last of all below a rank, to make room.
     pub(crate) fn remove_last_below(&mut self, rank: TierRank) -> Option<RequestTicket> {
         let (last, queues) = self.ranks.range(rank + 1..).next_back()?;
-        let places = queues.iter().filter_map(|(name, queue)| Some((queue.keys().next_back()?, name)));
+        let places = queues
+            .iter()
+            .filter_map(|(name, queue)| Some((queue.keys().next_back()?, name)));
         let (place, workspace) = places.max()?;
         let (rank, workspace, place) = (*last, workspace.clone(), *place);
         self.remove_at(rank, &workspace, place)
@@ -178,7 +210,11 @@
     pub(crate) fn drain(&mut self) -> Vec<RequestTicket> {
         let ranks = std::mem::take(&mut self.ranks);
         self.length = 0;
-        ranks.into_values().flat_map(BTreeMap::into_values).flat_map(BTreeMap::into_values).collect()
+        ranks
+            .into_values()
+            .flat_map(BTreeMap::into_values)
+            .flat_map(BTreeMap::into_values)
+            .collect()
     }
 
     /// The next time at which a request has waited as long as it may.
@@ -189,7 +225,9 @@
     fn iter(&self) -> impl Iterator<Item = (TierRank, &WorkspaceId, QueuePlace, &RequestTicket)> {
         self.ranks.iter().flat_map(|(rank, queues)| {
             queues.iter().flat_map(move |(workspace, queue)| {
-                queue.iter().map(move |(place, ticket)| (*rank, workspace, *place, ticket))
+                queue
+                    .iter()
+                    .map(move |(place, ticket)| (*rank, workspace, *place, ticket))
             })
         })
     }
--- a/crates/plumgate/src/dispatch/ticket.rs
+++ b/crates/plumgate/src/dispatch/ticket.rs
@@ -69,18 +69,22 @@
     }
 }
 
+/// A request and the server that it goes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StartOrder {
+    /// The request.
+    pub ticket: RequestTicket,
+    /// The server and what spoke for it.
+    pub choice: RouteChoice,
+    /// Whether the request goes ahead of higher tiers by its tier's floor.
+    pub by_floor: bool,
+}
+
 /// What is to be done about a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum DispatchAction {
-    /// Send the request to a server.
-    Start {
-        /// The request.
-        request: RequestId,
-        /// The server and what spoke for it.
-        choice: RouteChoice,
-        /// Whether the request goes ahead of higher tiers by its tier's floor.
-        by_floor: bool,
-    },
+    /// Send a request to a server.
+    Start(Box<StartOrder>),
     /// Tell the caller that the request is not run.
     Refuse {
         /// The request.
--- a/crates/plumgate/src/follow.rs
+++ b/crates/plumgate/src/follow.rs
@@ -110,7 +110,8 @@
 
     /// The platform told its head. An older one than in force is a stale answer.
     pub fn apply_head(&mut self, head: ConfigHead, now: Instant) -> Option<FollowAction> {
-        self.wants(head.version, now).then_some(FollowAction::ReadBody(head))
+        self.wants(head.version, now)
+            .then_some(FollowAction::ReadBody(head))
     }
 
     /// A peer told which version it has.
@@ -120,7 +121,8 @@
         version: ConfigVersion,
         now: Instant,
     ) -> Option<FollowAction> {
-        self.wants(version, now).then(|| FollowAction::AskPeer(node.to_owned()))
+        self.wants(version, now)
+            .then(|| FollowAction::AskPeer(node.to_owned()))
     }
 
     /// Whether a version is newer and was not asked for just now.
@@ -158,9 +160,20 @@
         if let Err(findings) = bundle.read(version) {
             return Some(self.reject(version, &findings.to_string()));
         }
-        let patch = self.held.as_ref().map(|held| (held.version, TextPatch::between(&held.text, &text)));
-        self.held = Some(HeldConfig { version, text, digest });
-        Some(FollowAction::Adopt { version, bundle, patch })
+        let patch = self
+            .held
+            .as_ref()
+            .map(|held| (held.version, TextPatch::between(&held.text, &text)));
+        self.held = Some(HeldConfig {
+            version,
+            text,
+            digest,
+        });
+        Some(FollowAction::Adopt {
+            version,
+            bundle,
+            patch,
+        })
     }
 
     /// A patch came from a peer. One that doesn't fit is followed by a question for the whole.
@@ -184,6 +197,9 @@
     }
 
     fn reject(&self, version: ConfigVersion, reason: &str) -> FollowAction {
-        FollowAction::Reject { version, reason: reason.to_owned() }
+        FollowAction::Reject {
+            version,
+            reason: reason.to_owned(),
+        }
     }
 }
--- a/crates/plumgate/src/lease.rs
+++ b/crates/plumgate/src/lease.rs
@@ -132,18 +132,29 @@
     }
 
     fn claim(&mut self, now: Instant) -> Option<LeaseAction> {
-        let Some(seen) = &self.seen else { return self.ask(LeaseAction::Read, now) };
+        let Some(seen) = &self.seen else {
+            return self.ask(LeaseAction::Read, now);
+        };
         // Whether another holder's lease has ended is judged by how long its row stood
         // unchanged on this node's own clock: clocks of two VMs are never compared.
         if now < seen.since + LEASE_LENGTH {
             return self.ask(LeaseAction::Read, now);
         }
-        let row = LeaseRow { holder: self.holder.clone(), epoch: seen.row.epoch + 1, renewals: 0 };
+        let row = LeaseRow {
+            holder: self.holder.clone(),
+            epoch: seen.row.epoch + 1,
+            renewals: 0,
+        };
         let version = Some(seen.version);
         self.put(row, version, now)
     }
 
-    fn put(&mut self, row: LeaseRow, version: Option<RowVersion>, now: Instant) -> Option<LeaseAction> {
+    fn put(
+        &mut self,
+        row: LeaseRow,
+        version: Option<RowVersion>,
+        now: Instant,
+    ) -> Option<LeaseAction> {
         if self.run.expects("claim") {
             let _ = self.run.apply("claim");
         }
@@ -157,7 +168,10 @@
     fn expect_write(&mut self, row: &LeaseRow, now: Instant) {
         let earlier = self.pending.take().filter(|pending| pending.row == *row);
         let asked = earlier.map_or(now, |pending| pending.asked);
-        self.pending = Some(PendingWrite { row: row.clone(), asked });
+        self.pending = Some(PendingWrite {
+            row: row.clone(),
+            asked,
+        });
     }
 
     fn renew(&mut self, now: Instant) -> Option<LeaseAction> {
@@ -167,7 +181,10 @@
             return None;
         }
         let _ = self.run.apply("renew");
-        let row = LeaseRow { renewals: row.renewals + 1, ..row };
+        let row = LeaseRow {
+            renewals: row.renewals + 1,
+            ..row
+        };
         self.expect_write(&row, now);
         self.ask(LeaseAction::Put(row, Some(version)), now)
     }
@@ -190,7 +207,9 @@
     }
 
     fn hold(&mut self, version: RowVersion, now: Instant) {
-        let Some(PendingWrite { row, asked }) = self.pending.take() else { return };
+        let Some(PendingWrite { row, asked }) = self.pending.take() else {
+            return;
+        };
         let is_new = row.renewals == 0;
         let _ = self.run.apply("held");
         self.valid_until = Some(asked + LEASE_LENGTH - LEASE_MARGIN);
@@ -217,13 +236,21 @@
         if self.run.state() != "idle" {
             return None;
         }
-        let row = LeaseRow { holder: self.holder.clone(), epoch: 1, renewals: 0 };
+        let row = LeaseRow {
+            holder: self.holder.clone(),
+            epoch: 1,
+            renewals: 0,
+        };
         self.put(row, None, now)
     }
 
     fn apply_row(&mut self, row: LeaseRow, version: RowVersion, now: Instant) {
         // A write in doubt took effect if the row is what it would have written.
-        if self.pending.as_ref().is_some_and(|pending| pending.row == row) {
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|pending| pending.row == row)
+        {
             self.hold(version, now);
             return;
         }
@@ -235,7 +262,11 @@
         self.valid_until = None;
         let unchanged = self.seen.as_ref().is_some_and(|seen| seen.row == row);
         if !unchanged {
-            self.seen = Some(SeenRow { row, version, since: now });
+            self.seen = Some(SeenRow {
+                row,
+                version,
+                since: now,
+            });
         }
     }
 
@@ -243,7 +274,9 @@
     /// before each order: a process that stood still in between must not act on the old answer.
     pub fn fencing(&self, now: Instant) -> Option<FencingNumber> {
         let until = self.valid_until?;
-        (now < until).then(|| self.held.as_ref().map(|(row, _)| row.epoch)).flatten()
+        (now < until)
+            .then(|| self.held.as_ref().map(|(row, _)| row.epoch))
+            .flatten()
     }
 
     /// The fencing number for an engine that ignores it: only once earlier orders are over.
--- a/crates/plumgate/src/limits.rs
+++ b/crates/plumgate/src/limits.rs
@@ -15,8 +15,11 @@
 const DEMAND_LIFETIME: Duration = Duration::from_secs(5);
 /// Time constant over which demand is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_secs(5);
-/// Seconds of its rate that a workspace may use at once.
-const BURST_SECONDS: f64 = 1.0;
+/// Seconds of its rate that a workspace may use at once. Arrivals are uneven, and more so on
+/// one node of many: a shorter burst refuses workspaces that keep well below their limit.
+const BURST_SECONDS: f64 = 3.0;
+/// Requests that a workspace may start at once on any node, however small its share.
+const BURST_LEAST: f64 = 3.0;
 /// Share of a limit that is split equally, so that a node with new demand starts at once.
 const EQUAL_PART: f64 = 0.1;
 
@@ -32,7 +35,13 @@
 
 impl WorkspaceUse {
     fn new(now: Instant) -> Self {
-        Self { in_flight: 0, tokens: 1.0, refilled: now, demand: 0.0, demand_at: now }
+        Self {
+            in_flight: 0,
+            tokens: BURST_LEAST,
+            refilled: now,
+            demand: 0.0,
+            demand_at: now,
+        }
     }
 
     /// Requests a second, decayed to the present.
@@ -60,7 +69,10 @@
 impl LimitTable {
     /// A table for a node that knows of no other.
     pub fn new() -> Self {
-        Self { nodes: 1, ..Self::default() }
+        Self {
+            nodes: 1,
+            ..Self::default()
+        }
     }
 
     /// Says how many nodes share the limits, this one included.
@@ -75,7 +87,10 @@
 
     /// This node's demand by workspace, for its peers; only workspaces with any.
     pub fn demand(&self, now: Instant) -> Vec<(WorkspaceId, f32)> {
-        let demands = self.uses.iter().map(|(id, used)| (id.clone(), used.demand(now) as f32));
+        let demands = self
+            .uses
+            .iter()
+            .map(|(id, used)| (id.clone(), used.demand(now) as f32));
         demands.filter(|(_, demand)| *demand > 0.01).collect()
     }
 
@@ -90,14 +105,16 @@
         let rate = self.share(workspace, limit, now);
         let used = self.used(workspace, now);
         let elapsed = now.saturating_duration_since(used.refilled).as_secs_f64();
-        let most = (rate * BURST_SECONDS).max(1.0);
+        let most = (rate * BURST_SECONDS).max(BURST_LEAST);
         used.tokens = (used.tokens + elapsed * rate).min(most);
         used.refilled = now;
         if used.tokens >= 1.0 {
             used.tokens -= 1.0;
             return Ok(());
         }
-        Err(Duration::from_secs_f64((1.0 - used.tokens) / rate.max(0.001)))
+        Err(Duration::from_secs_f64(
+            (1.0 - used.tokens) / rate.max(0.001),
+        ))
     }
 
     /// Whether the workspace may have one more request in flight on this node.
@@ -133,7 +150,10 @@
             .filter_map(|peer| peer.demand.get(workspace))
             .map(|demand| f64::from(*demand))
             .sum();
-        let own = self.uses.get(workspace).map_or(0.0, |used| used.demand(now));
+        let own = self
+            .uses
+            .get(workspace)
+            .map_or(0.0, |used| used.demand(now));
         let total = own + others;
         if total <= 0.0 {
             return equal;
@@ -143,7 +163,8 @@
 
     /// Forgets peers that said nothing for long.
     pub fn tick(&mut self, now: Instant) {
-        self.peers.retain(|_, peer| now.saturating_duration_since(peer.told) < DEMAND_LIFETIME);
+        self.peers
+            .retain(|_, peer| now.saturating_duration_since(peer.told) < DEMAND_LIFETIME);
     }
 
     fn fresh_peers(&self, now: Instant) -> impl Iterator<Item = &PeerDemand> {
@@ -159,6 +180,8 @@
     }
 
     fn used(&mut self, workspace: &WorkspaceId, now: Instant) -> &mut WorkspaceUse {
-        self.uses.entry(workspace.clone()).or_insert_with(|| WorkspaceUse::new(now))
+        self.uses
+            .entry(workspace.clone())
+            .or_insert_with(|| WorkspaceUse::new(now))
     }
 }
--- a/crates/plumgate/src/membership.rs
+++ b/crates/plumgate/src/membership.rs
@@ -115,12 +115,18 @@
     /// Takes over the platform's list. It lags: a node on it may be gone, and one that is
     /// missing may be alive, so it only adds addresses and leaving marks.
     pub fn apply_list(&mut self, nodes: Vec<ListedNode>) {
-        self.listed = nodes.into_iter().map(|node| (node.node.clone(), node)).collect();
+        self.listed = nodes
+            .into_iter()
+            .map(|node| (node.node.clone(), node))
+            .collect();
     }
 
     /// Takes in digests that a peer sent; returns those that were news.
     pub fn apply(&mut self, digests: Vec<NodeDigest>, now: Instant) -> Vec<NodeDigest> {
-        digests.into_iter().filter(|digest| self.apply_one(digest, now)).collect()
+        digests
+            .into_iter()
+            .filter(|digest| self.apply_one(digest, now))
+            .collect()
     }
 
     fn apply_one(&mut self, digest: &NodeDigest, now: Instant) -> bool {
@@ -132,7 +138,12 @@
         if known.is_some_and(|peer| age(&peer.digest) >= age(digest)) {
             return false;
         }
-        let state = PeerState { digest: digest.clone(), heard: now, relays: 0, gone: false };
+        let state = PeerState {
+            digest: digest.clone(),
+            heard: now,
+            relays: 0,
+            gone: false,
+        };
         self.peers.insert(digest.node.as_str().into(), state);
         true
     }
@@ -140,7 +151,9 @@
     /// Finds out who is gone and whether this process stood still.
     pub fn tick(&mut self, now: Instant) -> Vec<MemberEvent> {
         let mut events = Vec::new();
-        let gap = self.last_tick.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+        let gap = self
+            .last_tick
+            .map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
         self.last_tick = Some(now);
         if gap > FREEZE_GAP {
             events.push(MemberEvent::Frozen(gap));
@@ -185,7 +198,10 @@
         if addresses.is_empty() {
             return None;
         }
-        Some(GossipRound { addresses, digests: self.digests_to_send() })
+        Some(GossipRound {
+            addresses,
+            digests: self.digests_to_send(),
+        })
     }
 
     /// When the next round is due.
@@ -204,7 +220,13 @@
         self.round_length() * ROUNDS_TO_LIVE
     }
 
-    fn partners(&mut self) -> Vec<String> {
+    /// Makes the next round due at once.
+    pub fn hurry(&mut self) {
+        self.next_round = None;
+    }
+
+    /// The peers that are told next: some near ones, and others on behalf of a data centre.
+    pub fn partners(&mut self) -> Vec<String> {
         let mut near = Vec::new();
         let mut far: BTreeMap<String, Vec<String>> = BTreeMap::new();
         let mut known = BTreeSet::new();
@@ -214,7 +236,9 @@
                 near.push(peer.digest.address.clone());
             } else {
                 let data_centre = peer.digest.data_centre.clone();
-                far.entry(data_centre).or_default().push(peer.digest.address.clone());
+                far.entry(data_centre)
+                    .or_default()
+                    .push(peer.digest.address.clone());
             }
         }
         self.rng.shuffle(&mut near);
@@ -230,17 +254,24 @@
 
     /// One address that nothing was heard from, so that separated groups find each other again.
     fn stranger(&mut self, known: &BTreeSet<String>) -> Option<String> {
-        let listed = self.listed.values().filter(|node| !node.leaving).map(|node| &node.address);
-        let silent = listed.chain(&self.seeds).filter(|address| {
-            !known.contains(*address) && **address != self.own.address
-        });
+        let listed = self
+            .listed
+            .values()
+            .filter(|node| !node.leaving)
+            .map(|node| &node.address);
+        let silent = listed
+            .chain(&self.seeds)
+            .filter(|address| !known.contains(*address) && **address != self.own.address);
         let silent: Vec<String> = silent.cloned().collect();
         self.rng.choice(silent)
     }
 
     fn digests_to_send(&mut self) -> Vec<NodeDigest> {
-        let mut peers: Vec<&mut PeerState> =
-            self.peers.values_mut().filter(|peer| !peer.gone && peer.relays < RELAYS_MOST).collect();
+        let mut peers: Vec<&mut PeerState> = self
+            .peers
+            .values_mut()
+            .filter(|peer| !peer.gone && peer.relays < RELAYS_MOST)
+            .collect();
         peers.sort_by_key(|peer| peer.relays);
         let mut digests = vec![self.own.clone()];
         for peer in peers.into_iter().take(DIGESTS_MOST - 1) {
@@ -263,7 +294,9 @@
         let own = self.own.data_centre.as_str();
         let peers = self.live().filter(|digest| digest.data_centre == own);
         let weight = rendezvous_weight(role, &self.own.node);
-        let better = peers.filter(|digest| rendezvous_weight(role, &digest.node) > weight).count();
+        let better = peers
+            .filter(|digest| rendezvous_weight(role, &digest.node) > weight)
+            .count();
         better < count
     }
 
@@ -276,7 +309,10 @@
 
     /// The other nodes that are alive, not those that are stopping.
     pub fn live(&self) -> impl Iterator<Item = &NodeDigest> {
-        let alive = self.peers.values().filter(|peer| !peer.gone && !peer.digest.stopping);
+        let alive = self
+            .peers
+            .values()
+            .filter(|peer| !peer.gone && !peer.digest.stopping);
         alive.map(|peer| &peer.digest)
     }
 
@@ -289,20 +325,32 @@
     /// though nothing was heard of them. Cut off, they may go on serving.
     pub fn sharing_count(&self) -> usize {
         let mut sharing: BTreeSet<&str> = self.live().map(|digest| digest.node.as_str()).collect();
-        sharing.extend(self.listed.values().filter(|node| !node.leaving).map(|node| &*node.node));
+        sharing.extend(
+            self.listed
+                .values()
+                .filter(|node| !node.leaving)
+                .map(|node| &*node.node),
+        );
         sharing.insert(&self.own.node);
         sharing.len()
     }
 
     /// The digest of a peer that is alive.
     pub fn peer(&self, node: &str) -> Option<&NodeDigest> {
-        self.peers.get(node).filter(|peer| !peer.gone).map(|peer| &peer.digest)
+        self.peers
+            .get(node)
+            .filter(|peer| !peer.gone)
+            .map(|peer| &peer.digest)
     }
 }
 
 /// How much a node is preferred for a role; the highest wins.
 pub fn rendezvous_weight(role: &str, node: &str) -> u64 {
-    let digest = Sha256::new().chain_update(role).chain_update([0]).chain_update(node).finalize();
+    let digest = Sha256::new()
+        .chain_update(role)
+        .chain_update([0])
+        .chain_update(node)
+        .finalize();
     let mut first = [0; 8];
     first.copy_from_slice(&digest[..8]);
     u64::from_be_bytes(first)
--- a/crates/plumgate/src/retry.rs
+++ b/crates/plumgate/src/retry.rs
@@ -25,7 +25,10 @@
 impl RetryBudget {
     /// A budget that earns this share of a retry with each request.
     pub fn new(share: f64) -> Self {
-        Self { share, tokens: BUDGET_START }
+        Self {
+            share,
+            tokens: BUDGET_START,
+        }
     }
 
     /// Changes the share that each request earns.
@@ -71,7 +74,11 @@
 impl BackoffPause {
     /// Pauses from `first`, doubled by each failure, up to `longest`.
     pub fn new(first: Duration, longest: Duration) -> Self {
-        Self { first, longest, failures: 0 }
+        Self {
+            first,
+            longest,
+            failures: 0,
+        }
     }
 
     /// The next pause: a random time between half of the bound and the bound.
--- a/crates/plumgate/src/route/estimate.rs
+++ b/crates/plumgate/src/route/estimate.rs
@@ -117,13 +117,17 @@
 
     /// Requests of other nodes on the server, as far as they told lately.
     pub fn peers_in_flight(&self, now: Instant) -> u32 {
-        self.fresh_peers(now).map(|peer| peer.counts.iter().sum::<u32>()).sum()
+        self.fresh_peers(now)
+            .map(|peer| peer.counts.iter().sum::<u32>())
+            .sum()
     }
 
     /// Requests of other nodes that are of a lower tier than a rank.
     pub(crate) fn peers_below(&self, rank: TierRank, now: Instant) -> u32 {
         let below = usize::from(rank) + 1;
-        self.fresh_peers(now).map(|peer| peer.counts[below.min(RANKS)..].iter().sum::<u32>()).sum()
+        self.fresh_peers(now)
+            .map(|peer| peer.counts[below.min(RANKS)..].iter().sum::<u32>())
+            .sum()
     }
 
     /// Requests on the server by its own report, if that is fresh.
--- a/crates/plumgate/src/route/mod.rs
+++ b/crates/plumgate/src/route/mod.rs
@@ -5,4 +5,6 @@
 mod table;
 
 pub use estimate::{LoadReport, ServerEstimate};
-pub use table::{LeavingSource, PeerServerLoad, RouteChoice, RouteOptions, RoutePolicy, RouteTable};
+pub use table::{
+    LeavingSource, PeerServerLoad, RouteChoice, RouteOptions, RoutePolicy, RouteTable,
+};
--- a/crates/plumgate/src/route/prefix.rs
+++ b/crates/plumgate/src/route/prefix.rs
@@ -38,7 +38,11 @@
 
     /// A server dropped a prefix from its cache.
     pub(crate) fn forget(&mut self, prefix: u64, server: &ServerId) {
-        if self.places.get(&prefix).is_some_and(|(held, _)| held == server) {
+        if self
+            .places
+            .get(&prefix)
+            .is_some_and(|(held, _)| held == server)
+        {
             self.places.remove(&prefix);
             self.order.retain(|kept| *kept != prefix);
         }
--- a/crates/plumgate/src/route/table.rs
+++ b/crates/plumgate/src/route/table.rs
@@ -49,7 +49,10 @@
 impl RouteOptions {
     /// Options for a node in a data centre.
     pub fn new(data_centre: impl Into<DataCentreId>) -> Self {
-        Self { data_centre: data_centre.into(), ..Self::default() }
+        Self {
+            data_centre: data_centre.into(),
+            ..Self::default()
+        }
     }
 
     /// The same with a seed.
@@ -147,11 +150,16 @@
     pub fn set_config(&mut self, config: Arc<FleetConfig>) {
         self.pools.clear();
         for server in config.inventory.servers.values() {
-            self.pools.entry(server.pool.clone()).or_default().push(server.id.clone());
+            self.pools
+                .entry(server.pool.clone())
+                .or_default()
+                .push(server.id.clone());
             self.estimates.entry(server.id.clone()).or_default();
         }
-        self.estimates.retain(|id, _| config.inventory.servers.contains_key(id));
-        self.leaving.retain(|id, _| config.inventory.servers.contains_key(id));
+        self.estimates
+            .retain(|id, _| config.inventory.servers.contains_key(id));
+        self.leaving
+            .retain(|id, _| config.inventory.servers.contains_key(id));
         self.config = Some(config);
     }
 
@@ -169,7 +177,10 @@
     ) -> Vec<ServerId> {
         let mut changed = Vec::new();
         for id in self.estimates.keys() {
-            let was = self.leaving.get(id).is_some_and(|sources| !sources.is_empty());
+            let was = self
+                .leaving
+                .get(id)
+                .is_some_and(|sources| !sources.is_empty());
             let sources = self.leaving.entry(id.clone()).or_default();
             if servers.contains(id) {
                 sources.insert(source);
@@ -187,7 +198,10 @@
     /// A server said in an answer that it is leaving.
     pub fn mark_leaving(&mut self, server: &ServerId) {
         if self.estimates.contains_key(server) {
-            self.leaving.entry(server.clone()).or_default().insert(LeavingSource::Server);
+            self.leaving
+                .entry(server.clone())
+                .or_default()
+                .insert(LeavingSource::Server);
         }
     }
 
@@ -199,7 +213,10 @@
         }
         let drained = self.config.iter().flat_map(|config| &config.drained);
         for id in drained {
-            leaving.entry(id.clone()).or_default().push(LeavingSource::Operator);
+            leaving
+                .entry(id.clone())
+                .or_default()
+                .push(LeavingSource::Operator);
         }
         leaving
     }
@@ -207,8 +224,14 @@
     /// Whether a server gets no new work.
     pub fn is_leaving(&self, server: &ServerId) -> bool {
         self.leaving.contains_key(server)
-            || self.config.as_ref().is_some_and(|config| config.drained.contains(server))
-            || self.estimates.get(server).is_some_and(ServerEstimate::says_leaving)
+            || self
+                .config
+                .as_ref()
+                .is_some_and(|config| config.drained.contains(server))
+            || self
+                .estimates
+                .get(server)
+                .is_some_and(ServerEstimate::says_leaving)
     }
 
     /// Folds in a server's report.
@@ -237,19 +260,31 @@
 
     /// This node's own work by server, for its peers; only servers with any.
     pub fn own_loads(&self) -> Vec<PeerServerLoad> {
-        let busy = self.estimates.iter().filter(|(_, estimate)| estimate.own_in_flight() > 0);
+        let busy = self
+            .estimates
+            .iter()
+            .filter(|(_, estimate)| estimate.own_in_flight() > 0);
         busy.map(|(id, estimate)| {
             let counts = estimate.own_counts();
             let ranks = counts.iter().enumerate().filter(|(_, count)| **count > 0);
-            let counts = ranks.map(|(rank, count)| (rank as TierRank, *count)).collect();
-            PeerServerLoad { server: id.clone(), counts }
+            let counts = ranks
+                .map(|(rank, count)| (rank as TierRank, *count))
+                .collect();
+            PeerServerLoad {
+                server: id.clone(),
+                counts,
+            }
         })
         .collect()
     }
 
     /// Whether the pool has any server at all that may get work.
     pub fn has_servers(&self, pool: &PoolId) -> bool {
-        self.pools.get(pool).into_iter().flatten().any(|id| !self.is_leaving(id))
+        self.pools
+            .get(pool)
+            .into_iter()
+            .flatten()
+            .any(|id| !self.is_leaving(id))
     }
 
     /// The best server with room for the request, if there is one.
@@ -267,9 +302,19 @@
         let scored = self.score(&candidates, ticket, now);
         let (best, reason) = self.pick(&scored, now);
         let (server, wait) = scored.get(best)?;
-        let others = scored.iter().enumerate().filter(|(index, _)| *index != best);
-        let runner_up = others.min_by(|a, b| a.1.1.cmp(&b.1.1)).map(|(_, (s, w))| (s.id.clone(), *w));
-        Some(RouteChoice { server: (*server).clone(), wait: *wait, runner_up, reason })
+        let others = scored
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != best);
+        let runner_up = others
+            .min_by(|a, b| a.1.1.cmp(&b.1.1))
+            .map(|(_, (s, w))| (s.id.clone(), *w));
+        Some(RouteChoice {
+            server: (*server).clone(),
+            wait: *wait,
+            runner_up,
+            reason,
+        })
     }
 
     fn candidates<'a>(
@@ -284,8 +329,11 @@
         let open = servers.filter(|server| self.has_room(config, server, as_rank, now));
         let open: Vec<&Server> = open.collect();
         // A server on which an attempt failed is used again only if there is no other.
-        let fresh: Vec<&Server> =
-            open.iter().copied().filter(|server| !ticket.avoid.contains(&server.id)).collect();
+        let fresh: Vec<&Server> = open
+            .iter()
+            .copied()
+            .filter(|server| !ticket.avoid.contains(&server.id))
+            .collect();
         if fresh.is_empty() { open } else { fresh }
     }
 
@@ -297,7 +345,9 @@
         rank: TierRank,
         now: Instant,
     ) -> bool {
-        let Some(estimate) = self.estimates.get(&server.id) else { return false };
+        let Some(estimate) = self.estimates.get(&server.id) else {
+            return false;
+        };
         if self.is_leaving(&server.id) || !estimate.circuit.allows(now) {
             return false;
         }
@@ -321,7 +371,9 @@
         now: Instant,
     ) -> Vec<(&'a Server, Duration)> {
         let typical = self.typical_speed(candidates);
-        let cached = ticket.prefix.and_then(|prefix| self.prefixes.server(prefix, now));
+        let cached = ticket
+            .prefix
+            .and_then(|prefix| self.prefixes.server(prefix, now));
         let score = |server: &'a Server| {
             let wait = self.predicted_wait(server, ticket, typical, cached, now);
             (server, wait)
@@ -331,10 +383,17 @@
 
     /// The median speed of the candidates, for servers that this node has not seen at work.
     fn typical_speed(&self, candidates: &[&Server]) -> f64 {
-        let estimates = candidates.iter().filter_map(|server| self.estimates.get(&server.id));
-        let mut speeds: Vec<f64> = estimates.filter_map(ServerEstimate::seconds_per_token).collect();
+        let estimates = candidates
+            .iter()
+            .filter_map(|server| self.estimates.get(&server.id));
+        let mut speeds: Vec<f64> = estimates
+            .filter_map(ServerEstimate::seconds_per_token)
+            .collect();
         speeds.sort_by(f64::total_cmp);
-        speeds.get(speeds.len() / 2).copied().unwrap_or(DEFAULT_SECONDS_PER_TOKEN)
+        speeds
+            .get(speeds.len() / 2)
+            .copied()
+            .unwrap_or(DEFAULT_SECONDS_PER_TOKEN)
     }
 
     fn predicted_wait(
@@ -345,13 +404,21 @@
         cached: Option<&ServerId>,
         now: Instant,
     ) -> Duration {
-        let Some(estimate) = self.estimates.get(&server.id) else { return Duration::MAX };
+        let Some(estimate) = self.estimates.get(&server.id) else {
+            return Duration::MAX;
+        };
         let speed = estimate.seconds_per_token().unwrap_or(typical);
         let in_flight = f64::from(estimate.own_in_flight() + estimate.peers_in_flight(now));
         let occupancy = (in_flight + 1.0) / f64::from(server.slots.max(1));
         let work = speed * f64::from(ticket.expected_tokens.max(1));
-        let to_first = estimate.seconds_to_first().unwrap_or(DEFAULT_SECONDS_TO_FIRST);
-        let saving = if cached == Some(&server.id) { PREFIX_SAVING } else { 0.0 };
+        let to_first = estimate
+            .seconds_to_first()
+            .unwrap_or(DEFAULT_SECONDS_TO_FIRST);
+        let saving = if cached == Some(&server.id) {
+            PREFIX_SAVING
+        } else {
+            0.0
+        };
         let mut seconds = work * occupancy + to_first * (1.0 - saving);
         if server.data_centre != self.options.data_centre {
             seconds += REMOTE_PENALTY.as_secs_f64();
@@ -362,8 +429,13 @@
     /// The index of the server to take, and what decided.
     fn pick(&mut self, scored: &[(&Server, Duration)], now: Instant) -> (usize, &'static str) {
         let load = |table: &Self, of: &dyn Fn(&ServerEstimate) -> u32| {
-            let loads = scored.iter().map(|(server, _)| table.estimates.get(&server.id).map_or(0, of));
-            loads.enumerate().min_by_key(|(_, load)| *load).map_or(0, |(index, _)| index)
+            let loads = scored
+                .iter()
+                .map(|(server, _)| table.estimates.get(&server.id).map_or(0, of));
+            loads
+                .enumerate()
+                .min_by_key(|(_, load)| *load)
+                .map_or(0, |(index, _)| index)
         };
         match self.options.policy {
             RoutePolicy::RoundRobin => {
@@ -371,20 +443,29 @@
                 (self.turn % scored.len(), "turn")
             }
             RoutePolicy::Random => (self.rng.usize(..scored.len()), "random"),
-            RoutePolicy::LeastInFlight => {
-                (load(self, &ServerEstimate::own_in_flight), "least_in_flight")
-            }
-            RoutePolicy::LeastReported => {
-                (load(self, &|estimate| estimate.reported(now).unwrap_or(0)), "least_reported")
-            }
+            RoutePolicy::LeastInFlight => (
+                load(self, &ServerEstimate::own_in_flight),
+                "least_in_flight",
+            ),
+            RoutePolicy::LeastReported => (
+                load(self, &|estimate| estimate.reported(now).unwrap_or(0)),
+                "least_reported",
+            ),
             RoutePolicy::PredictedWait => self.pick_lowest(scored),
         }
     }
 
     /// Equals are drawn by lot, so that nodes with the same view don't choose the same server.
     fn pick_lowest(&mut self, scored: &[(&Server, Duration)]) -> (usize, &'static str) {
-        let lowest = scored.iter().map(|(_, wait)| *wait).min().unwrap_or_default();
-        let equals = scored.iter().enumerate().filter(|(_, (_, wait))| *wait == lowest);
+        let lowest = scored
+            .iter()
+            .map(|(_, wait)| *wait)
+            .min()
+            .unwrap_or_default();
+        let equals = scored
+            .iter()
+            .enumerate()
+            .filter(|(_, (_, wait))| *wait == lowest);
         let equals: Vec<usize> = equals.map(|(index, _)| index).collect();
         let drawn = self.rng.usize(..equals.len().max(1));
         (equals.get(drawn).copied().unwrap_or(0), "lowest_wait")
@@ -408,7 +489,13 @@
     }
 
     /// Folds in the speed of an answer that ended well.
-    pub fn observe(&mut self, server: &ServerId, to_first: Duration, to_end: Duration, tokens: u32) {
+    pub fn observe(
+        &mut self,
+        server: &ServerId,
+        to_first: Duration,
+        to_end: Duration,
+        tokens: u32,
+    ) {
         if let Some(estimate) = self.estimates.get_mut(server) {
             estimate.observe(to_first, to_end, tokens);
             estimate.circuit.record_success();
@@ -441,7 +528,10 @@
 
     /// The servers whose circuit is open.
     pub fn open_circuits(&self, now: Instant) -> Vec<ServerId> {
-        let open = self.estimates.iter().filter(|(_, estimate)| !estimate.circuit.allows(now));
+        let open = self
+            .estimates
+            .iter()
+            .filter(|(_, estimate)| !estimate.circuit.allows(now));
         open.map(|(id, _)| id.clone()).collect()
     }
 }
--- a/crates/plumgate/src/wire.rs
+++ b/crates/plumgate/src/wire.rs
@@ -160,7 +160,11 @@
             end -= 1;
         }
         let inserted = new[start..new.len() - end].to_owned();
-        Self { start, removed: old.len() - end - start, inserted }
+        Self {
+            start,
+            removed: old.len() - end - start,
+            inserted,
+        }
     }
 
     /// The text after the patch; `None` where it doesn't fit.
@@ -187,14 +191,22 @@
     /// A key from the operator's secret.
     pub fn new(secret: &[u8]) -> Self {
         let code = MessageCode::new_from_slice(secret);
-        Self { code: code.expect("HMAC takes keys of any length") }
+        Self {
+            code: code.expect("HMAC takes keys of any length"),
+        }
     }
 
     /// Packs and authenticates a message.
     pub fn seal(&self, envelope: &PeerEnvelope) -> Result<Vec<u8>> {
         let start = vec![PROTOCOL_VERSION];
-        let mut bytes = postcard::to_extend(envelope, start).map_err(|_| Error::MalformedMessage)?;
-        let code = self.code.clone().chain_update(&bytes).finalize().into_bytes();
+        let mut bytes =
+            postcard::to_extend(envelope, start).map_err(|_| Error::MalformedMessage)?;
+        let code = self
+            .code
+            .clone()
+            .chain_update(&bytes)
+            .finalize()
+            .into_bytes();
         bytes.extend_from_slice(&code[..CODE_LENGTH]);
         Ok(bytes)
     }
@@ -204,11 +216,16 @@
         if bytes.len() > LARGEST_MESSAGE {
             return Err(Error::OversizedMessage(bytes.len(), LARGEST_MESSAGE));
         }
-        let end = bytes.len().checked_sub(CODE_LENGTH).ok_or(Error::MalformedMessage)?;
+        let end = bytes
+            .len()
+            .checked_sub(CODE_LENGTH)
+            .ok_or(Error::MalformedMessage)?;
         let (body, code) = bytes.split_at(end);
         // The code is checked before anything is unpacked: nothing of a stranger is parsed.
         let expected = self.code.clone().chain_update(body);
-        expected.verify_truncated_left(code).map_err(|_| Error::ForgedMessage)?;
+        expected
+            .verify_truncated_left(code)
+            .map_err(|_| Error::ForgedMessage)?;
         let (version, packed) = body.split_first().ok_or(Error::MalformedMessage)?;
         if !(OLDEST_PROTOCOL..=PROTOCOL_VERSION).contains(version) {
             return Err(Error::UnknownProtocol(*version));
@@ -247,7 +264,8 @@
         if distance > TIME_BOUND_MS {
             return Err(Error::StaleMessage(distance));
         }
-        self.senders.retain(|_, window| now_ms.saturating_sub(window.heard_ms) <= 2 * TIME_BOUND_MS);
+        self.senders
+            .retain(|_, window| now_ms.saturating_sub(window.heard_ms) <= 2 * TIME_BOUND_MS);
         let window = self.senders.entry(envelope.sender.clone()).or_default();
         window.record(envelope, now_ms)
     }
@@ -259,13 +277,20 @@
             return Err(Error::ReplayedMessage);
         }
         if envelope.incarnation > self.incarnation {
-            *self = Self { incarnation: envelope.incarnation, ..Self::default() };
+            *self = Self {
+                incarnation: envelope.incarnation,
+                ..Self::default()
+            };
         }
         self.heard_ms = now_ms;
         let sequence = envelope.sequence;
         if sequence > self.highest {
             let shift = sequence - self.highest;
-            self.seen = if shift >= WINDOW { 0 } else { self.seen << shift };
+            self.seen = if shift >= WINDOW {
+                0
+            } else {
+                self.seen << shift
+            };
             self.seen |= 1;
             self.highest = sequence;
             return Ok(());
--- /dev/null
+++ b/crates/plumgated/src/flags.rs
@@ -0,0 +1,348 @@
+//! The flags of the daemon, each with its environment variable.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::{Arg, ArgMatches, Command};
+use plumgate::dispatch::QueuePolicy;
+use plumgate::route::RoutePolicy;
+use plumgate::{FileFinding, FindingList};
+use plumgate_node::NodeSettings;
+use spdlog::{Level, LevelFilter};
+
+/// Shortest secret of the nodes in bytes.
+const SHORTEST_KEY: usize = 16;
+/// Most threads that carry traffic.
+const THREADS_MOST: u64 = 64;
+/// Longest time of any setting in milliseconds: one day.
+const LONGEST_MS: u64 = 86_400_000;
+
+/// The settings of the process.
+pub(crate) struct DaemonSettings {
+    /// The settings of the node.
+    pub(crate) node: NodeSettings,
+    /// From which level on events are logged.
+    pub(crate) log_level: LevelFilter,
+}
+
+/// One flag: its name, its environment variable, its default and its help.
+struct FlagSpec {
+    name: &'static str,
+    variable: &'static str,
+    default: Option<&'static str>,
+    help: &'static str,
+}
+
+const FLAGS: [FlagSpec; 17] = [
+    flag("node", "PLUMGATE_NODE", None, "Name of this VM"),
+    flag(
+        "data-centre",
+        "PLUMGATE_DATA_CENTRE",
+        None,
+        "Data centre of this VM",
+    ),
+    flag(
+        "listen",
+        "PLUMGATE_LISTEN",
+        None,
+        "Address for callers, IP:PORT",
+    ),
+    flag(
+        "admin-listen",
+        "PLUMGATE_ADMIN_LISTEN",
+        None,
+        "Address for metrics and status, IP:PORT",
+    ),
+    flag(
+        "peer-listen",
+        "PLUMGATE_PEER_LISTEN",
+        None,
+        "Address for the other nodes, IP:PORT",
+    ),
+    flag(
+        "platform",
+        "PLUMGATE_PLATFORM",
+        None,
+        "Address of the platform, IP:PORT",
+    ),
+    flag(
+        "peers",
+        "PLUMGATE_PEERS",
+        Some(""),
+        "Peer addresses of other nodes, separated by commas",
+    ),
+    flag(
+        "peer-key",
+        "PLUMGATE_PEER_KEY",
+        None,
+        "Secret that all nodes share, 16 bytes or more",
+    ),
+    flag(
+        "traffic-threads",
+        "PLUMGATE_TRAFFIC_THREADS",
+        Some("2"),
+        "Threads that carry traffic",
+    ),
+    flag(
+        "log-level",
+        "PLUMGATE_LOG_LEVEL",
+        Some("info"),
+        "debug, info, warn or error",
+    ),
+    flag(
+        "balancer-lag-ms",
+        "PLUMGATE_BALANCER_LAG_MS",
+        Some("5000"),
+        "How long the balancer may go on sending while the node stops",
+    ),
+    flag(
+        "grace-ms",
+        "PLUMGATE_GRACE_MS",
+        Some("60000"),
+        "How long requests in flight may go on after that",
+    ),
+    flag(
+        "header-timeout-ms",
+        "PLUMGATE_HEADER_TIMEOUT_MS",
+        Some("10000"),
+        "How long a caller may take to send a request",
+    ),
+    flag(
+        "body-bytes",
+        "PLUMGATE_BODY_BYTES",
+        Some("8388608"),
+        "Largest body of a request",
+    ),
+    flag(
+        "seed",
+        "PLUMGATE_SEED",
+        Some(""),
+        "Seed of random choices; taken from the time if empty",
+    ),
+    flag(
+        "route-policy",
+        "PLUMGATE_ROUTE_POLICY",
+        Some("predicted-wait"),
+        "predicted-wait, or a baseline: round-robin, least-in-flight, least-reported, random",
+    ),
+    flag(
+        "queue-policy",
+        "PLUMGATE_QUEUE_POLICY",
+        Some("tiered"),
+        "tiered, or the baseline: arrival",
+    ),
+];
+
+const fn flag(
+    name: &'static str,
+    variable: &'static str,
+    default: Option<&'static str>,
+    help: &'static str,
+) -> FlagSpec {
+    FlagSpec {
+        name,
+        variable,
+        default,
+        help,
+    }
+}
+
+/// The command line.
+pub(crate) fn command() -> Command {
+    let args = FLAGS.iter().map(|spec| {
+        let arg = Arg::new(spec.name)
+            .long(spec.name)
+            .env(spec.variable)
+            .help(spec.help);
+        match spec.default {
+            Some(default) => arg.default_value(default),
+            None => arg,
+        }
+    });
+    Command::new("plumgated")
+        .about("Routes language-model traffic by service levels and priorities")
+        .version(env!("CARGO_PKG_VERSION"))
+        .args(args)
+}
+
+/// Reads all settings; the findings about them come back together.
+pub(crate) fn read_settings(matches: &ArgMatches) -> Result<DaemonSettings, FindingList> {
+    let mut reader = SettingReader {
+        matches,
+        findings: FindingList::new(),
+    };
+    let node = reader.required("node");
+    let data_centre = reader.required("data-centre");
+    let listen = reader.address("listen");
+    let admin_listen = reader.address("admin-listen");
+    let peer_listen = reader.address("peer-listen");
+    let platform = reader.address("platform");
+    let mut settings = NodeSettings::new(node, data_centre, listen, platform)
+        .with_admin_listen(admin_listen)
+        .with_peer_listen(peer_listen)
+        .with_peers(reader.addresses("peers"))
+        .with_peer_key(reader.secret("peer-key"))
+        .with_traffic_threads(reader.number("traffic-threads", 1, THREADS_MOST) as usize)
+        .with_stop_times(
+            reader.milliseconds("balancer-lag-ms"),
+            reader.milliseconds("grace-ms"),
+        )
+        .with_seed(reader.seed())
+        .with_policies(reader.route_policy(), reader.queue_policy());
+    settings.header_timeout = reader.milliseconds("header-timeout-ms");
+    settings.body_bytes = reader.number("body-bytes", 1, 1 << 30) as usize;
+    let log_level = reader.log_level();
+    if reader.findings.is_empty() {
+        Ok(DaemonSettings {
+            node: settings,
+            log_level,
+        })
+    } else {
+        Err(reader.findings)
+    }
+}
+
+/// Reads settings one by one and keeps what is wrong with them.
+struct SettingReader<'a> {
+    matches: &'a ArgMatches,
+    findings: FindingList,
+}
+
+impl SettingReader<'_> {
+    fn text(&self, name: &str) -> String {
+        self.matches
+            .get_one::<String>(name)
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    fn report(&mut self, name: &str, message: String) {
+        let variable = FLAGS
+            .iter()
+            .find(|spec| spec.name == name)
+            .map_or("", |spec| spec.variable);
+        let file = format!("--{name} ({variable})");
+        self.findings.push(FileFinding {
+            file,
+            line: None,
+            field: String::new(),
+            message,
+        });
+    }
+
+    fn required(&mut self, name: &str) -> String {
+        let text = self.text(name);
+        if text.is_empty() {
+            self.report(name, "is missing".to_owned());
+        }
+        text
+    }
+
+    fn address(&mut self, name: &str) -> SocketAddr {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let text = self.required(name);
+        if text.is_empty() {
+            return any;
+        }
+        self.parse_address(name, &text).unwrap_or(any)
+    }
+
+    fn parse_address(&mut self, name: &str, text: &str) -> Option<SocketAddr> {
+        let address = text.parse().ok();
+        if address.is_none() {
+            self.report(name, format!("\"{text}\" is not an IP number with a port"));
+        }
+        address
+    }
+
+    fn addresses(&mut self, name: &str) -> Vec<SocketAddr> {
+        let text = self.text(name);
+        let parts = text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty());
+        parts
+            .filter_map(|part| self.parse_address(name, part))
+            .collect()
+    }
+
+    fn secret(&mut self, name: &str) -> String {
+        let text = self.required(name);
+        if !text.is_empty() && text.len() < SHORTEST_KEY {
+            self.report(name, format!("has fewer than {SHORTEST_KEY} bytes"));
+        }
+        text
+    }
+
+    fn number(&mut self, name: &str, least: u64, most: u64) -> u64 {
+        let text = self.text(name);
+        let number = text
+            .parse::<u64>()
+            .ok()
+            .filter(|number| (least..=most).contains(number));
+        number.unwrap_or_else(|| {
+            self.report(
+                name,
+                format!("\"{text}\" is not a number from {least} to {most}"),
+            );
+            least
+        })
+    }
+
+    fn milliseconds(&mut self, name: &str) -> Duration {
+        Duration::from_millis(self.number(name, 0, LONGEST_MS))
+    }
+
+    fn seed(&mut self) -> u64 {
+        if self.text("seed").is_empty() {
+            let since = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default();
+            return since.as_nanos() as u64;
+        }
+        self.number("seed", 0, u64::MAX)
+    }
+
+    fn choice<T: Copy>(&mut self, name: &str, choices: &[(&str, T)]) -> Option<T> {
+        let text = self.text(name);
+        let found = choices
+            .iter()
+            .find(|(word, _)| *word == text)
+            .map(|(_, value)| *value);
+        if found.is_none() {
+            let words: Vec<&str> = choices.iter().map(|(word, _)| *word).collect();
+            self.report(name, format!("\"{text}\" is none of {}", words.join(", ")));
+        }
+        found
+    }
+
+    fn route_policy(&mut self) -> RoutePolicy {
+        let choices = [
+            ("predicted-wait", RoutePolicy::PredictedWait),
+            ("round-robin", RoutePolicy::RoundRobin),
+            ("least-in-flight", RoutePolicy::LeastInFlight),
+            ("least-reported", RoutePolicy::LeastReported),
+            ("random", RoutePolicy::Random),
+        ];
+        self.choice("route-policy", &choices).unwrap_or_default()
+    }
+
+    fn queue_policy(&mut self) -> QueuePolicy {
+        let choices = [
+            ("tiered", QueuePolicy::Tiered),
+            ("arrival", QueuePolicy::Arrival),
+        ];
+        self.choice("queue-policy", &choices).unwrap_or_default()
+    }
+
+    fn log_level(&mut self) -> LevelFilter {
+        let choices = [
+            ("debug", LevelFilter::MoreSevereEqual(Level::Debug)),
+            ("info", LevelFilter::MoreSevereEqual(Level::Info)),
+            ("warn", LevelFilter::MoreSevereEqual(Level::Warn)),
+            ("error", LevelFilter::MoreSevereEqual(Level::Error)),
+        ];
+        self.choice("log-level", &choices)
+            .unwrap_or(LevelFilter::All)
+    }
+}
--- a/crates/plumgated/src/main.rs
+++ b/crates/plumgated/src/main.rs
@@ -1,1 +1,61 @@
-fn main() {}
+//! The daemon: reads its settings, starts a node, and stops it gracefully.
+
+#![forbid(unsafe_code)]
+
+mod flags;
+
+use std::process::ExitCode;
+
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use plumgate_node::log::stderr_log;
+use plumgate_node::{Node, SystemClock};
+
+/// Exit code when a setting is wrong; nothing was started.
+const EXIT_SETTINGS: u8 = 2;
+/// Exit code when the node could not be started.
+const EXIT_START: u8 = 1;
+
+fn main() -> ExitCode {
+    let settings = match flags::read_settings(&flags::command().get_matches()) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let started =
+        stderr_log(settings.log_level).and_then(|log| Node::start(settings.node, SystemClock, log));
+    match started {
+        Ok(node) => run(node),
+        Err(error) => {
+            eprintln!("plumgated: {error}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn run(node: Node) -> ExitCode {
+    let stop = node.stopper();
+    let listening = std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            futures_lite::future::block_on(stop_on_signals(stop));
+        });
+    if let Err(error) = listening {
+        eprintln!("plumgated: signals can't be listened for: {error}");
+        return ExitCode::from(EXIT_START);
+    }
+    node.join();
+    ExitCode::SUCCESS
+}
+
+/// Each signal asks the node to stop; the second one shortens what the first one began.
+async fn stop_on_signals(stop: impl Fn()) {
+    let Ok(mut signals) = Signals::new([Signal::Term, Signal::Int]) else {
+        return;
+    };
+    while signals.next().await.is_some() {
+        stop();
+    }
+}
