--- a/crates/plumgate-node/src/relay.rs
+++ b/crates/plumgate-node/src/relay.rs
@@ -432,10 +432,6 @@
                 StatusCode::SERVICE_UNAVAILABLE,
                 "no server came free in time",
             ),
-            RefusalReason::Shed => (
-                StatusCode::SERVICE_UNAVAILABLE,
-                "room was made for a higher tier",
-            ),
             RefusalReason::Stopping => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 "this node is stopping; another takes the request",
--- a/crates/plumgate/src/config/rules.rs
+++ b/crates/plumgate/src/config/rules.rs
@@ -13,7 +13,7 @@
 const MOST_TOKENS: u64 = 1_000_000;
 /// Lowest tier, as a number.
 const MOST_RANK: u64 = 9;
-/// Requests that a node queues where the rules don't say.
+/// Requests of each tier that a node queues where the rules don't say.
 const DEFAULT_QUEUE: u64 = 2_000;
 /// Longest wait in a queue where the rules don't say, in milliseconds.
 const DEFAULT_LONGEST_WAIT: u64 = 60_000;
@@ -35,7 +35,7 @@
     pub services: BTreeMap<PoolId, ServiceRule>,
     /// The class of a request that names none.
     pub default_class: Option<ClassId>,
-    /// How many requests one node queues at most.
+    /// How many requests of each tier one node queues at most.
     pub queue_length: usize,
     /// How long a request may wait in a queue, whatever its class.
     pub longest_wait: Duration,
--- a/crates/plumgate/src/dispatch/dispatcher.rs
+++ b/crates/plumgate/src/dispatch/dispatcher.rs
@@ -200,32 +200,27 @@
             .map(|pause| self.refuse(ticket, RefusalReason::RateLimit, pause))
     }
 
-    /// Puts a request into its queue; a full queue sheds the lowest tier first.
+    /// Puts a request into its queue.
+    ///
+    /// Each tier has places of its own, so that a flood of one tier never leaves another
+    /// without any: what waits in a lower tier takes nothing from a higher one.
     fn enqueue(&mut self, ticket: RequestTicket, now: Instant) -> Vec<DispatchAction> {
-        let mut actions = Vec::new();
         let most = self
             .config
             .as_ref()
             .map_or(0, |config| config.rules.queue_length);
-        if self.waiting() >= most {
-            match self.shed_below(ticket.rank) {
-                Some(shed) => actions.push(self.refuse_with_wait(&shed, RefusalReason::Shed)),
-                None => {
-                    actions.push(self.refuse_with_wait(&ticket, RefusalReason::QueueFull));
-                    return actions;
-                }
-            }
+        if self.waiting_of(ticket.rank) >= most {
+            return vec![self.refuse_with_wait(&ticket, RefusalReason::QueueFull)];
         }
         if let Some(refusal) = self.refuse_hopeless(&ticket, now) {
-            actions.push(refusal);
-            return actions;
+            return vec![refusal];
         }
         self.pool_of.insert(ticket.id.clone(), ticket.pool.clone());
         self.queues
             .entry(ticket.pool.clone())
             .or_default()
             .push(ticket);
-        actions
+        Vec::new()
     }
 
     /// Refuses a request at once that would only wait to be refused later.
@@ -607,12 +602,8 @@
         self.pool_of.contains_key(request) && !self.running.contains_key(request)
     }
 
-    fn shed_below(&mut self, rank: TierRank) -> Option<RequestTicket> {
-        let lowest = |queue: &PoolQueue| queue.ranks().last();
-        let queue = self.queues.values_mut().max_by_key(|queue| lowest(queue))?;
-        let shed = queue.remove_last_below(rank)?;
-        self.pool_of.remove(&shed.id);
-        Some(shed)
+    fn waiting_of(&self, rank: TierRank) -> usize {
+        self.queues.values().map(|queue| queue.len_of(rank)).sum()
     }
 
     fn refuse_with_wait(&self, ticket: &RequestTicket, reason: RefusalReason) -> DispatchAction {
--- a/crates/plumgate/src/dispatch/queue.rs
+++ b/crates/plumgate/src/dispatch/queue.rs
@@ -195,17 +195,6 @@
             .collect()
     }
 
-    /// Takes out the request that is served last of all below a rank, to make room.
-    pub(crate) fn remove_last_below(&mut self, rank: TierRank) -> Option<RequestTicket> {
-        let (last, queues) = self.ranks.range(rank + 1..).next_back()?;
-        let places = queues
-            .iter()
-            .filter_map(|(name, queue)| Some((queue.keys().next_back()?, name)));
-        let (place, workspace) = places.max()?;
-        let (rank, workspace, place) = (*last, workspace.clone(), *place);
-        self.remove_at(rank, &workspace, place)
-    }
-
     /// Takes out everything.
     pub(crate) fn drain(&mut self) -> Vec<RequestTicket> {
         let ranks = std::mem::take(&mut self.ranks);
--- a/crates/plumgate/src/dispatch/ticket.rs
+++ b/crates/plumgate/src/dispatch/ticket.rs
@@ -42,14 +42,12 @@
     RateLimit,
     /// No server of the pool is known.
     NoServer,
-    /// The queue is full of requests that go first.
+    /// The queue of the tier is full.
     QueueFull,
     /// The predicted wait is longer than the request may wait.
     WaitTooLong,
     /// The request waited as long as it may.
     Expired,
-    /// Room was made for a request of a higher tier.
-    Shed,
     /// The node is stopping.
     Stopping,
 }
@@ -63,7 +61,6 @@
             Self::QueueFull => "queue_full",
             Self::WaitTooLong => "wait_too_long",
             Self::Expired => "expired",
-            Self::Shed => "shed",
             Self::Stopping => "stopping",
         }
     }
--- a/crates/plumgate/src/limits.rs
+++ b/crates/plumgate/src/limits.rs
@@ -37,7 +37,8 @@
     fn new(now: Instant) -> Self {
         Self {
             in_flight: 0,
-            tokens: BURST_LEAST,
+            // Nothing was used yet: the first refill cuts this to the burst that is allowed.
+            tokens: f64::INFINITY,
             refilled: now,
             demand: 0.0,
             demand_at: now,
--- a/crates/plumgate/src/route/table.rs
+++ b/crates/plumgate/src/route/table.rs
@@ -14,6 +14,8 @@
 const DEFAULT_SECONDS_PER_TOKEN: f64 = 0.02;
 /// What a server in another data centre has to be better by.
 const REMOTE_PENALTY: Duration = Duration::from_millis(20);
+/// How much slower a full batch makes each answer in it.
+const BATCH_COST: f64 = 0.2;
 /// Share of the time to the first token that a cached prefix saves.
 const PREFIX_SAVING: f64 = 0.5;
 /// Seconds to the first token that a server is given before any were seen.
@@ -410,7 +412,9 @@
         let speed = estimate.seconds_per_token().unwrap_or(typical);
         let in_flight = f64::from(estimate.own_in_flight() + estimate.peers_in_flight(now));
         let occupancy = (in_flight + 1.0) / f64::from(server.slots.max(1));
-        let work = speed * f64::from(ticket.expected_tokens.max(1));
+        // A batch with room makes each answer a little slower; a full one makes it wait.
+        let slowdown = (1.0 + BATCH_COST * occupancy) * occupancy.max(1.0);
+        let work = speed * f64::from(ticket.expected_tokens.max(1)) * slowdown;
         let to_first = estimate
             .seconds_to_first()
             .unwrap_or(DEFAULT_SECONDS_TO_FIRST);
@@ -419,7 +423,7 @@
         } else {
             0.0
         };
-        let mut seconds = work * occupancy + to_first * (1.0 - saving);
+        let mut seconds = work + to_first * (1.0 - saving);
         if server.data_centre != self.options.data_centre {
             seconds += REMOTE_PENALTY.as_secs_f64();
         }
--- /dev/null
+++ b/crates/plumgate/tests/claim.rs
@@ -0,0 +1,174 @@
+//! Claims of keys: one run at most, and truthful answers.
+
+use plumgate::RunOutcome;
+use plumgate::claim::{ClaimAction, ClaimRow, ClaimRun, ClaimState, claim_row_name};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+fn run(claimer: &str) -> ClaimRun {
+    ClaimRun::new(claimer, "entry-1", "digest")
+}
+
+fn row(claimer: &str, state: ClaimState) -> ClaimRow {
+    ClaimRow {
+        claimer: claimer.into(),
+        node: "entry-1".into(),
+        request_digest: "digest".into(),
+        state,
+    }
+}
+
+// The caller of a receipt sees one receipt, or a refusal that says so, never two.
+// The claim's write takes effect, but its answer is lost. The node must read the row
+// back: retrying the write blindly would find its own claim and refuse its own request.
+#[test]
+fn claim_whose_answer_is_lost_is_read_back_and_granted() {
+    let mut claim = run("a");
+    assert_eq!(
+        claim.start(),
+        ClaimAction::Put(row("a", ClaimState::Claimed), None)
+    );
+    assert_eq!(claim.apply_unanswered(), ClaimAction::Read);
+    let found = Some((row("a", ClaimState::Claimed), 7));
+    assert_eq!(claim.apply_row(found), ClaimAction::Granted(7));
+}
+
+#[test]
+fn claim_of_another_attempt_is_never_taken_over() {
+    for state in [
+        ClaimState::Claimed,
+        ClaimState::Unknown,
+        ClaimState::Answered("o".into()),
+    ] {
+        let found = row("b", state);
+        assert_eq!(
+            run("a").apply_row(Some((found.clone(), 7))),
+            ClaimAction::Taken(found)
+        );
+    }
+}
+
+#[test]
+fn key_of_a_request_that_surely_did_not_run_is_claimed_anew() {
+    let found = Some((row("b", ClaimState::NotRun), 7));
+    assert_eq!(
+        run("a").apply_row(found),
+        ClaimAction::Put(row("a", ClaimState::Claimed), Some(7))
+    );
+}
+
+// A caller reuses a key for another request by mistake. Giving it the first one's answer
+// would put a wrong certificate on its heat lot.
+#[test]
+fn key_of_another_request_is_refused() {
+    let found = ClaimRow {
+        request_digest: "other".into(),
+        ..row("b", ClaimState::Claimed)
+    };
+    assert_eq!(
+        run("a").apply_row(Some((found, 7))),
+        ClaimAction::Mismatched
+    );
+}
+
+#[test]
+fn platform_that_never_answers_ends_the_claim() {
+    let mut claim = run("a");
+    let mut steps = 0;
+    while claim.apply_unanswered() != ClaimAction::Unavailable {
+        steps += 1;
+        assert!(steps < 10);
+    }
+}
+
+#[test]
+fn equal_keys_of_two_workspaces_have_two_rows() {
+    assert_ne!(
+        claim_row_name(&"a".into(), "bc"),
+        claim_row_name(&"ab".into(), "c")
+    );
+}
+
+#[test]
+fn end_of_a_run_is_written_truthfully() {
+    assert_eq!(run("a").ended(RunOutcome::NotRun).state, ClaimState::NotRun);
+    assert_eq!(
+        run("a").ended(RunOutcome::Unknown).state,
+        ClaimState::Unknown
+    );
+}
+
+/// What the platform does to one call.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Answers,
+    LosesAnswer,
+    LosesCall,
+}
+
+impl Arbitrary for Fate {
+    fn arbitrary(g: &mut Gen) -> Self {
+        *g.choose(&[Self::Answers, Self::LosesAnswer, Self::LosesCall])
+            .expect("not empty")
+    }
+}
+
+/// A table of one row.
+#[derive(Default)]
+struct RowStore {
+    row: Option<(ClaimRow, u64)>,
+    writes: u64,
+}
+
+impl RowStore {
+    fn put(&mut self, row: ClaimRow, version: Option<u64>) -> bool {
+        if self.row.as_ref().map(|(_, held)| *held) != version {
+            return false;
+        }
+        self.writes += 1;
+        self.row = Some((row, self.writes));
+        true
+    }
+}
+
+/// One step of a claim against the store.
+fn step(
+    claim: &mut ClaimRun,
+    action: ClaimAction,
+    store: &mut RowStore,
+    fate: Fate,
+) -> ClaimAction {
+    match (action, fate) {
+        (ClaimAction::Put(..) | ClaimAction::Read, Fate::LosesCall) => claim.apply_unanswered(),
+        (ClaimAction::Put(row, version), fate) => {
+            let written = store.put(row, version);
+            match fate {
+                Fate::LosesAnswer => claim.apply_unanswered(),
+                _ if written => claim.apply_written(store.writes),
+                _ => claim.apply_row(store.row.clone()),
+            }
+        }
+        (ClaimAction::Read, Fate::LosesAnswer) => claim.apply_unanswered(),
+        (ClaimAction::Read, _) => claim.apply_row(store.row.clone()),
+        (end, _) => end,
+    }
+}
+
+quickcheck! {
+    // Four attempts race for one key; calls and answers get lost in any order. However the
+    // steps interleave, one attempt at most may run the request.
+    fn one_attempt_at_most_is_granted(schedule: Vec<(u8, Fate)>) -> bool {
+        let mut store = RowStore::default();
+        let names = ["a", "b", "c", "d"];
+        let mut claims: Vec<_> = names.iter().map(|name| {
+            let claim = run(name);
+            let action = claim.start();
+            (claim, action)
+        }).collect();
+        for (who, fate) in schedule {
+            let (claim, action) = &mut claims[usize::from(who) % names.len()];
+            *action = step(claim, action.clone(), &mut store, fate);
+        }
+        let granted = claims.iter().filter(|(_, action)| matches!(action, ClaimAction::Granted(_)));
+        granted.count() <= 1
+    }
+}
--- /dev/null
+++ b/crates/plumgate/tests/limits.rs
@@ -0,0 +1,125 @@
+//! Workspace limits: their split over the nodes and how far they are overrun.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use plumgate::ids::WorkspaceId;
+use plumgate::limits::LimitTable;
+
+fn norte() -> WorkspaceId {
+    "norte".into()
+}
+
+/// Tells each node what all others demand.
+fn exchange(tables: &mut [LimitTable], now: Instant) {
+    let demands: Vec<HashMap<WorkspaceId, f32>> = tables
+        .iter()
+        .map(|table| table.demand(now).into_iter().collect())
+        .collect();
+    for (index, table) in tables.iter_mut().enumerate() {
+        for (peer, demand) in demands
+            .iter()
+            .enumerate()
+            .filter(|(peer, _)| *peer != index)
+        {
+            table.apply_demand(format!("n{peer}").into(), demand.clone(), now);
+        }
+    }
+}
+
+/// Requests admitted a second by each node, when it is asked so often.
+fn run(tables: &mut [LimitTable], asked: &[u32], limit: u32, seconds: u32, told: bool) -> Vec<f64> {
+    let mut now = Instant::now();
+    let mut admitted = vec![0_u32; tables.len()];
+    for step in 0..seconds * 100 {
+        now += Duration::from_millis(10);
+        if told && step % 50 == 0 {
+            exchange(tables, now);
+        }
+        for (index, table) in tables.iter_mut().enumerate() {
+            if step % 100 < asked[index]
+                && table.admit(&norte(), limit, now).is_ok()
+                && step >= 1000
+            {
+                admitted[index] += 1;
+            }
+        }
+    }
+    let counted = f64::from(seconds) - 10.0;
+    admitted
+        .into_iter()
+        .map(|count| f64::from(count) / counted)
+        .collect()
+}
+
+fn tables(count: usize) -> Vec<LimitTable> {
+    let mut tables = vec![LimitTable::new(); count];
+    tables.iter_mut().for_each(|table| table.set_nodes(count));
+    tables
+}
+
+// Half of a workspace's callers come through one node of eight. By equal shares that node
+// would refuse most of them while the other nodes' shares lie idle.
+#[test]
+fn shares_follow_demand() {
+    let rates = run(&mut tables(8), &[40, 5, 5, 5, 5, 5, 5, 5], 80, 40, true);
+    assert!(rates[0] > 38.0, "{rates:?}");
+    assert!(rates.iter().sum::<f64>() < 80.0 * 1.05, "{rates:?}");
+}
+
+#[test]
+fn limit_is_kept_over_all_nodes_under_demand_beyond_it() {
+    let rates = run(
+        &mut tables(8),
+        &[90, 90, 10, 10, 10, 10, 10, 10],
+        60,
+        40,
+        true,
+    );
+    let total: f64 = rates.iter().sum();
+    assert!((54.0..66.0).contains(&total), "{rates:?}");
+}
+
+// Nodes don't hear each other any more. Each takes an equal share only, so that all together
+// keep the limit, whatever the others' demand is.
+#[test]
+fn nodes_that_hear_nobody_take_equal_shares() {
+    let rates = run(&mut tables(4), &[90, 90, 90, 90], 40, 40, false);
+    for rate in &rates {
+        assert!((9.0..11.0).contains(rate), "{rates:?}");
+    }
+}
+
+// A workspace sends at half of its limit through six nodes by turns. A bucket that holds one
+// second of a node's share refused 1 in 30 of them; their callers were within their limit.
+#[test]
+fn uneven_arrivals_within_the_limit_are_not_refused() {
+    let mut tables = tables(6);
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut now = Instant::now();
+    let mut refused = 0;
+    for number in 0..300 {
+        now += Duration::from_millis(200);
+        if number % 3 == 0 {
+            exchange(&mut tables, now);
+        }
+        let table = &mut tables[rng.usize(..6)];
+        refused += u32::from(table.admit(&norte(), 10, now).is_err());
+    }
+    assert_eq!(refused, 0);
+}
+
+#[test]
+fn concurrency_is_split_and_freed() {
+    let mut table = LimitTable::new();
+    table.set_nodes(2);
+    let now = Instant::now();
+    table.start(&norte(), now);
+    table.start(&norte(), now);
+    assert!(
+        !table.has_room(&norte(), 4, now),
+        "an equal share of 4 is 2"
+    );
+    table.finish(&norte(), now);
+    assert!(table.has_room(&norte(), 4, now));
+}
--- /dev/null
+++ b/crates/plumgate/tests/membership.rs
@@ -0,0 +1,392 @@
+//! Nodes find each other, notice who is gone, and pass on the configuration, over a fake network.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use plumgate::config::ConfigBundle;
+use plumgate::follow::{ConfigFollower, ConfigHead, FollowAction};
+use plumgate::membership::{ListedNode, MemberEvent, MemberTable};
+use plumgate::wire::NodeDigest;
+use quickcheck::quickcheck;
+
+const STEP: Duration = Duration::from_millis(100);
+
+/// One node with what it does about members and configuration.
+struct FakeNode {
+    members: MemberTable,
+    follower: ConfigFollower,
+    events: Vec<MemberEvent>,
+    frozen: bool,
+}
+
+/// A few nodes and the network between them.
+struct FakeNet {
+    nodes: Vec<FakeNode>,
+    /// Pairs of data centres that don't reach each other.
+    cuts: BTreeSet<(usize, usize)>,
+    /// Data centres that don't reach the platform.
+    without_platform: BTreeSet<usize>,
+    head: Option<(ConfigHead, String)>,
+    now: Instant,
+}
+
+fn address(index: usize) -> String {
+    format!("n{index}")
+}
+
+impl FakeNet {
+    /// Nodes spread over three data centres; each knows the first of each.
+    fn new(count: usize) -> Self {
+        let nodes = (0..count).map(|index| {
+            let own = NodeDigest {
+                node: address(index),
+                address: address(index),
+                data_centre: format!("dc{}", index % 3),
+                incarnation: 1,
+                ..NodeDigest::default()
+            };
+            let seeds = [address(0), address(1), address(2)];
+            let members = MemberTable::new(own, seeds, index as u64 + 1);
+            FakeNode {
+                members,
+                follower: ConfigFollower::new(),
+                events: Vec::new(),
+                frozen: false,
+            }
+        });
+        Self {
+            nodes: nodes.collect(),
+            cuts: BTreeSet::new(),
+            without_platform: BTreeSet::new(),
+            head: None,
+            now: Instant::now(),
+        }
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let pair = (from % 3, to % 3);
+        !self.nodes[to].frozen
+            && !self.cuts.contains(&pair)
+            && !self.cuts.contains(&(pair.1, pair.0))
+    }
+
+    fn cut_off(&mut self, data_centre: usize) {
+        for other in 0..3 {
+            if other != data_centre {
+                self.cuts.insert((data_centre, other));
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].frozen {
+                continue;
+            }
+            let events = self.nodes[index].members.tick(self.now);
+            self.nodes[index].events.extend(events);
+            self.gossip(index);
+            self.poll(index);
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        for _ in 0..time.as_millis() / STEP.as_millis() {
+            self.step();
+        }
+    }
+
+    fn gossip(&mut self, from: usize) {
+        let version = self.nodes[from].follower.version();
+        self.nodes[from].members.own_mut().config = version;
+        let Some(round) = self.nodes[from].members.gossip(self.now) else {
+            return;
+        };
+        for to in 0..self.nodes.len() {
+            if round.addresses.contains(&address(to)) && self.reaches(from, to) {
+                self.deliver(to, round.digests.clone());
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: usize, digests: Vec<NodeDigest>) {
+        for digest in self.nodes[to].members.apply(digests, self.now) {
+            let action =
+                self.nodes[to]
+                    .follower
+                    .apply_peer_version(&digest.node, digest.config, self.now);
+            let Some(FollowAction::AskPeer(node)) = action else {
+                continue;
+            };
+            let peer: usize = node[1..].parse().expect("a node's number");
+            if !self.reaches(to, peer) {
+                continue;
+            }
+            let held = self.nodes[peer].follower.held().cloned();
+            if let Some(held) = held {
+                self.nodes[to]
+                    .follower
+                    .apply_body(held.version, held.text, None);
+            }
+        }
+    }
+
+    fn poll(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let chosen = node.members.is_chosen("config-reader", 2);
+        let Some(FollowAction::ReadHead) = node.follower.tick(chosen, now) else {
+            return;
+        };
+        if self.without_platform.contains(&(index % 3)) {
+            return;
+        }
+        let Some((head, text)) = &self.head else {
+            return;
+        };
+        if let Some(FollowAction::ReadBody(head)) = node.follower.apply_head(head.clone(), now) {
+            node.follower
+                .apply_body(head.version, text.clone(), Some(&head.digest));
+        }
+    }
+
+    fn publish(&mut self, version: u64) {
+        let (bundle, text) = bundle(version);
+        let head = ConfigHead {
+            version,
+            digest: bundle.digest(),
+            ..ConfigHead::default()
+        };
+        self.head = Some((head, text));
+    }
+
+    fn versions(&self) -> Vec<u64> {
+        self.nodes
+            .iter()
+            .map(|node| node.follower.version())
+            .collect()
+    }
+}
+
+fn bundle(version: u64) -> (ConfigBundle, String) {
+    let inventory = format!(
+        "[data_centres.here]\nregion = \"r\"\n[servers.s1]\ndata_centre = \"here\"\nmodel = \"m\"\naddress = \"127.0.0.1:1\"\nslots = {version}\n"
+    );
+    let bundle = ConfigBundle::new(inventory, "[tiers.t]\nrank = 1\n");
+    let text = serde_json::to_string(&bundle).expect("packs");
+    (bundle, text)
+}
+
+#[test]
+fn all_nodes_find_each_other() {
+    let mut net = FakeNet::new(9);
+    net.run(Duration::from_secs(5));
+    for node in &net.nodes {
+        assert_eq!(node.members.live_count(), 9);
+    }
+}
+
+#[test]
+fn silent_node_is_noticed_and_comes_back() {
+    let mut net = FakeNet::new(9);
+    net.run(Duration::from_secs(5));
+    net.nodes[4].frozen = true;
+    net.run(Duration::from_secs(10));
+    assert_eq!(net.nodes[0].members.live_count(), 8);
+    net.nodes[4].frozen = false;
+    net.run(Duration::from_secs(5));
+    assert_eq!(net.nodes[0].members.live_count(), 9);
+}
+
+// A VM stands still for ten seconds. When it wakes up all others look silent to it, though it
+// was the one that was away. Giving them up would make it take the whole of every workspace's
+// limit, and callers' requests would overrun the servers.
+#[test]
+fn woken_node_distrusts_itself_before_it_gives_up_others() {
+    let mut net = FakeNet::new(6);
+    net.run(Duration::from_secs(5));
+    net.nodes[3].frozen = true;
+    net.run(Duration::from_secs(10));
+    net.nodes[3].frozen = false;
+    net.nodes[3].events.clear();
+    net.step();
+    let node = &net.nodes[3];
+    assert!(
+        matches!(node.events[..], [MemberEvent::Frozen(gap)] if gap > Duration::from_secs(9)),
+        "{:?}",
+        node.events
+    );
+    assert!(node.members.distrusts_itself(net.now));
+    assert_eq!(node.members.live_count(), 6);
+    net.run(Duration::from_secs(3));
+    assert!(!net.nodes[3].members.distrusts_itself(net.now));
+}
+
+#[test]
+fn relayed_old_digest_does_not_revive_a_node() {
+    let mut net = FakeNet::new(3);
+    net.run(Duration::from_secs(3));
+    let old = net.nodes[1].members.own().clone();
+    net.nodes[1].frozen = true;
+    net.run(Duration::from_secs(10));
+    assert_eq!(net.nodes[0].members.live_count(), 2);
+    let now = net.now;
+    assert!(net.nodes[0].members.apply(vec![old], now).is_empty());
+    assert_eq!(net.nodes[0].members.live_count(), 2);
+}
+
+// The platform lists a node that nothing is heard of: cut off, it may go on serving. Limits
+// and slots are split as if it did.
+#[test]
+fn listed_node_that_is_silent_still_has_its_share() {
+    let mut net = FakeNet::new(2);
+    net.run(Duration::from_secs(2));
+    let listed = |node: &str, leaving| ListedNode {
+        node: node.into(),
+        data_centre: "dc2".into(),
+        address: "x".into(),
+        leaving,
+    };
+    net.nodes[0]
+        .members
+        .apply_list(vec![listed("n7", false), listed("n8", true)]);
+    assert_eq!(net.nodes[0].members.sharing_count(), 3);
+}
+
+// A data centre is cut from the platform but not from its neighbours, and a change is applied.
+// Its nodes learn it from their peers; their callers are served by the new rules.
+#[test]
+fn data_centre_without_the_platform_follows_its_neighbours() {
+    let mut net = FakeNet::new(9);
+    net.publish(1);
+    net.run(Duration::from_secs(5));
+    net.without_platform.insert(2);
+    net.publish(2);
+    net.run(Duration::from_secs(3));
+    assert_eq!(net.versions(), [2; 9]);
+}
+
+// A data centre is cut from everything while a change is applied. It goes on with the old
+// version, and takes the new one once it is back.
+#[test]
+fn data_centre_cut_from_everything_keeps_its_version_and_catches_up() {
+    let mut net = FakeNet::new(9);
+    net.publish(1);
+    net.run(Duration::from_secs(5));
+    net.cut_off(2);
+    net.without_platform.insert(2);
+    net.publish(2);
+    net.run(Duration::from_secs(20));
+    assert_eq!(net.versions(), [2, 2, 1, 2, 2, 1, 2, 2, 1]);
+    assert_eq!(net.nodes[2].members.live_count(), 3);
+    net.cuts.clear();
+    net.run(Duration::from_secs(5));
+    assert_eq!(net.versions(), [2; 9]);
+    assert_eq!(net.nodes[2].members.live_count(), 9);
+}
+
+// The store answers with an old head, as a lagging replica does. The configuration in force
+// must not go back.
+#[test]
+fn stale_head_does_not_revert() {
+    let mut net = FakeNet::new(3);
+    net.publish(2);
+    net.run(Duration::from_secs(3));
+    net.publish(1);
+    net.run(Duration::from_secs(5));
+    assert_eq!(net.versions(), [2; 3]);
+}
+
+// A VM is replaced while the platform is down and at first meets only a peer with an old
+// version. It serves by that, and goes up when it meets a better one.
+#[test]
+fn new_node_takes_the_highest_version_that_it_meets() {
+    let mut follower = ConfigFollower::new();
+    let now = Instant::now();
+    assert_eq!(
+        follower.apply_peer_version("old", 3, now),
+        Some(FollowAction::AskPeer("old".into()))
+    );
+    assert!(matches!(
+        follower.apply_body(3, bundle(3).1, None),
+        Some(FollowAction::Adopt { version: 3, .. })
+    ));
+    assert_eq!(
+        follower.apply_peer_version("new", 5, now),
+        Some(FollowAction::AskPeer("new".into()))
+    );
+    assert!(matches!(
+        follower.apply_body(5, bundle(5).1, None),
+        Some(FollowAction::Adopt { version: 5, .. })
+    ));
+    assert_eq!(follower.apply_peer_version("old", 3, now), None);
+    assert_eq!(follower.apply_body(3, bundle(3).1, None), None);
+    assert_eq!(follower.version(), 5);
+}
+
+#[test]
+fn bundle_that_makes_no_sense_is_rejected_and_the_old_one_stays() {
+    let mut follower = ConfigFollower::new();
+    follower.apply_body(1, bundle(1).1, None);
+    for text in ["<html>", "{}", "{\"inventory\":\"[\",\"rules\":\"\"}"] {
+        let action = follower.apply_body(2, text.to_owned(), None);
+        assert!(
+            matches!(action, Some(FollowAction::Reject { version: 2, .. })),
+            "{text}"
+        );
+    }
+    let action = follower.apply_body(2, bundle(2).1, Some("another digest"));
+    assert!(matches!(action, Some(FollowAction::Reject { .. })));
+    assert_eq!(follower.version(), 1);
+}
+
+#[test]
+fn patch_that_does_not_fit_is_followed_by_a_question() {
+    let mut follower = ConfigFollower::new();
+    follower.apply_body(1, bundle(1).1, None);
+    let patch = plumgate::wire::TextPatch::between(&bundle(2).1, &bundle(3).1);
+    let digest = bundle(3).0.digest();
+    let action = follower.apply_patch("peer", 2, 3, &patch, &digest);
+    assert_eq!(action, Some(FollowAction::AskPeer("peer".into())));
+    let patch = plumgate::wire::TextPatch::between(&bundle(1).1, &bundle(3).1);
+    let action = follower.apply_patch("peer", 1, 3, &patch, &digest);
+    assert!(matches!(
+        action,
+        Some(FollowAction::Adopt { version: 3, .. })
+    ));
+}
+
+quickcheck! {
+    // Cuts, outages, freezes and changes in any order: no node's version ever goes down, and
+    // once everything is mended all nodes have the newest.
+    fn versions_only_go_up_and_all_arrive(schedule: Vec<(u8, u8)>) -> bool {
+        let mut net = FakeNet::new(6);
+        net.publish(1);
+        net.run(Duration::from_secs(3));
+        let mut version = 1;
+        let mut before = net.versions();
+        for (what, which) in schedule.into_iter().take(20) {
+            let which = usize::from(which) % 3;
+            match what % 6 {
+                0 => net.cut_off(which),
+                1 => net.cuts.clear(),
+                2 => { net.without_platform.insert(which); }
+                3 => net.without_platform.clear(),
+                4 => net.nodes[which].frozen = !net.nodes[which].frozen,
+                _ => { version += 1; net.publish(version); }
+            }
+            net.run(Duration::from_millis(1500));
+            let versions = net.versions();
+            if versions.iter().zip(&before).any(|(new, old)| new < old) {
+                return false;
+            }
+            before = versions;
+        }
+        net.cuts.clear();
+        net.without_platform.clear();
+        net.nodes.iter_mut().for_each(|node| node.frozen = false);
+        net.run(Duration::from_secs(20));
+        net.versions() == vec![version; 6]
+    }
+}
--- /dev/null
+++ b/crates/plumgate/tests/route.rs
@@ -0,0 +1,215 @@
+//! The choice of a server.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use plumgate::config::ConfigBundle;
+use plumgate::dispatch::AttemptEnd;
+use plumgate::route::{LeavingSource, LoadReport, PeerServerLoad, RouteOptions, RouteTable};
+use support::{Bench, RULES, config, inventory, started};
+
+fn table(servers: usize, slots: u32) -> RouteTable {
+    let mut table = RouteTable::new(RouteOptions::new("here").with_seed(5));
+    table.set_config(config(servers, slots));
+    table
+}
+
+/// Where a number of requests go that all stay.
+fn spread(table: &mut RouteTable, count: usize, now: Instant) -> BTreeMap<String, u32> {
+    let mut bench = Bench::new(1, 1);
+    let mut spread = BTreeMap::new();
+    for _ in 0..count {
+        let ticket = bench.ticket("caption");
+        let Some(choice) = table.choose(&ticket, 1, now) else {
+            break;
+        };
+        table.start(&choice.server.id, &ticket, now);
+        *spread.entry(choice.server.id.to_string()).or_default() += 1;
+    }
+    spread
+}
+
+#[test]
+fn own_data_centre_comes_first_until_others_are_clearly_better() {
+    let now = Instant::now();
+    let spread = spread(&mut table(4, 8), 4, now);
+    assert_eq!(
+        spread.keys().collect::<Vec<_>>(),
+        ["s1", "s3"],
+        "the odd ones are here: {spread:?}"
+    );
+}
+
+// One server is five times slower than it was. Its callers would wait; own observations show
+// it after a few answers, and new requests go elsewhere.
+#[test]
+fn straggler_gets_less() {
+    let mut table = table(3, 8);
+    let now = Instant::now();
+    for _ in 0..10 {
+        table.observe(
+            &"s1".into(),
+            Duration::from_millis(250),
+            Duration::from_secs(5),
+            50,
+        );
+        table.observe(
+            &"s3".into(),
+            Duration::from_millis(50),
+            Duration::from_secs(1),
+            50,
+        );
+    }
+    let spread = spread(&mut table, 8, now);
+    assert!(spread["s3"] >= 5, "{spread:?}");
+    assert!(spread.get("s1").copied().unwrap_or(0) <= 1, "{spread:?}");
+}
+
+#[test]
+fn servers_are_never_filled_beyond_their_slots() {
+    let spread = spread(&mut table(3, 2), 100, Instant::now());
+    assert_eq!(spread.values().sum::<u32>(), 6, "{spread:?}");
+}
+
+// Two nodes see each other's work late. If each counted the other's old work as still there,
+// both would leave a free server idle; each keeps its equal share whatever is told.
+#[test]
+fn equal_share_stays_usable_whatever_peers_tell() {
+    let mut table = table(1, 4);
+    table.set_nodes(2);
+    let now = Instant::now();
+    let loads = [PeerServerLoad {
+        server: "s1".into(),
+        counts: vec![(1, 4)],
+    }];
+    table.apply_peer(&"other".into(), &loads, now);
+    assert_eq!(spread(&mut table, 9, now)["s1"], 2);
+}
+
+#[test]
+fn what_a_peer_told_long_ago_no_longer_counts() {
+    let mut table = table(1, 4);
+    let now = Instant::now();
+    let loads = [PeerServerLoad {
+        server: "s1".into(),
+        counts: vec![(1, 3)],
+    }];
+    table.apply_peer(&"other".into(), &loads, now);
+    assert_eq!(spread(&mut table, 9, now + Duration::from_secs(6))["s1"], 4);
+}
+
+// Reports overtake each other on the way. The older one tells of load that has since ended.
+#[test]
+fn report_that_was_overtaken_is_dropped() {
+    let mut table = table(1, 4);
+    let now = Instant::now() + Duration::from_secs(60);
+    let report = |running, age_ms| LoadReport {
+        running,
+        waiting: 0,
+        leaving: false,
+        age_ms,
+    };
+    table.apply_report(&"s1".into(), report(1, 500), now);
+    table.apply_report(&"s1".into(), report(9, 900), now);
+    let reported = table.estimate(&"s1".into()).expect("known").reported(now);
+    assert_eq!(reported, Some(1));
+}
+
+// A server refuses new connections. Three failures in a row keep new work from it; after a
+// pause one request tries it, not all that wait.
+#[test]
+fn server_that_refuses_connections_is_left_alone_then_tried_by_one() {
+    let mut table = table(1, 4);
+    let now = Instant::now();
+    for _ in 0..3 {
+        table.record_failure(&"s1".into(), now);
+    }
+    assert_eq!(spread(&mut table, 4, now), BTreeMap::new());
+    let later = now + Duration::from_millis(1100);
+    assert_eq!(spread(&mut table, 4, later)["s1"], 1);
+    table.finish(&"s1".into(), 1);
+    table.observe(
+        &"s1".into(),
+        Duration::from_millis(50),
+        Duration::from_secs(1),
+        50,
+    );
+    assert_eq!(spread(&mut table, 9, later)["s1"], 4);
+}
+
+#[test]
+fn leaving_server_gets_nothing_by_any_source() {
+    let now = Instant::now();
+    for source in [LeavingSource::Platform, LeavingSource::Peer] {
+        let mut table = table(1, 4);
+        table.set_leaving(source, &BTreeSet::from(["s1".into()]));
+        assert_eq!(spread(&mut table, 4, now), BTreeMap::new(), "{source:?}");
+        table.set_leaving(source, &BTreeSet::new());
+        assert_eq!(spread(&mut table, 4, now)["s1"], 4);
+    }
+    let mut table = table(1, 4);
+    table.mark_leaving(&"s1".into());
+    assert_eq!(spread(&mut table, 4, now), BTreeMap::new());
+    let drained = ConfigBundle::new(inventory(1, 4), RULES).with_drained(["s1".to_owned()]);
+    let mut table = RouteTable::new(RouteOptions::new("here"));
+    table.set_config(std::sync::Arc::new(drained.read(2).expect("no findings")));
+    assert_eq!(spread(&mut table, 4, now), BTreeMap::new());
+}
+
+#[test]
+fn failed_server_is_avoided_while_there_is_another() {
+    let mut bench = Bench::new(2, 4);
+    let mut ticket = bench.ticket("caption");
+    ticket.avoid = vec!["s1".into()];
+    let actions = bench.dispatcher.submit(ticket, bench.now);
+    let plumgate::dispatch::DispatchAction::Start(order) = &actions[0] else {
+        panic!("a start")
+    };
+    assert_eq!(&*order.choice.server.id, "s2");
+}
+
+#[test]
+fn cached_prefix_breaks_a_tie() {
+    let mut table = table(3, 8);
+    let mut bench = Bench::new(1, 1);
+    let now = bench.now;
+    let mut ticket = bench.ticket("caption");
+    ticket.prefix = Some(42);
+    table.start(&"s3".into(), &ticket, now);
+    table.finish(&"s3".into(), 1);
+    for _ in 0..10 {
+        assert_eq!(
+            &*table.choose(&ticket, 1, now).expect("room").server.id,
+            "s3"
+        );
+    }
+    table.forget_prefix(42, &"s3".into());
+    let chosen: BTreeSet<String> = (0..20)
+        .map(|_| {
+            table
+                .choose(&ticket, 1, now)
+                .expect("room")
+                .server
+                .id
+                .to_string()
+        })
+        .collect();
+    assert_eq!(chosen.len(), 2, "equals are drawn by lot: {chosen:?}");
+}
+
+#[test]
+fn slot_is_free_again_after_every_kind_of_end() {
+    let mut bench = Bench::new(1, 1);
+    for end in [
+        AttemptEnd::GivenUp,
+        AttemptEnd::Refused { leaving: false },
+        AttemptEnd::ConnectionFailed,
+    ] {
+        let (id, actions) = bench.submit("caption");
+        assert_eq!(started(&actions).len(), 1, "{end:?}");
+        bench.dispatcher.finish(&id, end, bench.now);
+    }
+    assert!(bench.dispatcher.is_idle());
+}
