--- a/crates/plumgate-node/src/body.rs
+++ b/crates/plumgate-node/src/body.rs
@@ -28,6 +28,8 @@
     Whole(Option<Bytes>),
     /// Pieces as they come.
     Fed(Pin<Box<Receiver<AnswerChunk>>>),
+    /// All pieces came, and the answer is cut after them.
+    Cut,
 }
 
 impl AnswerBody {
@@ -52,10 +54,17 @@
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Fed(chunks) => {
-                let polled = chunks.as_mut().poll_next(context);
-                polled.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Self::Fed(chunks) => match chunks.as_mut().poll_next(context) {
+                Poll::Ready(Some(Err(AnswerCut))) => {
+                    // The connection is given up with whatever is not written yet, and with it
+                    // the event that says why. One more turn lets that out first.
+                    *self = Self::Cut;
+                    context.waker().wake_by_ref();
+                    Poll::Pending
+                }
+                polled => polled.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            },
+            Self::Cut => Poll::Ready(Some(Err(AnswerCut))),
         }
     }
 
@@ -66,7 +75,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Fed(_) => SizeHint::default(),
+            Self::Fed(_) | Self::Cut => SizeHint::default(),
         }
     }
 }
--- a/crates/plumgate-node/src/peers.rs
+++ b/crates/plumgate-node/src/peers.rs
@@ -8,10 +8,8 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
-use nng::options::{
-    LocalAddr, Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendBufferSize,
-};
-use nng::{Aio, AioResult, Listener, Protocol, Socket, SocketAddr as NngAddress};
+use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendBufferSize};
+use nng::{Aio, AioResult, Protocol, Socket};
 use plumgate::wire::{LARGEST_MESSAGE, PeerEnvelope, PeerKey, PeerMessage};
 
 use crate::errors::{Error, Result};
@@ -32,6 +30,8 @@
 pub(crate) struct PeerInbox {
     /// Dropping the socket ends the listening.
     _socket: Socket,
+    /// Dropping the last handle cancels the receive that is under way.
+    _receive: Aio,
     address: SocketAddr,
 }
 
@@ -43,8 +43,7 @@
         socket
             .set_opt::<RecvMaxSize>(LARGEST_MESSAGE)
             .map_err(failed)?;
-        let listener = Listener::new(&socket, &url(address)).map_err(failed)?;
-        let local = listener.get_opt::<LocalAddr>().map_err(failed)?;
+        socket.listen(&url(address)).map_err(failed)?;
         let receiving = socket.clone();
         let aio = Aio::new(move |aio, result| {
             if let AioResult::Recv(Ok(message)) = result {
@@ -59,11 +58,13 @@
         socket.recv_async(&aio).map_err(failed)?;
         Ok(Self {
             _socket: socket,
-            address: bound_address(address, local),
+            _receive: aio,
+            address,
         })
     }
 
-    /// The address that was bound.
+    /// The address that peers are told. It is the one that was asked for: what the library
+    /// reports as bound has the bytes of its port the wrong way round.
     pub(crate) fn address(&self) -> SocketAddr {
         self.address
     }
@@ -73,14 +74,6 @@
     format!("tcp://{address}")
 }
 
-fn bound_address(asked: SocketAddr, local: NngAddress) -> SocketAddr {
-    match local {
-        NngAddress::Inet(v4) => SocketAddr::V4(v4),
-        NngAddress::Inet6(v6) => SocketAddr::V6(v6),
-        _ => asked,
-    }
-}
-
 /// A socket to one peer.
 struct PeerLink {
     socket: Socket,
--- a/crates/plumgate-node/src/shared.rs
+++ b/crates/plumgate-node/src/shared.rs
@@ -121,7 +121,10 @@
             metrics: NodeMetrics::new(),
             config: ArcSwapOption::empty(),
             members: ArcSwap::default(),
-            life: ArcSwap::default(),
+            life: ArcSwap::from_pointee(LifeView {
+                state: "starting".to_owned(),
+                ..LifeView::default()
+            }),
             backends: BackendPool::default(),
             platform,
             executor: Arc::new(Executor::new()),
--- a/crates/plumgate-standin/src/lib.rs
+++ b/crates/plumgate-standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod engine;
 pub mod http;
+pub mod link;
 pub mod load;
 pub mod platform;
 pub mod service;
--- /dev/null
+++ b/crates/plumgate-standin/tests/own_answer.rs
@@ -0,0 +1,182 @@
+//! Each caller gets the whole answer to its own request, or a visible failure.
+
+mod fleet;
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use fleet::{FleetPlan, call_later, expected_content, model_call, outcome, whole_content};
+use plumgate_standin::load::stream_content;
+use serde_json::json;
+
+#[test]
+fn many_callers_at_once_each_get_their_own_answer() {
+    let fleet = FleetPlan::new().with_engines(2, 8, 2).start();
+    let callers: Vec<_> = (0..60)
+        .map(|number| {
+            let prompt = format!("prompt {number}");
+            let stream = number % 2 == 0;
+            let request = model_call("norte", "caption", &prompt, 5 + number % 7, stream);
+            (
+                number,
+                prompt,
+                call_later(fleet.nodes[number as usize % 2].callers, request),
+            )
+        })
+        .collect();
+    for (number, prompt, caller) in callers {
+        let answer = caller.join().expect("no panic").expect("an answer");
+        let expected = expected_content(&prompt, 5 + number % 7);
+        if number % 2 == 0 {
+            assert_eq!(
+                stream_content(&answer.text()).as_deref(),
+                Some(expected.as_str())
+            );
+        } else {
+            assert_eq!(whole_content(&answer), expected);
+        }
+    }
+}
+
+// A stream's connection to its engine breaks after three tokens, and the engine repeats two of
+// them when the stream is resumed. The caller must see each token once, in order, and the end.
+#[test]
+fn cut_stream_is_resumed_without_a_token_twice_or_missing() {
+    let fleet = FleetPlan::new().start();
+    fleet.faults(
+        fleet.engines[0].direct,
+        &json!({ "cut_streams": 1, "after_tokens": 3, "repeat_events": 1 }),
+    );
+    let answer = fleet.ask(0, &model_call("norte", "caption", "resume me", 12, true));
+    assert!(answer.complete);
+    assert_eq!(
+        stream_content(&answer.text()),
+        Some(expected_content("resume me", 12))
+    );
+}
+
+// Something between node and engine loses track of the stream's connection: it stays open and
+// brings nothing more, while new connections work. The caller must get the rest, not a failure.
+#[test]
+fn silent_stream_goes_on_over_a_new_connection() {
+    let fleet = FleetPlan::new().with_engines(1, 4, 30).start();
+    let request = model_call("norte", "caption", "silence", 40, true);
+    let caller = call_later(fleet.nodes[0].callers, request);
+    sleep(Duration::from_millis(400));
+    fleet.engines[0].link.silence();
+    let answer = caller.join().expect("no panic").expect("an answer");
+    assert_eq!(
+        stream_content(&answer.text()),
+        Some(expected_content("silence", 40))
+    );
+    assert_eq!(
+        fleet
+            .status(&fleet.nodes[0])
+            .expect("a status")
+            .open_circuits,
+        Vec::<String>::new()
+    );
+}
+
+// The same for a whole answer: its connection goes silent while the engine works on it.
+#[test]
+fn silent_whole_answer_is_fetched_over_a_new_connection() {
+    let fleet = FleetPlan::new().with_engines(1, 4, 30).start();
+    let caller = call_later(
+        fleet.nodes[0].callers,
+        model_call("norte", "caption", "whole", 40, false),
+    );
+    sleep(Duration::from_millis(400));
+    fleet.engines[0].link.silence();
+    let answer = caller.join().expect("no panic").expect("an answer");
+    assert_eq!(whole_content(&answer), expected_content("whole", 40));
+}
+
+// The only engine dies within a stream. The caller has some tokens; no other run can go on
+// from them. It must see an error and a broken answer, never an end mark.
+#[test]
+fn stream_of_a_dead_engine_never_looks_whole() {
+    let mut fleet = FleetPlan::new().with_engines(1, 4, 30).start();
+    let caller = call_later(
+        fleet.nodes[0].callers,
+        model_call("norte", "caption", "doomed", 100, true),
+    );
+    sleep(Duration::from_millis(600));
+    fleet.engines[0].process.kill();
+    let answer = caller.join().expect("no panic").expect("the head came");
+    assert!(!answer.complete, "the connection must break off");
+    assert_eq!(stream_content(&answer.text()), None);
+    assert!(
+        answer.text().contains("\"outcome\":\"unknown\""),
+        "{}",
+        answer.text()
+    );
+}
+
+// One of two engines crashes under a whole answer that nobody has any byte of. The caption may
+// run again: its caller gets a whole answer from the other engine.
+#[test]
+fn whole_answer_of_a_crashed_engine_comes_from_another() {
+    let fleet = FleetPlan::new()
+        .with_engines(2, 4, 5)
+        .with_nodes(&["dc-a"])
+        .start();
+    for engine in &fleet.engines {
+        fleet.faults(engine.direct, &json!({ "crash": true, "after_tokens": 5 }));
+    }
+    let caller = call_later(
+        fleet.nodes[0].callers,
+        model_call("norte", "caption", "again", 50, false),
+    );
+    sleep(Duration::from_millis(20));
+    let second = &fleet.engines[1];
+    fleet.faults(second.direct, &json!({}));
+    let answer = caller.join().expect("no panic").expect("an answer");
+    assert_eq!(whole_content(&answer), expected_content("again", 50));
+}
+
+// An engine answers with the head of another request's answer, as after a mix-up on a kept
+// connection. That answer must reach nobody; the caption runs again.
+#[test]
+fn answer_to_another_request_reaches_nobody() {
+    let fleet = FleetPlan::new().start();
+    fleet.faults(fleet.engines[0].direct, &json!({ "wrong_ids": 1 }));
+    let answer = fleet.ask(0, &model_call("norte", "caption", "mine", 6, false));
+    assert_eq!(whole_content(&answer), expected_content("mine", 6));
+}
+
+// Two workspaces use the same key and the same prompt. Each has its own run; neither gets the
+// other's answer.
+#[test]
+fn equal_keys_and_prompts_of_two_workspaces_stay_apart() {
+    let fleet = FleetPlan::new().start();
+    let request = |workspace| {
+        model_call(workspace, "certificate", "same", 4, false)
+            .with_header("idempotency-key", "same key")
+    };
+    let first = fleet.ask(0, &request("norte"));
+    let second = fleet.ask(1, &request("azuay"));
+    assert!(first.status.is_success() && second.status.is_success());
+    assert_ne!(first.json()["id"], second.json()["id"]);
+    assert_eq!(fleet.runs_of("same key"), 2);
+}
+
+// A run is lost between its tokens and its end mark. The caller of a certificate, which may not
+// run again, is told that nobody knows.
+#[test]
+fn lost_run_of_a_certificate_is_unknown() {
+    let fleet = FleetPlan::new().start();
+    fleet.faults(
+        fleet.engines[0].direct,
+        &json!({ "lose_runs": 1, "after_tokens": 6 }),
+    );
+    let answer = fleet.ask(0, &model_call("norte", "certificate", "lost", 8, false));
+    assert_eq!(answer.status, 502);
+    assert_eq!(outcome(&answer), "unknown");
+    let runs = &fleet.counts(fleet.engines[0].direct)["runs"];
+    assert_eq!(
+        runs.as_object()
+            .map(|runs| runs.values().map(|n| n.as_u64().unwrap_or(0)).sum()),
+        Some(1_u64)
+    );
+}
--- a/crates/plumgated/src/flags.rs
+++ b/crates/plumgated/src/flags.rs
@@ -175,7 +175,7 @@
     let data_centre = reader.required("data-centre");
     let listen = reader.address("listen");
     let admin_listen = reader.address("admin-listen");
-    let peer_listen = reader.address("peer-listen");
+    let peer_listen = reader.peer_address("peer-listen");
     let platform = reader.address("platform");
     let mut settings = NodeSettings::new(node, data_centre, listen, platform)
         .with_admin_listen(admin_listen)
@@ -247,6 +247,15 @@
         self.parse_address(name, &text).unwrap_or(any)
     }
 
+    /// The other nodes must know the port, so that the system can't choose one.
+    fn peer_address(&mut self, name: &str) -> SocketAddr {
+        let address = self.address(name);
+        if address.port() == 0 && !self.text(name).is_empty() {
+            self.report(name, "needs a port other than 0".to_owned());
+        }
+        address
+    }
+
     fn parse_address(&mut self, name: &str, text: &str) -> Option<SocketAddr> {
         let address = text.parse().ok();
         if address.is_none() {
