--- a/crates/plumgate-node/src/shared.rs
+++ b/crates/plumgate-node/src/shared.rs
@@ -196,6 +196,10 @@
         for action in actions {
             match action {
                 DispatchAction::Start(order) => self.start(*order),
+                DispatchAction::Queued { request, ahead } => {
+                    let line = LogLine::new("queued").with("request", request);
+                    line.with("ahead", ahead).info(&self.log);
+                }
                 DispatchAction::Refuse {
                     request,
                     reason,
--- a/crates/plumgate-standin/src/engine.rs
+++ b/crates/plumgate-standin/src/engine.rs
@@ -21,13 +21,16 @@
 use serde_json::{Value, json};
 
 use crate::http::{
-    ConnectionCut, StandinBody, StandinResponse, cut, read_body, respond, respond_json, serve,
+    ConnectionCut, StandinBody, StandinResponse, cut, journal_line, read_body, respond,
+    respond_json, serve,
 };
 
 /// Pieces of a stream that wait for a slow reader.
 const CHUNKS_WAITING: usize = 16;
 /// Runs that are remembered after their end, so that they can be resumed.
 const RUNS_KEPT: usize = 4096;
+/// Requests that the journal keeps.
+const JOURNAL_LENGTH: usize = 1000;
 /// Share of the first token's time that a cached prefix leaves.
 const CACHED_SHARE: f64 = 0.3;
 /// Bytes of a prompt that make its prefix.
@@ -173,6 +176,7 @@
     models: BTreeMap<String, bool>,
     orders: Vec<EngineOrder>,
     refused_orders: u64,
+    journal: Vec<String>,
 }
 
 /// The stand-in of one engine.
@@ -228,6 +232,7 @@
             (&Method::GET, "/counts") => return Ok(self.counts()),
             _ => {}
         }
+        self.note(&head, &body);
         self.until_thawed().await;
         if let Some(id) = path.strip_prefix("/v1/runs/") {
             return self.handle_run(&head.method, id, &head.headers).await;
@@ -244,6 +249,14 @@
         }
     }
 
+    /// Keeps the newest requests for a test to look at.
+    fn note(&self, head: &hyper::http::request::Parts, body: &[u8]) {
+        let mut state = self.state_mut();
+        if state.journal.len() < JOURNAL_LENGTH {
+            state.journal.push(journal_line(head, body));
+        }
+    }
+
     async fn until_thawed(&self) {
         loop {
             let changed = self.changed.listen();
@@ -282,6 +295,7 @@
             "cancelled": state.cancelled,
             "running": state.running,
             "waiting": state.waiting.len(),
+            "journal": state.journal,
         });
         respond_json(StatusCode::OK, &body)
     }
--- a/crates/plumgate-standin/src/http.rs
+++ b/crates/plumgate-standin/src/http.rs
@@ -39,6 +39,8 @@
     Whole(Option<Bytes>),
     /// Pieces as they come; an error cuts the connection.
     Fed(Pin<Box<Receiver<Result<Bytes, ConnectionCut>>>>),
+    /// The connection is cut once all pieces are written.
+    Cut,
 }
 
 impl Body for StandinBody {
@@ -51,10 +53,16 @@
     ) -> Poll<Option<Result<Frame<Bytes>, ConnectionCut>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Fed(chunks) => {
-                let polled = chunks.as_mut().poll_next(context);
-                polled.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Self::Fed(chunks) => match chunks.as_mut().poll_next(context) {
+                Poll::Ready(Some(Err(ConnectionCut))) => {
+                    // What was sent before the cut arrives: a turn for the connection to write it.
+                    *self = Self::Cut;
+                    context.waker().wake_by_ref();
+                    Poll::Pending
+                }
+                polled => polled.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            },
+            Self::Cut => Poll::Ready(Some(Err(ConnectionCut))),
         }
     }
 
@@ -88,6 +96,28 @@
     Err(ConnectionCut)
 }
 
+/// Headers that a journal names.
+const JOURNAL_HEADERS: [&str; 4] = [
+    "x-request-id",
+    "x-priority",
+    "idempotency-key",
+    "last-event-id",
+];
+
+/// One line about a request, for the journal of what a server was asked.
+pub fn journal_line(head: &hyper::http::request::Parts, body: &[u8]) -> String {
+    let mut line = format!("{} {}", head.method, head.uri.path());
+    for name in JOURNAL_HEADERS {
+        if let Some(value) = head.headers.get(name).and_then(|value| value.to_str().ok()) {
+            line.push_str(&format!(" {name}={value}"));
+        }
+    }
+    if !body.is_empty() {
+        line.push_str(&format!(" {}", String::from_utf8_lossy(body)));
+    }
+    line
+}
+
 /// Reads a request's body.
 pub async fn read_body(body: Incoming) -> Bytes {
     body.collect()
--- a/crates/plumgate-standin/src/link.rs
+++ b/crates/plumgate-standin/src/link.rs
@@ -145,10 +145,7 @@
 ) {
     let mut piece = vec![0; PIECE];
     let mut carried = 0;
-    loop {
-        let Ok(mut count @ 1..) = from.read(&mut piece).await else {
-            break;
-        };
+    while let Ok(mut count @ 1..) = from.read(&mut piece).await {
         if number < state.silent_below.load(Ordering::SeqCst) {
             continue;
         }
--- a/crates/plumgate-standin/src/service.rs
+++ b/crates/plumgate-standin/src/service.rs
@@ -14,7 +14,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::http::{ConnectionCut, StandinResponse, cut, read_body, respond, respond_json, serve};
+use crate::http::{
+    ConnectionCut, StandinResponse, cut, journal_line, read_body, respond, respond_json, serve,
+};
 
 /// Faults that a test switches on; a new set replaces the old one.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -37,6 +39,7 @@
     faults: ServiceFaults,
     runs: BTreeMap<String, u64>,
     total: u64,
+    journal: Vec<String>,
 }
 
 /// The stand-in of one plain service.
@@ -73,11 +76,16 @@
             (&Method::POST, "/faults") => return Ok(self.set_faults(&body)),
             (&Method::GET, "/counts") => {
                 let state = self.state.borrow();
-                let counts = json!({ "runs": state.runs, "total": state.total });
+                let counts =
+                    json!({ "runs": state.runs, "total": state.total, "journal": state.journal });
                 return Ok(respond_json(StatusCode::OK, &counts));
             }
             _ => {}
         }
+        self.state
+            .borrow_mut()
+            .journal
+            .push(journal_line(&head, &body));
         let header = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
         let key = header("idempotency-key").map_or_else(
             || String::from_utf8_lossy(&body).into_owned(),
--- /dev/null
+++ b/crates/plumgate-standin/tests/config_in_force.rs
@@ -0,0 +1,260 @@
+//! An accepted configuration comes into force everywhere within seconds and never reverts.
+
+mod fleet;
+
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use fleet::{Fleet, FleetPlan, model_call};
+use plumgate_standin::link::FaultyLink;
+use serde_json::{Value, json};
+
+/// How long a change may take to be in force everywhere.
+const BOUND: Duration = Duration::from_secs(4);
+
+fn versions(fleet: &Fleet) -> Vec<u64> {
+    fleet
+        .nodes
+        .iter()
+        .map(|node| fleet.status(node).unwrap_or_default().config)
+        .collect()
+}
+
+fn apply(fleet: &Fleet, args: &[&str]) -> (Option<i32>, String) {
+    let output = fleet.plumgate(&[&["apply"], args].concat());
+    let text = [output.stdout, output.stderr].concat();
+    (
+        output.status.code(),
+        String::from_utf8_lossy(&text).into_owned(),
+    )
+}
+
+/// Changes the rules file so that there is something to apply.
+fn edit(fleet: &mut Fleet, from: u64, to: u64) {
+    fleet.change_rules(&format!("target_ms = {from}"), &format!("target_ms = {to}"));
+}
+
+// Two operators start from the same version. One of them wins; the other is told what changed
+// under it, and nothing of it is applied.
+#[test]
+fn racing_operators_are_told_exactly_what_changed() {
+    let mut fleet = FleetPlan::new().start();
+    edit(&mut fleet, 1500, 1600);
+    assert_eq!(
+        apply(&fleet, &["--expect", "1", "--author", "ana", "--wait"]).0,
+        Some(0)
+    );
+    edit(&mut fleet, 30000, 31000);
+    let (code, text) = apply(&fleet, &["--expect", "1", "--author", "ben"]);
+    assert_eq!(code, Some(3), "{text}");
+    assert!(
+        text.contains("version 2 was applied meanwhile by ana"),
+        "{text}"
+    );
+    assert!(
+        text.contains("classes.caption") && text.contains("1.6s"),
+        "{text}"
+    );
+    assert_eq!(versions(&fleet), [2, 2]);
+}
+
+#[test]
+fn operators_at_the_same_moment_get_one_version_each() {
+    let fleet = FleetPlan::new().start();
+    let codes: Vec<_> = std::thread::scope(|scope| {
+        let appliers: Vec<_> = (0..6)
+            .map(|_| scope.spawn(|| apply(&fleet, &["--expect", "1"]).0))
+            .collect();
+        appliers
+            .into_iter()
+            .map(|applier| applier.join().expect("no panic"))
+            .collect()
+    });
+    assert_eq!(
+        codes.iter().filter(|code| **code == Some(0)).count(),
+        1,
+        "{codes:?}"
+    );
+    assert_eq!(
+        codes.iter().filter(|code| **code == Some(3)).count(),
+        5,
+        "{codes:?}"
+    );
+    fleet.wait_until("all have it", |fleet| versions(fleet) == [2, 2]);
+}
+
+// The write of the head takes effect and its answer is lost. The tool finds out by the change's
+// id that it was its own, and says that it was accepted, once.
+#[test]
+fn apply_whose_answer_is_lost_is_accepted_once() {
+    let mut fleet = FleetPlan::new().start();
+    edit(&mut fleet, 1500, 1600);
+    fleet.faults(
+        fleet.platform_address,
+        &json!({ "lose_answers": 1, "only": "/table/config/head" }),
+    );
+    let (code, text) = apply(&fleet, &["--wait"]);
+    assert_eq!(code, Some(0), "{text}");
+    assert!(text.contains("version 2 in force"), "{text}");
+    assert_eq!(versions(&fleet), [2, 2]);
+}
+
+// The store is down: nothing is applied, and the operator is told so. Nodes go on serving.
+#[test]
+fn apply_without_a_store_says_that_nothing_was_applied() {
+    let fleet = FleetPlan::new().start();
+    fleet.faults(fleet.platform_address, &json!({ "down": true }));
+    let (code, text) = apply(&fleet, &[]);
+    assert_eq!(code, Some(4), "{text}");
+    assert!(
+        fleet
+            .ask(0, &model_call("norte", "caption", "x", 2, false))
+            .status
+            .is_success()
+    );
+}
+
+// A data centre is cut from the platform but not from its neighbours: it follows all the same.
+#[test]
+fn data_centre_without_the_platform_is_in_force_too() {
+    let mut fleet = FleetPlan::new()
+        .with_nodes(&["dc-a", "dc-b", "dc-b"])
+        .start();
+    fleet.nodes[1].platform.cut();
+    fleet.nodes[2].platform.cut();
+    edit(&mut fleet, 1500, 1600);
+    let start = Instant::now();
+    let (code, text) = apply(&fleet, &["--wait"]);
+    assert_eq!(code, Some(0), "{text}");
+    assert!(start.elapsed() < BOUND, "{text}");
+    assert_eq!(versions(&fleet), [2, 2, 2]);
+}
+
+// A data centre can't be reached: the operator is told which.
+#[test]
+fn data_centre_that_is_away_is_named() {
+    let mut fleet = FleetPlan::new().start();
+    fleet.nodes[1].process.freeze();
+    edit(&mut fleet, 1500, 1600);
+    let (code, text) = apply(&fleet, &["--wait", "--wait-ms", "1500"]);
+    assert_eq!(code, Some(6), "{text}");
+    assert!(text.contains("not in force in: dc-b"), "{text}");
+    fleet.nodes[1].process.thaw();
+    fleet.wait_until("it catches up", |fleet| versions(fleet) == [2, 2]);
+}
+
+// The store answers with the value before the last write, then with nonsense, then slowly. No
+// node goes back, and all serve on.
+#[test]
+fn stale_and_senseless_answers_change_nothing() {
+    let mut fleet = FleetPlan::new().start();
+    edit(&mut fleet, 1500, 1600);
+    assert_eq!(apply(&fleet, &["--wait"]).0, Some(0));
+    for faults in [
+        json!({ "stale_reads": true }),
+        json!({ "nonsense": true }),
+        json!({ "slow_ms": 3000 }),
+    ] {
+        fleet.faults(fleet.platform_address, &faults);
+        sleep(Duration::from_millis(1200));
+        assert_eq!(versions(&fleet), [2, 2], "{faults}");
+        assert!(
+            fleet
+                .ask(0, &model_call("norte", "caption", "x", 2, false))
+                .status
+                .is_success()
+        );
+    }
+}
+
+// A VM is replaced during an outage of the platform. The new one takes the configuration from
+// its peers and is ready; without any peer it would not be.
+#[test]
+fn replaced_node_is_ready_without_the_platform() {
+    let mut fleet = FleetPlan::new().start();
+    edit(&mut fleet, 1500, 1600);
+    assert_eq!(apply(&fleet, &["--wait"]).0, Some(0));
+    fleet.nodes[1].process.kill();
+    fleet.faults(fleet.platform_address, &json!({ "down": true }));
+    let fresh = fleet.start_node_unlisted("dc-b");
+    fleet.wait_until("it is ready", |fleet| {
+        fleet
+            .status(&fleet.nodes[fresh])
+            .is_some_and(|status| status.config == 2 && status.state == "ready")
+    });
+    assert!(
+        fleet
+            .ask(fresh, &model_call("norte", "caption", "x", 2, false))
+            .status
+            .is_success()
+    );
+}
+
+#[test]
+fn node_without_a_configuration_is_not_ready() {
+    let fleet = FleetPlan::new()
+        .with_nodes(&["dc-a"])
+        .start_without_config();
+    let answer = fleet.ask(
+        0,
+        &plumgate_standin::http::ClientCall::new(hyper::Method::GET, "/readyz"),
+    );
+    assert_eq!(answer.status, 503);
+    let answer = fleet.ask(0, &model_call("norte", "caption", "x", 2, false));
+    assert_eq!(
+        (answer.status.as_u16(), fleet::outcome(&answer).as_str()),
+        (503, "not_run")
+    );
+}
+
+// Forty changes, one after the other, while a node is killed and replaced by turns: versions
+// on every node only go up, and each change is in force everywhere within its bound.
+#[test]
+fn many_changes_are_in_force_within_the_bound_and_in_order() {
+    let mut fleet = FleetPlan::new()
+        .with_nodes(&["dc-a", "dc-b", "dc-a", "dc-b"])
+        .start();
+    let mut before = versions(&fleet);
+    for number in 0..40_u64 {
+        edit(&mut fleet, 1500 + number, 1501 + number);
+        let (code, text) = apply(&fleet, &["--wait", "--wait-ms", "4000", "--json"]);
+        assert_eq!(code, Some(0), "{text}");
+        let told: Value = serde_json::from_str(text.trim()).expect("JSON");
+        assert!(
+            told["in_force_ms"]
+                .as_u64()
+                .is_some_and(|taken| taken < 4000),
+            "{text}"
+        );
+        let now = versions(&fleet);
+        assert!(
+            now.iter().zip(&before).all(|(new, old)| new >= old),
+            "{before:?} then {now:?}"
+        );
+        before = now;
+    }
+    assert_eq!(before, [41; 4]);
+}
+
+// The operator's own way to the platform breaks within the apply. Whatever the tool says must
+// agree with what the table holds.
+#[test]
+fn apply_over_a_breaking_link_is_told_truthfully() {
+    let mut fleet = FleetPlan::new().start();
+    let link =
+        FaultyLink::start(([127, 0, 0, 1], 0).into(), fleet.platform_address).expect("starts");
+    for (number, bytes) in [100_u64, 400, 900].into_iter().enumerate() {
+        edit(&mut fleet, 1500 + number as u64, 1501 + number as u64);
+        let before = versions(&fleet)[0];
+        link.cut_after(bytes);
+        let output = fleet.plumgate_at(link.address(), &["apply"]);
+        link.mend();
+        sleep(Duration::from_millis(1500));
+        let after = versions(&fleet)[0];
+        match output.status.code() {
+            Some(0) => assert_eq!(after, before + 1),
+            Some(4) => assert_eq!(after, before),
+            code => assert_eq!(code, Some(5), "{}", String::from_utf8_lossy(&output.stderr)),
+        }
+    }
+}
--- a/crates/plumgate-standin/tests/fleet/mod.rs
+++ b/crates/plumgate-standin/tests/fleet/mod.rs
@@ -38,7 +38,7 @@
 }
 
 /// A port that is free now, and that no other test of this process takes.
-fn free_port() -> SocketAddr {
+pub(crate) fn free_port() -> SocketAddr {
     let _lock = fork_lock();
     loop {
         let number = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
@@ -375,8 +375,8 @@
         }
     }
 
-    /// Starts one more node.
-    pub(crate) fn start_node(&mut self, data_centre: &str) -> usize {
+    /// Starts one more node that the platform's list does not name.
+    pub(crate) fn start_node_unlisted(&mut self, data_centre: &str) -> usize {
         let index = self.nodes.len();
         let name = format!("entry-{}", index + 1);
         let platform =
@@ -405,14 +405,6 @@
         let process = FleetProcess::start("plumgated", &[], &variables, log);
         self.wait_for(callers, "/healthz");
         let data_centre = data_centre.to_owned();
-        let vm = ListedVm {
-            name: name.clone(),
-            role: VmRole::Entry,
-            data_centre: data_centre.clone(),
-            address: peers.to_string(),
-            leaving: false,
-        };
-        self.list_vm(&vm);
         self.nodes.push(FleetNode {
             process,
             callers,
@@ -425,6 +417,20 @@
         index
     }
 
+    /// Starts one more node.
+    pub(crate) fn start_node(&mut self, data_centre: &str) -> usize {
+        let index = self.start_node_unlisted(data_centre);
+        let node = &self.nodes[index];
+        self.list_vm(&ListedVm {
+            name: node.name.clone(),
+            role: VmRole::Entry,
+            data_centre: node.data_centre.clone(),
+            address: node.peers.to_string(),
+            leaving: false,
+        });
+        index
+    }
+
     /// Tells the platform of a VM.
     pub(crate) fn list_vm(&self, vm: &ListedVm) {
         let request = ClientCall::new(Method::POST, "/vms").with_json(&json!(vm));
--- /dev/null
+++ b/crates/plumgate-standin/tests/stop.rs
@@ -0,0 +1,226 @@
+//! A graceful stop cuts off nothing that is in flight.
+
+mod fleet;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use fleet::{FleetPlan, call_later, expected_content, model_call, outcome, receipt_call, try_call};
+use hyper::Method;
+use plumgate_standin::http::ClientCall;
+use plumgate_standin::load::stream_content;
+use serde_json::json;
+
+// A node is told to stop while a stream, a whole answer and a receipt are under way. Each
+// caller gets all of its answer; then the process ends with 0.
+#[test]
+fn requests_in_flight_are_answered_whole() {
+    let mut fleet = FleetPlan::new().with_engines(1, 4, 20).start();
+    fleet.faults(fleet.services[0].direct, &json!({ "delay_ms": 1500 }));
+    let node = fleet.nodes[0].callers;
+    let stream = call_later(node, model_call("norte", "caption", "stream", 60, true));
+    let whole = call_later(node, model_call("norte", "caption", "whole", 60, false));
+    let receipt = call_later(node, receipt_call("norte", Some("stop"), "rice"));
+    sleep(Duration::from_millis(300));
+    fleet.nodes[0].process.terminate();
+    let stream = stream.join().expect("no panic").expect("an answer");
+    assert_eq!(
+        stream_content(&stream.text()),
+        Some(expected_content("stream", 60))
+    );
+    let whole = whole.join().expect("no panic").expect("an answer");
+    assert_eq!(fleet::whole_content(&whole), expected_content("whole", 60));
+    assert!(
+        receipt
+            .join()
+            .expect("no panic")
+            .expect("an answer")
+            .status
+            .is_success()
+    );
+    wait_for_end(&mut fleet, 0);
+    // The receipt's answer was kept before the node was gone.
+    assert!(
+        fleet
+            .ask(1, &receipt_call("norte", Some("stop"), "rice"))
+            .status
+            .is_success()
+    );
+    assert_eq!(fleet.runs_of("stop"), 1);
+}
+
+fn wait_for_end(fleet: &mut fleet::Fleet, node: usize) {
+    let start = Instant::now();
+    loop {
+        if let Some(code) = fleet.nodes[node].process.ended() {
+            assert_eq!(code, 0);
+            return;
+        }
+        assert!(
+            start.elapsed() < Duration::from_secs(15),
+            "the node does not end"
+        );
+        sleep(Duration::from_millis(20));
+    }
+}
+
+// The balancer lags: it goes on sending for a while after readiness was withdrawn. Those
+// callers are served, not refused.
+#[test]
+fn new_work_is_taken_while_the_balancer_lags() {
+    let mut fleet = FleetPlan::new()
+        .with_variable("PLUMGATE_BALANCER_LAG_MS", "1500")
+        .start();
+    fleet.nodes[0].process.terminate();
+    let ready = ClientCall::new(Method::GET, "/readyz");
+    fleet.wait_until("readiness is withdrawn", |fleet| {
+        fleet.ask(0, &ready).status == 503
+    });
+    let answer = fleet.ask(0, &model_call("norte", "caption", "late", 3, false));
+    assert!(answer.status.is_success(), "{}", answer.text());
+    wait_for_end(&mut fleet, 0);
+}
+
+// Requests wait in the queue when the node stops taking work. Their callers hear at once that
+// nothing ran, and go to another node.
+#[test]
+fn queued_requests_are_refused_as_not_run() {
+    let mut fleet = FleetPlan::new()
+        .with_engines(1, 1, 20)
+        .with_nodes(&["dc-a"])
+        .start();
+    let node = fleet.nodes[0].callers;
+    let running = call_later(
+        node,
+        model_call("norte", "certificate", "running", 100, true),
+    );
+    sleep(Duration::from_millis(300));
+    let queued = call_later(node, model_call("norte", "certificate", "queued", 5, false));
+    sleep(Duration::from_millis(100));
+    fleet.nodes[0].process.terminate();
+    let queued = queued.join().expect("no panic").expect("an answer");
+    assert_eq!(
+        (queued.status.as_u16(), outcome(&queued).as_str()),
+        (503, "not_run")
+    );
+    let running = running.join().expect("no panic").expect("an answer");
+    assert_eq!(
+        stream_content(&running.text()),
+        Some(expected_content("running", 100))
+    );
+    wait_for_end(&mut fleet, 0);
+}
+
+// A caller keeps an idle connection open. It must not hold up the stop.
+#[test]
+fn idle_connections_do_not_hold_up_the_stop() {
+    let mut fleet = FleetPlan::new().start();
+    let mut idle = TcpStream::connect(fleet.nodes[0].callers).expect("connects");
+    idle.write_all(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n")
+        .expect("writes");
+    let mut piece = [0; 512];
+    assert!(idle.read(&mut piece).expect("an answer") > 0);
+    let start = Instant::now();
+    fleet.nodes[0].process.terminate();
+    wait_for_end(&mut fleet, 0);
+    assert!(start.elapsed() < Duration::from_secs(3));
+    assert_eq!(
+        idle.read(&mut piece).expect("the end"),
+        0,
+        "the connection is closed"
+    );
+}
+
+// A stream is longer than the grace period. The operator's setting counts: the process ends,
+// and the caller sees a broken answer, not a whole one.
+#[test]
+fn stream_longer_than_the_grace_period_is_cut_visibly() {
+    let mut fleet = FleetPlan::new()
+        .with_engines(1, 4, 50)
+        .with_variable("PLUMGATE_GRACE_MS", "500")
+        .start();
+    let caller = call_later(
+        fleet.nodes[0].callers,
+        model_call("norte", "caption", "long", 200, true),
+    );
+    sleep(Duration::from_millis(300));
+    let start = Instant::now();
+    fleet.nodes[0].process.terminate();
+    wait_for_end(&mut fleet, 0);
+    assert!(start.elapsed() < Duration::from_secs(5));
+    let answer = caller.join().expect("no panic").expect("the head came");
+    assert!(!answer.complete);
+    assert_eq!(stream_content(&answer.text()), None);
+}
+
+// A second signal shortens the wait for the balancer; what is in flight still finishes. A third
+// ends the process at once.
+#[test]
+fn second_signal_hurries_and_third_ends() {
+    let mut fleet = FleetPlan::new()
+        .with_engines(1, 4, 20)
+        .with_variable("PLUMGATE_BALANCER_LAG_MS", "60000")
+        .start();
+    let caller = call_later(
+        fleet.nodes[0].callers,
+        model_call("norte", "caption", "hurry", 50, true),
+    );
+    sleep(Duration::from_millis(300));
+    fleet.nodes[0].process.terminate();
+    fleet.wait_until("it announces", |fleet| {
+        fleet.nodes[0].process.log().contains("state=announcing")
+    });
+    fleet.nodes[0].process.terminate();
+    let answer = caller.join().expect("no panic").expect("an answer");
+    assert_eq!(
+        stream_content(&answer.text()),
+        Some(expected_content("hurry", 50))
+    );
+    wait_for_end(&mut fleet, 0);
+
+    let long = call_later(
+        fleet.nodes[1].callers,
+        model_call("norte", "caption", "endless", 500, true),
+    );
+    sleep(Duration::from_millis(300));
+    for state in ["announcing", "draining"] {
+        fleet.nodes[1].process.terminate();
+        let mark = format!("state={state}");
+        fleet.wait_until(state, |fleet| fleet.nodes[1].process.log().contains(&mark));
+    }
+    fleet.nodes[1].process.terminate();
+    wait_for_end(&mut fleet, 1);
+    assert!(
+        !long
+            .join()
+            .expect("no panic")
+            .is_ok_and(|answer| answer.complete)
+    );
+}
+
+// A stopped node is gone for its peers at once, not only after its silence is noticed.
+#[test]
+fn peers_hear_that_a_node_stops() {
+    let mut fleet = FleetPlan::new()
+        .with_variable("PLUMGATE_BALANCER_LAG_MS", "1500")
+        .start();
+    fleet.nodes[0].process.terminate();
+    fleet.wait_until("the peer knows", |fleet| {
+        fleet
+            .status(&fleet.nodes[1])
+            .is_some_and(|status| status.nodes.len() == 1)
+    });
+    assert!(
+        fleet.nodes[0].process.ended().is_none(),
+        "it still takes late callers"
+    );
+    assert!(
+        try_call(
+            fleet.nodes[0].callers,
+            &ClientCall::new(Method::GET, "/healthz")
+        )
+        .is_ok()
+    );
+}
--- /dev/null
+++ b/crates/plumgate-standin/tests/tiers.rs
@@ -0,0 +1,85 @@
+//! Higher tiers are never refused for lower ones, over several nodes and under overload.
+
+mod fleet;
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use fleet::{FleetPlan, call_later, expected_content, model_call, whole_content};
+
+// Dossiers through one node fill all slots of the only engine, for seconds. Captions come
+// through the other node, which holds nothing itself: it asks its peer to make room. Every
+// caption is answered, and the dossiers that gave way are answered later.
+#[test]
+fn captions_get_room_that_another_node_holds_with_dossiers() {
+    let fleet = FleetPlan::new().with_engines(1, 4, 20).start();
+    let dossiers: Vec<_> = (0..8)
+        .map(|number| {
+            let request = model_call("norte", "dossier", &format!("dossier {number}"), 150, false);
+            call_later(fleet.nodes[0].callers, request)
+        })
+        .collect();
+    sleep(Duration::from_millis(1500));
+    let captions: Vec<_> = (0..4)
+        .map(|number| {
+            let request = model_call("azuay", "caption", &format!("caption {number}"), 5, false);
+            call_later(fleet.nodes[1].callers, request)
+        })
+        .collect();
+    for (number, caption) in captions.into_iter().enumerate() {
+        let answer = caption.join().expect("no panic").expect("an answer");
+        assert_eq!(
+            whole_content(&answer),
+            expected_content(&format!("caption {number}"), 5),
+            "{}",
+            answer.text()
+        );
+    }
+    for (number, dossier) in dossiers.into_iter().enumerate() {
+        let answer = dossier.join().expect("no panic").expect("an answer");
+        assert_eq!(
+            whole_content(&answer),
+            expected_content(&format!("dossier {number}"), 150),
+            "{}",
+            answer.text()
+        );
+    }
+}
+
+// The same on one node: the queue is full of dossiers, the engine works on more, and captions
+// come. Each caption is answered; each dossier is answered or refused as not run or unknown.
+#[test]
+fn captions_go_ahead_of_a_flood_of_dossiers() {
+    let fleet = FleetPlan::new()
+        .with_nodes(&["dc-a"])
+        .with_engines(1, 2, 10)
+        .start();
+    let dossiers: Vec<_> = (0..30)
+        .map(|number| {
+            let request = model_call("norte", "dossier", &format!("d{number}"), 60, false);
+            call_later(fleet.nodes[0].callers, request)
+        })
+        .collect();
+    sleep(Duration::from_millis(400));
+    for number in 0..6 {
+        let prompt = format!("c{number}");
+        let answer = fleet.ask(0, &model_call("norte", "caption", &prompt, 5, false));
+        assert_eq!(
+            whole_content(&answer),
+            expected_content(&prompt, 5),
+            "{}",
+            answer.text()
+        );
+    }
+    for (number, dossier) in dossiers.into_iter().enumerate() {
+        let answer = dossier.join().expect("no panic").expect("an answer");
+        if answer.status.is_success() {
+            assert_eq!(
+                whole_content(&answer),
+                expected_content(&format!("d{number}"), 60)
+            );
+        } else {
+            assert!(["not_run", "unknown"].contains(&fleet::outcome(&answer).as_str()));
+        }
+    }
+}
--- a/crates/plumgate/src/dispatch/dispatcher.rs
+++ b/crates/plumgate/src/dispatch/dispatcher.rs
@@ -175,10 +175,22 @@
         self.budget.earn();
         let mut actions = self.enqueue(ticket.clone(), now);
         actions.extend(self.dispatch(&ticket.pool, now));
-        actions.extend(self.make_room(&ticket, now));
+        if self.is_waiting(&ticket.id) {
+            actions.push(self.queued(&ticket));
+            actions.extend(self.make_room(&ticket, now));
+        }
         actions
     }
 
+    fn queued(&self, ticket: &RequestTicket) -> DispatchAction {
+        let queue = self.queues.get(&ticket.pool);
+        let before = queue.map_or(0, |queue| queue.ahead_of(ticket.rank, ticket.due));
+        DispatchAction::Queued {
+            request: ticket.id.clone(),
+            ahead: before.saturating_sub(1),
+        }
+    }
+
     fn refuse_at_once(&mut self, ticket: &RequestTicket, now: Instant) -> Option<DispatchAction> {
         if self.stopping {
             return Some(self.refuse(ticket, RefusalReason::Stopping, SHORTEST_RETRY_AFTER));
@@ -343,7 +355,7 @@
 
     /// Lets requests of a lower tier give way where one would wait too long.
     fn make_room(&mut self, ticket: &RequestTicket, now: Instant) -> Vec<DispatchAction> {
-        if self.options.queue == QueuePolicy::Arrival || !self.is_waiting(&ticket.id) {
+        if self.options.queue == QueuePolicy::Arrival {
             return Vec::new();
         }
         let bearable = ticket
@@ -463,7 +475,7 @@
                 tokens,
             } => {
                 self.routes
-                    .observe(&running.server, to_first, to_end, tokens);
+                    .observe(&running.server, to_first, to_end, tokens, now);
                 let held = now.saturating_duration_since(running.started);
                 self.times
                     .entry(running.ticket.pool.clone())
--- a/crates/plumgate/src/dispatch/ticket.rs
+++ b/crates/plumgate/src/dispatch/ticket.rs
@@ -82,6 +82,13 @@
 pub enum DispatchAction {
     /// Send a request to a server.
     Start(Box<StartOrder>),
+    /// Nothing yet: the request waits.
+    Queued {
+        /// The request.
+        request: RequestId,
+        /// How many requests go before it.
+        ahead: usize,
+    },
     /// Tell the caller that the request is not run.
     Refuse {
         /// The request.
--- a/crates/plumgate/src/route/estimate.rs
+++ b/crates/plumgate/src/route/estimate.rs
@@ -5,13 +5,12 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::speed::{ServerSpeed, SpeedEstimate};
 use crate::ids::{NodeId, TierRank};
 use crate::retry::CircuitBreaker;
 
 /// Reports older than this say nothing about the present.
 const REPORT_LIFETIME: Duration = Duration::from_secs(5);
-/// Weight of one new observation of the speed.
-const LEARNING_RATE: f64 = 0.2;
 /// Highest number of ranks that are counted apart.
 pub(crate) const RANKS: usize = 10;
 
@@ -51,8 +50,8 @@
     own: RankCounts,
     peers: HashMap<NodeId, PeerCount>,
     report: Option<DatedReport>,
-    seconds_per_token: Option<f64>,
-    seconds_to_first: Option<f64>,
+    /// How fast the server answers.
+    pub(crate) speed: SpeedEstimate,
     /// Guards against servers that refuse new connections.
     pub(crate) circuit: CircuitBreaker,
 }
@@ -95,16 +94,6 @@
         }
     }
 
-    /// Folds in the speed of an answer that ended well.
-    pub(crate) fn observe(&mut self, to_first: Duration, to_end: Duration, tokens: u32) {
-        let generating = to_end.saturating_sub(to_first);
-        if tokens > 1 {
-            let per_token = generating.as_secs_f64() / f64::from(tokens - 1);
-            fold(&mut self.seconds_per_token, per_token);
-        }
-        fold(&mut self.seconds_to_first, to_first.as_secs_f64());
-    }
-
     /// Requests of this node on the server.
     pub fn own_in_flight(&self) -> u32 {
         self.own.iter().sum()
@@ -142,14 +131,9 @@
         self.report.is_some_and(|held| held.report.leaving)
     }
 
-    /// Seconds between tokens, as seen by this node.
-    pub fn seconds_per_token(&self) -> Option<f64> {
-        self.seconds_per_token
-    }
-
-    /// Seconds to the first token, as seen by this node.
-    pub fn seconds_to_first(&self) -> Option<f64> {
-        self.seconds_to_first
+    /// The speed of the server as this node last saw it.
+    pub fn observed_speed(&self) -> Option<ServerSpeed> {
+        self.speed.observed()
     }
 
     fn fresh_peers(&self, now: Instant) -> impl Iterator<Item = &PeerCount> {
@@ -158,10 +142,3 @@
             .filter(move |peer| now.saturating_duration_since(peer.told) < REPORT_LIFETIME)
     }
 }
-
-fn fold(mean: &mut Option<f64>, observed: f64) {
-    *mean = Some(match *mean {
-        Some(held) => held + LEARNING_RATE * (observed - held),
-        None => observed,
-    });
-}
--- a/crates/plumgate/src/route/mod.rs
+++ b/crates/plumgate/src/route/mod.rs
@@ -2,9 +2,11 @@
 
 mod estimate;
 mod prefix;
+mod speed;
 mod table;
 
 pub use estimate::{LoadReport, ServerEstimate};
+pub use speed::ServerSpeed;
 pub use table::{
     LeavingSource, PeerServerLoad, RouteChoice, RouteOptions, RoutePolicy, RouteTable,
 };
--- a/crates/plumgate/src/route/table.rs
+++ b/crates/plumgate/src/route/table.rs
@@ -6,20 +6,17 @@
 
 use super::estimate::{LoadReport, RankCounts, ServerEstimate};
 use super::prefix::PrefixTable;
+use super::speed::ServerSpeed;
 use crate::config::{FleetConfig, Server};
 use crate::dispatch::RequestTicket;
 use crate::ids::{DataCentreId, NodeId, PoolId, ServerId, TierRank};
 
-/// Seconds between tokens that a server is given before any were seen.
-const DEFAULT_SECONDS_PER_TOKEN: f64 = 0.02;
 /// What a server in another data centre has to be better by.
 const REMOTE_PENALTY: Duration = Duration::from_millis(20);
 /// How much slower a full batch makes each answer in it.
 const BATCH_COST: f64 = 0.2;
 /// Share of the time to the first token that a cached prefix saves.
 const PREFIX_SAVING: f64 = 0.5;
-/// Seconds to the first token that a server is given before any were seen.
-const DEFAULT_SECONDS_TO_FIRST: f64 = 0.05;
 
 /// How a server is chosen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -384,46 +381,39 @@
     }
 
     /// The median speed of the candidates, for servers that this node has not seen at work.
-    fn typical_speed(&self, candidates: &[&Server]) -> f64 {
+    fn typical_speed(&self, candidates: &[&Server]) -> ServerSpeed {
         let estimates = candidates
             .iter()
             .filter_map(|server| self.estimates.get(&server.id));
-        let mut speeds: Vec<f64> = estimates
-            .filter_map(ServerEstimate::seconds_per_token)
+        let speeds: Vec<ServerSpeed> = estimates
+            .filter_map(ServerEstimate::observed_speed)
             .collect();
-        speeds.sort_by(f64::total_cmp);
-        speeds
-            .get(speeds.len() / 2)
-            .copied()
-            .unwrap_or(DEFAULT_SECONDS_PER_TOKEN)
+        ServerSpeed::median(&speeds)
     }
 
     fn predicted_wait(
         &self,
         server: &Server,
         ticket: &RequestTicket,
-        typical: f64,
+        typical: ServerSpeed,
         cached: Option<&ServerId>,
         now: Instant,
     ) -> Duration {
         let Some(estimate) = self.estimates.get(&server.id) else {
             return Duration::MAX;
         };
-        let speed = estimate.seconds_per_token().unwrap_or(typical);
+        let speed = estimate.speed.expected(typical, now);
         let in_flight = f64::from(estimate.own_in_flight() + estimate.peers_in_flight(now));
         let occupancy = (in_flight + 1.0) / f64::from(server.slots.max(1));
         // A batch with room makes each answer a little slower; a full one makes it wait.
         let slowdown = (1.0 + BATCH_COST * occupancy) * occupancy.max(1.0);
-        let work = speed * f64::from(ticket.expected_tokens.max(1)) * slowdown;
-        let to_first = estimate
-            .seconds_to_first()
-            .unwrap_or(DEFAULT_SECONDS_TO_FIRST);
+        let work = speed.per_token * f64::from(ticket.expected_tokens.max(1)) * slowdown;
         let saving = if cached == Some(&server.id) {
             PREFIX_SAVING
         } else {
             0.0
         };
-        let mut seconds = work + to_first * (1.0 - saving);
+        let mut seconds = work + speed.to_first * (1.0 - saving);
         if server.data_centre != self.options.data_centre {
             seconds += REMOTE_PENALTY.as_secs_f64();
         }
@@ -499,9 +489,10 @@
         to_first: Duration,
         to_end: Duration,
         tokens: u32,
+        now: Instant,
     ) {
         if let Some(estimate) = self.estimates.get_mut(server) {
-            estimate.observe(to_first, to_end, tokens);
+            estimate.speed.observe(to_first, to_end, tokens, now);
             estimate.circuit.record_success();
         }
     }
--- a/crates/plumgate/tests/route.rs
+++ b/crates/plumgate/tests/route.rs
@@ -54,12 +54,14 @@
             Duration::from_millis(250),
             Duration::from_secs(5),
             50,
+            now,
         );
         table.observe(
             &"s3".into(),
             Duration::from_millis(50),
             Duration::from_secs(1),
             50,
+            now,
         );
     }
     let spread = spread(&mut table, 8, now);
@@ -135,6 +137,7 @@
         Duration::from_millis(50),
         Duration::from_secs(1),
         50,
+        now,
     );
     assert_eq!(spread(&mut table, 9, later)["s1"], 4);
 }
@@ -213,3 +216,74 @@
     }
     assert!(bench.dispatcher.is_idle());
 }
+
+// A server that nobody has used yet stands beside quick ones. It must get its share: by a
+// guess from a constant it would look slower than those seen, and never be tried.
+#[test]
+fn server_without_history_counts_as_typical() {
+    let mut table = table(3, 8);
+    let now = Instant::now();
+    table.observe(
+        &"s1".into(),
+        Duration::from_millis(5),
+        Duration::from_millis(100),
+        50,
+        now,
+    );
+    let spread = spread(&mut table, 8, now);
+    assert_eq!(spread["s3"], 4, "{spread:?}");
+}
+
+// A straggler recovers while it gets no work. Its old slowness must be forgotten, or a whole
+// server would stay idle for good.
+#[test]
+fn straggler_is_tried_again_after_a_while() {
+    let mut table = table(3, 8);
+    let now = Instant::now();
+    for _ in 0..10 {
+        table.observe(
+            &"s1".into(),
+            Duration::from_millis(250),
+            Duration::from_secs(5),
+            50,
+            now,
+        );
+        table.observe(
+            &"s3".into(),
+            Duration::from_millis(50),
+            Duration::from_secs(1),
+            50,
+            now,
+        );
+    }
+    let mut later = now;
+    let mut tried_after = None;
+    for second in 0..300 {
+        later = now + Duration::from_secs(second);
+        table.observe(
+            &"s3".into(),
+            Duration::from_millis(50),
+            Duration::from_secs(1),
+            50,
+            later,
+        );
+        let ticket = Bench::new(1, 1).ticket("caption");
+        for number in 0..4 {
+            let choice = table.choose(&ticket, 1, later).expect("room");
+            table.start(&choice.server.id, &ticket, later);
+            if &*choice.server.id == "s1" {
+                tried_after.get_or_insert((second, number));
+            }
+        }
+        for server in ["s1", "s2", "s3"] {
+            for _ in 0..4 {
+                table.finish(&server.into(), 1);
+            }
+        }
+    }
+    let (second, _) = tried_after.expect("it is tried again");
+    assert!(
+        (5..200).contains(&second),
+        "after {second} s, until {later:?}"
+    );
+}
