orders to engines under leases; observers of servers; marks that end by themselves

Change: one lease a data centre and model, its epoch the fencing number; the holder compares the inventory with what engines say and orders the difference at the weight store's pace, a log line each; two observers a server read its load; own-word marks end after 10 s. Found, seen red first: golden sessions differed once orders ran beside them, since the lease was noticed only at a tick; it is now noticed with the platform's answer.

--- a/crates/plumgate-node/src/admin.rs
+++ b/crates/plumgate-node/src/admin.rs
@@ -82,7 +82,7 @@
     let config = shared.config.load_full();
     let dispatcher = shared.dispatcher();
     let load = dispatcher.load();
-    let leaving = dispatcher.routes().leaving();
+    let leaving = dispatcher.routes().leaving(now);
     let servers = config
         .iter()
         .flat_map(|config| config.inventory.servers.values());
--- a/crates/plumgate-node/src/control.rs
+++ b/crates/plumgate-node/src/control.rs
@@ -12,13 +12,15 @@
 use plumgate::follow::{ConfigFollower, ConfigHead, FollowAction};
 use plumgate::ids::{PoolId, ServerId, TierRank};
 use plumgate::membership::{ListedNode, MemberEvent, MemberTable};
-use plumgate::route::{LeavingSource, PeerServerLoad};
+use plumgate::route::{LeavingSource, LoadReport, PeerServerLoad};
 use plumgate::wire::{NodeDigest, PeerEnvelope, PeerMessage, ReplayGuard, ServerLoad, TextPatch};
 
 use crate::clock::Clock;
 use crate::life::NodeLife;
 use crate::log::LogLine;
 use crate::metrics::ReasonLabels;
+use crate::observe::{ServerObserver, fetch_report};
+use crate::orders::{OrderEvent, OrderGiver, OrderTask};
 use crate::peers::PeerLinks;
 use crate::platform::{CONFIG_HEAD, CONFIG_TABLE, ListedVm, ReadFailure, TableRow, VmRole};
 use crate::shared::{ControlEvent, MemberView, NodeShared};
@@ -47,6 +49,14 @@
     Head(Result<Option<TableRow<ConfigHead>>, ReadFailure>),
     Body(ConfigHead, Option<String>),
     Vms(Result<Vec<ListedVm>, ReadFailure>),
+    Report(Option<(ServerId, LoadReport)>),
+}
+
+/// What woke the control thread before its next tick.
+enum Woken {
+    Event(ControlEvent),
+    Task(TaskEnd),
+    Order(OrderEvent),
 }
 
 /// The state of the control thread.
@@ -60,6 +70,9 @@
     links: PeerLinks,
     guard: ReplayGuard,
     life: NodeLife,
+    orders: OrderGiver<C>,
+    order_ends: Receiver<OrderEvent>,
+    observer: ServerObserver,
     last_patch: Option<(u64, u64, TextPatch)>,
     next_list: Option<Instant>,
     platform_heard: Option<Instant>,
@@ -76,8 +89,12 @@
         members: MemberTable,
         links: PeerLinks,
     ) -> Self {
+        let (order_sender, order_ends) = async_channel::unbounded();
         Self {
             life: NodeLife::new(&shared.settings),
+            orders: OrderGiver::new(shared.clone(), order_sender),
+            order_ends,
+            observer: ServerObserver::default(),
             shared,
             events,
             executor,
@@ -117,13 +134,25 @@
             None
         };
         let events = self.events.clone();
-        let event = async { Some(Ok(events.recv().await)) };
+        let event = async { Some(Woken::Event(events.recv().await.ok()?)) };
         let ends = self.task_ends.1.clone();
-        let end = async { Some(Err(ends.recv().await)) };
-        match future::or(tick, future::or(event, end)).await {
-            Some(Ok(Ok(event))) => self.apply(event),
-            Some(Err(Ok(end))) => self.apply_end(end),
-            Some(Ok(Err(_)) | Err(Err(_))) | None => {}
+        let end = async { Some(Woken::Task(ends.recv().await.ok()?)) };
+        let orders = self.order_ends.clone();
+        let order = async { Some(Woken::Order(orders.recv().await.ok()?)) };
+        match future::or(tick, future::or(event, future::or(end, order))).await {
+            Some(Woken::Event(event)) => self.apply(event),
+            Some(Woken::Task(end)) => self.apply_end(end),
+            Some(Woken::Order(event)) => {
+                let task = self.orders.apply(event);
+                self.run_tasks(task);
+            }
+            None => {}
+        }
+    }
+
+    fn run_tasks(&self, tasks: impl IntoIterator<Item = OrderTask>) {
+        for task in tasks {
+            self.executor.spawn(task).detach();
         }
     }
 
@@ -147,6 +176,9 @@
             self.follow(action);
         }
         self.read_list(now);
+        self.observe_servers(now);
+        let tasks = self.orders.tick(&self.members, self.life.is_stopping());
+        self.run_tasks(tasks);
         let actions = self.shared.dispatcher().tick(now);
         self.shared.carry_out(actions);
         self.publish_members();
@@ -214,13 +246,14 @@
     /// Leaving marks of the platform and of servers themselves. Marks that only peers told are
     /// not told on, or a mark would outlive its source by going round.
     fn leaving_to_tell(&self) -> Vec<String> {
+        let now = self.shared.clock.now();
         let dispatcher = self.shared.dispatcher();
         let own = |sources: &Vec<LeavingSource>| {
             sources
                 .iter()
                 .any(|source| matches!(source, LeavingSource::Platform | LeavingSource::Server))
         };
-        let leaving = dispatcher.routes().leaving().into_iter();
+        let leaving = dispatcher.routes().leaving(now).into_iter();
         leaving
             .filter(|(_, sources)| own(sources))
             .map(|(server, _)| server.to_string())
@@ -494,12 +527,30 @@
                 self.follow_some(action);
             }
             TaskEnd::Vms(Ok(vms)) => self.apply_list(vms),
+            TaskEnd::Report(Some((server, report))) => {
+                self.shared
+                    .dispatcher()
+                    .routes_mut()
+                    .apply_report(&server, report, now);
+            }
+            // A server that gives no report is judged by how it answers requests.
+            TaskEnd::Report(None) => {}
             TaskEnd::Head(Err(_)) | TaskEnd::Vms(Err(_)) | TaskEnd::Body(_, None) => {
                 self.shared.metrics.platform_failures.inc();
             }
         }
     }
 
+    fn observe_servers(&mut self, now: Instant) {
+        let Some(config) = self.shared.config.load_full() else {
+            return;
+        };
+        for server in self.observer.tick(&self.members, &config, now) {
+            let shared = self.shared.clone();
+            self.spawn(|_| async move { TaskEnd::Report(fetch_report(shared, server).await) });
+        }
+    }
+
     fn read_list(&mut self, now: Instant) {
         if self.next_list.is_some_and(|due| now < due) {
             return;
--- a/crates/plumgate-node/src/lib.rs
+++ b/crates/plumgate-node/src/lib.rs
@@ -26,6 +26,8 @@
 mod life;
 mod metrics;
 mod node;
+mod observe;
+mod orders;
 mod peers;
 mod relay;
 mod shared;
--- a/crates/plumgate-standin/src/engine.rs
+++ b/crates/plumgate-standin/src/engine.rs
@@ -55,6 +55,10 @@
     pub checks_fencing: bool,
     /// How long a run goes on that nobody listens to.
     pub orphan_time: Duration,
+    /// Whether requests are refused for models that are not loaded.
+    pub strict_models: bool,
+    /// The models that are loaded from the start.
+    pub models: Vec<String>,
 }
 
 impl EngineOptions {
@@ -69,6 +73,8 @@
             cached_prefixes: 64,
             checks_fencing: true,
             orphan_time: Duration::from_secs(10),
+            strict_models: false,
+            models: Vec::new(),
         }
     }
 
@@ -85,6 +91,12 @@
         self
     }
 
+    /// The same with models that are loaded from the start.
+    pub fn with_models(mut self, models: &[&str]) -> Self {
+        self.models = models.iter().map(ToString::to_string).collect();
+        self
+    }
+
     /// The same, checking fencing numbers or not.
     pub fn with_fencing(mut self, checks: bool) -> Self {
         self.checks_fencing = checks;
@@ -192,6 +204,8 @@
 /// The part of a request that the engine reads.
 #[derive(Deserialize)]
 struct EngineRequest {
+    #[serde(default)]
+    model: String,
     #[serde(default)]
     stream: bool,
     max_tokens: Option<u32>,
@@ -204,11 +218,20 @@
 impl<C: Clock> StandinEngine<C> {
     /// An idle engine.
     pub fn new(clock: C, options: EngineOptions, executor: Rc<LocalExecutor<'static>>) -> Self {
+        let models = options
+            .models
+            .iter()
+            .map(|model| (model.clone(), true))
+            .collect();
+        let state = Rc::new(RefCell::new(EngineState {
+            models,
+            ..EngineState::default()
+        }));
         Self {
             clock,
             options,
             executor,
-            state: Rc::default(),
+            state,
             changed: Rc::new(Event::new()),
         }
     }
@@ -249,10 +272,11 @@
         }
     }
 
-    /// Keeps the newest requests for a test to look at.
+    /// Keeps the first requests for a test to look at, not the regular looks at the engine.
     fn note(&self, head: &hyper::http::request::Parts, body: &[u8]) {
         let mut state = self.state_mut();
-        if state.journal.len() < JOURNAL_LENGTH {
+        let is_request = head.uri.path().starts_with("/v1/");
+        if is_request && state.journal.len() < JOURNAL_LENGTH {
             state.journal.push(journal_line(head, body));
         }
     }
@@ -321,6 +345,15 @@
             ));
         };
         let faults = self.state().faults.clone();
+        let has_model = self
+            .state()
+            .models
+            .get(&request.model)
+            .copied()
+            .unwrap_or(false);
+        if self.options.strict_models && !has_model {
+            return Ok(refuse(false));
+        }
         if faults.refuse || faults.leaving {
             return Ok(refuse(faults.leaving));
         }
--- a/crates/plumgate-standin/src/main.rs
+++ b/crates/plumgate-standin/src/main.rs
@@ -44,6 +44,11 @@
         .arg(number("first-token-ms", "20"))
         .arg(number("token-ms", "5"))
         .arg(number("report-lag-ms", "500"))
+        .arg(
+            Arg::new("strict-models")
+                .long("strict-models")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("ignores-fencing")
                 .long("ignores-fencing")
@@ -116,6 +121,7 @@
             get_milliseconds(matches, "token-ms"),
         )
         .with_fencing(!matches.get_flag("ignores-fencing"));
+    options.strict_models = matches.get_flag("strict-models");
     options.report_lag = get_milliseconds(matches, "report-lag-ms");
     let executor = Rc::new(LocalExecutor::new());
     let engine = StandinEngine::new(SystemClock, options, executor.clone());
--- a/crates/plumgate-standin/tests/fleet/mod.rs
+++ b/crates/plumgate-standin/tests/fleet/mod.rs
@@ -172,6 +172,8 @@
     slots: usize,
     token_ms: u64,
     list_lag_ms: u64,
+    checks_fencing: bool,
+    strict_models: bool,
     rules: String,
     variables: Vec<(&'static str, String)>,
 }
@@ -221,6 +223,8 @@
             slots: 4,
             token_ms: 5,
             list_lag_ms: 500,
+            checks_fencing: true,
+            strict_models: false,
             rules: RULES.to_owned(),
             variables: Vec::new(),
         }
@@ -240,6 +244,18 @@
         self
     }
 
+    /// The same with engines that refuse what they have no model for.
+    pub(crate) fn with_strict_models(mut self) -> Self {
+        self.strict_models = true;
+        self
+    }
+
+    /// The same with engines that ignore fencing numbers, as the inventory says.
+    pub(crate) fn without_fencing(mut self) -> Self {
+        self.checks_fencing = false;
+        self
+    }
+
     /// The same with a text of the rules replaced.
     pub(crate) fn with_rule(mut self, old: &str, new: &str) -> Self {
         assert!(self.rules.contains(old), "{old} is not in the rules");
@@ -362,6 +378,12 @@
         if kind == "engine" {
             args.push(format!("--slots={}", self.plan.slots));
             args.push(format!("--token-ms={}", self.plan.token_ms));
+            if self.plan.strict_models {
+                args.push("--strict-models".to_owned());
+            }
+            if !self.plan.checks_fencing {
+                args.push("--ignores-fencing".to_owned());
+            }
         }
         let log = self.folder.join(format!("{name}.log"));
         let process = FleetProcess::start("plumgate-standin", &args, &[], log);
@@ -475,7 +497,11 @@
             ));
         };
         for (index, engine) in self.engines.iter().enumerate() {
-            server(engine, index, "model = \"m\"", self.plan.slots);
+            let model = format!(
+                "model = \"m\"\nchecks_fencing = {}",
+                self.plan.checks_fencing
+            );
+            server(engine, index, &model, self.plan.slots);
         }
         for (index, service) in self.services.iter().enumerate() {
             server(service, index, "service = \"receipts\"", 16);
--- a/crates/plumgate-standin/tests/golden.rs
+++ b/crates/plumgate-standin/tests/golden.rs
@@ -121,6 +121,7 @@
         spawn_server(move |executor| {
             let options = EngineOptions::new("engine-1")
                 .with_slots(slots)
+                .with_models(&["m"])
                 .with_times(Duration::ZERO, Duration::ZERO);
             Box::pin(StandinEngine::new(engine_clock, options, executor).run(engine_listener))
         });
@@ -155,6 +156,9 @@
             text: String::new(),
         };
         session.wait_for_line("state=ready");
+        // The next tick claims the lease for the engine's model.
+        session.clock.advance(Duration::from_millis(100));
+        session.wait_for_line("event=lease");
         session
     }
 
--- a/crates/plumgate/src/config/diff.rs
+++ b/crates/plumgate/src/config/diff.rs
@@ -90,6 +90,7 @@
         setting("key_lifetime", &rules.key_lifetime),
         setting("retry_share", &rules.retry_share),
         setting("progress_timeout", &rules.progress_timeout),
+        setting("loads_per_minute", &rules.loads_per_minute),
         setting("burst_reserve", &rules.burst_reserve),
     ])
 }
--- a/crates/plumgate/src/config/rules.rs
+++ b/crates/plumgate/src/config/rules.rs
@@ -11,6 +11,10 @@
 const MOST_MILLISECONDS: u64 = 86_400_000;
 /// Most tokens that a class may be said to generate.
 const MOST_TOKENS: u64 = 1_000_000;
+/// Loads a minute where the rules don't say.
+const DEFAULT_LOADS: u64 = 6;
+/// Most loads a minute.
+const MOST_LOADS: u64 = 6_000;
 /// Lowest tier, as a number.
 const MOST_RANK: u64 = 9;
 /// Requests of each tier that a node queues where the rules don't say.
@@ -45,6 +49,8 @@
     pub retry_share: f64,
     /// How long a server may be silent within an answer before its connection is replaced.
     pub progress_timeout: Duration,
+    /// How many models a data centre loads from the weight store a minute, for each model.
+    pub loads_per_minute: u32,
     /// Which share of each pool's slots lower tiers leave free for the highest tier.
     pub burst_reserve: f64,
 }
@@ -118,6 +124,9 @@
         key_lifetime: milliseconds("key_lifetime_ms", DEFAULT_KEY_LIFETIME),
         retry_share: root.share("retry_share", DEFAULT_RETRY_SHARE),
         progress_timeout: milliseconds("progress_timeout_ms", DEFAULT_PROGRESS_TIMEOUT),
+        loads_per_minute: root
+            .integer("loads_per_minute", DEFAULT_LOADS, MOST_LOADS)
+            .max(1) as u32,
         burst_reserve: root.share("burst_reserve", 0.0),
         tiers,
         classes,
--- a/crates/plumgate/src/dispatch/dispatcher.rs
+++ b/crates/plumgate/src/dispatch/dispatcher.rs
@@ -195,7 +195,7 @@
         if self.stopping {
             return Some(self.refuse(ticket, RefusalReason::Stopping, SHORTEST_RETRY_AFTER));
         }
-        if !self.routes.has_servers(&ticket.pool) {
+        if !self.routes.has_servers(&ticket.pool, now) {
             return Some(self.refuse(ticket, RefusalReason::NoServer, Duration::from_secs(1)));
         }
         let workspace = self
@@ -483,7 +483,7 @@
                     .observe(held);
             }
             AttemptEnd::ConnectionFailed => self.routes.record_failure(&running.server, now),
-            AttemptEnd::Refused { leaving: true } => self.routes.mark_leaving(&running.server),
+            AttemptEnd::Refused { leaving: true } => self.routes.mark_leaving(&running.server, now),
             AttemptEnd::Refused { leaving: false } | AttemptEnd::GivenUp => {}
         }
         self.dispatch(&running.ticket.pool, now)
--- a/crates/plumgate/src/lease.rs
+++ b/crates/plumgate/src/lease.rs
@@ -106,6 +106,11 @@
     /// What to do next, if anything is due. `wanted` says whether this node should hold the lease.
     pub fn tick(&mut self, wanted: bool, now: Instant) -> Option<LeaseAction> {
         self.lapse(now);
+        if !wanted {
+            self.release();
+        } else if self.run.is_ended() {
+            self.run = ChartRun::new(CHART.clone());
+        }
         if self.asked.is_some() {
             return None;
         }
@@ -117,17 +122,31 @@
         }
     }
 
+    /// Stops acting by the lease. The row stays as it is and ends by itself: an order that is
+    /// still under way must be over before another node orders.
+    fn release(&mut self) {
+        if self.run.expects("release") {
+            let _ = self.run.apply("release");
+            self.forget();
+        }
+    }
+
+    fn forget(&mut self) {
+        self.valid_until = None;
+        self.settled_at = None;
+        self.held = None;
+        self.pending = None;
+        self.asked = None;
+        self.seen = None;
+    }
+
     /// Gives the lease up by its own clock before anyone else may take it.
     fn lapse(&mut self, now: Instant) {
         if self.valid_until.is_some_and(|until| now >= until) {
             if self.run.expects("margin_reached") {
                 let _ = self.run.apply("margin_reached");
             }
-            self.valid_until = None;
-            self.settled_at = None;
-            self.held = None;
-            self.pending = None;
-            self.asked = None;
+            self.forget();
         }
     }
 
--- a/crates/plumgate/src/lib.rs
+++ b/crates/plumgate/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod limits;
 pub mod membership;
 pub mod outcome;
+pub mod placement;
 pub mod retry;
 pub mod route;
 pub mod wire;
--- a/crates/plumgate/src/membership.rs
+++ b/crates/plumgate/src/membership.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::ids::{DataCentreId, NodeId};
 use crate::wire::NodeDigest;
@@ -346,12 +346,5 @@
 
 /// How much a node is preferred for a role; the highest wins.
 pub fn rendezvous_weight(role: &str, node: &str) -> u64 {
-    let digest = Sha256::new()
-        .chain_update(role)
-        .chain_update([0])
-        .chain_update(node)
-        .finalize();
-    let mut first = [0; 8];
-    first.copy_from_slice(&digest[..8]);
-    u64::from_be_bytes(first)
+    xxh3_64_with_seed(node.as_bytes(), xxh3_64(role.as_bytes()))
 }
--- a/crates/plumgate/src/route/estimate.rs
+++ b/crates/plumgate/src/route/estimate.rs
@@ -127,8 +127,11 @@
     }
 
     /// Whether the server's last report says that it is leaving.
-    pub(crate) fn says_leaving(&self) -> bool {
-        self.report.is_some_and(|held| held.report.leaving)
+    pub(crate) fn says_leaving(&self, now: Instant) -> bool {
+        let fresh =
+            |held: &DatedReport| now.saturating_duration_since(held.measured) < REPORT_LIFETIME;
+        self.report
+            .is_some_and(|held| held.report.leaving && fresh(&held))
     }
 
     /// The speed of the server as this node last saw it.
--- a/crates/plumgate/src/route/table.rs
+++ b/crates/plumgate/src/route/table.rs
@@ -15,6 +15,8 @@
 const REMOTE_PENALTY: Duration = Duration::from_millis(20);
 /// How much slower a full batch makes each answer in it.
 const BATCH_COST: f64 = 0.2;
+/// How long a server's own word that it is leaving counts.
+const SAID_LIFETIME: Duration = Duration::from_secs(10);
 /// Share of the time to the first token that a cached prefix saves.
 const PREFIX_SAVING: f64 = 0.5;
 
@@ -122,6 +124,7 @@
     pools: BTreeMap<PoolId, Vec<ServerId>>,
     estimates: BTreeMap<ServerId, ServerEstimate>,
     leaving: BTreeMap<ServerId, BTreeSet<LeavingSource>>,
+    said_leaving: BTreeMap<ServerId, Instant>,
     prefixes: PrefixTable,
     rng: fastrand::Rng,
     turn: usize,
@@ -138,6 +141,7 @@
             pools: BTreeMap::new(),
             estimates: BTreeMap::new(),
             leaving: BTreeMap::new(),
+            said_leaving: BTreeMap::new(),
             prefixes: PrefixTable::default(),
             rng,
             turn: 0,
@@ -195,21 +199,32 @@
     }
 
     /// A server said in an answer that it is leaving.
-    pub fn mark_leaving(&mut self, server: &ServerId) {
+    ///
+    /// The mark ends by itself: a server that came back under its old name never says so to
+    /// nodes that send it nothing. If it still leaves, the next request is refused as not run.
+    pub fn mark_leaving(&mut self, server: &ServerId, now: Instant) {
         if self.estimates.contains_key(server) {
-            self.leaving
-                .entry(server.clone())
-                .or_default()
-                .insert(LeavingSource::Server);
+            self.said_leaving
+                .insert(server.clone(), now + SAID_LIFETIME);
         }
     }
 
     /// The servers that get no new work, with who says so.
-    pub fn leaving(&self) -> BTreeMap<ServerId, Vec<LeavingSource>> {
+    pub fn leaving(&self, now: Instant) -> BTreeMap<ServerId, Vec<LeavingSource>> {
         let mut leaving: BTreeMap<ServerId, Vec<LeavingSource>> = BTreeMap::new();
         for (id, sources) in &self.leaving {
             leaving.entry(id.clone()).or_default().extend(sources);
         }
+        for id in self
+            .estimates
+            .keys()
+            .filter(|id| self.says_leaving(id, now))
+        {
+            leaving
+                .entry(id.clone())
+                .or_default()
+                .push(LeavingSource::Server);
+        }
         let drained = self.config.iter().flat_map(|config| &config.drained);
         for id in drained {
             leaving
@@ -221,16 +236,23 @@
     }
 
     /// Whether a server gets no new work.
-    pub fn is_leaving(&self, server: &ServerId) -> bool {
+    pub fn is_leaving(&self, server: &ServerId, now: Instant) -> bool {
         self.leaving.contains_key(server)
+            || self.says_leaving(server, now)
             || self
                 .config
                 .as_ref()
                 .is_some_and(|config| config.drained.contains(server))
+    }
+
+    fn says_leaving(&self, server: &ServerId, now: Instant) -> bool {
+        self.said_leaving
+            .get(server)
+            .is_some_and(|until| now < *until)
             || self
                 .estimates
                 .get(server)
-                .is_some_and(ServerEstimate::says_leaving)
+                .is_some_and(|estimate| estimate.says_leaving(now))
     }
 
     /// Folds in a server's report.
@@ -278,12 +300,12 @@
     }
 
     /// Whether the pool has any server at all that may get work.
-    pub fn has_servers(&self, pool: &PoolId) -> bool {
+    pub fn has_servers(&self, pool: &PoolId, now: Instant) -> bool {
         self.pools
             .get(pool)
             .into_iter()
             .flatten()
-            .any(|id| !self.is_leaving(id))
+            .any(|id| !self.is_leaving(id, now))
     }
 
     /// The best server with room for the request, if there is one.
@@ -347,7 +369,7 @@
         let Some(estimate) = self.estimates.get(&server.id) else {
             return false;
         };
-        if self.is_leaving(&server.id) || !estimate.circuit.allows(now) {
+        if self.is_leaving(&server.id, now) || !estimate.circuit.allows(now) {
             return false;
         }
         let own = estimate.own_in_flight();
--- a/crates/plumgate/tests/route.rs
+++ b/crates/plumgate/tests/route.rs
@@ -153,8 +153,14 @@
         assert_eq!(spread(&mut table, 4, now)["s1"], 4);
     }
     let mut table = table(1, 4);
-    table.mark_leaving(&"s1".into());
+    table.mark_leaving(&"s1".into(), now);
     assert_eq!(spread(&mut table, 4, now), BTreeMap::new());
+    let later = now + Duration::from_secs(11);
+    assert_eq!(
+        spread(&mut table, 4, later)["s1"],
+        4,
+        "the server's own word ends by itself"
+    );
     let drained = ConfigBundle::new(inventory(1, 4), RULES).with_drained(["s1".to_owned()]);
     let mut table = RouteTable::new(RouteOptions::new("here"));
     table.set_config(std::sync::Arc::new(drained.read(2).expect("no findings")));
