--- a/crates/plumgate-node/src/orders.rs
+++ b/crates/plumgate-node/src/orders.rs
@@ -120,9 +120,6 @@
         if let Some(action) = care.lease.tick(wanted, now) {
             tasks.push(self.ask_platform(model, action));
         }
-        let Some(care) = self.models.get_mut(model) else {
-            return tasks;
-        };
         self.note_lease(model, now);
         let Some(care) = self.models.get_mut(model) else {
             return tasks;
--- /dev/null
+++ b/crates/plumgate-standin/src/load/experiment.rs
@@ -0,0 +1,445 @@
+//! Compares plumgate's choices with baselines: same seed, same arrivals, same faults.
+//!
+//! Each run starts a fleet of its own from an example's inventory and rules: the platform, the
+//! engines, and two nodes in each data centre.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command as Process, ExitCode, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use hyper::Method;
+use plumgate::config::{ConfigBundle, FleetConfig, ServerKind};
+use serde_json::{Value, json};
+
+use super::drive;
+use super::measure::RunMeasure;
+use super::scenario::LoadScenario;
+use crate::http::{ClientCall, call};
+
+/// Nodes in each data centre.
+const NODES: usize = 2;
+/// Longest time that anything is waited for.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Slots of each engine in an experiment.
+const SLOTS: usize = 4;
+
+/// A choice of policies that is compared.
+#[derive(Clone, Copy, Debug)]
+struct PolicyPair {
+    name: &'static str,
+    route: &'static str,
+    queue: &'static str,
+}
+
+const POLICIES: [PolicyPair; 5] = [
+    PolicyPair {
+        name: "plumgate",
+        route: "predicted-wait",
+        queue: "tiered",
+    },
+    PolicyPair {
+        name: "round-robin",
+        route: "round-robin",
+        queue: "arrival",
+    },
+    PolicyPair {
+        name: "least-in-flight",
+        route: "least-in-flight",
+        queue: "arrival",
+    },
+    PolicyPair {
+        name: "least-reported",
+        route: "least-reported",
+        queue: "arrival",
+    },
+    PolicyPair {
+        name: "tiers-random",
+        route: "random",
+        queue: "tiered",
+    },
+];
+
+/// The command line.
+pub fn command() -> Command {
+    let number = |name, default| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+    };
+    Command::new("experiment")
+        .about("Compares policies on fleets of real processes")
+        .arg(Arg::new("example").long("example").required(true).help("Folder with inventory.toml, rules.toml and rush.toml"))
+        .arg(Arg::new("policies").long("policies").default_value("plumgate,round-robin,least-in-flight").value_delimiter(','))
+        .arg(Arg::new("faults").long("faults").default_value("none").value_delimiter(',').help("none, straggler, crash, stale-reports, store-away, nodes-frozen; joined by + for pairs"))
+        .arg(Arg::new("seeds").long("seeds").default_value("1,2,3").value_delimiter(',').value_parser(value_parser!(u64)))
+        .arg(number("seconds", "20"))
+        .arg(number("port", "9000").help("First of some 60 ports"))
+}
+
+/// Runs all combinations and prints their medians.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let list = |name| {
+        matches
+            .get_many::<String>(name)
+            .unwrap_or_default()
+            .cloned()
+            .collect::<Vec<String>>()
+    };
+    let seeds: Vec<u64> = matches
+        .get_many("seeds")
+        .unwrap_or_default()
+        .copied()
+        .collect();
+    let number = |name| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let folder = PathBuf::from(list("example").concat());
+    for fault in list("faults") {
+        for policy in list("policies") {
+            let Some(pair) = POLICIES.iter().find(|pair| pair.name == policy) else {
+                eprintln!("\"{policy}\" is not a policy");
+                return ExitCode::from(2);
+            };
+            let mut runs = Vec::new();
+            for seed in &seeds {
+                let seconds = Duration::from_secs(number("seconds"));
+                match run_once(
+                    &folder,
+                    *pair,
+                    &fault,
+                    *seed,
+                    seconds,
+                    number("port") as u16,
+                ) {
+                    Ok(measure) => runs.push(measure),
+                    Err(error) => {
+                        eprintln!("experiment: {error}");
+                        return ExitCode::FAILURE;
+                    }
+                }
+            }
+            print_runs(&policy, &fault, &runs);
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+/// Median, lowest and highest of a figure.
+fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    let at = |index: usize| values.get(index).copied().unwrap_or_default();
+    format!(
+        "{:.3} ({:.3}..{:.3})",
+        at(values.len() / 2),
+        at(0),
+        at(values.len().saturating_sub(1))
+    )
+}
+
+fn print_runs(policy: &str, fault: &str, runs: &[RunMeasure]) {
+    println!(
+        "policy {policy}, fault {fault}, {} runs: median (lowest..highest)",
+        runs.len()
+    );
+    let mut classes: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+    for run in runs {
+        for (name, class) in run.classes() {
+            classes.entry(name).or_default().push(class.attainment());
+        }
+    }
+    for (name, values) in classes {
+        println!("  attainment {name:<12} {}", spread(values));
+    }
+    println!(
+        "  goodput a second       {}",
+        spread(runs.iter().map(RunMeasure::goodput).collect())
+    );
+    println!(
+        "  wasted work            {}",
+        spread(runs.iter().map(RunMeasure::wasted).collect())
+    );
+}
+
+fn run_once(
+    folder: &Path,
+    pair: PolicyPair,
+    fault: &str,
+    seed: u64,
+    length: Duration,
+    port: u16,
+) -> io::Result<RunMeasure> {
+    let scenario = std::fs::read_to_string(folder.join("rush.toml"))?;
+    let scenario = LoadScenario::read(&scenario).map_err(io::Error::other)?;
+    let mut fleet = ExperimentFleet::start(folder, pair, fault, port)?;
+    fleet.apply()?;
+    let arrivals = scenario.arrivals(seed, length);
+    let (nodes, engines) = (fleet.nodes.clone(), fleet.engines.clone());
+    let driving = std::thread::spawn(move || drive(&scenario, &arrivals, &nodes, &engines));
+    sleep(length / 3);
+    fleet.begin_fault(fault)?;
+    sleep(length / 3);
+    fleet.end_fault(fault)?;
+    driving
+        .join()
+        .map_err(|_| io::Error::other("the load tool failed"))
+}
+
+/// A fleet of one run; its processes end with it.
+struct ExperimentFleet {
+    processes: Vec<Child>,
+    node_processes: Vec<usize>,
+    engine_processes: Vec<usize>,
+    platform: SocketAddr,
+    engines: Vec<SocketAddr>,
+    nodes: Vec<SocketAddr>,
+    admins: Vec<SocketAddr>,
+    folder: PathBuf,
+}
+
+impl Drop for ExperimentFleet {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            // One that has ended already needs no more.
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl ExperimentFleet {
+    fn start(example: &Path, pair: PolicyPair, fault: &str, first_port: u16) -> io::Result<Self> {
+        let mut port = first_port;
+        let mut next = || {
+            loop {
+                let address = SocketAddr::from(([127, 0, 0, 1], port));
+                port += 1;
+                if TcpListener::bind(address).is_ok() {
+                    return address;
+                }
+            }
+        };
+        let folder =
+            std::env::temp_dir().join(format!("plumgate-experiment-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let platform = next();
+        let mut fleet = Self {
+            processes: Vec::new(),
+            node_processes: Vec::new(),
+            engine_processes: Vec::new(),
+            platform,
+            engines: Vec::new(),
+            nodes: Vec::new(),
+            admins: Vec::new(),
+            folder,
+        };
+        fleet.spawn(
+            "plumgate-standin",
+            &["platform".into(), format!("--listen={platform}")],
+            &[],
+        )?;
+        let config = fleet.write_config(example, &mut next)?;
+        fleet.start_engines(&config, fault)?;
+        fleet.start_nodes(&config, pair, &mut next)?;
+        for address in fleet.engines.iter().chain(&fleet.nodes) {
+            let path = if fleet.nodes.contains(address) {
+                "/healthz"
+            } else {
+                "/counts"
+            };
+            wait_for(*address, path)?;
+        }
+        Ok(fleet)
+    }
+
+    /// The example's files with the engines' addresses on this machine.
+    fn write_config(
+        &self,
+        example: &Path,
+        next: &mut impl FnMut() -> SocketAddr,
+    ) -> io::Result<FleetConfig> {
+        let mut inventory = std::fs::read_to_string(example.join("inventory.toml"))?;
+        let rules = std::fs::read_to_string(example.join("rules.toml"))?;
+        let read = |inventory: &str| {
+            let bundle = ConfigBundle::new(inventory, rules.as_str());
+            bundle
+                .read(1)
+                .map_err(|error| io::Error::other(error.to_string()))
+        };
+        for server in read(&inventory)?.inventory.servers.values() {
+            let old = format!("\"{}\"", server.address);
+            inventory = inventory.replace(&old, &format!("\"{}\"", next()));
+        }
+        let inventory = inventory.replace("slots = 8", &format!("slots = {SLOTS}"));
+        std::fs::write(self.folder.join("inventory.toml"), &inventory)?;
+        std::fs::write(self.folder.join("rules.toml"), &rules)?;
+        read(&inventory)
+    }
+
+    fn start_engines(&mut self, config: &FleetConfig, fault: &str) -> io::Result<()> {
+        let lag = if fault.contains("stale-reports") {
+            3000
+        } else {
+            500
+        };
+        let engines = config
+            .inventory
+            .servers
+            .values()
+            .filter(|s| s.kind == ServerKind::Engine);
+        for server in engines {
+            let args = [
+                "engine".to_owned(),
+                format!("--listen={}", server.address),
+                format!("--name={}", server.id),
+                format!("--slots={SLOTS}"),
+                "--first-token-ms=30".to_owned(),
+                "--token-ms=10".to_owned(),
+                format!("--report-lag-ms={lag}"),
+            ];
+            self.engine_processes.push(self.processes.len());
+            self.engines.push(server.address);
+            self.spawn("plumgate-standin", &args, &[])?;
+        }
+        Ok(())
+    }
+
+    fn start_nodes(
+        &mut self,
+        config: &FleetConfig,
+        pair: PolicyPair,
+        next: &mut impl FnMut() -> SocketAddr,
+    ) -> io::Result<()> {
+        let mut seeds: Vec<String> = Vec::new();
+        for data_centre in config.inventory.data_centres.keys() {
+            for number in 1..=NODES {
+                let (callers, admin, peers) = (next(), next(), next());
+                let variables = [
+                    ("PLUMGATE_NODE", format!("{data_centre}-{number}")),
+                    ("PLUMGATE_DATA_CENTRE", data_centre.to_string()),
+                    ("PLUMGATE_LISTEN", callers.to_string()),
+                    ("PLUMGATE_ADMIN_LISTEN", admin.to_string()),
+                    ("PLUMGATE_PEER_LISTEN", peers.to_string()),
+                    ("PLUMGATE_PLATFORM", self.platform.to_string()),
+                    ("PLUMGATE_PEERS", seeds.join(",")),
+                    ("PLUMGATE_PEER_KEY", "a key for experiments".to_owned()),
+                    ("PLUMGATE_ROUTE_POLICY", pair.route.to_owned()),
+                    ("PLUMGATE_QUEUE_POLICY", pair.queue.to_owned()),
+                    ("PLUMGATE_LOG_LEVEL", "warn".to_owned()),
+                    ("PLUMGATE_SEED", (self.nodes.len() + 1).to_string()),
+                ];
+                self.node_processes.push(self.processes.len());
+                self.spawn("plumgated", &[], &variables)?;
+                seeds.push(peers.to_string());
+                self.nodes.push(callers);
+                self.admins.push(admin);
+            }
+        }
+        Ok(())
+    }
+
+    fn spawn(
+        &mut self,
+        program: &str,
+        args: &[String],
+        variables: &[(&str, String)],
+    ) -> io::Result<()> {
+        let log = self.folder.join(format!("{}.log", self.processes.len()));
+        let output = File::create(log)?;
+        let child = Process::new(beside(program)?)
+            .args(args)
+            .envs(
+                variables
+                    .iter()
+                    .map(|(name, value)| (*name, value.as_str())),
+            )
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()?;
+        self.processes.push(child);
+        Ok(())
+    }
+
+    fn apply(&self) -> io::Result<()> {
+        let admins: Vec<String> = self.admins.iter().map(ToString::to_string).collect();
+        let status = Process::new(beside("plumgate")?)
+            .current_dir(&self.folder)
+            .args(["apply", "--wait"])
+            .env("PLUMGATE_PLATFORM", self.platform.to_string())
+            .env("PLUMGATE_NODES", admins.join(","))
+            .stdout(Stdio::null())
+            .status()?;
+        // All nodes find each other before the load begins.
+        sleep(Duration::from_secs(2));
+        if status.success() {
+            Ok(())
+        } else {
+            Err(io::Error::other("apply failed"))
+        }
+    }
+
+    fn begin_fault(&mut self, fault: &str) -> io::Result<()> {
+        for part in fault.split('+') {
+            match part {
+                "straggler" => self.fault(self.engines[0], &json!({ "slow_factor": 5.0 }))?,
+                "crash" => self.processes[self.engine_processes[0]].kill()?,
+                "store-away" => self.fault(self.platform, &json!({ "down": true }))?,
+                "nodes-frozen" => self.signal_nodes("-STOP")?,
+                "none" | "stale-reports" => {}
+                other => return Err(io::Error::other(format!("\"{other}\" is not a fault"))),
+            }
+        }
+        Ok(())
+    }
+
+    fn end_fault(&mut self, fault: &str) -> io::Result<()> {
+        for part in fault.split('+') {
+            match part {
+                "straggler" => self.fault(self.engines[0], &json!({}))?,
+                "store-away" => self.fault(self.platform, &json!({}))?,
+                "nodes-frozen" => self.signal_nodes("-CONT")?,
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// All nodes of the first data centre stand still, as behind a cut.
+    fn signal_nodes(&self, signal: &str) -> io::Result<()> {
+        for index in self.node_processes.iter().take(NODES) {
+            let id = self.processes[*index].id().to_string();
+            Process::new("kill").args([signal, &id]).status()?;
+        }
+        Ok(())
+    }
+
+    fn fault(&self, address: SocketAddr, faults: &Value) -> io::Result<()> {
+        let request = ClientCall::new(Method::POST, "/faults").with_json(faults);
+        async_io::block_on(call(address, &request)).map(drop)
+    }
+}
+
+/// A program that was built beside this one.
+fn beside(program: &str) -> io::Result<PathBuf> {
+    Ok(std::env::current_exe()?.with_file_name(program))
+}
+
+fn wait_for(address: SocketAddr, path: &str) -> io::Result<()> {
+    let start = Instant::now();
+    let request = ClientCall::new(Method::GET, path);
+    while !async_io::block_on(call(address, &request))
+        .is_ok_and(|answer| answer.status.is_success())
+    {
+        if start.elapsed() > PATIENCE {
+            return Err(io::Error::other(format!("{address}{path} does not answer")));
+        }
+        sleep(Duration::from_millis(50));
+    }
+    Ok(())
+}
--- a/crates/plumgate-standin/src/load/mod.rs
+++ b/crates/plumgate-standin/src/load/mod.rs
@@ -1,6 +1,7 @@
 //! The load tool: open-loop arrivals by class from a seed, and the three measures.
 
 pub mod cost;
+pub mod experiment;
 mod measure;
 mod scenario;
 
--- a/crates/plumgate-standin/src/main.rs
+++ b/crates/plumgate-standin/src/main.rs
@@ -23,6 +23,7 @@
         Some(("service", matches)) => run_service(matches),
         Some(("platform", matches)) => run_platform(matches),
         Some(("load", matches)) => return load::run(matches),
+        Some(("experiment", matches)) => return load::experiment::run(matches),
         Some(("cost", matches)) => return load::cost::run(matches),
         _ => return ExitCode::from(2),
     };
@@ -73,6 +74,7 @@
             platform,
             load::command(),
             load::cost::command(),
+            load::experiment::command(),
         ])
 }
 
