membership: bytes a second bounded whatever the fleet's size; a change is read once

Cause: at 113 nodes a node would have sent 54 KB/s (24 digests of 1.9 KB to three peers every 2.5 s, sums of the first sizes), four times the bound; a change of 6,500 servers took 115 ms. Change: rounds and beats come as late as their bytes ask for; digests name fewer servers and workspaces among many nodes; the follower hands on the configuration that it has checked.

--- a/crates/plumgate-node/src/control.rs
+++ b/crates/plumgate-node/src/control.rs
@@ -8,12 +8,15 @@
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use futures_lite::future;
-use plumgate::config::ConfigBundle;
+use plumgate::config::FleetConfig;
 use plumgate::follow::{ConfigFollower, ConfigHead, FollowAction};
-use plumgate::ids::{PoolId, ServerId, TierRank};
+use plumgate::ids::{PoolId, ServerId, TierRank, WorkspaceId};
 use plumgate::membership::{ListedNode, MemberEvent, MemberTable};
 use plumgate::route::{LeavingSource, LoadReport, PeerServerLoad};
-use plumgate::wire::{NodeDigest, PeerEnvelope, PeerMessage, ReplayGuard, ServerLoad, TextPatch};
+use plumgate::wire::{
+    NodeDigest, PeerEnvelope, PeerMessage, ReplayGuard, ServerLoad, TextPatch, servers_told,
+    workspaces_told,
+};
 
 use crate::clock::Clock;
 use crate::life::NodeLife;
@@ -33,10 +36,6 @@
 const IDLE_LIST_PAUSE: Duration = Duration::from_secs(10);
 /// Nodes of a data centre that read head and list.
 const READERS: usize = 2;
-/// Servers that a digest names at most, the busiest first.
-const SERVERS_TOLD: usize = 64;
-/// Workspaces that a digest names at most, the largest demand first.
-const WORKSPACES_TOLD: usize = 32;
 /// Shortest pause between two questions for room in one pool.
 const ROOM_PAUSE: Duration = Duration::from_millis(100);
 /// Peers that are asked for room at a time.
@@ -213,20 +212,24 @@
         let Some(round) = self.members.gossip(now) else {
             return;
         };
-        self.send(&round.addresses, PeerMessage::Digests(round.digests));
+        let message = PeerMessage::Digests(round.digests.clone());
+        let sent = self.send(&round.addresses, message);
+        self.members.note_sent(sent, &round, now);
     }
 
-    fn send(&mut self, addresses: &[String], message: PeerMessage) {
+    /// Sends a message; how many bytes went out.
+    fn send(&mut self, addresses: &[String], message: PeerMessage) -> u64 {
         let sent_ms = self.shared.clock.unix_ms();
         let now = self.shared.clock.now();
         self.links
-            .send(addresses, message, sent_ms, now, &self.shared.metrics);
+            .send(addresses, message, sent_ms, now, &self.shared.metrics)
     }
 
     fn fill_digest(&mut self, now: Instant) {
+        let nodes = self.members.live_count();
         let (pools, servers, demand) = {
             let mut dispatcher = self.shared.dispatcher();
-            let servers = busiest_servers(dispatcher.routes().own_loads());
+            let servers = busiest_servers(dispatcher.routes().own_loads(), servers_told(nodes));
             (
                 dispatcher.pool_loads(),
                 servers,
@@ -242,7 +245,7 @@
             .is_some_and(|heard| now < heard + PLATFORM_LATELY);
         own.pools = pools;
         own.servers = servers;
-        own.demand = largest_demand(demand);
+        own.demand = largest_demand(demand, workspaces_told(nodes));
         own.leaving = leaving;
     }
 
@@ -441,11 +444,7 @@
                 let addresses: Vec<String> = address.into_iter().collect();
                 self.send(&addresses, PeerMessage::AskConfig { have });
             }
-            FollowAction::Adopt {
-                version,
-                bundle,
-                patch,
-            } => self.adopt(version, &bundle, patch),
+            FollowAction::Adopt { config, patch } => self.adopt(config, patch),
             FollowAction::Reject { version, reason } => {
                 LogLine::new("config_rejected")
                     .with("version", version)
@@ -455,11 +454,8 @@
         }
     }
 
-    fn adopt(&mut self, version: u64, bundle: &ConfigBundle, patch: Option<(u64, TextPatch)>) {
-        let Ok(config) = bundle.read(version) else {
-            return;
-        };
-        let config = Arc::new(config);
+    fn adopt(&mut self, config: Arc<FleetConfig>, patch: Option<(u64, TextPatch)>) {
+        let version = config.version;
         let actions = {
             let mut dispatcher = self.shared.dispatcher();
             // Traffic reads the version of a request's decision: both change in one step.
@@ -601,7 +597,9 @@
     }
 
     fn publish_members(&self) {
-        self.shared.dispatcher().set_nodes(self.members.sharing());
+        self.shared
+            .dispatcher()
+            .set_nodes(self.members.sharing(), self.members.lifetime());
         self.shared
             .metrics
             .nodes
@@ -627,10 +625,10 @@
     }
 }
 
-fn busiest_servers(mut loads: Vec<PeerServerLoad>) -> Vec<ServerLoad> {
+fn busiest_servers(mut loads: Vec<PeerServerLoad>, most: usize) -> Vec<ServerLoad> {
     let total = |load: &PeerServerLoad| load.counts.iter().map(|(_, count)| *count).sum::<u32>();
     loads.sort_by_key(|load| std::cmp::Reverse(total(load)));
-    loads.truncate(SERVERS_TOLD);
+    loads.truncate(most);
     let told = loads.into_iter();
     told.map(|load| ServerLoad {
         server: load.server.to_string(),
@@ -639,9 +637,9 @@
     .collect()
 }
 
-fn largest_demand(mut demand: Vec<(plumgate::ids::WorkspaceId, f32)>) -> Vec<(String, f32)> {
+fn largest_demand(mut demand: Vec<(WorkspaceId, f32)>, most: usize) -> Vec<(String, f32)> {
     demand.sort_by(|a, b| b.1.total_cmp(&a.1));
-    demand.truncate(WORKSPACES_TOLD);
+    demand.truncate(most);
     demand
         .into_iter()
         .map(|(workspace, demand)| (workspace.to_string(), demand))
--- a/crates/plumgate-node/src/peers.rs
+++ b/crates/plumgate-node/src/peers.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Sends one message to some peers.
+    /// Sends one message to some peers; how many bytes went out.
     pub(crate) fn send(
         &mut self,
         addresses: &[String],
@@ -109,7 +109,7 @@
         sent_ms: u64,
         now: Instant,
         metrics: &NodeMetrics,
-    ) {
+    ) -> u64 {
         self.links
             .retain(|_, link| now.saturating_duration_since(link.opened) < LINK_LIFETIME);
         self.sequence += 1;
@@ -121,13 +121,16 @@
             message,
         };
         let Ok(bytes) = self.key.seal(&envelope) else {
-            return;
+            return 0;
         };
+        let mut sent = 0;
         for address in addresses {
             if self.send_one(address, &bytes, now).is_ok() {
-                metrics.peer_bytes_sent.inc_by(bytes.len() as u64);
+                sent += bytes.len() as u64;
             }
         }
+        metrics.peer_bytes_sent.inc_by(sent);
+        sent
     }
 
     fn send_one(
--- a/crates/plumgate/src/dispatch/dispatcher.rs
+++ b/crates/plumgate/src/dispatch/dispatcher.rs
@@ -131,10 +131,12 @@
         self.dispatch_all(now)
     }
 
-    /// Says which nodes share the servers and the limits, this one included.
-    pub fn set_nodes(&mut self, groups: SharingNodes) {
+    /// Says which nodes share the servers and the limits, this one included, and how long what
+    /// they tell counts.
+    pub fn set_nodes(&mut self, groups: SharingNodes, lifetime: Duration) {
         self.limits
             .set_nodes(groups.values().map(|group| group.nodes.len()).sum());
+        self.limits.set_lifetime(lifetime);
         self.routes.set_nodes(groups);
     }
 
--- a/crates/plumgate/src/follow.rs
+++ b/crates/plumgate/src/follow.rs
@@ -1,10 +1,11 @@
 //! How a node comes to the newest configuration and never goes back.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use crate::config::ConfigBundle;
+use crate::config::{ConfigBundle, FleetConfig};
 use crate::ids::ConfigVersion;
 use crate::wire::TextPatch;
 
@@ -42,7 +43,7 @@
 }
 
 /// What is to be done to get or pass on a version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum FollowAction {
     /// Read the head row.
     ReadHead,
@@ -52,10 +53,8 @@
     AskPeer(String),
     /// Bring a version into force.
     Adopt {
-        /// The version.
-        version: ConfigVersion,
-        /// Its texts.
-        bundle: ConfigBundle,
+        /// The version, read and checked.
+        config: Arc<FleetConfig>,
         /// The patch from the version before, to be passed on.
         patch: Option<(ConfigVersion, TextPatch)>,
     },
@@ -157,9 +156,10 @@
         if expected.is_some_and(|expected| expected != digest) {
             return Some(self.reject(version, "the bundle has another digest than its head"));
         }
-        if let Err(findings) = bundle.read(version) {
-            return Some(self.reject(version, &findings.to_string()));
-        }
+        let config = match bundle.read(version) {
+            Ok(config) => Arc::new(config),
+            Err(findings) => return Some(self.reject(version, &findings.to_string())),
+        };
         let patch = self
             .held
             .as_ref()
@@ -169,11 +169,7 @@
             text,
             digest,
         });
-        Some(FollowAction::Adopt {
-            version,
-            bundle,
-            patch,
-        })
+        Some(FollowAction::Adopt { config, patch })
     }
 
     /// A patch came from a peer. One that doesn't fit is followed by a question for the whole.
--- a/crates/plumgate/src/limits.rs
+++ b/crates/plumgate/src/limits.rs
@@ -11,7 +11,7 @@
 
 use crate::ids::{NodeId, WorkspaceId};
 
-/// How long what a peer told about its demand counts.
+/// How long what a peer told about its demand counts, at the least.
 const DEMAND_LIFETIME: Duration = Duration::from_secs(5);
 /// Time constant over which demand is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_secs(5);
@@ -65,6 +65,7 @@
     uses: BTreeMap<WorkspaceId, WorkspaceUse>,
     peers: BTreeMap<NodeId, PeerDemand>,
     nodes: usize,
+    lifetime: Duration,
 }
 
 impl LimitTable {
@@ -72,6 +73,7 @@
     pub fn new() -> Self {
         Self {
             nodes: 1,
+            lifetime: DEMAND_LIFETIME,
             ..Self::default()
         }
     }
@@ -81,6 +83,11 @@
         self.nodes = nodes.max(1);
     }
 
+    /// Says how long what a peer tells counts: longer where nodes tell each other less often.
+    pub fn set_lifetime(&mut self, lifetime: Duration) {
+        self.lifetime = lifetime.max(DEMAND_LIFETIME);
+    }
+
     /// Takes in what a peer tells about its demand, in requests a second.
     pub fn apply_demand(&mut self, node: NodeId, demand: HashMap<WorkspaceId, f32>, now: Instant) {
         self.peers.insert(node, PeerDemand { told: now, demand });
@@ -164,14 +171,16 @@
 
     /// Forgets peers that said nothing for long.
     pub fn tick(&mut self, now: Instant) {
+        let lifetime = self.lifetime;
         self.peers
-            .retain(|_, peer| now.saturating_duration_since(peer.told) < DEMAND_LIFETIME);
+            .retain(|_, peer| now.saturating_duration_since(peer.told) < lifetime);
     }
 
     fn fresh_peers(&self, now: Instant) -> impl Iterator<Item = &PeerDemand> {
+        let lifetime = self.lifetime;
         self.peers
             .values()
-            .filter(move |peer| now.saturating_duration_since(peer.told) < DEMAND_LIFETIME)
+            .filter(move |peer| now.saturating_duration_since(peer.told) < lifetime)
     }
 
     fn count_demand(&mut self, workspace: &WorkspaceId, now: Instant) {
--- a/crates/plumgate/src/membership.rs
+++ b/crates/plumgate/src/membership.rs
@@ -20,8 +20,17 @@
 const BRIDGES: usize = 2;
 /// Digests that one message carries at most.
 const DIGESTS_MOST: usize = 24;
-/// Rounds without a new heartbeat after which a node counts as gone.
-const ROUNDS_TO_LIVE: u32 = 8;
+/// Beats of a node that may fail to come before it counts as gone.
+const BEATS_TO_LIVE: u32 = 8;
+/// Times that a digest reaches a node, on average, until all nodes have it.
+const REDUNDANCY: f64 = 2.5;
+/// Nodes up to which a fleet is small: fresh digests matter more there than bytes.
+const SMALL_FLEET: usize = 16;
+/// Bytes a second that a node of a small fleet sends for gossip.
+const SMALL_BUDGET: f64 = 12.0 * 1024.0;
+/// Bytes a second that a node of a large fleet sends for gossip. It receives as much; both
+/// together stay below 14 KB/s and leave room for looks at servers and platform.
+const LARGE_BUDGET: f64 = 5.0 * 1024.0;
 /// How long a node that is gone is remembered, so that relayed old digests don't revive it.
 const GRAVE_LIFETIME: Duration = Duration::from_secs(120);
 /// A gap between two ticks that shows that this process was frozen.
@@ -94,6 +103,9 @@
     seeds: BTreeSet<String>,
     rng: fastrand::Rng,
     next_round: Option<Instant>,
+    round: Duration,
+    next_beat: Option<Instant>,
+    beat: Duration,
     last_tick: Option<Instant>,
     distrusts_until: Option<Instant>,
 }
@@ -109,6 +121,9 @@
             seeds: seeds.into_iter().filter(|seed| *seed != address).collect(),
             rng: fastrand::Rng::with_seed(seed),
             next_round: None,
+            round: SHORTEST_ROUND,
+            next_beat: None,
+            beat: SHORTEST_ROUND,
             last_tick: None,
             distrusts_until: None,
         }
@@ -210,8 +225,11 @@
         if self.next_round.is_some_and(|due| now < due) {
             return None;
         }
-        self.next_round = Some(now + self.round_length());
-        self.own.beat += 1;
+        self.next_round = Some(now + self.round);
+        if self.next_beat.is_none_or(|due| now >= due) {
+            self.next_beat = Some(now + self.beat);
+            self.own.beat += 1;
+        }
         let addresses = self.partners();
         if addresses.is_empty() {
             return None;
@@ -227,20 +245,41 @@
         self.next_round
     }
 
-    /// The time between two rounds. With more nodes than one message carries it grows, so
-    /// that what a node receives a second stays the same.
+    /// The time between two rounds.
     pub fn round_length(&self) -> Duration {
-        let messages = self.live_count().div_ceil(DIGESTS_MOST).max(1);
-        SHORTEST_ROUND * u32::try_from(messages).unwrap_or(u32::MAX)
+        self.round
+    }
+
+    /// Says how many bytes a round took.
+    ///
+    /// The next round is the later the more they were, so that what a node sends a second, and
+    /// with it what it receives, stays bounded as fleets grow. Each beat of each node has to
+    /// reach all others, so beats come no faster than the bytes of all digests allow.
+    pub fn note_sent(&mut self, bytes: u64, round: &GossipRound, now: Instant) {
+        let nodes = self.live_count();
+        let budget = if nodes <= SMALL_FLEET {
+            SMALL_BUDGET
+        } else {
+            LARGE_BUDGET
+        };
+        let carried = (round.addresses.len() * round.digests.len()).max(1);
+        let digest = bytes as f64 / carried as f64;
+        let length = Duration::from_secs_f64(bytes as f64 / budget);
+        let beat = Duration::from_secs_f64(nodes as f64 * digest * REDUNDANCY / budget);
+        self.round = length.max(SHORTEST_ROUND);
+        self.beat = beat.max(self.round);
+        self.next_round = Some(now + self.round);
     }
 
-    fn lifetime(&self) -> Duration {
-        self.round_length() * ROUNDS_TO_LIVE
+    /// How long what a node told counts without a newer word of it.
+    pub fn lifetime(&self) -> Duration {
+        self.beat.max(SHORTEST_ROUND) * BEATS_TO_LIVE
     }
 
     /// Makes the next round due at once.
     pub fn hurry(&mut self) {
         self.next_round = None;
+        self.next_beat = None;
     }
 
     /// The peers that are told next: some near ones, and others on behalf of a data centre.
--- a/crates/plumgate/src/wire.rs
+++ b/crates/plumgate/src/wire.rs
@@ -135,6 +135,24 @@
     pub counts: Vec<(TierRank, u32)>,
 }
 
+/// Entries that all digests of a data centre together have for servers, and for workspaces.
+const ENTRIES_TOLD: usize = 512;
+/// Servers that one digest names at most.
+const SERVERS_MOST: usize = 64;
+/// Workspaces that one digest names at most.
+const WORKSPACES_MOST: usize = 32;
+
+/// How many servers a digest names, the busiest first, among so many nodes. With hundreds of
+/// nodes and servers what a node sends to one server says little; its pools still say all.
+pub fn servers_told(nodes: usize) -> usize {
+    (ENTRIES_TOLD / nodes.max(1)).clamp(1, SERVERS_MOST)
+}
+
+/// How many workspaces a digest names, the largest demand first, among so many nodes.
+pub fn workspaces_told(nodes: usize) -> usize {
+    (ENTRIES_TOLD / nodes.max(1)).clamp(1, WORKSPACES_MOST)
+}
+
 /// One replaced region of a text.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TextPatch {
--- a/crates/plumgate/tests/membership.rs
+++ b/crates/plumgate/tests/membership.rs
@@ -318,7 +318,7 @@
     );
     assert!(matches!(
         follower.apply_body(3, bundle(3).1, None),
-        Some(FollowAction::Adopt { version: 3, .. })
+        Some(FollowAction::Adopt { config, .. }) if config.version == 3
     ));
     assert_eq!(
         follower.apply_peer_version("new", 5, now),
@@ -326,7 +326,7 @@
     );
     assert!(matches!(
         follower.apply_body(5, bundle(5).1, None),
-        Some(FollowAction::Adopt { version: 5, .. })
+        Some(FollowAction::Adopt { config, .. }) if config.version == 5
     ));
     assert_eq!(follower.apply_peer_version("old", 3, now), None);
     assert_eq!(follower.apply_body(3, bundle(3).1, None), None);
@@ -361,7 +361,7 @@
     let action = follower.apply_patch("peer", 1, 3, &patch, &digest);
     assert!(matches!(
         action,
-        Some(FollowAction::Adopt { version: 3, .. })
+        Some(FollowAction::Adopt { config, .. }) if config.version == 3
     ));
 }
 
