--- a/crates/plumgate-cli/src/store.rs
+++ b/crates/plumgate-cli/src/store.rs
@@ -138,9 +138,6 @@
         let Some(found) = found else {
             return Err(Error::NotApplied);
         };
-        if found.value.change == head.change {
-            return Ok(Applied::Accepted(head));
-        }
         let kept = self.version(head.version).await;
         match kept {
             Ok(Some(kept)) if kept.change == head.change => Ok(Applied::Accepted(head)),
--- a/crates/plumgate-standin/src/engine.rs
+++ b/crates/plumgate-standin/src/engine.rs
@@ -122,7 +122,7 @@
     pub silent_streams: u32,
     /// So many runs are lost after `after_tokens`, as by a crash that forgets them.
     pub lose_runs: u32,
-    /// So many requests get the head of another request's answer.
+    /// So many requests get another request's answer.
     pub wrong_ids: u32,
     /// So many streams repeat events that they already sent when they are resumed.
     pub repeat_events: u32,
@@ -364,14 +364,11 @@
         if self.takes(|faults| &mut faults.cut_before_head) {
             return cut();
         }
+        if self.takes(|faults| &mut faults.wrong_ids) {
+            return Ok(answer_of_another());
+        }
         let mut response = self.answer(&id, request.stream, 0).await?;
-        let wrong = self.takes(|faults| &mut faults.wrong_ids);
-        let named = if wrong {
-            "another-request"
-        } else {
-            id.as_str()
-        };
-        if let Ok(value) = HeaderValue::from_str(named) {
+        if let Ok(value) = HeaderValue::from_str(&id) {
             response.headers_mut().insert("x-request-id", value);
         }
         Ok(response)
@@ -621,16 +618,7 @@
                     return cut();
                 }
                 let content: String = (1..=total).map(|number| token(&digest, number)).collect();
-                let body = json!({
-                    "id": id,
-                    "object": "chat.completion",
-                    "choices": [{
-                        "index": 0,
-                        "message": { "role": "assistant", "content": content },
-                        "finish_reason": "stop",
-                    }],
-                    "usage": { "prompt_tokens": 1, "completion_tokens": total },
-                });
+                let body = whole_body(id, &content, total);
                 return Ok(respond_json(StatusCode::OK, &body));
             }
             changed.await;
@@ -840,6 +828,28 @@
     response
 }
 
+/// A whole answer that belongs to another request, as after a mix-up.
+fn answer_of_another() -> StandinResponse {
+    let content = token("00000000", 1);
+    let mut response = respond_json(StatusCode::OK, &whole_body("another-request", &content, 1));
+    let id = HeaderValue::from_static("another-request");
+    response.headers_mut().insert("x-request-id", id);
+    response
+}
+
+fn whole_body(id: &str, content: &str, tokens: u32) -> Value {
+    json!({
+        "id": id,
+        "object": "chat.completion",
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": content },
+            "finish_reason": "stop",
+        }],
+        "usage": { "prompt_tokens": 1, "completion_tokens": tokens },
+    })
+}
+
 fn forget_old_runs(state: &mut EngineState) {
     while state.order_of_runs.len() > RUNS_KEPT {
         let Some(oldest) = state.order_of_runs.pop_front() else {
--- a/crates/plumgate/tests/dispatch.rs
+++ b/crates/plumgate/tests/dispatch.rs
@@ -187,6 +187,8 @@
     let mut by_floor = false;
     for _ in 0..40 {
         bench.submit("caption");
+        // Slots are held for 2 s, so that a caption that waits wants another to give way.
+        bench.now += Duration::from_secs(2);
         let actions = bench.answer(&running);
         let Some(DispatchAction::Start(order)) = actions.into_iter().next() else {
             panic!("a start")
