large files split by job: control, dispatcher, exchange, relay, route table, engine stand-in

Cause: files of 500 to 880 lines held several jobs. Change: methods moved to files of their own below their type; nothing else.

--- /dev/null
+++ b/crates/plumgate-node/src/control/config.rs
@@ -0,0 +1,110 @@
+//! Brings the newest configuration into force and passes it on.
+
+use std::sync::Arc;
+
+use plumgate::config::FleetConfig;
+use plumgate::follow::FollowAction;
+use plumgate::wire::{PeerMessage, TextPatch};
+
+use super::{ControlLoop, TaskEnd};
+use crate::clock::Clock;
+use crate::log::LogLine;
+use crate::platform::{CONFIG_HEAD, CONFIG_TABLE};
+
+impl<C: Clock> ControlLoop<C> {
+    pub(super) fn follow_some(&mut self, action: Option<FollowAction>) {
+        if let Some(action) = action {
+            self.follow(action);
+        }
+    }
+
+    pub(super) fn follow(&mut self, action: FollowAction) {
+        match action {
+            FollowAction::ReadHead => self.spawn(|platform| async move {
+                TaskEnd::Head(platform.read_row(CONFIG_TABLE, CONFIG_HEAD).await)
+            }),
+            FollowAction::ReadBody(head) => self.spawn(|platform| async move {
+                let bytes = platform.read_object(&head.digest).await.ok().flatten();
+                let text = bytes.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok());
+                TaskEnd::Body(head, text)
+            }),
+            FollowAction::AskPeer(node) => {
+                let address = self
+                    .members
+                    .peer(&node)
+                    .map(|digest| digest.address.clone());
+                let have = self.follower.version();
+                let addresses: Vec<String> = address.into_iter().collect();
+                self.send(&addresses, PeerMessage::AskConfig { have });
+            }
+            FollowAction::Adopt { config, patch } => self.adopt(config, patch),
+            FollowAction::Reject { version, reason } => {
+                LogLine::new("config_rejected")
+                    .with("version", version)
+                    .with("reason", reason)
+                    .warn(&self.shared.log);
+            }
+        }
+    }
+
+    pub(super) fn adopt(&mut self, config: Arc<FleetConfig>, patch: Option<(u64, TextPatch)>) {
+        let version = config.version;
+        let actions = {
+            let mut dispatcher = self.shared.dispatcher();
+            // Traffic reads the version of a request's decision: both change in one step.
+            self.shared.config.store(Some(config.clone()));
+            dispatcher.set_config(config, self.shared.clock.now())
+        };
+        self.shared.carry_out(actions);
+        self.shared.metrics.config.set(version as i64);
+        LogLine::new("config")
+            .with("version", version)
+            .info(&self.shared.log);
+        self.life.configured(&self.shared);
+        self.last_patch = patch.map(|(from, patch)| (from, version, patch));
+        self.pass_on_config();
+    }
+
+    /// Tells a new version at once; whoever hears it first passes it on in turn.
+    pub(super) fn pass_on_config(&mut self) {
+        let addresses = self.members.partners();
+        let digest = self.follower.held().map(|held| held.digest.clone());
+        if let (Some((from, version, patch)), Some(digest)) = (self.last_patch.clone(), digest) {
+            self.send(
+                &addresses,
+                PeerMessage::ConfigPatch {
+                    from,
+                    version,
+                    patch,
+                    digest,
+                },
+            );
+        } else {
+            self.members.hurry();
+        }
+    }
+
+    pub(super) fn answer_config(&mut self, node: &str, have: u64) {
+        let Some(held) = self.follower.held().filter(|held| held.version > have) else {
+            return;
+        };
+        let message = match &self.last_patch {
+            Some((from, version, patch)) if *from == have && *version == held.version => {
+                let (from, version, patch) = (*from, *version, patch.clone());
+                PeerMessage::ConfigPatch {
+                    from,
+                    version,
+                    patch,
+                    digest: held.digest.clone(),
+                }
+            }
+            _ => PeerMessage::Config {
+                version: held.version,
+                bundle: held.text.clone(),
+            },
+        };
+        let address = self.members.peer(node).map(|digest| digest.address.clone());
+        let addresses: Vec<String> = address.into_iter().collect();
+        self.send(&addresses, message);
+    }
+}
--- a/crates/plumgate-node/src/exchange.rs
+++ b/crates/plumgate-node/src/exchange.rs
@@ -1,16 +1,18 @@
 //! One attempt on a backend server: connect, send, follow the answer, resume it.
 
-use std::net::SocketAddr;
+mod recover;
+mod request;
+
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures_lite::{StreamExt, future};
-use http_body_util::{BodyDataStream, BodyExt, Full, Limited};
+use http_body_util::{BodyDataStream, BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
 use plumgate::attempt::{AttemptEvent, AttemptRun};
 use plumgate::config::{Server, ServerKind};
 use plumgate::ids::TierRank;
@@ -18,7 +20,7 @@
 
 use crate::callers::BackendCall;
 use crate::clock::Clock;
-use crate::http::{OpenConnection, OutgoingRequest, REQUEST_ID, fetch_once};
+use crate::http::OpenConnection;
 use crate::shared::{NodeShared, Verdict};
 
 /// How long a new connection may take to come about.
@@ -397,95 +399,6 @@
         self.answered(tokens)
     }
 
-    /// After a cut: the same run goes on over a new connection, where the server keeps it.
-    async fn recover(&mut self, blames_server: bool, sink: &mut impl AnswerSink) -> AttemptResult {
-        let response = match self.resume().await {
-            ResumeEnd::Resumed(response) => response,
-            ResumeEnd::Forgotten => return AttemptResult::InDoubt { blames_server },
-            ResumeEnd::Unreachable => {
-                return AttemptResult::InDoubt {
-                    blames_server: true,
-                };
-            }
-        };
-        self.apply(AttemptEvent::Resumed);
-        if self.order.call.stream && response.status().is_success() {
-            Box::pin(self.follow_stream(response.into_body(), sink)).await
-        } else {
-            Box::pin(self.follow_whole(response, sink)).await
-        }
-    }
-
-    /// Asks for the rest of the run over a new connection.
-    ///
-    /// A connection that broke or fell silent proves nothing about the server: something in
-    /// between may have lost track of it, while new connections work.
-    async fn resume(&mut self) -> ResumeEnd {
-        if self.order.server.kind == ServerKind::Service {
-            return ResumeEnd::Forgotten;
-        }
-        while self.resumes < RESUMES_MOST {
-            self.resumes += 1;
-            let deadline = self.shared.clock.now() + CONNECT_TIMEOUT;
-            let request = self.resume_request();
-            let asking = async {
-                let mut connection = self.shared.connect(self.address()).await?;
-                connection.send_request(request).await.ok()
-            };
-            match self.shared.until(deadline, asking).await.flatten() {
-                Some(response)
-                    if response.status().is_success() && self.is_own(response.headers()) =>
-                {
-                    return ResumeEnd::Resumed(response);
-                }
-                Some(response) if response.status() == StatusCode::NOT_FOUND => {
-                    return ResumeEnd::Forgotten;
-                }
-                _ => {}
-            }
-        }
-        ResumeEnd::Unreachable
-    }
-
-    /// Whether the server says, over a new connection, that the run goes on and that there is
-    /// nothing of it that this connection should have brought.
-    async fn is_still_running(&self) -> bool {
-        if self.order.server.kind == ServerKind::Service {
-            return false;
-        }
-        let request = self.build(
-            Method::GET,
-            &format!("/v1/runs/{}", self.order.run_id),
-            Bytes::new(),
-        );
-        let deadline = self.shared.clock.now() + CONNECT_TIMEOUT;
-        let asking = fetch_once(self.address(), request, LARGEST_ANSWER);
-        let answer = self.shared.until(deadline, asking).await;
-        let Some(Ok((StatusCode::OK, _, body))) = answer else {
-            return false;
-        };
-        let Ok(state) = serde_json::from_slice::<RunState>(&body) else {
-            return false;
-        };
-        let missing = self.order.call.stream && state.tokens > self.events;
-        !state.done && !missing
-    }
-
-    /// Tells the server to stop a run that nobody waits for.
-    fn cancel_run(&self) {
-        if self.order.server.kind == ServerKind::Service {
-            return;
-        }
-        let path = format!("/v1/runs/{}", self.order.run_id);
-        let request = self.build(Method::DELETE, &path, Bytes::new());
-        let address = self.address();
-        let cancelling = async move {
-            // Without an answer the run goes on to its end and is dropped there.
-            let _ = fetch_once(address, request, LARGEST_ANSWER).await;
-        };
-        self.shared.executor.spawn(cancelling).detach();
-    }
-
     /// Waits for something, for a silence at most, while caller and dispatcher may end it.
     async fn wait<T>(
         &self,
@@ -565,58 +478,6 @@
             "the chart expects what the attempt does: {applied:?}"
         );
     }
-
-    fn is_own(&self, headers: &HeaderMap) -> bool {
-        let named = headers.get(REQUEST_ID);
-        named.is_none_or(|id| id.as_bytes() == self.order.run_id.as_bytes())
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.order.server.address
-    }
-
-    fn request(&self) -> OutgoingRequest {
-        let call = self.order.call;
-        let mut request = self.build(call.method.clone(), &call.path, call.body.clone());
-        if let Some(content_type) = &call.content_type {
-            request
-                .headers_mut()
-                .insert(CONTENT_TYPE, content_type.clone());
-        }
-        if let Some(key) = &call.idempotency_key {
-            request.headers_mut().insert("idempotency-key", key.clone());
-        }
-        request
-    }
-
-    fn resume_request(&self) -> OutgoingRequest {
-        let path = format!("/v1/runs/{}/answer", self.order.run_id);
-        let mut request = self.build(Method::GET, &path, Bytes::new());
-        request.headers_mut().insert(LAST_EVENT, self.events.into());
-        request
-    }
-
-    fn build(&self, method: Method, path: &str, body: Bytes) -> OutgoingRequest {
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = method;
-        *request.uri_mut() = path.parse().unwrap_or_default();
-        let headers = request.headers_mut();
-        if let Ok(host) = self.address().to_string().parse() {
-            headers.insert(HOST, host);
-        }
-        if let Ok(id) = self.order.run_id.parse() {
-            headers.insert(REQUEST_ID, id);
-        }
-        headers.insert(PRIORITY, u16::from(self.order.rank).into());
-        request
-    }
-}
-
-/// What a server says of a run.
-#[derive(Deserialize)]
-struct RunState {
-    done: bool,
-    tokens: u64,
 }
 
 /// The part of a whole answer that counts its tokens.
--- /dev/null
+++ b/crates/plumgate-node/src/relay/keyed.rs
@@ -0,0 +1,139 @@
+//! Requests with a key: claimed before they run, their answers kept.
+
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use hyper::StatusCode;
+use plumgate::RunOutcome;
+use plumgate::claim::{ClaimRun, claim_row_name};
+use plumgate::dispatch::AttemptEnd;
+
+use super::{CLAIM_RETRY_AFTER, KEEP_BOUND, LONGEST_RUN, NextStep, RequestRelay};
+use crate::caller_error::CallerError;
+use crate::claims::{
+    ClaimEnd, HeldClaim, OtherEnd, SettledRun, await_other, claim_key, settle_claim,
+};
+use crate::clock::Clock;
+use crate::log::LogLine;
+
+impl<C: Clock> RequestRelay<'_, C> {
+    pub(super) fn needs_claim(&self) -> bool {
+        !self.request.ticket.idempotent && self.request.key.is_some()
+    }
+
+    /// Claims the key; `None` says that the request may run here.
+    pub(super) async fn claim(&mut self) -> Option<NextStep> {
+        let key = self.request.key.as_deref()?;
+        let ticket = &self.request.ticket;
+        let name = claim_row_name(&ticket.workspace, key);
+        let node = self.shared.settings.node.to_string();
+        let mut run = ClaimRun::new(&*ticket.id, node, &self.request.digest);
+        let lifetime = self.request.key_lifetime;
+        let end = claim_key(self.shared, &name, &mut run, lifetime).await;
+        let line = LogLine::new("claim")
+            .with("request", &ticket.id)
+            .with("row", &name);
+        match end {
+            ClaimEnd::Granted(version) => {
+                line.with("end", "granted").info(&self.shared.log);
+                self.claim = Some(HeldClaim {
+                    name,
+                    run,
+                    version: Some(version),
+                    lifetime,
+                });
+                None
+            }
+            ClaimEnd::Taken(row) => {
+                line.with("end", "taken")
+                    .with("claimer", &row.claimer)
+                    .info(&self.shared.log);
+                self.shared.finish(&ticket.id, AttemptEnd::GivenUp);
+                Some(self.follow_other(&name, row).await)
+            }
+            ClaimEnd::Mismatched => {
+                line.with("end", "mismatched").info(&self.shared.log);
+                let message = "the Idempotency-Key was used for another request";
+                let status = StatusCode::UNPROCESSABLE_ENTITY;
+                Some(NextStep::Fail(CallerError::invalid(
+                    status,
+                    "key_reused",
+                    message,
+                )))
+            }
+            ClaimEnd::Unavailable => {
+                line.with("end", "unavailable").warn(&self.shared.log);
+                // The write may still take effect; then the row must say that nothing ran.
+                self.claim = Some(HeldClaim {
+                    name,
+                    run,
+                    version: None,
+                    lifetime,
+                });
+                let message = "the key can't be claimed now; nothing was run";
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                let error =
+                    CallerError::not_run(status, "claim_unavailable", message, CLAIM_RETRY_AFTER);
+                Some(NextStep::Fail(error))
+            }
+        }
+    }
+
+    /// Another attempt has the key: its answer is this request's answer.
+    pub(super) async fn follow_other(
+        &self,
+        name: &str,
+        row: plumgate::claim::ClaimRow,
+    ) -> NextStep {
+        let deadline = self.shared.clock.now() + LONGEST_RUN;
+        match await_other(self.shared, name, row, deadline).await {
+            OtherEnd::Answered(whole) => NextStep::Replay(whole),
+            OtherEnd::NotRun => {
+                let message = "the earlier request with this key was not run; repeat it";
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                NextStep::Fail(CallerError::not_run(
+                    status,
+                    "not_run",
+                    message,
+                    Duration::from_secs(1),
+                ))
+            }
+            OtherEnd::Unknown => {
+                let message = "an earlier request with this key may have run";
+                NextStep::Fail(CallerError::unknown("key_in_doubt", message))
+            }
+        }
+    }
+
+    /// Keeps a copy of the answer before its end goes out, but holds it up only for so long.
+    pub(super) async fn keep_answer(&mut self, whole: Option<crate::exchange::WholeAnswer>) {
+        if self.claim.is_none() {
+            return;
+        }
+        let settled = match whole {
+            Some(whole) => SettledRun::Answered(whole),
+            None => SettledRun::Ended(RunOutcome::Unknown),
+        };
+        let Some(kept) = self.settle(settled) else {
+            return;
+        };
+        let bound: Instant = self.shared.clock.now() + KEEP_BOUND;
+        let _ = self.shared.until(bound, kept.recv()).await;
+    }
+
+    /// Writes down how the run of a claimed key ended; the channel closes once that is done.
+    pub(super) fn settle(&mut self, settled: SettledRun) -> Option<Receiver<()>> {
+        let claim = self.claim.take()?;
+        let (done, settling) = async_channel::bounded(1);
+        let shared = self.shared.clone();
+        // A graceful stop waits for it like for the request itself.
+        shared.open_request();
+        let work = async move {
+            settle_claim(shared.clone(), claim, settled).await;
+            shared.close_request();
+            drop(done);
+        };
+        self.shared.executor.spawn(work).detach();
+        Some(settling)
+    }
+}
--- a/crates/plumgate-standin/src/engine.rs
+++ b/crates/plumgate-standin/src/engine.rs
@@ -1,5 +1,9 @@
 //! A model engine's stand-in: batches with slots and priorities, streams, resumes, cancels.
 
+mod options;
+mod report;
+mod stream;
+
 use std::cell::{Ref, RefCell, RefMut};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -7,22 +11,19 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
-use bytes::Bytes;
 use event_listener::Event;
-use futures_lite::future;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use plumgate_node::Clock;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
+pub use self::options::{EngineFaults, EngineOptions};
 use crate::http::{
-    ConnectionCut, StandinBody, StandinResponse, cut, journal_line, read_body, respond,
-    respond_json, serve,
+    ConnectionCut, StandinResponse, cut, journal_line, read_body, respond, respond_json, serve,
 };
 
 /// Pieces of a stream that wait for a slow reader.
@@ -36,108 +37,6 @@
 /// Bytes of a prompt that make its prefix.
 const PREFIX_BYTES: usize = 512;
 
-/// How an engine works.
-#[derive(Clone, Debug)]
-pub struct EngineOptions {
-    /// The name of the engine.
-    pub name: String,
-    /// Runs at once.
-    pub slots: usize,
-    /// Time to the first token.
-    pub first_token: Duration,
-    /// Time between tokens.
-    pub token_pause: Duration,
-    /// How late the load report is.
-    pub report_lag: Duration,
-    /// Prefixes that the cache holds.
-    pub cached_prefixes: usize,
-    /// Whether orders with an old fencing number are refused.
-    pub checks_fencing: bool,
-    /// How long a run goes on that nobody listens to.
-    pub orphan_time: Duration,
-    /// Whether requests are refused for models that are not loaded.
-    pub strict_models: bool,
-    /// The models that are loaded from the start.
-    pub models: Vec<String>,
-}
-
-impl EngineOptions {
-    /// Options of a small, quick engine.
-    pub fn new(name: impl Into<String>) -> Self {
-        Self {
-            name: name.into(),
-            slots: 8,
-            first_token: Duration::from_millis(20),
-            token_pause: Duration::from_millis(5),
-            report_lag: Duration::from_millis(500),
-            cached_prefixes: 64,
-            checks_fencing: true,
-            orphan_time: Duration::from_secs(10),
-            strict_models: false,
-            models: Vec::new(),
-        }
-    }
-
-    /// The same with a number of slots.
-    pub fn with_slots(mut self, slots: usize) -> Self {
-        self.slots = slots;
-        self
-    }
-
-    /// The same with other times.
-    pub fn with_times(mut self, first_token: Duration, token_pause: Duration) -> Self {
-        self.first_token = first_token;
-        self.token_pause = token_pause;
-        self
-    }
-
-    /// The same with models that are loaded from the start.
-    pub fn with_models(mut self, models: &[&str]) -> Self {
-        self.models = models.iter().map(ToString::to_string).collect();
-        self
-    }
-
-    /// The same, checking fencing numbers or not.
-    pub fn with_fencing(mut self, checks: bool) -> Self {
-        self.checks_fencing = checks;
-        self
-    }
-}
-
-/// Faults that a test switches on; a new set replaces the old one.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(default)]
-pub struct EngineFaults {
-    /// New requests are refused as not run.
-    pub refuse: bool,
-    /// New requests are refused as not run, and the engine says that it is leaving.
-    pub leaving: bool,
-    /// So many requests are cut before they run.
-    pub cut_before_run: u32,
-    /// So many requests run and are cut before the head of their answer.
-    pub cut_before_head: u32,
-    /// So many streams are cut after `after_tokens`; their runs go on.
-    pub cut_streams: u32,
-    /// So many streams go silent after `after_tokens`; their runs go on.
-    pub silent_streams: u32,
-    /// So many runs are lost after `after_tokens`, as by a crash that forgets them.
-    pub lose_runs: u32,
-    /// So many requests get another request's answer.
-    pub wrong_ids: u32,
-    /// So many streams repeat events that they already sent when they are resumed.
-    pub repeat_events: u32,
-    /// The process ends once a run has `after_tokens`.
-    pub crash: bool,
-    /// After how many tokens the faults of streams and runs happen.
-    pub after_tokens: u32,
-    /// All times are so many times longer; 0 means 1.
-    pub slow_factor: f64,
-    /// Nothing is generated and nothing answered until this is switched off.
-    pub frozen: bool,
-    /// Orders take effect only after so long, in milliseconds.
-    pub order_delay_ms: u64,
-}
-
 /// One run of a request.
 #[derive(Debug)]
 struct EngineRun {
@@ -510,24 +409,6 @@
         run.done
     }
 
-    fn touch_prefix(&self, prefix: u64) -> bool {
-        let mut state = self.state_mut();
-        let cached = state.prefixes.contains(&prefix);
-        state.prefixes.retain(|held| *held != prefix);
-        state.prefixes.push_back(prefix);
-        if !cached {
-            let number = state.cache_events.len() as u64 + 1;
-            state.cache_events.push((number, prefix, true));
-        }
-        if state.prefixes.len() > self.options.cached_prefixes
-            && let Some(dropped) = state.prefixes.pop_front()
-        {
-            let number = state.cache_events.len() as u64 + 1;
-            state.cache_events.push((number, dropped, false));
-        }
-        cached
-    }
-
     async fn handle_run(
         &self,
         method: &Method,
@@ -590,215 +471,6 @@
         drop(state);
         self.changed.notify(usize::MAX);
     }
-
-    /// The answer of a run, from an event on.
-    async fn answer(
-        &self,
-        id: &str,
-        stream: bool,
-        from: u32,
-    ) -> Result<StandinResponse, ConnectionCut> {
-        if !stream {
-            return self.whole_answer(id).await;
-        }
-        let (sender, receiver) = async_channel::bounded(CHUNKS_WAITING);
-        let feeding = self.clone().feed(id.to_owned(), from, sender);
-        self.executor.spawn(feeding).detach();
-        let mut response = Response::new(StandinBody::Fed(Box::pin(receiver)));
-        let content_type = HeaderValue::from_static("text/event-stream");
-        response.headers_mut().insert(CONTENT_TYPE, content_type);
-        Ok(response)
-    }
-
-    async fn whole_answer(&self, id: &str) -> Result<StandinResponse, ConnectionCut> {
-        loop {
-            let changed = self.changed.listen();
-            if let Some((digest, total, lost)) = self.finished(id) {
-                if lost {
-                    return cut();
-                }
-                let content: String = (1..=total).map(|number| token(&digest, number)).collect();
-                let body = whole_body(id, &content, total);
-                return Ok(respond_json(StatusCode::OK, &body));
-            }
-            changed.await;
-        }
-    }
-
-    fn finished(&self, id: &str) -> Option<(String, u32, bool)> {
-        let state = self.state();
-        match state.runs.get(id) {
-            Some(run) if run.done => Some((run.digest.clone(), run.total, run.lost)),
-            Some(_) => None,
-            None => Some((String::new(), 0, true)),
-        }
-    }
-
-    /// Feeds a stream with a run's events.
-    async fn feed(self, id: String, from: u32, chunks: Sender<Result<Bytes, ConnectionCut>>) {
-        self.attach(&id, 1);
-        let fault = self.stream_fault();
-        let mut sent = from;
-        let end = loop {
-            let changed = self.changed.listen();
-            let next = self.next_event(&id, sent);
-            let Some(next) = next else {
-                let gone = async {
-                    chunks.closed().await;
-                    true
-                };
-                let waited = async {
-                    changed.await;
-                    false
-                };
-                if future::or(gone, waited).await {
-                    break None;
-                }
-                continue;
-            };
-            self.until_thawed().await;
-            match fault {
-                Some(StreamFault::Cut) if sent >= self.state().faults.after_tokens => {
-                    break Some(Err(ConnectionCut));
-                }
-                Some(StreamFault::Silent) if sent >= self.state().faults.after_tokens => {
-                    chunks.closed().await;
-                    break None;
-                }
-                _ => {}
-            }
-            match next {
-                NextEvent::Token(data) => {
-                    sent += 1;
-                    if chunks
-                        .send(Ok(format!("id: {sent}\ndata: {data}\n\n").into()))
-                        .await
-                        .is_err()
-                    {
-                        break None;
-                    }
-                }
-                NextEvent::End => {
-                    let mark = format!("id: {}\ndata: [DONE]\n\n", sent + 1);
-                    break Some(Ok(mark.into()));
-                }
-                NextEvent::Lost => break Some(Err(ConnectionCut)),
-            }
-        };
-        if let Some(last) = end {
-            // The reader may be gone by now; the run stays for it to resume.
-            let _ = chunks.send(last).await;
-        }
-        self.attach(&id, -1);
-    }
-
-    fn stream_fault(&self) -> Option<StreamFault> {
-        if self.takes(|faults| &mut faults.cut_streams) {
-            return Some(StreamFault::Cut);
-        }
-        self.takes(|faults| &mut faults.silent_streams)
-            .then_some(StreamFault::Silent)
-    }
-
-    fn attach(&self, id: &str, by: i32) {
-        let now = self.clock.now();
-        if let Some(run) = self.state_mut().runs.get_mut(id) {
-            run.listeners = run.listeners.saturating_add_signed(by);
-            run.orphaned_at = (run.listeners == 0).then_some(now);
-        }
-    }
-
-    fn next_event(&self, id: &str, sent: u32) -> Option<NextEvent> {
-        let state = self.state();
-        let Some(run) = state.runs.get(id) else {
-            return Some(NextEvent::Lost);
-        };
-        if run.lost {
-            return Some(NextEvent::Lost);
-        }
-        if sent < run.produced {
-            let content = token(&run.digest, sent + 1);
-            let data = json!({
-                "id": id,
-                "object": "chat.completion.chunk",
-                "choices": [{ "index": 0, "delta": { "content": content }, "finish_reason": null }],
-            });
-            return Some(NextEvent::Token(data.to_string()));
-        }
-        run.done.then_some(NextEvent::End)
-    }
-
-    fn note_load(&self) {
-        let at = self.clock.now();
-        let mut state = self.state_mut();
-        let load = DatedLoad {
-            at,
-            running: state.running,
-            waiting: state.waiting.len(),
-        };
-        state.loads.push_back(load);
-        let lag = self.options.report_lag;
-        while state.loads.len() > 1 && state.loads.get(1).is_some_and(|next| next.at + lag <= at) {
-            state.loads.pop_front();
-        }
-    }
-
-    /// The load as it was a while ago.
-    fn load_report(&self) -> StandinResponse {
-        let now = self.clock.now();
-        let lag = self.options.report_lag;
-        let state = self.state();
-        let seen = state.loads.iter().rev().find(|load| load.at + lag <= now);
-        let body = json!({
-            "running": seen.map_or(0, |load| load.running),
-            "waiting": seen.map_or(0, |load| load.waiting),
-            "leaving": state.faults.leaving,
-            "age_ms": lag.as_millis() as u64,
-        });
-        respond_json(StatusCode::OK, &body)
-    }
-
-    /// Cache events after a number; every tenth is missing, as from a lossy feed.
-    fn cache_events(&self, query: Option<&str>) -> StandinResponse {
-        let after = query
-            .and_then(|query| query.strip_prefix("after="))
-            .and_then(|text| text.parse().ok());
-        let after: u64 = after.unwrap_or(0);
-        let state = self.state();
-        let events = state
-            .cache_events
-            .iter()
-            .filter(|(number, _, _)| *number > after && number % 10 != 0);
-        let events: Vec<Value> = events
-            .map(|(number, prefix, stored)| json!({ "number": number, "prefix": prefix, "stored": stored }))
-            .collect();
-        respond_json(StatusCode::OK, &json!(events))
-    }
-
-    async fn take_order(&self, body: &[u8]) -> StandinResponse {
-        let Ok(order) = serde_json::from_slice::<EngineOrder>(body) else {
-            return respond(StatusCode::BAD_REQUEST, "malformed order");
-        };
-        let delay = self.state().faults.order_delay_ms;
-        if delay > 0 {
-            self.clock.sleep(Duration::from_millis(delay)).await;
-        }
-        let mut state = self.state_mut();
-        if self.options.checks_fencing && order.fencing < state.highest_fencing {
-            state.refused_orders += 1;
-            return respond(StatusCode::CONFLICT, "old fencing number");
-        }
-        state.highest_fencing = state.highest_fencing.max(order.fencing);
-        state.models.insert(order.model.clone(), order.loaded);
-        state.orders.push(order);
-        respond(StatusCode::OK, "ok")
-    }
-
-    fn orders(&self) -> StandinResponse {
-        let state = self.state();
-        let body = json!({ "models": state.models, "orders": state.orders, "refused": state.refused_orders });
-        respond_json(StatusCode::OK, &body)
-    }
 }
 
 /// What happens to a stream on its way.
--- a/crates/plumgate/src/dispatch/dispatcher.rs
+++ b/crates/plumgate/src/dispatch/dispatcher.rs
@@ -1,19 +1,21 @@
 //! Joins queue, limits and routes: takes events about requests and answers with actions.
 
+mod load;
+mod preempt;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::queue::{PoolQueue, QueueHead, QueuePolicy};
 use super::service_time::ServiceTime;
-use super::ticket::{DispatchAction, QueueLoad, RefusalReason, RequestTicket, StartOrder};
+use super::ticket::{DispatchAction, RefusalReason, RequestTicket, StartOrder};
 use crate::config::FleetConfig;
 use crate::ids::{PoolId, RequestId, ServerId, TierRank, WorkspaceId};
 use crate::limits::LimitTable;
 use crate::membership::SharingNodes;
 use crate::retry::RetryBudget;
 use crate::route::{HIGHEST_RANK, RouteChoice, RouteOptions, RouteTable};
-use crate::wire::PoolLoad;
 
 /// Shortest time after which a refused caller is told to come back.
 const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -355,111 +357,6 @@
         }))
     }
 
-    /// Lets requests of a lower tier give way where one would wait too long.
-    fn make_room(&mut self, ticket: &RequestTicket, now: Instant) -> Vec<DispatchAction> {
-        if self.options.queue == QueuePolicy::Arrival {
-            return Vec::new();
-        }
-        let bearable = ticket
-            .due
-            .saturating_duration_since(ticket.arrived)
-            .mul_f64(PREEMPT_AFTER_SHARE);
-        let running = self
-            .held
-            .get(&ticket.pool)
-            .map_or(0, |held| held.values().sum());
-        let queue = self.queues.get(&ticket.pool);
-        let ahead = queue.map_or(0, |queue| {
-            queue.ahead_of(ticket.rank, ticket.due).saturating_sub(1)
-        });
-        let wait = self
-            .times
-            .get(&ticket.pool)
-            .and_then(|times| times.wait_behind(ahead, running));
-        if wait.is_some_and(|wait| wait <= bearable) {
-            return Vec::new();
-        }
-        self.preempt_for(ticket, now)
-    }
-
-    fn preempt_for(&mut self, ticket: &RequestTicket, now: Instant) -> Vec<DispatchAction> {
-        // One that already gives way makes room for one that waits; no more are needed.
-        let queue = self.queues.get(&ticket.pool);
-        let waiting: usize = queue.map_or(0, |queue| {
-            queue
-                .ranks()
-                .filter(|rank| *rank <= ticket.rank)
-                .map(|rank| queue.len_of(rank))
-                .sum()
-        });
-        let giving_way = self
-            .running
-            .values()
-            .filter(|r| r.giving_way && r.ticket.pool == ticket.pool)
-            .count();
-        if giving_way >= waiting {
-            return Vec::new();
-        }
-        // The lowest tier gives way first, and within it the one that has done the least.
-        let victim = self
-            .victims(&ticket.pool, ticket.rank)
-            .max_by_key(|running| (running.ticket.rank, running.started))
-            .map(|running| (running.ticket.id.clone(), running.server.clone()));
-        if let Some((request, server)) = victim {
-            if let Some(running) = self.running.get_mut(&request) {
-                running.giving_way = true;
-            }
-            return vec![DispatchAction::Preempt {
-                request,
-                server,
-                for_request: ticket.id.clone(),
-            }];
-        }
-        if self.routes.peers_hold_below(&ticket.pool, ticket.rank, now) {
-            return vec![DispatchAction::AskForRoom {
-                pool: ticket.pool.clone(),
-                rank: ticket.rank,
-            }];
-        }
-        Vec::new()
-    }
-
-    /// Another node needs room on servers of a pool for a rank.
-    pub fn give_way(&mut self, pool: &PoolId, rank: TierRank) -> Option<DispatchAction> {
-        let victim = self
-            .victims(pool, rank)
-            .max_by_key(|running| (running.ticket.rank, running.started))
-            .map(|running| (running.ticket.id.clone(), running.server.clone()));
-        let (request, server) = victim?;
-        self.running.get_mut(&request)?.giving_way = true;
-        let for_request = "peer".into();
-        Some(DispatchAction::Preempt {
-            request,
-            server,
-            for_request,
-        })
-    }
-
-    fn victims<'a>(
-        &'a self,
-        pool: &'a PoolId,
-        rank: TierRank,
-    ) -> impl Iterator<Item = &'a RunningRequest> {
-        self.running.values().filter(move |running| {
-            running.ticket.pool == *pool
-                && running.ticket.rank > rank
-                && running.preemptible
-                && !running.giving_way
-        })
-    }
-
-    /// The caller has got bytes of the answer: the request no longer gives way.
-    pub fn pin(&mut self, request: &RequestId) {
-        if let Some(running) = self.running.get_mut(request) {
-            running.preemptible = false;
-        }
-    }
-
     /// An attempt ended; its slot is free.
     pub fn finish(
         &mut self,
@@ -554,72 +451,6 @@
         actions
     }
 
-    /// When the next waiting request is given up.
-    pub fn next_give_up(&self) -> Option<Instant> {
-        self.queues
-            .values()
-            .filter_map(PoolQueue::next_give_up)
-            .min()
-    }
-
-    /// How many requests wait and run, by rank.
-    pub fn load(&self) -> QueueLoad {
-        let mut load = QueueLoad::default();
-        for queue in self.queues.values() {
-            for rank in queue.ranks() {
-                *load.waiting.entry(rank).or_default() += queue.len_of(rank);
-            }
-        }
-        for running in self.running.values() {
-            *load.running.entry(running.ticket.rank).or_default() += 1;
-        }
-        load
-    }
-
-    /// How many requests wait and run in each pool, for the peers.
-    pub fn pool_loads(&self) -> Vec<PoolLoad> {
-        let mut running: BTreeMap<&PoolId, BTreeMap<TierRank, u32>> = BTreeMap::new();
-        for request in self.running.values() {
-            let counts = running.entry(&request.ticket.pool).or_default();
-            *counts.entry(request.ticket.rank).or_default() += 1;
-        }
-        let mut loads = Vec::new();
-        for (pool, queue) in &self.queues {
-            let count = |rank| u32::try_from(queue.len_of(rank)).unwrap_or(u32::MAX);
-            let waiting: Vec<_> = queue.ranks().map(|rank| (rank, count(rank))).collect();
-            let running: Vec<_> = running
-                .remove(pool)
-                .unwrap_or_default()
-                .into_iter()
-                .collect();
-            if !waiting.is_empty() || !running.is_empty() {
-                loads.push(PoolLoad {
-                    pool: pool.to_string(),
-                    running,
-                    waiting,
-                });
-            }
-        }
-        loads
-    }
-
-    /// Whether nothing waits and nothing runs.
-    pub fn is_idle(&self) -> bool {
-        self.running.is_empty() && self.waiting() == 0
-    }
-
-    fn waiting(&self) -> usize {
-        self.queues.values().map(PoolQueue::len).sum()
-    }
-
-    fn is_waiting(&self, request: &RequestId) -> bool {
-        self.pool_of.contains_key(request) && !self.running.contains_key(request)
-    }
-
-    fn waiting_of(&self, rank: TierRank) -> usize {
-        self.queues.values().map(|queue| queue.len_of(rank)).sum()
-    }
-
     fn refuse_with_wait(&self, ticket: &RequestTicket, reason: RefusalReason) -> DispatchAction {
         let wait = self.predicted_wait(ticket).unwrap_or(SHORTEST_RETRY_AFTER);
         self.refuse(ticket, reason, wait)
--- /dev/null
+++ b/crates/plumgate/src/dispatch/dispatcher/load.rs
@@ -0,0 +1,78 @@
+//! What waits and runs, for operators and peers.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use super::super::queue::PoolQueue;
+use super::super::ticket::QueueLoad;
+use super::Dispatcher;
+use crate::ids::{PoolId, RequestId, TierRank};
+use crate::wire::PoolLoad;
+
+impl Dispatcher {
+    /// When the next waiting request is given up.
+    pub fn next_give_up(&self) -> Option<Instant> {
+        self.queues
+            .values()
+            .filter_map(PoolQueue::next_give_up)
+            .min()
+    }
+
+    /// How many requests wait and run, by rank.
+    pub fn load(&self) -> QueueLoad {
+        let mut load = QueueLoad::default();
+        for queue in self.queues.values() {
+            for rank in queue.ranks() {
+                *load.waiting.entry(rank).or_default() += queue.len_of(rank);
+            }
+        }
+        for running in self.running.values() {
+            *load.running.entry(running.ticket.rank).or_default() += 1;
+        }
+        load
+    }
+
+    /// How many requests wait and run in each pool, for the peers.
+    pub fn pool_loads(&self) -> Vec<PoolLoad> {
+        let mut running: BTreeMap<&PoolId, BTreeMap<TierRank, u32>> = BTreeMap::new();
+        for request in self.running.values() {
+            let counts = running.entry(&request.ticket.pool).or_default();
+            *counts.entry(request.ticket.rank).or_default() += 1;
+        }
+        let mut loads = Vec::new();
+        for (pool, queue) in &self.queues {
+            let count = |rank| u32::try_from(queue.len_of(rank)).unwrap_or(u32::MAX);
+            let waiting: Vec<_> = queue.ranks().map(|rank| (rank, count(rank))).collect();
+            let running: Vec<_> = running
+                .remove(pool)
+                .unwrap_or_default()
+                .into_iter()
+                .collect();
+            if !waiting.is_empty() || !running.is_empty() {
+                loads.push(PoolLoad {
+                    pool: pool.to_string(),
+                    running,
+                    waiting,
+                });
+            }
+        }
+        loads
+    }
+
+    /// Whether nothing waits and nothing runs.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting() == 0
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.queues.values().map(PoolQueue::len).sum()
+    }
+
+    pub(super) fn is_waiting(&self, request: &RequestId) -> bool {
+        self.pool_of.contains_key(request) && !self.running.contains_key(request)
+    }
+
+    pub(super) fn waiting_of(&self, rank: TierRank) -> usize {
+        self.queues.values().map(|queue| queue.len_of(rank)).sum()
+    }
+}
