--- a/crates/plumgate-node/src/control.rs
+++ b/crates/plumgate-node/src/control.rs
@@ -38,8 +38,6 @@
 const ROOM_PAUSE: Duration = Duration::from_millis(100);
 /// Peers that are asked for room at a time.
 const ROOM_PEERS: usize = 2;
-/// How long a read of the platform counts as lately.
-const PLATFORM_LATELY: Duration = Duration::from_secs(5);
 
 /// What a task of the control thread found out.
 enum TaskEnd {
@@ -72,7 +70,6 @@
     observer: ServerObserver,
     last_patch: Option<(u64, u64, TextPatch)>,
     next_list: Option<Instant>,
-    platform_heard: Option<Instant>,
     platform_leaving: BTreeSet<ServerId>,
     asked_room: HashMap<PoolId, Instant>,
     tell_soon: BTreeSet<String>,
@@ -103,7 +100,6 @@
             guard: ReplayGuard::new(),
             last_patch: None,
             next_list: None,
-            platform_heard: None,
             platform_leaving: BTreeSet::new(),
             asked_room: HashMap::new(),
             tell_soon: BTreeSet::new(),
@@ -234,7 +230,6 @@
         let now = self.shared.clock.now();
         match end {
             TaskEnd::Head(Ok(row)) => {
-                self.platform_heard = Some(now);
                 let action = row.and_then(|row| self.follower.apply_head(row.value, now));
                 self.follow_some(action);
             }
--- a/crates/plumgate-node/src/control/gossip.rs
+++ b/crates/plumgate-node/src/control/gossip.rs
@@ -9,7 +9,7 @@
     NodeDigest, PeerEnvelope, PeerMessage, ServerLoad, servers_told, workspaces_told,
 };
 
-use super::{ControlLoop, PLATFORM_LATELY, ROOM_PAUSE, ROOM_PEERS};
+use super::{ControlLoop, ROOM_PAUSE, ROOM_PEERS};
 use crate::clock::Clock;
 use crate::log::LogLine;
 use crate::metrics::ReasonLabels;
@@ -51,9 +51,6 @@
         let own = self.members.own_mut();
         own.config = self.follower.version();
         own.stopping = self.life.is_stopping();
-        own.platform = self
-            .platform_heard
-            .is_some_and(|heard| now < heard + PLATFORM_LATELY);
         own.pools = pools;
         own.servers = servers;
         own.demand = largest_demand(demand, workspaces_told(nodes));
@@ -129,8 +126,6 @@
                 self.follow_some(action);
             }
             PeerMessage::MakeRoom { pool, rank } => self.make_room(&envelope.sender, pool, rank),
-            // Claims are made by each node for itself so far.
-            PeerMessage::Claim(_) | PeerMessage::Claimed(_) => {}
         }
     }
 
--- a/crates/plumgate-node/src/exchange/recover.rs
+++ b/crates/plumgate-node/src/exchange/recover.rs
@@ -100,9 +100,16 @@
         let path = format!("/v1/runs/{}", self.order.run_id);
         let request = self.build(Method::DELETE, &path, Bytes::new());
         let address = self.address();
+        let wasted = self.shared.metrics.wasted_tokens.clone();
         let cancelling = async move {
             // Without an answer the run goes on to its end and is dropped there.
-            let _ = fetch_once(address, request, LARGEST_ANSWER).await;
+            let answer = fetch_once(address, request, LARGEST_ANSWER).await;
+            let Ok((StatusCode::OK, _, body)) = answer else {
+                return;
+            };
+            if let Ok(state) = serde_json::from_slice::<RunState>(&body) {
+                wasted.inc_by(state.tokens);
+            }
         };
         self.shared.executor.spawn(cancelling).detach();
     }
--- a/crates/plumgate-standin/src/engine.rs
+++ b/crates/plumgate-standin/src/engine.rs
@@ -429,8 +429,10 @@
             return Ok(respond(StatusCode::NOT_FOUND, "no such run"));
         };
         if *method == Method::DELETE {
+            let tokens = self.state().runs.get(id).map_or(0, |run| run.produced);
             self.cancel(id);
-            return Ok(respond(StatusCode::OK, "cancelled"));
+            let body = json!({ "done": true, "tokens": tokens });
+            return Ok(respond_json(StatusCode::OK, &body));
         }
         if !wants_answer {
             let state = self.state();
--- a/crates/plumgate/src/claim.rs
+++ b/crates/plumgate/src/claim.rs
@@ -42,24 +42,6 @@
     NotRun,
 }
 
-/// A claim that a node asks another to make for it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimRequest {
-    /// The digest of workspace and key.
-    pub key: u128,
-    /// The id of the attempt that claims.
-    pub claimer: u128,
-}
-
-/// What came of a claim that was made for another node.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimReply {
-    /// The digest of workspace and key.
-    pub key: u128,
-    /// The id of the attempt that holds the key.
-    pub holder: u128,
-}
-
 /// What the claim's owner is to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimAction {
--- a/crates/plumgate/src/membership.rs
+++ b/crates/plumgate/src/membership.rs
@@ -108,6 +108,7 @@
     round: Duration,
     next_beat: Option<Instant>,
     next_greeting: Option<Instant>,
+    news: Vec<MemberEvent>,
     beat: Duration,
     last_tick: Option<Instant>,
     distrusts_until: Option<Instant>,
@@ -127,6 +128,7 @@
             round: SHORTEST_ROUND,
             next_beat: None,
             next_greeting: None,
+            news: Vec::new(),
             beat: SHORTEST_ROUND,
             last_tick: None,
             distrusts_until: None,
@@ -169,13 +171,20 @@
         if known.is_some_and(|peer| age(&peer.digest) >= age(digest)) {
             return false;
         }
+        let id = NodeId::from(digest.node.as_str());
+        if known.is_none_or(|peer| peer.gone) {
+            self.news.push(MemberEvent::Joined(id.clone()));
+        }
+        if digest.stopping && known.is_none_or(|peer| !peer.digest.stopping) {
+            self.news.push(MemberEvent::Stopping(id.clone()));
+        }
         let state = PeerState {
             digest: digest.clone(),
             heard: now,
             relays: 0,
             gone: false,
         };
-        self.peers.insert(digest.node.as_str().into(), state);
+        self.peers.insert(id, state);
         true
     }
 
@@ -195,7 +204,7 @@
 
     /// Finds out who is gone and whether this process stood still.
     pub fn tick(&mut self, now: Instant) -> Vec<MemberEvent> {
-        let mut events = Vec::new();
+        let mut events = std::mem::take(&mut self.news);
         let gap = self
             .last_tick
             .map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
--- a/crates/plumgate/src/wire.rs
+++ b/crates/plumgate/src/wire.rs
@@ -10,7 +10,6 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
-use crate::claim::{ClaimReply, ClaimRequest};
 use crate::errors::{Error, Result};
 use crate::ids::{ConfigVersion, TierRank};
 
@@ -80,10 +79,6 @@
         /// Requests of a lower tier than this one give way.
         rank: TierRank,
     },
-    /// Keys that the receiver is to claim on the sender's behalf.
-    Claim(Vec<ClaimRequest>),
-    /// What came of claims.
-    Claimed(Vec<ClaimReply>),
 }
 
 /// What one node tells about itself; relayed by others.
@@ -103,8 +98,6 @@
     pub config: ConfigVersion,
     /// Whether it is stopping.
     pub stopping: bool,
-    /// Whether it reached the platform lately.
-    pub platform: bool,
     /// Its requests by pool.
     pub pools: Vec<PoolLoad>,
     /// Its requests on the busiest servers.
--- a/crates/plumgate/tests/membership.rs
+++ b/crates/plumgate/tests/membership.rs
@@ -204,11 +204,17 @@
     let mut net = FakeNet::new(9);
     net.run(Duration::from_secs(5));
     net.nodes[4].frozen = true;
+    net.nodes[0].events.clear();
     net.run(Duration::from_secs(10));
     assert_eq!(net.nodes[0].members.live_count(), 8);
     net.nodes[4].frozen = false;
     net.run(Duration::from_secs(5));
     assert_eq!(net.nodes[0].members.live_count(), 9);
+    let told = [
+        MemberEvent::Gone("n4".into()),
+        MemberEvent::Joined("n4".into()),
+    ];
+    assert_eq!(net.nodes[0].events, told);
 }
 
 // A VM stands still for ten seconds. When it wakes up all others look silent to it, though it
