--- a/crates/plumgate-node/src/clock.rs
+++ b/crates/plumgate-node/src/clock.rs
@@ -6,6 +6,7 @@
 
 use async_io::Timer;
 use event_listener::Event;
+use futures_lite::future;
 
 /// Where a paused clock starts, in milliseconds of the Unix epoch.
 const PAUSED_START_MS: u64 = 1_767_225_600_000;
@@ -18,6 +19,9 @@
     /// The present in milliseconds of the Unix epoch.
     fn unix_ms(&self) -> u64;
 
+    /// Time since the VM started, suspension included; [`Clock::now`] may leave that out.
+    fn boot_time(&self) -> Duration;
+
     /// Completes at a time.
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> + Send;
 
@@ -27,6 +31,19 @@
     }
 }
 
+/// Does some work, but no longer than until a time; `None` where it took longer.
+pub async fn until<C: Clock, T>(
+    clock: &C,
+    at: Instant,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    let timeout = async {
+        clock.sleep_until(at).await;
+        None
+    };
+    future::or(async { Some(work.await) }, timeout).await
+}
+
 /// The clock of the machine.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SystemClock;
@@ -43,6 +60,13 @@
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     }
 
+    fn boot_time(&self) -> Duration {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+        Duration::new(seconds, nanos)
+    }
+
     async fn sleep_until(&self, at: Instant) {
         Timer::at(at).await;
     }
@@ -58,6 +82,7 @@
 #[derive(Debug, Default)]
 struct PausedState {
     passed: Mutex<Duration>,
+    suspended: Mutex<Duration>,
     advanced: Event,
 }
 
@@ -86,6 +111,15 @@
         self.state.advanced.notify(usize::MAX);
     }
 
+    /// Lets time pass of which only [`Clock::boot_time`] knows, as while a VM is suspended.
+    pub fn suspend(&self, by: Duration) {
+        *self
+            .state
+            .suspended
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) += by;
+    }
+
     /// How far the clock was advanced.
     pub fn passed(&self) -> Duration {
         *self
@@ -105,6 +139,15 @@
         PAUSED_START_MS + u64::try_from(self.passed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    fn boot_time(&self) -> Duration {
+        let suspended = self
+            .state
+            .suspended
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        self.passed() + *suspended
+    }
+
     async fn sleep_until(&self, at: Instant) {
         loop {
             let advanced = self.state.advanced.listen();
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -0,0 +1,218 @@
+//! One attempt: a request goes to a server, and the head of its answer comes back.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, EXPECT};
+use hyper::http::response;
+use hyper::{Request, Response, Version};
+use plumgate::gateway::load::WorkEnd;
+use plumgate::gateway::{RepeatKind, ServerEntry};
+
+use super::answer::drop_connection_headers;
+use super::ports::{AnswerFacts, AnswerMeaning, AttemptFacts, WireFormat};
+use super::relay::RelayRequest;
+use super::shared::{GatewayShared, WorkGuard};
+use crate::clock::{Clock, until};
+use crate::http::OutgoingRequest;
+use crate::link::{HttpLink, LinkError};
+
+/// How long a new connection to a server may take to come about. A first packet that is lost is
+/// sent again after a second only; another server answers sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long after the end of a request's time the server's own word on it is waited for.
+const LAST_WORD: Duration = Duration::from_millis(80);
+
+/// A server's answer, with its head.
+pub(crate) struct ServerAnswer<C: Clock, W> {
+    /// The head.
+    pub(crate) head: response::Parts,
+    /// The body, still to be read.
+    pub(crate) body: Incoming,
+    /// The connection that carries it.
+    pub(crate) link: HttpLink,
+    /// The server's load.
+    pub(crate) work: WorkGuard<C, W>,
+    /// What the head says.
+    pub(crate) facts: AnswerFacts,
+}
+
+/// How an attempt ended.
+pub(crate) enum AttemptEnd<C: Clock, W> {
+    /// The server answers.
+    Answer(Box<ServerAnswer<C, W>>),
+    /// The server surely did not run the request.
+    NotRun {
+        /// Why.
+        reason: &'static str,
+        /// Whether the request arrived at the server.
+        arrived: bool,
+    },
+    /// The server may have run the request.
+    InDoubt(&'static str),
+    /// The time of the request is over; the server may have run it.
+    TimedOut,
+}
+
+/// What is sent to whom, and until when.
+pub(crate) struct AttemptOrder<'a> {
+    /// The request.
+    pub(crate) request: &'a RelayRequest,
+    /// The server.
+    pub(crate) server: &'a ServerEntry,
+    /// Until when the head of the answer is waited for.
+    pub(crate) head_by: Instant,
+    /// The event after which a stream goes on.
+    pub(crate) resume_after: Option<u64>,
+}
+
+/// Carries out one attempt up to the head of the answer.
+pub(crate) async fn attempt<C: Clock, W: WireFormat>(
+    shared: &Arc<GatewayShared<C, W>>,
+    order: AttemptOrder<'_>,
+    mut work: WorkGuard<C, W>,
+) -> AttemptEnd<C, W> {
+    let Some(mut link) = connect(shared, &order).await else {
+        work.judge(WorkEnd::Unreachable);
+        return AttemptEnd::NotRun {
+            reason: "connect_failed",
+            arrived: false,
+        };
+    };
+    let request = outgoing(shared, &order);
+    let wait_until = order.head_by.min(order.request.due + LAST_WORD);
+    match until(&shared.clock, wait_until, link.exchange(request)).await {
+        Some(Ok(response)) => judge_answer(shared, &order, response, link, work),
+        Some(Err(LinkError::Unsent)) => AttemptEnd::NotRun {
+            reason: "closed_before_send",
+            arrived: false,
+        },
+        Some(Err(LinkError::Broken(_))) => {
+            work.judge(WorkEnd::Failed);
+            shared.links.clear(&order.server.id);
+            AttemptEnd::InDoubt("broken")
+        }
+        None if shared.clock.now() < order.request.due => {
+            work.judge(WorkEnd::Failed);
+            shared.links.clear(&order.server.id);
+            AttemptEnd::InDoubt("silent")
+        }
+        None => AttemptEnd::TimedOut,
+    }
+}
+
+async fn connect<C: Clock, W: WireFormat>(
+    shared: &Arc<GatewayShared<C, W>>,
+    order: &AttemptOrder<'_>,
+) -> Option<HttpLink> {
+    // A server may close an idle connection just as a request leaves, and nobody knows then
+    // whether it ran. What may run only once therefore gets a connection of its own.
+    let now = shared.clock.now();
+    if order.request.route.kind == RepeatKind::Idempotent
+        && let Some(link) = shared.links.take(&order.server.id, now).await
+    {
+        return Some(link);
+    }
+    let deadline = (now + CONNECT_TIMEOUT).min(order.request.due);
+    let opening = HttpLink::open(order.server.address);
+    until(&shared.clock, deadline, opening).await?.ok()
+}
+
+fn outgoing<C: Clock, W: WireFormat>(
+    shared: &GatewayShared<C, W>,
+    order: &AttemptOrder<'_>,
+) -> OutgoingRequest {
+    let request = order.request;
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.head.method.clone();
+    *outgoing.version_mut() = Version::HTTP_11;
+    // Servers take the path alone, whatever form the caller used.
+    if let Some(path) = request.head.uri.path_and_query() {
+        *outgoing.uri_mut() = path.clone().into();
+    }
+    let headers = outgoing.headers_mut();
+    *headers = request.head.headers.clone();
+    drop_connection_headers(headers);
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(EXPECT);
+    if !request.body.is_empty() {
+        headers.insert(CONTENT_LENGTH, request.body.len().into());
+    }
+    let now = shared.clock.now();
+    let facts = AttemptFacts {
+        server: &order.server.id,
+        workspace: request.workspace.as_ref(),
+        left: request.due.saturating_duration_since(now),
+        urgency: request.facts.prompt.is_some().then_some(request.urgency),
+        resume_after: order.resume_after,
+    };
+    shared.wire.write_attempt(headers, &facts);
+    outgoing
+}
+
+fn judge_answer<C: Clock, W: WireFormat>(
+    shared: &GatewayShared<C, W>,
+    order: &AttemptOrder<'_>,
+    response: Response<Incoming>,
+    link: HttpLink,
+    mut work: WorkGuard<C, W>,
+) -> AttemptEnd<C, W> {
+    let (head, body) = response.into_parts();
+    let facts = shared
+        .wire
+        .read_answer(&order.request.id, head.status, &head.headers);
+    match facts.meaning {
+        AnswerMeaning::Own => AttemptEnd::Answer(Box::new(ServerAnswer {
+            head,
+            body,
+            link,
+            work,
+            facts,
+        })),
+        AnswerMeaning::NotRun { misdirected } => {
+            // Another server has the address now: the entry is old, and nothing else says so.
+            let end = if misdirected {
+                WorkEnd::Unreachable
+            } else {
+                WorkEnd::Full
+            };
+            work.judge(end);
+            let reason = if misdirected { "misdirected" } else { "full" };
+            AttemptEnd::NotRun {
+                reason,
+                arrived: true,
+            }
+        }
+        // An answer to another request, out of step on this connection, must reach nobody.
+        AnswerMeaning::Foreign => {
+            work.judge(WorkEnd::Failed);
+            AttemptEnd::InDoubt("foreign_answer")
+        }
+        AnswerMeaning::Untrue => {
+            work.judge(WorkEnd::Failed);
+            AttemptEnd::InDoubt("untrue_answer")
+        }
+    }
+}
+
+/// Reads a whole body up to a bound.
+pub(crate) async fn read_whole(
+    link: &mut HttpLink,
+    body: &mut Incoming,
+    most: usize,
+) -> Result<Bytes, &'static str> {
+    let mut whole = bytes::BytesMut::new();
+    while let Some(frame) = link.frame(body).await {
+        let frame = frame.map_err(|_| "cut")?;
+        if let Ok(data) = frame.into_data() {
+            whole.extend_from_slice(&data);
+        }
+        if whole.len() > most {
+            return Err("too_large");
+        }
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -0,0 +1,380 @@
+//! The control thread of a gateway node: follows the source, keeps the life of the node.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_executor::LocalExecutor;
+use futures_lite::future;
+use plumgate::FindingList;
+use plumgate::chart::{ChartRun, NODE_CHART, StateChart};
+use plumgate::gateway::servers::ServerChange;
+use plumgate::gateway::{GatewayConfig, ServerEntry, ServerTable};
+use plumgate::ids::ServerId;
+use plumgate::retry::BackoffPause;
+
+use super::metrics::CallLabels;
+use super::options::GatewayBounds;
+use super::ports::{FleetSource, SourceChange, SourceError, SourceEvent, SourceTopic};
+use super::shared::GatewayShared;
+use crate::clock::Clock;
+use crate::log::LogLine;
+use crate::shared::LifeView;
+
+/// How long one watch of the configuration waits for changes. Each answer renews the trust in
+/// keys, so it must come well before the trust ends; a longer wait saves calls.
+const CONFIG_PAUSE: Duration = Duration::from_millis(1_500);
+/// How long one watch of the servers waits for changes.
+const SERVERS_PAUSE: Duration = Duration::from_millis(4_000);
+/// First pause after a call without an answer.
+const FIRST_RETRY: Duration = Duration::from_millis(40);
+/// Longest pause after calls without an answer: a fraction of the time within which a change
+/// must be in force.
+const LONGEST_RETRY: Duration = Duration::from_millis(400);
+/// How long after a call without an answer the entries that lapse are doubted.
+const TROUBLE_MEMORY: Duration = Duration::from_secs(4);
+/// How long a server whose entry lapsed in such a time stays in use. A server that lives has
+/// renewed its entry by then.
+const DOUBT: Duration = Duration::from_millis(1_800);
+/// Time between two looks at all that may be due.
+const TICK: Duration = Duration::from_millis(100);
+/// How long the balancer goes on sending new connections after readiness was withdrawn: two
+/// checks, a second apart, and the time that one takes.
+const BALANCER_LAG: Duration = Duration::from_millis(2_400);
+/// Part of the grace that is kept for ending the process.
+const EXIT_RESERVE: Duration = Duration::from_millis(300);
+
+/// What the control thread is told from outside.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum GatewaySignal {
+    /// The process was asked to stop.
+    Stop,
+    /// The operators' bounds were read again.
+    Reload(GatewayBounds),
+}
+
+/// The state of the control thread.
+pub(crate) struct GatewayControl<C, W> {
+    shared: Arc<GatewayShared<C, W>>,
+    servers: RefCell<ServerTable>,
+    trouble_at: RefCell<Option<Instant>>,
+    life: RefCell<ChartRun>,
+    life_since: RefCell<Option<Instant>>,
+    stop_asked_at: RefCell<Option<Instant>>,
+}
+
+impl<C: Clock, W: Send + Sync + 'static> GatewayControl<C, W> {
+    /// A control thread that knows nothing yet.
+    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>) -> Self {
+        let chart = StateChart::read("node.toml", NODE_CHART);
+        let chart = chart.expect("the chart is part of the program and checked by its tests");
+        Self {
+            shared,
+            servers: RefCell::new(ServerTable::new()),
+            trouble_at: RefCell::new(None),
+            life: RefCell::new(ChartRun::new(Arc::new(chart))),
+            life_since: RefCell::new(None),
+            stop_asked_at: RefCell::new(None),
+        }
+    }
+
+    /// Runs until the node has stopped.
+    pub(crate) fn run<S: FleetSource>(self, source: S, signals: Receiver<GatewaySignal>) {
+        let control = Rc::new(self);
+        let executor = LocalExecutor::new();
+        for (topic, pause) in [
+            (SourceTopic::Config, CONFIG_PAUSE),
+            (SourceTopic::Servers, SERVERS_PAUSE),
+        ] {
+            let control = control.clone();
+            let source = source.clone();
+            let following = async move { control.follow(source, topic, pause).await };
+            executor.spawn(following).detach();
+        }
+        let living = control.live(signals);
+        async_io::block_on(executor.run(living));
+    }
+
+    /// Keeps the life of the node until it ends.
+    async fn live(&self, signals: Receiver<GatewaySignal>) {
+        while !self.life.borrow().is_ended() {
+            let tick = async {
+                self.shared.clock.sleep(TICK).await;
+                None
+            };
+            let signal = async {
+                match signals.recv().await {
+                    Ok(signal) => Some(signal),
+                    Err(_) => future::pending().await,
+                }
+            };
+            match future::or(signal, tick).await {
+                Some(GatewaySignal::Stop) => self.stop(),
+                Some(GatewaySignal::Reload(bounds)) => self.reload(bounds),
+                None => self.tick(),
+            }
+        }
+    }
+
+    fn tick(&self) {
+        let now = self.shared.clock.now();
+        let over = self.servers.borrow_mut().tick(now);
+        self.apply_servers(over, "lapsed");
+        self.shared.links.sweep(now);
+        if let Some(age) = self.shared.key_age_ms() {
+            let age = i64::try_from(age).unwrap_or(i64::MAX);
+            self.shared.metrics.key_age.set(age);
+        }
+        self.live_on(now);
+    }
+
+    /// Reads a topic and follows its changes for as long as the node runs.
+    async fn follow<S: FleetSource>(&self, mut source: S, topic: SourceTopic, pause: Duration) {
+        let mut rng = fastrand::Rng::with_seed(self.shared.options.seed);
+        let mut backoff = BackoffPause::new(FIRST_RETRY, LONGEST_RETRY);
+        let mut since = None;
+        let mut is_lost = false;
+        loop {
+            let asked_at = self.shared.clock.boot_time();
+            let answer = match since {
+                None => source.read(topic).await,
+                Some(version) => source.watch(topic, version, pause).await,
+            };
+            self.count_call(topic, answer.is_ok());
+            match answer {
+                Ok(change) => {
+                    if is_lost {
+                        self.log_regained(topic, change.version);
+                        is_lost = false;
+                    }
+                    backoff.reset();
+                    let is_whole = since.is_none();
+                    since = Some(change.version);
+                    self.apply(topic, change, is_whole);
+                    if topic == SourceTopic::Config {
+                        self.shared.lease().renew(asked_at);
+                    }
+                }
+                Err(error) => {
+                    // Whatever went wrong may have swallowed a change: all is read anew.
+                    since = None;
+                    self.note_failure(topic, &error, &mut is_lost);
+                    if error != SourceError::HistoryLost {
+                        self.shared.clock.sleep(backoff.next(&mut rng)).await;
+                    }
+                }
+            }
+        }
+    }
+
+    fn count_call(&self, topic: SourceTopic, is_ok: bool) {
+        let labels = CallLabels {
+            topic: topic.as_str(),
+            result: if is_ok { "ok" } else { "failed" },
+        };
+        self.shared
+            .metrics
+            .source_calls
+            .get_or_create(&labels)
+            .inc();
+    }
+
+    fn log_regained(&self, topic: SourceTopic, version: u64) {
+        LogLine::new("source_regained")
+            .with("topic", topic.as_str())
+            .with("source_version", version)
+            .info(&self.shared.log);
+    }
+
+    fn note_failure(&self, topic: SourceTopic, error: &SourceError, is_lost: &mut bool) {
+        if *error == SourceError::HistoryLost {
+            LogLine::new("source_history_lost")
+                .with("topic", topic.as_str())
+                .warn(&self.shared.log);
+            return;
+        }
+        *self.trouble_at.borrow_mut() = Some(self.shared.clock.now());
+        if !*is_lost {
+            LogLine::new("source_lost")
+                .with("topic", topic.as_str())
+                .with("error", error)
+                .with_some("key_age_ms", self.shared.key_age_ms())
+                .warn(&self.shared.log);
+            *is_lost = true;
+        }
+    }
+
+    fn apply(&self, topic: SourceTopic, change: SourceChange, is_whole: bool) {
+        let mut entries = Vec::new();
+        for event in change.events {
+            match event {
+                SourceEvent::Config(config) => self.apply_config(config, change.version),
+                SourceEvent::BadConfig(findings) | SourceEvent::BadServer(findings) => {
+                    self.log_findings(topic, &findings);
+                }
+                SourceEvent::Server(entry) => entries.push(entry),
+                SourceEvent::ServerGone(id) => {
+                    self.apply_entries(std::mem::take(&mut entries));
+                    self.remove_server(&id);
+                }
+            }
+        }
+        if topic == SourceTopic::Servers && is_whole {
+            let now = self.shared.clock.now();
+            let doubt = self.doubt(now);
+            let changes = self.servers.borrow_mut().replace(entries, doubt, now);
+            self.apply_servers(changes, "read");
+        } else {
+            self.apply_entries(entries);
+        }
+    }
+
+    fn apply_entries(&self, entries: Vec<ServerEntry>) {
+        let changes: Vec<ServerChange> = entries
+            .into_iter()
+            .filter_map(|entry| self.servers.borrow_mut().put(entry))
+            .collect();
+        self.apply_servers(changes, "watched");
+    }
+
+    fn remove_server(&self, id: &ServerId) {
+        let now = self.shared.clock.now();
+        let doubt = self.doubt(now);
+        let change = self.servers.borrow_mut().remove(id, doubt, now);
+        self.apply_servers(change.into_iter().collect(), "watched");
+    }
+
+    /// How long a lapsed entry is doubted: only shortly after the source was away.
+    fn doubt(&self, now: Instant) -> Option<Duration> {
+        let trouble_at = (*self.trouble_at.borrow())?;
+        (now.saturating_duration_since(trouble_at) < TROUBLE_MEMORY).then_some(DOUBT)
+    }
+
+    fn apply_config(&self, config: Arc<GatewayConfig>, source_version: u64) {
+        let held = self.shared.config.load_full();
+        let held_version = held.as_ref().map_or(0, |held| held.version);
+        // Answers of a source that was away may be old. Going back would bring back routes and
+        // keys that callers have seen go.
+        if held.is_some() && config.version <= held_version {
+            return;
+        }
+        LogLine::new("config")
+            .with("version", config.version)
+            .with("before", held_version)
+            .with("source_version", source_version)
+            .with("routes", config.route_count())
+            .with("keys", config.key_count())
+            .info(&self.shared.log);
+        let version = i64::try_from(config.version).unwrap_or(i64::MAX);
+        self.shared.metrics.config_version.set(version);
+        self.shared.config.store(Some(config));
+        if self.life.borrow().expects("configured") {
+            self.enter("configured");
+        }
+    }
+
+    fn log_findings(&self, topic: SourceTopic, findings: &FindingList) {
+        for finding in findings.sorted() {
+            LogLine::new("finding")
+                .with("topic", topic.as_str())
+                .with("finding", &finding)
+                .warn(&self.shared.log);
+        }
+    }
+
+    fn apply_servers(&self, changes: Vec<ServerChange>, source: &str) {
+        if changes.is_empty() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let mut loads = self.shared.loads();
+        for change in &changes {
+            loads.apply(change, now);
+            let line = LogLine::new("server").with("source", source);
+            let line = match change {
+                ServerChange::Changed(entry) => line
+                    .with("server", &entry.id)
+                    .with("state", format!("{:?}", entry.state).to_lowercase())
+                    .with("pool", &entry.pool)
+                    .with("address", entry.address)
+                    .with("data_centre", &entry.data_centre),
+                ServerChange::Gone(id) => line.with("server", id).with("state", "gone"),
+                ServerChange::Doubted(id) => line.with("server", id).with("state", "doubted"),
+            };
+            line.info(&self.shared.log);
+            if let ServerChange::Gone(id) = change {
+                self.shared.links.clear(id);
+            }
+        }
+        let count = i64::try_from(self.servers.borrow().len()).unwrap_or(i64::MAX);
+        self.shared.metrics.servers.set(count);
+    }
+
+    fn stop(&self) {
+        let now = self.shared.clock.now();
+        self.stop_asked_at.borrow_mut().get_or_insert(now);
+        if self.life.borrow().state() == "announcing" {
+            return;
+        }
+        if self.life.borrow().expects("stop") {
+            self.enter("stop");
+        }
+    }
+
+    fn reload(&self, bounds: GatewayBounds) {
+        LogLine::new("reload")
+            .with("changed", **self.shared.bounds.load() != bounds)
+            .with("key_age_ms", bounds.key_age.as_millis())
+            .with("grace_ms", bounds.grace.as_millis())
+            .with("retry_ratio", bounds.retry_ratio)
+            .with("retry_extra", bounds.retry_extra)
+            .info(&self.shared.log);
+        self.shared.set_bounds(bounds);
+    }
+
+    /// Goes on in the life of the node when the time has come.
+    fn live_on(&self, now: Instant) {
+        let Some(since) = *self.life_since.borrow() else {
+            return;
+        };
+        let state = self.life.borrow().state().to_owned();
+        let passed = now.saturating_duration_since(since);
+        let stop_passed = self
+            .stop_asked_at
+            .borrow()
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let grace = self.shared.bounds.load().grace;
+        if state == "announcing" && passed >= BALANCER_LAG {
+            self.enter("balancer_lag_over");
+        } else if state == "draining" && self.shared.is_idle() {
+            self.enter("idle");
+        } else if state == "draining" && stop_passed + EXIT_RESERVE >= grace {
+            self.enter("grace_over");
+        }
+    }
+
+    fn enter(&self, event: &str) {
+        let applied = self.life.borrow_mut().apply(event);
+        debug_assert!(
+            applied.is_ok(),
+            "the chart expects what the node does: {applied:?}"
+        );
+        let life = self.life.borrow();
+        let state = life.state();
+        LogLine::new("node")
+            .with("state", state)
+            .with("after", event)
+            .with("open_requests", self.shared.open_requests())
+            .info(&self.shared.log);
+        *self.life_since.borrow_mut() = Some(self.shared.clock.now());
+        let view = LifeView {
+            state: state.to_owned(),
+            ready: state == "ready",
+            closing: matches!(state, "draining" | "stopped"),
+        };
+        self.shared.life.store(Arc::new(view));
+        self.shared.life_changed.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -0,0 +1,166 @@
+//! What a gateway node counts, for operators.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the buckets for times, in seconds.
+const TIME_BUCKETS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 10.0];
+
+/// How a request ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct EndLabels {
+    /// What may be repeated of it.
+    pub(crate) kind: &'static str,
+    /// Its priority.
+    pub(crate) priority: u32,
+    /// `answered`, `not_run` or `unknown`.
+    pub(crate) outcome: &'static str,
+    /// Why.
+    pub(crate) reason: &'static str,
+}
+
+/// The priority of requests.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct PriorityLabels {
+    /// The priority.
+    pub(crate) priority: u32,
+}
+
+/// Why an attempt failed.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ReasonLabels {
+    /// The reason.
+    pub(crate) reason: &'static str,
+}
+
+/// A call to the source.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct CallLabels {
+    /// What was asked for.
+    pub(crate) topic: &'static str,
+    /// `ok` or `failed`.
+    pub(crate) result: &'static str,
+}
+
+/// All metrics of a gateway node.
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    /// Requests that ended.
+    pub(crate) requests: Family<EndLabels, Counter>,
+    /// Attempts that were followed by another or by a failure.
+    pub(crate) failed_attempts: Family<ReasonLabels, Counter>,
+    /// Time from arrival to the first byte of the answer.
+    pub(crate) first_byte: Family<PriorityLabels, Histogram>,
+    /// Pauses between two pieces of a stream.
+    pub(crate) pauses: Family<PriorityLabels, Histogram>,
+    /// Requests in flight.
+    pub(crate) in_flight: Gauge,
+    /// Retries that were sent.
+    pub(crate) retries: Counter,
+    /// Retries that were not sent as the budget was spent.
+    pub(crate) retries_refused: Counter,
+    /// The version of the configuration in force.
+    pub(crate) config_version: Gauge,
+    /// Age of the knowledge of keys, in milliseconds.
+    pub(crate) key_age: Gauge,
+    /// Servers that are known.
+    pub(crate) servers: Gauge,
+    /// Calls to the source.
+    pub(crate) source_calls: Family<CallLabels, Counter>,
+}
+
+impl GatewayMetrics {
+    /// Metrics that count from nothing.
+    pub(crate) fn new() -> Self {
+        let times = || Histogram::new(TIME_BUCKETS);
+        let mut metrics = Self {
+            registry: Registry::default(),
+            requests: Family::default(),
+            failed_attempts: Family::default(),
+            first_byte: Family::new_with_constructor(times),
+            pauses: Family::new_with_constructor(times),
+            in_flight: Gauge::default(),
+            retries: Counter::default(),
+            retries_refused: Counter::default(),
+            config_version: Gauge::default(),
+            key_age: Gauge::default(),
+            servers: Gauge::default(),
+            source_calls: Family::default(),
+        };
+        metrics.registry = metrics.register(Registry::with_prefix("plumgate_gateway"));
+        metrics
+    }
+
+    fn register(&self, mut registry: Registry) -> Registry {
+        registry.register("requests", "Requests that ended", self.requests.clone());
+        registry.register(
+            "failed_attempts",
+            "Attempts that failed",
+            self.failed_attempts.clone(),
+        );
+        registry.register(
+            "first_byte_seconds",
+            "Arrival to first byte",
+            self.first_byte.clone(),
+        );
+        registry.register("pause_seconds", "Pauses in streams", self.pauses.clone());
+        registry.register("in_flight", "Requests in flight", self.in_flight.clone());
+        registry.register("retries", "Retries sent", self.retries.clone());
+        registry.register(
+            "retries_refused",
+            "Retries without budget",
+            self.retries_refused.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Configuration in force",
+            self.config_version.clone(),
+        );
+        registry.register(
+            "key_age_milliseconds",
+            "Age of what is known of keys",
+            self.key_age.clone(),
+        );
+        registry.register("servers", "Servers known", self.servers.clone());
+        registry.register(
+            "source_calls",
+            "Calls to the store",
+            self.source_calls.clone(),
+        );
+        registry
+    }
+
+    /// The first byte of an answer goes to its caller.
+    pub(crate) fn observe_first_byte(&self, priority: u8, after: Duration) {
+        let labels = PriorityLabels {
+            priority: priority.into(),
+        };
+        self.first_byte
+            .get_or_create(&labels)
+            .observe(after.as_secs_f64());
+    }
+
+    /// A stream paused between two pieces.
+    pub(crate) fn observe_pause(&self, priority: u8, pause: Duration) {
+        let labels = PriorityLabels {
+            priority: priority.into(),
+        };
+        self.pauses
+            .get_or_create(&labels)
+            .observe(pause.as_secs_f64());
+    }
+
+    /// The text of the metrics page.
+    pub(crate) fn page(&self) -> String {
+        let mut page = String::new();
+        // Writing to a string does not fail; an empty page would show that it did.
+        let _ = text::encode(&mut page, &self.registry);
+        page
+    }
+}
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -0,0 +1,21 @@
+//! The gateway: a node that relays whole requests byte for byte.
+//!
+//! It decides by `plumgate::gateway` and knows no wire format of its own: what the store, the
+//! callers and the backend servers speak comes through the traits in [`ports`].
+
+pub mod ports;
+
+mod answer;
+mod attempt;
+mod caller;
+mod control;
+mod links;
+mod metrics;
+mod node;
+mod options;
+mod relay;
+mod shared;
+mod stream;
+
+pub use node::{GatewayHandle, GatewayNode};
+pub use options::{GatewayBounds, GatewayOptions};
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -0,0 +1,126 @@
+//! Starts the threads of a gateway node and stops them again.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use async_channel::Sender;
+use async_io::Async;
+
+use super::caller::{accept_callers, accept_probes};
+use super::control::{GatewayControl, GatewaySignal};
+use super::options::{GatewayBounds, GatewayOptions};
+use super::ports::{FleetSource, WireFormat};
+use super::shared::GatewayShared;
+use crate::clock::Clock;
+use crate::errors::{Error, Result};
+use crate::log::{EventLog, LogLine};
+use crate::node::spawn_thread;
+
+/// Signals that wait for the control thread.
+const SIGNALS_WAITING: usize = 16;
+
+/// Steers a running gateway node from elsewhere.
+#[derive(Clone, Debug)]
+pub struct GatewayHandle {
+    signals: Sender<GatewaySignal>,
+}
+
+impl GatewayHandle {
+    /// Asks the node to stop.
+    pub fn stop(&self) {
+        // A control thread that is gone has stopped already.
+        let _ = self.signals.try_send(GatewaySignal::Stop);
+    }
+
+    /// Gives the node the operators' bounds as they were read again.
+    pub fn reload(&self, bounds: GatewayBounds) {
+        let _ = self.signals.try_send(GatewaySignal::Reload(bounds));
+    }
+}
+
+/// A running gateway node.
+pub struct GatewayNode {
+    handle: GatewayHandle,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl GatewayNode {
+    /// Binds all addresses and starts the threads.
+    pub fn start<C: Clock, W: WireFormat, S: FleetSource + Send>(
+        options: GatewayOptions,
+        clock: C,
+        log: EventLog,
+        wire: W,
+        source: S,
+    ) -> Result<Self> {
+        let (signals, received) = async_channel::bounded(SIGNALS_WAITING);
+        let callers = bind(options.listen)?;
+        let probes = bind(options.ready_listen)?;
+        let metrics = options.metrics_listen.map(bind).transpose()?;
+        let shared = Arc::new(GatewayShared::new(options, clock, log, wire));
+        log_start(&shared);
+        let executor = shared.executor.clone();
+        executor
+            .spawn(accept_callers(shared.clone(), callers))
+            .detach();
+        for listener in [Some(probes), metrics].into_iter().flatten() {
+            executor
+                .spawn(accept_probes(shared.clone(), listener))
+                .detach();
+        }
+        let (running, stopped) = async_channel::bounded::<()>(1);
+        let traffic = move || {
+            // Ends when the control thread does.
+            let _ = async_io::block_on(executor.run(stopped.recv()));
+        };
+        let control = move || {
+            let control = GatewayControl::new(shared.clone());
+            control.run(source, received);
+            LogLine::new("stop")
+                .with("node", &shared.options.node)
+                .with("open_requests", shared.open_requests())
+                .info(&shared.log);
+            drop(running);
+        };
+        let threads = vec![
+            spawn_thread("traffic".to_owned(), traffic)?,
+            spawn_thread("control".to_owned(), control)?,
+        ];
+        Ok(Self {
+            handle: GatewayHandle { signals },
+            threads,
+        })
+    }
+
+    /// Steers the node from elsewhere.
+    pub fn handle(&self) -> GatewayHandle {
+        self.handle.clone()
+    }
+
+    /// Waits until the node has stopped.
+    pub fn join(self) {
+        for thread in self.threads {
+            // A thread that panicked has said so on standard error.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address).map_err(|error| Error::Listen(address, error))
+}
+
+fn log_start<C: Clock, W>(shared: &GatewayShared<C, W>) {
+    let options = &shared.options;
+    LogLine::new("start")
+        .with("node", &options.node)
+        .with("data_centre", &options.data_centre)
+        .with("callers", options.listen)
+        .with("ready", options.ready_listen)
+        .with_some("metrics", options.metrics_listen)
+        .with("key_age_ms", options.bounds.key_age.as_millis())
+        .with("retry_ratio", options.bounds.retry_ratio)
+        .with("retry_extra", options.bounds.retry_extra)
+        .info(&shared.log);
+}
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -0,0 +1,100 @@
+//! The options of a gateway node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use plumgate::gateway::PlacementPolicy;
+use plumgate::ids::{DataCentreId, NodeId};
+
+/// The bounds that the fleet's operators set.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GatewayBounds {
+    /// Longest time after which a key that was taken away must not work.
+    pub key_age: Duration,
+    /// Time from the signal to stop until the process is killed.
+    pub grace: Duration,
+    /// Retries to a pool as a share of its requests, over all nodes.
+    pub retry_ratio: f64,
+    /// Retries to a pool beyond that share, over all nodes.
+    pub retry_extra: f64,
+    /// The window over which retries are counted.
+    pub retry_window: Duration,
+}
+
+impl Default for GatewayBounds {
+    fn default() -> Self {
+        Self {
+            key_age: Duration::from_secs(5),
+            grace: Duration::from_secs(8),
+            retry_ratio: 0.2,
+            retry_extra: 50.0,
+            retry_window: Duration::from_secs(10),
+        }
+    }
+}
+
+/// How a gateway node is set up.
+#[derive(Clone, Debug)]
+pub struct GatewayOptions {
+    /// The name of the VM.
+    pub node: NodeId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for the balancer's readiness checks.
+    pub ready_listen: SocketAddr,
+    /// Address for metrics.
+    pub metrics_listen: Option<SocketAddr>,
+    /// The operators' bounds.
+    pub bounds: GatewayBounds,
+    /// How servers are chosen.
+    pub policy: PlacementPolicy,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+impl GatewayOptions {
+    /// Options of a node with its addresses.
+    pub fn new(
+        node: impl Into<NodeId>,
+        data_centre: impl Into<DataCentreId>,
+        listen: SocketAddr,
+        ready_listen: SocketAddr,
+    ) -> Self {
+        Self {
+            node: node.into(),
+            data_centre: data_centre.into(),
+            listen,
+            ready_listen,
+            metrics_listen: None,
+            bounds: GatewayBounds::default(),
+            policy: PlacementPolicy::default(),
+            seed: 0,
+        }
+    }
+
+    /// The same with an address for metrics.
+    pub fn with_metrics(mut self, listen: SocketAddr) -> Self {
+        self.metrics_listen = Some(listen);
+        self
+    }
+
+    /// The same with other bounds.
+    pub fn with_bounds(mut self, bounds: GatewayBounds) -> Self {
+        self.bounds = bounds;
+        self
+    }
+
+    /// The same with another way to choose servers.
+    pub fn with_policy(mut self, policy: PlacementPolicy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// The same with a seed.
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/ports.rs
@@ -0,0 +1,159 @@
+//! What the gateway needs from the platform that it runs on.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, StatusCode};
+use plumgate::FindingList;
+use plumgate::gateway::{GatewayConfig, PromptShape, ServerEntry};
+use plumgate::ids::{ServerId, WorkspaceId};
+
+/// What can be read from the source of a fleet's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum SourceTopic {
+    /// The configuration.
+    Config,
+    /// The backend servers.
+    Servers,
+}
+
+impl SourceTopic {
+    /// The name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Servers => "servers",
+        }
+    }
+}
+
+/// One change that the source tells of.
+#[derive(Clone, Debug)]
+pub enum SourceEvent {
+    /// A version of the configuration.
+    Config(Arc<GatewayConfig>),
+    /// A configuration that makes no sense; the one in force stays.
+    BadConfig(FindingList),
+    /// A server's entry.
+    Server(ServerEntry),
+    /// A server's entry that makes no sense; what was known of the server stays.
+    BadServer(FindingList),
+    /// A server's entry is gone.
+    ServerGone(ServerId),
+}
+
+/// An answer of the source.
+#[derive(Clone, Debug)]
+pub struct SourceChange {
+    /// The source's version up to which the events tell all; a watch goes on from here.
+    pub version: u64,
+    /// The events in their order.
+    pub events: Vec<SourceEvent>,
+}
+
+/// Why the source gave no answer.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum SourceError {
+    /// the history from the asked version on is gone
+    HistoryLost,
+    /// no answer: {0}
+    Unanswered(String),
+    /// refused with status {0}
+    Refused(u16),
+    /// the answer makes no sense: {0}
+    Malformed(String),
+}
+
+impl std::error::Error for SourceError {}
+
+/// Where a fleet's configuration and servers are read from.
+pub trait FleetSource: Clone + 'static {
+    /// Reads all of a topic as of one moment.
+    fn read(
+        &mut self,
+        topic: SourceTopic,
+    ) -> impl Future<Output = Result<SourceChange, SourceError>>;
+
+    /// Waits for changes of a topic after a version, and gives back an empty answer after a
+    /// pause without any.
+    fn watch(
+        &mut self,
+        topic: SourceTopic,
+        since: u64,
+        pause: Duration,
+    ) -> impl Future<Output = Result<SourceChange, SourceError>>;
+}
+
+/// What a caller's request says of itself.
+#[derive(Clone, Debug, Default)]
+pub struct RequestFacts {
+    /// The id of this attempt of the caller.
+    pub id: Option<String>,
+    /// The key that names the workspace.
+    pub key: Option<String>,
+    /// How long the caller will wait from now on.
+    pub patience: Option<Duration>,
+    /// The prompt, where the request has one.
+    pub prompt: Option<PromptShape>,
+    /// The event after which the caller wants a stream to go on.
+    pub resume_after: Option<u64>,
+}
+
+/// What an attempt tells the server beside the caller's own request.
+#[derive(Clone, Debug)]
+pub struct AttemptFacts<'a> {
+    /// The server that must take it, and no other at the same address.
+    pub server: &'a ServerId,
+    /// The workspace whose key the caller has.
+    pub workspace: Option<&'a WorkspaceId>,
+    /// Time left for the answer.
+    pub left: Duration,
+    /// Urgency, 0 first, where the server has a queue that honours it.
+    pub urgency: Option<u8>,
+    /// The event after which the stream goes on.
+    pub resume_after: Option<u64>,
+}
+
+/// What the head of a server's answer means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerMeaning {
+    /// The server's own answer to this request; success or failure, it goes on unchanged.
+    Own,
+    /// The server did not run the request and will not.
+    NotRun {
+        /// Whether another server has the address now.
+        misdirected: bool,
+    },
+    /// An answer to another request.
+    Foreign,
+    /// Bytes that are not the server's own, or an answer that promises what nobody can know.
+    Untrue,
+}
+
+/// What the head of a server's answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// What it means.
+    pub meaning: AnswerMeaning,
+    /// How long the server keeps the connection without a request; `None` where it doesn't say.
+    pub keeps_for: Option<Duration>,
+}
+
+/// The headers that callers and servers speak.
+pub trait WireFormat: Clone + Send + Sync + 'static {
+    /// Reads the head of a caller's request.
+    fn read_request(&self, head: &Parts) -> RequestFacts;
+
+    /// Turns a caller's headers into those for a server: what only the system may set is
+    /// dropped, and the attempt's own are set.
+    fn write_attempt(&self, headers: &mut HeaderMap, facts: &AttemptFacts<'_>);
+
+    /// Reads the head of a server's answer to the request with this id.
+    fn read_answer(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+
+    /// Names the caller's attempt in an answer of the node's own, and when to come back.
+    fn write_own_answer(&self, headers: &mut HeaderMap, id: &str, retry_after: Option<Duration>);
+}
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -0,0 +1,226 @@
+//! What the threads of a gateway node share.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use async_executor::Executor;
+use event_listener::Event;
+use plumgate::gateway::load::{WorkEnd, WorkTicket};
+use plumgate::gateway::{FreshnessLease, GatewayConfig, LoadTable, PlacementOptions, WindowBudget};
+
+use super::links::LinkPool;
+use super::metrics::GatewayMetrics;
+use super::options::{GatewayBounds, GatewayOptions};
+use crate::clock::Clock;
+use crate::log::EventLog;
+use crate::shared::LifeView;
+
+/// Nodes among which the retries of the fleet are divided until the fleet's size is known: more
+/// than a small fleet has with its spare VMs.
+const NODES_ASSUMED: u32 = 16;
+
+/// All that is shared.
+pub(crate) struct GatewayShared<C, W> {
+    /// The options.
+    pub(crate) options: GatewayOptions,
+    /// The clock.
+    pub(crate) clock: C,
+    /// The log.
+    pub(crate) log: EventLog,
+    /// What callers and servers speak.
+    pub(crate) wire: W,
+    /// The metrics.
+    pub(crate) metrics: GatewayMetrics,
+    /// The configuration in force.
+    pub(crate) config: ArcSwapOption<GatewayConfig>,
+    /// How far the node has come in its life.
+    pub(crate) life: ArcSwap<LifeView>,
+    /// The operators' bounds, as last read.
+    pub(crate) bounds: ArcSwap<GatewayBounds>,
+    /// Tells connections that the life went on.
+    pub(crate) life_changed: Event,
+    /// Idle connections to servers.
+    pub(crate) links: LinkPool,
+    /// Runs the tasks of the traffic thread.
+    pub(crate) executor: Arc<Executor<'static>>,
+    lease: Mutex<FreshnessLease>,
+    loads: Mutex<LoadTable>,
+    budget: Mutex<WindowBudget>,
+    rng: Mutex<fastrand::Rng>,
+    open_requests: AtomicU64,
+    open_connections: AtomicU64,
+}
+
+impl<C: Clock, W> GatewayShared<C, W> {
+    /// The shared part of a node that knows nothing yet.
+    pub(crate) fn new(options: GatewayOptions, clock: C, log: EventLog, wire: W) -> Self {
+        let bounds = options.bounds;
+        let placement = PlacementOptions::new(options.data_centre.clone())
+            .with_policy(options.policy)
+            .with_seed(options.seed);
+        Self {
+            clock,
+            log,
+            wire,
+            metrics: GatewayMetrics::new(),
+            config: ArcSwapOption::empty(),
+            life: ArcSwap::from_pointee(LifeView {
+                state: "starting".to_owned(),
+                ..LifeView::default()
+            }),
+            bounds: ArcSwap::from_pointee(bounds),
+            life_changed: Event::new(),
+            links: LinkPool::default(),
+            executor: Arc::new(Executor::new()),
+            lease: Mutex::new(FreshnessLease::new(bounds.key_age)),
+            loads: Mutex::new(LoadTable::new(placement)),
+            budget: Mutex::new(WindowBudget::new(
+                bounds.retry_window,
+                bounds.retry_ratio,
+                bounds.retry_extra,
+                NODES_ASSUMED,
+            )),
+            rng: Mutex::new(fastrand::Rng::with_seed(options.seed)),
+            open_requests: AtomicU64::new(0),
+            open_connections: AtomicU64::new(0),
+            options,
+        }
+    }
+
+    /// Takes over other bounds. Requests in flight go on under those that they came under.
+    pub(crate) fn set_bounds(&self, bounds: GatewayBounds) {
+        self.budget()
+            .set_bounds(bounds.retry_window, bounds.retry_ratio, bounds.retry_extra);
+        self.lease().set_longest(bounds.key_age);
+        self.bounds.store(Arc::new(bounds));
+    }
+
+    /// How old the knowledge of keys is.
+    pub(crate) fn lease(&self) -> MutexGuard<'_, FreshnessLease> {
+        lock(&self.lease)
+    }
+
+    /// What this node knows of the servers.
+    pub(crate) fn loads(&self) -> MutexGuard<'_, LoadTable> {
+        lock(&self.loads)
+    }
+
+    /// This node's share of the retries.
+    pub(crate) fn budget(&self) -> MutexGuard<'_, WindowBudget> {
+        lock(&self.budget)
+    }
+
+    /// A random share from 0 to 1.
+    pub(crate) fn random_share(&self) -> f64 {
+        lock(&self.rng).f64()
+    }
+
+    /// Whether keys that are known may be trusted now.
+    pub(crate) fn allows_keys(&self) -> bool {
+        self.lease().allows_keys(self.clock.boot_time())
+    }
+
+    /// Age of the knowledge of keys in milliseconds, for the log.
+    pub(crate) fn key_age_ms(&self) -> Option<u128> {
+        let age = self.lease().age(self.clock.boot_time());
+        age.as_ref().map(Duration::as_millis)
+    }
+
+    /// Whether the balancer should send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.life.load().ready && self.lease().allows_ready(self.clock.boot_time())
+    }
+
+    /// Whether neither requests nor connections are open.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.open_requests() == 0 && self.open_connections.load(Ordering::SeqCst) == 0
+    }
+
+    /// Requests in flight.
+    pub(crate) fn open_requests(&self) -> u64 {
+        self.open_requests.load(Ordering::SeqCst)
+    }
+}
+
+/// A lock whose holder panicked still guards usable state: the panic was one request's fault.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts a caller's connection for as long as it lives.
+pub(crate) struct ConnectionGuard<C, W>(Arc<GatewayShared<C, W>>);
+
+impl<C, W> ConnectionGuard<C, W> {
+    /// A connection was opened.
+    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>) -> Self {
+        shared.open_connections.fetch_add(1, Ordering::SeqCst);
+        Self(shared)
+    }
+}
+
+impl<C, W> Drop for ConnectionGuard<C, W> {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Counts a request for as long as it lives.
+pub(crate) struct RequestGuard<C, W>(Arc<GatewayShared<C, W>>);
+
+impl<C, W> RequestGuard<C, W> {
+    /// A request came.
+    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>) -> Self {
+        shared.open_requests.fetch_add(1, Ordering::SeqCst);
+        shared.metrics.in_flight.inc();
+        Self(shared)
+    }
+}
+
+impl<C, W> Drop for RequestGuard<C, W> {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::SeqCst);
+        self.0.metrics.in_flight.dec();
+    }
+}
+
+/// One request at a server; however it ends, the server's load is given back.
+pub(crate) struct WorkGuard<C: Clock, W> {
+    shared: Arc<GatewayShared<C, W>>,
+    ticket: Option<WorkTicket>,
+    end: WorkEnd,
+}
+
+impl<C: Clock, W> WorkGuard<C, W> {
+    /// A request goes to a server.
+    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>, ticket: WorkTicket) -> Self {
+        Self {
+            shared,
+            ticket: Some(ticket),
+            end: WorkEnd::Unjudged,
+        }
+    }
+
+    /// The server began to answer.
+    pub(crate) fn first_answer(&mut self) {
+        if let Some(ticket) = &mut self.ticket {
+            let now = self.shared.clock.now();
+            self.shared.loads().first_answer(ticket, now);
+        }
+    }
+
+    /// What the end of the request says of the server.
+    pub(crate) fn judge(&mut self, end: WorkEnd) {
+        self.end = end;
+    }
+}
+
+impl<C: Clock, W> Drop for WorkGuard<C, W> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            let now = self.shared.clock.now();
+            self.shared.loads().finish(ticket, self.end, now);
+        }
+    }
+}
--- a/crates/plumgate-node/src/http.rs
+++ b/crates/plumgate-node/src/http.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
 use async_io::Async;
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response, StatusCode};
 use smol_hyper::rt::FuturesIo;
+use socket2::{SockRef, TcpKeepalive};
 
 use crate::body::AnswerBody;
 
@@ -19,17 +21,40 @@
 pub(crate) const REQUEST_ID: &str = "x-request-id";
 
 /// A request to a server or the platform.
-pub(crate) type OutgoingRequest = Request<Full<Bytes>>;
+pub type OutgoingRequest = Request<Full<Bytes>>;
 
 /// An open connection to a server or the platform, ready for one request.
 pub(crate) type OpenConnection = SendRequest<Full<Bytes>>;
 
+/// How long a connection may be quiet before the system probes it.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection counts as broken.
+const PROBES: u32 = 2;
+/// How long written bytes may stay unacknowledged before a connection counts as broken.
+const UNACKNOWLEDGED_MOST: Duration = Duration::from_secs(2);
+
+/// Opens a stream that breaks when its other end is lost.
+///
+/// Something between the two ends may lose track of a connection, or a data centre may be cut
+/// off: nothing comes any more, not even a reset. Without probes a read on it would wait for good.
+pub(crate) async fn open_stream(address: SocketAddr) -> io::Result<Async<TcpStream>> {
+    let stream = Async::<TcpStream>::connect(address).await?;
+    let socket = SockRef::from(stream.get_ref());
+    socket.set_tcp_nodelay(true)?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_AFTER)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MOST))?;
+    Ok(stream)
+}
+
 /// Opens a connection. The returned future carries it and must be run by somebody.
 pub(crate) async fn open_connection(
     address: SocketAddr,
 ) -> io::Result<(OpenConnection, impl Future<Output = ()> + Send + use<>)> {
-    let stream = Async::<TcpStream>::connect(address).await?;
-    stream.get_ref().set_nodelay(true)?;
+    let stream = open_stream(address).await?;
     let (sender, connection) = handshake(FuturesIo::new(stream))
         .await
         .map_err(io::Error::other)?;
--- a/crates/plumgate-node/src/lib.rs
+++ b/crates/plumgate-node/src/lib.rs
@@ -8,7 +8,10 @@
 
 pub mod clock;
 pub mod errors;
+pub mod gateway;
+pub mod link;
 pub mod log;
+pub mod log_sink;
 pub mod platform;
 pub mod settings;
 pub mod status;
@@ -22,7 +25,7 @@
 mod claims;
 mod control;
 mod exchange;
-mod http;
+pub mod http;
 mod life;
 mod metrics;
 mod node;
--- a/crates/plumgate-node/src/log.rs
+++ b/crates/plumgate-node/src/log.rs
@@ -8,6 +8,7 @@
 use spdlog::{Level, LevelFilter, Logger};
 
 use crate::errors::{Error, Result};
+use crate::log_sink::BoundedSink;
 
 /// Where a node's events go.
 pub type EventLog = Arc<Logger>;
@@ -25,6 +26,12 @@
     sink_log(Arc::new(sink), level)
 }
 
+/// A log that writes lines to standard output without ever waiting for its reader.
+pub fn stdout_log(level: LevelFilter) -> Result<EventLog> {
+    let sink = BoundedSink::start(std::io::stdout())?;
+    sink_log(Arc::new(sink), level)
+}
+
 /// A log that gives its lines to a sink.
 pub fn sink_log(sink: Arc<dyn Sink>, level: LevelFilter) -> Result<EventLog> {
     let mut builder = Logger::builder();
--- a/crates/plumgate-node/src/node.rs
+++ b/crates/plumgate-node/src/node.rs
@@ -166,7 +166,10 @@
     Ok(threads)
 }
 
-fn spawn_thread(name: String, work: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>> {
+pub(crate) fn spawn_thread(
+    name: String,
+    work: impl FnOnce() + Send + 'static,
+) -> Result<JoinHandle<()>> {
     std::thread::Builder::new()
         .name(name)
         .spawn(work)
--- a/crates/plumgate-node/src/shared.rs
+++ b/crates/plumgate-node/src/shared.rs
@@ -11,7 +11,6 @@
 use async_channel::{Receiver, Sender};
 use async_executor::Executor;
 use event_listener::Event;
-use futures_lite::future;
 use plumgate::config::FleetConfig;
 use plumgate::dispatch::{
     AttemptEnd, DispatchAction, Dispatcher, RefusalReason, RequestTicket, StartOrder,
@@ -301,11 +300,7 @@
 
     /// Runs something, but no longer than until a time; `None` where it took longer.
     pub(crate) async fn until<T>(&self, at: Instant, work: impl Future<Output = T>) -> Option<T> {
-        let timeout = async {
-            self.clock.sleep_until(at).await;
-            None
-        };
-        future::or(async { Some(work.await) }, timeout).await
+        crate::clock::until(&self.clock, at, work).await
     }
 
     /// Opens a connection to a backend server, carried by the traffic threads.
--- /dev/null
+++ b/crates/plumgate/src/gateway/load.rs
@@ -0,0 +1,542 @@
+//! Chooses the backend server of a request: shared prompt parts have few homes, and a home that
+//! is too busy gives way to the next one.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::servers::{ServerChange, ServerEntry, ServerState};
+use crate::ids::{DataCentreId, PoolId, ServerId};
+use crate::retry::CircuitBreaker;
+
+/// Ranks of urgency that are told apart; the last one takes in all that follow.
+pub const URGENCIES: usize = 4;
+/// Prompt tokens that an engine reads in a second before its speed was seen, from the rate that
+/// large engines on current accelerators reach.
+const DEFAULT_TOKENS_PER_SECOND: f64 = 50_000.0;
+/// Time that a request spends at an engine for each one that already runs there: the step of a
+/// batch grows with its members.
+const STEP_COST: f64 = 0.000_3;
+/// Seconds that a plain request spends at a server, before any was seen.
+const DEFAULT_SERVICE_SECONDS: f64 = 0.03;
+/// How much dearer a shared token that is read again counts than one that nobody could have
+/// cached. Reading it takes the engine's time from everybody else's prompts too.
+const REREAD_WEIGHT: f64 = 2.0;
+/// Seconds that a server in another data centre costs, from the round trip between two of them.
+const DISTANCE_SECONDS: f64 = 0.002;
+/// Seconds that a share of failures of one costs: about the time that a second try takes.
+const FAILURE_SECONDS: f64 = 2.0;
+/// Weight of the newest outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Time in which what was seen of failures loses its weight.
+const FAILURE_MEMORY: Duration = Duration::from_secs(4);
+/// Seconds that a server costs which is no home of a prompt's shared parts: where the first home
+/// is busy, all nodes should go on to the same second one.
+const STRAY_SECONDS: f64 = 0.02;
+/// Prompt parts that are remembered for one server.
+const PARTS_MOST: usize = 512;
+/// How long a server is believed to keep a part after its last use.
+const PART_LIFETIME: Duration = Duration::from_secs(30);
+
+/// One part of a prompt, which other prompts may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Its id.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// What a prompt is made of.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptShape {
+    /// Its parts in order; the last one belongs to the request or its session.
+    pub parts: Vec<PromptPart>,
+    /// Tokens that the answer may have at most.
+    pub output_most: u32,
+}
+
+impl PromptShape {
+    /// All tokens of the prompt.
+    pub fn tokens(&self) -> u64 {
+        self.parts.iter().map(|part| u64::from(part.tokens)).sum()
+    }
+
+    /// The parts that other requests may share.
+    fn shared(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// What requests with the same shared parts have in common.
+    fn affinity(&self) -> Option<u64> {
+        let last = self.shared().last()?;
+        Some(xxh3_64(&last.id.to_le_bytes()))
+    }
+}
+
+/// Ways to choose a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum PlacementPolicy {
+    /// The least predicted cost, shared parts counted.
+    #[default]
+    PredictedCost,
+    /// The fewest requests in flight from this node.
+    LeastInFlight,
+    /// Any server.
+    Random,
+}
+
+/// Options of the choice.
+#[derive(Clone, Debug)]
+pub struct PlacementOptions {
+    /// The data centre of this node.
+    pub data_centre: DataCentreId,
+    /// The way to choose.
+    pub policy: PlacementPolicy,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+impl PlacementOptions {
+    /// Options for a node of a data centre.
+    pub fn new(data_centre: impl Into<DataCentreId>) -> Self {
+        Self {
+            data_centre: data_centre.into(),
+            policy: PlacementPolicy::default(),
+            seed: 0,
+        }
+    }
+
+    /// The same with another way to choose.
+    pub fn with_policy(mut self, policy: PlacementPolicy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// The same with a seed.
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
+
+/// What a choice is made for.
+#[derive(Clone, Debug)]
+pub struct PlacementRequest<'a> {
+    /// The pool.
+    pub pool: &'a PoolId,
+    /// The prompt, where the pool's servers read one.
+    pub prompt: Option<&'a PromptShape>,
+    /// The urgency, 0 first.
+    pub urgency: u8,
+    /// Servers that were tried already.
+    pub avoid: &'a [ServerId],
+}
+
+/// The server that was chosen, and why.
+#[derive(Clone, Debug)]
+pub struct ServerPick {
+    /// The server.
+    pub server: ServerEntry,
+    /// Predicted time until it begins to answer.
+    pub wait: Duration,
+    /// Prompt tokens that it has to read.
+    pub unread_tokens: u64,
+    /// The second best server and its cost, for the log.
+    pub runner_up: Option<(ServerId, Duration)>,
+}
+
+/// What is in flight at one server, as one node knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerWork {
+    /// Requests that were sent and have not ended.
+    pub in_flight: u32,
+    /// Prompt tokens of requests that have not begun to answer, by urgency.
+    pub unread: [u64; URGENCIES],
+}
+
+/// One request in flight, to be given back when it ends.
+#[derive(Clone, Debug)]
+pub struct WorkTicket {
+    server: ServerId,
+    urgency: usize,
+    unread_tokens: u64,
+    started: Instant,
+}
+
+/// How a request at a server ended, as far as that speaks for or against the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkEnd {
+    /// It answered.
+    Answered,
+    /// It failed, broke off or was silent.
+    Failed,
+    /// No new connection came about.
+    Unreachable,
+    /// It refused the request because it is full.
+    Full,
+    /// Nothing can be said of the server.
+    Unjudged,
+}
+
+/// What one node knows of one server.
+#[derive(Clone, Debug)]
+struct ServerLoad {
+    entry: ServerEntry,
+    own: ServerWork,
+    peers: ServerWork,
+    breaker: CircuitBreaker,
+    failures: f64,
+    failures_at: Instant,
+    full_until: Option<Instant>,
+    tokens_per_second: f64,
+    parts: HashMap<u64, Instant>,
+    part_order: VecDeque<u64>,
+}
+
+/// How long a server that said that it is full gets no more from this node.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// Weight of one observation of an engine's reading speed.
+const SPEED_WEIGHT: f64 = 0.1;
+/// Bounds within which an observed reading speed is believed, as shares of the default.
+const SPEED_BOUNDS: (f64, f64) = (0.1, 1.5);
+/// Prompts shorter than this say nothing about the reading speed.
+const SPEED_TOKENS: u64 = 2_000;
+
+/// What one node knows of all servers.
+#[derive(Debug)]
+pub struct LoadTable {
+    options: PlacementOptions,
+    rng: fastrand::Rng,
+    servers: BTreeMap<ServerId, ServerLoad>,
+}
+
+impl LoadTable {
+    /// A table without servers.
+    pub fn new(options: PlacementOptions) -> Self {
+        let rng = fastrand::Rng::with_seed(options.seed);
+        Self {
+            options,
+            rng,
+            servers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over a change of the servers.
+    pub fn apply(&mut self, change: &ServerChange, now: Instant) {
+        match change {
+            ServerChange::Changed(entry) => match self.servers.get_mut(&entry.id) {
+                Some(load) => load.entry = entry.clone(),
+                None => {
+                    let load = ServerLoad::new(entry.clone(), now);
+                    self.servers.insert(entry.id.clone(), load);
+                }
+            },
+            ServerChange::Gone(id) => {
+                self.servers.remove(id);
+            }
+            ServerChange::Doubted(_) => {}
+        }
+    }
+
+    /// Takes over what the other nodes have in flight.
+    pub fn set_peer_work(&mut self, work: &HashMap<ServerId, ServerWork>) {
+        for (id, load) in &mut self.servers {
+            load.peers = work.get(id).copied().unwrap_or_default();
+        }
+    }
+
+    /// What this node has in flight, servers without work left out.
+    pub fn own_work(&self) -> impl Iterator<Item = (&ServerId, ServerWork)> {
+        self.servers
+            .iter()
+            .filter(|(_, load)| load.own != ServerWork::default())
+            .map(|(id, load)| (id, load.own))
+    }
+
+    /// Chooses the server of a request.
+    pub fn pick(&mut self, request: &PlacementRequest<'_>, now: Instant) -> Option<ServerPick> {
+        let candidates = self.candidates(request, now);
+        let mut costs: Vec<(f64, f64, u64, ServerId)> = Vec::with_capacity(candidates.len());
+        let homes = HomeRanks::new(request.prompt, &candidates);
+        for id in candidates {
+            let load = &self.servers[&id];
+            let home = homes.rank(&id);
+            let prediction = load.predict(request, home, &self.options.data_centre, now);
+            let cost = match self.options.policy {
+                PlacementPolicy::PredictedCost => prediction.cost,
+                PlacementPolicy::LeastInFlight => f64::from(load.own.in_flight),
+                PlacementPolicy::Random => 0.0,
+            };
+            // Equal servers are taken in no order, or all nodes would agree on the first.
+            let cost = cost + self.rng.f64() * 1e-4;
+            costs.push((cost, prediction.wait, prediction.unread, id));
+        }
+        costs.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (_, wait, unread_tokens, id) = costs.first()?;
+        let runner_up = costs
+            .get(1)
+            .map(|(cost, _, _, id)| (id.clone(), Duration::from_secs_f64(*cost)));
+        Some(ServerPick {
+            server: self.servers[id].entry.clone(),
+            wait: Duration::from_secs_f64(*wait),
+            unread_tokens: *unread_tokens,
+            runner_up,
+        })
+    }
+
+    /// The servers that may get the request: those in doubt only where there is no other.
+    fn candidates(&self, request: &PlacementRequest<'_>, now: Instant) -> Vec<ServerId> {
+        let of_pool = self.servers.values().filter(|load| {
+            load.entry.pool == *request.pool
+                && load.entry.state == ServerState::Ready
+                && !request.avoid.contains(&load.entry.id)
+        });
+        let all: Vec<&ServerLoad> = of_pool.collect();
+        let sound: Vec<ServerId> = all
+            .iter()
+            .filter(|load| load.is_sound(now))
+            .map(|load| load.entry.id.clone())
+            .collect();
+        if sound.is_empty() {
+            return all.iter().map(|load| load.entry.id.clone()).collect();
+        }
+        sound
+    }
+
+    /// A request goes to a server.
+    pub fn start(
+        &mut self,
+        pick: &ServerPick,
+        request: &PlacementRequest<'_>,
+        now: Instant,
+    ) -> WorkTicket {
+        let ticket = WorkTicket {
+            server: pick.server.id.clone(),
+            urgency: usize::from(request.urgency).min(URGENCIES - 1),
+            unread_tokens: pick.unread_tokens,
+            started: now,
+        };
+        if let Some(load) = self.servers.get_mut(&ticket.server) {
+            load.own.in_flight += 1;
+            load.own.unread[ticket.urgency] += ticket.unread_tokens;
+            for part in request.prompt.map_or(&[][..], PromptShape::shared) {
+                load.note_part(part.id, now);
+            }
+        }
+        ticket
+    }
+
+    /// The server began to answer: it has read the prompt.
+    pub fn first_answer(&mut self, ticket: &mut WorkTicket, now: Instant) {
+        let tokens = std::mem::take(&mut ticket.unread_tokens);
+        let Some(load) = self.servers.get_mut(&ticket.server) else {
+            return;
+        };
+        let waiting: u64 = load.own.unread.iter().sum();
+        load.own.unread[ticket.urgency] = load.own.unread[ticket.urgency].saturating_sub(tokens);
+        let alone = waiting == tokens && load.peers.unread.iter().sum::<u64>() == 0;
+        if tokens >= SPEED_TOKENS && alone {
+            let took = now.saturating_duration_since(ticket.started).as_secs_f64();
+            load.note_speed(tokens as f64 / took.max(0.001));
+        }
+    }
+
+    /// A request ended.
+    pub fn finish(&mut self, ticket: WorkTicket, end: WorkEnd, now: Instant) {
+        let Some(load) = self.servers.get_mut(&ticket.server) else {
+            return;
+        };
+        load.own.in_flight = load.own.in_flight.saturating_sub(1);
+        let unread = &mut load.own.unread[ticket.urgency];
+        *unread = unread.saturating_sub(ticket.unread_tokens);
+        load.note_end(end, now);
+    }
+
+    /// Servers of a pool that take work.
+    pub fn ready_count(&self, pool: &PoolId) -> usize {
+        self.servers
+            .values()
+            .filter(|load| load.entry.pool == *pool && load.entry.state == ServerState::Ready)
+            .count()
+    }
+}
+
+/// What is predicted of one server.
+struct CostPrediction {
+    cost: f64,
+    wait: f64,
+    unread: u64,
+}
+
+impl ServerLoad {
+    fn new(entry: ServerEntry, now: Instant) -> Self {
+        Self {
+            entry,
+            own: ServerWork::default(),
+            peers: ServerWork::default(),
+            breaker: CircuitBreaker::new(),
+            failures: 0.0,
+            failures_at: now,
+            full_until: None,
+            tokens_per_second: DEFAULT_TOKENS_PER_SECOND,
+            parts: HashMap::new(),
+            part_order: VecDeque::new(),
+        }
+    }
+
+    fn is_sound(&self, now: Instant) -> bool {
+        self.breaker.allows(now) && self.full_until.is_none_or(|until| now >= until)
+    }
+
+    fn predict(
+        &self,
+        request: &PlacementRequest<'_>,
+        home: HomeRank,
+        data_centre: &DataCentreId,
+        now: Instant,
+    ) -> CostPrediction {
+        let mut cost = self.failure_share(now) * FAILURE_SECONDS;
+        if self.entry.data_centre != *data_centre {
+            cost += DISTANCE_SECONDS;
+        }
+        let in_flight = self.own.in_flight + self.peers.in_flight;
+        let Some(prompt) = request.prompt else {
+            let slots = f64::from(self.entry.slots.max(1));
+            let wait = f64::from(in_flight) / slots * DEFAULT_SERVICE_SECONDS;
+            return CostPrediction {
+                cost: cost + wait,
+                wait,
+                unread: 0,
+            };
+        };
+        let urgency = usize::from(request.urgency).min(URGENCIES - 1);
+        let ahead: u64 = self.own.unread[..=urgency]
+            .iter()
+            .chain(&self.peers.unread[..=urgency])
+            .sum();
+        // All nodes send a part to its first home, so that one keeps it although this node
+        // may never have sent it there.
+        let uncached = match home {
+            HomeRank::First => 0,
+            HomeRank::Second | HomeRank::Other => self.uncached(prompt, now),
+        };
+        let own_tokens = prompt.parts.last().map_or(0, |part| u64::from(part.tokens));
+        let unread = uncached + own_tokens;
+        let wait = (ahead + unread) as f64 / self.tokens_per_second;
+        let reread = uncached as f64 * (REREAD_WEIGHT - 1.0) / self.tokens_per_second;
+        cost += wait + reread + f64::from(in_flight) * STEP_COST;
+        if home == HomeRank::Other {
+            cost += STRAY_SECONDS;
+        }
+        CostPrediction { cost, wait, unread }
+    }
+
+    /// Shared tokens that the server is not believed to keep.
+    fn uncached(&self, prompt: &PromptShape, now: Instant) -> u64 {
+        let shared = prompt.shared();
+        let kept = shared
+            .iter()
+            .take_while(|part| {
+                self.parts
+                    .get(&part.id)
+                    .is_some_and(|used| now.saturating_duration_since(*used) < PART_LIFETIME)
+            })
+            .count();
+        shared[kept..]
+            .iter()
+            .map(|part| u64::from(part.tokens))
+            .sum()
+    }
+
+    fn note_part(&mut self, id: u64, now: Instant) {
+        if self.parts.insert(id, now).is_none() {
+            self.part_order.push_back(id);
+        }
+        while self.part_order.len() > PARTS_MOST {
+            if let Some(oldest) = self.part_order.pop_front() {
+                self.parts.remove(&oldest);
+            }
+        }
+    }
+
+    fn note_speed(&mut self, seen: f64) {
+        let (least, most) = SPEED_BOUNDS;
+        let seen = seen.clamp(
+            DEFAULT_TOKENS_PER_SECOND * least,
+            DEFAULT_TOKENS_PER_SECOND * most,
+        );
+        self.tokens_per_second += SPEED_WEIGHT * (seen - self.tokens_per_second);
+    }
+
+    fn failure_share(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.failures_at);
+        self.failures * (-age.as_secs_f64() / FAILURE_MEMORY.as_secs_f64()).exp()
+    }
+
+    fn note_end(&mut self, end: WorkEnd, now: Instant) {
+        let failed = match end {
+            WorkEnd::Answered => {
+                self.breaker.record_success();
+                0.0
+            }
+            WorkEnd::Failed => 1.0,
+            WorkEnd::Unreachable => {
+                self.breaker.record_failure(now);
+                1.0
+            }
+            WorkEnd::Full => {
+                self.full_until = Some(now + FULL_PAUSE);
+                return;
+            }
+            WorkEnd::Unjudged => return,
+        };
+        let share = self.failure_share(now);
+        self.failures = share + FAILURE_WEIGHT * (failed - share);
+        self.failures_at = now;
+    }
+}
+
+/// Whether a server is one of the few that keep a prompt's shared parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HomeRank {
+    First,
+    Second,
+    Other,
+}
+
+/// The homes of a prompt's shared parts among the servers, agreed on by rendezvous hashing.
+struct HomeRanks {
+    first: Option<ServerId>,
+    second: Option<ServerId>,
+}
+
+impl HomeRanks {
+    fn new(prompt: Option<&PromptShape>, servers: &[ServerId]) -> Self {
+        let mut ranks = Self {
+            first: None,
+            second: None,
+        };
+        let Some(affinity) = prompt.and_then(PromptShape::affinity) else {
+            return ranks;
+        };
+        let weight = |id: &ServerId| xxh3_64_with_seed(id.as_bytes(), affinity);
+        ranks.first = servers.iter().max_by_key(|id| weight(id)).cloned();
+        let others = servers
+            .iter()
+            .filter(|id| Some(*id) != ranks.first.as_ref());
+        ranks.second = others.max_by_key(|id| weight(id)).cloned();
+        ranks
+    }
+
+    fn rank(&self, id: &ServerId) -> HomeRank {
+        if self.first.as_ref() == Some(id) {
+            HomeRank::First
+        } else if self.second.as_ref() == Some(id) {
+            HomeRank::Second
+        } else {
+            HomeRank::Other
+        }
+    }
+}
--- /dev/null
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -0,0 +1,23 @@
+//! Decisions of the gateway: requests relayed byte for byte by host and path.
+//!
+//! The gateway serves fleets whose callers and backend servers already share a protocol.
+//! It picks the route, the workspace and the server, keeps retries within the fleet's
+//! budget, and refuses what may not run; what goes over the wire is an adapter's matter.
+
+pub mod admission;
+pub mod budget;
+pub mod config;
+pub mod events;
+pub mod freshness;
+pub mod load;
+pub mod servers;
+
+pub use admission::{AdmissionPolicy, AdmissionVerdict};
+pub use budget::WindowBudget;
+pub use config::{
+    CallerLimits, GatewayConfig, GatewayRoute, PoolSplit, RepeatKind, RouteMatch, WorkspaceKeys,
+};
+pub use events::EventSplitter;
+pub use freshness::FreshnessLease;
+pub use load::{LoadTable, PlacementOptions, PlacementPolicy, PromptShape, ServerPick};
+pub use servers::{ServerEntry, ServerState, ServerTable};
--- a/crates/plumgate/src/lib.rs
+++ b/crates/plumgate/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod errors;
 pub mod findings;
 pub mod follow;
+pub mod gateway;
 pub mod ids;
 pub mod lease;
 pub mod limits;
--- a/crates/plumgated/src/flags.rs
+++ b/crates/plumgated/src/flags.rs
@@ -17,6 +17,14 @@
 /// Longest time of any setting in milliseconds: one day.
 const LONGEST_MS: u64 = 86_400_000;
 
+/// The words for how much is logged.
+pub(crate) const LOG_LEVELS: [(&str, LevelFilter); 4] = [
+    ("debug", LevelFilter::MoreSevereEqual(Level::Debug)),
+    ("info", LevelFilter::MoreSevereEqual(Level::Info)),
+    ("warn", LevelFilter::MoreSevereEqual(Level::Warn)),
+    ("error", LevelFilter::MoreSevereEqual(Level::Error)),
+];
+
 /// The settings of the process.
 pub(crate) struct DaemonSettings {
     /// The settings of the node.
@@ -345,13 +353,7 @@
     }
 
     fn log_level(&mut self) -> LevelFilter {
-        let choices = [
-            ("debug", LevelFilter::MoreSevereEqual(Level::Debug)),
-            ("info", LevelFilter::MoreSevereEqual(Level::Info)),
-            ("warn", LevelFilter::MoreSevereEqual(Level::Warn)),
-            ("error", LevelFilter::MoreSevereEqual(Level::Error)),
-        ];
-        self.choice("log-level", &choices)
+        self.choice("log-level", &LOG_LEVELS)
             .unwrap_or(LevelFilter::All)
     }
 }
--- /dev/null
+++ b/crates/plumgated/src/gateway.rs
@@ -0,0 +1,182 @@
+//! `plumgated gateway`: a node on the users' platform, whose settings file it follows.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use clap::builder::PossibleValuesParser;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use futures_lite::{StreamExt, future};
+use plumgate::gateway::PlacementPolicy;
+use plumgate_node::SystemClock;
+use plumgate_node::gateway::{GatewayHandle, GatewayNode};
+use plumgate_node::log::{EventLog, LogLine, stdout_log};
+use plumgate_platform::{PlatformSettings, PlatformWire, StoreSource, read_settings};
+use spdlog::LevelFilter;
+
+use crate::flags::LOG_LEVELS;
+use crate::{EXIT_SETTINGS, EXIT_START};
+
+/// Time between two looks whether the settings file has changed without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+/// Time for the last lines of the log to be written before the process ends.
+const LOG_RESERVE: Duration = Duration::from_millis(50);
+
+/// The words for ways to choose a server.
+const POLICIES: [(&str, PlacementPolicy); 3] = [
+    ("predicted-cost", PlacementPolicy::PredictedCost),
+    ("least-in-flight", PlacementPolicy::LeastInFlight),
+    ("random", PlacementPolicy::Random),
+];
+
+/// The command line.
+pub(crate) fn command() -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .env("PLUMGATE_SETTINGS")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("File with the settings that the platform lays");
+    let metrics_port = Arg::new("metrics-port")
+        .long("metrics-port")
+        .env("PLUMGATE_METRICS_PORT")
+        .value_parser(value_parser!(u16))
+        .help("Port for metrics, on the address for readiness checks");
+    let policy = Arg::new("placement")
+        .long("placement")
+        .env("PLUMGATE_PLACEMENT")
+        .default_value(POLICIES[0].0)
+        .value_parser(PossibleValuesParser::new(POLICIES.map(|(word, _)| word)))
+        .help("How servers are chosen; all but the first are baselines");
+    let log_level = Arg::new("gateway-log-level")
+        .long("log-level")
+        .env("PLUMGATE_LOG_LEVEL")
+        .default_value("info")
+        .value_parser(PossibleValuesParser::new(LOG_LEVELS.map(|(word, _)| word)))
+        .help("From which level on events are logged");
+    Command::new("gateway")
+        .about("Relays whole requests on the users' platform")
+        .args([settings, metrics_port, policy, log_level])
+}
+
+/// Runs a gateway node until it is asked to stop.
+pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
+    let Some(path) = matches.get_one::<PathBuf>("settings") else {
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let settings = match load(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("plumgated: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    match start(settings, matches) {
+        Ok((node, log)) => {
+            let steering = steer(node.handle(), path.clone(), log);
+            let spawned = std::thread::Builder::new()
+                .name("signals".to_owned())
+                .spawn(move || async_io::block_on(steering));
+            if let Err(error) = spawned {
+                eprintln!("plumgated: signals can't be listened for: {error}");
+                return ExitCode::from(EXIT_START);
+            }
+            node.join();
+            std::thread::sleep(LOG_RESERVE);
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("plumgated: {error}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn start(
+    settings: PlatformSettings,
+    matches: &ArgMatches,
+) -> plumgate_node::Result<(GatewayNode, EventLog)> {
+    let word = |name: &str| matches.get_one::<String>(name).map(String::as_str);
+    let policy = choice(&POLICIES, word("placement")).unwrap_or_default();
+    let level = choice(&LOG_LEVELS, word("gateway-log-level")).unwrap_or(LevelFilter::All);
+    let seed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .subsec_nanos();
+    let mut options = settings.options.with_policy(policy).with_seed(seed.into());
+    if let Some(port) = matches.get_one::<u16>("metrics-port") {
+        let ip: IpAddr = options.ready_listen.ip();
+        options = options.with_metrics(SocketAddr::new(ip, *port));
+    }
+    let log = stdout_log(level)?;
+    let source = StoreSource::new(settings.store, SystemClock);
+    let node = GatewayNode::start(options, SystemClock, log.clone(), PlatformWire, source)?;
+    Ok((node, log))
+}
+
+fn choice<T: Copy>(choices: &[(&str, T)], word: Option<&str>) -> Option<T> {
+    let found = choices.iter().find(|(name, _)| Some(*name) == word);
+    found.map(|(_, value)| *value)
+}
+
+fn load(path: &Path) -> Result<PlatformSettings, String> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| format!("{} can't be read: {error}", path.display()))?;
+    read_settings(&text).map_err(|findings| findings.to_string())
+}
+
+/// What makes the process look at its settings or end.
+enum Woken {
+    Signal(Option<std::io::Result<Signal>>),
+    Look,
+}
+
+/// Hands signals and changes of the settings file on to the node.
+async fn steer(handle: GatewayHandle, path: PathBuf, log: EventLog) {
+    let Ok(mut signals) = Signals::new([Signal::Term, Signal::Int, Signal::Hup]) else {
+        LogLine::new("signals_unheard").warn(&log);
+        return;
+    };
+    let mut known = std::fs::read(&path).unwrap_or_default();
+    loop {
+        let signal = async { Woken::Signal(signals.next().await) };
+        let look = async {
+            Timer::after(SETTINGS_LOOK).await;
+            Woken::Look
+        };
+        match future::or(signal, look).await {
+            Woken::Signal(Some(Ok(Signal::Hup))) => {
+                known = std::fs::read(&path).unwrap_or_default();
+                reload(&handle, &path, &log);
+            }
+            Woken::Signal(Some(Ok(signal))) => {
+                LogLine::new("signal")
+                    .with("signal", format!("{signal:?}"))
+                    .info(&log);
+                handle.stop();
+            }
+            Woken::Signal(Some(Err(_))) => {}
+            Woken::Signal(None) => return,
+            Woken::Look => {
+                let text = std::fs::read(&path).unwrap_or_default();
+                if text != known {
+                    known = text;
+                    reload(&handle, &path, &log);
+                }
+            }
+        }
+    }
+}
+
+/// Settings that make no sense leave those in force as they are.
+fn reload(handle: &GatewayHandle, path: &Path, log: &EventLog) {
+    match load(path) {
+        Ok(settings) => handle.reload(settings.options.bounds),
+        Err(error) => LogLine::new("reload_refused")
+            .with("error", error)
+            .warn(log),
+    }
+}
--- a/crates/plumgated/src/main.rs
+++ b/crates/plumgated/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod flags;
+mod gateway;
 
 use std::process::ExitCode;
 
@@ -12,12 +13,18 @@
 use plumgate_node::{Node, SystemClock};
 
 /// Exit code when a setting is wrong; nothing was started.
-const EXIT_SETTINGS: u8 = 2;
+pub(crate) const EXIT_SETTINGS: u8 = 2;
 /// Exit code when the node could not be started.
-const EXIT_START: u8 = 1;
+pub(crate) const EXIT_START: u8 = 1;
 
 fn main() -> ExitCode {
-    let settings = match flags::read_settings(&flags::command().get_matches()) {
+    let matches = flags::command()
+        .subcommand(gateway::command())
+        .get_matches();
+    if let Some(("gateway", matches)) = matches.subcommand() {
+        return gateway::run(matches);
+    }
+    let settings = match flags::read_settings(&matches) {
         Ok(settings) => settings,
         Err(findings) => {
             eprintln!("{findings}");
