gateway: a leaving node takes no connection after the balancer's time

Ruled out: kept connections, which are closed after their answer. Change: the listener goes with the state draining.

--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -44,19 +44,39 @@
 /// Time for which a request without a word on it is waited for.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 
-/// Accepts callers' connections for as long as the node runs.
+/// Accepts callers' connections until the node is leaving.
+///
+/// The listener goes when the balancer has had its time. A request taken later would be cut off
+/// by the end of the process; a connection that is refused sends its caller elsewhere at once.
 pub(crate) async fn accept_callers<C: Clock, W: WireFormat>(
     shared: Arc<GatewayShared<C, W>>,
     listener: Async<TcpListener>,
 ) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
+        let accepted = async { Some(listener.accept().await) };
+        let closing = async {
+            wait_for_closing(&shared).await;
+            None
+        };
+        match future::or(closing, accepted).await {
+            Some(Ok((stream, _))) => {
                 let serving = serve_connection(shared.clone(), stream);
                 shared.executor.spawn(serving).detach();
             }
-            Err(error) => pause_accepting(&shared, &error).await,
+            Some(Err(error)) => pause_accepting(&shared, &error).await,
+            None => return,
+        }
+    }
+}
+
+/// Completes when the node takes no more requests.
+async fn wait_for_closing<C: Clock, W>(shared: &GatewayShared<C, W>) {
+    loop {
+        let changed = shared.life_changed.listen();
+        if shared.life.load().closing {
+            return;
         }
+        changed.await;
     }
 }
 
