gateway: a data centre that is cut off is found by two silent servers; keys trusted for 0.88 of their age

Ruled out: the circuit of each server, which needs three failures of each of 12 servers. Change: CentreTable; a server that can't be reached rests 400 ms; connections get 200 ms; bare connections probe a cut data centre each 300 ms; share of the keys' age 0.7 -> 0.88.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -22,7 +22,7 @@
 
 /// How long a new connection to a server may take to come about. A first packet that is lost is
 /// sent again after a second only; another server answers sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long after the end of a request's time the server's own word on it is waited for.
 const LAST_WORD: Duration = Duration::from_millis(80);
 
@@ -75,12 +75,15 @@
     order: AttemptOrder<'_>,
     mut work: WorkGuard<C, W>,
 ) -> AttemptEnd<C, W> {
-    let Some(mut link) = connect(shared, &order).await else {
-        work.judge(WorkEnd::Unreachable);
-        return AttemptEnd::NotRun {
-            reason: "connect_failed",
-            arrived: false,
-        };
+    let mut link = match connect(shared, &order).await {
+        Ok(link) => link,
+        Err(failure) => {
+            work.judge(failure.work_end());
+            return AttemptEnd::NotRun {
+                reason: failure.as_str(),
+                arrived: false,
+            };
+        }
     };
     let request = outgoing(shared, &order);
     let wait_until = order.head_by.min(order.request.due + LAST_WORD);
@@ -104,21 +107,50 @@
     }
 }
 
+/// Why no connection came about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectFailure {
+    /// The server's machine refused it.
+    Refused,
+    /// Nothing came back.
+    Silent,
+}
+
+impl ConnectFailure {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "connect_refused",
+            Self::Silent => "connect_silent",
+        }
+    }
+
+    fn work_end(self) -> WorkEnd {
+        match self {
+            Self::Refused => WorkEnd::Refused,
+            Self::Silent => WorkEnd::Unreachable,
+        }
+    }
+}
+
 async fn connect<C: Clock, W: WireFormat>(
     shared: &Arc<GatewayShared<C, W>>,
     order: &AttemptOrder<'_>,
-) -> Option<HttpLink> {
+) -> Result<HttpLink, ConnectFailure> {
     // A server may close an idle connection just as a request leaves, and nobody knows then
     // whether it ran. What may run only once therefore gets a connection of its own.
     let now = shared.clock.now();
     if order.request.route.kind == RepeatKind::Idempotent
         && let Some(link) = shared.links.take(&order.server.id, now).await
     {
-        return Some(link);
+        return Ok(link);
     }
     let deadline = (now + CONNECT_TIMEOUT).min(order.request.due);
     let opening = HttpLink::open(order.server.address);
-    until(&shared.clock, deadline, opening).await?.ok()
+    match until(&shared.clock, deadline, opening).await {
+        Some(Ok(link)) => Ok(link),
+        Some(Err(_)) => Err(ConnectFailure::Refused),
+        None => Err(ConnectFailure::Silent),
+    }
 }
 
 fn outgoing<C: Clock, W: WireFormat>(
@@ -175,7 +207,7 @@
         AnswerMeaning::NotRun { misdirected } => {
             // Another server has the address now: the entry is old, and nothing else says so.
             let end = if misdirected {
-                WorkEnd::Unreachable
+                WorkEnd::Refused
             } else {
                 WorkEnd::Full
             };
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -12,14 +12,16 @@
 use plumgate::chart::{ChartRun, NODE_CHART, StateChart};
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{GatewayConfig, ServerEntry, ServerTable};
-use plumgate::ids::ServerId;
+use plumgate::ids::{DataCentreId, ServerId};
 use plumgate::retry::BackoffPause;
 
+use super::attempt::CONNECT_TIMEOUT;
 use super::metrics::CallLabels;
 use super::options::GatewayBounds;
 use super::ports::{FleetSource, SourceChange, SourceError, SourceEvent, SourceTopic};
 use super::shared::GatewayShared;
-use crate::clock::Clock;
+use crate::clock::{Clock, until};
+use crate::http::open_stream;
 use crate::log::LogLine;
 use crate::shared::LifeView;
 
@@ -59,6 +61,7 @@
 pub(crate) struct GatewayControl<C, W> {
     shared: Arc<GatewayShared<C, W>>,
     servers: RefCell<ServerTable>,
+    cut_centres: RefCell<Vec<DataCentreId>>,
     trouble_at: RefCell<Option<Instant>>,
     life: RefCell<ChartRun>,
     life_since: RefCell<Option<Instant>>,
@@ -73,6 +76,7 @@
         Self {
             shared,
             servers: RefCell::new(ServerTable::new()),
+            cut_centres: RefCell::default(),
             trouble_at: RefCell::new(None),
             life: RefCell::new(ChartRun::new(Arc::new(chart))),
             life_since: RefCell::new(None),
@@ -127,9 +131,50 @@
             let age = i64::try_from(age).unwrap_or(i64::MAX);
             self.shared.metrics.key_age.set(age);
         }
+        self.probe_centres(now);
         self.live_on(now);
     }
 
+    /// Tries bare connections into the data centres that seem cut off.
+    fn probe_centres(&self, now: Instant) {
+        let (probes, cut) = {
+            let mut loads = self.shared.loads();
+            (loads.probes(now), loads.cut_centres())
+        };
+        self.note_cut_centres(cut);
+        for server in probes {
+            let shared = self.shared.clone();
+            let probing = async move {
+                let deadline = shared.clock.now() + CONNECT_TIMEOUT;
+                let opening = open_stream(server.address);
+                let reached = until(&shared.clock, deadline, opening).await.is_some();
+                LogLine::new("centre_probe")
+                    .with("data_centre", &server.data_centre)
+                    .with("server", &server.id)
+                    .with("reached", reached)
+                    .info(&shared.log);
+                if reached {
+                    shared.loads().note_reached(&server);
+                }
+            };
+            self.shared.executor.spawn(probing).detach();
+        }
+    }
+
+    fn note_cut_centres(&self, cut: Vec<DataCentreId>) {
+        let known = self.cut_centres.replace(cut.clone());
+        for centre in cut.iter().filter(|centre| !known.contains(centre)) {
+            LogLine::new("centre_lost")
+                .with("data_centre", centre)
+                .warn(&self.shared.log);
+        }
+        for centre in known.iter().filter(|centre| !cut.contains(centre)) {
+            LogLine::new("centre_regained")
+                .with("data_centre", centre)
+                .info(&self.shared.log);
+        }
+    }
+
     /// Reads a topic and follows its changes for as long as the node runs.
     async fn follow<S: FleetSource>(&self, mut source: S, topic: SourceTopic, pause: Duration) {
         let mut rng = fastrand::Rng::with_seed(self.shared.options.seed);
--- a/crates/plumgate/src/gateway/freshness.rs
+++ b/crates/plumgate/src/gateway/freshness.rs
@@ -4,9 +4,9 @@
 
 /// Share of the allowed age after which requests with a key are refused. The rest covers a read
 /// whose answer tells of a moment somewhat before it was asked for.
-const SAFE_SHARE: f64 = 0.7;
+const SAFE_SHARE: f64 = 0.88;
 /// Share of the allowed age after which the node asks for no new callers.
-const READY_SHARE: f64 = 0.55;
+const READY_SHARE: f64 = 0.6;
 
 /// How old the knowledge of keys may get.
 ///
--- a/crates/plumgate/src/gateway/load.rs
+++ b/crates/plumgate/src/gateway/load.rs
@@ -6,6 +6,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::centres::CentreTable;
 use super::servers::{ServerChange, ServerEntry, ServerState};
 use crate::ids::{DataCentreId, PoolId, ServerId};
 use crate::retry::CircuitBreaker;
@@ -172,7 +173,9 @@
     Answered,
     /// It failed, broke off or was silent.
     Failed,
-    /// No new connection came about.
+    /// A new connection was refused.
+    Refused,
+    /// A new connection got no answer, as behind a cut.
     Unreachable,
     /// It refused the request because it is full.
     Full,
@@ -189,7 +192,7 @@
     breaker: CircuitBreaker,
     failures: f64,
     failures_at: Instant,
-    full_until: Option<Instant>,
+    rests_until: Option<Instant>,
     tokens_per_second: f64,
     parts: HashMap<u64, Instant>,
     part_order: VecDeque<u64>,
@@ -197,6 +200,9 @@
 
 /// How long a server that said that it is full gets no more from this node.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// How long a server that could not be reached gets no more from this node. The next requests
+/// would each lose the time of a connection that does not come about.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(400);
 /// Weight of one observation of an engine's reading speed.
 const SPEED_WEIGHT: f64 = 0.1;
 /// Bounds within which an observed reading speed is believed, as shares of the default.
@@ -210,6 +216,7 @@
     options: PlacementOptions,
     rng: fastrand::Rng,
     servers: BTreeMap<ServerId, ServerLoad>,
+    centres: CentreTable,
 }
 
 impl LoadTable {
@@ -220,6 +227,7 @@
             options,
             rng,
             servers: BTreeMap::new(),
+            centres: CentreTable::new(),
         }
     }
 
@@ -296,7 +304,7 @@
         let all: Vec<&ServerLoad> = of_pool.collect();
         let sound: Vec<ServerId> = all
             .iter()
-            .filter(|load| load.is_sound(now))
+            .filter(|load| load.is_sound(now) && !self.centres.is_cut(&load.entry.data_centre))
             .map(|load| load.entry.id.clone())
             .collect();
         if sound.is_empty() {
@@ -352,6 +360,46 @@
         let unread = &mut load.own.unread[ticket.urgency];
         *unread = unread.saturating_sub(ticket.unread_tokens);
         load.note_end(end, now);
+        let centre = &load.entry.data_centre;
+        match end {
+            WorkEnd::Answered | WorkEnd::Full | WorkEnd::Refused => {
+                self.centres.note_answer(centre)
+            }
+            WorkEnd::Unreachable => {
+                self.centres.note_silence(centre, &load.entry.id, now);
+            }
+            WorkEnd::Failed | WorkEnd::Unjudged => {}
+        }
+    }
+
+    /// Servers to try a bare connection to, one in each data centre that seems cut off.
+    pub fn probes(&mut self, now: Instant) -> Vec<ServerEntry> {
+        let due = self.centres.due_probes(now);
+        let mut probes = Vec::with_capacity(due.len());
+        for centre in due {
+            let of_centre = self
+                .servers
+                .values()
+                .map(|load| &load.entry)
+                .filter(|entry| entry.data_centre == centre);
+            let entries: Vec<&ServerEntry> = of_centre.collect();
+            match self.rng.choice(&entries) {
+                Some(entry) => probes.push((*entry).clone()),
+                // A data centre without servers can't be probed, and nothing is sent there.
+                None => self.centres.note_answer(&centre),
+            }
+        }
+        probes
+    }
+
+    /// A bare connection to a server came about, or was refused by its machine.
+    pub fn note_reached(&mut self, server: &ServerEntry) {
+        self.centres.note_answer(&server.data_centre);
+    }
+
+    /// Data centres that seem cut off from this node.
+    pub fn cut_centres(&self) -> Vec<DataCentreId> {
+        self.centres.cut()
     }
 
     /// Servers of a pool that take work.
@@ -379,7 +427,7 @@
             breaker: CircuitBreaker::new(),
             failures: 0.0,
             failures_at: now,
-            full_until: None,
+            rests_until: None,
             tokens_per_second: DEFAULT_TOKENS_PER_SECOND,
             parts: HashMap::new(),
             part_order: VecDeque::new(),
@@ -387,7 +435,7 @@
     }
 
     fn is_sound(&self, now: Instant) -> bool {
-        self.breaker.allows(now) && self.full_until.is_none_or(|until| now >= until)
+        self.breaker.allows(now) && self.rests_until.is_none_or(|until| now >= until)
     }
 
     fn predict(
@@ -482,12 +530,13 @@
                 0.0
             }
             WorkEnd::Failed => 1.0,
-            WorkEnd::Unreachable => {
+            WorkEnd::Refused | WorkEnd::Unreachable => {
                 self.breaker.record_failure(now);
+                self.rests_until = Some(now + UNREACHABLE_PAUSE);
                 1.0
             }
             WorkEnd::Full => {
-                self.full_until = Some(now + FULL_PAUSE);
+                self.rests_until = Some(now + FULL_PAUSE);
                 return;
             }
             WorkEnd::Unjudged => return,
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod centres;
 pub mod config;
 pub mod events;
 pub mod freshness;
