gateway: interactive and batch streams on servers of their own; news of servers in batches

Each server's change cost each node a call. Change: a third of a pool's servers, the same for all nodes, is kept for streams whose pauses count; the other group costs 0.4 s more. After news of servers the next watch waits 400 ms.

--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -282,8 +282,10 @@
     let urgency = workspace
         .and_then(|keys| keys.priority)
         .unwrap_or(route.priority);
+    let class = config.stream_class(&route, &pool);
     Ok(RelayRequest {
         id,
+        class,
         pool,
         workspace: workspace.map(|keys| keys.workspace.clone()),
         urgency,
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -30,6 +30,9 @@
 const CONFIG_PAUSE: Duration = Duration::from_millis(1_500);
 /// How long one watch of the servers waits for changes.
 const SERVERS_PAUSE: Duration = Duration::from_millis(4_000);
+/// Pause after news of servers before the next watch. Servers come and go in numbers; without a
+/// pause each of them costs each node of the fleet a call of its own.
+const SERVERS_BATCH: Duration = Duration::from_millis(400);
 /// First pause after a call without an answer.
 const FIRST_RETRY: Duration = Duration::from_millis(40);
 /// Longest pause after calls without an answer: a fraction of the time within which a change
@@ -196,11 +199,15 @@
                     }
                     backoff.reset();
                     let is_whole = since.is_none();
+                    let has_news = !change.events.is_empty();
                     since = Some(change.version);
                     self.apply(topic, change, is_whole);
                     if topic == SourceTopic::Config {
                         self.shared.lease().renew(asked_at);
                     }
+                    if topic == SourceTopic::Servers && has_news {
+                        self.shared.clock.sleep(SERVERS_BATCH).await;
+                    }
                 }
                 Err(error) => {
                     // Whatever went wrong may have swallowed a change: all is read anew.
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -10,7 +10,9 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::{AttemptEvent, AttemptRun};
 use plumgate::gateway::load::{PlacementRequest, WorkEnd};
-use plumgate::gateway::{AdmissionPolicy, AdmissionVerdict, GatewayRoute, RepeatKind, ServerPick};
+use plumgate::gateway::{
+    AdmissionPolicy, AdmissionVerdict, GatewayRoute, RepeatKind, ServerPick, StreamClass,
+};
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 use plumgate::retry::may_run_again;
 
@@ -58,6 +60,8 @@
     pub(crate) workspace: Option<WorkspaceId>,
     /// Its urgency, 0 first.
     pub(crate) urgency: u8,
+    /// How sensitive its stream is.
+    pub(crate) class: StreamClass,
     /// Its head.
     pub(crate) head: Parts,
     /// Its body.
@@ -79,6 +83,7 @@
             pool: &self.pool,
             prompt: self.facts.prompt.as_ref(),
             urgency: self.urgency,
+            class: self.class,
             avoid,
         }
     }
--- a/crates/plumgate/src/gateway/config.rs
+++ b/crates/plumgate/src/gateway/config.rs
@@ -41,6 +41,19 @@
     }
 }
 
+/// How sensitive a stream is to the prompts that its server reads meanwhile.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum StreamClass {
+    /// Somebody reads along: pauses count.
+    Interactive,
+    /// Pauses of several times that length don't matter.
+    Batch,
+}
+
+/// Multiple of the shortest pause target of a pool up to which a route's streams are interactive.
+/// Beyond it a stream bears the pauses that a long prompt causes.
+const INTERACTIVE_PAUSES: u32 = 2;
+
 /// One pool of backend servers among which a route's requests are split.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolSplit {
@@ -65,6 +78,8 @@
     pub timeout: Duration,
     /// The time within which an answer counts fully.
     pub target: Duration,
+    /// The longest pause between two events for which a stream counts fully.
+    pub pause_target: Option<Duration>,
     /// The rank, 0 for the most urgent.
     pub priority: u8,
     /// The pools.
@@ -149,6 +164,8 @@
     routes: HashMap<String, Vec<Arc<GatewayRoute>>>,
     /// Workspaces by key.
     keys: HashMap<String, WorkspaceKeys>,
+    /// The shortest pause target of each pool's routes.
+    shortest_pauses: HashMap<PoolId, Duration>,
 }
 
 impl GatewayConfig {
@@ -164,6 +181,7 @@
     /// The same with these routes.
     pub fn with_routes(mut self, routes: impl IntoIterator<Item = GatewayRoute>) -> Self {
         for route in routes {
+            self.note_pause(&route);
             self.routes
                 .entry(route.host.clone())
                 .or_default()
@@ -175,6 +193,28 @@
         self
     }
 
+    fn note_pause(&mut self, route: &GatewayRoute) {
+        let Some(pause) = route.pause_target else {
+            return;
+        };
+        for split in &route.pools {
+            let shortest = self.shortest_pauses.entry(split.pool.clone());
+            let shortest = shortest.or_insert(pause);
+            *shortest = (*shortest).min(pause);
+        }
+    }
+
+    /// How sensitive a route's streams are, compared with the other streams of a pool.
+    pub fn stream_class(&self, route: &GatewayRoute, pool: &PoolId) -> StreamClass {
+        let shortest = self.shortest_pauses.get(pool);
+        match (route.pause_target, shortest) {
+            (Some(pause), Some(shortest)) if pause > *shortest * INTERACTIVE_PAUSES => {
+                StreamClass::Batch
+            }
+            _ => StreamClass::Interactive,
+        }
+    }
+
     /// The same with one more workspace, found by its keys.
     pub fn with_workspace(
         mut self,
--- a/crates/plumgate/src/gateway/load.rs
+++ b/crates/plumgate/src/gateway/load.rs
@@ -1,12 +1,13 @@
 //! Chooses the backend server of a request: shared prompt parts have few homes, and a home that
 //! is too busy gives way to the next one.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::centres::CentreTable;
+use super::config::StreamClass;
 use super::servers::{ServerChange, ServerEntry, ServerState};
 use crate::ids::{DataCentreId, PoolId, ServerId};
 use crate::retry::CircuitBreaker;
@@ -131,6 +132,8 @@
     pub prompt: Option<&'a PromptShape>,
     /// The urgency, 0 first.
     pub urgency: u8,
+    /// How sensitive its stream is.
+    pub class: StreamClass,
     /// Servers that were tried already.
     pub avoid: &'a [ServerId],
 }
@@ -267,13 +270,16 @@
     pub fn pick(&mut self, request: &PlacementRequest<'_>, now: Instant) -> Option<ServerPick> {
         let candidates = self.candidates(request, now);
         let mut costs: Vec<(f64, f64, u64, ServerId)> = Vec::with_capacity(candidates.len());
-        let homes = HomeRanks::new(request.prompt, &candidates);
+        let groups = self.groups(request.pool);
+        let homes = HomeRanks::new(request.prompt, &groups.members(request.class, &candidates));
         for id in candidates {
             let load = &self.servers[&id];
             let home = homes.rank(&id);
             let prediction = load.predict(request, home, &self.options.data_centre, now);
+            let strays = request.prompt.is_some() && groups.class(&id) != request.class;
+            let stray = if strays { GROUP_SECONDS } else { 0.0 };
             let cost = match self.options.policy {
-                PlacementPolicy::PredictedCost => prediction.cost,
+                PlacementPolicy::PredictedCost => prediction.cost + stray,
                 PlacementPolicy::LeastInFlight => f64::from(load.own.in_flight),
                 PlacementPolicy::Random => 0.0,
             };
@@ -294,6 +300,14 @@
         })
     }
 
+    fn groups(&self, pool: &PoolId) -> ServerGroups {
+        let of_pool = self
+            .servers
+            .values()
+            .filter(|load| load.entry.pool == *pool && load.entry.state == ServerState::Ready);
+        ServerGroups::new(of_pool.map(|load| load.entry.id.clone()))
+    }
+
     /// The servers that may get the request: those in doubt only where there is no other.
     fn candidates(&self, request: &PlacementRequest<'_>, now: Instant) -> Vec<ServerId> {
         let of_pool = self.servers.values().filter(|load| {
@@ -547,6 +561,42 @@
     }
 }
 
+/// Share of a pool's servers that interactive streams have for themselves while nothing presses.
+const INTERACTIVE_SHARE: f64 = 0.33;
+/// Seconds that a server of the other group costs.
+const GROUP_SECONDS: f64 = 0.4;
+
+/// A pool's servers, divided between interactive and batch streams. All nodes divide alike.
+struct ServerGroups {
+    interactive: BTreeSet<ServerId>,
+}
+
+impl ServerGroups {
+    fn new(servers: impl Iterator<Item = ServerId>) -> Self {
+        let mut servers: Vec<(u64, ServerId)> =
+            servers.map(|id| (xxh3_64(id.as_bytes()), id)).collect();
+        servers.sort();
+        let count = (servers.len() as f64 * INTERACTIVE_SHARE).ceil() as usize;
+        servers.truncate(count);
+        Self {
+            interactive: servers.into_iter().map(|(_, id)| id).collect(),
+        }
+    }
+
+    fn class(&self, id: &ServerId) -> StreamClass {
+        if self.interactive.contains(id) {
+            StreamClass::Interactive
+        } else {
+            StreamClass::Batch
+        }
+    }
+
+    fn members(&self, class: StreamClass, candidates: &[ServerId]) -> Vec<ServerId> {
+        let members = candidates.iter().filter(|id| self.class(id) == class);
+        members.cloned().collect()
+    }
+}
+
 /// Whether a server is one of the few that keep a prompt's shared parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum HomeRank {
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -16,7 +16,8 @@
 pub use admission::{AdmissionPolicy, AdmissionVerdict};
 pub use budget::WindowBudget;
 pub use config::{
-    CallerLimits, GatewayConfig, GatewayRoute, PoolSplit, RepeatKind, RouteMatch, WorkspaceKeys,
+    CallerLimits, GatewayConfig, GatewayRoute, PoolSplit, RepeatKind, RouteMatch, StreamClass,
+    WorkspaceKeys,
 };
 pub use events::EventSplitter;
 pub use freshness::FreshnessLease;
