gateway: nodes tell each other of their work; refused where the queue takes 0.7 of the target

Cause: at 64 nodes each knows a 64th of the load. Shared parts were read again where a home looked busy; in a burst all long prompts came late. Change: LoadExchange (one collector a data centre, datagrams, register of nodes in the store), urgency by workspace, then route (an urgent stream was preempted before a less urgent one), admission by queue time against the target, groups 0.25 with 3 s for batch and 0.15 s for interactive streams that stray.

--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -279,9 +279,7 @@
     let Some(pool) = route.pool_for(xxh3_64(id.as_bytes())).cloned() else {
         return Err(stale("no_pool", "the route leads nowhere now"));
     };
-    let urgency = workspace
-        .and_then(|keys| keys.priority)
-        .unwrap_or(route.priority);
+    let urgency = config.urgency(&route, workspace);
     let class = config.stream_class(&route, &pool);
     Ok(RelayRequest {
         id,
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -11,11 +11,12 @@
 use plumgate::FindingList;
 use plumgate::chart::{ChartRun, NODE_CHART, StateChart};
 use plumgate::gateway::servers::ServerChange;
-use plumgate::gateway::{GatewayConfig, ServerEntry, ServerTable};
+use plumgate::gateway::{GatewayConfig, NodeEntry, ServerEntry, ServerTable};
 use plumgate::ids::{DataCentreId, ServerId};
 use plumgate::retry::BackoffPause;
 
 use super::attempt::CONNECT_TIMEOUT;
+use super::exchange::PeerExchange;
 use super::metrics::CallLabels;
 use super::options::GatewayBounds;
 use super::ports::{FleetSource, SourceChange, SourceError, SourceEvent, SourceTopic};
@@ -51,6 +52,9 @@
 /// Part of the grace that is kept for ending the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
 
+/// How long a node that stops waits for its row to be removed.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// What the control thread is told from outside.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum GatewaySignal {
@@ -100,10 +104,28 @@
             let following = async move { control.follow(source, topic, pause).await };
             executor.spawn(following).detach();
         }
-        let living = control.live(signals);
+        let own = PeerExchange::new(control.shared.clone())
+            .map(|exchange| exchange.spawn(&executor, source.clone()));
+        let living = async {
+            control.live(signals).await;
+            if let Some(own) = own {
+                control.leave(source, &own).await;
+            }
+        };
         async_io::block_on(executor.run(living));
     }
 
+    /// Takes the node out of the register, if that goes quickly: a row that stays behind does no
+    /// harm but to the others' share of the retries.
+    async fn leave<S: FleetSource>(&self, mut source: S, own: &NodeEntry) {
+        let deadline = self.shared.clock.now() + LEAVE_TIMEOUT;
+        let leaving = source.unregister(own);
+        let left = until(&self.shared.clock, deadline, leaving).await;
+        LogLine::new("unregister")
+            .with("done", matches!(left, Some(Ok(()))))
+            .info(&self.shared.log);
+    }
+
     /// Keeps the life of the node until it ends.
     async fn live(&self, signals: Receiver<GatewaySignal>) {
         while !self.life.borrow().is_ended() {
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -0,0 +1,171 @@
+//! The nodes' talk about their work at the servers: datagrams, and the register of nodes.
+
+use std::cell::RefCell;
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use plumgate::gateway::{LoadExchange, NodeEntry};
+
+use super::ports::FleetSource;
+use super::shared::GatewayShared;
+use crate::clock::Clock;
+use crate::log::LogLine;
+
+/// Time between two rounds of the exchange.
+const ROUND: Duration = Duration::from_millis(200);
+/// Largest datagram that is taken in.
+const DATAGRAM_BYTES: usize = 8 * 1024;
+/// Pauses before the register is read the first times: nodes that start together are in it soon.
+const FIRST_READS: [Duration; 2] = [Duration::from_millis(700), Duration::from_secs(3)];
+/// Time between two reads of the register. In between nodes make themselves known by talking.
+const READ_PAUSE: Duration = Duration::from_secs(30);
+/// Pause before a call to the register is tried again.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Nodes that may have come since the register was read, as a share of those in it.
+const UNSEEN_SHARE: f64 = 0.15;
+
+/// One node's link to the others.
+pub(crate) struct PeerExchange<C, W> {
+    shared: Arc<GatewayShared<C, W>>,
+    socket: Async<UdpSocket>,
+    own: NodeEntry,
+    exchange: RefCell<LoadExchange>,
+}
+
+impl<C: Clock, W: Send + Sync + 'static> PeerExchange<C, W> {
+    /// The link of a node that has an address for it.
+    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>) -> Option<Self> {
+        let address = shared.options.peer_listen?;
+        let socket = match Async::<UdpSocket>::bind(address) {
+            Ok(socket) => socket,
+            Err(error) => {
+                // The node serves without it, by its own load alone.
+                LogLine::new("peers_unheard")
+                    .with("address", address)
+                    .with("error", error)
+                    .warn(&shared.log);
+                return None;
+            }
+        };
+        let own = NodeEntry {
+            node: shared.options.node.clone(),
+            data_centre: shared.options.data_centre.clone(),
+            address,
+        };
+        Some(Self {
+            exchange: RefCell::new(LoadExchange::new(own.clone())),
+            shared,
+            socket,
+            own,
+        })
+    }
+
+    /// Starts the tasks of the exchange, and gives back how the node registers itself.
+    pub(crate) fn spawn<'a, S: FleetSource>(
+        self,
+        executor: &LocalExecutor<'a>,
+        source: S,
+    ) -> NodeEntry
+    where
+        Self: 'a,
+    {
+        let own = self.own.clone();
+        let link = Rc::new(self);
+        let receiving = link.clone();
+        executor
+            .spawn(async move { receiving.receive().await })
+            .detach();
+        let talking = link.clone();
+        executor.spawn(async move { talking.talk().await }).detach();
+        executor
+            .spawn(async move { link.keep_register(source).await })
+            .detach();
+        own
+    }
+
+    async fn receive(&self) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let Ok((size, from)) = self.socket.recv_from(&mut buffer).await else {
+                // An earlier datagram was refused by a machine whose node is down.
+                continue;
+            };
+            let now = self.shared.clock.now();
+            let taken = self
+                .exchange
+                .borrow_mut()
+                .receive(&buffer[..size], from, now);
+            if taken.is_err() {
+                self.shared.metrics.peer_refused.inc();
+            }
+        }
+    }
+
+    async fn talk(&self) {
+        loop {
+            self.shared.clock.sleep(ROUND).await;
+            let now = self.shared.clock.now();
+            let packets = {
+                let mut loads = self.shared.loads();
+                let mut exchange = self.exchange.borrow_mut();
+                let packets = exchange.tick(loads.own_work(), now);
+                loads.set_peer_work(&exchange, now);
+                packets
+            };
+            for (address, bytes) in packets {
+                // A datagram that can't be sent is as good as one that got lost.
+                let _ = self.socket.send_to(&bytes, address).await;
+            }
+        }
+    }
+
+    async fn keep_register<S: FleetSource>(&self, mut source: S) {
+        while let Err(error) = source.register(&self.own).await {
+            LogLine::new("register_failed")
+                .with("error", error)
+                .warn(&self.shared.log);
+            self.shared.clock.sleep(RETRY_PAUSE).await;
+        }
+        for pause in FIRST_READS {
+            self.shared.clock.sleep(pause).await;
+            self.read_register(&mut source).await;
+        }
+        loop {
+            let spread = READ_PAUSE.mul_f64(0.5 + self.shared.random_share());
+            self.shared.clock.sleep(spread).await;
+            self.read_register(&mut source).await;
+        }
+    }
+
+    async fn read_register<S: FleetSource>(&self, source: &mut S) {
+        match source.nodes().await {
+            Ok(nodes) => {
+                self.exchange.borrow_mut().set_nodes(nodes);
+                self.note_nodes();
+            }
+            Err(error) => LogLine::new("register_unread")
+                .with("error", error)
+                .warn(&self.shared.log),
+        }
+    }
+
+    /// Divides the fleet's retries anew, with some left for nodes that are not seen yet.
+    fn note_nodes(&self) {
+        let count = self.exchange.borrow().node_count();
+        let assumed = (count as f64 * (1.0 + UNSEEN_SHARE)).ceil() as u32;
+        self.shared.budget().set_nodes(assumed);
+        let is_collector = self.exchange.borrow().is_collector();
+        let gauge = i64::try_from(count).unwrap_or(i64::MAX);
+        if self.shared.metrics.nodes.set(gauge) != gauge {
+            LogLine::new("nodes")
+                .with("count", count)
+                .with("collector", is_collector)
+                .with("retries_divided_by", assumed)
+                .info(&self.shared.log);
+        }
+    }
+}
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -71,6 +71,10 @@
     pub(crate) key_age: Gauge,
     /// Servers that are known.
     pub(crate) servers: Gauge,
+    /// Nodes that are known, this one included.
+    pub(crate) nodes: Gauge,
+    /// Messages of other nodes that made no sense.
+    pub(crate) peer_refused: Counter,
     /// Calls to the source.
     pub(crate) source_calls: Family<CallLabels, Counter>,
 }
@@ -91,6 +95,8 @@
             config_version: Gauge::default(),
             key_age: Gauge::default(),
             servers: Gauge::default(),
+            nodes: Gauge::default(),
+            peer_refused: Counter::default(),
             source_calls: Family::default(),
         };
         metrics.registry = metrics.register(Registry::with_prefix("plumgate_gateway"));
@@ -128,6 +134,12 @@
             self.key_age.clone(),
         );
         registry.register("servers", "Servers known", self.servers.clone());
+        registry.register("nodes", "Nodes known", self.nodes.clone());
+        registry.register(
+            "peer_refused",
+            "Messages of nodes refused",
+            self.peer_refused.clone(),
+        );
         registry.register(
             "source_calls",
             "Calls to the store",
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod caller;
 mod control;
+mod exchange;
 mod links;
 mod metrics;
 mod node;
--- a/crates/plumgate-node/src/gateway/options.rs
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -46,6 +46,8 @@
     pub ready_listen: SocketAddr,
     /// Address for metrics.
     pub metrics_listen: Option<SocketAddr>,
+    /// Address for the other nodes; without one this node knows its own load only.
+    pub peer_listen: Option<SocketAddr>,
     /// The operators' bounds.
     pub bounds: GatewayBounds,
     /// How servers are chosen.
@@ -68,6 +70,7 @@
             listen,
             ready_listen,
             metrics_listen: None,
+            peer_listen: None,
             bounds: GatewayBounds::default(),
             policy: PlacementPolicy::default(),
             seed: 0,
@@ -80,6 +83,12 @@
         self
     }
 
+    /// The same with an address for the other nodes.
+    pub fn with_peers(mut self, listen: SocketAddr) -> Self {
+        self.peer_listen = Some(listen);
+        self
+    }
+
     /// The same with other bounds.
     pub fn with_bounds(mut self, bounds: GatewayBounds) -> Self {
         self.bounds = bounds;
--- a/crates/plumgate-node/src/gateway/ports.rs
+++ b/crates/plumgate-node/src/gateway/ports.rs
@@ -8,7 +8,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode};
 use plumgate::FindingList;
-use plumgate::gateway::{GatewayConfig, PromptShape, ServerEntry};
+use plumgate::gateway::{GatewayConfig, NodeEntry, PromptShape, ServerEntry};
 use plumgate::ids::{ServerId, WorkspaceId};
 
 /// What can be read from the source of a fleet's state.
@@ -85,6 +85,15 @@
         since: u64,
         pause: Duration,
     ) -> impl Future<Output = Result<SourceChange, SourceError>>;
+
+    /// Registers this node, so that the others find it.
+    fn register(&mut self, node: &NodeEntry) -> impl Future<Output = Result<(), SourceError>>;
+
+    /// Takes this node out of the register.
+    fn unregister(&mut self, node: &NodeEntry) -> impl Future<Output = Result<(), SourceError>>;
+
+    /// Reads the nodes that have registered.
+    fn nodes(&mut self) -> impl Future<Output = Result<Vec<NodeEntry>, SourceError>>;
 }
 
 /// What a caller's request says of itself.
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -11,7 +11,8 @@
 use plumgate::attempt::{AttemptEvent, AttemptRun};
 use plumgate::gateway::load::{PlacementRequest, WorkEnd};
 use plumgate::gateway::{
-    AdmissionPolicy, AdmissionVerdict, GatewayRoute, RepeatKind, ServerPick, StreamClass,
+    AdmissionPolicy, AdmissionVerdict, GatewayRoute, QueuePrediction, RepeatKind, ServerPick,
+    StreamClass,
 };
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 use plumgate::retry::may_run_again;
@@ -176,15 +177,28 @@
             let pause = policy.return_after(NO_SERVER_PAUSE, left, spread);
             return Err(self.give_up("no_server", pause));
         };
+        let wait = QueuePrediction {
+            queue: pick.queue,
+            wait: pick.wait,
+            target_left: self.target_left(now),
+            left,
+        };
         if self.tried.is_empty()
+            && self.request.facts.prompt.is_some()
             && let AdmissionVerdict::Refuse { retry_after } =
-                AdmissionPolicy::new().judge(pick.wait, left, spread)
+                AdmissionPolicy::new().judge(&wait, spread)
         {
             return Err(self.give_up("overloaded", retry_after));
         }
         Ok(pick)
     }
 
+    /// Time left until the request misses its target.
+    fn target_left(&self, now: Instant) -> Duration {
+        let waited = now.saturating_duration_since(self.request.arrived);
+        self.request.route.target.saturating_sub(waited)
+    }
+
     async fn try_server(&mut self, pick: &ServerPick) -> AttemptEnd<C, W> {
         let now = self.shared.clock.now();
         self.log_route(pick, now);
--- a/crates/plumgate/src/gateway/admission.rs
+++ b/crates/plumgate/src/gateway/admission.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+/// Share of a request's target that it may spend in a server's queue.
+///
+/// An engine that is overloaded answers as many requests whether its queue is short or long, but
+/// behind a long one all of them come late. What is refused at once comes back when the burst is
+/// over. The rest of the target is for reading the prompt.
+const QUEUE_SHARE: f64 = 0.7;
 /// Share of the time left within which a server must be able to begin. The rest is for the
 /// answer itself.
 const START_SHARE: f64 = 0.9;
@@ -25,6 +31,20 @@
     },
 }
 
+/// What is predicted of a request at the best server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueuePrediction {
+    /// Until the server turns to it. Its own size is not in it: a large request must not be
+    /// refused for its size alone, as it would be each time that it comes.
+    pub queue: Duration,
+    /// Until the answer begins.
+    pub wait: Duration,
+    /// Until the answer would miss its target.
+    pub target_left: Duration,
+    /// Until nobody waits any more.
+    pub left: Duration,
+}
+
 /// The rule by which requests are refused.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AdmissionPolicy;
@@ -35,13 +55,15 @@
         Self
     }
 
-    /// Judges a request by the predicted wait at the best server and the time that it has left.
-    pub fn judge(&self, wait: Duration, left: Duration, spread: f64) -> AdmissionVerdict {
-        if wait <= left.mul_f64(START_SHARE) {
+    /// Judges a request; `spread` from 0 to 1 keeps refused callers from coming back at once.
+    pub fn judge(&self, prediction: &QueuePrediction, spread: f64) -> AdmissionVerdict {
+        let queue_most = prediction.target_left.mul_f64(QUEUE_SHARE);
+        let start_most = prediction.left.mul_f64(START_SHARE);
+        if prediction.queue <= queue_most && prediction.wait <= start_most {
             return AdmissionVerdict::Send;
         }
         AdmissionVerdict::Refuse {
-            retry_after: self.return_after(wait, left, spread),
+            retry_after: self.return_after(prediction.queue, prediction.left, spread),
         }
     }
 
--- a/crates/plumgate/src/gateway/config.rs
+++ b/crates/plumgate/src/gateway/config.rs
@@ -52,7 +52,7 @@
 
 /// Multiple of the shortest pause target of a pool up to which a route's streams are interactive.
 /// Beyond it a stream bears the pauses that a long prompt causes.
-const INTERACTIVE_PAUSES: u32 = 2;
+const INTERACTIVE_PAUSES: f64 = 1.25;
 
 /// One pool of backend servers among which a route's requests are split.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -164,6 +164,8 @@
     routes: HashMap<String, Vec<Arc<GatewayRoute>>>,
     /// Workspaces by key.
     keys: HashMap<String, WorkspaceKeys>,
+    /// Ranks of routes: one more than the highest priority of a route.
+    route_ranks: u8,
     /// The shortest pause target of each pool's routes.
     shortest_pauses: HashMap<PoolId, Duration>,
 }
@@ -182,6 +184,7 @@
     pub fn with_routes(mut self, routes: impl IntoIterator<Item = GatewayRoute>) -> Self {
         for route in routes {
             self.note_pause(&route);
+            self.route_ranks = self.route_ranks.max(route.priority.saturating_add(1));
             self.routes
                 .entry(route.host.clone())
                 .or_default()
@@ -208,7 +211,7 @@
     pub fn stream_class(&self, route: &GatewayRoute, pool: &PoolId) -> StreamClass {
         let shortest = self.shortest_pauses.get(pool);
         match (route.pause_target, shortest) {
-            (Some(pause), Some(shortest)) if pause > *shortest * INTERACTIVE_PAUSES => {
+            (Some(pause), Some(shortest)) if pause > shortest.mul_f64(INTERACTIVE_PAUSES) => {
                 StreamClass::Batch
             }
             _ => StreamClass::Interactive,
@@ -237,6 +240,14 @@
             .find(|route| wanted.path.starts_with(&route.prefix))
     }
 
+    /// The urgency of a request, 0 first: a workspace's rank goes before a route's, and among
+    /// requests of workspaces of one rank the route's decides.
+    pub fn urgency(&self, route: &GatewayRoute, workspace: Option<&WorkspaceKeys>) -> u8 {
+        let rank = workspace.and_then(|keys| keys.priority).unwrap_or(0);
+        rank.saturating_mul(self.route_ranks)
+            .saturating_add(route.priority)
+    }
+
     /// The workspace that holds a key.
     pub fn workspace(&self, key: &str) -> Option<&WorkspaceKeys> {
         self.keys.get(key)
--- /dev/null
+++ b/crates/plumgate/src/gateway/exchange.rs
@@ -0,0 +1,380 @@
+//! What the nodes tell each other of their work at the servers.
+//!
+//! Each node tells one collector of its data centre what it has in flight. The collector adds up
+//! its data centre, swaps sums with the other data centres' collectors, and tells its nodes the
+//! total. So a node sends and reads a constant number of messages, and only a collector's grow
+//! with the nodes of its data centre. Messages may be lost: each stands for itself, and what is
+//! not renewed is forgotten.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::load::{ServerWork, URGENCIES};
+use crate::errors::{Error, Result};
+use crate::ids::{DataCentreId, NodeId, ServerId};
+use crate::membership::rendezvous_weight;
+
+/// How long what somebody told counts: a few rounds, so that a lost message does no harm.
+const LIFETIME: Duration = Duration::from_secs(1);
+/// How long a collector may be silent before the next one is chosen.
+const COLLECTOR_SILENCE: Duration = Duration::from_millis(900);
+/// Servers in one message, so that it fits into one packet of the network.
+const ENTRIES_MOST: usize = 100;
+/// Tokens that one unit in a message stands for.
+const TOKEN_UNIT: u64 = 64;
+/// Collectors of another data centre that get a sum: a second one where the first just went.
+const FOREIGN_COLLECTORS: usize = 2;
+
+/// A node, as it registers itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeEntry {
+    /// Its name.
+    pub node: NodeId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Where the other nodes reach it.
+    pub address: SocketAddr,
+}
+
+/// A server in a message: a digest of its id, which is long.
+type ServerKey = u32;
+
+/// The work at one server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct WorkEntry {
+    server: ServerKey,
+    in_flight: u32,
+    /// Unread tokens by urgency, in units; what follows the last that is not zero is left out.
+    unread: Vec<u32>,
+}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum ExchangeBody {
+    /// What one node has in flight.
+    Own(Vec<WorkEntry>),
+    /// What a data centre has in flight.
+    Centre(Vec<WorkEntry>),
+    /// What the whole fleet has in flight.
+    Total(Vec<WorkEntry>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ExchangeMessage {
+    node: String,
+    data_centre: String,
+    body: ExchangeBody,
+}
+
+/// A message and where it goes.
+pub type ExchangePacket = (SocketAddr, Vec<u8>);
+
+/// Work that somebody told, with its time.
+type ToldWork = HashMap<ServerKey, (ServerWork, Instant)>;
+
+/// Another node.
+#[derive(Clone, Debug)]
+struct MemberState {
+    entry: NodeEntry,
+    told: ToldWork,
+    silent: bool,
+}
+
+/// One node's part in the exchange.
+#[derive(Debug)]
+pub struct LoadExchange {
+    own: NodeEntry,
+    members: BTreeMap<NodeId, MemberState>,
+    centres: BTreeMap<DataCentreId, ToldWork>,
+    total: ToldWork,
+    /// What this node told of itself last.
+    own_told: HashMap<ServerKey, ServerWork>,
+    collector: Option<NodeId>,
+    collector_heard: Option<Instant>,
+}
+
+impl LoadExchange {
+    /// A node that knows of no other.
+    pub fn new(own: NodeEntry) -> Self {
+        Self {
+            own,
+            members: BTreeMap::new(),
+            centres: BTreeMap::new(),
+            total: ToldWork::new(),
+            own_told: HashMap::new(),
+            collector: None,
+            collector_heard: None,
+        }
+    }
+
+    /// Takes over the nodes that have registered.
+    pub fn set_nodes(&mut self, entries: Vec<NodeEntry>) {
+        let known: Vec<NodeId> = entries.iter().map(|entry| entry.node.clone()).collect();
+        self.members.retain(|node, _| known.contains(node));
+        for entry in entries {
+            self.meet(entry);
+        }
+    }
+
+    /// How many nodes are known, this one included.
+    pub fn node_count(&self) -> usize {
+        self.members.len() + 1
+    }
+
+    /// Whether this node collects for its data centre.
+    pub fn is_collector(&self) -> bool {
+        self.choose_collector().is_none()
+    }
+
+    /// What the other nodes have in flight at a server, as far as they told lately.
+    pub fn peer_work(&self, server: &ServerId, now: Instant) -> ServerWork {
+        let key = server_key(server);
+        let total = fresh(&self.total, key, now);
+        let own = self.own_told.get(&key).copied().unwrap_or_default();
+        total.minus(&own)
+    }
+
+    /// One round: what is to be sent, given what this node has in flight.
+    pub fn tick<'a>(
+        &mut self,
+        work: impl Iterator<Item = (&'a ServerId, ServerWork)>,
+        now: Instant,
+    ) -> Vec<ExchangePacket> {
+        let gone: Vec<ServerKey> = self.own_told.keys().copied().collect();
+        self.own_told = work.map(|(id, work)| (server_key(id), work)).collect();
+        self.watch_collector(now);
+        let Some(collector) = self.choose_collector() else {
+            return self.collect(now);
+        };
+        // What this node no longer has must be told once, or it would count until it lapses.
+        let mut entries = self.own_told.clone();
+        for key in gone {
+            entries.entry(key).or_default();
+        }
+        let address = self.members[&collector].entry.address;
+        self.packets(&entries, ExchangeBody::Own, &[address])
+    }
+
+    /// Takes in a message.
+    pub fn receive(&mut self, bytes: &[u8], from: SocketAddr, now: Instant) -> Result<()> {
+        let message: ExchangeMessage =
+            postcard::from_bytes(bytes).map_err(|_| Error::MalformedMessage)?;
+        let node: NodeId = message.node.as_str().into();
+        if node == self.own.node {
+            return Ok(());
+        }
+        let data_centre: DataCentreId = message.data_centre.as_str().into();
+        // A node that came after the last look at the register makes itself known.
+        self.meet(NodeEntry {
+            node: node.clone(),
+            data_centre: data_centre.clone(),
+            address: from,
+        });
+        let Some(member) = self.members.get_mut(&node) else {
+            return Ok(());
+        };
+        member.silent = false;
+        match message.body {
+            ExchangeBody::Own(entries) => tell(&mut member.told, entries, now),
+            ExchangeBody::Centre(entries) => {
+                tell(self.centres.entry(data_centre).or_default(), entries, now);
+            }
+            ExchangeBody::Total(entries) => {
+                if self.collector.as_ref() == Some(&node) {
+                    self.collector_heard = Some(now);
+                    tell(&mut self.total, entries, now);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn meet(&mut self, entry: NodeEntry) {
+        if entry.node == self.own.node {
+            return;
+        }
+        match self.members.get_mut(&entry.node) {
+            Some(member) => member.entry = entry,
+            None => {
+                let state = MemberState {
+                    entry: entry.clone(),
+                    told: ToldWork::new(),
+                    silent: false,
+                };
+                self.members.insert(entry.node, state);
+            }
+        }
+    }
+
+    /// Passes over a collector that has gone silent, until it is heard again.
+    fn watch_collector(&mut self, now: Instant) {
+        let chosen = self.choose_collector();
+        if chosen != self.collector {
+            self.collector = chosen;
+            self.collector_heard = Some(now);
+            return;
+        }
+        let is_silent = self
+            .collector_heard
+            .is_some_and(|heard| now.saturating_duration_since(heard) > COLLECTOR_SILENCE);
+        if let Some(member) = self
+            .collector
+            .as_ref()
+            .and_then(|node| self.members.get_mut(node))
+            && is_silent
+        {
+            member.silent = true;
+            self.collector = self.choose_collector();
+            self.collector_heard = Some(now);
+        }
+    }
+
+    /// The collector of this data centre; `None` where this node is it.
+    fn choose_collector(&self) -> Option<NodeId> {
+        let best = self.ranked(&self.own.data_centre).into_iter().next()?;
+        let own = rendezvous_weight(&self.own.data_centre, &self.own.node);
+        let weight = rendezvous_weight(&self.own.data_centre, &best);
+        (weight > own).then_some(best)
+    }
+
+    /// The other nodes of a data centre that may be its collector, the preferred one first.
+    fn ranked(&self, centre: &DataCentreId) -> Vec<NodeId> {
+        let of_centre = self
+            .members
+            .values()
+            .filter(|member| member.entry.data_centre == *centre && !member.silent);
+        let mut nodes: Vec<NodeId> = of_centre.map(|member| member.entry.node.clone()).collect();
+        nodes.sort_by_key(|node| std::cmp::Reverse(rendezvous_weight(centre, node)));
+        nodes
+    }
+
+    /// Adds up the data centre and tells its nodes and the other data centres.
+    fn collect(&mut self, now: Instant) -> Vec<ExchangePacket> {
+        let mut sum: HashMap<ServerKey, ServerWork> = self.own_told.clone();
+        for member in self.members.values() {
+            if member.entry.data_centre == self.own.data_centre {
+                add_fresh(&mut sum, &member.told, now);
+            }
+        }
+        let mut total = sum.clone();
+        for (centre, told) in &self.centres {
+            if *centre != self.own.data_centre {
+                add_fresh(&mut total, told, now);
+            }
+        }
+        let entries = total.iter().map(|(key, work)| (*key, (*work, now)));
+        self.total = entries.collect();
+        let mut packets = self.packets(&total, ExchangeBody::Total, &self.own_centre());
+        packets.extend(self.packets(&sum, ExchangeBody::Centre, &self.foreign_collectors()));
+        packets
+    }
+
+    fn own_centre(&self) -> Vec<SocketAddr> {
+        let members = self.members.values();
+        members
+            .filter(|member| member.entry.data_centre == self.own.data_centre)
+            .map(|member| member.entry.address)
+            .collect()
+    }
+
+    fn foreign_collectors(&self) -> Vec<SocketAddr> {
+        let mut centres: Vec<DataCentreId> = self
+            .members
+            .values()
+            .map(|member| member.entry.data_centre.clone())
+            .filter(|centre| *centre != self.own.data_centre)
+            .collect();
+        centres.sort();
+        centres.dedup();
+        let collectors = centres
+            .iter()
+            .flat_map(|centre| self.ranked(centre).into_iter().take(FOREIGN_COLLECTORS));
+        collectors
+            .map(|node| self.members[&node].entry.address)
+            .collect()
+    }
+
+    fn packets(
+        &self,
+        work: &HashMap<ServerKey, ServerWork>,
+        body: fn(Vec<WorkEntry>) -> ExchangeBody,
+        to: &[SocketAddr],
+    ) -> Vec<ExchangePacket> {
+        let entries: Vec<WorkEntry> = work.iter().map(|(key, work)| entry(*key, work)).collect();
+        let mut chunks: Vec<Vec<WorkEntry>> =
+            entries.chunks(ENTRIES_MOST).map(<[_]>::to_vec).collect();
+        if chunks.is_empty() {
+            // An empty message still says that its sender is there.
+            chunks.push(Vec::new());
+        }
+        let encoded = chunks.into_iter().filter_map(|chunk| {
+            let message = ExchangeMessage {
+                node: self.own.node.to_string(),
+                data_centre: self.own.data_centre.to_string(),
+                body: body(chunk),
+            };
+            postcard::to_stdvec(&message).ok()
+        });
+        let encoded: Vec<Vec<u8>> = encoded.collect();
+        to.iter()
+            .flat_map(|address| encoded.iter().map(|bytes| (*address, bytes.clone())))
+            .collect()
+    }
+}
+
+fn server_key(server: &ServerId) -> ServerKey {
+    // The lower half tells a few thousand servers apart.
+    xxh3_64(server.as_bytes()) as ServerKey
+}
+
+fn entry(server: ServerKey, work: &ServerWork) -> WorkEntry {
+    let units = work.unread.iter().map(|tokens| tokens.div_ceil(TOKEN_UNIT));
+    let mut unread: Vec<u32> = units
+        .map(|units| u32::try_from(units).unwrap_or(u32::MAX))
+        .collect();
+    while unread.last() == Some(&0) {
+        unread.pop();
+    }
+    WorkEntry {
+        server,
+        in_flight: work.in_flight,
+        unread,
+    }
+}
+
+fn tell(told: &mut ToldWork, entries: Vec<WorkEntry>, now: Instant) {
+    told.retain(|_, (_, at)| now.saturating_duration_since(*at) < LIFETIME);
+    for entry in entries {
+        let mut work = ServerWork {
+            in_flight: entry.in_flight,
+            ..ServerWork::default()
+        };
+        for (tokens, units) in work
+            .unread
+            .iter_mut()
+            .zip(entry.unread.iter().take(URGENCIES))
+        {
+            *tokens = u64::from(*units) * TOKEN_UNIT;
+        }
+        told.insert(entry.server, (work, now));
+    }
+}
+
+fn fresh(told: &ToldWork, key: ServerKey, now: Instant) -> ServerWork {
+    match told.get(&key) {
+        Some((work, at)) if now.saturating_duration_since(*at) < LIFETIME => *work,
+        _ => ServerWork::default(),
+    }
+}
+
+fn add_fresh(sum: &mut HashMap<ServerKey, ServerWork>, told: &ToldWork, now: Instant) {
+    for key in told.keys() {
+        let work = fresh(told, *key, now);
+        let held = sum.entry(*key).or_default();
+        *held = held.plus(&work);
+    }
+}
--- a/crates/plumgate/src/gateway/load.rs
+++ b/crates/plumgate/src/gateway/load.rs
@@ -8,15 +8,16 @@
 
 use super::centres::CentreTable;
 use super::config::StreamClass;
+use super::exchange::LoadExchange;
 use super::servers::{ServerChange, ServerEntry, ServerState};
 use crate::ids::{DataCentreId, PoolId, ServerId};
 use crate::retry::CircuitBreaker;
 
 /// Ranks of urgency that are told apart; the last one takes in all that follow.
-pub const URGENCIES: usize = 4;
-/// Prompt tokens that an engine reads in a second before its speed was seen, from the rate that
-/// large engines on current accelerators reach.
-const DEFAULT_TOKENS_PER_SECOND: f64 = 50_000.0;
+pub const URGENCIES: usize = 10;
+/// Prompt tokens that an engine reads in a second while it generates for others too, before its
+/// own speed was seen: three quarters of what it reads when it does nothing else.
+const DEFAULT_TOKENS_PER_SECOND: f64 = 42_000.0;
 /// Time that a request spends at an engine for each one that already runs there: the step of a
 /// batch grows with its members.
 const STEP_COST: f64 = 0.000_3;
@@ -24,7 +25,7 @@
 const DEFAULT_SERVICE_SECONDS: f64 = 0.03;
 /// How much dearer a shared token that is read again counts than one that nobody could have
 /// cached. Reading it takes the engine's time from everybody else's prompts too.
-const REREAD_WEIGHT: f64 = 2.0;
+const REREAD_WEIGHT: f64 = 25.0;
 /// Seconds that a server in another data centre costs, from the round trip between two of them.
 const DISTANCE_SECONDS: f64 = 0.002;
 /// Seconds that a share of failures of one costs: about the time that a second try takes.
@@ -33,9 +34,17 @@
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Time in which what was seen of failures loses its weight.
 const FAILURE_MEMORY: Duration = Duration::from_secs(4);
-/// Seconds that a server costs which is no home of a prompt's shared parts: where the first home
-/// is busy, all nodes should go on to the same second one.
-const STRAY_SECONDS: f64 = 0.02;
+/// Share of the time to read a prompt's shared parts that a server costs which is no home of
+/// them: where the first home is busy, all nodes should go on to the same second one.
+const STRAY_WEIGHT: f64 = 0.3;
+/// Share of a server's other unread prompts that counts against it for an interactive stream:
+/// those behind it are read between its tokens and draw its pauses out.
+const PAUSE_WEIGHT: f64 = 0.5;
+/// Share of a server's slots from which on a request is expected to wait for one.
+const SLOTS_FULL: f64 = 0.9;
+/// Seconds that a request waits for a slot where as many others wait as there are slots: about
+/// the time that a stream holds one.
+const SLOT_SECONDS: f64 = 2.0;
 /// Prompt parts that are remembered for one server.
 const PARTS_MOST: usize = 512;
 /// How long a server is believed to keep a part after its last use.
@@ -143,6 +152,8 @@
 pub struct ServerPick {
     /// The server.
     pub server: ServerEntry,
+    /// Predicted time until it begins to read the request's own prompt.
+    pub queue: Duration,
     /// Predicted time until it begins to answer.
     pub wait: Duration,
     /// Prompt tokens that it has to read.
@@ -160,6 +171,26 @@
     pub unread: [u64; URGENCIES],
 }
 
+impl ServerWork {
+    /// The sum of two.
+    pub fn plus(mut self, other: &Self) -> Self {
+        self.in_flight += other.in_flight;
+        for (own, other) in self.unread.iter_mut().zip(other.unread) {
+            *own += other;
+        }
+        self
+    }
+
+    /// What is left without a part of it.
+    pub fn minus(mut self, part: &Self) -> Self {
+        self.in_flight = self.in_flight.saturating_sub(part.in_flight);
+        for (own, part) in self.unread.iter_mut().zip(part.unread) {
+            *own = own.saturating_sub(part);
+        }
+        self
+    }
+}
+
 /// One request in flight, to be given back when it ends.
 #[derive(Clone, Debug)]
 pub struct WorkTicket {
@@ -251,10 +282,10 @@
         }
     }
 
-    /// Takes over what the other nodes have in flight.
-    pub fn set_peer_work(&mut self, work: &HashMap<ServerId, ServerWork>) {
+    /// Takes over what the other nodes have in flight, as far as they told.
+    pub fn set_peer_work(&mut self, exchange: &LoadExchange, now: Instant) {
         for (id, load) in &mut self.servers {
-            load.peers = work.get(id).copied().unwrap_or_default();
+            load.peers = exchange.peer_work(id, now);
         }
     }
 
@@ -269,15 +300,19 @@
     /// Chooses the server of a request.
     pub fn pick(&mut self, request: &PlacementRequest<'_>, now: Instant) -> Option<ServerPick> {
         let candidates = self.candidates(request, now);
-        let mut costs: Vec<(f64, f64, u64, ServerId)> = Vec::with_capacity(candidates.len());
+        let mut costs: Vec<(f64, CostPrediction, ServerId)> = Vec::with_capacity(candidates.len());
         let groups = self.groups(request.pool);
         let homes = HomeRanks::new(request.prompt, &groups.members(request.class, &candidates));
         for id in candidates {
             let load = &self.servers[&id];
             let home = homes.rank(&id);
             let prediction = load.predict(request, home, &self.options.data_centre, now);
-            let strays = request.prompt.is_some() && groups.class(&id) != request.class;
-            let stray = if strays { GROUP_SECONDS } else { 0.0 };
+            let stray = match (request.class, groups.class(&id)) {
+                (StreamClass::Batch, StreamClass::Interactive) => BATCH_STRAY_SECONDS,
+                (StreamClass::Interactive, StreamClass::Batch) => INTERACTIVE_STRAY_SECONDS,
+                _ => 0.0,
+            };
+            let stray = if request.prompt.is_some() { stray } else { 0.0 };
             let cost = match self.options.policy {
                 PlacementPolicy::PredictedCost => prediction.cost + stray,
                 PlacementPolicy::LeastInFlight => f64::from(load.own.in_flight),
@@ -285,17 +320,18 @@
             };
             // Equal servers are taken in no order, or all nodes would agree on the first.
             let cost = cost + self.rng.f64() * 1e-4;
-            costs.push((cost, prediction.wait, prediction.unread, id));
+            costs.push((cost, prediction, id));
         }
         costs.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let (_, wait, unread_tokens, id) = costs.first()?;
+        let (_, prediction, id) = costs.first()?;
         let runner_up = costs
             .get(1)
-            .map(|(cost, _, _, id)| (id.clone(), Duration::from_secs_f64(*cost)));
+            .map(|(cost, _, id)| (id.clone(), Duration::from_secs_f64(*cost)));
         Some(ServerPick {
             server: self.servers[id].entry.clone(),
-            wait: Duration::from_secs_f64(*wait),
-            unread_tokens: *unread_tokens,
+            queue: Duration::from_secs_f64(prediction.queue),
+            wait: Duration::from_secs_f64(prediction.wait),
+            unread_tokens: prediction.unread,
             runner_up,
         })
     }
@@ -428,6 +464,7 @@
 /// What is predicted of one server.
 struct CostPrediction {
     cost: f64,
+    queue: f64,
     wait: f64,
     unread: u64,
 }
@@ -469,6 +506,7 @@
             let wait = f64::from(in_flight) / slots * DEFAULT_SERVICE_SECONDS;
             return CostPrediction {
                 cost: cost + wait,
+                queue: wait,
                 wait,
                 unread: 0,
             };
@@ -486,13 +524,30 @@
         };
         let own_tokens = prompt.parts.last().map_or(0, |part| u64::from(part.tokens));
         let unread = uncached + own_tokens;
-        let wait = (ahead + unread) as f64 / self.tokens_per_second;
+        let queue = ahead as f64 / self.tokens_per_second + slot_wait(in_flight, self.entry.slots);
+        let wait = queue + unread as f64 / self.tokens_per_second;
         let reread = uncached as f64 * (REREAD_WEIGHT - 1.0) / self.tokens_per_second;
         cost += wait + reread + f64::from(in_flight) * STEP_COST;
+        if request.class == StreamClass::Interactive {
+            let behind = self.unread_total().saturating_sub(ahead);
+            cost += behind as f64 / self.tokens_per_second * PAUSE_WEIGHT;
+        }
         if home == HomeRank::Other {
-            cost += STRAY_SECONDS;
+            let shared = prompt.tokens() - own_tokens;
+            cost += shared as f64 * STRAY_WEIGHT / self.tokens_per_second;
+        }
+        CostPrediction {
+            cost,
+            queue,
+            wait,
+            unread,
         }
-        CostPrediction { cost, wait, unread }
+    }
+
+    fn unread_total(&self) -> u64 {
+        let own: u64 = self.own.unread.iter().sum();
+        let peers: u64 = self.peers.unread.iter().sum();
+        own + peers
     }
 
     /// Shared tokens that the server is not believed to keep.
@@ -561,10 +616,19 @@
     }
 }
 
+/// Seconds that a request is expected to wait for a slot.
+fn slot_wait(in_flight: u32, slots: u32) -> f64 {
+    let slots = f64::from(slots.max(1));
+    let over = f64::from(in_flight) - slots * SLOTS_FULL;
+    over.max(0.0) / slots * SLOT_SECONDS
+}
+
 /// Share of a pool's servers that interactive streams have for themselves while nothing presses.
-const INTERACTIVE_SHARE: f64 = 0.33;
-/// Seconds that a server of the other group costs.
-const GROUP_SECONDS: f64 = 0.4;
+const INTERACTIVE_SHARE: f64 = 0.25;
+/// Seconds that an interactive server costs a batch stream: it goes there only rather than fail.
+const BATCH_STRAY_SECONDS: f64 = 3.0;
+/// Seconds that a batch server costs an interactive stream: in a burst of them idle servers help.
+const INTERACTIVE_STRAY_SECONDS: f64 = 0.15;
 
 /// A pool's servers, divided between interactive and batch streams. All nodes divide alike.
 struct ServerGroups {
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -9,17 +9,19 @@
 pub mod centres;
 pub mod config;
 pub mod events;
+pub mod exchange;
 pub mod freshness;
 pub mod load;
 pub mod servers;
 
-pub use admission::{AdmissionPolicy, AdmissionVerdict};
+pub use admission::{AdmissionPolicy, AdmissionVerdict, QueuePrediction};
 pub use budget::WindowBudget;
 pub use config::{
     CallerLimits, GatewayConfig, GatewayRoute, PoolSplit, RepeatKind, RouteMatch, StreamClass,
     WorkspaceKeys,
 };
 pub use events::EventSplitter;
+pub use exchange::{LoadExchange, NodeEntry};
 pub use freshness::FreshnessLease;
 pub use load::{LoadTable, PlacementOptions, PlacementPolicy, PromptShape, ServerPick};
 pub use servers::{ServerEntry, ServerState, ServerTable};
--- /dev/null
+++ b/crates/plumgate/tests/gateway_budget.rs
@@ -0,0 +1,82 @@
+//! The fleet's retries, each node's share of them, and what ends a request.
+
+use std::time::{Duration, Instant};
+
+use plumgate::gateway::WindowBudget;
+use plumgate::ids::PoolId;
+use quickcheck::quickcheck;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn pool() -> PoolId {
+    "models".into()
+}
+
+#[test]
+fn node_spends_its_share_of_the_extra_and_earns_the_ratio() {
+    let now = Instant::now();
+    let mut budget = WindowBudget::new(WINDOW, 0.2, 56.0, 8);
+    let spent = (0..100).filter(|_| budget.spend(&pool(), now)).count();
+    assert_eq!(spent, 7, "56 retries over 8 nodes");
+    for _ in 0..100 {
+        budget.earn(&pool(), now);
+    }
+    let spent = (0..100).filter(|_| budget.spend(&pool(), now)).count();
+    assert_eq!(
+        spent, 16,
+        "a fifth of 100 requests, with some left for late arrivals"
+    );
+    assert!(!budget.spend(&pool(), now + WINDOW / 2));
+    assert!(
+        budget.spend(&pool(), now + WINDOW * 2),
+        "the window has moved on"
+    );
+}
+
+#[test]
+fn pools_don_t_pay_for_each_other() {
+    let now = Instant::now();
+    let mut budget = WindowBudget::new(WINDOW, 0.2, 8.0, 8);
+    assert!(budget.spend(&pool(), now));
+    assert!(!budget.spend(&pool(), now));
+    assert!(budget.spend(&"records".into(), now));
+}
+
+#[test]
+fn share_shrinks_when_the_fleet_grows() {
+    let now = Instant::now();
+    let mut budget = WindowBudget::new(WINDOW, 0.2, 160.0, 8);
+    budget.set_nodes(80);
+    let spent = (0..100).filter(|_| budget.spend(&pool(), now)).count();
+    assert_eq!(spent, 2);
+}
+
+quickcheck! {
+    /// A server that fails everything gets no second load: however requests and failures fall,
+    /// the retries of all nodes stay within the ratio and the extra in each sliding window.
+    fn retries_of_all_nodes_stay_within_the_bound(steps: Vec<(u8, u16)>) -> bool {
+        let start = Instant::now();
+        let nodes = 4;
+        let mut budgets: Vec<WindowBudget> =
+            (0..nodes).map(|_| WindowBudget::new(WINDOW, 0.2, 20.0, nodes)).collect();
+        let mut now = start;
+        let mut requests: Vec<Instant> = Vec::new();
+        let mut retries: Vec<Instant> = Vec::new();
+        for (node, pause) in steps {
+            now += Duration::from_millis(u64::from(pause % 400));
+            let budget = &mut budgets[usize::from(node) % nodes as usize];
+            budget.earn(&pool(), now);
+            requests.push(now);
+            while budget.spend(&pool(), now) {
+                retries.push(now);
+            }
+        }
+        retries.iter().all(|end| {
+            let since = |times: &[Instant], span| {
+                times.iter().filter(|at| **at <= *end && *end - **at < span).count() as f64
+            };
+            // The budget counts a little more than the window, so that it never counts less.
+            since(&retries, WINDOW) <= 0.2 * since(&requests, WINDOW * 2) + 20.0
+        })
+    }
+}
--- /dev/null
+++ b/crates/plumgate/tests/gateway_events.rs
@@ -0,0 +1,68 @@
+//! Streams cut into whole events.
+
+use plumgate::gateway::EventSplitter;
+use quickcheck::quickcheck;
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+#[test]
+fn whole_events_go_on_and_the_beginning_of_one_is_held() {
+    let mut splitter = EventSplitter::new(None);
+    let text = format!("{}{}id: 3\nda", event(1), event(2));
+    let whole = splitter.take(text.as_bytes());
+    assert_eq!(
+        whole.as_deref(),
+        Some(format!("{}{}", event(1), event(2)).as_bytes())
+    );
+    assert_eq!(splitter.last_id(), Some(2));
+    assert_eq!(splitter.rest(), b"id: 3\nda");
+}
+
+// The caller sees one stream without a gap or a repeat. Its server stops in the middle of an
+// event; the beginning of that event must not go out, since the next server sends it whole.
+#[test]
+fn torn_event_is_dropped_before_another_server_goes_on() {
+    let mut splitter = EventSplitter::new(None);
+    let first = splitter.take(format!("{}id: 2\ndata: pie", event(1)).as_bytes());
+    splitter.drop_rest();
+    let second = splitter.take(event(2).as_bytes());
+    let all: Vec<u8> = first.into_iter().chain(second).flatten().collect();
+    assert_eq!(all, format!("{}{}", event(1), event(2)).into_bytes());
+    assert_eq!(splitter.last_id(), Some(2));
+}
+
+#[test]
+fn stream_that_goes_on_after_an_event_knows_it() {
+    let splitter = EventSplitter::new(Some(12));
+    assert_eq!(splitter.last_id(), Some(12));
+}
+
+quickcheck! {
+    /// However the network cuts a stream, all its bytes come out in order, and whatever came out
+    /// ends with a whole event.
+    fn any_cuts_give_the_same_bytes(sizes: Vec<u8>, crlf: bool) -> bool {
+        let mut text: String = (1..6).map(event).collect();
+        if crlf {
+            text = text.replace('\n', "\r\n");
+        }
+        let mut splitter = EventSplitter::new(None);
+        let mut out = Vec::new();
+        let mut left = text.as_bytes();
+        let mut sizes = sizes.into_iter();
+        while !left.is_empty() {
+            let size = usize::from(sizes.next().unwrap_or(255).max(1)).min(left.len());
+            let (piece, rest) = left.split_at(size);
+            left = rest;
+            if let Some(whole) = splitter.take(piece) {
+                let end: &[u8] = if crlf { b"\r\n\r\n" } else { b"\n\n" };
+                if !whole.ends_with(end) {
+                    return false;
+                }
+                out.extend_from_slice(&whole);
+            }
+        }
+        out == text.as_bytes() && splitter.rest().is_empty() && splitter.last_id() == Some(5)
+    }
+}
--- /dev/null
+++ b/crates/plumgate/tests/gateway_exchange.rs
@@ -0,0 +1,179 @@
+//! Nodes that tell each other of their work.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use plumgate::gateway::load::ServerWork;
+use plumgate::gateway::{LoadExchange, NodeEntry};
+use plumgate::ids::ServerId;
+
+const ROUND: Duration = Duration::from_millis(200);
+
+/// Nodes in one process, whose packets arrive unless a test drops them.
+struct TalkBench {
+    nodes: BTreeMap<SocketAddr, LoadExchange>,
+    work: BTreeMap<SocketAddr, Vec<(ServerId, ServerWork)>>,
+    down: Vec<SocketAddr>,
+    packets: usize,
+    now: Instant,
+}
+
+impl TalkBench {
+    fn new(centres: usize, nodes_each: usize) -> Self {
+        let entries: Vec<NodeEntry> = (0..centres * nodes_each)
+            .map(|index| NodeEntry {
+                node: format!("node-{index}").into(),
+                data_centre: format!("hall-{}", index % centres).into(),
+                address: SocketAddr::from(([127, 0, 0, 1], 1000 + index as u16)),
+            })
+            .collect();
+        let nodes = entries.iter().map(|own| {
+            let mut exchange = LoadExchange::new(own.clone());
+            exchange.set_nodes(entries.clone());
+            (own.address, exchange)
+        });
+        Self {
+            nodes: nodes.collect(),
+            work: BTreeMap::new(),
+            down: Vec::new(),
+            packets: 0,
+            now: Instant::now(),
+        }
+    }
+
+    fn address(&self, index: usize) -> SocketAddr {
+        *self.nodes.keys().nth(index).expect("a node")
+    }
+
+    fn set_work(&mut self, index: usize, server: &str, in_flight: u32, tokens: u64) {
+        let mut work = ServerWork {
+            in_flight,
+            ..ServerWork::default()
+        };
+        work.unread[2] = tokens;
+        let address = self.address(index);
+        self.work.insert(address, vec![(server.into(), work)]);
+    }
+
+    fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            self.now += ROUND;
+            let addresses: Vec<SocketAddr> = self.nodes.keys().copied().collect();
+            for from in addresses {
+                if self.down.contains(&from) {
+                    continue;
+                }
+                let work = self.work.get(&from).cloned().unwrap_or_default();
+                let node = self.nodes.get_mut(&from).expect("a node");
+                let packets = node.tick(work.iter().map(|(id, work)| (id, *work)), self.now);
+                for (to, bytes) in packets {
+                    self.packets += 1;
+                    if !self.down.contains(&to) {
+                        let node = self.nodes.get_mut(&to).expect("a node");
+                        node.receive(&bytes, from, self.now).expect("a message");
+                    }
+                }
+            }
+        }
+    }
+
+    fn peers_of(&self, index: usize, server: &str) -> ServerWork {
+        self.nodes[&self.address(index)].peer_work(&server.into(), self.now)
+    }
+}
+
+#[test]
+fn all_nodes_learn_of_the_others_work_but_not_of_their_own() {
+    let mut bench = TalkBench::new(3, 3);
+    bench.set_work(0, "a", 3, 6_400);
+    bench.set_work(4, "a", 5, 12_800);
+    bench.rounds(6);
+    assert_eq!(bench.peers_of(8, "a").in_flight, 8);
+    assert_eq!(bench.peers_of(8, "a").unread[2], 19_200);
+    assert_eq!(bench.peers_of(0, "a").in_flight, 5, "without its own");
+    assert_eq!(bench.peers_of(4, "a").in_flight, 3);
+    assert_eq!(bench.peers_of(8, "b"), ServerWork::default());
+}
+
+#[test]
+fn work_that_is_over_is_forgotten() {
+    let mut bench = TalkBench::new(2, 4);
+    bench.set_work(1, "a", 9, 640);
+    bench.rounds(6);
+    assert_eq!(bench.peers_of(6, "a").in_flight, 9);
+    bench.work.clear();
+    bench.rounds(8);
+    assert_eq!(bench.peers_of(6, "a").in_flight, 0);
+}
+
+// Requests pile up at a server that looks idle: the node that adds up its data centre is killed,
+// and the others go on with what it said last. They must choose another one within a second or
+// two, and forget what they no longer hear.
+#[test]
+fn nodes_choose_another_collector_when_theirs_is_silent() {
+    let mut bench = TalkBench::new(2, 6);
+    bench.set_work(3, "a", 7, 0);
+    bench.rounds(6);
+    let collectors: Vec<SocketAddr> = bench
+        .nodes
+        .iter()
+        .filter(|(_, node)| node.is_collector())
+        .map(|(address, _)| *address)
+        .collect();
+    assert_eq!(collectors.len(), 2, "one a data centre");
+    bench.down = collectors;
+    bench.rounds(14);
+    let alive = (0..12).filter(|index| !bench.down.contains(&bench.address(*index)));
+    for index in alive.filter(|index| *index != 3) {
+        assert_eq!(bench.peers_of(index, "a").in_flight, 7, "node {index}");
+    }
+}
+
+#[test]
+fn newcomer_is_met_by_talking() {
+    let mut bench = TalkBench::new(1, 3);
+    let address = SocketAddr::from(([127, 0, 0, 1], 2000));
+    let mut newcomer = LoadExchange::new(NodeEntry {
+        node: "newcomer".into(),
+        data_centre: "hall-0".into(),
+        address,
+    });
+    let known: Vec<NodeEntry> = (0..3)
+        .map(|index| NodeEntry {
+            node: format!("node-{index}").into(),
+            data_centre: "hall-0".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1000 + index)),
+        })
+        .collect();
+    newcomer.set_nodes(known);
+    bench.nodes.insert(address, newcomer);
+    bench.set_work(3, "a", 4, 0);
+    bench.rounds(12);
+    assert_eq!(bench.peers_of(0, "a").in_flight, 4);
+    let collector = bench.nodes.values().find(|node| node.is_collector());
+    assert_eq!(collector.map(LoadExchange::node_count), Some(4));
+}
+
+// With many nodes the exchange must not eat the links. Messages grow with the nodes, not with
+// their square: 113 nodes in one data centre, beside two others of that size.
+#[test]
+fn messages_grow_with_the_nodes_only() {
+    let packets = |nodes_each| {
+        let mut bench = TalkBench::new(3, nodes_each);
+        bench.set_work(0, "a", 1, 0);
+        bench.rounds(5);
+        bench.packets
+    };
+    let (few, many) = (packets(10), packets(113));
+    assert!(many < few * 13, "{few} for 30 nodes, {many} for 339");
+}
+
+#[test]
+fn bytes_that_are_no_message_are_refused() {
+    let mut bench = TalkBench::new(1, 1);
+    let now = bench.now;
+    let address = bench.address(0);
+    let node = bench.nodes.get_mut(&address).expect("a node");
+    assert!(node.receive(&[255, 255, 255, 1], address, now).is_err());
+}
