--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -18,5 +18,5 @@
 mod shared;
 mod stream;
 
-pub use node::{GatewayHandle, GatewayNode};
+pub use node::{GatewayAddresses, GatewayHandle, GatewayNode};
 pub use options::{GatewayBounds, GatewayOptions};
--- a/crates/plumgate-node/src/gateway/node.rs
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -1,11 +1,10 @@
 //! Starts the threads of a gateway node and stops them again.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
 use async_channel::Sender;
-use async_io::Async;
 
 use super::caller::{accept_callers, accept_probes};
 use super::control::{GatewayControl, GatewaySignal};
@@ -13,9 +12,9 @@
 use super::ports::{FleetSource, WireFormat};
 use super::shared::GatewayShared;
 use crate::clock::Clock;
-use crate::errors::{Error, Result};
+use crate::errors::Result;
 use crate::log::{EventLog, LogLine};
-use crate::node::spawn_thread;
+use crate::node::{bind, local_address, spawn_thread};
 
 /// Signals that wait for the control thread.
 const SIGNALS_WAITING: usize = 16;
@@ -39,8 +38,18 @@
     }
 }
 
+/// The addresses that a gateway node listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct GatewayAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For readiness checks.
+    pub ready: SocketAddr,
+}
+
 /// A running gateway node.
 pub struct GatewayNode {
+    addresses: GatewayAddresses,
     handle: GatewayHandle,
     threads: Vec<JoinHandle<()>>,
 }
@@ -58,6 +67,10 @@
         let callers = bind(options.listen)?;
         let probes = bind(options.ready_listen)?;
         let metrics = options.metrics_listen.map(bind).transpose()?;
+        let addresses = GatewayAddresses {
+            callers: local_address(&callers, options.listen),
+            ready: local_address(&probes, options.ready_listen),
+        };
         let shared = Arc::new(GatewayShared::new(options, clock, log, wire));
         log_start(&shared);
         let executor = shared.executor.clone();
@@ -88,11 +101,17 @@
             spawn_thread("control".to_owned(), control)?,
         ];
         Ok(Self {
+            addresses,
             handle: GatewayHandle { signals },
             threads,
         })
     }
 
+    /// The addresses that were bound.
+    pub fn addresses(&self) -> GatewayAddresses {
+        self.addresses
+    }
+
     /// Steers the node from elsewhere.
     pub fn handle(&self) -> GatewayHandle {
         self.handle.clone()
@@ -107,10 +126,6 @@
     }
 }
 
-fn bind(address: SocketAddr) -> Result<Async<TcpListener>> {
-    Async::<TcpListener>::bind(address).map_err(|error| Error::Listen(address, error))
-}
-
 fn log_start<C: Clock, W>(shared: &GatewayShared<C, W>) {
     let options = &shared.options;
     LogLine::new("start")
--- a/crates/plumgate-node/src/node.rs
+++ b/crates/plumgate-node/src/node.rs
@@ -121,11 +121,11 @@
     }
 }
 
-fn bind(address: SocketAddr) -> Result<Async<TcpListener>> {
+pub(crate) fn bind(address: SocketAddr) -> Result<Async<TcpListener>> {
     Async::<TcpListener>::bind(address).map_err(|error| Error::Listen(address, error))
 }
 
-fn local_address(listener: &Async<TcpListener>, asked: SocketAddr) -> SocketAddr {
+pub(crate) fn local_address(listener: &Async<TcpListener>, asked: SocketAddr) -> SocketAddr {
     listener.get_ref().local_addr().unwrap_or(asked)
 }
 
