gateway: which server keeps which part is told to all nodes; one second home

Cause: each node guessed that a part's home keeps it. In the first seconds nothing was kept yet: the queue was underestimated, and a fifth of the long prompts that were sent came late. A busy home's prompts went to another server for each node. Change: who sends a part to a server first tells the place through the collectors; one second home by rendezvous hashing; parts under 512 tokens are not remembered; rounds of 100 ms.

--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -16,7 +16,7 @@
 use crate::log::LogLine;
 
 /// Time between two rounds of the exchange.
-const ROUND: Duration = Duration::from_millis(200);
+const ROUND: Duration = Duration::from_millis(100);
 /// Largest datagram that is taken in.
 const DATAGRAM_BYTES: usize = 8 * 1024;
 /// Pauses before the register is read the first times: nodes that start together are in it soon.
@@ -112,9 +112,8 @@
             let packets = {
                 let mut loads = self.shared.loads();
                 let mut exchange = self.exchange.borrow_mut();
-                let packets = exchange.tick(loads.own_work(), now);
-                loads.set_peer_work(&exchange, now);
-                packets
+                loads.swap_news(&mut exchange, now);
+                exchange.tick(loads.own_work(), now)
             };
             for (address, bytes) in packets {
                 // A datagram that can't be sent is as good as one that got lost.
--- a/crates/plumgate/src/gateway/exchange.rs
+++ b/crates/plumgate/src/gateway/exchange.rs
@@ -6,6 +6,7 @@
 //! with the nodes of its data centre. Messages may be lost: each stands for itself, and what is
 //! not renewed is forgotten.
 
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -24,6 +25,10 @@
 const COLLECTOR_SILENCE: Duration = Duration::from_millis(900);
 /// Servers in one message, so that it fits into one packet of the network.
 const ENTRIES_MOST: usize = 100;
+/// Rounds in which a place is told: enough that one of them arrives.
+const PLACE_ROUNDS: u32 = 3;
+/// Places in one message.
+const PLACES_MOST: usize = 80;
 /// Tokens that one unit in a message stands for.
 const TOKEN_UNIT: u64 = 64;
 /// Collectors of another data centre that get a sum: a second one where the first just went.
@@ -63,11 +68,34 @@
     Total(Vec<WorkEntry>),
 }
 
+/// A prompt part that a server other than its home has read.
+///
+/// Told to all nodes, since it costs the fleet one more reading: as long as only one node knows,
+/// each of the others would have yet another server read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PartPlace {
+    /// The part.
+    pub part: u64,
+    /// The digest of the server's id.
+    pub server: u32,
+}
+
+impl PartPlace {
+    /// A part at a server.
+    pub fn new(part: u64, server: &ServerId) -> Self {
+        Self {
+            part,
+            server: server_key(server),
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct ExchangeMessage {
     node: String,
     data_centre: String,
     body: ExchangeBody,
+    places: Vec<PartPlace>,
 }
 
 /// A message and where it goes.
@@ -93,6 +121,12 @@
     total: ToldWork,
     /// What this node told of itself last.
     own_told: HashMap<ServerKey, ServerWork>,
+    /// Places that are passed on, and for how many more rounds.
+    places: HashMap<PartPlace, u32>,
+    /// Places that this round tells.
+    telling: Vec<PartPlace>,
+    /// Places that this node has not taken over yet.
+    news: Vec<PartPlace>,
     collector: Option<NodeId>,
     collector_heard: Option<Instant>,
 }
@@ -106,6 +140,9 @@
             centres: BTreeMap::new(),
             total: ToldWork::new(),
             own_told: HashMap::new(),
+            places: HashMap::new(),
+            telling: Vec::new(),
+            news: Vec::new(),
             collector: None,
             collector_heard: None,
         }
@@ -138,6 +175,18 @@
         total.minus(&own)
     }
 
+    /// Places of parts that other nodes told of since the last call.
+    pub fn take_places(&mut self) -> Vec<PartPlace> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// This node had a part read by a server that is not its home.
+    pub fn tell_places(&mut self, places: impl IntoIterator<Item = PartPlace>) {
+        for place in places {
+            self.places.insert(place, PLACE_ROUNDS);
+        }
+    }
+
     /// One round: what is to be sent, given what this node has in flight.
     pub fn tick<'a>(
         &mut self,
@@ -147,6 +196,7 @@
         let gone: Vec<ServerKey> = self.own_told.keys().copied().collect();
         self.own_told = work.map(|(id, work)| (server_key(id), work)).collect();
         self.watch_collector(now);
+        self.choose_places();
         let Some(collector) = self.choose_collector() else {
             return self.collect(now);
         };
@@ -174,10 +224,21 @@
             data_centre: data_centre.clone(),
             address: from,
         });
+        let collects = self.is_collector();
         let Some(member) = self.members.get_mut(&node) else {
             return Ok(());
         };
         member.silent = false;
+        let passes_on = collects && !matches!(message.body, ExchangeBody::Total(_));
+        for place in message.places {
+            if let Entry::Vacant(entry) = self.places.entry(place) {
+                // Only collectors pass on what others told, or it would go round for ever.
+                if passes_on {
+                    entry.insert(PLACE_ROUNDS);
+                }
+                self.news.push(place);
+            }
+        }
         match message.body {
             ExchangeBody::Own(entries) => tell(&mut member.told, entries, now),
             ExchangeBody::Centre(entries) => {
@@ -210,6 +271,26 @@
         }
     }
 
+    /// Chooses the places that this round tells: those that were told least often first.
+    fn choose_places(&mut self) {
+        let mut waiting: Vec<(u32, PartPlace)> = self
+            .places
+            .iter()
+            .filter(|(_, rounds)| **rounds > 0)
+            .map(|(place, rounds)| (*rounds, *place))
+            .collect();
+        waiting.sort_by_key(|(rounds, _)| std::cmp::Reverse(*rounds));
+        waiting.truncate(PLACES_MOST);
+        self.telling = waiting.into_iter().map(|(_, place)| place).collect();
+        for place in &self.telling {
+            if let Some(rounds) = self.places.get_mut(place) {
+                *rounds -= 1;
+            }
+        }
+        // What was told often enough is forgotten, so that it can be told anew later.
+        self.places.retain(|_, rounds| *rounds > 0);
+    }
+
     /// Passes over a collector that has gone silent, until it is heard again.
     fn watch_collector(&mut self, now: Instant) {
         let chosen = self.choose_collector();
@@ -316,6 +397,7 @@
                 node: self.own.node.to_string(),
                 data_centre: self.own.data_centre.to_string(),
                 body: body(chunk),
+                places: self.telling.clone(),
             };
             postcard::to_stdvec(&message).ok()
         });
--- a/crates/plumgate/src/gateway/load.rs
+++ b/crates/plumgate/src/gateway/load.rs
@@ -8,7 +8,7 @@
 
 use super::centres::CentreTable;
 use super::config::StreamClass;
-use super::exchange::LoadExchange;
+use super::exchange::{LoadExchange, PartPlace};
 use super::servers::{ServerChange, ServerEntry, ServerState};
 use crate::ids::{DataCentreId, PoolId, ServerId};
 use crate::retry::CircuitBreaker;
@@ -23,9 +23,12 @@
 const STEP_COST: f64 = 0.000_3;
 /// Seconds that a plain request spends at a server, before any was seen.
 const DEFAULT_SERVICE_SECONDS: f64 = 0.03;
-/// How much dearer a shared token that is read again counts than one that nobody could have
-/// cached. Reading it takes the engine's time from everybody else's prompts too.
-const REREAD_WEIGHT: f64 = 25.0;
+/// How much dearer than its reading time a shared token is that a second home reads again: it
+/// takes the engine's time from everybody else's prompts too.
+const SECOND_HOME_WEIGHT: f64 = 2.0;
+/// The same for any other server. All nodes have to go on to the same second home: if each found
+/// another server for a prompt, the fleet would read it many times just when it is busiest.
+const STRAY_WEIGHT: f64 = 25.0;
 /// Seconds that a server in another data centre costs, from the round trip between two of them.
 const DISTANCE_SECONDS: f64 = 0.002;
 /// Seconds that a share of failures of one costs: about the time that a second try takes.
@@ -34,9 +37,6 @@
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Time in which what was seen of failures loses its weight.
 const FAILURE_MEMORY: Duration = Duration::from_secs(4);
-/// Share of the time to read a prompt's shared parts that a server costs which is no home of
-/// them: where the first home is busy, all nodes should go on to the same second one.
-const STRAY_WEIGHT: f64 = 0.3;
 /// Share of a server's other unread prompts that counts against it for an interactive stream:
 /// those behind it are read between its tokens and draw its pauses out.
 const PAUSE_WEIGHT: f64 = 0.5;
@@ -47,6 +47,9 @@
 const SLOT_SECONDS: f64 = 2.0;
 /// Prompt parts that are remembered for one server.
 const PARTS_MOST: usize = 512;
+/// Parts of fewer tokens are read again in a few milliseconds: they are not remembered, and they
+/// draw no request to a server.
+const SMALL_PART: u32 = 512;
 /// How long a server is believed to keep a part after its last use.
 const PART_LIFETIME: Duration = Duration::from_secs(30);
 
@@ -82,6 +85,9 @@
     /// What requests with the same shared parts have in common.
     fn affinity(&self) -> Option<u64> {
         let last = self.shared().last()?;
+        if last.tokens < SMALL_PART {
+            return None;
+        }
         Some(xxh3_64(&last.id.to_le_bytes()))
     }
 }
@@ -251,6 +257,8 @@
     rng: fastrand::Rng,
     servers: BTreeMap<ServerId, ServerLoad>,
     centres: CentreTable,
+    /// Parts that this node was the first to send to a server, still to be told.
+    new_places: Vec<PartPlace>,
 }
 
 impl LoadTable {
@@ -262,6 +270,7 @@
             rng,
             servers: BTreeMap::new(),
             centres: CentreTable::new(),
+            new_places: Vec::new(),
         }
     }
 
@@ -282,10 +291,17 @@
         }
     }
 
-    /// Takes over what the other nodes have in flight, as far as they told.
-    pub fn set_peer_work(&mut self, exchange: &LoadExchange, now: Instant) {
+    /// Takes over what the other nodes told, and tells what they should know.
+    pub fn swap_news(&mut self, exchange: &mut LoadExchange, now: Instant) {
+        exchange.tell_places(self.new_places.drain(..));
+        let places = exchange.take_places();
         for (id, load) in &mut self.servers {
             load.peers = exchange.peer_work(id, now);
+            for place in &places {
+                if *place == PartPlace::new(place.part, id) {
+                    load.note_part(place.part, now);
+                }
+            }
         }
     }
 
@@ -302,7 +318,8 @@
         let candidates = self.candidates(request, now);
         let mut costs: Vec<(f64, CostPrediction, ServerId)> = Vec::with_capacity(candidates.len());
         let groups = self.groups(request.pool);
-        let homes = HomeRanks::new(request.prompt, &groups.members(request.class, &candidates));
+        let members = groups.members(request.class, &candidates);
+        let homes = HomeRanks::new(request.prompt, &members, &candidates);
         for id in candidates {
             let load = &self.servers[&id];
             let home = homes.rank(&id);
@@ -379,8 +396,13 @@
         if let Some(load) = self.servers.get_mut(&ticket.server) {
             load.own.in_flight += 1;
             load.own.unread[ticket.urgency] += ticket.unread_tokens;
-            for part in request.prompt.map_or(&[][..], PromptShape::shared) {
-                load.note_part(part.id, now);
+            let shared = request.prompt.map_or(&[][..], PromptShape::shared);
+            for part in shared.iter().filter(|part| part.tokens >= SMALL_PART) {
+                let is_new = load.note_part(part.id, now);
+                if is_new {
+                    self.new_places
+                        .push(PartPlace::new(part.id, &ticket.server));
+                }
             }
         }
         ticket
@@ -516,26 +538,22 @@
             .iter()
             .chain(&self.peers.unread[..=urgency])
             .sum();
-        // All nodes send a part to its first home, so that one keeps it although this node
-        // may never have sent it there.
-        let uncached = match home {
-            HomeRank::First => 0,
-            HomeRank::Second | HomeRank::Other => self.uncached(prompt, now),
-        };
+        let uncached = self.uncached(prompt, now);
         let own_tokens = prompt.parts.last().map_or(0, |part| u64::from(part.tokens));
         let unread = uncached + own_tokens;
         let queue = ahead as f64 / self.tokens_per_second + slot_wait(in_flight, self.entry.slots);
         let wait = queue + unread as f64 / self.tokens_per_second;
-        let reread = uncached as f64 * (REREAD_WEIGHT - 1.0) / self.tokens_per_second;
+        let weight = match home {
+            HomeRank::First => 0.0,
+            HomeRank::Second => SECOND_HOME_WEIGHT,
+            HomeRank::Other => STRAY_WEIGHT,
+        };
+        let reread = uncached as f64 * weight / self.tokens_per_second;
         cost += wait + reread + f64::from(in_flight) * STEP_COST;
         if request.class == StreamClass::Interactive {
             let behind = self.unread_total().saturating_sub(ahead);
             cost += behind as f64 / self.tokens_per_second * PAUSE_WEIGHT;
         }
-        if home == HomeRank::Other {
-            let shared = prompt.tokens() - own_tokens;
-            cost += shared as f64 * STRAY_WEIGHT / self.tokens_per_second;
-        }
         CostPrediction {
             cost,
             queue,
@@ -556,9 +574,11 @@
         let kept = shared
             .iter()
             .take_while(|part| {
-                self.parts
-                    .get(&part.id)
-                    .is_some_and(|used| now.saturating_duration_since(*used) < PART_LIFETIME)
+                part.tokens < SMALL_PART
+                    || self
+                        .parts
+                        .get(&part.id)
+                        .is_some_and(|used| now.saturating_duration_since(*used) < PART_LIFETIME)
             })
             .count();
         shared[kept..]
@@ -567,8 +587,10 @@
             .sum()
     }
 
-    fn note_part(&mut self, id: u64, now: Instant) {
-        if self.parts.insert(id, now).is_none() {
+    /// The server reads a part, or has it; whether that is new here.
+    fn note_part(&mut self, id: u64, now: Instant) -> bool {
+        let is_new = self.parts.insert(id, now).is_none();
+        if is_new {
             self.part_order.push_back(id);
         }
         while self.part_order.len() > PARTS_MOST {
@@ -576,6 +598,7 @@
                 self.parts.remove(&oldest);
             }
         }
+        is_new
     }
 
     fn note_speed(&mut self, seen: f64) {
@@ -626,7 +649,7 @@
 /// Share of a pool's servers that interactive streams have for themselves while nothing presses.
 const INTERACTIVE_SHARE: f64 = 0.25;
 /// Seconds that an interactive server costs a batch stream: it goes there only rather than fail.
-const BATCH_STRAY_SECONDS: f64 = 3.0;
+const BATCH_STRAY_SECONDS: f64 = 8.0;
 /// Seconds that a batch server costs an interactive stream: in a burst of them idle servers help.
 const INTERACTIVE_STRAY_SECONDS: f64 = 0.15;
 
@@ -676,7 +699,8 @@
 }
 
 impl HomeRanks {
-    fn new(prompt: Option<&PromptShape>, servers: &[ServerId]) -> Self {
+    /// The first home is of the request's own group; the second one may be any other server.
+    fn new(prompt: Option<&PromptShape>, group: &[ServerId], all: &[ServerId]) -> Self {
         let mut ranks = Self {
             first: None,
             second: None,
@@ -685,10 +709,8 @@
             return ranks;
         };
         let weight = |id: &ServerId| xxh3_64_with_seed(id.as_bytes(), affinity);
-        ranks.first = servers.iter().max_by_key(|id| weight(id)).cloned();
-        let others = servers
-            .iter()
-            .filter(|id| Some(*id) != ranks.first.as_ref());
+        ranks.first = group.iter().max_by_key(|id| weight(id)).cloned();
+        let others = all.iter().filter(|id| Some(*id) != ranks.first.as_ref());
         ranks.second = others.max_by_key(|id| weight(id)).cloned();
         ranks
     }
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -21,7 +21,7 @@
     WorkspaceKeys,
 };
 pub use events::EventSplitter;
-pub use exchange::{LoadExchange, NodeEntry};
+pub use exchange::{LoadExchange, NodeEntry, PartPlace};
 pub use freshness::FreshnessLease;
 pub use load::{LoadTable, PlacementOptions, PlacementPolicy, PromptShape, ServerPick};
 pub use servers::{ServerEntry, ServerState, ServerTable};
--- /dev/null
+++ b/crates/plumgate/tests/gateway_load.rs
@@ -0,0 +1,121 @@
+//! What callers get under load, by the way servers are chosen and requests refused.
+
+mod load;
+
+use load::{LoadPlan, LoadResult, LoadRun, TrafficKind};
+use plumgate::gateway::{PlacementPolicy, StreamClass};
+
+/// Traffic of three kinds: long dossiers that share documents, checks, short captions.
+fn kinds(engines: f64, burst: f64) -> Vec<TrafficKind> {
+    vec![
+        TrafficKind {
+            name: "dossier",
+            per_second: 2.4 * engines,
+            burst: (0.5, 9.5, burst),
+            things: (engines * 13.0) as u64,
+            shared_tokens: 13_300,
+            own_tokens: 3_720,
+            output: 120,
+            target: 1.5,
+            pause: 1.0,
+            patience: 9.0,
+            urgency: 2,
+            class: StreamClass::Batch,
+        },
+        TrafficKind {
+            name: "check",
+            per_second: 1.1 * engines,
+            burst: (0.0, 0.0, 1.0),
+            things: (engines * 4.5) as u64,
+            shared_tokens: 6_300,
+            own_tokens: 2_890,
+            output: 52,
+            target: 0.6,
+            pause: 0.4,
+            patience: 5.0,
+            urgency: 1,
+            class: StreamClass::Batch,
+        },
+        TrafficKind {
+            name: "caption",
+            per_second: 1.7 * engines,
+            burst: (11.0, 16.0, burst),
+            things: (engines * 7.0) as u64,
+            shared_tokens: 350,
+            own_tokens: 1_110,
+            output: 170,
+            target: 0.35,
+            pause: 0.25,
+            patience: 11.0,
+            urgency: 0,
+            class: StreamClass::Interactive,
+        },
+    ]
+}
+
+fn plan(engines: usize, nodes: usize, burst: f64) -> LoadPlan {
+    LoadPlan {
+        kinds: kinds(engines as f64, burst),
+        nodes,
+        engines,
+        seconds: 20.0,
+        policy: PlacementPolicy::PredictedCost,
+        admits: true,
+        exchanges: true,
+        seed: 11,
+    }
+}
+
+fn play(name: &str, plan: LoadPlan) -> LoadResult {
+    let result = LoadRun::new(plan).play();
+    println!(
+        "{name}: {} M shared tokens read",
+        result.shared_read / 1_000_000
+    );
+    for (kind, got) in &result.kinds {
+        println!("  {kind:8} in time {:.3} {got:?}", got.share());
+    }
+    result
+}
+
+fn share(result: &LoadResult, kind: &str) -> f64 {
+    result.kinds[kind].share()
+}
+
+#[test]
+fn ways_side_by_side() {
+    let usual = play("predicted cost", plan(20, 20, 2.3));
+    let blind = play(
+        "without exchange",
+        LoadPlan {
+            exchanges: false,
+            ..plan(20, 20, 2.3)
+        },
+    );
+    let open = play(
+        "without refusing",
+        LoadPlan {
+            admits: false,
+            ..plan(20, 20, 2.3)
+        },
+    );
+    let least = play(
+        "least in flight",
+        LoadPlan {
+            policy: PlacementPolicy::LeastInFlight,
+            ..plan(20, 20, 2.3)
+        },
+    );
+    let random = play(
+        "random",
+        LoadPlan {
+            policy: PlacementPolicy::Random,
+            ..plan(20, 20, 2.3)
+        },
+    );
+    let _ = (&usual, &blind, &open, &least, &random);
+    for other in [&least, &random] {
+        assert!(share(&usual, "caption") > share(other, "caption"));
+        assert!(share(&usual, "dossier") > share(other, "dossier"));
+    }
+}
--- /dev/null
+++ b/crates/plumgate/tests/load/mod.rs
@@ -0,0 +1,374 @@
+//! A fleet under load, without a network: nodes that decide, engines that work, callers that
+//! leave when they have waited too long.
+
+pub(crate) mod engine;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use plumgate::gateway::load::{PlacementRequest, PromptPart, WorkEnd, WorkTicket};
+use plumgate::gateway::servers::ServerChange;
+use plumgate::gateway::{
+    AdmissionPolicy, AdmissionVerdict, LoadExchange, LoadTable, NodeEntry, PlacementOptions,
+    PlacementPolicy, PromptShape, QueuePrediction, ServerEntry, ServerState, StreamClass,
+};
+use plumgate::ids::ServerId;
+
+use engine::{EngineEvent, EngineRequest, ModelEngine, SLOTS};
+
+/// Seconds between two rounds of the exchange.
+const ROUND: f64 = 0.2;
+/// Tokens in one event of a stream.
+const EVENT_TOKENS: u32 = 5;
+
+/// One kind of request.
+#[derive(Clone, Debug)]
+pub(crate) struct TrafficKind {
+    pub(crate) name: &'static str,
+    pub(crate) per_second: f64,
+    /// Times the usual traffic within these seconds.
+    pub(crate) burst: (f64, f64, f64),
+    /// Different shared parts.
+    pub(crate) things: u64,
+    pub(crate) shared_tokens: u32,
+    pub(crate) own_tokens: u32,
+    pub(crate) output: u32,
+    pub(crate) target: f64,
+    pub(crate) pause: f64,
+    /// Seconds that a caller waits for the whole answer.
+    pub(crate) patience: f64,
+    pub(crate) urgency: u8,
+    pub(crate) class: StreamClass,
+}
+
+/// What the fleet is made of and how it decides.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadPlan {
+    pub(crate) kinds: Vec<TrafficKind>,
+    pub(crate) nodes: usize,
+    pub(crate) engines: usize,
+    pub(crate) seconds: f64,
+    pub(crate) policy: PlacementPolicy,
+    pub(crate) admits: bool,
+    pub(crate) exchanges: bool,
+    pub(crate) seed: u64,
+}
+
+/// What callers of one kind got.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct KindResult {
+    pub(crate) asked: u32,
+    /// Whole, first event within its target, no pause over its bound.
+    pub(crate) in_time: u32,
+    /// Whole, but late.
+    pub(crate) late: u32,
+    pub(crate) refused: u32,
+    /// The caller left before the end.
+    pub(crate) left: u32,
+}
+
+impl KindResult {
+    /// Share of the requests that were answered in time.
+    pub(crate) fn share(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.asked.max(1))
+    }
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LoadResult {
+    pub(crate) kinds: BTreeMap<&'static str, KindResult>,
+    /// Shared tokens that were read, first reads included.
+    pub(crate) shared_read: u64,
+}
+
+struct CallerState {
+    kind: usize,
+    node: usize,
+    engine: usize,
+    came: f64,
+    ticket: Option<WorkTicket>,
+    tokens: u32,
+    last_event: f64,
+    is_late: bool,
+    is_over: bool,
+}
+
+struct NodeState {
+    table: LoadTable,
+    exchange: LoadExchange,
+    address: SocketAddr,
+}
+
+/// A run in progress.
+pub(crate) struct LoadRun {
+    plan: LoadPlan,
+    rng: fastrand::Rng,
+    start: Instant,
+    nodes: Vec<NodeState>,
+    engines: Vec<ModelEngine>,
+    callers: Vec<CallerState>,
+    result: LoadResult,
+}
+
+impl LoadRun {
+    pub(crate) fn new(plan: LoadPlan) -> Self {
+        let start = Instant::now();
+        let nodes = (0..plan.nodes)
+            .map(|index| node(&plan, index, start))
+            .collect();
+        Self {
+            rng: fastrand::Rng::with_seed(plan.seed),
+            start,
+            nodes,
+            engines: vec![ModelEngine::default(); plan.engines],
+            callers: Vec::new(),
+            result: LoadResult::default(),
+            plan,
+        }
+    }
+
+    /// Plays the whole plan.
+    pub(crate) fn play(mut self) -> LoadResult {
+        let mut next: Vec<f64> = self.plan.kinds.iter().map(|_| 0.0).collect();
+        let mut now = 0.0;
+        let mut next_round = 0.0;
+        // Whoever came last still has time to be answered.
+        while now < self.plan.seconds + 12.0 {
+            for kind in 0..next.len() {
+                while next[kind] <= now && now < self.plan.seconds {
+                    self.arrive(kind, now);
+                    next[kind] += self.pause_until_next(kind, now);
+                }
+            }
+            if now >= next_round {
+                next_round += ROUND;
+                self.exchange(now);
+                self.leave(now);
+            }
+            self.work(now);
+            now += 0.002;
+        }
+        let read = self.engines.iter().map(|engine| engine.shared_read);
+        self.result.shared_read = read.sum();
+        self.result
+    }
+
+    fn at(&self, now: f64) -> Instant {
+        self.start + Duration::from_secs_f64(now)
+    }
+
+    fn pause_until_next(&mut self, kind: usize, now: f64) -> f64 {
+        let kind = &self.plan.kinds[kind];
+        let (from, to, times) = kind.burst;
+        let rate = kind.per_second * if now >= from && now < to { times } else { 1.0 };
+        -(1.0 - self.rng.f64()).ln() / rate
+    }
+
+    fn prompt(&mut self, kind: usize) -> PromptShape {
+        let kind = self.plan.kinds[kind].clone();
+        let thing = self.rng.u64(0..kind.things) + 1;
+        let name = kind.name.len() as u64 * 1_000_000;
+        // Sizes differ: most prompts are below the mean, a few many times it.
+        let size = (-(1.0 - self.rng.f64()).ln()).min(6.0);
+        let own = (f64::from(kind.own_tokens) * size).max(1.0) as u32;
+        PromptShape {
+            parts: vec![
+                PromptPart {
+                    id: name + thing,
+                    tokens: kind.shared_tokens,
+                },
+                PromptPart {
+                    id: self.rng.u64(..),
+                    tokens: own,
+                },
+            ],
+            output_most: kind.output * 4,
+        }
+    }
+
+    fn arrive(&mut self, kind: usize, now: f64) {
+        let prompt = self.prompt(kind);
+        let traffic = self.plan.kinds[kind].clone();
+        let output = (f64::from(traffic.output) * (0.3 + 1.4 * self.rng.f64())) as u32;
+        let at = self.at(now);
+        let result = self.result.kinds.entry(traffic.name).or_default();
+        result.asked += 1;
+        let index = self.rng.usize(0..self.nodes.len());
+        let pool = "models".into();
+        let request = PlacementRequest {
+            pool: &pool,
+            prompt: Some(&prompt),
+            urgency: traffic.urgency,
+            class: traffic.class,
+            avoid: &[],
+        };
+        let node = &mut self.nodes[index];
+        let Some(pick) = node.table.pick(&request, at) else {
+            return;
+        };
+        let prediction = QueuePrediction {
+            queue: pick.queue,
+            wait: pick.wait,
+            target_left: Duration::from_secs_f64(traffic.target),
+            left: Duration::from_secs_f64(traffic.patience),
+        };
+        let verdict = AdmissionPolicy::new().judge(&prediction, 0.5);
+        if self.plan.admits && verdict != AdmissionVerdict::Send {
+            result.refused += 1;
+            return;
+        }
+        let ticket = node.table.start(&pick, &request, at);
+        let engine = engine_index(&pick.server.id);
+        let number = self.callers.len();
+        self.engines[engine].submit(EngineRequest {
+            number,
+            urgency: traffic.urgency,
+            prompt,
+            output: output.max(1),
+        });
+        self.callers.push(CallerState {
+            kind,
+            node: index,
+            engine,
+            came: now,
+            ticket: Some(ticket),
+            tokens: 0,
+            last_event: now,
+            is_late: false,
+            is_over: false,
+        });
+    }
+
+    fn work(&mut self, now: f64) {
+        for engine in 0..self.engines.len() {
+            while self.engines[engine].busy_until <= now && !self.engines[engine].is_idle() {
+                let from = self.engines[engine].busy_until.max(now - 0.002);
+                let events = self.engines[engine].step(from);
+                let done_at = self.engines[engine].busy_until;
+                for event in events {
+                    self.note(event, done_at);
+                }
+            }
+        }
+    }
+
+    fn note(&mut self, event: EngineEvent, now: f64) {
+        let at = self.at(now);
+        match event {
+            EngineEvent::Token(number) => {
+                let caller = &mut self.callers[number];
+                caller.tokens += 1;
+                let kind = &self.plan.kinds[caller.kind];
+                if caller.tokens == 1 {
+                    caller.is_late |= now - caller.came > kind.target;
+                    if let Some(ticket) = &mut caller.ticket {
+                        self.nodes[caller.node].table.first_answer(ticket, at);
+                    }
+                }
+                if caller.tokens % EVENT_TOKENS == 1 {
+                    let pause = now - caller.last_event;
+                    caller.is_late |= caller.tokens > 1 && pause > kind.pause;
+                    caller.last_event = now;
+                }
+            }
+            EngineEvent::Done(number) => {
+                let caller = &self.callers[number];
+                let result = self.result.kinds.entry(self.plan.kinds[caller.kind].name);
+                let result = result.or_default();
+                if caller.is_late {
+                    result.late += 1;
+                } else {
+                    result.in_time += 1;
+                }
+                self.end(number, WorkEnd::Answered, at);
+            }
+        }
+    }
+
+    fn end(&mut self, number: usize, end: WorkEnd, at: Instant) {
+        let caller = &mut self.callers[number];
+        caller.is_over = true;
+        if let Some(ticket) = caller.ticket.take() {
+            self.nodes[caller.node].table.finish(ticket, end, at);
+        }
+    }
+
+    /// Callers leave whose time is over, or who have waited too long for the next event.
+    fn leave(&mut self, now: f64) {
+        for number in 0..self.callers.len() {
+            let caller = &self.callers[number];
+            let kind = &self.plan.kinds[caller.kind];
+            let bears = (4.0 * kind.target).max(8.0 * kind.pause).max(2.0);
+            let is_out = now - caller.came > kind.patience || now - caller.last_event > bears;
+            if !caller.is_over && is_out {
+                self.engines[caller.engine].cancel(number);
+                self.result.kinds.entry(kind.name).or_default().left += 1;
+                let at = self.at(now);
+                self.end(number, WorkEnd::Unjudged, at);
+            }
+        }
+    }
+
+    fn exchange(&mut self, now: f64) {
+        if !self.plan.exchanges {
+            return;
+        }
+        let at = self.at(now);
+        let mut packets = Vec::new();
+        for node in &mut self.nodes {
+            let own = node.exchange.tick(node.table.own_work(), at);
+            packets.extend(own.into_iter().map(|(to, bytes)| (to, node.address, bytes)));
+        }
+        for (to, from, bytes) in packets {
+            let index = usize::from(to.port() - 1000);
+            let taken = self.nodes[index].exchange.receive(&bytes, from, at);
+            taken.expect("a message");
+        }
+        for node in &mut self.nodes {
+            node.table.swap_news(&mut node.exchange, at);
+        }
+    }
+}
+
+fn node(plan: &LoadPlan, index: usize, start: Instant) -> NodeState {
+    let address = |index: usize| SocketAddr::from(([127, 0, 0, 1], 1000 + index as u16));
+    let entry = |index: usize| NodeEntry {
+        node: format!("node-{index}").into(),
+        data_centre: format!("hall-{}", index % 3).into(),
+        address: address(index),
+    };
+    let options = PlacementOptions::new(entry(index).data_centre)
+        .with_policy(plan.policy)
+        .with_seed(plan.seed + index as u64);
+    let mut table = LoadTable::new(options);
+    for engine in 0..plan.engines {
+        let change = ServerChange::Changed(server(engine));
+        table.apply(&change, start);
+    }
+    let mut exchange = LoadExchange::new(entry(index));
+    exchange.set_nodes((0..plan.nodes).map(entry).collect());
+    NodeState {
+        table,
+        exchange,
+        address: address(index),
+    }
+}
+
+fn server(engine: usize) -> ServerEntry {
+    ServerEntry {
+        id: format!("engine-{engine}").into(),
+        pool: "models".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: format!("hall-{}", engine % 3).into(),
+        slots: SLOTS as u32,
+        state: ServerState::Ready,
+        cold_for: Duration::ZERO,
+    }
+}
+
+fn engine_index(id: &ServerId) -> usize {
+    let number = id.rsplit('-').next().and_then(|text| text.parse().ok());
+    number.expect("an engine's id")
+}
