--- a/crates/plumgate-standin/src/link.rs
+++ b/crates/plumgate-standin/src/link.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -24,6 +25,10 @@
     cut_below: AtomicU64,
     /// Connections below this number are silent: they stay open and carry nothing.
     silent_below: AtomicU64,
+    /// Answers of connections below this number are lost, while their requests go through.
+    deaf_below: AtomicU64,
+    /// Milliseconds by which each piece is held up.
+    delay_ms: AtomicU64,
     /// Bytes of requests after which a connection is cut; 0 for never.
     cut_after: AtomicU64,
     accepted: AtomicU64,
@@ -64,6 +69,18 @@
     pub fn mend(&self) {
         self.state.flags.store(0, Ordering::SeqCst);
         self.state.cut_after.store(0, Ordering::SeqCst);
+        self.state.delay_ms.store(0, Ordering::SeqCst);
+    }
+
+    /// Cuts the open connections one way: requests go through, answers are lost; new ones work.
+    pub fn lose_answers(&self) {
+        let accepted = self.state.accepted.load(Ordering::SeqCst);
+        self.state.deaf_below.store(accepted, Ordering::SeqCst);
+    }
+
+    /// Holds up each piece by so many milliseconds.
+    pub fn delay(&self, millis: u64) {
+        self.state.delay_ms.store(millis, Ordering::SeqCst);
     }
 
     /// Cuts all connections and refuses new ones.
@@ -146,9 +163,14 @@
     let mut piece = vec![0; PIECE];
     let mut carried = 0;
     while let Ok(mut count @ 1..) = from.read(&mut piece).await {
-        if number < state.silent_below.load(Ordering::SeqCst) {
+        let is_deaf = !is_request && number < state.deaf_below.load(Ordering::SeqCst);
+        if is_deaf || number < state.silent_below.load(Ordering::SeqCst) {
             continue;
         }
+        let delay = state.delay_ms.load(Ordering::SeqCst);
+        if delay > 0 {
+            async_io::Timer::after(Duration::from_millis(delay)).await;
+        }
         let bound = state.cut_after.load(Ordering::SeqCst);
         let cuts = is_request && bound > 0 && carried + count as u64 >= bound;
         if cuts {
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -136,10 +136,10 @@
         let mut next_round = 0.0;
         // Whoever came last still has time to be answered.
         while now < self.plan.seconds + 12.0 {
-            for kind in 0..next.len() {
-                while next[kind] <= now && now < self.plan.seconds {
+            for (kind, at) in next.iter_mut().enumerate() {
+                while *at <= now && now < self.plan.seconds {
                     self.arrive(kind, now);
-                    next[kind] += self.pause_until_next(kind, now);
+                    *at += self.pause_until_next(kind, now);
                 }
             }
             if now >= next_round {
