gateway: interactive servers follow demand; a few at random; urgent routes refused no sooner

Change: a request without a home is placed among 3 random servers of its group and one of all; the interactive share moves between 0.15 and 0.5 by the use of its slots; a route is refused by the longest target of its own and all less urgent routes.

--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -281,9 +281,11 @@
     };
     let urgency = config.urgency(&route, workspace);
     let class = config.stream_class(&route, &pool);
+    let refusal_target = config.refusal_target(&route, &pool);
     Ok(RelayRequest {
         id,
         class,
+        refusal_target,
         pool,
         workspace: workspace.map(|keys| keys.workspace.clone()),
         urgency,
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -63,6 +63,8 @@
     pub(crate) urgency: u8,
     /// How sensitive its stream is.
     pub(crate) class: StreamClass,
+    /// The target that it is refused by.
+    pub(crate) refusal_target: Duration,
     /// Its head.
     pub(crate) head: Parts,
     /// Its body.
@@ -193,10 +195,10 @@
         Ok(pick)
     }
 
-    /// Time left until the request misses its target.
+    /// Time left until the request misses the target that it is refused by.
     fn target_left(&self, now: Instant) -> Duration {
         let waited = now.saturating_duration_since(self.request.arrived);
-        self.request.route.target.saturating_sub(waited)
+        self.request.refusal_target.saturating_sub(waited)
     }
 
     async fn try_server(&mut self, pick: &ServerPick) -> AttemptEnd<C, W> {
--- a/crates/plumgate/src/gateway/config.rs
+++ b/crates/plumgate/src/gateway/config.rs
@@ -1,6 +1,6 @@
 //! The configuration of a gateway: routes, workspaces with their keys, callers' limits.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -168,6 +168,8 @@
     route_ranks: u8,
     /// The shortest pause target of each pool's routes.
     shortest_pauses: HashMap<PoolId, Duration>,
+    /// The longest target of each pool's routes by their rank.
+    longest_targets: HashMap<PoolId, BTreeMap<u8, Duration>>,
 }
 
 impl GatewayConfig {
@@ -184,6 +186,7 @@
     pub fn with_routes(mut self, routes: impl IntoIterator<Item = GatewayRoute>) -> Self {
         for route in routes {
             self.note_pause(&route);
+            self.note_target(&route);
             self.route_ranks = self.route_ranks.max(route.priority.saturating_add(1));
             self.routes
                 .entry(route.host.clone())
@@ -207,6 +210,26 @@
         }
     }
 
+    fn note_target(&mut self, route: &GatewayRoute) {
+        for split in &route.pools {
+            let ranks = self.longest_targets.entry(split.pool.clone()).or_default();
+            let longest = ranks.entry(route.priority).or_default();
+            *longest = (*longest).max(route.target);
+        }
+    }
+
+    /// The target that a route's requests are refused by in a pool: the longest one of its own
+    /// and all less urgent routes.
+    ///
+    /// An urgent route often has a short target. Refused by that one, its callers would be sent
+    /// away from servers that go on taking less urgent requests, whose targets are longer.
+    pub fn refusal_target(&self, route: &GatewayRoute, pool: &PoolId) -> Duration {
+        let ranks = self.longest_targets.get(pool);
+        let less_urgent = ranks.map(|ranks| ranks.range(route.priority..));
+        let longest = less_urgent.and_then(|ranks| ranks.map(|(_, target)| *target).max());
+        longest.unwrap_or(route.target)
+    }
+
     /// How sensitive a route's streams are, compared with the other streams of a pool.
     pub fn stream_class(&self, route: &GatewayRoute, pool: &PoolId) -> StreamClass {
         let shortest = self.shortest_pauses.get(pool);
--- a/crates/plumgate/src/gateway/load.rs
+++ b/crates/plumgate/src/gateway/load.rs
@@ -257,6 +257,9 @@
     rng: fastrand::Rng,
     servers: BTreeMap<ServerId, ServerLoad>,
     centres: CentreTable,
+    /// The share of each pool's servers that interactive streams have for themselves.
+    shares: HashMap<PoolId, f64>,
+    adapted_at: Option<Instant>,
     /// Parts that this node was the first to send to a server, still to be told.
     new_places: Vec<PartPlace>,
 }
@@ -270,6 +273,8 @@
             rng,
             servers: BTreeMap::new(),
             centres: CentreTable::new(),
+            shares: HashMap::new(),
+            adapted_at: None,
             new_places: Vec::new(),
         }
     }
@@ -293,6 +298,7 @@
 
     /// Takes over what the other nodes told, and tells what they should know.
     pub fn swap_news(&mut self, exchange: &mut LoadExchange, now: Instant) {
+        self.adapt_shares(now);
         exchange.tell_places(self.new_places.drain(..));
         let places = exchange.take_places();
         for (id, load) in &mut self.servers {
@@ -305,6 +311,42 @@
         }
     }
 
+    /// Gives interactive streams more servers where theirs fill up, and fewer where they idle.
+    fn adapt_shares(&mut self, now: Instant) {
+        if self
+            .adapted_at
+            .is_some_and(|at| now.saturating_duration_since(at) < ADAPT_PAUSE)
+        {
+            return;
+        }
+        self.adapted_at = Some(now);
+        let pools: BTreeSet<PoolId> = self
+            .servers
+            .values()
+            .map(|load| load.entry.pool.clone())
+            .collect();
+        for pool in pools {
+            let use_of_slots = self.interactive_use(&pool);
+            let share = self.shares.entry(pool).or_insert(USUAL_SHARE);
+            if use_of_slots > BUSY_SLOTS {
+                *share = (*share + SHARE_STEP).min(SHARE_BOUNDS.1);
+            } else if use_of_slots < IDLE_SLOTS {
+                *share = (*share - SHARE_STEP).max(SHARE_BOUNDS.0);
+            }
+        }
+    }
+
+    /// Share of the slots of a pool's interactive servers that are taken.
+    fn interactive_use(&self, pool: &PoolId) -> f64 {
+        let groups = self.groups(pool);
+        let loads = groups.interactive.iter().map(|id| &self.servers[id]);
+        let (taken, slots) = loads.fold((0, 0), |(taken, slots), load| {
+            let in_flight = load.own.in_flight + load.peers.in_flight;
+            (taken + in_flight, slots + load.entry.slots)
+        });
+        f64::from(taken) / f64::from(slots.max(1))
+    }
+
     /// What this node has in flight, servers without work left out.
     pub fn own_work(&self) -> impl Iterator<Item = (&ServerId, ServerWork)> {
         self.servers
@@ -320,6 +362,11 @@
         let groups = self.groups(request.pool);
         let members = groups.members(request.class, &candidates);
         let homes = HomeRanks::new(request.prompt, &members, &candidates);
+        let candidates = if request.prompt.is_some() && homes.first.is_none() {
+            self.sample(&members, &candidates)
+        } else {
+            candidates
+        };
         for id in candidates {
             let load = &self.servers[&id];
             let home = homes.rank(&id);
@@ -353,12 +400,24 @@
         })
     }
 
+    /// A few servers of the group and one of all, for a request that no server is better for.
+    ///
+    /// All nodes know the same load, somewhat late. If each took the least loaded server, all of
+    /// them would take the same one until they hear of it.
+    fn sample(&mut self, group: &[ServerId], all: &[ServerId]) -> Vec<ServerId> {
+        let mut sample = self.rng.choose_multiple(group.iter().cloned(), SAMPLE_SIZE);
+        let other = self.rng.choice(all).cloned();
+        sample.extend(other.filter(|id| !sample.contains(id)));
+        sample
+    }
+
     fn groups(&self, pool: &PoolId) -> ServerGroups {
         let of_pool = self
             .servers
             .values()
             .filter(|load| load.entry.pool == *pool && load.entry.state == ServerState::Ready);
-        ServerGroups::new(of_pool.map(|load| load.entry.id.clone()))
+        let share = self.shares.get(pool).copied().unwrap_or(USUAL_SHARE);
+        ServerGroups::new(of_pool.map(|load| load.entry.id.clone()), share)
     }
 
     /// The servers that may get the request: those in doubt only where there is no other.
@@ -646,8 +705,21 @@
     over.max(0.0) / slots * SLOT_SECONDS
 }
 
-/// Share of a pool's servers that interactive streams have for themselves while nothing presses.
-const INTERACTIVE_SHARE: f64 = 0.25;
+/// Servers among which a request is placed that no server is better for.
+const SAMPLE_SIZE: usize = 3;
+/// Share of a pool's servers that interactive streams have for themselves at first.
+const USUAL_SHARE: f64 = 0.25;
+/// Bounds of that share.
+const SHARE_BOUNDS: (f64, f64) = (0.15, 0.5);
+/// Step by which it changes.
+const SHARE_STEP: f64 = 0.04;
+/// Time between two changes: a stream lives for a few seconds, and load is known with a lag.
+const ADAPT_PAUSE: Duration = Duration::from_millis(500);
+/// Share of the interactive servers' slots that are taken, above which they get more company: a
+/// batch that is fuller draws the pauses of all its streams out.
+const BUSY_SLOTS: f64 = 0.3;
+/// The share of slots below which a server is given back.
+const IDLE_SLOTS: f64 = 0.12;
 /// Seconds that an interactive server costs a batch stream: it goes there only rather than fail.
 const BATCH_STRAY_SECONDS: f64 = 8.0;
 /// Seconds that a batch server costs an interactive stream: in a burst of them idle servers help.
@@ -659,11 +731,11 @@
 }
 
 impl ServerGroups {
-    fn new(servers: impl Iterator<Item = ServerId>) -> Self {
+    fn new(servers: impl Iterator<Item = ServerId>, share: f64) -> Self {
         let mut servers: Vec<(u64, ServerId)> =
             servers.map(|id| (xxh3_64(id.as_bytes()), id)).collect();
         servers.sort();
-        let count = (servers.len() as f64 * INTERACTIVE_SHARE).ceil() as usize;
+        let count = (servers.len() as f64 * share).ceil() as usize;
         servers.truncate(count);
         Self {
             interactive: servers.into_iter().map(|(_, id)| id).collect(),
--- a/crates/plumgate/tests/gateway_config.rs
+++ b/crates/plumgate/tests/gateway_config.rs
@@ -129,6 +129,30 @@
     );
 }
 
+// Callers of an urgent route were sent away from servers that went on taking less urgent requests:
+// its target is the shortest, so its queue counted as too long first.
+#[test]
+fn urgent_route_is_not_refused_by_a_shorter_target_than_less_urgent_ones() {
+    let with_target = |name: &str, priority, target| {
+        let mut route = route(name, "a.example", &format!("/{name}/"));
+        route.priority = priority;
+        route.target = Duration::from_millis(target);
+        route
+    };
+    let caption = with_target("caption", 0, 300);
+    let check = with_target("check", 1, 600);
+    let draft = with_target("draft", 2, 1_500);
+    let config = config(vec![caption.clone(), check.clone(), draft.clone()]);
+    let pool = "models".into();
+    let of = |route: &GatewayRoute| config.refusal_target(route, &pool);
+    assert!(of(&caption) >= of(&check) && of(&check) >= of(&draft));
+    assert_eq!(of(&draft), draft.target);
+    assert_eq!(
+        config.refusal_target(&check, &"elsewhere".into()),
+        check.target
+    );
+}
+
 // The caller's key was taken away, but the request still runs. The VM was suspended: its steady
 // clock stood still, so that what it had read long ago seemed fresh when it went on.
 #[test]
