--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -33,12 +33,12 @@
 const SERVERS_PAUSE: Duration = Duration::from_millis(4_000);
 /// Pause after news of servers before the next watch. Servers come and go in numbers; without a
 /// pause each of them costs each node of the fleet a call of its own.
-const SERVERS_BATCH: Duration = Duration::from_millis(400);
+const SERVERS_BATCH: Duration = Duration::from_millis(500);
 /// First pause after a call without an answer.
 const FIRST_RETRY: Duration = Duration::from_millis(40);
 /// Longest pause after calls without an answer: a fraction of the time within which a change
 /// must be in force.
-const LONGEST_RETRY: Duration = Duration::from_millis(400);
+const LONGEST_RETRY: Duration = Duration::from_millis(800);
 /// How long after a call without an answer the entries that lapse are doubted.
 const TROUBLE_MEMORY: Duration = Duration::from_secs(4);
 /// How long a server whose entry lapsed in such a time stays in use. A server that lives has
