--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -235,8 +235,7 @@
                     }
                 }
                 Err(error) => {
-                    // Whatever went wrong may have swallowed a change: all is read anew.
-                    since = None;
+                    since = since.filter(|_| error.keeps_place());
                     self.note_failure(topic, &error, &mut is_lost);
                     if error != SourceError::HistoryLost {
                         self.shared.clock.sleep(backoff.next(&mut rng)).await;
--- a/crates/plumgate-node/src/gateway/ports.rs
+++ b/crates/plumgate-node/src/gateway/ports.rs
@@ -61,6 +61,8 @@
     HistoryLost,
     /// no answer: {0}
     Unanswered(String),
+    /// nothing came in time
+    TimedOut,
     /// refused with status {0}
     Refused(u16),
     /// the answer makes no sense: {0}
@@ -69,6 +71,17 @@
 
 impl std::error::Error for SourceError {}
 
+impl SourceError {
+    /// Whether a watch may go on from the version that it had.
+    ///
+    /// A watch that was cut may have been deaf before, and have given back a version beyond
+    /// changes that it did not tell: only reading all anew finds those. A refusal or a missing
+    /// answer says nothing of the kind, and reading all costs the store's bytes at each node.
+    pub fn keeps_place(&self) -> bool {
+        matches!(self, Self::Refused(_) | Self::TimedOut)
+    }
+}
+
 /// Where a fleet's configuration and servers are read from.
 pub trait FleetSource: Clone + 'static {
     /// Reads all of a topic as of one moment.
