--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONTENT_LENGTH, EXPECT};
 use hyper::http::response;
 use hyper::{Request, Response, Version};
-use plumgate::gateway::load::WorkEnd;
+use plumgate::gateway::WorkEnd;
 use plumgate::gateway::{RepeatKind, ServerEntry};
 
 use super::answer::drop_connection_headers;
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -9,7 +9,6 @@
 use async_executor::LocalExecutor;
 use futures_lite::future;
 use plumgate::FindingList;
-use plumgate::chart::{ChartRun, NODE_CHART, StateChart};
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{GatewayConfig, NodeEntry, ServerEntry, ServerTable};
 use plumgate::ids::{DataCentreId, ServerId};
@@ -17,6 +16,7 @@
 
 use super::attempt::CONNECT_TIMEOUT;
 use super::exchange::PeerExchange;
+use super::life::GatewayLife;
 use super::metrics::CallLabels;
 use super::options::GatewayBounds;
 use super::ports::{FleetSource, SourceChange, SourceError, SourceEvent, SourceTopic};
@@ -24,7 +24,6 @@
 use crate::clock::{Clock, until};
 use crate::http::open_stream;
 use crate::log::LogLine;
-use crate::shared::LifeView;
 
 /// How long one watch of the configuration waits for changes.
 ///
@@ -49,12 +48,6 @@
 const DOUBT: Duration = Duration::from_millis(1_800);
 /// Time between two looks at all that may be due.
 const TICK: Duration = Duration::from_millis(100);
-/// How long the balancer goes on sending new connections after readiness was withdrawn: two
-/// checks, a second apart, and the time that one takes.
-const BALANCER_LAG: Duration = Duration::from_millis(2_400);
-/// Part of the grace that is kept for ending the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(300);
-
 /// How long a node that stops waits for its row to be removed.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -73,24 +66,18 @@
     servers: RefCell<ServerTable>,
     cut_centres: RefCell<Vec<DataCentreId>>,
     trouble_at: RefCell<Option<Instant>>,
-    life: RefCell<ChartRun>,
-    life_since: RefCell<Option<Instant>>,
-    stop_asked_at: RefCell<Option<Instant>>,
+    life: RefCell<GatewayLife>,
 }
 
 impl<C: Clock, W: Send + Sync + 'static> GatewayControl<C, W> {
     /// A control thread that knows nothing yet.
     pub(crate) fn new(shared: Arc<GatewayShared<C, W>>) -> Self {
-        let chart = StateChart::read("node.toml", NODE_CHART);
-        let chart = chart.expect("the chart is part of the program and checked by its tests");
         Self {
             shared,
             servers: RefCell::new(ServerTable::new()),
             cut_centres: RefCell::default(),
             trouble_at: RefCell::new(None),
-            life: RefCell::new(ChartRun::new(Arc::new(chart))),
-            life_since: RefCell::new(None),
-            stop_asked_at: RefCell::new(None),
+            life: RefCell::new(GatewayLife::new()),
         }
     }
 
@@ -131,7 +118,7 @@
 
     /// Keeps the life of the node until it ends.
     async fn live(&self, signals: Receiver<GatewaySignal>) {
-        while !self.life.borrow().is_ended() {
+        while !self.life.borrow().is_over() {
             let tick = async {
                 self.shared.clock.sleep(TICK).await;
                 None
@@ -143,7 +130,7 @@
                 }
             };
             match future::or(signal, tick).await {
-                Some(GatewaySignal::Stop) => self.stop(),
+                Some(GatewaySignal::Stop) => self.life.borrow_mut().stop(&self.shared),
                 Some(GatewaySignal::Reload(bounds)) => self.reload(bounds),
                 None => self.tick(),
             }
@@ -160,7 +147,7 @@
             self.shared.metrics.key_age.set(age);
         }
         self.probe_centres(now);
-        self.live_on(now);
+        self.life.borrow_mut().tick(&self.shared);
     }
 
     /// Tries bare connections into the data centres that seem cut off.
@@ -346,9 +333,7 @@
         let version = i64::try_from(config.version).unwrap_or(i64::MAX);
         self.shared.metrics.config_version.set(version);
         self.shared.config.store(Some(config));
-        if self.life.borrow().expects("configured") {
-            self.enter("configured");
-        }
+        self.life.borrow_mut().configured(&self.shared);
     }
 
     fn log_findings(&self, topic: SourceTopic, findings: &FindingList) {
@@ -388,17 +373,6 @@
         self.shared.metrics.servers.set(count);
     }
 
-    fn stop(&self) {
-        let now = self.shared.clock.now();
-        self.stop_asked_at.borrow_mut().get_or_insert(now);
-        if self.life.borrow().state() == "announcing" {
-            return;
-        }
-        if self.life.borrow().expects("stop") {
-            self.enter("stop");
-        }
-    }
-
     fn reload(&self, bounds: GatewayBounds) {
         LogLine::new("reload")
             .with("changed", **self.shared.bounds.load() != bounds)
@@ -409,48 +383,4 @@
             .info(&self.shared.log);
         self.shared.set_bounds(bounds);
     }
-
-    /// Goes on in the life of the node when the time has come.
-    fn live_on(&self, now: Instant) {
-        let Some(since) = *self.life_since.borrow() else {
-            return;
-        };
-        let state = self.life.borrow().state().to_owned();
-        let passed = now.saturating_duration_since(since);
-        let stop_passed = self
-            .stop_asked_at
-            .borrow()
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let grace = self.shared.bounds.load().grace;
-        if state == "announcing" && passed >= BALANCER_LAG {
-            self.enter("balancer_lag_over");
-        } else if state == "draining" && self.shared.is_idle() {
-            self.enter("idle");
-        } else if state == "draining" && stop_passed + EXIT_RESERVE >= grace {
-            self.enter("grace_over");
-        }
-    }
-
-    fn enter(&self, event: &str) {
-        let applied = self.life.borrow_mut().apply(event);
-        debug_assert!(
-            applied.is_ok(),
-            "the chart expects what the node does: {applied:?}"
-        );
-        let life = self.life.borrow();
-        let state = life.state();
-        LogLine::new("node")
-            .with("state", state)
-            .with("after", event)
-            .with("open_requests", self.shared.open_requests())
-            .info(&self.shared.log);
-        *self.life_since.borrow_mut() = Some(self.shared.clock.now());
-        let view = LifeView {
-            state: state.to_owned(),
-            ready: state == "ready",
-            closing: matches!(state, "draining" | "stopped"),
-        };
-        self.shared.life.store(Arc::new(view));
-        self.shared.life_changed.notify(usize::MAX);
-    }
 }
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -10,11 +10,13 @@
 mod caller;
 mod control;
 mod exchange;
+mod life;
 mod links;
 mod metrics;
 mod node;
 mod options;
 mod relay;
+mod relay_report;
 mod shared;
 mod stream;
 
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -9,17 +9,16 @@
 use hyper::{Response, StatusCode};
 use plumgate::RunOutcome;
 use plumgate::attempt::{AttemptEvent, AttemptRun};
-use plumgate::gateway::load::{PlacementRequest, WorkEnd};
 use plumgate::gateway::{
     AdmissionPolicy, AdmissionVerdict, GatewayRoute, QueuePrediction, RepeatKind, ServerPick,
     StreamClass,
 };
+use plumgate::gateway::{PlacementRequest, WorkEnd};
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 use plumgate::retry::may_run_again;
 
 use super::answer::{GatewayBody, StreamPiece, own_answer, relayed_head, stream_body, whole_body};
 use super::attempt::{AttemptEnd, AttemptOrder, ServerAnswer, attempt, read_whole};
-use super::metrics::{EndLabels, ReasonLabels};
 use super::ports::{AnswerFacts, RequestFacts, WireFormat};
 use super::shared::{GatewayShared, RequestGuard, WorkGuard};
 use super::stream::StreamRelay;
@@ -106,7 +105,8 @@
     pub(crate) arrivals: u32,
     /// Times that it may have run.
     pub(crate) runs: u32,
-    is_reported: bool,
+    /// Whether its end was told.
+    pub(crate) is_reported: bool,
     _guard: RequestGuard<C, W>,
 }
 
@@ -409,91 +409,4 @@
         let until = self.shared.clock.now() + keeps_for.saturating_sub(KEEP_MARGIN);
         self.shared.links.put(server, link, until);
     }
-
-    /// The first byte of the answer goes to the caller.
-    pub(crate) fn observe_first_byte(&self) {
-        let now = self.shared.clock.now();
-        let took = now.saturating_duration_since(self.request.arrived);
-        let metrics = &self.shared.metrics;
-        metrics.observe_first_byte(self.request.urgency, took);
-    }
-
-    /// An attempt failed.
-    pub(crate) fn count_failure(&self, reason: &'static str) {
-        let labels = ReasonLabels { reason };
-        let attempts = &self.shared.metrics.failed_attempts;
-        attempts.get_or_create(&labels).inc();
-        LogLine::new("attempt_failed")
-            .with("request", &self.request.id)
-            .with("attempt", self.tried.len())
-            .with_some("server", self.tried.last())
-            .with("reason", reason)
-            .with("state", self.run.state())
-            .info(&self.shared.log);
-    }
-
-    fn log_route(&self, pick: &ServerPick, now: Instant) {
-        let waited = now.saturating_duration_since(self.request.arrived);
-        let line = LogLine::new("route")
-            .with("request", &self.request.id)
-            .with("route", &self.request.route.name)
-            .with_some("workspace", self.request.workspace.as_ref())
-            .with("priority", self.request.urgency)
-            .with("server", &pick.server.id)
-            .with("wait_ms", pick.wait.as_millis())
-            .with("unread_tokens", pick.unread_tokens)
-            .with("attempt", self.tried.len() + 1)
-            .with("held_ms", waited.as_millis())
-            .with("config", self.request.config)
-            .with_some("key_age_ms", self.shared.key_age_ms());
-        let line = match &pick.runner_up {
-            Some((server, cost)) => line
-                .with("runner_up", server)
-                .with("runner_up_ms", cost.as_millis()),
-            None => line,
-        };
-        line.info(&self.shared.log);
-    }
-
-    /// Says how the request ended.
-    pub(crate) fn report(&mut self, outcome: RunOutcome, reason: &'static str, status: StatusCode) {
-        self.log_end(outcome, reason, Some(status));
-    }
-}
-
-impl<C: Clock, W> RelayRun<C, W> {
-    fn log_end(&mut self, outcome: RunOutcome, reason: &'static str, status: Option<StatusCode>) {
-        self.is_reported = true;
-        let now = self.shared.clock.now();
-        let took = now.saturating_duration_since(self.request.arrived);
-        let labels = EndLabels {
-            kind: self.request.route.kind.as_str(),
-            priority: self.request.urgency.into(),
-            outcome: outcome.as_str(),
-            reason,
-        };
-        let requests = &self.shared.metrics.requests;
-        requests.get_or_create(&labels).inc();
-        LogLine::new("request")
-            .with("request", &self.request.id)
-            .with("route", &self.request.route.name)
-            .with("kind", self.request.route.kind.as_str())
-            .with("priority", self.request.urgency)
-            .with("outcome", outcome.as_str())
-            .with("reason", reason)
-            .with_some("status", status.map(|status| status.as_u16()))
-            .with("attempts", self.tried.len())
-            .with_some("server", self.tried.last())
-            .with("ms", took.as_millis())
-            .info(&self.shared.log);
-    }
-}
-
-impl<C: Clock, W> Drop for RelayRun<C, W> {
-    /// The caller went away before the end: the request is dropped with its connections.
-    fn drop(&mut self) {
-        if !self.is_reported {
-            self.log_end(self.run.outcome(), "caller_gone", None);
-        }
-    }
 }
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -7,8 +7,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_executor::Executor;
 use event_listener::Event;
-use plumgate::gateway::load::{WorkEnd, WorkTicket};
 use plumgate::gateway::{FreshnessLease, GatewayConfig, LoadTable, PlacementOptions, WindowBudget};
+use plumgate::gateway::{WorkEnd, WorkTicket};
 
 use super::links::LinkPool;
 use super::metrics::GatewayMetrics;
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -10,7 +10,7 @@
 use hyper::http::response;
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
-use plumgate::gateway::load::WorkEnd;
+use plumgate::gateway::WorkEnd;
 use plumgate::gateway::{EventSplitter, RepeatKind};
 
 use super::answer::{StreamPiece, drop_length};
--- a/crates/plumgate/src/gateway/admission.rs
+++ b/crates/plumgate/src/gateway/admission.rs
@@ -6,7 +6,9 @@
 ///
 /// An engine that is overloaded answers as many requests whether its queue is short or long, but
 /// behind a long one all of them come late. What is refused at once comes back when the burst is
-/// over. The rest of the target is for reading the prompt.
+/// over. The rest of the target is for reading the prompt. Long prompts answered in time in a model
+/// fleet of 20 engines under a burst of 2.3 times: 0.38 without it, 0.73 with it
+/// (`tests/gateway_load.rs`).
 const QUEUE_SHARE: f64 = 0.7;
 /// Share of the time left within which a server must be able to begin. The rest is for the
 /// answer itself.
--- a/crates/plumgate/src/gateway/exchange.rs
+++ b/crates/plumgate/src/gateway/exchange.rs
@@ -4,7 +4,8 @@
 //! its data centre, swaps sums with the other data centres' collectors, and tells its nodes the
 //! total. So a node sends and reads a constant number of messages, and only a collector's grow
 //! with the nodes of its data centre. Messages may be lost: each stands for itself, and what is
-//! not renewed is forgotten.
+//! not renewed is forgotten. Long prompts answered in time in a model fleet of 20 nodes: 0.35 with
+//! own knowledge alone, 0.73 with the exchange (`tests/gateway_load.rs`).
 
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap};
@@ -14,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::load::{ServerWork, URGENCIES};
+use super::work::{ServerWork, URGENCIES};
 use crate::errors::{Error, Result};
 use crate::ids::{DataCentreId, NodeId, ServerId};
 use crate::membership::rendezvous_weight;
--- a/crates/plumgate/src/gateway/load.rs
+++ b/crates/plumgate/src/gateway/load.rs
@@ -1,96 +1,31 @@
 //! Chooses the backend server of a request: shared prompt parts have few homes, and a home that
 //! is too busy gives way to the next one.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
 use super::centres::CentreTable;
 use super::config::StreamClass;
 use super::exchange::{LoadExchange, PartPlace};
+use super::groups::{GroupShares, ServerGroups};
+use super::homes::HomeRanks;
+use super::prompt::{PromptShape, SMALL_PART};
+use super::server_load::{CostPrediction, ServerLoad};
 use super::servers::{ServerChange, ServerEntry, ServerState};
+use super::work::{ServerWork, URGENCIES, WorkEnd, WorkTicket};
 use crate::ids::{DataCentreId, PoolId, ServerId};
-use crate::retry::CircuitBreaker;
-
-/// Ranks of urgency that are told apart; the last one takes in all that follow.
-pub const URGENCIES: usize = 10;
-/// Prompt tokens that an engine reads in a second while it generates for others too, before its
-/// own speed was seen: three quarters of what it reads when it does nothing else.
-const DEFAULT_TOKENS_PER_SECOND: f64 = 42_000.0;
-/// Time that a request spends at an engine for each one that already runs there: the step of a
-/// batch grows with its members.
-const STEP_COST: f64 = 0.000_3;
-/// Seconds that a plain request spends at a server, before any was seen.
-const DEFAULT_SERVICE_SECONDS: f64 = 0.03;
-/// How much dearer than its reading time a shared token is that a second home reads again: it
-/// takes the engine's time from everybody else's prompts too.
-const SECOND_HOME_WEIGHT: f64 = 2.0;
-/// The same for any other server. All nodes have to go on to the same second home: if each found
-/// another server for a prompt, the fleet would read it many times just when it is busiest.
-const STRAY_WEIGHT: f64 = 25.0;
-/// Seconds that a server in another data centre costs, from the round trip between two of them.
-const DISTANCE_SECONDS: f64 = 0.002;
-/// Seconds that a share of failures of one costs: about the time that a second try takes.
-const FAILURE_SECONDS: f64 = 2.0;
-/// Weight of the newest outcome in the share of failures.
-const FAILURE_WEIGHT: f64 = 0.15;
-/// Time in which what was seen of failures loses its weight.
-const FAILURE_MEMORY: Duration = Duration::from_secs(4);
-/// Share of a server's other unread prompts that counts against it for an interactive stream:
-/// those behind it are read between its tokens and draw its pauses out.
-const PAUSE_WEIGHT: f64 = 0.5;
-/// Share of a server's slots from which on a request is expected to wait for one.
-const SLOTS_FULL: f64 = 0.9;
-/// Seconds that a request waits for a slot where as many others wait as there are slots: about
-/// the time that a stream holds one.
-const SLOT_SECONDS: f64 = 2.0;
-/// Prompt parts that are remembered for one server.
-const PARTS_MOST: usize = 512;
-/// Parts of fewer tokens are read again in a few milliseconds: they are not remembered, and they
-/// draw no request to a server.
-const SMALL_PART: u32 = 512;
-/// How long a server is believed to keep a part after its last use.
-const PART_LIFETIME: Duration = Duration::from_secs(30);
-
-/// One part of a prompt, which other prompts may share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Its id.
-    pub id: u64,
-    /// Its tokens.
-    pub tokens: u32,
-}
-
-/// What a prompt is made of.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct PromptShape {
-    /// Its parts in order; the last one belongs to the request or its session.
-    pub parts: Vec<PromptPart>,
-    /// Tokens that the answer may have at most.
-    pub output_most: u32,
-}
-
-impl PromptShape {
-    /// All tokens of the prompt.
-    pub fn tokens(&self) -> u64 {
-        self.parts.iter().map(|part| u64::from(part.tokens)).sum()
-    }
 
-    /// The parts that other requests may share.
-    fn shared(&self) -> &[PromptPart] {
-        self.parts.split_last().map_or(&[], |(_, shared)| shared)
-    }
+/// Servers among which a request is placed that no server is better for. Short streams answered in
+/// time at 64 nodes of a model fleet: 0.82 with the best of all, 0.97 with the best of three
+/// (`tests/gateway_load.rs`).
+const SAMPLE_SIZE: usize = 3;
+/// Seconds that an interactive server costs a batch stream: it goes there only rather than fail.
+const BATCH_STRAY_SECONDS: f64 = 8.0;
+/// Seconds that a batch server costs an interactive stream: in a burst of them idle servers help.
+const INTERACTIVE_STRAY_SECONDS: f64 = 0.15;
 
-    /// What requests with the same shared parts have in common.
-    fn affinity(&self) -> Option<u64> {
-        let last = self.shared().last()?;
-        if last.tokens < SMALL_PART {
-            return None;
-        }
-        Some(xxh3_64(&last.id.to_le_bytes()))
-    }
-}
+/// Prompts shorter than this say nothing about the reading speed.
+const SPEED_TOKENS: u64 = 2_000;
 
 /// Ways to choose a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
@@ -168,88 +103,6 @@
     pub runner_up: Option<(ServerId, Duration)>,
 }
 
-/// What is in flight at one server, as one node knows it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ServerWork {
-    /// Requests that were sent and have not ended.
-    pub in_flight: u32,
-    /// Prompt tokens of requests that have not begun to answer, by urgency.
-    pub unread: [u64; URGENCIES],
-}
-
-impl ServerWork {
-    /// The sum of two.
-    pub fn plus(mut self, other: &Self) -> Self {
-        self.in_flight += other.in_flight;
-        for (own, other) in self.unread.iter_mut().zip(other.unread) {
-            *own += other;
-        }
-        self
-    }
-
-    /// What is left without a part of it.
-    pub fn minus(mut self, part: &Self) -> Self {
-        self.in_flight = self.in_flight.saturating_sub(part.in_flight);
-        for (own, part) in self.unread.iter_mut().zip(part.unread) {
-            *own = own.saturating_sub(part);
-        }
-        self
-    }
-}
-
-/// One request in flight, to be given back when it ends.
-#[derive(Clone, Debug)]
-pub struct WorkTicket {
-    server: ServerId,
-    urgency: usize,
-    unread_tokens: u64,
-    started: Instant,
-}
-
-/// How a request at a server ended, as far as that speaks for or against the server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WorkEnd {
-    /// It answered.
-    Answered,
-    /// It failed, broke off or was silent.
-    Failed,
-    /// A new connection was refused.
-    Refused,
-    /// A new connection got no answer, as behind a cut.
-    Unreachable,
-    /// It refused the request because it is full.
-    Full,
-    /// Nothing can be said of the server.
-    Unjudged,
-}
-
-/// What one node knows of one server.
-#[derive(Clone, Debug)]
-struct ServerLoad {
-    entry: ServerEntry,
-    own: ServerWork,
-    peers: ServerWork,
-    breaker: CircuitBreaker,
-    failures: f64,
-    failures_at: Instant,
-    rests_until: Option<Instant>,
-    tokens_per_second: f64,
-    parts: HashMap<u64, Instant>,
-    part_order: VecDeque<u64>,
-}
-
-/// How long a server that said that it is full gets no more from this node.
-const FULL_PAUSE: Duration = Duration::from_millis(150);
-/// How long a server that could not be reached gets no more from this node. The next requests
-/// would each lose the time of a connection that does not come about.
-const UNREACHABLE_PAUSE: Duration = Duration::from_millis(400);
-/// Weight of one observation of an engine's reading speed.
-const SPEED_WEIGHT: f64 = 0.1;
-/// Bounds within which an observed reading speed is believed, as shares of the default.
-const SPEED_BOUNDS: (f64, f64) = (0.1, 1.5);
-/// Prompts shorter than this say nothing about the reading speed.
-const SPEED_TOKENS: u64 = 2_000;
-
 /// What one node knows of all servers.
 #[derive(Debug)]
 pub struct LoadTable {
@@ -258,8 +111,7 @@
     servers: BTreeMap<ServerId, ServerLoad>,
     centres: CentreTable,
     /// The share of each pool's servers that interactive streams have for themselves.
-    shares: HashMap<PoolId, f64>,
-    adapted_at: Option<Instant>,
+    shares: GroupShares,
     /// Parts that this node was the first to send to a server, still to be told.
     new_places: Vec<PartPlace>,
 }
@@ -273,8 +125,7 @@
             rng,
             servers: BTreeMap::new(),
             centres: CentreTable::new(),
-            shares: HashMap::new(),
-            adapted_at: None,
+            shares: GroupShares::default(),
             new_places: Vec::new(),
         }
     }
@@ -311,15 +162,11 @@
         }
     }
 
-    /// Gives interactive streams more servers where theirs fill up, and fewer where they idle.
+    /// Divides the servers anew by how full those of the interactive streams are.
     fn adapt_shares(&mut self, now: Instant) {
-        if self
-            .adapted_at
-            .is_some_and(|at| now.saturating_duration_since(at) < ADAPT_PAUSE)
-        {
+        if !self.shares.is_due(now) {
             return;
         }
-        self.adapted_at = Some(now);
         let pools: BTreeSet<PoolId> = self
             .servers
             .values()
@@ -327,12 +174,7 @@
             .collect();
         for pool in pools {
             let use_of_slots = self.interactive_use(&pool);
-            let share = self.shares.entry(pool).or_insert(USUAL_SHARE);
-            if use_of_slots > BUSY_SLOTS {
-                *share = (*share + SHARE_STEP).min(SHARE_BOUNDS.1);
-            } else if use_of_slots < IDLE_SLOTS {
-                *share = (*share - SHARE_STEP).max(SHARE_BOUNDS.0);
-            }
+            self.shares.adapt(&pool, use_of_slots);
         }
     }
 
@@ -416,7 +258,7 @@
             .servers
             .values()
             .filter(|load| load.entry.pool == *pool && load.entry.state == ServerState::Ready);
-        let share = self.shares.get(pool).copied().unwrap_or(USUAL_SHARE);
+        let share = self.shares.share(pool);
         ServerGroups::new(of_pool.map(|load| load.entry.id.clone()), share)
     }
 
@@ -541,259 +383,3 @@
             .count()
     }
 }
-
-/// What is predicted of one server.
-struct CostPrediction {
-    cost: f64,
-    queue: f64,
-    wait: f64,
-    unread: u64,
-}
-
-impl ServerLoad {
-    fn new(entry: ServerEntry, now: Instant) -> Self {
-        Self {
-            entry,
-            own: ServerWork::default(),
-            peers: ServerWork::default(),
-            breaker: CircuitBreaker::new(),
-            failures: 0.0,
-            failures_at: now,
-            rests_until: None,
-            tokens_per_second: DEFAULT_TOKENS_PER_SECOND,
-            parts: HashMap::new(),
-            part_order: VecDeque::new(),
-        }
-    }
-
-    fn is_sound(&self, now: Instant) -> bool {
-        self.breaker.allows(now) && self.rests_until.is_none_or(|until| now >= until)
-    }
-
-    fn predict(
-        &self,
-        request: &PlacementRequest<'_>,
-        home: HomeRank,
-        data_centre: &DataCentreId,
-        now: Instant,
-    ) -> CostPrediction {
-        let mut cost = self.failure_share(now) * FAILURE_SECONDS;
-        if self.entry.data_centre != *data_centre {
-            cost += DISTANCE_SECONDS;
-        }
-        let in_flight = self.own.in_flight + self.peers.in_flight;
-        let Some(prompt) = request.prompt else {
-            let slots = f64::from(self.entry.slots.max(1));
-            let wait = f64::from(in_flight) / slots * DEFAULT_SERVICE_SECONDS;
-            return CostPrediction {
-                cost: cost + wait,
-                queue: wait,
-                wait,
-                unread: 0,
-            };
-        };
-        let urgency = usize::from(request.urgency).min(URGENCIES - 1);
-        let ahead: u64 = self.own.unread[..=urgency]
-            .iter()
-            .chain(&self.peers.unread[..=urgency])
-            .sum();
-        let uncached = self.uncached(prompt, now);
-        let own_tokens = prompt.parts.last().map_or(0, |part| u64::from(part.tokens));
-        let unread = uncached + own_tokens;
-        let queue = ahead as f64 / self.tokens_per_second + slot_wait(in_flight, self.entry.slots);
-        let wait = queue + unread as f64 / self.tokens_per_second;
-        let weight = match home {
-            HomeRank::First => 0.0,
-            HomeRank::Second => SECOND_HOME_WEIGHT,
-            HomeRank::Other => STRAY_WEIGHT,
-        };
-        let reread = uncached as f64 * weight / self.tokens_per_second;
-        cost += wait + reread + f64::from(in_flight) * STEP_COST;
-        if request.class == StreamClass::Interactive {
-            let behind = self.unread_total().saturating_sub(ahead);
-            cost += behind as f64 / self.tokens_per_second * PAUSE_WEIGHT;
-        }
-        CostPrediction {
-            cost,
-            queue,
-            wait,
-            unread,
-        }
-    }
-
-    fn unread_total(&self) -> u64 {
-        let own: u64 = self.own.unread.iter().sum();
-        let peers: u64 = self.peers.unread.iter().sum();
-        own + peers
-    }
-
-    /// Shared tokens that the server is not believed to keep.
-    fn uncached(&self, prompt: &PromptShape, now: Instant) -> u64 {
-        let shared = prompt.shared();
-        let kept = shared
-            .iter()
-            .take_while(|part| {
-                part.tokens < SMALL_PART
-                    || self
-                        .parts
-                        .get(&part.id)
-                        .is_some_and(|used| now.saturating_duration_since(*used) < PART_LIFETIME)
-            })
-            .count();
-        shared[kept..]
-            .iter()
-            .map(|part| u64::from(part.tokens))
-            .sum()
-    }
-
-    /// The server reads a part, or has it; whether that is new here.
-    fn note_part(&mut self, id: u64, now: Instant) -> bool {
-        let is_new = self.parts.insert(id, now).is_none();
-        if is_new {
-            self.part_order.push_back(id);
-        }
-        while self.part_order.len() > PARTS_MOST {
-            if let Some(oldest) = self.part_order.pop_front() {
-                self.parts.remove(&oldest);
-            }
-        }
-        is_new
-    }
-
-    fn note_speed(&mut self, seen: f64) {
-        let (least, most) = SPEED_BOUNDS;
-        let seen = seen.clamp(
-            DEFAULT_TOKENS_PER_SECOND * least,
-            DEFAULT_TOKENS_PER_SECOND * most,
-        );
-        self.tokens_per_second += SPEED_WEIGHT * (seen - self.tokens_per_second);
-    }
-
-    fn failure_share(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.failures_at);
-        self.failures * (-age.as_secs_f64() / FAILURE_MEMORY.as_secs_f64()).exp()
-    }
-
-    fn note_end(&mut self, end: WorkEnd, now: Instant) {
-        let failed = match end {
-            WorkEnd::Answered => {
-                self.breaker.record_success();
-                0.0
-            }
-            WorkEnd::Failed => 1.0,
-            WorkEnd::Refused | WorkEnd::Unreachable => {
-                self.breaker.record_failure(now);
-                self.rests_until = Some(now + UNREACHABLE_PAUSE);
-                1.0
-            }
-            WorkEnd::Full => {
-                self.rests_until = Some(now + FULL_PAUSE);
-                return;
-            }
-            WorkEnd::Unjudged => return,
-        };
-        let share = self.failure_share(now);
-        self.failures = share + FAILURE_WEIGHT * (failed - share);
-        self.failures_at = now;
-    }
-}
-
-/// Seconds that a request is expected to wait for a slot.
-fn slot_wait(in_flight: u32, slots: u32) -> f64 {
-    let slots = f64::from(slots.max(1));
-    let over = f64::from(in_flight) - slots * SLOTS_FULL;
-    over.max(0.0) / slots * SLOT_SECONDS
-}
-
-/// Servers among which a request is placed that no server is better for.
-const SAMPLE_SIZE: usize = 3;
-/// Share of a pool's servers that interactive streams have for themselves at first.
-const USUAL_SHARE: f64 = 0.25;
-/// Bounds of that share.
-const SHARE_BOUNDS: (f64, f64) = (0.15, 0.5);
-/// Step by which it changes.
-const SHARE_STEP: f64 = 0.04;
-/// Time between two changes: a stream lives for a few seconds, and load is known with a lag.
-const ADAPT_PAUSE: Duration = Duration::from_millis(500);
-/// Share of the interactive servers' slots that are taken, above which they get more company: a
-/// batch that is fuller draws the pauses of all its streams out.
-const BUSY_SLOTS: f64 = 0.3;
-/// The share of slots below which a server is given back.
-const IDLE_SLOTS: f64 = 0.12;
-/// Seconds that an interactive server costs a batch stream: it goes there only rather than fail.
-const BATCH_STRAY_SECONDS: f64 = 8.0;
-/// Seconds that a batch server costs an interactive stream: in a burst of them idle servers help.
-const INTERACTIVE_STRAY_SECONDS: f64 = 0.15;
-
-/// A pool's servers, divided between interactive and batch streams. All nodes divide alike.
-struct ServerGroups {
-    interactive: BTreeSet<ServerId>,
-}
-
-impl ServerGroups {
-    fn new(servers: impl Iterator<Item = ServerId>, share: f64) -> Self {
-        let mut servers: Vec<(u64, ServerId)> =
-            servers.map(|id| (xxh3_64(id.as_bytes()), id)).collect();
-        servers.sort();
-        let count = (servers.len() as f64 * share).ceil() as usize;
-        servers.truncate(count);
-        Self {
-            interactive: servers.into_iter().map(|(_, id)| id).collect(),
-        }
-    }
-
-    fn class(&self, id: &ServerId) -> StreamClass {
-        if self.interactive.contains(id) {
-            StreamClass::Interactive
-        } else {
-            StreamClass::Batch
-        }
-    }
-
-    fn members(&self, class: StreamClass, candidates: &[ServerId]) -> Vec<ServerId> {
-        let members = candidates.iter().filter(|id| self.class(id) == class);
-        members.cloned().collect()
-    }
-}
-
-/// Whether a server is one of the few that keep a prompt's shared parts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum HomeRank {
-    First,
-    Second,
-    Other,
-}
-
-/// The homes of a prompt's shared parts among the servers, agreed on by rendezvous hashing.
-struct HomeRanks {
-    first: Option<ServerId>,
-    second: Option<ServerId>,
-}
-
-impl HomeRanks {
-    /// The first home is of the request's own group; the second one may be any other server.
-    fn new(prompt: Option<&PromptShape>, group: &[ServerId], all: &[ServerId]) -> Self {
-        let mut ranks = Self {
-            first: None,
-            second: None,
-        };
-        let Some(affinity) = prompt.and_then(PromptShape::affinity) else {
-            return ranks;
-        };
-        let weight = |id: &ServerId| xxh3_64_with_seed(id.as_bytes(), affinity);
-        ranks.first = group.iter().max_by_key(|id| weight(id)).cloned();
-        let others = all.iter().filter(|id| Some(*id) != ranks.first.as_ref());
-        ranks.second = others.max_by_key(|id| weight(id)).cloned();
-        ranks
-    }
-
-    fn rank(&self, id: &ServerId) -> HomeRank {
-        if self.first.as_ref() == Some(id) {
-            HomeRank::First
-        } else if self.second.as_ref() == Some(id) {
-            HomeRank::Second
-        } else {
-            HomeRank::Other
-        }
-    }
-}
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -12,7 +12,13 @@
 pub mod exchange;
 pub mod freshness;
 pub mod load;
+pub mod prompt;
 pub mod servers;
+pub mod work;
+
+mod groups;
+mod homes;
+mod server_load;
 
 pub use admission::{AdmissionPolicy, AdmissionVerdict, QueuePrediction};
 pub use budget::WindowBudget;
@@ -23,5 +29,7 @@
 pub use events::EventSplitter;
 pub use exchange::{LoadExchange, NodeEntry, PartPlace};
 pub use freshness::FreshnessLease;
-pub use load::{LoadTable, PlacementOptions, PlacementPolicy, PromptShape, ServerPick};
+pub use load::{LoadTable, PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
+pub use prompt::{PromptPart, PromptShape};
 pub use servers::{ServerEntry, ServerState, ServerTable};
+pub use work::{ServerWork, WorkEnd, WorkTicket};
--- /dev/null
+++ b/crates/plumgate/src/gateway/server_load.rs
@@ -0,0 +1,247 @@
+//! What one node knows of one backend server, and what it predicts of it.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use super::config::StreamClass;
+use super::homes::HomeRank;
+use super::load::PlacementRequest;
+use super::prompt::{PromptShape, SMALL_PART};
+use super::servers::ServerEntry;
+use super::work::{ServerWork, URGENCIES, WorkEnd};
+use crate::ids::DataCentreId;
+use crate::retry::CircuitBreaker;
+
+/// Prompt tokens that an engine reads in a second while it generates for others too, before its
+/// own speed was seen: three quarters of what it reads when it does nothing else.
+const DEFAULT_TOKENS_PER_SECOND: f64 = 42_000.0;
+/// Time that a request spends at an engine for each one that already runs there: the step of a
+/// batch grows with its members.
+const STEP_COST: f64 = 0.000_3;
+/// Seconds that a plain request spends at a server, before any was seen.
+const DEFAULT_SERVICE_SECONDS: f64 = 0.03;
+/// How much dearer than its reading time a shared token is that a second home reads again: it
+/// takes the engine's time from everybody else's prompts too.
+const SECOND_HOME_WEIGHT: f64 = 2.0;
+/// The same for any other server. All nodes have to go on to the same second home: if each found
+/// another server for a prompt, the fleet would read it many times just when it is busiest.
+const STRAY_WEIGHT: f64 = 25.0;
+/// Seconds that a server in another data centre costs, from the round trip between two of them.
+const DISTANCE_SECONDS: f64 = 0.002;
+/// Seconds that a share of failures of one costs: about the time that a second try takes.
+const FAILURE_SECONDS: f64 = 2.0;
+/// Weight of the newest outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Time in which what was seen of failures loses its weight.
+const FAILURE_MEMORY: Duration = Duration::from_secs(4);
+/// Share of a server's other unread prompts that counts against it for an interactive stream:
+/// those behind it are read between its tokens and draw its pauses out.
+const PAUSE_WEIGHT: f64 = 0.5;
+/// Share of a server's slots from which on a request is expected to wait for one.
+const SLOTS_FULL: f64 = 0.9;
+/// Seconds that a request waits for a slot where as many others wait as there are slots: about
+/// the time that a stream holds one.
+const SLOT_SECONDS: f64 = 2.0;
+/// Prompt parts that are remembered for one server.
+const PARTS_MOST: usize = 512;
+/// How long a server is believed to keep a part after its last use.
+const PART_LIFETIME: Duration = Duration::from_secs(30);
+
+/// How long a server that said that it is full gets no more from this node.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// How long a server that could not be reached gets no more from this node. The next requests
+/// would each lose the time of a connection that does not come about.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(400);
+/// Weight of one observation of an engine's reading speed.
+const SPEED_WEIGHT: f64 = 0.1;
+/// Bounds within which an observed reading speed is believed, as shares of the default.
+const SPEED_BOUNDS: (f64, f64) = (0.1, 1.5);
+/// What one node knows of one server.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerLoad {
+    /// The server.
+    pub(crate) entry: ServerEntry,
+    /// What this node has in flight there.
+    pub(crate) own: ServerWork,
+    /// What the other nodes have in flight there.
+    pub(crate) peers: ServerWork,
+    breaker: CircuitBreaker,
+    failures: f64,
+    failures_at: Instant,
+    rests_until: Option<Instant>,
+    tokens_per_second: f64,
+    parts: HashMap<u64, Instant>,
+    part_order: VecDeque<u64>,
+}
+
+/// What is predicted of one server.
+pub(crate) struct CostPrediction {
+    /// Seconds by which servers are compared.
+    pub(crate) cost: f64,
+    /// Seconds until it turns to the request.
+    pub(crate) queue: f64,
+    /// Seconds until it begins to answer.
+    pub(crate) wait: f64,
+    /// Prompt tokens that it has to read.
+    pub(crate) unread: u64,
+}
+
+impl ServerLoad {
+    /// A server that nothing is known of yet.
+    pub(crate) fn new(entry: ServerEntry, now: Instant) -> Self {
+        Self {
+            entry,
+            own: ServerWork::default(),
+            peers: ServerWork::default(),
+            breaker: CircuitBreaker::new(),
+            failures: 0.0,
+            failures_at: now,
+            rests_until: None,
+            tokens_per_second: DEFAULT_TOKENS_PER_SECOND,
+            parts: HashMap::new(),
+            part_order: VecDeque::new(),
+        }
+    }
+
+    /// Whether new work may go there.
+    pub(crate) fn is_sound(&self, now: Instant) -> bool {
+        self.breaker.allows(now) && self.rests_until.is_none_or(|until| now >= until)
+    }
+
+    /// What the server would mean to a request.
+    pub(crate) fn predict(
+        &self,
+        request: &PlacementRequest<'_>,
+        home: HomeRank,
+        data_centre: &DataCentreId,
+        now: Instant,
+    ) -> CostPrediction {
+        let mut cost = self.failure_share(now) * FAILURE_SECONDS;
+        if self.entry.data_centre != *data_centre {
+            cost += DISTANCE_SECONDS;
+        }
+        let in_flight = self.own.in_flight + self.peers.in_flight;
+        let Some(prompt) = request.prompt else {
+            let slots = f64::from(self.entry.slots.max(1));
+            let wait = f64::from(in_flight) / slots * DEFAULT_SERVICE_SECONDS;
+            return CostPrediction {
+                cost: cost + wait,
+                queue: wait,
+                wait,
+                unread: 0,
+            };
+        };
+        let urgency = usize::from(request.urgency).min(URGENCIES - 1);
+        let ahead: u64 = self.own.unread[..=urgency]
+            .iter()
+            .chain(&self.peers.unread[..=urgency])
+            .sum();
+        let uncached = self.uncached(prompt, now);
+        let own_tokens = prompt.parts.last().map_or(0, |part| u64::from(part.tokens));
+        let unread = uncached + own_tokens;
+        let queue = ahead as f64 / self.tokens_per_second + slot_wait(in_flight, self.entry.slots);
+        let wait = queue + unread as f64 / self.tokens_per_second;
+        let weight = match home {
+            HomeRank::First => 0.0,
+            HomeRank::Second => SECOND_HOME_WEIGHT,
+            HomeRank::Other => STRAY_WEIGHT,
+        };
+        let reread = uncached as f64 * weight / self.tokens_per_second;
+        cost += wait + reread + f64::from(in_flight) * STEP_COST;
+        if request.class == StreamClass::Interactive {
+            let behind = self.unread_total().saturating_sub(ahead);
+            cost += behind as f64 / self.tokens_per_second * PAUSE_WEIGHT;
+        }
+        CostPrediction {
+            cost,
+            queue,
+            wait,
+            unread,
+        }
+    }
+
+    fn unread_total(&self) -> u64 {
+        let own: u64 = self.own.unread.iter().sum();
+        let peers: u64 = self.peers.unread.iter().sum();
+        own + peers
+    }
+
+    /// Shared tokens that the server is not believed to keep.
+    fn uncached(&self, prompt: &PromptShape, now: Instant) -> u64 {
+        let shared = prompt.shared();
+        let kept = shared
+            .iter()
+            .take_while(|part| {
+                part.tokens < SMALL_PART
+                    || self
+                        .parts
+                        .get(&part.id)
+                        .is_some_and(|used| now.saturating_duration_since(*used) < PART_LIFETIME)
+            })
+            .count();
+        shared[kept..]
+            .iter()
+            .map(|part| u64::from(part.tokens))
+            .sum()
+    }
+
+    /// The server reads a part, or has it; whether that is new here.
+    pub(crate) fn note_part(&mut self, id: u64, now: Instant) -> bool {
+        let is_new = self.parts.insert(id, now).is_none();
+        if is_new {
+            self.part_order.push_back(id);
+        }
+        while self.part_order.len() > PARTS_MOST {
+            if let Some(oldest) = self.part_order.pop_front() {
+                self.parts.remove(&oldest);
+            }
+        }
+        is_new
+    }
+
+    /// A prompt was read at a speed, in tokens a second.
+    pub(crate) fn note_speed(&mut self, seen: f64) {
+        let (least, most) = SPEED_BOUNDS;
+        let seen = seen.clamp(
+            DEFAULT_TOKENS_PER_SECOND * least,
+            DEFAULT_TOKENS_PER_SECOND * most,
+        );
+        self.tokens_per_second += SPEED_WEIGHT * (seen - self.tokens_per_second);
+    }
+
+    fn failure_share(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.failures_at);
+        self.failures * (-age.as_secs_f64() / FAILURE_MEMORY.as_secs_f64()).exp()
+    }
+
+    /// A request ended there.
+    pub(crate) fn note_end(&mut self, end: WorkEnd, now: Instant) {
+        let failed = match end {
+            WorkEnd::Answered => {
+                self.breaker.record_success();
+                0.0
+            }
+            WorkEnd::Failed => 1.0,
+            WorkEnd::Refused | WorkEnd::Unreachable => {
+                self.breaker.record_failure(now);
+                self.rests_until = Some(now + UNREACHABLE_PAUSE);
+                1.0
+            }
+            WorkEnd::Full => {
+                self.rests_until = Some(now + FULL_PAUSE);
+                return;
+            }
+            WorkEnd::Unjudged => return,
+        };
+        let share = self.failure_share(now);
+        self.failures = share + FAILURE_WEIGHT * (failed - share);
+        self.failures_at = now;
+    }
+}
+
+/// Seconds that a request is expected to wait for a slot.
+fn slot_wait(in_flight: u32, slots: u32) -> f64 {
+    let slots = f64::from(slots.max(1));
+    let over = f64::from(in_flight) - slots * SLOTS_FULL;
+    over.max(0.0) / slots * SLOT_SECONDS
+}
--- a/crates/plumgate/tests/gateway_exchange.rs
+++ b/crates/plumgate/tests/gateway_exchange.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use plumgate::gateway::load::ServerWork;
+use plumgate::gateway::ServerWork;
 use plumgate::gateway::{LoadExchange, NodeEntry};
 use plumgate::ids::ServerId;
 
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -7,12 +7,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use plumgate::gateway::load::{PlacementRequest, PromptPart, WorkEnd, WorkTicket};
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
     AdmissionPolicy, AdmissionVerdict, LoadExchange, LoadTable, NodeEntry, PlacementOptions,
     PlacementPolicy, PromptShape, QueuePrediction, ServerEntry, ServerState, StreamClass,
 };
+use plumgate::gateway::{PlacementRequest, PromptPart, WorkEnd, WorkTicket};
 use plumgate::ids::ServerId;
 
 use engine::{EngineEvent, EngineRequest, ModelEngine, SLOTS};
