gateway: heads that do not come end their connection at the configured limit

Cause: the library's head timeout counts idle time too, so that it was off, and a caller that sent half a head kept its connection for the idle limit. Change: a connection knows whether it is idle, at a head or answering (a guard in the answer's body); both limits are read anew each time.

--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -2,8 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_io::Async;
@@ -22,6 +21,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::answer::{GatewayBody, StreamPiece, mark_last, own_answer};
+use super::connection::{CallerStream, ConnectionUse, GuardedBody};
 use super::ports::{RequestFacts, WireFormat};
 use super::relay::{RelayRequest, RelayRun};
 use super::shared::{ConnectionGuard, GatewayShared};
@@ -36,9 +36,6 @@
 const HEADERS_MOST: usize = 100;
 /// Smallest bound on a head that the library takes, in bytes.
 const HEAD_FLOOR: usize = 16 * 1024;
-/// How long a connection is kept beyond the limit that callers know, so that a request that
-/// leaves at the limit does not cross the close.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Pause that is asked of a caller while this node's knowledge is old or missing.
 const STALE_PAUSE: Duration = Duration::from_millis(500);
 /// Time for which a request without a word on it is waited for.
@@ -48,7 +45,7 @@
 ///
 /// The listener goes when the balancer has had its time. A request taken later would be cut off
 /// by the end of the process; a connection that is refused sends its caller elsewhere at once.
-pub(crate) async fn accept_callers<C: Clock, W: WireFormat>(
+pub(crate) async fn accept_callers<C: Clock + Unpin, W: WireFormat>(
     shared: Arc<GatewayShared<C, W>>,
     listener: Async<TcpListener>,
 ) {
@@ -125,49 +122,29 @@
     let _ = connection.await;
 }
 
-/// When a caller's connection was last used.
-struct ConnectionUse {
-    active: AtomicU64,
-    last: Mutex<Instant>,
-}
-
-impl ConnectionUse {
-    fn last(&self) -> Instant {
-        *self.last.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn touch(&self, now: Instant) {
-        *self.last.lock().unwrap_or_else(PoisonError::into_inner) = now;
-    }
-}
-
-async fn serve_connection<C: Clock, W: WireFormat>(
+async fn serve_connection<C: Clock + Unpin, W: WireFormat>(
     shared: Arc<GatewayShared<C, W>>,
     stream: Async<TcpStream>,
 ) {
     // Small pieces of a stream must not wait for each other.
     let _ = stream.get_ref().set_nodelay(true);
     let _guard = ConnectionGuard::new(shared.clone());
-    let usage = Arc::new(ConnectionUse {
-        active: AtomicU64::new(0),
-        last: Mutex::new(shared.clock.now()),
-    });
+    let usage = Arc::new(ConnectionUse::new(shared.clock.now()));
     let limits = limits(&shared);
     let service = service_fn(|request| {
         let shared = shared.clone();
         let usage = usage.clone();
         async move {
-            usage.active.fetch_add(1, Ordering::SeqCst);
+            let guard = usage.begin_answer(shared.clock.clone());
             let mut response = serve(&shared, request).await;
-            usage.active.fetch_sub(1, Ordering::SeqCst);
-            usage.touch(shared.clock.now());
             // A node that is leaving takes no further request on a connection, and says so.
             if !shared.life.load().ready {
                 mark_last(&mut response);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
         }
     });
+    let stream = CallerStream::new(stream, usage.clone(), shared.clock.clone());
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(None)
@@ -175,12 +152,14 @@
         .max_headers(HEADERS_MOST)
         .serve_connection(FuturesIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let served = async { Some(connection.as_mut().await) };
-    let closes = async {
-        wait_for_close(&shared, &usage).await;
-        None
+    let served = async {
+        // How a caller's connection ends is the caller's matter.
+        let _ = connection.as_mut().await;
+        CloseReason::Served
     };
-    if future::or(served, closes).await.is_some() {
+    let reason = future::or(served, wait_for_close(&shared, &usage)).await;
+    if reason != CloseReason::Leaving {
+        // Nothing is being answered: the connection may go as it is.
         return;
     }
     // The request in flight is answered whole; then the connection closes.
@@ -188,26 +167,42 @@
     let _ = connection.await;
 }
 
-/// Completes when a connection should end: it is idle for too long, or the node is leaving.
-async fn wait_for_close<C: Clock, W>(shared: &GatewayShared<C, W>, usage: &ConnectionUse) {
+/// Why a connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseReason {
+    /// It has ended by itself.
+    Served,
+    /// It was idle or at a head for too long.
+    Expired,
+    /// The node is leaving.
+    Leaving,
+}
+
+/// Completes when a connection should end: it is idle or at a head for too long, or the node is
+/// leaving.
+async fn wait_for_close<C: Clock, W>(
+    shared: &GatewayShared<C, W>,
+    usage: &ConnectionUse,
+) -> CloseReason {
     loop {
-        let changed = shared.life_changed.listen();
+        let life_changed = shared.life_changed.listen();
+        let used = usage.listen();
         if shared.life.load().closing {
-            return;
+            return CloseReason::Leaving;
         }
-        // The limit is read anew each time: it may change while a connection is open.
-        let limit = limits(shared).idle_timeout + IDLE_MARGIN;
+        // The limits are read anew each time: they may change while a connection is open.
         let now = shared.clock.now();
-        let is_active = usage.active.load(Ordering::SeqCst) > 0;
-        let ends_at = if is_active {
-            now + limit
-        } else {
-            usage.last() + limit
-        };
-        if !is_active && now >= ends_at {
-            return;
+        let ends_at = usage.ends_at(limits(shared));
+        if ends_at.is_some_and(|at| now >= at) {
+            return CloseReason::Expired;
+        }
+        let changed = future::or(life_changed, used);
+        match ends_at {
+            Some(at) => {
+                let _ = until(&shared.clock, at, changed).await;
+            }
+            None => changed.await,
         }
-        let _ = until(&shared.clock, ends_at, changed).await;
     }
 }
 
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod attempt;
 mod caller;
+mod connection;
 mod control;
 mod exchange;
 mod life;
--- a/crates/plumgate-node/src/gateway/node.rs
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -56,7 +56,7 @@
 
 impl GatewayNode {
     /// Binds all addresses and starts the threads.
-    pub fn start<C: Clock, W: WireFormat, S: FleetSource + Send>(
+    pub fn start<C: Clock + Unpin, W: WireFormat, S: FleetSource + Send>(
         options: GatewayOptions,
         clock: C,
         log: EventLog,
--- a/crates/plumgate/src/gateway/load.rs
+++ b/crates/plumgate/src/gateway/load.rs
@@ -374,12 +374,4 @@
     pub fn cut_centres(&self) -> Vec<DataCentreId> {
         self.centres.cut()
     }
-
-    /// Servers of a pool that take work.
-    pub fn ready_count(&self, pool: &PoolId) -> usize {
-        self.servers
-            .values()
-            .filter(|load| load.entry.pool == *pool && load.entry.state == ServerState::Ready)
-            .count()
-    }
 }
