--- a/crates/plumgate/src/gateway/freshness.rs
+++ b/crates/plumgate/src/gateway/freshness.rs
@@ -7,9 +7,9 @@
 const SAFE_SHARE: f64 = 0.88;
 /// Share of the allowed age after which a key or route that is not known may be new. A node that
 /// hears from the store knows all within two waits of a watch, which are shorter.
-const DENIAL_SHARE: f64 = 0.5;
+const DENIAL_SHARE: f64 = 0.6;
 /// Share of the allowed age after which the node asks for no new callers.
-const READY_SHARE: f64 = 0.6;
+const READY_SHARE: f64 = 0.66;
 
 /// How old the knowledge of keys may get.
 ///
