gateway: a missing entry is doubted for one second after a failed call, not four

The node had lost the store at some time before 11.5 s; the server left without a word at 12.9 s, was doubted at 13.3 s and used until 15.2 s. Ruled out: the batch of 500 ms, which alone keeps within the bound. Change: entries lapse while the store is away, and the first answers after it show it: doubt only within 1 s of a failed call.

--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -44,9 +44,10 @@
 /// Longest pause after calls without an answer: a fraction of the time within which a change
 /// must be in force.
 const LONGEST_RETRY: Duration = Duration::from_millis(800);
-/// How long after a call without an answer the entries that lapse are doubted.
-const TROUBLE_MEMORY: Duration = Duration::from_secs(4);
-/// How long a server whose entry lapsed in such a time stays in use. A server that lives has
+/// How long after a failed call a missing entry is put down to it: until the next call of each topic
+/// is answered, the longest pause between two and the time of a call.
+const TROUBLE_TAIL: Duration = Duration::from_millis(1_000);
+/// How long a server stays in use whose entry is missing in such a time. A server that lives has
 /// renewed its entry by then.
 const DOUBT: Duration = Duration::from_millis(1_800);
 /// Time between two looks at all that may be due.
@@ -68,6 +69,7 @@
     shared: Arc<GatewayShared<C, W>>,
     servers: RefCell<ServerTable>,
     cut_centres: RefCell<Vec<DataCentreId>>,
+    /// When a call to the source last failed.
     trouble_at: RefCell<Option<Instant>>,
     life: RefCell<GatewayLife>,
 }
@@ -273,6 +275,7 @@
     }
 
     fn apply(&self, topic: SourceTopic, change: SourceChange, is_whole: bool) {
+        let doubt = self.doubt(self.shared.clock.now());
         let mut entries = Vec::new();
         for event in change.events {
             match event {
@@ -283,13 +286,12 @@
                 SourceEvent::Server(entry) => entries.push(entry),
                 SourceEvent::ServerGone(id) => {
                     self.apply_entries(std::mem::take(&mut entries));
-                    self.remove_server(&id);
+                    self.remove_server(&id, doubt);
                 }
             }
         }
         if topic == SourceTopic::Servers && is_whole {
             let now = self.shared.clock.now();
-            let doubt = self.doubt(now);
             let changes = self.servers.borrow_mut().replace(entries, doubt, now);
             self.apply_servers(changes, "read");
         } else {
@@ -305,17 +307,20 @@
         self.apply_servers(changes, "watched");
     }
 
-    fn remove_server(&self, id: &ServerId) {
+    fn remove_server(&self, id: &ServerId, doubt: Option<Duration>) {
         let now = self.shared.clock.now();
-        let doubt = self.doubt(now);
         let change = self.servers.borrow_mut().remove(id, doubt, now);
         self.apply_servers(change.into_iter().collect(), "watched");
     }
 
-    /// How long a lapsed entry is doubted: only shortly after the source was away.
+    /// How long an entry that is missing now is doubted.
+    ///
+    /// Entries lapse while the store is away, and the first answers after it show it. What goes
+    /// later goes for good: doubted too, a server that has left would get work for longer than it
+    /// stays.
     fn doubt(&self, now: Instant) -> Option<Duration> {
         let trouble_at = (*self.trouble_at.borrow())?;
-        (now.saturating_duration_since(trouble_at) < TROUBLE_MEMORY).then_some(DOUBT)
+        (now.saturating_duration_since(trouble_at) < TROUBLE_TAIL).then_some(DOUBT)
     }
 
     fn apply_config(&self, config: Arc<GatewayConfig>, source_version: u64) {
