--- a/crates/plumgate-node/src/gateway/life.rs
+++ b/crates/plumgate-node/src/gateway/life.rs
@@ -7,8 +7,7 @@
 
 use super::shared::GatewayShared;
 use crate::clock::Clock;
-use crate::log::LogLine;
-use crate::shared::LifeView;
+use crate::life::enter_state;
 
 /// How long the balancer goes on sending new connections after readiness was withdrawn: two
 /// checks, a second apart, and the time that one takes.
@@ -77,23 +76,8 @@
     }
 
     fn enter<C: Clock, W>(&mut self, event: &str, shared: &GatewayShared<C, W>) {
-        let applied = self.run.apply(event);
-        debug_assert!(
-            applied.is_ok(),
-            "the chart expects what the node does: {applied:?}"
-        );
-        let state = self.run.state();
-        LogLine::new("node")
-            .with("state", state)
-            .with("after", event)
-            .with("open_requests", shared.open_requests())
-            .info(&shared.log);
         self.since = Some(shared.clock.now());
-        let view = LifeView {
-            state: state.to_owned(),
-            ready: state == "ready",
-            closing: matches!(state, "draining" | "stopped"),
-        };
+        let view = enter_state(&mut self.run, event, shared.open_requests(), &shared.log);
         shared.life.store(Arc::new(view));
         shared.life_changed.notify(usize::MAX);
     }
--- a/crates/plumgate-node/src/life.rs
+++ b/crates/plumgate-node/src/life.rs
@@ -6,7 +6,7 @@
 use plumgate::chart::{ChartRun, StateChart};
 
 use crate::clock::Clock;
-use crate::log::LogLine;
+use crate::log::{EventLog, LogLine};
 use crate::settings::NodeSettings;
 use crate::shared::{LifeView, NodeShared};
 
@@ -63,24 +63,9 @@
     }
 
     fn enter<C: Clock>(&mut self, event: &str, shared: &NodeShared<C>) {
-        let applied = self.run.apply(event);
-        debug_assert!(
-            applied.is_ok(),
-            "the chart expects what the node does: {applied:?}"
-        );
-        let state = self.run.state();
-        LogLine::new("node")
-            .with("state", state)
-            .with("after", event)
-            .with("open_requests", shared.open_requests())
-            .info(&shared.log);
         self.since = Some(shared.clock.now());
-        let closing = matches!(state, "draining" | "stopped");
-        let view = LifeView {
-            state: state.to_owned(),
-            ready: state == "ready",
-            closing,
-        };
+        let view = enter_state(&mut self.run, event, shared.open_requests(), &shared.log);
+        let closing = view.closing;
         shared.life.store(Arc::new(view));
         if closing {
             let actions = shared.dispatcher().stop();
@@ -99,3 +84,28 @@
         self.run.is_ended()
     }
 }
+
+/// Goes on in the chart of a node's life, tells so, and gives back what the others may see of it.
+pub(crate) fn enter_state(
+    run: &mut ChartRun,
+    event: &str,
+    open_requests: u64,
+    log: &EventLog,
+) -> LifeView {
+    let applied = run.apply(event);
+    debug_assert!(
+        applied.is_ok(),
+        "the chart expects what the node does: {applied:?}"
+    );
+    let state = run.state();
+    LogLine::new("node")
+        .with("state", state)
+        .with("after", event)
+        .with("open_requests", open_requests)
+        .info(log);
+    LifeView {
+        state: state.to_owned(),
+        ready: state == "ready",
+        closing: matches!(state, "draining" | "stopped"),
+    }
+}
