node: the request path's plain types stand below what uses them

Cause: callers, caller_sink, relay, exchange and claims imported each other in a circle; no part of the path could be read or replaced by itself. Change: call.rs (what is known of a request and sent), answer.rs (parts of an answer and their sinks) and exchange/order.rs (what an attempt is given, how it ends).

--- a/crates/plumgate-node/src/caller_sink.rs
+++ b/crates/plumgate-node/src/caller_sink.rs
@@ -4,9 +4,9 @@
 use bytes::Bytes;
 use futures_lite::future;
 
+use crate::answer::{AnswerPart, AnswerSink, RelaySink, WholeAnswer};
 use crate::body::{AnswerChunk, AnswerCut};
 use crate::caller_error::CallerError;
-use crate::exchange::{AnswerPart, AnswerSink, WholeAnswer};
 
 /// Pieces of a stream that wait for a slow caller.
 const CHUNKS_WAITING: usize = 64;
@@ -173,3 +173,9 @@
         future::pending().await
     }
 }
+
+impl<F: FnMut() + Send + Sync> RelaySink for CallerSink<F> {
+    fn has_delivered(&self) -> bool {
+        Self::has_delivered(self)
+    }
+}
--- a/crates/plumgate-node/src/callers.rs
+++ b/crates/plumgate-node/src/callers.rs
@@ -19,11 +19,12 @@
 
 use crate::admin::health_response;
 use crate::body::AnswerBody;
+use crate::call::{BackendCall, CallerRequest};
 use crate::caller_error::{CallerError, name_request};
 use crate::caller_sink::CallerAnswer;
 use crate::clock::Clock;
 use crate::http::json_response;
-use crate::relay::{CallerRequest, relay_request};
+use crate::relay::relay_request;
 use crate::shared::NodeShared;
 
 /// Header that names the class of a request.
@@ -37,23 +38,6 @@
 /// Path under which plain services stand.
 const SERVICES_PATH: &str = "/services/";
 
-/// What is sent to a server.
-#[derive(Clone, Debug)]
-pub(crate) struct BackendCall {
-    /// The method.
-    pub(crate) method: Method,
-    /// The path with its query.
-    pub(crate) path: String,
-    /// The body.
-    pub(crate) body: Bytes,
-    /// The type of the body.
-    pub(crate) content_type: Option<HeaderValue>,
-    /// The caller's key, which services may check too.
-    pub(crate) idempotency_key: Option<HeaderValue>,
-    /// Whether the answer comes as a stream of events.
-    pub(crate) stream: bool,
-}
-
 /// The part of a model request that the router reads.
 #[derive(Deserialize)]
 struct ModelRequest<'a> {
--- a/crates/plumgate-node/src/claims.rs
+++ b/crates/plumgate-node/src/claims.rs
@@ -9,8 +9,8 @@
 use plumgate::claim::{ClaimAction, ClaimRow, ClaimRun, ClaimState, RowVersion};
 use serde::{Deserialize, Serialize};
 
+use crate::answer::WholeAnswer;
 use crate::clock::Clock;
-use crate::exchange::WholeAnswer;
 use crate::log::LogLine;
 use crate::platform::{TableRow, WriteAnswer, WriteCondition};
 use crate::shared::NodeShared;
--- a/crates/plumgate-node/src/exchange.rs
+++ b/crates/plumgate-node/src/exchange.rs
@@ -1,28 +1,29 @@
 //! One attempt on a backend server: connect, send, follow the answer, resume it.
 
+mod order;
 mod recover;
 mod request;
 
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
-use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures_lite::{StreamExt, future};
 use http_body_util::{BodyDataStream, BodyExt, Limited};
+use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Response, StatusCode};
+use hyper::header::CONTENT_TYPE;
 use plumgate::attempt::{AttemptEvent, AttemptRun};
-use plumgate::config::{Server, ServerKind};
-use plumgate::ids::TierRank;
+use plumgate::config::ServerKind;
 use serde::Deserialize;
 
-use crate::callers::BackendCall;
+use crate::answer::{AnswerPart, AnswerSink, WholeAnswer};
 use crate::clock::Clock;
 use crate::http::OpenConnection;
 use crate::shared::{NodeShared, Verdict};
 
+pub(crate) use order::{AttemptOrder, AttemptResult};
+
 /// How long a new connection may take to come about.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Times that the same run is resumed over a new connection.
@@ -42,85 +43,6 @@
 /// Header with the number of the last event that was received.
 const LAST_EVENT: &str = "last-event-id";
 
-/// What an attempt gives to the caller as it goes on.
-#[derive(Debug)]
-pub(crate) enum AnswerPart {
-    /// The head of a streamed answer.
-    StreamHead,
-    /// One event of a streamed answer, without its end mark.
-    Event(String),
-    /// A whole answer.
-    Whole(WholeAnswer),
-}
-
-/// A whole answer.
-#[derive(Clone, Debug)]
-pub(crate) struct WholeAnswer {
-    /// The status.
-    pub(crate) status: StatusCode,
-    /// The type of the body.
-    pub(crate) content_type: Option<HeaderValue>,
-    /// The body.
-    pub(crate) body: Bytes,
-}
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum AttemptResult {
-    /// The answer came whole.
-    Answered {
-        /// From sending to the first token.
-        to_first: Duration,
-        /// From sending to the end.
-        to_end: Duration,
-        /// The tokens of the answer.
-        tokens: u32,
-    },
-    /// No connection came about.
-    ConnectFailed,
-    /// The server said that it did not run the request.
-    Refused {
-        /// Whether it says that it is leaving.
-        leaving: bool,
-    },
-    /// The request may have run.
-    InDoubt {
-        /// Whether a new connection failed, which speaks against the server.
-        blames_server: bool,
-    },
-    /// The caller went away.
-    CallerGone,
-    /// The request gives way to one of a higher tier.
-    Preempted,
-}
-
-/// Whoever takes in the parts of an answer; `false` says that the caller went away.
-pub(crate) trait AnswerSink {
-    /// Takes in one part.
-    fn take(&mut self, part: AnswerPart) -> impl Future<Output = bool> + Send;
-
-    /// Completes when the caller goes away.
-    fn gone(&self) -> impl Future<Output = ()> + Send;
-}
-
-/// What is sent and to whom.
-pub(crate) struct AttemptOrder<'a> {
-    /// The server.
-    pub(crate) server: &'a Server,
-    /// The call.
-    pub(crate) call: &'a BackendCall,
-    /// The id of the run, unique to the attempt.
-    pub(crate) run_id: String,
-    /// The rank of the request.
-    pub(crate) rank: TierRank,
-    /// Whether the request may run more than once.
-    pub(crate) idempotent: bool,
-    /// How long the server may be silent.
-    pub(crate) progress_timeout: Duration,
-    /// When the attempt is given up whatever happens.
-    pub(crate) deadline: Instant,
-}
-
 /// One attempt on its way.
 pub(crate) struct ServerAttempt<'a, C> {
     shared: &'a NodeShared<C>,
--- a/crates/plumgate-node/src/lib.rs
+++ b/crates/plumgate-node/src/lib.rs
@@ -17,8 +17,10 @@
 pub mod status;
 
 mod admin;
+mod answer;
 mod backend;
 mod body;
+mod call;
 mod caller_error;
 mod caller_sink;
 mod callers;
--- a/crates/plumgate-node/src/relay.rs
+++ b/crates/plumgate-node/src/relay.rs
@@ -11,16 +11,17 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::{AttemptEvent, AttemptRun};
 use plumgate::config::{Server, ServerKind};
-use plumgate::dispatch::{AttemptEnd, RefusalReason, RequestTicket};
+use plumgate::dispatch::{AttemptEnd, RefusalReason};
 use plumgate::retry::may_run_again;
 use plumgate::route::RouteChoice;
 
+use crate::answer::{RelaySink, WholeAnswer};
+use crate::call::CallerRequest;
 use crate::caller_error::CallerError;
 use crate::caller_sink::{CallerAnswer, CallerSink};
-use crate::callers::BackendCall;
 use crate::claims::{HeldClaim, SettledRun};
 use crate::clock::Clock;
-use crate::exchange::{AnswerSink, AttemptOrder, AttemptResult, ServerAttempt};
+use crate::exchange::{AttemptOrder, AttemptResult, ServerAttempt};
 use crate::log::LogLine;
 use crate::shared::{NodeShared, Verdict};
 
@@ -35,23 +36,6 @@
 /// Longest time that a request may run.
 const LONGEST_RUN: Duration = Duration::from_secs(900);
 
-/// A caller's request, checked.
-#[derive(Clone, Debug)]
-pub(crate) struct CallerRequest {
-    /// What the dispatcher knows of it.
-    pub(crate) ticket: RequestTicket,
-    /// What is sent to a server.
-    pub(crate) call: BackendCall,
-    /// The name that the caller gave it across its own retries.
-    pub(crate) key: Option<String>,
-    /// A digest of the request, since one key must name one request.
-    pub(crate) digest: String,
-    /// How long a claimed key and its answer are kept.
-    pub(crate) key_lifetime: Duration,
-    /// How long a server may be silent.
-    pub(crate) progress_timeout: Duration,
-}
-
 /// What to do after an attempt.
 enum NextStep {
     /// Wait for another server.
@@ -63,7 +47,7 @@
     /// Nobody waits any more.
     Drop,
     /// The answer of another attempt with the same key.
-    Replay(crate::exchange::WholeAnswer),
+    Replay(WholeAnswer),
 }
 
 /// Serves one request; the caller's side listens on the other end of `answers`.
@@ -385,15 +369,3 @@
             .info(&self.shared.log);
     }
 }
-
-/// A sink that knows whether its caller has got anything.
-pub(crate) trait RelaySink: AnswerSink {
-    /// Whether the caller has got bytes of the answer.
-    fn has_delivered(&self) -> bool;
-}
-
-impl<F: FnMut() + Send + Sync> RelaySink for CallerSink<F> {
-    fn has_delivered(&self) -> bool {
-        Self::has_delivered(self)
-    }
-}
--- a/crates/plumgate-node/src/relay/keyed.rs
+++ b/crates/plumgate-node/src/relay/keyed.rs
@@ -9,6 +9,7 @@
 use plumgate::dispatch::AttemptEnd;
 
 use super::{CLAIM_RETRY_AFTER, KEEP_BOUND, LONGEST_RUN, NextStep, RequestRelay};
+use crate::answer::WholeAnswer;
 use crate::caller_error::CallerError;
 use crate::claims::{
     ClaimEnd, HeldClaim, OtherEnd, SettledRun, await_other, claim_key, settle_claim,
@@ -106,7 +107,7 @@
     }
 
     /// Keeps a copy of the answer before its end goes out, but holds it up only for so long.
-    pub(super) async fn keep_answer(&mut self, whole: Option<crate::exchange::WholeAnswer>) {
+    pub(super) async fn keep_answer(&mut self, whole: Option<WholeAnswer>) {
         if self.claim.is_none() {
             return;
         }
