--- a/crates/plumgate/tests/gateway_news.rs
+++ b/crates/plumgate/tests/gateway_news.rs
@@ -80,6 +80,7 @@
     let mut reader = reader(10, ms(900));
     let mut asker = NewsDesk::new(KEY_AGE, 1);
     asker.set_config(3);
+    asker.ask(ms(1_000));
     let stranger = NewsDesk::new(KEY_AGE, 2).ask(ms(1_000));
     let answer = reader.answer(&stranger, ms(1_000));
     let taken = asker.take(answer, true);
