--- a/crates/plumgate/src/gateway/exchange.rs
+++ b/crates/plumgate/src/gateway/exchange.rs
@@ -12,17 +12,15 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
-
-use super::news::{NewsAnswer, NewsDesk, NewsQuestion, NewsTaken};
-use super::work::{ServerWork, URGENCIES};
+use super::messages::{ExchangeBody, ExchangeMessage, PartPlace, ServerKey, WorkEntry, server_key};
+use super::news::{NewsDesk, NewsTaken};
+use super::news_messages::NewsQuestion;
+use super::told::ToldWork;
+use super::work::ServerWork;
 use crate::errors::{Error, Result};
 use crate::ids::{DataCentreId, NodeId, ServerId};
 use crate::membership::rendezvous_weight;
 
-/// How long what somebody told counts: a few rounds, so that a lost message does no harm.
-const LIFETIME: Duration = Duration::from_secs(1);
 /// How long a collector may be silent before the next one is chosen.
 const COLLECTOR_SILENCE: Duration = Duration::from_millis(900);
 /// Servers in one message, so that it fits into one packet of the network.
@@ -31,8 +29,6 @@
 const PLACE_ROUNDS: u32 = 3;
 /// Places in one message.
 const PLACES_MOST: usize = 80;
-/// Tokens that one unit in a message stands for.
-const TOKEN_UNIT: u64 = 64;
 /// Collectors of another data centre that get a sum: a second one where the first just went.
 const FOREIGN_COLLECTORS: usize = 2;
 
@@ -47,63 +43,6 @@
     pub address: SocketAddr,
 }
 
-/// A server in a message: a digest of its id, which is long.
-type ServerKey = u32;
-
-/// The work at one server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct WorkEntry {
-    server: ServerKey,
-    in_flight: u32,
-    /// Unread tokens by urgency, in units; what follows the last that is not zero is left out.
-    unread: Vec<u32>,
-}
-
-/// One message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-enum ExchangeBody {
-    /// What one node has in flight.
-    Own(Vec<WorkEntry>),
-    /// What a data centre has in flight.
-    Centre(Vec<WorkEntry>),
-    /// What the whole fleet has in flight.
-    Total(Vec<WorkEntry>),
-}
-
-/// A prompt part that a server other than its home has read.
-///
-/// Told to all nodes, since it costs the fleet one more reading: as long as only one node knows,
-/// each of the others would have yet another server read it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct PartPlace {
-    /// The part.
-    pub part: u64,
-    /// The digest of the server's id.
-    pub server: u32,
-}
-
-impl PartPlace {
-    /// A part at a server.
-    pub fn new(part: u64, server: &ServerId) -> Self {
-        Self {
-            part,
-            server: server_key(server),
-        }
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct ExchangeMessage {
-    node: String,
-    data_centre: String,
-    body: ExchangeBody,
-    places: Vec<PartPlace>,
-    /// What the sender asks of the store's news.
-    question: Option<NewsQuestion>,
-    /// The answer to the receiver's last question.
-    answer: Option<NewsAnswer>,
-}
-
 /// One moment on both clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct TalkMoment {
@@ -116,9 +55,6 @@
 /// A message and where it goes.
 pub type ExchangePacket = (SocketAddr, Vec<u8>);
 
-/// Work that somebody told, with its time.
-type ToldWork = HashMap<ServerKey, (ServerWork, Instant)>;
-
 /// Another node.
 #[derive(Clone, Debug)]
 struct MemberState {
@@ -155,7 +91,7 @@
             own,
             members: BTreeMap::new(),
             centres: BTreeMap::new(),
-            total: ToldWork::new(),
+            total: ToldWork::default(),
             own_told: HashMap::new(),
             places: HashMap::new(),
             telling: Vec::new(),
@@ -187,7 +123,7 @@
     /// What the other nodes have in flight at a server, as far as they told lately.
     pub fn peer_work(&self, server: &ServerId, now: Instant) -> ServerWork {
         let key = server_key(server);
-        let total = fresh(&self.total, key, now);
+        let total = self.total.fresh(key, now);
         let own = self.own_told.get(&key).copied().unwrap_or_default();
         total.minus(&own)
     }
@@ -276,14 +212,15 @@
             }
         }
         match message.body {
-            ExchangeBody::Own(entries) => tell(&mut member.told, entries, now),
+            ExchangeBody::Own(entries) => member.told.tell(entries, now),
             ExchangeBody::Centre(entries) => {
-                tell(self.centres.entry(data_centre).or_default(), entries, now);
+                let told = self.centres.entry(data_centre).or_default();
+                told.tell(entries, now);
             }
             ExchangeBody::Total(entries) => {
                 if self.collector.as_ref() == Some(&node) {
                     self.collector_heard = Some(now);
-                    tell(&mut self.total, entries, now);
+                    self.total.tell(entries, now);
                 }
             }
         }
@@ -316,7 +253,7 @@
             None => {
                 let state = MemberState {
                     entry: entry.clone(),
-                    told: ToldWork::new(),
+                    told: ToldWork::default(),
                     silent: false,
                     question: None,
                 };
@@ -397,17 +334,16 @@
         let mut sum: HashMap<ServerKey, ServerWork> = self.own_told.clone();
         for member in self.members.values() {
             if member.entry.data_centre == self.own.data_centre {
-                add_fresh(&mut sum, &member.told, now);
+                member.told.add_to(&mut sum, now);
             }
         }
         let mut total = sum.clone();
         for (centre, told) in &self.centres {
             if *centre != self.own.data_centre {
-                add_fresh(&mut total, told, now);
+                told.add_to(&mut total, now);
             }
         }
-        let entries = total.iter().map(|(key, work)| (*key, (*work, now)));
-        self.total = entries.collect();
+        self.total.replace(&total, now);
         let nodes = self.own_centre();
         // A collector that the store turns away lives on what its nodes read by themselves then.
         let asked = question.without_servers();
@@ -455,7 +391,10 @@
         news: &mut NewsDesk,
         question: Option<NewsQuestion>,
     ) -> Vec<ExchangePacket> {
-        let entries: Vec<WorkEntry> = work.iter().map(|(key, work)| entry(*key, work)).collect();
+        let entries: Vec<WorkEntry> = work
+            .iter()
+            .map(|(key, work)| WorkEntry::new(*key, work))
+            .collect();
         let mut chunks: Vec<Vec<WorkEntry>> =
             entries.chunks(ENTRIES_MOST).map(<[_]>::to_vec).collect();
         if chunks.is_empty() {
@@ -487,56 +426,3 @@
         packets
     }
 }
-
-fn server_key(server: &ServerId) -> ServerKey {
-    // The lower half tells a few thousand servers apart.
-    xxh3_64(server.as_bytes()) as ServerKey
-}
-
-fn entry(server: ServerKey, work: &ServerWork) -> WorkEntry {
-    let units = work.unread.iter().map(|tokens| tokens.div_ceil(TOKEN_UNIT));
-    let mut unread: Vec<u32> = units
-        .map(|units| u32::try_from(units).unwrap_or(u32::MAX))
-        .collect();
-    while unread.last() == Some(&0) {
-        unread.pop();
-    }
-    WorkEntry {
-        server,
-        in_flight: work.in_flight,
-        unread,
-    }
-}
-
-fn tell(told: &mut ToldWork, entries: Vec<WorkEntry>, now: Instant) {
-    told.retain(|_, (_, at)| now.saturating_duration_since(*at) < LIFETIME);
-    for entry in entries {
-        let mut work = ServerWork {
-            in_flight: entry.in_flight,
-            ..ServerWork::default()
-        };
-        for (tokens, units) in work
-            .unread
-            .iter_mut()
-            .zip(entry.unread.iter().take(URGENCIES))
-        {
-            *tokens = u64::from(*units) * TOKEN_UNIT;
-        }
-        told.insert(entry.server, (work, now));
-    }
-}
-
-fn fresh(told: &ToldWork, key: ServerKey, now: Instant) -> ServerWork {
-    match told.get(&key) {
-        Some((work, at)) if now.saturating_duration_since(*at) < LIFETIME => *work,
-        _ => ServerWork::default(),
-    }
-}
-
-fn add_fresh(sum: &mut HashMap<ServerKey, ServerWork>, told: &ToldWork, now: Instant) {
-    for key in told.keys() {
-        let work = fresh(told, *key, now);
-        let held = sum.entry(*key).or_default();
-        *held = held.plus(&work);
-    }
-}
--- a/crates/plumgate/src/gateway/load.rs
+++ b/crates/plumgate/src/gateway/load.rs
@@ -6,9 +6,10 @@
 
 use super::centres::CentreTable;
 use super::config::StreamClass;
-use super::exchange::{LoadExchange, PartPlace};
+use super::exchange::LoadExchange;
 use super::groups::{GroupShares, ServerGroups};
 use super::homes::HomeRanks;
+use super::messages::PartPlace;
 use super::prompt::{PromptShape, SMALL_PART};
 use super::server_load::{CostPrediction, ServerLoad};
 use super::servers::{ServerChange, ServerEntry, ServerState};
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -19,7 +19,11 @@
 
 mod groups;
 mod homes;
+mod messages;
+mod news_log;
+mod news_messages;
 mod server_load;
+mod told;
 
 pub use admission::{AdmissionPolicy, AdmissionVerdict, QueuePrediction};
 pub use budget::WindowBudget;
@@ -28,10 +32,12 @@
     WorkspaceKeys,
 };
 pub use events::EventSplitter;
-pub use exchange::{LoadExchange, NodeEntry, PartPlace, TalkMoment};
+pub use exchange::{LoadExchange, NodeEntry, TalkMoment};
 pub use freshness::FreshnessLease;
 pub use load::{LoadTable, PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
-pub use news::{NewsDesk, NewsTaken, ServerNews, SourceTopic};
+pub use messages::PartPlace;
+pub use news::{NewsDesk, NewsTaken, SourceTopic};
+pub use news_messages::{NewsAnswer, NewsQuestion, ServerNews};
 pub use prompt::{PromptPart, PromptShape};
 pub use servers::{ServerEntry, ServerState, ServerTable};
 pub use work::{ServerWork, WorkEnd, WorkTicket};
--- a/crates/plumgate/src/gateway/news.rs
+++ b/crates/plumgate/src/gateway/news.rs
@@ -13,18 +13,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
-use super::servers::ServerEntry;
-use crate::ids::{ConfigVersion, ServerId};
+use super::news_log::{NewsLog, ServersPlace};
+use super::news_messages::{ConfigNews, NewsAnswer, NewsQuestion, ServerNews, ServersNews};
+use crate::ids::ConfigVersion;
 
 /// Questions that may still be answered; older ones are no use to the trust in keys.
 const QUESTIONS_MOST: usize = 16;
-/// Server changes that are kept for those who ask. Whoever is further behind reads all anew, which
-/// costs less than as many changes.
-const LOG_MOST: usize = 256;
-/// Server changes in one answer, unless a single batch has more: so it fits into few packets.
-const CHANGES_MOST: usize = 8;
 /// Age of what a collector is told up to which it leaves the store alone, as a share of the longest
 /// age of keys. A reader's news are up to two of its waits old, 0.24 of it, and pass two rounds.
 const COLLECTOR_SHARE: f64 = 0.36;
@@ -34,69 +28,6 @@
 /// How long a node counts as asked: many rounds, so that lost messages do no harm.
 const ASKED_SPAN: Duration = Duration::from_secs(2);
 
-/// A place in the store's history of servers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServersPlace {
-    /// The store's version up to which all changes are known.
-    pub version: u64,
-    /// The epoch of the log by which they are known; none after reading the store.
-    pub epoch: Option<u32>,
-}
-
-/// A change of a server, as it is passed on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ServerNews {
-    /// An entry was written.
-    Entry(ServerEntry),
-    /// An entry is gone.
-    Gone {
-        /// The server.
-        id: ServerId,
-        /// Whether that may be due to an outage of the store.
-        doubted: bool,
-    },
-}
-
-/// What a node asks those that may know more.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NewsQuestion {
-    /// Names the question; random, so that nobody can answer who has not seen it.
-    nonce: u32,
-    /// Where the asker stands with the servers, once it has read them.
-    servers: Option<ServersPlace>,
-}
-
-/// The configuration that is in force.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct ConfigNews {
-    version: ConfigVersion,
-    /// Milliseconds since when that is known to be the newest.
-    age_ms: u32,
-}
-
-/// What is known of the servers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-enum ServersNews {
-    /// What has changed since the asker's place.
-    Changes {
-        /// Milliseconds since when nothing else is known to have changed.
-        age_ms: u32,
-        /// Where the asker stands with these changes.
-        place: ServersPlace,
-        changes: Vec<ServerNews>,
-    },
-    /// The log does not reach back to the asker's place.
-    ReadAnew,
-}
-
-/// What a node answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NewsAnswer {
-    nonce: u32,
-    config: Option<ConfigNews>,
-    servers: Option<ServersNews>,
-}
-
 /// What an answer brings to the asker.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NewsTaken {
@@ -163,19 +94,8 @@
     is_watching: bool,
     /// The log that this node follows.
     followed_epoch: Option<u32>,
-    /// The log that this node keeps.
-    own_epoch: u32,
-    log: VecDeque<(u64, Vec<ServerNews>)>,
-    /// The version from which on the log tells all.
-    log_from: u64,
-}
-
-impl NewsQuestion {
-    /// The same, but for the configuration only.
-    pub(crate) fn without_servers(mut self) -> Self {
-        self.servers = None;
-        self
-    }
+    /// The log that this node keeps for others.
+    log: NewsLog,
 }
 
 impl NewsDesk {
@@ -192,9 +112,7 @@
             servers_version: None,
             is_watching: false,
             followed_epoch: None,
-            own_epoch: 0,
-            log: VecDeque::new(),
-            log_from: 0,
+            log: NewsLog::default(),
         }
     }
 
@@ -222,31 +140,14 @@
     pub fn restart_log(&mut self, version: u64) {
         self.servers_version = Some(version);
         self.followed_epoch = None;
-        self.own_epoch = self.rng.u32(1..);
-        self.log.clear();
-        self.log_from = version;
+        self.log.restart(version, self.rng.u32(1..));
     }
 
     /// The store told of changes of servers up to a version.
     pub fn extend_log(&mut self, version: u64, changes: Vec<ServerNews>) {
         self.servers_version = Some(version);
         self.followed_epoch = None;
-        self.push(version, changes);
-    }
-
-    fn push(&mut self, version: u64, changes: Vec<ServerNews>) {
-        if changes.is_empty() {
-            return;
-        }
-        self.log.push_back((version, changes));
-        let mut kept: usize = self.log.iter().map(|(_, changes)| changes.len()).sum();
-        while kept > LOG_MOST {
-            let Some((version, changes)) = self.log.pop_front() else {
-                return;
-            };
-            kept -= changes.len();
-            self.log_from = version;
-        }
+        self.log.push(version, changes);
     }
 
     /// A watch of the servers begins or ends.
@@ -340,32 +241,14 @@
     }
 
     fn servers_news(&self, place: ServersPlace, age_ms: u32) -> ServersNews {
-        let is_other_log = place.epoch.is_some_and(|epoch| epoch != self.own_epoch);
-        let Some(own_version) = self.servers_version else {
-            return ServersNews::ReadAnew;
-        };
-        if is_other_log || self.own_epoch == 0 || place.version < self.log_from {
-            return ServersNews::ReadAnew;
-        }
-        let mut version = place.version.max(own_version);
-        let mut changes: Vec<ServerNews> = Vec::new();
-        let batches = self.log.iter().filter(|(at, _)| *at > place.version);
-        let mut told = place.version;
-        for (at, batch) in batches {
-            if !changes.is_empty() && changes.len() + batch.len() > CHANGES_MOST {
-                version = told;
-                break;
-            }
-            changes.extend(batch.iter().cloned());
-            told = *at;
-        }
-        ServersNews::Changes {
-            age_ms,
-            place: ServersPlace {
-                version,
-                epoch: Some(self.own_epoch),
+        let newest = self.servers_version;
+        match newest.and_then(|newest| self.log.after(place, newest)) {
+            Some((place, changes)) => ServersNews::Changes {
+                age_ms,
+                place,
+                changes,
             },
-            changes,
+            None => ServersNews::ReadAnew,
         }
     }
 
@@ -424,7 +307,7 @@
                 note_told(&mut self.servers, known_at);
                 self.servers_version = Some(place.version);
                 self.followed_epoch = place.epoch;
-                self.push(place.version, changes.clone());
+                self.log.push(place.version, changes.clone());
                 taken.changes = changes;
             }
         }
--- a/crates/plumgate/tests/gateway_news.rs
+++ b/crates/plumgate/tests/gateway_news.rs
@@ -4,10 +4,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use plumgate::gateway::news::{NewsAnswer, NewsQuestion};
 use plumgate::gateway::{
-    LoadExchange, NewsDesk, NodeEntry, ServerEntry, ServerNews, ServerState, SourceTopic,
-    TalkMoment,
+    LoadExchange, NewsAnswer, NewsDesk, NewsQuestion, NodeEntry, ServerEntry, ServerNews,
+    ServerState, SourceTopic, TalkMoment,
 };
 
 const KEY_AGE: Duration = Duration::from_secs(5);
