gateway: collectors of other data centres that are gone are passed over; waits follow the keys' age

Cause: a collector that was lost for good stays in the register; the other data centres' collectors asked it for ever, so each data centre read the store for itself. And the lone watch of the configuration waited 1.3 s whatever the keys' age: at 2 s of age keys would have been refused half of the time. Ruled out: passing over without a second look: after a cut both sides would try each other's nodes one by one, 0.9 s each (21 nodes in a data centre of the grown site). Change: a collector that does not answer for 0.9 s is passed over, and the usual one still gets the sums; the wait is 0.26 of the keys' age (1.3 s of 5 s, as before). Measured: in the test one reader instead of three (120 -> 40 reads in 40 rounds), red before; all sums known again six rounds after a cut of ten seconds.

--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -24,13 +24,14 @@
 use crate::http::open_stream;
 use crate::log::LogLine;
 
-/// How long one watch of the configuration waits for changes.
+/// How long a watch of the configuration waits for changes where it serves this node alone, as a share
+/// of the longest age of keys: 1.3 s of 5 s.
 ///
 /// Its answer renews the trust in keys, but only as of the moment when it was asked for: what is
 /// known is between one and two waits old. A longer wait saves calls, and ends the trust sooner
 /// after the store was lost: at 1.5 s keys were refused from 1.4 s on, at 1.3 s from 1.8 s, at 1 s
-/// from 2.4 s. Below 1.3 s the calls of 64 nodes cost more than the refusals that they save.
-const CONFIG_PAUSE: Duration = Duration::from_millis(1_300);
+/// from 2.4 s.
+const CONFIG_SHARE: f64 = 0.26;
 /// How long one watch of the servers waits for changes. A connection that lost its way is found at
 /// the end of the wait at the latest, as what lies between may answer the system's probes: until
 /// then the node sends requests to servers that have left. At 8 s it did so for 13 s.
@@ -281,11 +282,12 @@
     /// How long a watch waits for changes: shorter where its answers serve other nodes too.
     fn watch_pause(&self, topic: SourceTopic) -> Duration {
         let now = self.shared.clock.boot_time();
+        let key_age = self.shared.bounds.load().key_age;
         if self.view.news().is_asked(now) {
-            return self.shared.bounds.load().key_age.mul_f64(READER_SHARE);
+            return key_age.mul_f64(READER_SHARE);
         }
         match topic {
-            SourceTopic::Config => CONFIG_PAUSE,
+            SourceTopic::Config => key_age.mul_f64(CONFIG_SHARE),
             SourceTopic::Servers => SERVERS_PAUSE,
         }
     }
--- a/crates/plumgate/src/gateway/exchange.rs
+++ b/crates/plumgate/src/gateway/exchange.rs
@@ -8,7 +8,7 @@
 //! own knowledge alone, 0.73 with the exchange (`tests/gateway_load.rs`).
 
 use std::collections::hash_map::Entry;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -61,6 +61,8 @@
     entry: NodeEntry,
     told: ToldWork,
     silent: bool,
+    /// Since when this node, as a collector, has talked to it as to another one in vain.
+    unanswered_since: Option<Instant>,
     /// Its last question that was not answered yet, and when that came.
     question: Option<(NewsQuestion, Duration)>,
 }
@@ -198,6 +200,7 @@
             return Ok(NewsTaken::default());
         };
         member.silent = false;
+        member.unanswered_since = None;
         if let Some(question) = message.question {
             member.question = Some((question, moment.boot));
         }
@@ -255,6 +258,7 @@
                     entry: entry.clone(),
                     told: ToldWork::default(),
                     silent: false,
+                    unanswered_since: None,
                     question: None,
                 };
                 self.members.insert(entry.node, state);
@@ -305,6 +309,37 @@
         }
     }
 
+    /// Passes over the collectors of other data centres that don't answer, until they are heard
+    /// again. One that is gone for good stays in the register, and would be asked for ever.
+    fn watch_foreign(&mut self, now: Instant) {
+        for centre in self.foreign_centres() {
+            let Some(first) = self.ranked(&centre).into_iter().next() else {
+                // All were passed over, as behind a cut: begin with the first again.
+                let of_centre = self.members.values_mut();
+                let of_centre = of_centre.filter(|member| member.entry.data_centre == centre);
+                of_centre.for_each(|member| member.silent = false);
+                continue;
+            };
+            let Some(member) = self.members.get_mut(&first) else {
+                continue;
+            };
+            let since = *member.unanswered_since.get_or_insert(now);
+            if now.saturating_duration_since(since) > COLLECTOR_SILENCE {
+                member.silent = true;
+                member.unanswered_since = None;
+            }
+        }
+    }
+
+    fn foreign_centres(&self) -> BTreeSet<DataCentreId> {
+        let centres = self
+            .members
+            .values()
+            .map(|member| &member.entry.data_centre);
+        let foreign = centres.filter(|centre| **centre != self.own.data_centre);
+        foreign.cloned().collect()
+    }
+
     /// The collector of this data centre; `None` where this node is it.
     fn choose_collector(&self) -> Option<NodeId> {
         let best = self.ranked(&self.own.data_centre).into_iter().next()?;
@@ -344,11 +379,12 @@
             }
         }
         self.total.replace(&total, now);
+        self.watch_foreign(now);
         let nodes = self.own_centre();
         // A collector that the store turns away lives on what its nodes read by themselves then.
         let asked = question.without_servers();
         let mut packets = self.packets(&total, ExchangeBody::Total, &nodes, news, Some(asked));
-        let collectors = self.foreign_collectors();
+        let collectors: Vec<NodeId> = self.foreign_collectors().into_iter().collect();
         packets.extend(self.packets(
             &sum,
             ExchangeBody::Centre,
@@ -367,19 +403,20 @@
             .collect()
     }
 
-    fn foreign_collectors(&self) -> Vec<NodeId> {
-        let mut centres: Vec<DataCentreId> = self
-            .members
-            .values()
-            .map(|member| member.entry.data_centre.clone())
-            .filter(|centre| *centre != self.own.data_centre)
-            .collect();
-        centres.sort();
-        centres.dedup();
-        let collectors = centres
-            .iter()
-            .flat_map(|centre| self.ranked(centre).into_iter().take(FOREIGN_COLLECTORS));
-        collectors.collect()
+    /// Whom the sums of this data centre go to in the others. The usual collector of each is among them
+    /// even while it is passed over: both sides of a cut pass over each other's, and would otherwise
+    /// have to find them again one by one when it is over.
+    fn foreign_collectors(&self) -> BTreeSet<NodeId> {
+        let mut collectors = BTreeSet::new();
+        for centre in self.foreign_centres() {
+            collectors.extend(self.ranked(&centre).into_iter().take(FOREIGN_COLLECTORS));
+            let of_centre = self.members.values();
+            let of_centre = of_centre.filter(|member| member.entry.data_centre == centre);
+            let nodes = of_centre.map(|member| &member.entry.node);
+            let usual = nodes.max_by_key(|node| rendezvous_weight(&centre, node));
+            collectors.extend(usual.cloned());
+        }
+        collectors
     }
 
     /// The messages of a round to some nodes. Each gets the answer to its own question, once.
--- a/crates/plumgate/tests/gateway_exchange.rs
+++ b/crates/plumgate/tests/gateway_exchange.rs
@@ -15,6 +15,9 @@
     desks: BTreeMap<SocketAddr, NewsDesk>,
     work: BTreeMap<SocketAddr, Vec<(ServerId, ServerWork)>>,
     down: Vec<SocketAddr>,
+    /// Whether the data centres are cut off from each other.
+    is_cut: bool,
+    centres: usize,
     packets: usize,
     now: Instant,
 }
@@ -51,6 +54,8 @@
             nodes,
             work: BTreeMap::new(),
             down: Vec::new(),
+            is_cut: false,
+            centres,
             packets: 0,
             now: Instant::now(),
         }
@@ -85,7 +90,9 @@
                 let packets = node.tick(work.iter().map(|(id, work)| (id, *work)), desk, moment);
                 for (to, bytes) in packets {
                     self.packets += 1;
-                    if !self.down.contains(&to) {
+                    let centre = |address: SocketAddr| usize::from(address.port()) % self.centres;
+                    let is_lost = self.is_cut && centre(from) != centre(to);
+                    if !self.down.contains(&to) && !is_lost {
                         let node = self.nodes.get_mut(&to).expect("a node");
                         let desk = self.desks.entry(to).or_insert_with(|| new_desk(to));
                         node.receive(&bytes, from, desk, moment).expect("a message");
@@ -147,6 +154,24 @@
     }
 }
 
+// Requests pile up at servers that look idle after a cut: each data centre has passed over the
+// collectors of the others meanwhile, and must find them again at once when the cut is over.
+#[test]
+fn data_centres_find_each_other_again_after_a_cut() {
+    let mut bench = TalkBench::new(3, 8);
+    bench.set_work(0, "a", 7, 0);
+    bench.rounds(6);
+    assert_eq!(bench.peers_of(1, "a").in_flight, 7);
+    bench.is_cut = true;
+    bench.rounds(50);
+    assert_eq!(bench.peers_of(1, "a").in_flight, 0);
+    bench.is_cut = false;
+    bench.rounds(6);
+    for index in 1..24 {
+        assert_eq!(bench.peers_of(index, "a").in_flight, 7, "node {index}");
+    }
+}
+
 #[test]
 fn newcomer_is_met_by_talking() {
     let mut bench = TalkBench::new(1, 3);
--- a/crates/plumgate/tests/gateway_news.rs
+++ b/crates/plumgate/tests/gateway_news.rs
@@ -281,6 +281,12 @@
         ages.collect()
     }
 
+    /// Whether a node is of the data centre that reads for all.
+    fn is_first_centre(&self, node: SocketAddr) -> bool {
+        let place = self.nodes.keys().position(|address| *address == node);
+        place.is_some_and(|place| place.is_multiple_of(3))
+    }
+
     fn collectors(&self) -> Vec<SocketAddr> {
         let collecting = self
             .nodes
@@ -326,6 +332,24 @@
     );
 }
 
+// Each data centre reads for itself for ever: the node that read for all is gone for good, stays in the
+// register, and the collectors of the other data centres go on asking it. They must pass it over.
+#[test]
+fn reader_that_is_gone_for_good_is_passed_over() {
+    let mut bench = ReadingBench::new(3, 6);
+    bench.rounds(20);
+    bench.down = bench
+        .collectors()
+        .into_iter()
+        .filter(|address| bench.is_first_centre(*address))
+        .collect();
+    assert_eq!(bench.down.len(), 1);
+    bench.rounds(60);
+    bench.reads = 0;
+    bench.rounds(40);
+    assert_eq!(bench.reads, 40, "one node, once a round");
+}
+
 // The store turns the reading node away and serves the others. What it passes on grows old; they must
 // not wait for it.
 #[test]
