--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -99,7 +99,7 @@
                 }
             }
         }
-        if taken.must_read {
+        if taken.must_ask {
             self.news_missing.notify(usize::MAX);
         }
     }
--- a/crates/plumgate/src/gateway/news.rs
+++ b/crates/plumgate/src/gateway/news.rs
@@ -13,7 +13,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::news_log::{NewsLog, ServersPlace};
+use super::news_log::{LogAnswer, NewsLog, ServersPlace};
 use super::news_messages::{ConfigNews, NewsAnswer, NewsQuestion, ServerNews, ServersNews};
 use crate::ids::ConfigVersion;
 
@@ -35,8 +35,8 @@
     pub config_known_at: Option<Duration>,
     /// Changes of servers, in their order.
     pub changes: Vec<ServerNews>,
-    /// Whether the store has to be read for what the answer could not tell.
-    pub must_read: bool,
+    /// Whether the store has to be asked for what the answer could not tell.
+    pub must_ask: bool,
 }
 
 /// What can be read from the source of a fleet's state.
@@ -231,7 +231,7 @@
         });
         let servers = question.servers.and_then(|place| {
             let age_ms = age(&self.servers)?.saturating_add(1);
-            Some(self.servers_news(place, age_ms))
+            self.servers_news(place, age_ms)
         });
         NewsAnswer {
             nonce: question.nonce,
@@ -240,15 +240,15 @@
         }
     }
 
-    fn servers_news(&self, place: ServersPlace, age_ms: u32) -> ServersNews {
-        let newest = self.servers_version;
-        match newest.and_then(|newest| self.log.after(place, newest)) {
-            Some((place, changes)) => ServersNews::Changes {
+    fn servers_news(&self, place: ServersPlace, age_ms: u32) -> Option<ServersNews> {
+        match self.log.after(place, self.servers_version?) {
+            LogAnswer::Changes(place, changes) => Some(ServersNews::Changes {
                 age_ms,
                 place,
                 changes,
-            },
-            None => ServersNews::ReadAnew,
+            }),
+            LogAnswer::ReadAnew => Some(ServersNews::ReadAnew),
+            LogAnswer::Unknown => Some(ServersNews::Untold),
         }
     }
 
@@ -265,7 +265,7 @@
         if let Some(config) = answer.config {
             if config.version > self.config_version {
                 self.config.must_read = true;
-                taken.must_read = true;
+                taken.must_ask = true;
             } else if let Some(known_at) = asked.known_at(config.age_ms) {
                 if in_charge {
                     note_told(&mut self.config, known_at);
@@ -289,7 +289,10 @@
         match news {
             ServersNews::ReadAnew => {
                 self.servers.must_read = true;
-                taken.must_read = true;
+                taken.must_ask = true;
+            }
+            ServersNews::Untold => {
+                taken.must_ask = self.servers.told_at.take().is_some();
             }
             ServersNews::Changes {
                 age_ms,
--- a/crates/plumgate/src/gateway/news_log.rs
+++ b/crates/plumgate/src/gateway/news_log.rs
@@ -6,11 +6,12 @@
 
 use super::news_messages::ServerNews;
 
-/// Server changes that are kept for those who ask. Whoever is further behind reads all anew, which
-/// costs less than as many changes.
-const LOG_MOST: usize = 256;
-/// Server changes in one answer, unless a single batch has more: so it fits into few packets.
-const CHANGES_MOST: usize = 8;
+/// Server changes that are kept for those who ask: a third of a fleet of 6,500 servers at once. Whoever
+/// is further behind reads the store.
+const LOG_MOST: usize = 2_048;
+/// Server changes in one answer, unless a single batch has more: some 70 bytes each, so that an answer
+/// fits into a few packets and many changes come in a few rounds.
+const CHANGES_MOST: usize = 40;
 
 /// A place in the store's history of servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,6 +22,17 @@
     pub(crate) epoch: Option<u32>,
 }
 
+/// What a log can tell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum LogAnswer {
+    /// What changed, and where that leads.
+    Changes(ServersPlace, Vec<ServerNews>),
+    /// The asker went on from another log, which may have missed something.
+    ReadAnew,
+    /// The log does not reach back so far. The asker's own watch does, for less than reading all.
+    Unknown,
+}
+
 /// Changes of servers by the store's versions.
 #[derive(Debug, Default)]
 pub(crate) struct NewsLog {
@@ -55,16 +67,13 @@
         }
     }
 
-    /// What changed after a place, and where that leads; none where the log can't tell. `newest` is
-    /// the version up to which all is known here.
-    pub(crate) fn after(
-        &self,
-        place: ServersPlace,
-        newest: u64,
-    ) -> Option<(ServersPlace, Vec<ServerNews>)> {
-        let is_other_log = place.epoch.is_some_and(|epoch| epoch != self.epoch);
-        if is_other_log || self.epoch == 0 || place.version < self.from {
-            return None;
+    /// What changed after a place. `newest` is the version up to which all is known here.
+    pub(crate) fn after(&self, place: ServersPlace, newest: u64) -> LogAnswer {
+        if place.epoch.is_some_and(|epoch| epoch != self.epoch) {
+            return LogAnswer::ReadAnew;
+        }
+        if self.epoch == 0 || place.version < self.from {
+            return LogAnswer::Unknown;
         }
         let mut version = place.version.max(newest);
         let mut changes: Vec<ServerNews> = Vec::new();
@@ -84,6 +93,6 @@
             version,
             epoch: Some(self.epoch),
         };
-        Some((reached, changes))
+        LogAnswer::Changes(reached, changes)
     }
 }
--- a/crates/plumgate/src/gateway/news_messages.rs
+++ b/crates/plumgate/src/gateway/news_messages.rs
@@ -48,8 +48,10 @@
         place: ServersPlace,
         changes: Vec<ServerNews>,
     },
-    /// The log does not reach back to the asker's place.
+    /// The asker may have missed something: it has to read all.
     ReadAnew,
+    /// What changed since the asker's place is not known here: its own watch tells.
+    Untold,
 }
 
 /// What a node answers.
