--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -24,6 +24,7 @@
 /// How long a server stays in use whose entry is missing in such a time. A server that lives has
 /// renewed its entry by then.
 const DOUBT: Duration = Duration::from_millis(1_800);
+
 /// What the node believes, kept on the control thread.
 pub(crate) struct FleetView<C, W> {
     shared: Arc<GatewayShared<C, W>>,
@@ -66,7 +67,7 @@
         self.trouble_at.set(Some(self.shared.clock.now()));
     }
 
-    /// Until when the store need not be asked for a topic, as others tell of it.
+    /// How long the store need not be asked for a topic, as others tell of it.
     pub(crate) fn rest(&self, topic: SourceTopic) -> Option<Duration> {
         let until = self.news().rests_until(topic, self.is_collector.get())?;
         let left = until.saturating_sub(self.shared.clock.boot_time());
