gateway: servers that start again under their id; entries that name no server

The table kept what it believed of the life before, requests there waited until their time was over, and a bad entry seen by the watch left the good one before it in use. Ruled out: telling lives apart by sequence: beats of an earlier life may be written late. Change: entries carry the time of birth; a later one is another incarnation, whose load starts from nothing, whose kept connections go and whose requests end at once as in doubt; an earlier one is no news. Digests in the nodes' messages name the incarnation. Entries are read field by field; one that makes no sense takes its server out of use at once, by watch, by reading all and by being told.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -26,6 +26,9 @@
 /// How long after the end of a request's time the server's own word on it is waited for.
 const LAST_WORD: Duration = Duration::from_millis(80);
 
+/// Why a request ended whose server started again.
+pub(crate) const RESTARTED: &str = "server_restarted";
+
 /// A server's answer, with its head.
 pub(crate) struct ServerAnswer<C: Clock, W> {
     /// The head.
@@ -87,13 +90,16 @@
     };
     let request = outgoing(shared, &order);
     let wait_until = order.head_by.min(order.request.due + LAST_WORD);
-    match until(&shared.clock, wait_until, link.exchange(request)).await {
-        Some(Ok(response)) => judge_answer(shared, &order, response, link, work),
-        Some(Err(LinkError::Unsent)) => AttemptEnd::NotRun {
+    let life = work.life();
+    let exchange = life.run(link.exchange(request));
+    match until(&shared.clock, wait_until, exchange).await {
+        Some(None) => AttemptEnd::InDoubt(RESTARTED),
+        Some(Some(Ok(response))) => judge_answer(shared, &order, response, link, work),
+        Some(Some(Err(LinkError::Unsent))) => AttemptEnd::NotRun {
             reason: "closed_before_send",
             arrived: false,
         },
-        Some(Err(LinkError::Broken(_))) => {
+        Some(Some(Err(LinkError::Broken(_)))) => {
             work.judge(WorkEnd::Failed);
             shared.links.clear(&order.server.id);
             AttemptEnd::InDoubt("broken")
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod life;
 mod links;
+mod lives;
 mod metrics;
 mod node;
 mod options;
--- a/crates/plumgate-node/src/gateway/ports.rs
+++ b/crates/plumgate-node/src/gateway/ports.rs
@@ -21,8 +21,9 @@
     BadConfig(FindingList),
     /// A server's entry.
     Server(ServerEntry),
-    /// A server's entry that makes no sense; what was known of the server stays.
-    BadServer(FindingList),
+    /// An entry under a server's id that makes no sense: it names no server to use, and the entry
+    /// before it holds no longer.
+    BadServer(ServerId, FindingList),
     /// A server's entry is gone.
     ServerGone(ServerId),
 }
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -18,7 +18,7 @@
 use plumgate::retry::may_run_again;
 
 use super::answer::{GatewayBody, StreamPiece, own_answer, relayed_head, stream_body, whole_body};
-use super::attempt::{AttemptEnd, AttemptOrder, ServerAnswer, attempt, read_whole};
+use super::attempt::{AttemptEnd, AttemptOrder, RESTARTED, ServerAnswer, attempt, read_whole};
 use super::ports::{AnswerFacts, RequestFacts, WireFormat};
 use super::shared::{GatewayShared, RequestGuard, WorkGuard};
 use super::stream::StreamRelay;
@@ -271,13 +271,15 @@
         answer.work.first_answer();
         let deadline = self.request.due + WHOLE_RESERVE;
         let reading = read_whole(&mut answer.link, &mut answer.body, LARGEST_WHOLE);
-        let body = match until(&self.shared.clock, deadline, reading).await {
-            Some(Ok(body)) => body,
-            Some(Err(reason)) => {
+        let life = answer.work.life();
+        let body = match until(&self.shared.clock, deadline, life.run(reading)).await {
+            None => return NextTry::Fail(self.time_out()),
+            Some(None) => return self.after_doubt(RESTARTED),
+            Some(Some(Ok(body))) => body,
+            Some(Some(Err(reason))) => {
                 answer.work.judge(WorkEnd::Failed);
                 return self.after_doubt(reason);
             }
-            None => return NextTry::Fail(self.time_out()),
         };
         let status = answer.head.status;
         if status.is_server_error() {
@@ -291,7 +293,10 @@
             answer.work.judge(WorkEnd::Answered);
         }
         self.apply(AttemptEvent::Finished);
-        self.keep_link(&answer.facts, answer.link);
+        // A connection to an incarnation that is over leads nowhere.
+        if !life.is_over() {
+            self.keep_link(&answer.facts, answer.link);
+        }
         self.observe_first_byte();
         self.report(RunOutcome::Answered, "server", status);
         NextTry::Done(relayed_head(answer.head, body))
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -11,6 +11,7 @@
 use plumgate::gateway::{WorkEnd, WorkTicket};
 
 use super::links::LinkPool;
+use super::lives::{ServerLife, ServerLives};
 use super::metrics::GatewayMetrics;
 use super::options::{GatewayBounds, GatewayOptions};
 use crate::clock::Clock;
@@ -43,6 +44,8 @@
     pub(crate) life_changed: Event,
     /// Idle connections to servers.
     pub(crate) links: LinkPool,
+    /// The servers' incarnations, whose ends end what runs there.
+    pub(crate) lives: ServerLives,
     /// Runs the tasks of the traffic thread.
     pub(crate) executor: Arc<Executor<'static>>,
     lease: Mutex<FreshnessLease>,
@@ -73,6 +76,7 @@
             bounds: ArcSwap::from_pointee(bounds),
             life_changed: Event::new(),
             links: LinkPool::default(),
+            lives: ServerLives::default(),
             executor: Arc::new(Executor::new()),
             lease: Mutex::new(FreshnessLease::new(bounds.key_age)),
             loads: Mutex::new(LoadTable::new(placement)),
@@ -195,18 +199,27 @@
     shared: Arc<GatewayShared<C, W>>,
     ticket: Option<WorkTicket>,
     end: WorkEnd,
+    /// The incarnation of the server that works on it.
+    life: Arc<ServerLife>,
 }
 
 impl<C: Clock, W> WorkGuard<C, W> {
     /// A request goes to a server.
     pub(crate) fn new(shared: Arc<GatewayShared<C, W>>, ticket: WorkTicket) -> Self {
+        let life = shared.lives.current(ticket.server());
         Self {
             shared,
             ticket: Some(ticket),
             end: WorkEnd::Unjudged,
+            life,
         }
     }
 
+    /// The incarnation of the server that works on the request.
+    pub(crate) fn life(&self) -> Arc<ServerLife> {
+        self.life.clone()
+    }
+
     /// The server began to answer.
     pub(crate) fn first_answer(&mut self) {
         if let Some(ticket) = &mut self.ticket {
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -14,7 +14,7 @@
 use plumgate::gateway::{EventSplitter, RepeatKind};
 
 use super::answer::{StreamPiece, drop_length};
-use super::attempt::{AttemptEnd, AttemptOrder, ServerAnswer, attempt};
+use super::attempt::{AttemptEnd, AttemptOrder, RESTARTED, ServerAnswer, attempt};
 use super::ports::WireFormat;
 use super::relay::RelayRun;
 use super::shared::WorkGuard;
@@ -99,7 +99,12 @@
                 }
                 Waited::End => return self.end(),
                 Waited::Cut(reason) => {
-                    self.work.judge(WorkEnd::Failed);
+                    // Nothing of it is the fault of the server that has the id now.
+                    self.work.judge(if reason == RESTARTED {
+                        WorkEnd::Unjudged
+                    } else {
+                        WorkEnd::Failed
+                    });
                     if !self.resume(reason).await {
                         return self.break_off(reason).await;
                     }
@@ -113,14 +118,16 @@
         let due = self.run.request.due + LAST_WORD;
         let silent_at = self.silent_at();
         let clock = self.run.shared.clock.clone();
-        let frame = until(&clock, due.min(silent_at), self.link.frame(&mut self.body));
-        match frame.await {
-            Some(Some(Ok(frame))) => match frame.into_data() {
+        let life = self.work.life();
+        let frame = life.run(self.link.frame(&mut self.body));
+        match until(&clock, due.min(silent_at), frame).await {
+            Some(None) => Waited::Cut(RESTARTED),
+            Some(Some(Some(Ok(frame)))) => match frame.into_data() {
                 Ok(bytes) => Waited::Bytes(bytes),
                 Err(_) => Waited::Bytes(Bytes::new()),
             },
-            Some(Some(Err(_))) => Waited::Cut("cut"),
-            Some(None) => Waited::End,
+            Some(Some(Some(Err(_)))) => Waited::Cut("cut"),
+            Some(Some(None)) => Waited::End,
             None if clock.now() >= due => Waited::Late,
             None => Waited::Cut("silent"),
         }
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -103,6 +103,7 @@
                     let doubt = self.doubt(now).or(doubted.then_some(DOUBT));
                     self.remove_server(&id, doubt, "told");
                 }
+                ServerNews::Unusable(id) => self.remove_server(&id, None, "told"),
             }
         }
         if taken.must_ask {
@@ -143,8 +144,9 @@
                 SourceEvent::BadConfig(findings) => {
                     self.log_findings(SourceTopic::Config, &findings);
                 }
-                SourceEvent::Server(_) | SourceEvent::BadServer(_) | SourceEvent::ServerGone(_) => {
-                }
+                SourceEvent::Server(_)
+                | SourceEvent::BadServer(..)
+                | SourceEvent::ServerGone(_) => {}
             }
         }
         has_config
@@ -156,24 +158,39 @@
         let mut news = Vec::new();
         for event in change.events {
             match event {
+                SourceEvent::Server(entry) if self.servers.borrow().is_foreign(&entry) => {
+                    LogLine::new("finding")
+                        .with("topic", SourceTopic::Servers.as_str())
+                        .with("server", &entry.id)
+                        .with("finding", "the entry lacks the time of birth that it had")
+                        .warn(&self.shared.log);
+                    news.push(ServerNews::Unusable(entry.id));
+                }
                 SourceEvent::Server(entry) => news.push(ServerNews::Entry(entry)),
                 SourceEvent::ServerGone(id) => news.push(ServerNews::Gone {
                     id,
                     doubted: doubt.is_some(),
                 }),
-                SourceEvent::BadServer(findings) => {
+                SourceEvent::BadServer(id, findings) => {
                     self.log_findings(SourceTopic::Servers, &findings);
+                    news.push(ServerNews::Unusable(id));
                 }
                 SourceEvent::Config(_) | SourceEvent::BadConfig(_) => {}
             }
         }
         if is_whole {
-            let entries = news.into_iter().filter_map(|news| match news {
-                ServerNews::Entry(entry) => Some(entry),
-                ServerNews::Gone { .. } => None,
-            });
-            let entries = entries.collect();
-            let changes = self.servers.borrow_mut().replace(entries, doubt, now);
+            let mut entries = Vec::with_capacity(news.len());
+            let mut unusable = Vec::new();
+            for news in news {
+                match news {
+                    ServerNews::Entry(entry) => entries.push(entry),
+                    ServerNews::Unusable(id) => unusable.push(id),
+                    ServerNews::Gone { .. } => {}
+                }
+            }
+            let mut servers = self.servers.borrow_mut();
+            let changes = servers.replace(entries, &unusable, doubt, now);
+            drop(servers);
             self.publish(&changes, "read");
             self.news().restart_log(change.version);
             return;
@@ -182,6 +199,7 @@
             match news {
                 ServerNews::Entry(entry) => self.put_servers(vec![entry.clone()], "watched"),
                 ServerNews::Gone { id, .. } => self.remove_server(id, doubt, "watched"),
+                ServerNews::Unusable(id) => self.remove_server(id, None, "watched"),
             }
         }
         self.news().extend_log(change.version, news);
@@ -259,8 +277,10 @@
             loads.apply(change, now);
             let line = LogLine::new("server").with("source", source);
             let line = match change {
-                ServerChange::Changed(entry) => line
+                ServerChange::Changed(entry) | ServerChange::Reborn(entry) => line
                     .with("server", &entry.id)
+                    .with_some("born", entry.born)
+                    .with("reborn", matches!(change, ServerChange::Reborn(_)))
                     .with("state", format!("{:?}", entry.state).to_lowercase())
                     .with("pool", &entry.pool)
                     .with("address", entry.address)
@@ -269,8 +289,16 @@
                 ServerChange::Doubted(id) => line.with("server", id).with("state", "doubted"),
             };
             line.info(&self.shared.log);
-            if let ServerChange::Gone(id) = change {
-                self.shared.links.clear(id);
+            match change {
+                ServerChange::Gone(id) => {
+                    self.shared.links.clear(id);
+                    self.shared.lives.forget(id);
+                }
+                ServerChange::Reborn(entry) => {
+                    self.shared.links.clear(&entry.id);
+                    self.shared.lives.end(&entry.id);
+                }
+                ServerChange::Changed(_) | ServerChange::Doubted(_) => {}
             }
         }
         let count = i64::try_from(self.servers.borrow().len()).unwrap_or(i64::MAX);
--- a/crates/plumgate/src/gateway/exchange.rs
+++ b/crates/plumgate/src/gateway/exchange.rs
@@ -15,10 +15,11 @@
 use super::messages::{ExchangeBody, ExchangeMessage, PartPlace, ServerKey, WorkEntry, server_key};
 use super::news::{NewsDesk, NewsTaken};
 use super::news_messages::NewsQuestion;
+use super::servers::ServerEntry;
 use super::told::ToldWork;
 use super::work::ServerWork;
 use crate::errors::{Error, Result};
-use crate::ids::{DataCentreId, NodeId, ServerId};
+use crate::ids::{DataCentreId, NodeId};
 use crate::membership::rendezvous_weight;
 
 /// How long a collector may be silent before the next one is chosen.
@@ -123,7 +124,7 @@
     }
 
     /// What the other nodes have in flight at a server, as far as they told lately.
-    pub fn peer_work(&self, server: &ServerId, now: Instant) -> ServerWork {
+    pub fn peer_work(&self, server: &ServerEntry, now: Instant) -> ServerWork {
         let key = server_key(server);
         let total = self.total.fresh(key, now);
         let own = self.own_told.get(&key).copied().unwrap_or_default();
@@ -145,14 +146,16 @@
     /// One round: what is to be sent, given what this node has in flight.
     pub fn tick<'a>(
         &mut self,
-        work: impl Iterator<Item = (&'a ServerId, ServerWork)>,
+        work: impl Iterator<Item = (&'a ServerEntry, ServerWork)>,
         news: &mut NewsDesk,
         moment: TalkMoment,
     ) -> Vec<ExchangePacket> {
         let now = moment.now;
         let question = news.ask(moment.boot);
         let gone: Vec<ServerKey> = self.own_told.keys().copied().collect();
-        self.own_told = work.map(|(id, work)| (server_key(id), work)).collect();
+        self.own_told = work
+            .map(|(server, work)| (server_key(server), work))
+            .collect();
         self.watch_collector(now);
         self.choose_places();
         let Some(collector) = self.choose_collector() else {
--- a/crates/plumgate/src/gateway/load.rs
+++ b/crates/plumgate/src/gateway/load.rs
@@ -145,6 +145,10 @@
                     self.servers.insert(entry.id.clone(), load);
                 }
             },
+            ServerChange::Reborn(entry) => {
+                let load = ServerLoad::new(entry.clone(), now);
+                self.servers.insert(entry.id.clone(), load);
+            }
             ServerChange::Gone(id) => {
                 self.servers.remove(id);
             }
@@ -157,10 +161,10 @@
         self.adapt_shares(now);
         exchange.tell_places(self.new_places.drain(..));
         let places = exchange.take_places();
-        for (id, load) in &mut self.servers {
-            load.peers = exchange.peer_work(id, now);
+        for load in self.servers.values_mut() {
+            load.peers = exchange.peer_work(&load.entry, now);
             for place in &places {
-                if *place == PartPlace::new(place.part, id) {
+                if *place == PartPlace::new(place.part, &load.entry) {
                     load.note_part(place.part, now);
                 }
             }
@@ -195,11 +199,11 @@
     }
 
     /// What this node has in flight, servers without work left out.
-    pub fn own_work(&self) -> impl Iterator<Item = (&ServerId, ServerWork)> {
+    pub fn own_work(&self) -> impl Iterator<Item = (&ServerEntry, ServerWork)> {
         self.servers
-            .iter()
-            .filter(|(_, load)| load.own != ServerWork::default())
-            .map(|(id, load)| (id, load.own))
+            .values()
+            .filter(|load| load.own != ServerWork::default())
+            .map(|load| (&load.entry, load.own))
     }
 
     /// Chooses the server of a request.
@@ -302,19 +306,19 @@
     ) -> WorkTicket {
         let ticket = WorkTicket {
             server: pick.server.id.clone(),
+            born: pick.server.born,
             urgency: usize::from(request.urgency).min(URGENCIES - 1),
             unread_tokens: pick.unread_tokens,
             started: now,
         };
-        if let Some(load) = self.servers.get_mut(&ticket.server) {
+        if let Some(load) = ticket_load(&mut self.servers, &ticket) {
             load.own.in_flight += 1;
             load.own.unread[ticket.urgency] += ticket.unread_tokens;
             let shared = request.prompt.map_or(&[][..], PromptShape::shared);
             for part in shared.iter().filter(|part| part.tokens >= SMALL_PART) {
                 let is_new = load.note_part(part.id, now);
                 if is_new {
-                    self.new_places
-                        .push(PartPlace::new(part.id, &ticket.server));
+                    self.new_places.push(PartPlace::new(part.id, &load.entry));
                 }
             }
         }
@@ -324,7 +328,7 @@
     /// The server began to answer: it has read the prompt.
     pub fn first_answer(&mut self, ticket: &mut WorkTicket, now: Instant) {
         let tokens = std::mem::take(&mut ticket.unread_tokens);
-        let Some(load) = self.servers.get_mut(&ticket.server) else {
+        let Some(load) = ticket_load(&mut self.servers, ticket) else {
             return;
         };
         let waiting: u64 = load.own.unread.iter().sum();
@@ -338,7 +342,7 @@
 
     /// A request ended.
     pub fn finish(&mut self, ticket: WorkTicket, end: WorkEnd, now: Instant) {
-        let Some(load) = self.servers.get_mut(&ticket.server) else {
+        let Some(load) = ticket_load(&mut self.servers, &ticket) else {
             return;
         };
         load.own.in_flight = load.own.in_flight.saturating_sub(1);
@@ -387,3 +391,12 @@
         self.centres.cut()
     }
 }
+
+/// The server of a ticket, if it is still the incarnation that the request went to.
+fn ticket_load<'a>(
+    servers: &'a mut BTreeMap<ServerId, ServerLoad>,
+    ticket: &WorkTicket,
+) -> Option<&'a mut ServerLoad> {
+    let load = servers.get_mut(&ticket.server)?;
+    (load.entry.born == ticket.born).then_some(load)
+}
--- a/crates/plumgate/src/gateway/messages.rs
+++ b/crates/plumgate/src/gateway/messages.rs
@@ -1,16 +1,17 @@
 //! What the nodes send each other.
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::news_messages::{NewsAnswer, NewsQuestion};
+use super::servers::ServerEntry;
 use super::work::{ServerWork, URGENCIES};
-use crate::ids::ServerId;
 
 /// Tokens that one unit in a message stands for.
 const TOKEN_UNIT: u64 = 64;
 
-/// A server in a message: a digest of its id, which is long.
+/// A server in a message: a digest of its id, which is long, and of its birth. What a node tells of the
+/// incarnation before says nothing of the one that has the id now.
 pub(crate) type ServerKey = u32;
 
 /// The work at one server.
@@ -41,13 +42,13 @@
 pub struct PartPlace {
     /// The part.
     pub part: u64,
-    /// The digest of the server's id.
+    /// The digest of the server's id and birth.
     pub server: u32,
 }
 
 impl PartPlace {
     /// A part at a server.
-    pub fn new(part: u64, server: &ServerId) -> Self {
+    pub fn new(part: u64, server: &ServerEntry) -> Self {
         Self {
             part,
             server: server_key(server),
@@ -68,10 +69,10 @@
     pub(crate) answer: Option<NewsAnswer>,
 }
 
-/// The digest of a server's id.
-pub(crate) fn server_key(server: &ServerId) -> ServerKey {
+/// The digest of a server's id and birth.
+pub(crate) fn server_key(server: &ServerEntry) -> ServerKey {
     // The lower half tells a few thousand servers apart.
-    xxh3_64(server.as_bytes()) as ServerKey
+    xxh3_64_with_seed(server.id.as_bytes(), server.born.unwrap_or(0)) as ServerKey
 }
 
 impl WorkEntry {
--- a/crates/plumgate/src/gateway/news_messages.rs
+++ b/crates/plumgate/src/gateway/news_messages.rs
@@ -18,6 +18,8 @@
         /// Whether that may be due to an outage of the store.
         doubted: bool,
     },
+    /// An entry was written that names no server to use, for example by another writer.
+    Unusable(ServerId),
 }
 
 /// What a node asks those that may know more.
--- a/crates/plumgate/src/gateway/servers.rs
+++ b/crates/plumgate/src/gateway/servers.rs
@@ -17,11 +17,16 @@
     Draining,
 }
 
+/// Milliseconds of Unix time at which a server started, as it says itself.
+pub type BirthTime = u64;
+
 /// One incarnation of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
-    /// Its id, new at each start.
+    /// Its id. A server may start again under the id that it had.
     pub id: ServerId,
+    /// When it started: what tells two incarnations under one id apart. None where it doesn't say.
+    pub born: Option<BirthTime>,
     /// The pool that it serves.
     pub pool: PoolId,
     /// Where it listens; a later server of another pool may get the same address.
@@ -55,6 +60,8 @@
 pub enum ServerChange {
     /// A server came, or its entry changed.
     Changed(ServerEntry),
+    /// A server started again under its id: it knows nothing of before.
+    Reborn(ServerEntry),
     /// A server's entry is gone; it gets no new work.
     Gone(ServerId),
     /// A server's entry is gone, but the store was away shortly before.
@@ -68,19 +75,39 @@
     }
 
     /// An entry was written. Tells whether that changes anything.
+    ///
+    /// A write of an earlier incarnation may be late: the store carries it out after the first one of
+    /// its successor. Taken for news, it would bring back work and prompt parts that are lost, and
+    /// cut off what runs at the successor. The time of birth tells them apart, as it only goes up
+    /// from one incarnation to the next.
     pub fn put(&mut self, entry: ServerEntry) -> Option<ServerChange> {
         let known = self.servers.get(&entry.id);
         if known.is_some_and(|known| known.entry == entry && known.gone_at.is_none()) {
             return None;
         }
+        let known_born = known.and_then(|known| known.entry.born);
+        if known_born.is_some() && entry.born < known_born {
+            return None;
+        }
+        let is_reborn = known_born.is_some() && entry.born > known_born;
         let row = TableEntry {
             entry: entry.clone(),
             gone_at: None,
         };
         self.servers.insert(entry.id.clone(), row);
+        if is_reborn {
+            return Some(ServerChange::Reborn(entry));
+        }
         Some(ServerChange::Changed(entry))
     }
 
+    /// Whether an entry comes from somebody else than the server: it lacks the time of birth that the
+    /// server has given before.
+    pub fn is_foreign(&self, entry: &ServerEntry) -> bool {
+        let known = self.servers.get(&entry.id);
+        entry.born.is_none() && known.is_some_and(|known| known.entry.born.is_some())
+    }
+
     /// An entry is gone.
     ///
     /// Entries lapse while the store is away, although their servers live; those are back soon
@@ -104,10 +131,12 @@
         Some(ServerChange::Doubted(id.clone()))
     }
 
-    /// All entries were read at one moment: what is not among them is gone.
+    /// All entries were read at one moment: what is not among them is gone. Servers whose entries are
+    /// `unusable` are gone at once, as their entries did not lapse.
     pub fn replace(
         &mut self,
         entries: Vec<ServerEntry>,
+        unusable: &[ServerId],
         doubt: Option<Duration>,
         now: Instant,
     ) -> Vec<ServerChange> {
@@ -119,7 +148,10 @@
             .collect();
         let mut changes: Vec<ServerChange> = missing
             .iter()
-            .filter_map(|id| self.remove(id, doubt, now))
+            .filter_map(|id| {
+                let doubt = doubt.filter(|_| !unusable.contains(id));
+                self.remove(id, doubt, now)
+            })
             .collect();
         changes.extend(entries.into_iter().filter_map(|entry| self.put(entry)));
         changes
--- a/crates/plumgate/src/gateway/work.rs
+++ b/crates/plumgate/src/gateway/work.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use super::servers::BirthTime;
 use crate::ids::ServerId;
 
 /// Ranks of urgency that are told apart; the last one takes in all that follow.
@@ -39,11 +40,20 @@
 #[derive(Clone, Debug)]
 pub struct WorkTicket {
     pub(crate) server: ServerId,
+    /// The incarnation of the server; its successor under the same id knows nothing of the request.
+    pub(crate) born: Option<BirthTime>,
     pub(crate) urgency: usize,
     pub(crate) unread_tokens: u64,
     pub(crate) started: Instant,
 }
 
+impl WorkTicket {
+    /// The server that works on the request.
+    pub fn server(&self) -> &ServerId {
+        &self.server
+    }
+}
+
 /// How a request at a server ended, as far as that speaks for or against the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorkEnd {
--- /dev/null
+++ b/crates/plumgate/tests/entries/mod.rs
@@ -0,0 +1,29 @@
+//! Entries of servers, as several tests need them.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use plumgate::gateway::{ServerEntry, ServerState};
+
+/// A server that takes work and does not say when it was born.
+pub(crate) fn server_entry(id: &str) -> ServerEntry {
+    ServerEntry {
+        id: id.into(),
+        born: None,
+        pool: "models".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9000)),
+        data_centre: "hall-a".into(),
+        slots: 64,
+        state: ServerState::Ready,
+        cold_for: Duration::ZERO,
+    }
+}
+
+/// A server that was born at a moment.
+pub(crate) fn born_entry(id: &str, born: u64) -> ServerEntry {
+    ServerEntry {
+        born: Some(born),
+        ..server_entry(id)
+    }
+}
--- a/crates/plumgate/tests/gateway_exchange.rs
+++ b/crates/plumgate/tests/gateway_exchange.rs
@@ -1,11 +1,14 @@
 //! Nodes that tell each other of their work.
 
+mod entries;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use plumgate::gateway::{LoadExchange, NewsDesk, NodeEntry, ServerWork, TalkMoment};
-use plumgate::ids::ServerId;
+use plumgate::gateway::{LoadExchange, NewsDesk, NodeEntry, ServerEntry, ServerWork, TalkMoment};
+
+use entries::{born_entry, server_entry};
 
 const ROUND: Duration = Duration::from_millis(200);
 
@@ -13,7 +16,7 @@
 struct TalkBench {
     nodes: BTreeMap<SocketAddr, LoadExchange>,
     desks: BTreeMap<SocketAddr, NewsDesk>,
-    work: BTreeMap<SocketAddr, Vec<(ServerId, ServerWork)>>,
+    work: BTreeMap<SocketAddr, Vec<(ServerEntry, ServerWork)>>,
     down: Vec<SocketAddr>,
     /// Whether the data centres are cut off from each other.
     is_cut: bool,
@@ -72,7 +75,8 @@
         };
         work.unread[2] = tokens;
         let address = self.address(index);
-        self.work.insert(address, vec![(server.into(), work)]);
+        self.work
+            .insert(address, vec![(server_entry(server), work)]);
     }
 
     fn rounds(&mut self, count: usize) {
@@ -103,7 +107,7 @@
     }
 
     fn peers_of(&self, index: usize, server: &str) -> ServerWork {
-        self.nodes[&self.address(index)].peer_work(&server.into(), self.now)
+        self.nodes[&self.address(index)].peer_work(&server_entry(server), self.now)
     }
 }
 
@@ -225,3 +229,19 @@
     );
     assert!(taken.is_err());
 }
+
+// A server that just started again gets no requests: the other nodes told of much work there shortly
+// before, but that was its predecessor's, and is lost.
+#[test]
+fn work_at_an_earlier_incarnation_says_nothing_of_the_next() {
+    let mut bench = TalkBench::new(1, 3);
+    bench.set_work(0, "a", 5, 6_400);
+    let address = bench.address(0);
+    for (server, _) in bench.work.get_mut(&address).expect("work") {
+        *server = born_entry("a", 100);
+    }
+    bench.rounds(4);
+    let node = &bench.nodes[&bench.address(1)];
+    let told = |born| node.peer_work(&born_entry("a", born), bench.now).in_flight;
+    assert_eq!((told(100), told(200)), (5, 0));
+}
--- a/crates/plumgate/tests/gateway_news.rs
+++ b/crates/plumgate/tests/gateway_news.rs
@@ -1,5 +1,7 @@
 //! News of the store, passed on from the nodes that read it to those that don't.
 
+mod entries;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -9,6 +11,8 @@
     ServerState, SourceTopic, TalkMoment,
 };
 
+use entries::server_entry;
+
 const KEY_AGE: Duration = Duration::from_secs(5);
 const ROUND: Duration = Duration::from_millis(100);
 
@@ -18,13 +22,8 @@
 
 fn entry(id: &str, state: ServerState) -> ServerNews {
     ServerNews::Entry(ServerEntry {
-        id: id.into(),
-        pool: "models".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9000)),
-        data_centre: "hall-a".into(),
-        slots: 64,
         state,
-        cold_for: Duration::ZERO,
+        ..server_entry(id)
     })
 }
 
--- a/crates/plumgate/tests/gateway_servers.rs
+++ b/crates/plumgate/tests/gateway_servers.rs
@@ -1,22 +1,16 @@
 //! Servers that register themselves, and data centres that can't be reached.
 
+mod entries;
+
 use std::time::{Duration, Instant};
 
 use plumgate::gateway::centres::CentreTable;
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{ServerEntry, ServerState, ServerTable};
+use plumgate::ids::ServerId;
+use quickcheck::quickcheck;
 
-fn entry(id: &str) -> ServerEntry {
-    ServerEntry {
-        id: id.into(),
-        pool: "models".into(),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        data_centre: "hall-a".into(),
-        slots: 64,
-        state: ServerState::Ready,
-        cold_for: Duration::ZERO,
-    }
-}
+use entries::{born_entry, server_entry};
 
 fn ready(table: &ServerTable) -> Vec<&str> {
     table.ready().map(|entry| &*entry.id).collect()
@@ -26,19 +20,19 @@
 fn repeated_entry_is_no_news() {
     let mut table = ServerTable::new();
     assert_eq!(
-        table.put(entry("a")),
-        Some(ServerChange::Changed(entry("a")))
+        table.put(server_entry("a")),
+        Some(ServerChange::Changed(server_entry("a")))
     );
-    assert_eq!(table.put(entry("a")), None);
+    assert_eq!(table.put(server_entry("a")), None);
 }
 
 #[test]
 fn draining_server_takes_no_new_work() {
     let mut table = ServerTable::new();
-    table.put(entry("a"));
+    table.put(server_entry("a"));
     table.put(ServerEntry {
         state: ServerState::Draining,
-        ..entry("a")
+        ..server_entry("a")
     });
     assert!(ready(&table).is_empty());
 }
@@ -51,12 +45,12 @@
     let now = Instant::now();
     let doubt = Some(Duration::from_millis(1_800));
     let mut table = ServerTable::new();
-    table.put(entry("lives"));
-    table.put(entry("gone"));
-    let changes = table.replace(Vec::new(), doubt, now);
+    table.put(server_entry("lives"));
+    table.put(server_entry("gone"));
+    let changes = table.replace(Vec::new(), &[], doubt, now);
     assert_eq!(changes.len(), 2);
     assert_eq!(ready(&table), ["gone", "lives"], "both stay in use");
-    table.put(entry("lives"));
+    table.put(server_entry("lives"));
     let over = table.tick(now + Duration::from_secs(2));
     assert_eq!(over, [ServerChange::Gone("gone".into())]);
     assert_eq!(ready(&table), ["lives"]);
@@ -66,7 +60,7 @@
 fn entry_that_goes_in_quiet_times_is_gone_at_once() {
     let now = Instant::now();
     let mut table = ServerTable::new();
-    table.put(entry("a"));
+    table.put(server_entry("a"));
     let change = table.remove(&"a".into(), None, now);
     assert_eq!(change, Some(ServerChange::Gone("a".into())));
     assert!(table.is_empty());
@@ -100,3 +94,80 @@
     table.note_silence(&hall, &"b".into(), now + Duration::from_secs(10));
     assert!(!table.is_cut(&hall));
 }
+
+#[test]
+fn server_that_starts_again_under_its_id_is_another_incarnation() {
+    let mut table = ServerTable::new();
+    table.put(born_entry("a", 100));
+    let renewed = ServerEntry {
+        state: ServerState::Draining,
+        ..born_entry("a", 100)
+    };
+    assert_eq!(
+        table.put(renewed.clone()),
+        Some(ServerChange::Changed(renewed))
+    );
+    let next = born_entry("a", 200);
+    assert_eq!(table.put(next.clone()), Some(ServerChange::Reborn(next)));
+    assert_eq!(ready(&table), ["a"], "the one that left is over");
+}
+
+// Requests at a server that just started again are cut off. A write of its predecessor comes late:
+// the store carried it out after the successor's first one. It must change nothing.
+#[test]
+fn late_entry_of_an_earlier_incarnation_is_no_news() {
+    let mut table = ServerTable::new();
+    table.put(born_entry("a", 100));
+    table.put(born_entry("a", 200));
+    let late = ServerEntry {
+        state: ServerState::Draining,
+        ..born_entry("a", 100)
+    };
+    assert_eq!(table.put(late), None);
+    assert_eq!(ready(&table), ["a"]);
+    assert!(
+        table.is_foreign(&server_entry("a")),
+        "it has said it before"
+    );
+    assert!(!table.is_foreign(&server_entry("b")));
+}
+
+// Callers are sent to a server whose entry somebody else has overwritten. An entry that makes no
+// sense did not lapse, so an outage shortly before is no reason to keep the server.
+#[test]
+fn server_whose_entry_is_unusable_is_not_doubted() {
+    let now = Instant::now();
+    let doubt = Some(Duration::from_millis(1_800));
+    let mut table = ServerTable::new();
+    table.put(server_entry("lapsed"));
+    table.put(server_entry("spoilt"));
+    let changes = table.replace(Vec::new(), &["spoilt".into()], doubt, now);
+    let expected = [
+        ServerChange::Doubted("lapsed".into()),
+        ServerChange::Gone("spoilt".into()),
+    ];
+    assert_eq!(changes, expected);
+    assert_eq!(ready(&table), ["lapsed"]);
+}
+
+quickcheck! {
+    /// Whatever entries come in whatever order, the incarnation in use is never older than one that
+    /// was in use since the entry last went.
+    fn incarnations_only_go_on(writes: Vec<(u8, Option<u8>)>) -> bool {
+        let mut table = ServerTable::new();
+        let mut newest = [None; 4];
+        writes.iter().all(|(server, born)| {
+            let slot = usize::from(server % 4);
+            let id: ServerId = format!("s{slot}").into();
+            let Some(born) = born else {
+                table.remove(&id, None, Instant::now());
+                newest[slot] = None;
+                return true;
+            };
+            let born = u64::from(*born);
+            table.put(born_entry(&id, born));
+            newest[slot] = newest[slot].max(Some(born));
+            table.ready().all(|entry| *entry.id != *id || entry.born == newest[slot])
+        })
+    }
+}
