gateway: nodes that the store turns away get the configuration from another; stale nodes let callers go

Change: a node asks the node that told it for the configuration (TCP on the peers' port), dated from its own question; while a node is not ready its answers close the connection; one that hears no other node asks its callers to come back after 20 ms, as others most likely serve.

Also: mechanisms of the policy as typed switches (--without), scripts/pairs to compare variants, first_ms, pause_ms and output_hint in the log. An error of the old stream code: after a refusal by a second server it followed an event that the chart does not allow there.

--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -36,8 +36,12 @@
 const HEADERS_MOST: usize = 100;
 /// Smallest bound on a head that the library takes, in bytes.
 const HEAD_FLOOR: usize = 16 * 1024;
-/// Pause that is asked of a caller while this node's knowledge is old or missing.
+/// Pause that is asked of a caller while this node's knowledge is old or missing, as it is at the
+/// others that this node hears: the store answers nobody.
 const STALE_PAUSE: Duration = Duration::from_millis(500);
+/// The same where this node is cut off from the others too. They most likely serve, and the caller's
+/// next connection leads to one of them.
+const CUT_OFF_PAUSE: Duration = Duration::from_millis(20);
 /// Time for which a request without a word on it is waited for.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 
@@ -93,7 +97,10 @@
     }
 }
 
-async fn pause_accepting<C: Clock, W>(shared: &GatewayShared<C, W>, error: &std::io::Error) {
+pub(crate) async fn pause_accepting<C: Clock, W>(
+    shared: &GatewayShared<C, W>,
+    error: &std::io::Error,
+) {
     // Out of file handles, most likely: the next connections wait until some close.
     LogLine::new("accept_failed")
         .with("error", error)
@@ -137,8 +144,10 @@
         async move {
             let guard = usage.begin_answer(shared.clock.clone());
             let mut response = serve(&shared, request).await;
-            // A node that is leaving takes no further request on a connection, and says so.
-            if !shared.life.load().ready {
+            // A node that is leaving takes no further request on a connection, and says so. So does one
+            // whose knowledge grows too old: the balancer sends it no new connections, but those that
+            // are open would stay, and their callers be refused one request after another.
+            if !shared.is_ready() {
                 mark_last(&mut response);
             }
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
@@ -257,7 +266,7 @@
     let config = shared
         .config
         .load_full()
-        .ok_or_else(|| stale("no_config", "this node has no configuration yet"))?;
+        .ok_or_else(|| stale(shared, "no_config", "this node has no configuration yet"))?;
     let Some(id) = facts.id.clone() else {
         let message = "the request has no id";
         return Err(CallerError::invalid(
@@ -272,7 +281,7 @@
     let due = arrived + patience.min(route.timeout);
     let body = read_body(shared, body, config.limits, due).await?;
     let Some(pool) = route.pool_for(xxh3_64(id.as_bytes())).cloned() else {
-        return Err(stale("no_pool", "the route leads nowhere now"));
+        return Err(stale(shared, "no_pool", "the route leads nowhere now"));
     };
     let urgency = config.urgency(&route, workspace);
     let class = config.stream_class(&route, &pool);
@@ -309,7 +318,11 @@
     }
     // A route may have come since this node last heard of the configuration.
     if !shared.allows_denials() {
-        return Err(stale("config_stale", "this node's configuration is old"));
+        return Err(stale(
+            shared,
+            "config_stale",
+            "this node's configuration is old",
+        ));
     }
     let message = format!("there is no route for {host}{path}");
     Err(CallerError::invalid(
@@ -330,13 +343,18 @@
     }
     // A key may have been taken away since this node last heard of the configuration.
     if !shared.allows_keys() {
-        return Err(stale("keys_stale", "this node's knowledge of keys is old"));
+        return Err(stale(
+            shared,
+            "keys_stale",
+            "this node's knowledge of keys is old",
+        ));
     }
     let key = facts.key.as_deref().unwrap_or_default();
     match config.workspace(key) {
         Some(keys) => Ok(Some(keys)),
         // A key may be new. Its caller would give up on a 401; another node knows the key.
         None if !shared.allows_denials() => Err(stale(
+            shared,
             "keys_stale",
             "this node may not have heard of the key",
         )),
@@ -348,8 +366,17 @@
     }
 }
 
-fn stale(kind: &'static str, message: &str) -> CallerError {
-    CallerError::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, message, STALE_PAUSE)
+fn stale<C: Clock, W>(
+    shared: &GatewayShared<C, W>,
+    kind: &'static str,
+    message: &str,
+) -> CallerError {
+    let pause = if shared.is_cut_off() {
+        CUT_OFF_PAUSE
+    } else {
+        STALE_PAUSE
+    };
+    CallerError::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, message, pause)
 }
 
 async fn read_body<C: Clock, W>(
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -219,6 +219,9 @@
                 Err(error) => {
                     since = since.filter(|_| error.keeps_place());
                     self.note_failure(topic, &error, &mut is_lost);
+                    if topic == SourceTopic::Config && self.view.ask_for_config().await {
+                        self.life.borrow_mut().configured(&self.shared);
+                    }
                     if error != SourceError::HistoryLost {
                         self.shared.clock.sleep(backoff.next(&mut rng)).await;
                     }
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -104,7 +104,10 @@
                 self.moment(),
             );
             match taken {
-                Ok(taken) => self.view.take_news(taken),
+                Ok(taken) => {
+                    self.shared.note_peer();
+                    self.view.take_news(taken, from);
+                }
                 Err(_) => {
                     self.shared.metrics.peer_refused.inc();
                 }
--- a/crates/plumgate-node/src/gateway/node.rs
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -5,8 +5,10 @@
 use std::thread::JoinHandle;
 
 use async_channel::Sender;
+use plumgate::gateway::{PolicyPart, PolicySwitches};
 
 use super::caller::{accept_callers, accept_probes};
+use super::config_link::accept_nodes;
 use super::control::{GatewayControl, GatewaySignal};
 use super::options::{GatewayBounds, GatewayOptions};
 use super::ports::{FleetSource, WireFormat};
@@ -67,6 +69,7 @@
         let callers = bind(options.listen)?;
         let probes = bind(options.ready_listen)?;
         let metrics = options.metrics_listen.map(bind).transpose()?;
+        let nodes = options.peer_listen.map(bind).transpose()?;
         let addresses = GatewayAddresses {
             callers: local_address(&callers, options.listen),
             ready: local_address(&probes, options.ready_listen),
@@ -74,6 +77,11 @@
         let shared = Arc::new(GatewayShared::new(options, clock, log, wire));
         log_start(&shared);
         let executor = shared.executor.clone();
+        if let Some(listener) = nodes {
+            executor
+                .spawn(accept_nodes(shared.clone(), listener))
+                .detach();
+        }
         executor
             .spawn(accept_callers(shared.clone(), callers))
             .detach();
@@ -137,5 +145,12 @@
         .with("key_age_ms", options.bounds.key_age.as_millis())
         .with("retry_ratio", options.bounds.retry_ratio)
         .with("retry_extra", options.bounds.retry_extra)
+        .with_some("switched_off", switched_off(options.switches))
         .info(&shared.log);
 }
+
+/// The mechanisms of the policy that are off, for the log.
+fn switched_off(switches: PolicySwitches) -> Option<String> {
+    let names: Vec<&str> = switches.off().map(PolicyPart::as_str).collect();
+    (!names.is_empty()).then(|| names.join(","))
+}
--- a/crates/plumgate-node/src/gateway/options.rs
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use plumgate::gateway::PlacementPolicy;
+use plumgate::gateway::{PlacementPolicy, PolicySwitches};
 use plumgate::ids::{DataCentreId, NodeId};
 
 /// The bounds that the fleet's operators set.
@@ -54,6 +54,8 @@
     pub policy: PlacementPolicy,
     /// Seed of random choices.
     pub seed: u64,
+    /// Mechanisms of the policy that are on.
+    pub switches: PolicySwitches,
 }
 
 impl GatewayOptions {
@@ -74,9 +76,16 @@
             bounds: GatewayBounds::default(),
             policy: PlacementPolicy::default(),
             seed: 0,
+            switches: PolicySwitches::new(),
         }
     }
 
+    /// The same with other mechanisms of the policy on.
+    pub fn with_switches(mut self, switches: PolicySwitches) -> Self {
+        self.switches = switches;
+        self
+    }
+
     /// The same with an address for metrics.
     pub fn with_metrics(mut self, listen: SocketAddr) -> Self {
         self.metrics_listen = Some(listen);
--- a/crates/plumgate-node/src/gateway/ports.rs
+++ b/crates/plumgate-node/src/gateway/ports.rs
@@ -103,6 +103,8 @@
     pub patience: Option<Duration>,
     /// The prompt, where the request has one.
     pub prompt: Option<PromptShape>,
+    /// Output tokens that the caller expects: right in the middle, often far off.
+    pub output_hint: Option<u32>,
     /// The event after which the caller wants a stream to go on.
     pub resume_after: Option<u64>,
 }
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -105,6 +105,10 @@
     pub(crate) arrivals: u32,
     /// Times that it may have run.
     pub(crate) runs: u32,
+    /// Time from its arrival until the first byte of the answer went to the caller.
+    pub(crate) first_byte: Option<Duration>,
+    /// The longest pause between two events of its answer.
+    pub(crate) longest_pause: Duration,
     /// Whether its end was told.
     pub(crate) is_reported: bool,
     _guard: RequestGuard<C, W>,
@@ -130,6 +134,8 @@
             tried: Vec::new(),
             arrivals: 0,
             runs: 0,
+            first_byte: None,
+            longest_pause: Duration::ZERO,
             is_reported: false,
             _guard: guard,
         }
@@ -175,7 +181,7 @@
         let pick = self.shared.loads().pick(&placement, now);
         let spread = self.shared.random_share();
         let Some(pick) = pick else {
-            let policy = AdmissionPolicy::new();
+            let policy = self.admission();
             let pause = policy.return_after(NO_SERVER_PAUSE, left, spread);
             return Err(self.give_up("no_server", pause));
         };
@@ -187,14 +193,17 @@
         };
         if self.tried.is_empty()
             && self.request.facts.prompt.is_some()
-            && let AdmissionVerdict::Refuse { retry_after } =
-                AdmissionPolicy::new().judge(&wait, spread)
+            && let AdmissionVerdict::Refuse { retry_after } = self.admission().judge(&wait, spread)
         {
             return Err(self.give_up("overloaded", retry_after));
         }
         Ok(pick)
     }
 
+    fn admission(&self) -> AdmissionPolicy {
+        AdmissionPolicy::new().with_switches(self.shared.options.switches)
+    }
+
     /// Time left until the request misses the target that it is refused by.
     fn target_left(&self, now: Instant) -> Duration {
         let waited = now.saturating_duration_since(self.request.arrived);
@@ -204,6 +213,18 @@
     async fn try_server(&mut self, pick: &ServerPick) -> AttemptEnd<C, W> {
         let now = self.shared.clock.now();
         self.log_route(pick, now);
+        let head_by = self.head_by(now);
+        self.offer(pick, head_by, None).await
+    }
+
+    /// Offers the request to a server, up to the head of its answer.
+    pub(crate) async fn offer(
+        &mut self,
+        pick: &ServerPick,
+        head_by: Instant,
+        resume_after: Option<u64>,
+    ) -> AttemptEnd<C, W> {
+        let now = self.shared.clock.now();
         let placement = self.request.placement(&self.tried);
         let ticket = self.shared.loads().start(pick, &placement, now);
         let work = WorkGuard::new(self.shared.clone(), ticket);
@@ -211,8 +232,8 @@
         let order = AttemptOrder {
             request: &self.request,
             server: &pick.server,
-            head_by: self.head_by(now),
-            resume_after: None,
+            head_by,
+            resume_after,
         };
         let end = attempt(&self.shared, order, work).await;
         self.note_try(&end);
@@ -312,7 +333,7 @@
         }
         let left = self.left();
         let spread = self.shared.random_share();
-        let pause = AdmissionPolicy::new().return_after(REFUSED_PAUSE, left, spread);
+        let pause = self.admission().return_after(REFUSED_PAUSE, left, spread);
         NextTry::Fail(self.give_up(reason, pause))
     }
 
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -1,6 +1,6 @@
 //! What a request's way leaves behind: log lines and counts.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
 use plumgate::RunOutcome;
@@ -14,13 +14,21 @@
 
 impl<C: Clock, W: WireFormat> RelayRun<C, W> {
     /// The first byte of the answer goes to the caller.
-    pub(crate) fn observe_first_byte(&self) {
+    pub(crate) fn observe_first_byte(&mut self) {
         let now = self.shared.clock.now();
         let took = now.saturating_duration_since(self.request.arrived);
+        self.first_byte = Some(took);
         let metrics = &self.shared.metrics;
         metrics.observe_first_byte(self.request.urgency, took);
     }
 
+    /// A further event goes to the caller, this long after the one before.
+    pub(crate) fn observe_pause(&mut self, pause: Duration) {
+        self.longest_pause = self.longest_pause.max(pause);
+        let metrics = &self.shared.metrics;
+        metrics.observe_pause(self.request.urgency, pause);
+    }
+
     /// An attempt failed.
     pub(crate) fn count_failure(&self, reason: &'static str) {
         let labels = ReasonLabels { reason };
@@ -45,6 +53,7 @@
             .with("priority", self.request.urgency)
             .with("server", &pick.server.id)
             .with("wait_ms", pick.wait.as_millis())
+            .with_some("output_hint", self.request.facts.output_hint)
             .with("unread_tokens", pick.unread_tokens)
             .with("shared_unread", pick.shared_unread)
             .with("home", pick.home)
@@ -90,6 +99,8 @@
             .with_some("status", status.map(|status| status.as_u16()))
             .with("attempts", self.tried.len())
             .with_some("server", self.tried.last())
+            .with_some("first_ms", self.first_byte.map(|took| took.as_millis()))
+            .with("pause_ms", self.longest_pause.as_millis())
             .with("ms", took.as_millis())
             .info(&self.shared.log);
     }
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -22,6 +22,9 @@
 /// than a small fleet has with its spare VMs.
 const NODES_ASSUMED: u32 = 16;
 
+/// How long no other node must be heard before this one counts as cut off: several of their rounds.
+const PEER_SILENCE: Duration = Duration::from_millis(1_000);
+
 /// All that is shared.
 pub(crate) struct GatewayShared<C, W> {
     /// The options.
@@ -54,6 +57,8 @@
     rng: Mutex<fastrand::Rng>,
     open_requests: AtomicU64,
     open_connections: AtomicU64,
+    /// When another node was last heard, in milliseconds since the VM started; 0 before.
+    peer_heard_ms: AtomicU64,
 }
 
 impl<C: Clock, W> GatewayShared<C, W> {
@@ -62,6 +67,7 @@
         let bounds = options.bounds;
         let placement = PlacementOptions::new(options.data_centre.clone())
             .with_policy(options.policy)
+            .with_switches(options.switches)
             .with_seed(options.seed);
         Self {
             clock,
@@ -89,6 +95,7 @@
             rng: Mutex::new(fastrand::Rng::with_seed(options.seed)),
             open_requests: AtomicU64::new(0),
             open_connections: AtomicU64::new(0),
+            peer_heard_ms: AtomicU64::new(0),
             options,
         }
     }
@@ -137,6 +144,22 @@
         age.as_ref().map(Duration::as_millis)
     }
 
+    /// Another node was heard.
+    pub(crate) fn note_peer(&self) {
+        let now = u64::try_from(self.clock.boot_time().as_millis()).unwrap_or(u64::MAX);
+        self.peer_heard_ms.store(now, Ordering::Relaxed);
+    }
+
+    /// Whether this node has heard others before and hears none now.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let heard = self.peer_heard_ms.load(Ordering::Relaxed);
+        let silence = self
+            .clock
+            .boot_time()
+            .saturating_sub(Duration::from_millis(heard));
+        heard != 0 && silence > PEER_SILENCE
+    }
+
     /// Whether the balancer should send callers here.
     pub(crate) fn is_ready(&self) -> bool {
         self.life.load().ready && self.lease().allows_ready(self.clock.boot_time())
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -11,10 +11,10 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::WorkEnd;
-use plumgate::gateway::{EventSplitter, RepeatKind};
+use plumgate::gateway::{EventSplitter, RepeatKind, ServerPick};
 
 use super::answer::{StreamPiece, drop_length};
-use super::attempt::{AttemptEnd, AttemptOrder, RESTARTED, ServerAnswer, attempt};
+use super::attempt::{AttemptEnd, RESTARTED, ServerAnswer};
 use super::ports::WireFormat;
 use super::relay::RelayRun;
 use super::shared::WorkGuard;
@@ -32,14 +32,32 @@
 /// A stream that is being relayed.
 pub(crate) struct StreamRelay<C: Clock, W> {
     run: RelayRun<C, W>,
-    link: HttpLink,
-    body: Incoming,
-    work: WorkGuard<C, W>,
+    /// None while another server is looked for.
+    source: Option<StreamSource<C, W>>,
     splitter: EventSplitter,
     last_piece: Option<Instant>,
     is_over: bool,
 }
 
+/// The server that makes the stream.
+struct StreamSource<C: Clock, W> {
+    link: HttpLink,
+    body: Incoming,
+    work: WorkGuard<C, W>,
+}
+
+impl<C: Clock, W: WireFormat> StreamSource<C, W> {
+    /// The server of an answer, and the answer's head.
+    fn new(answer: ServerAnswer<C, W>) -> (response::Parts, Self) {
+        let source = Self {
+            link: answer.link,
+            body: answer.body,
+            work: answer.work,
+        };
+        (answer.head, source)
+    }
+}
+
 /// What came of waiting for the next piece.
 enum Waited {
     Bytes(Bytes),
@@ -59,14 +77,12 @@
             // It can't be sent again, so its body is needed no more.
             run.request.body = Bytes::new();
         }
-        let mut head = answer.head;
+        let (mut head, source) = StreamSource::new(answer);
         drop_length(&mut head.headers);
         let splitter = EventSplitter::new(run.request.facts.resume_after);
         let relay = Self {
             run,
-            link: answer.link,
-            body: answer.body,
-            work: answer.work,
+            source: Some(source),
             splitter,
             last_piece: None,
             is_over: false,
@@ -100,7 +116,7 @@
                 Waited::End => return self.end(),
                 Waited::Cut(reason) => {
                     // Nothing of it is the fault of the server that has the id now.
-                    self.work.judge(if reason == RESTARTED {
+                    self.judge(if reason == RESTARTED {
                         WorkEnd::Unjudged
                     } else {
                         WorkEnd::Failed
@@ -114,12 +130,22 @@
         }
     }
 
+    /// What the stream says of its server.
+    fn judge(&mut self, end: WorkEnd) {
+        if let Some(source) = &mut self.source {
+            source.work.judge(end);
+        }
+    }
+
     async fn wait(&mut self) -> Waited {
         let due = self.run.request.due + LAST_WORD;
         let silent_at = self.silent_at();
         let clock = self.run.shared.clock.clone();
-        let life = self.work.life();
-        let frame = life.run(self.link.frame(&mut self.body));
+        let Some(source) = &mut self.source else {
+            return Waited::Cut("lost");
+        };
+        let life = source.work.life();
+        let frame = life.run(source.link.frame(&mut source.body));
         match until(&clock, due.min(silent_at), frame).await {
             Some(None) => Waited::Cut(RESTARTED),
             Some(Some(Some(Ok(frame)))) => match frame.into_data() {
@@ -149,13 +175,14 @@
         let now = self.run.shared.clock.now();
         match self.last_piece {
             None => {
-                self.work.first_answer();
+                if let Some(source) = &mut self.source {
+                    source.work.first_answer();
+                }
                 self.run.observe_first_byte();
             }
             Some(last) => {
                 let pause = now.saturating_duration_since(last);
-                let metrics = &self.run.shared.metrics;
-                metrics.observe_pause(self.run.request.urgency, pause);
+                self.run.observe_pause(pause);
             }
         }
         self.last_piece = Some(now);
@@ -164,7 +191,7 @@
     /// The server ended its answer as complete.
     fn end(&mut self) -> Option<StreamPiece> {
         self.is_over = true;
-        self.work.judge(WorkEnd::Answered);
+        self.judge(WorkEnd::Answered);
         self.run.apply(AttemptEvent::Finished);
         self.run
             .report(RunOutcome::Answered, "server", StatusCode::OK);
@@ -185,54 +212,44 @@
     /// Goes on at another server after the last whole event.
     async fn resume(&mut self, reason: &'static str) -> bool {
         self.run.apply(AttemptEvent::Cut);
+        self.run.apply(AttemptEvent::RunAgain);
         self.run.count_failure(reason);
+        // The connection closes before another server begins: one that was only silent gives the run up
+        // then, and no two work on it at once.
+        self.source = None;
+        self.splitter.drop_rest();
         if self.run.request.route.kind != RepeatKind::ResumableStream {
             return false;
         }
-        self.splitter.drop_rest();
         while self.run.allow_run_again(reason) {
-            self.run.apply(AttemptEvent::RunAgain);
-            if self.resume_once().await {
+            let now = self.run.shared.clock.now();
+            let placement = self.run.request.placement(&self.run.tried);
+            let Some(pick) = self.run.shared.loads().pick(&placement, now) else {
+                return false;
+            };
+            if self.go_on_at(&pick).await {
                 return true;
             }
         }
         false
     }
 
-    async fn resume_once(&mut self) -> bool {
-        let shared = self.run.shared.clone();
-        let now = shared.clock.now();
+    /// Goes on at a certain server.
+    async fn go_on_at(&mut self, pick: &ServerPick) -> bool {
         let resume_after = self.splitter.last_id();
-        let (pick, ticket) = {
-            let placement = self.run.request.placement(&self.run.tried);
-            let mut loads = shared.loads();
-            let Some(pick) = loads.pick(&placement, now) else {
-                return false;
-            };
-            let ticket = loads.start(&pick, &placement, now);
-            (pick, ticket)
-        };
         LogLine::new("resume")
             .with("request", &self.run.request.id)
             .with("server", &pick.server.id)
             .with_some("after_event", resume_after)
-            .info(&shared.log);
-        self.run.begin_try(&pick.server.id);
-        let order = AttemptOrder {
-            request: &self.run.request,
-            server: &pick.server,
-            head_by: self.run.request.due,
-            resume_after,
-        };
-        let work = WorkGuard::new(shared.clone(), ticket);
-        let end = attempt(&shared, order, work).await;
-        self.run.note_try(&end);
+            .info(&self.run.shared.log);
+        let head_by = self.run.request.due;
+        let end = self.run.offer(pick, head_by, resume_after).await;
         match end {
             AttemptEnd::Answer(answer) if answer.head.status == StatusCode::OK => {
                 self.run.apply(AttemptEvent::HeadReceived);
-                self.link = answer.link;
-                self.body = answer.body;
-                self.work = answer.work;
+                // Callers keep the head that they have.
+                let (_, source) = StreamSource::new(*answer);
+                self.source = Some(source);
                 true
             }
             AttemptEnd::NotRun { arrived, .. } => {
@@ -241,6 +258,7 @@
             }
             _ => {
                 self.run.apply(AttemptEvent::Cut);
+                self.run.apply(AttemptEvent::RunAgain);
                 false
             }
         }
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -2,6 +2,7 @@
 //! being told.
 
 use std::cell::{Cell, RefCell, RefMut};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,10 +10,12 @@
 use plumgate::FindingList;
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
-    GatewayConfig, NewsDesk, NewsTaken, ServerEntry, ServerNews, ServerTable, SourceTopic,
+    GatewayConfig, NewsDesk, NewsTaken, PolicyPart, ServerEntry, ServerNews, ServerTable,
+    SourceTopic,
 };
 use plumgate::ids::ServerId;
 
+use super::config_link::ask_node;
 use super::ports::{SourceChange, SourceEvent};
 use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
@@ -37,6 +40,8 @@
     /// Tells the readers of the store that somebody else could not tell them something.
     news_missing: Event,
     is_collector: Cell<bool>,
+    /// The node that last told of a newer configuration than this one's.
+    newer_config_at: Cell<Option<SocketAddr>>,
     /// When a call to the source last failed.
     trouble_at: Cell<Option<Instant>>,
 }
@@ -53,6 +58,7 @@
             news: RefCell::new(news),
             news_missing: Event::new(),
             is_collector: Cell::new(false),
+            newer_config_at: Cell::new(None),
             trouble_at: Cell::new(None),
         }
     }
@@ -74,6 +80,9 @@
 
     /// How long the store need not be asked for a topic, as others tell of it.
     pub(crate) fn rest(&self, topic: SourceTopic) -> Option<Duration> {
+        if !self.shared.options.switches.has(PolicyPart::News) {
+            return None;
+        }
         let until = self.news().rests_until(topic, self.is_collector.get())?;
         let left = until.saturating_sub(self.shared.clock.boot_time());
         (!left.is_zero()).then_some(left)
@@ -91,7 +100,10 @@
     }
 
     /// Takes over what another node told.
-    pub(crate) fn take_news(&self, taken: NewsTaken) {
+    pub(crate) fn take_news(&self, taken: NewsTaken, from: SocketAddr) {
+        if taken.has_newer_config {
+            self.newer_config_at.set(Some(from));
+        }
         if let Some(known_at) = taken.config_known_at {
             self.shared.lease().renew(known_at);
         }
@@ -134,12 +146,47 @@
         has_config
     }
 
+    /// Takes the configuration from another node that has a newer one, as the store doesn't answer.
+    /// Tells whether another configuration is in force.
+    pub(crate) async fn ask_for_config(&self) -> bool {
+        let Some(address) = self.newer_config_at.take() else {
+            return false;
+        };
+        let asked_at = self.shared.clock.boot_time();
+        let answer = ask_node(&self.shared.clock, address).await;
+        let line = LogLine::new("config_asked").with("node", address);
+        let copy = match answer {
+            Ok(copy) => copy,
+            Err(error) => {
+                line.with("error", error).warn(&self.shared.log);
+                return false;
+            }
+        };
+        let known_at = copy.known_at(asked_at);
+        line.with("version", copy.config().version)
+            .with_some("known_at_ms", known_at.map(|at| at.as_millis()))
+            .info(&self.shared.log);
+        let held = self.shared.config.load();
+        if held
+            .as_ref()
+            .is_some_and(|held| held.version > copy.config().version)
+        {
+            return false;
+        }
+        let has_config = self.apply_config(copy.config().clone(), "told", 0);
+        if let Some(known_at) = known_at {
+            self.news().note_read(SourceTopic::Config, known_at);
+            self.shared.lease().renew(known_at);
+        }
+        has_config
+    }
+
     fn apply_configs(&self, change: SourceChange) -> bool {
         let mut has_config = false;
         for event in change.events {
             match event {
                 SourceEvent::Config(config) => {
-                    has_config |= self.apply_config(config, change.version);
+                    has_config |= self.apply_config(config, "read", change.version);
                 }
                 SourceEvent::BadConfig(findings) => {
                     self.log_findings(SourceTopic::Config, &findings);
@@ -231,11 +278,14 @@
     /// later goes for good: doubted too, a server that has left would get work for longer than it
     /// stays.
     fn doubt(&self, now: Instant) -> Option<Duration> {
+        if !self.shared.options.switches.has(PolicyPart::Doubt) {
+            return None;
+        }
         let trouble_at = self.trouble_at.get()?;
         (now.saturating_duration_since(trouble_at) < TROUBLE_TAIL).then_some(DOUBT)
     }
 
-    fn apply_config(&self, config: Arc<GatewayConfig>, source_version: u64) -> bool {
+    fn apply_config(&self, config: Arc<GatewayConfig>, source: &str, source_version: u64) -> bool {
         let held = self.shared.config.load_full();
         let held_version = held.as_ref().map_or(0, |held| held.version);
         // Answers of a source that was away may be old. Going back would bring back routes and
@@ -245,6 +295,7 @@
         }
         LogLine::new("config")
             .with("version", config.version)
+            .with("source", source)
             .with("before", held_version)
             .with("source_version", source_version)
             .with("routes", config.route_count())
--- a/crates/plumgate/src/errors.rs
+++ b/crates/plumgate/src/errors.rs
@@ -24,6 +24,8 @@
     ReplayedMessage,
     /// message has protocol version {0}, which this node does not speak
     UnknownProtocol(u8),
+    /// "{0}" is no mechanism of the policy
+    UnknownPolicyPart(String),
     /// event "{1}" is not expected in state "{0}"
     UnexpectedEvent(String, String),
 }
--- a/crates/plumgate/src/gateway/admission.rs
+++ b/crates/plumgate/src/gateway/admission.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::switches::{PolicyPart, PolicySwitches};
+
 /// Share of a request's target that it may spend in a server's queue.
 ///
 /// An engine that is overloaded answers as many requests whether its queue is short or long, but
@@ -49,19 +51,28 @@
 
 /// The rule by which requests are refused.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct AdmissionPolicy;
+pub struct AdmissionPolicy {
+    switches: PolicySwitches,
+}
 
 impl AdmissionPolicy {
     /// The rule with its usual thresholds.
     pub fn new() -> Self {
-        Self
+        Self::default()
+    }
+
+    /// The same with other mechanisms on.
+    pub fn with_switches(mut self, switches: PolicySwitches) -> Self {
+        self.switches = switches;
+        self
     }
 
     /// Judges a request; `spread` from 0 to 1 keeps refused callers from coming back at once.
     pub fn judge(&self, prediction: &QueuePrediction, spread: f64) -> AdmissionVerdict {
         let queue_most = prediction.target_left.mul_f64(QUEUE_SHARE);
         let start_most = prediction.left.mul_f64(START_SHARE);
-        if prediction.queue <= queue_most && prediction.wait <= start_most {
+        let refuses = self.switches.has(PolicyPart::Refusing);
+        if !refuses || prediction.queue <= queue_most && prediction.wait <= start_most {
             return AdmissionVerdict::Send;
         }
         AdmissionVerdict::Refuse {
@@ -72,6 +83,11 @@
     /// When a caller should come back; `spread` from 0 to 1 keeps callers from coming at once.
     pub fn return_after(&self, wait: Duration, left: Duration, spread: f64) -> Duration {
         let most = left.mul_f64(RETURN_SHARE).min(LONGEST_RETURN);
+        let spread = if self.switches.has(PolicyPart::ReturnSpread) {
+            spread
+        } else {
+            0.5
+        };
         let wanted = wait.mul_f64(0.5 + spread).max(SHORTEST_RETURN);
         wanted.min(most)
     }
--- a/crates/plumgate/src/gateway/config.rs
+++ b/crates/plumgate/src/gateway/config.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{ConfigVersion, PoolId, WorkspaceId};
 
 /// What may be repeated of a route's requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RepeatKind {
     /// Requests may run any number of times.
     Idempotent,
@@ -55,7 +57,7 @@
 const INTERACTIVE_PAUSES: f64 = 1.25;
 
 /// One pool of backend servers among which a route's requests are split.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolSplit {
     /// The pool.
     pub pool: PoolId,
@@ -64,7 +66,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatewayRoute {
     /// Its name, for logs.
     pub name: String,
@@ -110,7 +112,7 @@
 }
 
 /// A workspace as a key finds it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkspaceKeys {
     /// The workspace.
     pub workspace: WorkspaceId,
@@ -119,7 +121,7 @@
 }
 
 /// What callers may send, and how long they may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head of a request in bytes.
     pub head_bytes: usize,
@@ -152,7 +154,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatewayConfig {
     /// The version, which only goes up.
     pub version: ConfigVersion,
--- a/crates/plumgate/src/gateway/homes.rs
+++ b/crates/plumgate/src/gateway/homes.rs
@@ -3,6 +3,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::prompt::PromptShape;
+use super::switches::{PolicyPart, PolicySwitches};
 use crate::ids::ServerId;
 
 /// How much dearer than its reading time a shared token is at the second home of a prompt that no
@@ -59,7 +60,12 @@
 
 impl HomeRanks {
     /// The first home is of the request's own group; the second one may be any other server.
-    pub(crate) fn new(prompt: Option<&PromptShape>, group: &[ServerId], all: &[ServerId]) -> Self {
+    pub(crate) fn new(
+        prompt: Option<&PromptShape>,
+        group: &[ServerId],
+        all: &[ServerId],
+        switches: PolicySwitches,
+    ) -> Self {
         let mut ranks = Self {
             first: None,
             second: None,
@@ -69,6 +75,9 @@
         };
         let weight = |id: &ServerId| xxh3_64_with_seed(id.as_bytes(), affinity);
         ranks.first = group.iter().max_by_key(|id| weight(id)).cloned();
+        if !switches.has(PolicyPart::SecondHome) {
+            return ranks;
+        }
         let others = all.iter().filter(|id| Some(*id) != ranks.first.as_ref());
         ranks.second = others.max_by_key(|id| weight(id)).cloned();
         ranks
--- a/crates/plumgate/src/gateway/load.rs
+++ b/crates/plumgate/src/gateway/load.rs
@@ -13,6 +13,7 @@
 use super::prompt::{PromptShape, SMALL_PART};
 use super::server_load::{CostPrediction, ServerLoad};
 use super::servers::{ServerChange, ServerEntry, ServerState};
+use super::switches::{PolicyPart, PolicySwitches};
 use super::work::{ServerWork, URGENCIES, WorkEnd, WorkTicket};
 use crate::ids::{DataCentreId, PoolId, ServerId};
 
@@ -49,6 +50,8 @@
     pub policy: PlacementPolicy,
     /// Seed of random choices.
     pub seed: u64,
+    /// Mechanisms that are on.
+    pub switches: PolicySwitches,
 }
 
 impl PlacementOptions {
@@ -58,9 +61,16 @@
             data_centre: data_centre.into(),
             policy: PlacementPolicy::default(),
             seed: 0,
+            switches: PolicySwitches::new(),
         }
     }
 
+    /// The same with other mechanisms on.
+    pub fn with_switches(mut self, switches: PolicySwitches) -> Self {
+        self.switches = switches;
+        self
+    }
+
     /// The same with another way to choose.
     pub fn with_policy(mut self, policy: PlacementPolicy) -> Self {
         self.policy = policy;
@@ -161,8 +171,11 @@
         self.adapt_shares(now);
         exchange.tell_places(self.new_places.drain(..));
         let places = exchange.take_places();
+        let counts_peers = self.has(PolicyPart::Exchange);
         for load in self.servers.values_mut() {
-            load.peers = exchange.peer_work(&load.entry, now);
+            if counts_peers {
+                load.peers = exchange.peer_work(&load.entry, now);
+            }
             for place in &places {
                 if *place == PartPlace::new(place.part, &load.entry) {
                     load.note_part(place.part, now);
@@ -171,9 +184,13 @@
         }
     }
 
+    fn has(&self, part: PolicyPart) -> bool {
+        self.options.switches.has(part)
+    }
+
     /// Divides the servers anew by how full those of the interactive streams are.
     fn adapt_shares(&mut self, now: Instant) {
-        if !self.shares.is_due(now) {
+        if !self.has(PolicyPart::AdaptiveShare) || !self.shares.is_due(now) {
             return;
         }
         let pools: BTreeSet<PoolId> = self
@@ -212,12 +229,15 @@
         let mut costs: Vec<(f64, CostPrediction, ServerId)> = Vec::with_capacity(candidates.len());
         let groups = self.groups(request.pool);
         let members = groups.members(request.class, &candidates);
-        let homes = HomeRanks::new(request.prompt, &members, &candidates);
-        let is_kept = members.iter().any(|id| {
-            let load = &self.servers[id];
-            load.keeps_shared(request, now)
-        });
-        let candidates = if request.prompt.is_some() && homes.first.is_none() {
+        let shared = request.prompt.filter(|_| self.has(PolicyPart::Homes));
+        let homes = HomeRanks::new(shared, &members, &candidates, self.options.switches);
+        let is_kept = self.has(PolicyPart::RereadWeights)
+            && members.iter().any(|id| {
+                let load = &self.servers[id];
+                load.keeps_shared(request, now)
+            });
+        let is_homeless = request.prompt.is_some() && homes.first.is_none();
+        let candidates = if is_homeless && self.has(PolicyPart::Sampling) {
             self.sample(&members, &candidates)
         } else {
             candidates
@@ -225,14 +245,19 @@
         for id in candidates {
             let load = &self.servers[&id];
             let home = homes.rank(&id);
-            let weight = home.reread_weight(is_kept);
-            let prediction = load.predict(request, weight, &self.options.data_centre, now);
+            let weight = if self.has(PolicyPart::Homes) {
+                home.reread_weight(is_kept)
+            } else {
+                1.0
+            };
+            let prediction = load.predict(request, weight, &self.options, now);
             let stray = match (request.class, groups.class(&id)) {
                 (StreamClass::Batch, StreamClass::Interactive) => BATCH_STRAY_SECONDS,
                 (StreamClass::Interactive, StreamClass::Batch) => INTERACTIVE_STRAY_SECONDS,
                 _ => 0.0,
             };
-            let stray = if request.prompt.is_some() { stray } else { 0.0 };
+            let is_divided = request.prompt.is_some() && self.has(PolicyPart::Groups);
+            let stray = if is_divided { stray } else { 0.0 };
             let cost = match self.options.policy {
                 PlacementPolicy::PredictedCost => prediction.cost + stray,
                 PlacementPolicy::LeastInFlight => f64::from(load.own.in_flight),
@@ -274,7 +299,11 @@
             .servers
             .values()
             .filter(|load| load.entry.pool == *pool && load.entry.state == ServerState::Ready);
-        let share = self.shares.share(pool);
+        let share = if self.has(PolicyPart::Groups) {
+            self.shares.share(pool)
+        } else {
+            1.0
+        };
         ServerGroups::new(of_pool.map(|load| load.entry.id.clone()), share)
     }
 
@@ -288,7 +317,11 @@
         let all: Vec<&ServerLoad> = of_pool.collect();
         let sound: Vec<ServerId> = all
             .iter()
-            .filter(|load| load.is_sound(now) && !self.centres.is_cut(&load.entry.data_centre))
+            .filter(|load| {
+                let is_cut = self.has(PolicyPart::CutCentres)
+                    && self.centres.is_cut(&load.entry.data_centre);
+                load.is_sound(self.options.switches, now) && !is_cut
+            })
             .map(|load| load.entry.id.clone())
             .collect();
         if sound.is_empty() {
@@ -328,13 +361,14 @@
     /// The server began to answer: it has read the prompt.
     pub fn first_answer(&mut self, ticket: &mut WorkTicket, now: Instant) {
         let tokens = std::mem::take(&mut ticket.unread_tokens);
+        let learns = self.has(PolicyPart::LearntSpeed);
         let Some(load) = ticket_load(&mut self.servers, ticket) else {
             return;
         };
         let waiting: u64 = load.own.unread.iter().sum();
         load.own.unread[ticket.urgency] = load.own.unread[ticket.urgency].saturating_sub(tokens);
         let alone = waiting == tokens && load.peers.unread.iter().sum::<u64>() == 0;
-        if tokens >= SPEED_TOKENS && alone {
+        if tokens >= SPEED_TOKENS && alone && learns {
             let took = now.saturating_duration_since(ticket.started).as_secs_f64();
             load.note_speed(tokens as f64 / took.max(0.001));
         }
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod centres;
 pub mod config;
+pub mod config_copy;
 pub mod events;
 pub mod exchange;
 pub mod freshness;
@@ -15,6 +16,7 @@
 pub mod news;
 pub mod prompt;
 pub mod servers;
+pub mod switches;
 pub mod work;
 
 mod groups;
@@ -31,6 +33,7 @@
     CallerLimits, GatewayConfig, GatewayRoute, PoolSplit, RepeatKind, RouteMatch, StreamClass,
     WorkspaceKeys,
 };
+pub use config_copy::ConfigCopy;
 pub use events::EventSplitter;
 pub use exchange::{LoadExchange, NodeEntry, TalkMoment};
 pub use freshness::FreshnessLease;
@@ -40,4 +43,5 @@
 pub use news_messages::{NewsAnswer, NewsQuestion, ServerNews};
 pub use prompt::{PromptPart, PromptShape};
 pub use servers::{ServerEntry, ServerState, ServerTable};
+pub use switches::{PolicyPart, PolicySwitches};
 pub use work::{ServerWork, WorkEnd, WorkTicket};
--- a/crates/plumgate/src/gateway/news.rs
+++ b/crates/plumgate/src/gateway/news.rs
@@ -37,6 +37,8 @@
     pub changes: Vec<ServerNews>,
     /// Whether the store has to be asked for what the answer could not tell.
     pub must_ask: bool,
+    /// Whether the other node has a newer configuration.
+    pub has_newer_config: bool,
 }
 
 /// What can be read from the source of a fleet's state.
@@ -279,6 +281,7 @@
             if config.version > self.config_version {
                 self.config.must_read = true;
                 taken.must_ask = true;
+                taken.has_newer_config = true;
             } else if let Some(known_at) = asked.known_at(config.age_ms) {
                 if in_charge {
                     note_told(&mut self.config, known_at);
--- a/crates/plumgate/src/gateway/server_load.rs
+++ b/crates/plumgate/src/gateway/server_load.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use super::config::StreamClass;
-use super::load::PlacementRequest;
+use super::load::{PlacementOptions, PlacementRequest};
 use super::prompt::{PromptShape, SMALL_PART};
 use super::servers::ServerEntry;
+use super::switches::{PolicyPart, PolicySwitches};
 use super::work::{ServerWork, URGENCIES, WorkEnd};
-use crate::ids::DataCentreId;
 use crate::retry::CircuitBreaker;
 
 /// Prompt tokens that an engine reads in a second while it generates for others too, before its
@@ -61,7 +61,10 @@
     breaker: CircuitBreaker,
     failures: f64,
     failures_at: Instant,
-    rests_until: Option<Instant>,
+    /// Until when it rests as it said that it is full.
+    full_until: Option<Instant>,
+    /// Until when it rests as it could not be reached.
+    unreachable_until: Option<Instant>,
     tokens_per_second: f64,
     parts: HashMap<u64, Instant>,
     part_order: VecDeque<u64>,
@@ -91,7 +94,8 @@
             breaker: CircuitBreaker::new(),
             failures: 0.0,
             failures_at: now,
-            rests_until: None,
+            full_until: None,
+            unreachable_until: None,
             tokens_per_second: DEFAULT_TOKENS_PER_SECOND,
             parts: HashMap::new(),
             part_order: VecDeque::new(),
@@ -99,8 +103,13 @@
     }
 
     /// Whether new work may go there.
-    pub(crate) fn is_sound(&self, now: Instant) -> bool {
-        self.breaker.allows(now) && self.rests_until.is_none_or(|until| now >= until)
+    pub(crate) fn is_sound(&self, switches: PolicySwitches, now: Instant) -> bool {
+        let has_paused = |until: Option<Instant>| until.is_none_or(|until| now >= until);
+        let is_closed = !switches.has(PolicyPart::Circuit) || self.breaker.allows(now);
+        let is_reached =
+            !switches.has(PolicyPart::UnreachablePause) || has_paused(self.unreachable_until);
+        let has_room = !switches.has(PolicyPart::FullPause) || has_paused(self.full_until);
+        is_closed && is_reached && has_room
     }
 
     /// What the server would mean to a request, for which a shared token that has to be read costs
@@ -109,11 +118,14 @@
         &self,
         request: &PlacementRequest<'_>,
         reread_weight: f64,
-        data_centre: &DataCentreId,
+        options: &PlacementOptions,
         now: Instant,
     ) -> CostPrediction {
-        let mut cost = self.failure_share(now) * FAILURE_SECONDS;
-        if self.entry.data_centre != *data_centre {
+        let mut cost = 0.0;
+        if options.switches.has(PolicyPart::FailureShare) {
+            cost += self.failure_share(now) * FAILURE_SECONDS;
+        }
+        if self.entry.data_centre != options.data_centre {
             cost += DISTANCE_SECONDS;
         }
         let in_flight = self.own.in_flight + self.peers.in_flight;
@@ -224,11 +236,11 @@
             WorkEnd::Failed => 1.0,
             WorkEnd::Refused | WorkEnd::Unreachable => {
                 self.breaker.record_failure(now);
-                self.rests_until = Some(now + UNREACHABLE_PAUSE);
+                self.unreachable_until = Some(now + UNREACHABLE_PAUSE);
                 1.0
             }
             WorkEnd::Full => {
-                self.rests_until = Some(now + FULL_PAUSE);
+                self.full_until = Some(now + FULL_PAUSE);
                 return;
             }
             WorkEnd::Unjudged => return,
--- a/crates/plumgate/tests/gateway_config.rs
+++ b/crates/plumgate/tests/gateway_config.rs
@@ -1,10 +1,11 @@
 //! Routes, workspaces and the freshness of keys of the gateway.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use plumgate::gateway::{
-    CallerLimits, FreshnessLease, GatewayConfig, GatewayRoute, PoolSplit, RepeatKind, RouteMatch,
-    StreamClass, WorkspaceKeys,
+    CallerLimits, ConfigCopy, FreshnessLease, GatewayConfig, GatewayRoute, PoolSplit, RepeatKind,
+    RouteMatch, StreamClass, WorkspaceKeys,
 };
 use quickcheck::quickcheck;
 
@@ -182,3 +183,36 @@
             && (!lease.allows_ready(now) || lease.allows_keys(now))
     }
 }
+
+// A key that was taken away works for too long at a node that got its configuration from another one. The
+// answer lay in a queue for seconds: it counts from the moment of the question, and the giver's own
+// knowledge was already old.
+#[test]
+fn passed_on_configuration_is_as_old_as_its_giver_knows() {
+    let held = Arc::new(GatewayConfig::new(7, CallerLimits::default()));
+    let copy = ConfigCopy::new(held.clone(), Duration::from_millis(1_200));
+    let bytes = copy.encode().expect("it is encoded");
+    let copy = ConfigCopy::decode(&bytes).expect("it is decoded");
+    assert_eq!(*copy.config(), held);
+    let known_at = copy.known_at(Duration::from_secs(10));
+    assert_eq!(known_at, Some(Duration::from_millis(8_799)));
+    assert_eq!(
+        copy.known_at(Duration::from_secs(1)),
+        None,
+        "before the VM started"
+    );
+    assert!(ConfigCopy::decode(&bytes[..bytes.len() / 2]).is_err());
+}
+
+#[test]
+fn passed_on_configuration_routes_as_the_one_that_was_read() {
+    let workspace = WorkspaceKeys {
+        workspace: "norte".into(),
+        priority: Some(1),
+    };
+    let routes = vec![route("a", "a.example", "/x/"), route("b", "b.example", "/")];
+    let held = config(routes).with_workspace(&workspace, ["k1".to_owned()]);
+    let bytes = ConfigCopy::new(Arc::new(held.clone()), Duration::ZERO).encode();
+    let copy = ConfigCopy::decode(&bytes.expect("it is encoded")).expect("it is decoded");
+    assert_eq!(**copy.config(), held);
+}
--- /dev/null
+++ b/crates/plumgate/tests/gateway_switches.rs
@@ -0,0 +1,30 @@
+//! Mechanisms of the policy that can be switched off.
+
+use std::collections::BTreeSet;
+
+use plumgate::gateway::{PolicyPart, PolicySwitches};
+
+#[test]
+fn each_mechanism_has_a_word_of_its_own() {
+    let words: BTreeSet<&str> = PolicyPart::all().map(PolicyPart::as_str).collect();
+    assert_eq!(words.len(), PolicyPart::all().count());
+    for part in PolicyPart::all() {
+        assert_eq!(part.as_str().parse(), Ok(part));
+    }
+    assert!("no-such-part".parse::<PolicyPart>().is_err());
+}
+
+#[test]
+fn one_that_is_switched_off_leaves_the_others_on() {
+    for part in PolicyPart::all() {
+        let switches = PolicySwitches::new().without(part);
+        assert!(!switches.has(part));
+        assert!(
+            PolicyPart::all()
+                .filter(|other| *other != part)
+                .all(|other| switches.has(other))
+        );
+        assert!(switches.off().eq([part]));
+    }
+    assert_eq!(PolicySwitches::new().off().count(), 0);
+}
--- a/crates/plumgated/src/gateway.rs
+++ b/crates/plumgated/src/gateway.rs
@@ -8,9 +8,9 @@
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use clap::builder::PossibleValuesParser;
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use futures_lite::{StreamExt, future};
-use plumgate::gateway::PlacementPolicy;
+use plumgate::gateway::{PlacementPolicy, PolicyPart, PolicySwitches};
 use plumgate_node::SystemClock;
 use plumgate_node::gateway::{GatewayHandle, GatewayNode};
 use plumgate_node::log::{EventLog, LogLine, stdout_log};
@@ -51,6 +51,13 @@
         .default_value(POLICIES[0].0)
         .value_parser(PossibleValuesParser::new(POLICIES.map(|(word, _)| word)))
         .help("How servers are chosen; all but the first are baselines");
+    let without = Arg::new("without")
+        .long("without")
+        .env("PLUMGATE_WITHOUT")
+        .value_delimiter(',')
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(PolicyPart))
+        .help("Mechanisms of the policy to switch off, for measuring what they are worth");
     let log_level = Arg::new("gateway-log-level")
         .long("log-level")
         .env("PLUMGATE_LOG_LEVEL")
@@ -59,7 +66,7 @@
         .help("From which level on events are logged");
     Command::new("gateway")
         .about("Relays whole requests on the users' platform")
-        .args([settings, metrics_port, policy, log_level])
+        .args([settings, metrics_port, policy, without, log_level])
 }
 
 /// Runs a gateway node until it is asked to stop.
@@ -106,7 +113,18 @@
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
         .subsec_nanos();
-    let mut options = settings.options.with_policy(policy).with_seed(seed.into());
+    let without = matches.get_many::<PolicyPart>("without");
+    let switches = without
+        .into_iter()
+        .flatten()
+        .fold(PolicySwitches::new(), |switches, part| {
+            switches.without(*part)
+        });
+    let mut options = settings
+        .options
+        .with_policy(policy)
+        .with_switches(switches)
+        .with_seed(seed.into());
     if let Some(port) = matches.get_one::<u16>("metrics-port") {
         let ip: IpAddr = options.ready_listen.ip();
         options = options.with_metrics(SocketAddr::new(ip, *port));
