--- a/crates/plumgate-node/src/gateway/node.rs
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -1,10 +1,11 @@
 //! Starts the threads of a gateway node and stops them again.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
 use async_channel::Sender;
+use async_io::Async;
 use plumgate::gateway::{PolicyPart, PolicySwitches};
 
 use super::caller::{accept_callers, accept_probes};
@@ -69,7 +70,6 @@
         let callers = bind(options.listen)?;
         let probes = bind(options.ready_listen)?;
         let metrics = options.metrics_listen.map(bind).transpose()?;
-        let nodes = options.peer_listen.map(bind).transpose()?;
         let addresses = GatewayAddresses {
             callers: local_address(&callers, options.listen),
             ready: local_address(&probes, options.ready_listen),
@@ -77,7 +77,7 @@
         let shared = Arc::new(GatewayShared::new(options, clock, log, wire));
         log_start(&shared);
         let executor = shared.executor.clone();
-        if let Some(listener) = nodes {
+        if let Some(listener) = bind_for_nodes(&shared) {
             executor
                 .spawn(accept_nodes(shared.clone(), listener))
                 .detach();
@@ -154,3 +154,19 @@
     let names: Vec<&str> = switches.off().map(PolicyPart::as_str).collect();
     (!names.is_empty()).then(|| names.join(","))
 }
+
+/// The listener for other nodes that want the configuration. Without it this node serves on, and they
+/// ask others.
+fn bind_for_nodes<C: Clock, W>(shared: &GatewayShared<C, W>) -> Option<Async<TcpListener>> {
+    let address = shared.options.peer_listen?;
+    match bind(address) {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            LogLine::new("peers_unserved")
+                .with("address", address)
+                .with("error", error)
+                .warn(&shared.log);
+            None
+        }
+    }
+}
