--- a/crates/plumgate/src/gateway/server_load.rs
+++ b/crates/plumgate/src/gateway/server_load.rs
@@ -37,6 +37,8 @@
 /// How long a server is believed to keep a part after its last use.
 const PART_LIFETIME: Duration = Duration::from_secs(30);
 
+/// How long a server that said that it is full gets no more from this node.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
 /// How long a server that could not be reached gets no more from this node. The next requests
 /// would each lose the time of a connection that does not come about.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(400);
@@ -52,6 +54,8 @@
     breaker: CircuitBreaker,
     failures: f64,
     failures_at: Instant,
+    /// Until when it rests as it said that it is full.
+    full_until: Option<Instant>,
     /// Until when it rests as it could not be reached.
     unreachable_until: Option<Instant>,
     parts: HashMap<u64, Instant>,
@@ -84,6 +88,7 @@
             breaker: CircuitBreaker::new(),
             failures: 0.0,
             failures_at: now,
+            full_until: None,
             unreachable_until: None,
             parts: HashMap::new(),
             part_order: VecDeque::new(),
@@ -92,10 +97,12 @@
 
     /// Whether new work may go there.
     pub(crate) fn is_sound(&self, switches: PolicySwitches, now: Instant) -> bool {
-        let has_paused = self.unreachable_until.is_none_or(|until| now >= until);
+        let has_paused = |until: Option<Instant>| until.is_none_or(|until| now >= until);
         let is_closed = !switches.has(PolicyPart::Circuit) || self.breaker.allows(now);
-        let is_reached = !switches.has(PolicyPart::UnreachablePause) || has_paused;
-        is_closed && is_reached
+        let is_reached =
+            !switches.has(PolicyPart::UnreachablePause) || has_paused(self.unreachable_until);
+        let has_room = !switches.has(PolicyPart::FullPause) || has_paused(self.full_until);
+        is_closed && is_reached && has_room
     }
 
     /// What the server would mean to a request, for which a shared token that has to be read costs
@@ -218,8 +225,11 @@
                 self.unreachable_until = Some(now + UNREACHABLE_PAUSE);
                 1.0
             }
-            // A request that was refused is offered to others; the load that is told shows the rest.
-            WorkEnd::Full | WorkEnd::Unjudged => return,
+            WorkEnd::Full => {
+                self.full_until = Some(now + FULL_PAUSE);
+                return;
+            }
+            WorkEnd::Unjudged => return,
         };
         let share = self.failure_share(now);
         self.failures = share + FAILURE_WEIGHT * (failed - share);
--- a/crates/plumgate/src/gateway/switches.rs
+++ b/crates/plumgate/src/gateway/switches.rs
@@ -33,6 +33,8 @@
     FailureShare,
     /// Servers that refuse connections are left alone for longer and longer.
     Circuit,
+    /// A server that said that it is full rests for a moment.
+    FullPause,
     /// A server that could not be reached rests for a moment.
     UnreachablePause,
     /// Two silent servers mean their data centre.
@@ -46,7 +48,7 @@
 }
 
 /// All mechanisms with the words by which they are named.
-const PARTS: [(PolicyPart, &str); 16] = [
+const PARTS: [(PolicyPart, &str); 17] = [
     (PolicyPart::Exchange, "exchange"),
     (PolicyPart::Homes, "homes"),
     (PolicyPart::SecondHome, "second-home"),
@@ -58,6 +60,7 @@
     (PolicyPart::ReturnSpread, "return-spread"),
     (PolicyPart::FailureShare, "failure-share"),
     (PolicyPart::Circuit, "circuit"),
+    (PolicyPart::FullPause, "full-pause"),
     (PolicyPart::UnreachablePause, "unreachable-pause"),
     (PolicyPart::CutCentres, "cut-centres"),
     (PolicyPart::News, "news"),
