gateway: a newer configuration is asked of another node without waiting for the store to fail

Looking into it: a node asked another one only after a call to the store had failed, which takes 2.2 to 4.7 s where the store stays silent. Ruled out: load (the log names the address). The view of the fleet reads in smaller steps, no other behaviour.

--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -56,6 +56,10 @@
 /// How long a node that stops waits for its row to be removed.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long a node that hears of a newer configuration leaves it to the store: many times an answer of
+/// a store that works, and little against the time within which a change must be in force.
+const SOURCE_FIRST: Duration = Duration::from_millis(300);
+
 /// What the control thread is told from outside.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum GatewaySignal {
@@ -94,6 +98,10 @@
             let following = async move { control.follow(source, topic).await };
             executor.spawn(following).detach();
         }
+        let asking = control.clone();
+        executor
+            .spawn(async move { asking.follow_nodes().await })
+            .detach();
         let own = PeerExchange::new(control.shared.clone(), control.view.clone())
             .map(|exchange| exchange.spawn(&executor, source.clone()));
         let living = async {
@@ -219,9 +227,6 @@
                 Err(error) => {
                     since = since.filter(|_| error.keeps_place());
                     self.note_failure(topic, &error, &mut is_lost);
-                    if topic == SourceTopic::Config && self.view.ask_for_config().await {
-                        self.life.borrow_mut().configured(&self.shared);
-                    }
                     if error != SourceError::HistoryLost {
                         self.shared.clock.sleep(backoff.next(&mut rng)).await;
                     }
@@ -230,6 +235,20 @@
         }
     }
 
+    /// Takes newer configurations from other nodes where the store does not give them soon.
+    ///
+    /// It does not wait for a call to the store to fail: one that gets no answer at all takes seconds, and
+    /// callers with new keys would be refused for as long.
+    async fn follow_nodes(&self) {
+        loop {
+            self.view.wait_for_newer_config().await;
+            self.shared.clock.sleep(SOURCE_FIRST).await;
+            if self.view.ask_for_config().await {
+                self.life.borrow_mut().configured(&self.shared);
+            }
+        }
+    }
+
     /// Waits while others tell of a topic. Gives back from where on the store is to be asked; none
     /// where all has to be read.
     async fn rest(&self, topic: SourceTopic, since: Option<u64>) -> Option<u64> {
--- a/crates/plumgate-node/src/gateway/node.rs
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -67,6 +67,8 @@
         source: S,
     ) -> Result<Self> {
         let (signals, received) = async_channel::bounded(SIGNALS_WAITING);
+        // Addresses that are given come before those that the system may choose.
+        let nodes = bind_for_nodes(&options, &log);
         let callers = bind(options.listen)?;
         let probes = bind(options.ready_listen)?;
         let metrics = options.metrics_listen.map(bind).transpose()?;
@@ -77,7 +79,7 @@
         let shared = Arc::new(GatewayShared::new(options, clock, log, wire));
         log_start(&shared);
         let executor = shared.executor.clone();
-        if let Some(listener) = bind_for_nodes(&shared) {
+        if let Some(listener) = nodes {
             executor
                 .spawn(accept_nodes(shared.clone(), listener))
                 .detach();
@@ -157,15 +159,15 @@
 
 /// The listener for other nodes that want the configuration. Without it this node serves on, and they
 /// ask others.
-fn bind_for_nodes<C: Clock, W>(shared: &GatewayShared<C, W>) -> Option<Async<TcpListener>> {
-    let address = shared.options.peer_listen?;
+fn bind_for_nodes(options: &GatewayOptions, log: &EventLog) -> Option<Async<TcpListener>> {
+    let address = options.peer_listen?;
     match bind(address) {
         Ok(listener) => Some(listener),
         Err(error) => {
             LogLine::new("peers_unserved")
                 .with("address", address)
                 .with("error", error)
-                .warn(&shared.log);
+                .warn(log);
             None
         }
     }
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -42,6 +42,8 @@
     is_collector: Cell<bool>,
     /// The node that last told of a newer configuration than this one's.
     newer_config_at: Cell<Option<SocketAddr>>,
+    /// Tells that another node has a newer configuration.
+    newer_config: Event,
     /// When a call to the source last failed.
     trouble_at: Cell<Option<Instant>>,
 }
@@ -59,6 +61,7 @@
             news_missing: Event::new(),
             is_collector: Cell::new(false),
             newer_config_at: Cell::new(None),
+            newer_config: Event::new(),
             trouble_at: Cell::new(None),
         }
     }
@@ -103,6 +106,7 @@
     pub(crate) fn take_news(&self, taken: NewsTaken, from: SocketAddr) {
         if taken.has_newer_config {
             self.newer_config_at.set(Some(from));
+            self.newer_config.notify(usize::MAX);
         }
         if let Some(known_at) = taken.config_known_at {
             self.shared.lease().renew(known_at);
@@ -146,10 +150,23 @@
         has_config
     }
 
-    /// Takes the configuration from another node that has a newer one, as the store doesn't answer.
-    /// Tells whether another configuration is in force.
+    /// Waits until another node tells of a newer configuration.
+    pub(crate) async fn wait_for_newer_config(&self) {
+        loop {
+            let told = self.newer_config.listen();
+            if self.newer_config_at.get().is_some() {
+                return;
+            }
+            told.await;
+        }
+    }
+
+    /// Takes the configuration from another node that has a newer one, unless the store has given it
+    /// meanwhile. Tells whether another configuration is in force.
     pub(crate) async fn ask_for_config(&self) -> bool {
-        let Some(address) = self.newer_config_at.take() else {
+        let told = self.newer_config_at.take();
+        let is_behind = self.news().must_read(SourceTopic::Config);
+        let Some(address) = told.filter(|_| is_behind) else {
             return false;
         };
         let asked_at = self.shared.clock.boot_time();
@@ -200,45 +217,13 @@
     }
 
     fn apply_servers(&self, change: SourceChange, is_whole: bool) {
-        let now = self.shared.clock.now();
-        let doubt = self.doubt(now);
-        let mut news = Vec::new();
-        for event in change.events {
-            match event {
-                SourceEvent::Server(entry) if self.servers.borrow().is_foreign(&entry) => {
-                    LogLine::new("finding")
-                        .with("topic", SourceTopic::Servers.as_str())
-                        .with("server", &entry.id)
-                        .with("finding", "the entry lacks the time of birth that it had")
-                        .warn(&self.shared.log);
-                    news.push(ServerNews::Unusable(entry.id));
-                }
-                SourceEvent::Server(entry) => news.push(ServerNews::Entry(entry)),
-                SourceEvent::ServerGone(id) => news.push(ServerNews::Gone {
-                    id,
-                    doubted: doubt.is_some(),
-                }),
-                SourceEvent::BadServer(id, findings) => {
-                    self.log_findings(SourceTopic::Servers, &findings);
-                    news.push(ServerNews::Unusable(id));
-                }
-                SourceEvent::Config(_) | SourceEvent::BadConfig(_) => {}
-            }
-        }
+        let doubt = self.doubt(self.shared.clock.now());
+        let events = change.events.into_iter();
+        let news: Vec<ServerNews> = events
+            .filter_map(|event| self.server_news(event, doubt.is_some()))
+            .collect();
         if is_whole {
-            let mut entries = Vec::with_capacity(news.len());
-            let mut unusable = Vec::new();
-            for news in news {
-                match news {
-                    ServerNews::Entry(entry) => entries.push(entry),
-                    ServerNews::Unusable(id) => unusable.push(id),
-                    ServerNews::Gone { .. } => {}
-                }
-            }
-            let mut servers = self.servers.borrow_mut();
-            let changes = servers.replace(entries, &unusable, doubt, now);
-            drop(servers);
-            self.publish(&changes, "read");
+            self.replace_servers(news, doubt);
             self.news().restart_log(change.version);
             return;
         }
@@ -252,6 +237,45 @@
         self.news().extend_log(change.version, news);
     }
 
+    /// What an event of the source says of a server.
+    fn server_news(&self, event: SourceEvent, doubted: bool) -> Option<ServerNews> {
+        match event {
+            SourceEvent::Server(entry) if self.servers.borrow().is_foreign(&entry) => {
+                LogLine::new("finding")
+                    .with("topic", SourceTopic::Servers.as_str())
+                    .with("server", &entry.id)
+                    .with("finding", "the entry lacks the time of birth that it had")
+                    .warn(&self.shared.log);
+                Some(ServerNews::Unusable(entry.id))
+            }
+            SourceEvent::Server(entry) => Some(ServerNews::Entry(entry)),
+            SourceEvent::ServerGone(id) => Some(ServerNews::Gone { id, doubted }),
+            SourceEvent::BadServer(id, findings) => {
+                self.log_findings(SourceTopic::Servers, &findings);
+                Some(ServerNews::Unusable(id))
+            }
+            SourceEvent::Config(_) | SourceEvent::BadConfig(_) => None,
+        }
+    }
+
+    /// All servers were read at one moment.
+    fn replace_servers(&self, news: Vec<ServerNews>, doubt: Option<Duration>) {
+        let mut entries = Vec::with_capacity(news.len());
+        let mut unusable = Vec::new();
+        for news in news {
+            match news {
+                ServerNews::Entry(entry) => entries.push(entry),
+                ServerNews::Unusable(id) => unusable.push(id),
+                ServerNews::Gone { .. } => {}
+            }
+        }
+        let now = self.shared.clock.now();
+        let mut servers = self.servers.borrow_mut();
+        let changes = servers.replace(entries, &unusable, doubt, now);
+        drop(servers);
+        self.publish(&changes, "read");
+    }
+
     fn put_servers(&self, entries: Vec<ServerEntry>, source: &str) {
         let changes: Vec<ServerChange> = entries
             .into_iter()
--- a/crates/plumgate/src/gateway/server_load.rs
+++ b/crates/plumgate/src/gateway/server_load.rs
@@ -97,12 +97,13 @@
 
     /// Whether new work may go there.
     pub(crate) fn is_sound(&self, switches: PolicySwitches, now: Instant) -> bool {
-        let has_paused = |until: Option<Instant>| until.is_none_or(|until| now >= until);
-        let is_closed = !switches.has(PolicyPart::Circuit) || self.breaker.allows(now);
-        let is_reached =
-            !switches.has(PolicyPart::UnreachablePause) || has_paused(self.unreachable_until);
-        let has_room = !switches.has(PolicyPart::FullPause) || has_paused(self.full_until);
-        is_closed && is_reached && has_room
+        let is_resting = |part, until: Option<Instant>| {
+            switches.has(part) && until.is_some_and(|until| now < until)
+        };
+        let is_open = switches.has(PolicyPart::Circuit) && !self.breaker.allows(now);
+        !is_open
+            && !is_resting(PolicyPart::UnreachablePause, self.unreachable_until)
+            && !is_resting(PolicyPart::FullPause, self.full_until)
     }
 
     /// What the server would mean to a request, for which a shared token that has to be read costs
