gateway: calls to the store are counted by what made them

Cause: the calls to the store are the first price at 195 nodes, and their sum could not be explained: the counter knew the topic only.

--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -15,10 +15,10 @@
 use super::attempt::CONNECT_TIMEOUT;
 use super::exchange::PeerExchange;
 use super::life::GatewayLife;
-use super::metrics::CallLabels;
 use super::options::GatewayBounds;
 use super::ports::{FleetSource, SourceChange, SourceError, SourceTopic};
 use super::shared::GatewayShared;
+use super::source_calls::{CallCause, CallTopic, note_source_call};
 use super::view::FleetView;
 use crate::clock::{Clock, until};
 use crate::http::open_stream;
@@ -119,8 +119,10 @@
         let deadline = self.shared.clock.now() + LEAVE_TIMEOUT;
         let leaving = source.unregister(own);
         let left = until(&self.shared.clock, deadline, leaving).await;
+        let done = matches!(left, Some(Ok(())));
+        note_source_call(&self.shared, CallTopic::Nodes, CallCause::Leave, done);
         LogLine::new("unregister")
-            .with("done", matches!(left, Some(Ok(()))))
+            .with("done", done)
             .info(&self.shared.log);
     }
 
@@ -204,11 +206,13 @@
         let mut backoff = BackoffPause::new(FIRST_RETRY, LONGEST_RETRY);
         let mut since = None;
         let mut is_lost = false;
+        let mut cause = CallCause::Start;
         loop {
-            since = self.rest(topic, since).await;
+            (since, cause) = self.rest(topic, since, cause).await;
             let asked_at = self.shared.clock.boot_time();
             let answer = self.ask(&mut source, topic, since).await;
-            self.count_call(topic, answer.is_ok());
+            let call_topic = CallTopic::Followed(topic);
+            note_source_call(&self.shared, call_topic, cause, answer.is_ok());
             match answer {
                 Ok(change) => {
                     if is_lost {
@@ -219,6 +223,7 @@
                     let is_whole = since.is_none();
                     let pause = self.pause_after(topic, is_whole, !change.events.is_empty());
                     since = Some(change.version);
+                    cause = CallCause::Watch;
                     if self.view.apply(topic, change, is_whole, asked_at) {
                         self.life.borrow_mut().configured(&self.shared);
                     }
@@ -226,6 +231,7 @@
                 }
                 Err(error) => {
                     since = since.filter(|_| error.keeps_place());
+                    cause = CallCause::Outage;
                     self.note_failure(topic, &error, &mut is_lost);
                     if error != SourceError::HistoryLost {
                         self.shared.clock.sleep(backoff.next(&mut rng)).await;
@@ -251,8 +257,15 @@
 
     /// Waits while others tell of a topic. Gives back from where on the store is to be asked; none
     /// where all has to be read.
-    async fn rest(&self, topic: SourceTopic, since: Option<u64>) -> Option<u64> {
-        since?;
+    async fn rest(
+        &self,
+        topic: SourceTopic,
+        since: Option<u64>,
+        cause: CallCause,
+    ) -> (Option<u64>, CallCause) {
+        if since.is_none() {
+            return (None, cause);
+        }
         let mut rested = false;
         while let Some(most) = self.view.rest(topic) {
             if !rested {
@@ -271,13 +284,15 @@
                 .info(&self.shared.log);
         }
         if must_read {
-            return None;
+            return (None, CallCause::Change);
         }
-        match topic {
+        let cause = if rested { CallCause::Outage } else { cause };
+        let place = match topic {
             // Its place in the store's history is not passed on.
             SourceTopic::Config => since.filter(|_| !rested),
             SourceTopic::Servers => self.view.news().servers_version(),
-        }
+        };
+        (place, cause)
     }
 
     async fn ask<S: FleetSource>(
@@ -325,18 +340,6 @@
         Duration::ZERO
     }
 
-    fn count_call(&self, topic: SourceTopic, is_ok: bool) {
-        let labels = CallLabels {
-            topic: topic.as_str(),
-            result: if is_ok { "ok" } else { "failed" },
-        };
-        self.shared
-            .metrics
-            .source_calls
-            .get_or_create(&labels)
-            .inc();
-    }
-
     fn log_regained(&self, topic: SourceTopic, version: u64) {
         LogLine::new("source_regained")
             .with("topic", topic.as_str())
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
 
 use super::ports::FleetSource;
 use super::shared::GatewayShared;
+use super::source_calls::{CallCause, CallTopic, note_source_call};
 use super::view::FleetView;
 use crate::clock::Clock;
 use crate::log::LogLine;
@@ -142,7 +143,12 @@
     }
 
     async fn keep_register<S: FleetSource>(&self, mut source: S) {
-        while let Err(error) = source.register(&self.own).await {
+        loop {
+            let registered = source.register(&self.own).await;
+            self.note_call(registered.is_ok());
+            let Err(error) = registered else {
+                break;
+            };
             LogLine::new("register_failed")
                 .with("error", error)
                 .warn(&self.shared.log);
@@ -160,7 +166,9 @@
     }
 
     async fn read_register<S: FleetSource>(&self, source: &mut S) {
-        match source.nodes().await {
+        let nodes = source.nodes().await;
+        self.note_call(nodes.is_ok());
+        match nodes {
             Ok(nodes) => {
                 self.exchange.borrow_mut().set_nodes(nodes);
                 self.note_nodes();
@@ -171,6 +179,10 @@
         }
     }
 
+    fn note_call(&self, is_ok: bool) {
+        note_source_call(&self.shared, CallTopic::Nodes, CallCause::Register, is_ok);
+    }
+
     /// Divides the fleet's retries anew, with some left for nodes that are not seen yet.
     fn note_nodes(&self) {
         let count = self.exchange.borrow().node_count();
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -44,6 +44,8 @@
 pub(crate) struct CallLabels {
     /// What was asked for.
     pub(crate) topic: &'static str,
+    /// What made the node call.
+    pub(crate) cause: &'static str,
     /// `ok` or `failed`.
     pub(crate) result: &'static str,
 }
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod relay;
 mod relay_report;
 mod shared;
+mod source_calls;
 mod stream;
 mod view;
 
