--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -1,18 +1,21 @@
 //! The control thread of a gateway node: follows the source, keeps the life of the node.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
+use async_io::Async;
 use futures_lite::future;
 use plumgate::gateway::NodeEntry;
 use plumgate::ids::DataCentreId;
 use plumgate::retry::BackoffPause;
 
 use super::attempt::CONNECT_TIMEOUT;
+use super::copies::{COPIES_AT_ONCE, serve_copies};
 use super::exchange::PeerExchange;
 use super::life::GatewayLife;
 use super::options::GatewayBounds;
@@ -51,15 +54,19 @@
 /// Longest pause after calls without an answer: a fraction of the time within which a change
 /// must be in force.
 const LONGEST_RETRY: Duration = Duration::from_millis(800);
+/// Pause after a call without an answer of a node whose collector is another one: long against the
+/// collector's own retries, and short enough that a node that is told nothing, as its collector alone
+/// is turned away, reads the store before callers with keys are refused.
+const FOLLOWER_RETRY: Duration = Duration::from_millis(1_600);
+/// How long a node that has read all at its start leaves the store alone. Nodes that start together know
+/// each other after 0.7 s, and one of them tells all others from then on. Without it each of 195 nodes
+/// followed servers that started one after another by calls of its own.
+const START_PAUSE: Duration = Duration::from_millis(1_500);
 /// Time between two looks at all that may be due.
 const TICK: Duration = Duration::from_millis(100);
 /// How long a node that stops waits for its row to be removed.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// How long a node that hears of a newer configuration leaves it to the store: many times an answer of
-/// a store that works, and little against the time within which a change must be in force.
-const SOURCE_FIRST: Duration = Duration::from_millis(300);
-
 /// What the control thread is told from outside.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum GatewaySignal {
@@ -74,6 +81,8 @@
     shared: Arc<GatewayShared<C, W>>,
     view: Rc<FleetView<C, W>>,
     cut_centres: RefCell<Vec<DataCentreId>>,
+    /// Whether the last call for the configuration failed.
+    is_config_lost: Cell<bool>,
     life: RefCell<GatewayLife>,
 }
 
@@ -84,12 +93,18 @@
             view: Rc::new(FleetView::new(shared.clone())),
             shared,
             cut_centres: RefCell::default(),
+            is_config_lost: Cell::new(false),
             life: RefCell::new(GatewayLife::new()),
         }
     }
 
-    /// Runs until the node has stopped.
-    pub(crate) fn run<S: FleetSource>(self, source: S, signals: Receiver<GatewaySignal>) {
+    /// Runs until the node has stopped; other nodes reach it at a listener.
+    pub(crate) fn run<S: FleetSource>(
+        self,
+        source: S,
+        signals: Receiver<GatewaySignal>,
+        nodes: Option<Async<TcpListener>>,
+    ) {
         let control = Rc::new(self);
         let executor = LocalExecutor::new();
         for topic in [SourceTopic::Config, SourceTopic::Servers] {
@@ -98,10 +113,18 @@
             let following = async move { control.follow(source, topic).await };
             executor.spawn(following).detach();
         }
-        let asking = control.clone();
-        executor
-            .spawn(async move { asking.follow_nodes().await })
-            .detach();
+        for topic in [SourceTopic::Config, SourceTopic::Servers] {
+            let control = control.clone();
+            let asking = async move { control.follow_nodes(topic).await };
+            executor.spawn(asking).detach();
+        }
+        if let Some(listener) = nodes.map(Rc::new) {
+            for _ in 0..COPIES_AT_ONCE {
+                let (shared, view) = (control.shared.clone(), control.view.clone());
+                let serving = serve_copies(shared, view, listener.clone());
+                executor.spawn(serving).detach();
+            }
+        }
         let own = PeerExchange::new(control.shared.clone(), control.view.clone())
             .map(|exchange| exchange.spawn(&executor, source.clone()));
         let living = async {
@@ -213,6 +236,9 @@
             let answer = self.ask(&mut source, topic, since).await;
             let call_topic = CallTopic::Followed(topic);
             note_source_call(&self.shared, call_topic, cause, answer.is_ok());
+            if topic == SourceTopic::Config {
+                self.is_config_lost.set(answer.is_err());
+            }
             match answer {
                 Ok(change) => {
                     if is_lost {
@@ -221,7 +247,8 @@
                     }
                     backoff.reset();
                     let is_whole = since.is_none();
-                    let pause = self.pause_after(topic, is_whole, !change.events.is_empty());
+                    let has_news = !change.events.is_empty();
+                    let pause = self.pause_after(topic, cause, is_whole, has_news);
                     since = Some(change.version);
                     cause = CallCause::Watch;
                     if self.view.apply(topic, change, is_whole, asked_at) {
@@ -234,29 +261,28 @@
                     cause = CallCause::Outage;
                     self.note_failure(topic, &error, &mut is_lost);
                     if error != SourceError::HistoryLost {
-                        self.shared.clock.sleep(backoff.next(&mut rng)).await;
+                        let next = backoff.next(&mut rng);
+                        self.shared.clock.sleep(self.retry_pause(since, next)).await;
                     }
                 }
             }
         }
     }
 
-    /// Takes newer configurations from other nodes where the store does not give them soon.
+    /// Takes from other nodes what this one lacks of a topic.
     ///
-    /// It does not wait for a call to the store to fail: one that gets no answer at all takes seconds, and
+    /// It does not wait for a call to the store to end: one that gets no answer at all takes seconds, and
     /// callers with new keys would be refused for as long.
-    async fn follow_nodes(&self) {
+    async fn follow_nodes(&self, topic: SourceTopic) {
         loop {
-            self.view.wait_for_newer_config().await;
-            self.shared.clock.sleep(SOURCE_FIRST).await;
-            if self.view.ask_for_config().await {
+            if self.view.take_next_copy(topic).await {
                 self.life.borrow_mut().configured(&self.shared);
             }
         }
     }
 
-    /// Waits while others tell of a topic. Gives back from where on the store is to be asked; none
-    /// where all has to be read.
+    /// Waits while others tell of a topic. Gives back from where on the store is to be asked, none
+    /// where all has to be read, and what makes that necessary.
     async fn rest(
         &self,
         topic: SourceTopic,
@@ -267,14 +293,14 @@
             return (None, cause);
         }
         let mut rested = false;
-        while let Some(most) = self.view.rest(topic) {
+        while let Some(most) = self.pause_before(topic) {
             if !rested {
                 LogLine::new("source_told")
                     .with("topic", topic.as_str())
                     .info(&self.shared.log);
             }
             rested = true;
-            self.view.wait_for_news(topic, most).await;
+            self.view.wait_for_news(most).await;
         }
         let must_read = self.view.news().must_read(topic);
         if rested {
@@ -295,6 +321,17 @@
         (place, cause)
     }
 
+    /// How long the store is left alone for a topic.
+    ///
+    /// While it answers nobody, each node of a large fleet would try both topics again and again. One is
+    /// enough to find out that it is back.
+    fn pause_before(&self, topic: SourceTopic) -> Option<Duration> {
+        let waits = topic == SourceTopic::Servers
+            && self.is_config_lost.get()
+            && self.view.leaves_retries();
+        self.view.rest(topic).or(waits.then_some(TICK))
+    }
+
     async fn ask<S: FleetSource>(
         &self,
         source: &mut S,
@@ -330,7 +367,16 @@
     }
 
     /// Pause after an answer of the source before it is asked again.
-    fn pause_after(&self, topic: SourceTopic, is_whole: bool, has_news: bool) -> Duration {
+    fn pause_after(
+        &self,
+        topic: SourceTopic,
+        cause: CallCause,
+        is_whole: bool,
+        has_news: bool,
+    ) -> Duration {
+        if cause == CallCause::Start && self.shared.options.peer_listen.is_some() {
+            return START_PAUSE;
+        }
         if is_whole {
             return REREAD_PAUSE;
         }
@@ -340,6 +386,17 @@
         Duration::ZERO
     }
 
+    /// Pause after a call that failed, given the next one of a node by itself.
+    ///
+    /// The collector goes on trying, and tells within two rounds that the store is back. Without this an
+    /// outage of 4.5 s made each of 195 nodes call some twelve times for an answer that one of them gets.
+    fn retry_pause(&self, since: Option<u64>, own: Duration) -> Duration {
+        if since.is_none() || !self.view.leaves_retries() {
+            return own;
+        }
+        FOLLOWER_RETRY.mul_f64(0.5 + self.shared.random_share())
+    }
+
     fn log_regained(&self, topic: SourceTopic, version: u64) {
         LogLine::new("source_regained")
             .with("topic", topic.as_str())
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! The nodes' talk about their work at the servers: datagrams, and the register of nodes.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::UdpSocket;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,9 +21,10 @@
 const ROUND: Duration = Duration::from_millis(100);
 /// Largest datagram that is taken in.
 const DATAGRAM_BYTES: usize = 8 * 1024;
-/// Pauses before the register is read the first times: nodes that start together are in it soon.
-const FIRST_READS: [Duration; 2] = [Duration::from_millis(700), Duration::from_secs(3)];
-/// Time between two reads of the register. In between nodes make themselves known by talking.
+/// Pause before the register is read the first time: nodes that start together are in it by then.
+const FIRST_READ: Duration = Duration::from_millis(700);
+/// Time between two reads of the register by a collector. All other nodes know it by then, as they talk
+/// to it, and it tells the others how many they are.
 const READ_PAUSE: Duration = Duration::from_secs(30);
 /// Pause before a call to the register is tried again.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
@@ -37,6 +38,8 @@
     socket: Async<UdpSocket>,
     own: NodeEntry,
     exchange: RefCell<LoadExchange>,
+    /// Whether the register has been read.
+    has_register: Cell<bool>,
 }
 
 impl<C: Clock, W: Send + Sync + 'static> PeerExchange<C, W> {
@@ -58,9 +61,11 @@
             node: shared.options.node.clone(),
             data_centre: shared.options.data_centre.clone(),
             address,
+            capacity: shared.options.capacity,
         };
         Some(Self {
             exchange: RefCell::new(LoadExchange::new(own.clone())),
+            has_register: Cell::new(false),
             shared,
             view,
             socket,
@@ -135,6 +140,7 @@
             };
             self.view
                 .set_collector(self.exchange.borrow().is_collector());
+            self.note_nodes();
             for (address, bytes) in packets {
                 // A datagram that can't be sent is as good as one that got lost.
                 let _ = self.socket.send_to(&bytes, address).await;
@@ -154,28 +160,35 @@
                 .warn(&self.shared.log);
             self.shared.clock.sleep(RETRY_PAUSE).await;
         }
-        for pause in FIRST_READS {
-            self.shared.clock.sleep(pause).await;
-            self.read_register(&mut source).await;
+        self.shared.clock.sleep(FIRST_READ).await;
+        while !self.read_register(&mut source).await {
+            self.shared.clock.sleep(RETRY_PAUSE).await;
         }
         loop {
             let spread = READ_PAUSE.mul_f64(0.5 + self.shared.random_share());
             self.shared.clock.sleep(spread).await;
-            self.read_register(&mut source).await;
+            if self.exchange.borrow().is_collector() {
+                self.read_register(&mut source).await;
+            }
         }
     }
 
-    async fn read_register<S: FleetSource>(&self, source: &mut S) {
+    /// Reads the register, and tells whether it could.
+    async fn read_register<S: FleetSource>(&self, source: &mut S) -> bool {
         let nodes = source.nodes().await;
         self.note_call(nodes.is_ok());
         match nodes {
             Ok(nodes) => {
                 self.exchange.borrow_mut().set_nodes(nodes);
-                self.note_nodes();
+                self.has_register.set(true);
+                true
+            }
+            Err(error) => {
+                LogLine::new("register_unread")
+                    .with("error", error)
+                    .warn(&self.shared.log);
+                false
             }
-            Err(error) => LogLine::new("register_unread")
-                .with("error", error)
-                .warn(&self.shared.log),
         }
     }
 
@@ -186,11 +199,15 @@
     /// Divides the fleet's retries anew, with some left for nodes that are not seen yet.
     fn note_nodes(&self) {
         let count = self.exchange.borrow().node_count();
-        let assumed = (count as f64 * (1.0 + UNSEEN_SHARE)).ceil() as u32;
-        self.shared.budget().set_nodes(assumed);
         let is_collector = self.exchange.borrow().is_collector();
+        if !self.has_register.get() {
+            // What was assumed of the fleet's size at the start holds until it is known.
+            return;
+        }
+        let assumed = (count as f64 * (1.0 + UNSEEN_SHARE)).ceil() as u32;
         let gauge = i64::try_from(count).unwrap_or(i64::MAX);
         if self.shared.metrics.nodes.set(gauge) != gauge {
+            self.shared.budget().set_nodes(assumed);
             LogLine::new("nodes")
                 .with("count", count)
                 .with("collector", is_collector)
--- a/crates/plumgate-node/src/gateway/node.rs
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -9,7 +9,6 @@
 use plumgate::gateway::{PolicyPart, PolicySwitches};
 
 use super::caller::{accept_callers, accept_probes};
-use super::config_link::accept_nodes;
 use super::control::{GatewayControl, GatewaySignal};
 use super::options::{GatewayBounds, GatewayOptions};
 use super::ports::{FleetSource, WireFormat};
@@ -79,11 +78,6 @@
         let shared = Arc::new(GatewayShared::new(options, clock, log, wire));
         log_start(&shared);
         let executor = shared.executor.clone();
-        if let Some(listener) = nodes {
-            executor
-                .spawn(accept_nodes(shared.clone(), listener))
-                .detach();
-        }
         executor
             .spawn(accept_callers(shared.clone(), callers))
             .detach();
@@ -99,7 +93,7 @@
         };
         let control = move || {
             let control = GatewayControl::new(shared.clone());
-            control.run(source, received);
+            control.run(source, received, nodes);
             LogLine::new("stop")
                 .with("node", &shared.options.node)
                 .with("open_requests", shared.open_requests())
@@ -157,7 +151,7 @@
     (!names.is_empty()).then(|| names.join(","))
 }
 
-/// The listener for other nodes that want the configuration. Without it this node serves on, and they
+/// The listener for other nodes that lack something. Without it this node serves on, and they
 /// ask others.
 fn bind_for_nodes(options: &GatewayOptions, log: &EventLog) -> Option<Async<TcpListener>> {
     let address = options.peer_listen?;
--- a/crates/plumgate-node/src/gateway/options.rs
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use plumgate::gateway::{PlacementPolicy, PolicySwitches};
+use plumgate::gateway::{NodeCapacity, PlacementPolicy, PolicySwitches};
 use plumgate::ids::{DataCentreId, NodeId};
 
 /// The bounds that the fleet's operators set.
@@ -48,6 +48,8 @@
     pub metrics_listen: Option<SocketAddr>,
     /// Address for the other nodes; without one this node knows its own load only.
     pub peer_listen: Option<SocketAddr>,
+    /// Its share of processors, in thousandths of one; 0 where it is not known.
+    pub capacity: NodeCapacity,
     /// The operators' bounds.
     pub bounds: GatewayBounds,
     /// How servers are chosen.
@@ -73,6 +75,7 @@
             ready_listen,
             metrics_listen: None,
             peer_listen: None,
+            capacity: 0,
             bounds: GatewayBounds::default(),
             policy: PlacementPolicy::default(),
             seed: 0,
@@ -98,6 +101,12 @@
         self
     }
 
+    /// The same with a share of processors.
+    pub fn with_capacity(mut self, capacity: NodeCapacity) -> Self {
+        self.capacity = capacity;
+        self
+    }
+
     /// The same with other bounds.
     pub fn with_bounds(mut self, bounds: GatewayBounds) -> Self {
         self.bounds = bounds;
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -152,12 +152,21 @@
 
     /// Whether this node has heard others before and hears none now.
     pub(crate) fn is_cut_off(&self) -> bool {
+        self.peer_silence()
+            .is_some_and(|silence| silence > PEER_SILENCE)
+    }
+
+    /// Whether other nodes were heard lately.
+    pub(crate) fn hears_others(&self) -> bool {
+        self.peer_silence()
+            .is_some_and(|silence| silence <= PEER_SILENCE)
+    }
+
+    /// How long no other node was heard; none where none ever was.
+    fn peer_silence(&self) -> Option<Duration> {
         let heard = self.peer_heard_ms.load(Ordering::Relaxed);
-        let silence = self
-            .clock
-            .boot_time()
-            .saturating_sub(Duration::from_millis(heard));
-        heard != 0 && silence > PEER_SILENCE
+        let heard = (heard != 0).then(|| Duration::from_millis(heard))?;
+        Some(self.clock.boot_time().saturating_sub(heard))
     }
 
     /// Whether the balancer should send callers here.
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -10,12 +10,15 @@
 use plumgate::FindingList;
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
-    GatewayConfig, NewsDesk, NewsTaken, PolicyPart, ServerEntry, ServerNews, ServerTable,
-    SourceTopic,
+    ConfigCopy, GatewayConfig, NewsDesk, NewsTaken, PolicyPart, ServerEntry, ServerNews,
+    ServerTable, ServersCopy, SourceTopic, StateCopy,
 };
 use plumgate::ids::ServerId;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
-use super::config_link::ask_node;
+use super::copies::{CopyError, ask_node};
+use super::copy_wishes::CopyWishes;
 use super::ports::{SourceChange, SourceEvent};
 use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
@@ -27,11 +30,6 @@
 /// How long a server stays in use whose entry is missing in such a time. A server that lives has
 /// renewed its entry by then.
 const DOUBT: Duration = Duration::from_millis(1_800);
-/// How long a node that starts follows the servers by itself: until it has read the register of nodes
-/// for the second time, and some time for the others to do so. Without it 299 nodes read 3,000 servers
-/// twice as often, and served 30 s after all were killed, not 8.5 s (one sweep each).
-const ACQUAINTANCE: Duration = Duration::from_secs(5);
-
 /// What the node believes, kept on the control thread.
 pub(crate) struct FleetView<C, W> {
     shared: Arc<GatewayShared<C, W>>,
@@ -40,10 +38,8 @@
     /// Tells the readers of the store that somebody else could not tell them something.
     news_missing: Event,
     is_collector: Cell<bool>,
-    /// The node that last told of a newer configuration than this one's.
-    newer_config_at: Cell<Option<SocketAddr>>,
-    /// Tells that another node has a newer configuration.
-    newer_config: Event,
+    /// What this node lacks and others hold.
+    wishes: CopyWishes,
     /// When a call to the source last failed.
     trouble_at: Cell<Option<Instant>>,
 }
@@ -52,16 +48,14 @@
     /// A node that knows nothing yet.
     pub(crate) fn new(shared: Arc<GatewayShared<C, W>>) -> Self {
         let key_age = shared.bounds.load().key_age;
-        let told_from = shared.clock.boot_time() + ACQUAINTANCE;
-        let news = NewsDesk::new(key_age, shared.options.seed).with_servers_told_from(told_from);
+        let news = NewsDesk::new(key_age, shared.options.seed);
         Self {
             shared,
             servers: RefCell::new(ServerTable::new()),
             news: RefCell::new(news),
             news_missing: Event::new(),
             is_collector: Cell::new(false),
-            newer_config_at: Cell::new(None),
-            newer_config: Event::new(),
+            wishes: CopyWishes::default(),
             trouble_at: Cell::new(None),
         }
     }
@@ -81,22 +75,33 @@
         self.trouble_at.set(Some(self.shared.clock.now()));
     }
 
-    /// How long the store need not be asked for a topic, as others tell of it.
+    /// Whether this node may leave it to its collector to find out that a lost store is back: the
+    /// collector is another node, and others are heard.
+    pub(crate) fn leaves_retries(&self) -> bool {
+        let hears_others = self.shared.hears_others();
+        self.shared.options.switches.has(PolicyPart::News)
+            && hears_others
+            && !self.is_collector.get()
+    }
+
+    /// How long the store need not be asked for a topic, as others tell of it or give it.
     pub(crate) fn rest(&self, topic: SourceTopic) -> Option<Duration> {
         if !self.shared.options.switches.has(PolicyPart::News) {
             return None;
         }
+        let copied = self.wishes.left(topic, self.shared.clock.now());
+        copied.or_else(|| self.told(topic))
+    }
+
+    fn told(&self, topic: SourceTopic) -> Option<Duration> {
         let until = self.news().rests_until(topic, self.is_collector.get())?;
         let left = until.saturating_sub(self.shared.clock.boot_time());
         (!left.is_zero()).then_some(left)
     }
 
     /// Waits while others tell of a topic, for a time at most.
-    pub(crate) async fn wait_for_news(&self, topic: SourceTopic, most: Duration) {
+    pub(crate) async fn wait_for_news(&self, most: Duration) {
         let missing = self.news_missing.listen();
-        if self.news().must_read(topic) {
-            return;
-        }
         let deadline = self.shared.clock.now() + most;
         // Either way the caller looks at the desk again.
         let _ = until(&self.shared.clock, deadline, missing).await;
@@ -104,14 +109,13 @@
 
     /// Takes over what another node told.
     pub(crate) fn take_news(&self, taken: NewsTaken, from: SocketAddr) {
-        if taken.has_newer_config {
-            self.newer_config_at.set(Some(from));
-            self.newer_config.notify(usize::MAX);
-        }
         if let Some(known_at) = taken.config_known_at {
             self.shared.lease().renew(known_at);
         }
         let now = self.shared.clock.now();
+        for topic in taken.lacks {
+            self.wishes.wish(topic, from, now);
+        }
         for news in taken.changes {
             match news {
                 ServerNews::Entry(entry) => self.put_servers(vec![entry], "told"),
@@ -150,52 +154,86 @@
         has_config
     }
 
-    /// Waits until another node tells of a newer configuration.
-    pub(crate) async fn wait_for_newer_config(&self) {
-        loop {
-            let told = self.newer_config.listen();
-            if self.newer_config_at.get().is_some() {
-                return;
-            }
-            told.await;
+    /// Waits until another node holds what this one lacks of a topic, and takes it from there. Tells
+    /// whether another configuration is in force.
+    pub(crate) async fn take_next_copy(&self, topic: SourceTopic) -> bool {
+        let from = self.wishes.next(topic).await;
+        let taken = match topic {
+            SourceTopic::Config => self.take_config(from).await,
+            SourceTopic::Servers => self.take_servers(from).await.map(|()| false),
+        };
+        let line = LogLine::new("copy_asked")
+            .with("topic", topic.as_str())
+            .with("node", from);
+        match &taken {
+            Ok(_) => line.info(&self.shared.log),
+            Err(error) => line.with("error", error).warn(&self.shared.log),
         }
+        self.wishes
+            .settle(topic, taken.is_ok(), self.shared.clock.now());
+        // Whoever waits for the copy goes on, by it or by the store.
+        self.news_missing.notify(usize::MAX);
+        taken.unwrap_or_default()
     }
 
-    /// Takes the configuration from another node that has a newer one, unless the store has given it
-    /// meanwhile. Tells whether another configuration is in force.
-    pub(crate) async fn ask_for_config(&self) -> bool {
-        let told = self.newer_config_at.take();
-        let is_behind = self.news().must_read(SourceTopic::Config);
-        let Some(address) = told.filter(|_| is_behind) else {
-            return false;
-        };
+    async fn take_config(&self, from: SocketAddr) -> Result<bool, CopyError> {
         let asked_at = self.shared.clock.boot_time();
-        let answer = ask_node(&self.shared.clock, address).await;
-        let line = LogLine::new("config_asked").with("node", address);
-        let copy = match answer {
-            Ok(copy) => copy,
-            Err(error) => {
-                line.with("error", error).warn(&self.shared.log);
-                return false;
-            }
-        };
-        let known_at = copy.known_at(asked_at);
-        line.with("version", copy.config().version)
-            .with_some("known_at_ms", known_at.map(|at| at.as_millis()))
-            .info(&self.shared.log);
+        let copy: ConfigCopy = ask_node(&self.shared.clock, from, SourceTopic::Config).await?;
+        let known_at = copy.known_at(asked_at).ok_or(CopyError::Overtaken)?;
+        let config = copy.into_state();
         let held = self.shared.config.load();
         if held
             .as_ref()
-            .is_some_and(|held| held.version > copy.config().version)
+            .is_some_and(|held| held.version > config.version)
         {
-            return false;
+            return Err(CopyError::Overtaken);
         }
-        let has_config = self.apply_config(copy.config().clone(), "told", 0);
-        if let Some(known_at) = known_at {
-            self.news().note_read(SourceTopic::Config, known_at);
-            self.shared.lease().renew(known_at);
+        let has_config = self.apply_config(config, "told", 0);
+        self.news().note_read(SourceTopic::Config, known_at);
+        self.shared.lease().renew(known_at);
+        Ok(has_config)
+    }
+
+    async fn take_servers(&self, from: SocketAddr) -> Result<(), CopyError> {
+        let asked_at = self.shared.clock.boot_time();
+        let copy: ServersCopy = ask_node(&self.shared.clock, from, SourceTopic::Servers).await?;
+        if !self.news().take_servers_copy(&copy, asked_at) {
+            return Err(CopyError::Overtaken);
         }
-        has_config
+        let now = self.shared.clock.now();
+        let (entries, doubted) = copy.into_state().into_servers();
+        let doubt = self.doubt(now);
+        let changes = self.servers.borrow_mut().replace(entries, &[], doubt, now);
+        self.publish(&changes, "told");
+        for id in &doubted {
+            self.remove_server(id, Some(DOUBT), "told");
+        }
+        Ok(())
+    }
+
+    /// The configuration in force, as other nodes take it.
+    pub(crate) fn config_copy(&self) -> Option<Vec<u8>> {
+        // The age is read first: what comes into force in between is newer than it says, never older.
+        let age = self.shared.lease().age(self.shared.clock.boot_time())?;
+        let config = self.shared.config.load_full()?;
+        self.encode(&ConfigCopy::new(config, age))
+    }
+
+    /// The servers, as other nodes take them.
+    pub(crate) fn servers_copy(&self) -> Option<Vec<u8>> {
+        let now = self.shared.clock.boot_time();
+        let copy = self.news().servers_copy(&self.servers.borrow(), now)?;
+        self.encode(&copy)
+    }
+
+    fn encode<T: Serialize + DeserializeOwned>(&self, copy: &StateCopy<T>) -> Option<Vec<u8>> {
+        let encoded = copy.encode();
+        if let Err(error) = &encoded {
+            LogLine::new("copy_not_encoded")
+                .with("error", error)
+                .warn(&self.shared.log);
+        }
+        encoded.ok()
     }
 
     fn apply_configs(&self, change: SourceChange) -> bool {
--- a/crates/plumgate/src/gateway/exchange.rs
+++ b/crates/plumgate/src/gateway/exchange.rs
@@ -8,41 +8,26 @@
 //! own knowledge alone, 0.73 with the exchange (`tests/gateway_load.rs`).
 
 use std::collections::hash_map::Entry;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use super::messages::{ExchangeBody, ExchangeMessage, PartPlace, ServerKey, WorkEntry, server_key};
 use super::news::{NewsDesk, NewsTaken};
 use super::news_messages::NewsQuestion;
+use super::peers::{COLLECTOR_SILENCE, NodeEntry, PeerTable};
 use super::servers::ServerEntry;
 use super::told::ToldWork;
 use super::work::ServerWork;
 use crate::errors::{Error, Result};
 use crate::ids::{DataCentreId, NodeId};
-use crate::membership::rendezvous_weight;
 
-/// How long a collector may be silent before the next one is chosen.
-const COLLECTOR_SILENCE: Duration = Duration::from_millis(900);
 /// Servers in one message, so that it fits into one packet of the network.
 const ENTRIES_MOST: usize = 100;
 /// Rounds in which a place is told: enough that one of them arrives.
 const PLACE_ROUNDS: u32 = 3;
 /// Places in one message.
 const PLACES_MOST: usize = 80;
-/// Collectors of another data centre that get a sum: a second one where the first just went.
-const FOREIGN_COLLECTORS: usize = 2;
-
-/// A node, as it registers itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NodeEntry {
-    /// Its name.
-    pub node: NodeId,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
-    /// Where the other nodes reach it.
-    pub address: SocketAddr,
-}
 
 /// One moment on both clocks.
 #[derive(Clone, Copy, Debug)]
@@ -56,23 +41,10 @@
 /// A message and where it goes.
 pub type ExchangePacket = (SocketAddr, Vec<u8>);
 
-/// Another node.
-#[derive(Clone, Debug)]
-struct MemberState {
-    entry: NodeEntry,
-    told: ToldWork,
-    silent: bool,
-    /// Since when this node, as a collector, has talked to it as to another one in vain.
-    unanswered_since: Option<Instant>,
-    /// Its last question that was not answered yet, and when that came.
-    question: Option<(NewsQuestion, Duration)>,
-}
-
 /// One node's part in the exchange.
 #[derive(Debug)]
 pub struct LoadExchange {
-    own: NodeEntry,
-    members: BTreeMap<NodeId, MemberState>,
+    peers: PeerTable,
     centres: BTreeMap<DataCentreId, ToldWork>,
     total: ToldWork,
     /// What this node told of itself last.
@@ -91,8 +63,7 @@
     /// A node that knows of no other.
     pub fn new(own: NodeEntry) -> Self {
         Self {
-            own,
-            members: BTreeMap::new(),
+            peers: PeerTable::new(own),
             centres: BTreeMap::new(),
             total: ToldWork::default(),
             own_told: HashMap::new(),
@@ -106,21 +77,17 @@
 
     /// Takes over the nodes that have registered.
     pub fn set_nodes(&mut self, entries: Vec<NodeEntry>) {
-        let known: Vec<NodeId> = entries.iter().map(|entry| entry.node.clone()).collect();
-        self.members.retain(|node, _| known.contains(node));
-        for entry in entries {
-            self.meet(entry);
-        }
+        self.peers.set_nodes(entries);
     }
 
     /// How many nodes are known, this one included.
     pub fn node_count(&self) -> usize {
-        self.members.len() + 1
+        self.peers.count()
     }
 
     /// Whether this node collects for its data centre.
     pub fn is_collector(&self) -> bool {
-        self.choose_collector().is_none()
+        self.peers.collector().is_none()
     }
 
     /// What the other nodes have in flight at a server, as far as they told lately.
@@ -158,7 +125,7 @@
             .collect();
         self.watch_collector(now);
         self.choose_places();
-        let Some(collector) = self.choose_collector() else {
+        let Some(collector) = self.peers.collector().cloned() else {
             return self.collect(news, question, now);
         };
         // What this node no longer has must be told once, or it would count until it lapses.
@@ -187,26 +154,29 @@
         let message: ExchangeMessage =
             postcard::from_bytes(bytes).map_err(|_| Error::MalformedMessage)?;
         let node: NodeId = message.node.as_str().into();
-        if node == self.own.node {
+        if node == self.peers.own().node {
             return Ok(NewsTaken::default());
         }
         let data_centre: DataCentreId = message.data_centre.as_str().into();
         // A node that came after the last look at the register makes itself known.
-        self.meet(NodeEntry {
+        self.peers.meet(NodeEntry {
             node: node.clone(),
             data_centre: data_centre.clone(),
             address: from,
+            capacity: message.capacity,
         });
         let collects = self.is_collector();
         let in_charge = self.is_in_charge(&node);
-        let Some(member) = self.members.get_mut(&node) else {
+        self.peers.note_heard(&node);
+        let Some(member) = self.peers.member_mut(&node) else {
             return Ok(NewsTaken::default());
         };
-        member.silent = false;
-        member.unanswered_since = None;
         if let Some(question) = message.question {
             member.question = Some((question, moment.boot));
         }
+        if let ExchangeBody::Own(entries) = &message.body {
+            member.told.tell(entries, now);
+        }
         let passes_on = collects && !matches!(message.body, ExchangeBody::Total(_));
         for place in message.places {
             if let Entry::Vacant(entry) = self.places.entry(place) {
@@ -217,16 +187,19 @@
                 self.news.push(place);
             }
         }
+        let count = usize::try_from(message.nodes).unwrap_or(usize::MAX);
         match message.body {
-            ExchangeBody::Own(entries) => member.told.tell(entries, now),
+            ExchangeBody::Own(_) => {}
             ExchangeBody::Centre(entries) => {
-                let told = self.centres.entry(data_centre).or_default();
-                told.tell(entries, now);
+                let told = self.centres.entry(data_centre.clone()).or_default();
+                told.tell(&entries, now);
+                self.peers.note_count(data_centre, count);
             }
             ExchangeBody::Total(entries) => {
                 if self.collector.as_ref() == Some(&node) {
                     self.collector_heard = Some(now);
-                    self.total.tell(entries, now);
+                    self.total.tell(&entries, now);
+                    self.peers.note_fleet(count);
                 }
             }
         }
@@ -234,39 +207,13 @@
         Ok(answer.unwrap_or_default())
     }
 
-    /// Whether a node reads the store for this one: the collector for its data centre, and for all
-    /// collectors that of the data centre whose name comes first. It is one node for each, as what
-    /// two of them tell doesn't fit together, and the order keeps two collectors from each leaving
-    /// the reading to the other.
+    /// Whether a node reads the store for this one: the collector for its data centre, and one of them
+    /// for all collectors.
     fn is_in_charge(&self, node: &NodeId) -> bool {
-        if !self.is_collector() {
-            return self.collector.as_ref() == Some(node);
-        }
-        let centres = self
-            .members
-            .values()
-            .map(|member| &member.entry.data_centre);
-        let first = centres.min().filter(|first| **first < self.own.data_centre);
-        first.is_some_and(|first| self.ranked(first).first() == Some(node))
-    }
-
-    fn meet(&mut self, entry: NodeEntry) {
-        if entry.node == self.own.node {
-            return;
-        }
-        match self.members.get_mut(&entry.node) {
-            Some(member) => member.entry = entry,
-            None => {
-                let state = MemberState {
-                    entry: entry.clone(),
-                    told: ToldWork::default(),
-                    silent: false,
-                    unanswered_since: None,
-                    question: None,
-                };
-                self.members.insert(entry.node, state);
-            }
+        if self.is_collector() {
+            return self.peers.is_reader(node);
         }
+        self.collector.as_ref() == Some(node)
     }
 
     /// Chooses the places that this round tells: those that were told least often first.
@@ -291,7 +238,7 @@
 
     /// Passes over a collector that has gone silent, until it is heard again.
     fn watch_collector(&mut self, now: Instant) {
-        let chosen = self.choose_collector();
+        let chosen = self.peers.collector().cloned();
         if chosen != self.collector {
             self.collector = chosen;
             self.collector_heard = Some(now);
@@ -300,68 +247,13 @@
         let is_silent = self
             .collector_heard
             .is_some_and(|heard| now.saturating_duration_since(heard) > COLLECTOR_SILENCE);
-        if let Some(member) = self
-            .collector
-            .as_ref()
-            .and_then(|node| self.members.get_mut(node))
-            && is_silent
-        {
-            member.silent = true;
-            self.collector = self.choose_collector();
+        if let Some(collector) = self.collector.clone().filter(|_| is_silent) {
+            self.peers.pass_over(&collector);
+            self.collector = self.peers.collector().cloned();
             self.collector_heard = Some(now);
         }
     }
 
-    /// Passes over the collectors of other data centres that don't answer, until they are heard
-    /// again. One that is gone for good stays in the register, and would be asked for ever.
-    fn watch_foreign(&mut self, now: Instant) {
-        for centre in self.foreign_centres() {
-            let Some(first) = self.ranked(&centre).into_iter().next() else {
-                // All were passed over, as behind a cut: begin with the first again.
-                let of_centre = self.members.values_mut();
-                let of_centre = of_centre.filter(|member| member.entry.data_centre == centre);
-                of_centre.for_each(|member| member.silent = false);
-                continue;
-            };
-            let Some(member) = self.members.get_mut(&first) else {
-                continue;
-            };
-            let since = *member.unanswered_since.get_or_insert(now);
-            if now.saturating_duration_since(since) > COLLECTOR_SILENCE {
-                member.silent = true;
-                member.unanswered_since = None;
-            }
-        }
-    }
-
-    fn foreign_centres(&self) -> BTreeSet<DataCentreId> {
-        let centres = self
-            .members
-            .values()
-            .map(|member| &member.entry.data_centre);
-        let foreign = centres.filter(|centre| **centre != self.own.data_centre);
-        foreign.cloned().collect()
-    }
-
-    /// The collector of this data centre; `None` where this node is it.
-    fn choose_collector(&self) -> Option<NodeId> {
-        let best = self.ranked(&self.own.data_centre).into_iter().next()?;
-        let own = rendezvous_weight(&self.own.data_centre, &self.own.node);
-        let weight = rendezvous_weight(&self.own.data_centre, &best);
-        (weight > own).then_some(best)
-    }
-
-    /// The other nodes of a data centre that may be its collector, the preferred one first.
-    fn ranked(&self, centre: &DataCentreId) -> Vec<NodeId> {
-        let of_centre = self
-            .members
-            .values()
-            .filter(|member| member.entry.data_centre == *centre && !member.silent);
-        let mut nodes: Vec<NodeId> = of_centre.map(|member| member.entry.node.clone()).collect();
-        nodes.sort_by_key(|node| std::cmp::Reverse(rendezvous_weight(centre, node)));
-        nodes
-    }
-
     /// Adds up the data centre and tells its nodes and the other data centres.
     fn collect(
         &mut self,
@@ -370,24 +262,23 @@
         now: Instant,
     ) -> Vec<ExchangePacket> {
         let mut sum: HashMap<ServerKey, ServerWork> = self.own_told.clone();
-        for member in self.members.values() {
-            if member.entry.data_centre == self.own.data_centre {
-                member.told.add_to(&mut sum, now);
-            }
+        for member in self.peers.own_centre() {
+            member.told.add_to(&mut sum, now);
         }
         let mut total = sum.clone();
         for (centre, told) in &self.centres {
-            if *centre != self.own.data_centre {
+            if *centre != self.peers.own().data_centre {
                 told.add_to(&mut total, now);
             }
         }
         self.total.replace(&total, now);
-        self.watch_foreign(now);
-        let nodes = self.own_centre();
+        self.peers.watch_foreign(now);
+        let members = self.peers.own_centre();
+        let nodes: Vec<NodeId> = members.map(|member| member.entry.node.clone()).collect();
         // A collector that the store turns away lives on what its nodes read by themselves then.
         let asked = question.without_servers();
         let mut packets = self.packets(&total, ExchangeBody::Total, &nodes, news, Some(asked));
-        let collectors: Vec<NodeId> = self.foreign_collectors().into_iter().collect();
+        let collectors: Vec<NodeId> = self.peers.foreign_collectors().into_iter().collect();
         packets.extend(self.packets(
             &sum,
             ExchangeBody::Centre,
@@ -398,30 +289,6 @@
         packets
     }
 
-    fn own_centre(&self) -> Vec<NodeId> {
-        let members = self.members.values();
-        members
-            .filter(|member| member.entry.data_centre == self.own.data_centre)
-            .map(|member| member.entry.node.clone())
-            .collect()
-    }
-
-    /// Whom the sums of this data centre go to in the others. The usual collector of each is among them
-    /// even while it is passed over: both sides of a cut pass over each other's, and would otherwise
-    /// have to find them again one by one when it is over.
-    fn foreign_collectors(&self) -> BTreeSet<NodeId> {
-        let mut collectors = BTreeSet::new();
-        for centre in self.foreign_centres() {
-            collectors.extend(self.ranked(&centre).into_iter().take(FOREIGN_COLLECTORS));
-            let of_centre = self.members.values();
-            let of_centre = of_centre.filter(|member| member.entry.data_centre == centre);
-            let nodes = of_centre.map(|member| &member.entry.node);
-            let usual = nodes.max_by_key(|node| rendezvous_weight(&centre, node));
-            collectors.extend(usual.cloned());
-        }
-        collectors
-    }
-
     /// The messages of a round to some nodes. Each gets the answer to its own question, once.
     fn packets(
         &mut self,
@@ -441,20 +308,31 @@
             // An empty message still says that its sender is there.
             chunks.push(Vec::new());
         }
+        let own = self.peers.own();
         let mut messages: Vec<ExchangeMessage> = chunks
             .into_iter()
             .map(|chunk| ExchangeMessage {
-                node: self.own.node.to_string(),
-                data_centre: self.own.data_centre.to_string(),
+                node: own.node.to_string(),
+                data_centre: own.data_centre.to_string(),
+                capacity: own.capacity,
                 body: body(chunk),
+                nodes: 0,
                 places: self.telling.clone(),
                 question: None,
                 answer: None,
             })
             .collect();
+        for message in &mut messages {
+            let count = match message.body {
+                ExchangeBody::Own(_) => 1,
+                ExchangeBody::Centre(_) => self.peers.centre_count(),
+                ExchangeBody::Total(_) => self.peers.count(),
+            };
+            message.nodes = u32::try_from(count).unwrap_or(u32::MAX);
+        }
         let mut packets = Vec::with_capacity(to.len() * messages.len());
         for node in to {
-            let Some(member) = self.members.get_mut(node) else {
+            let Some(member) = self.peers.member_mut(node) else {
                 continue;
             };
             let asked = member.question.take();
--- a/crates/plumgate/src/gateway/load.rs
+++ b/crates/plumgate/src/gateway/load.rs
@@ -1,7 +1,7 @@
 //! Chooses the backend server of a request: shared prompt parts have few homes, and a home that
 //! is too busy gives way to the next one.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 use super::centres::CentreTable;
@@ -10,7 +10,7 @@
 use super::exchange::LoadExchange;
 use super::groups::{GroupShares, ServerGroups};
 use super::homes::HomeRanks;
-use super::messages::PartPlace;
+use super::messages::{PartPlace, ServerKey, server_key};
 use super::prompt::{PromptShape, SMALL_PART};
 use super::reading::ReadingSpeeds;
 use super::server_load::{CostPrediction, ServerLoad};
@@ -83,16 +83,19 @@
     pub fn swap_news(&mut self, exchange: &mut LoadExchange, now: Instant) {
         self.adapt_shares(now);
         exchange.tell_places(self.new_places.drain(..));
-        let places = exchange.take_places();
+        let mut parts: HashMap<ServerKey, Vec<u64>> = HashMap::new();
+        for place in exchange.take_places() {
+            parts.entry(place.server).or_default().push(place.part);
+        }
         let counts_peers = self.has(PolicyPart::Exchange);
         for load in self.servers.values_mut() {
             if counts_peers {
                 load.peers = exchange.peer_work(&load.entry, now);
             }
-            for place in &places {
-                if *place == PartPlace::new(place.part, &load.entry) {
-                    load.note_part(place.part, now);
-                }
+            // Looked up by server: compared with each server, places times servers are work that a small
+            // VM has no time for.
+            for part in parts.remove(&server_key(&load.entry)).unwrap_or_default() {
+                load.note_part(part, now);
             }
         }
     }
--- a/crates/plumgate/src/gateway/messages.rs
+++ b/crates/plumgate/src/gateway/messages.rs
@@ -4,6 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::news_messages::{NewsAnswer, NewsQuestion};
+use super::peers::NodeCapacity;
 use super::servers::ServerEntry;
 use super::work::{ServerWork, URGENCIES};
 
@@ -61,6 +62,10 @@
 pub(crate) struct ExchangeMessage {
     pub(crate) node: String,
     pub(crate) data_centre: String,
+    /// The sender's share of processors.
+    pub(crate) capacity: NodeCapacity,
+    /// How many nodes the body tells of.
+    pub(crate) nodes: u32,
     pub(crate) body: ExchangeBody,
     pub(crate) places: Vec<PartPlace>,
     /// What the sender asks of the store's news.
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -9,7 +9,6 @@
 pub mod centres;
 pub mod choice;
 pub mod config;
-pub mod config_copy;
 pub mod events;
 pub mod exchange;
 pub mod freshness;
@@ -17,6 +16,7 @@
 pub mod news;
 pub mod prompt;
 pub mod servers;
+pub mod state_copy;
 pub mod switches;
 pub mod work;
 
@@ -25,6 +25,7 @@
 mod messages;
 mod news_log;
 mod news_messages;
+mod peers;
 mod reading;
 mod server_load;
 mod told;
@@ -36,15 +37,16 @@
     CallerLimits, GatewayConfig, GatewayRoute, PoolSplit, RepeatKind, RouteMatch, StreamClass,
     WorkspaceKeys,
 };
-pub use config_copy::ConfigCopy;
 pub use events::EventSplitter;
-pub use exchange::{LoadExchange, NodeEntry, TalkMoment};
+pub use exchange::{LoadExchange, TalkMoment};
 pub use freshness::FreshnessLease;
 pub use load::LoadTable;
 pub use messages::PartPlace;
 pub use news::{NewsDesk, NewsTaken, SourceTopic};
 pub use news_messages::{NewsAnswer, NewsQuestion, ServerNews};
+pub use peers::{NodeCapacity, NodeEntry};
 pub use prompt::{PromptPart, PromptShape};
 pub use servers::{ServerEntry, ServerState, ServerTable};
+pub use state_copy::{ConfigCopy, ServersCopy, ServersState, StateCopy};
 pub use switches::{PolicyPart, PolicySwitches};
 pub use work::{ServerWork, WorkEnd, WorkTicket};
--- a/crates/plumgate/src/gateway/news.rs
+++ b/crates/plumgate/src/gateway/news.rs
@@ -15,6 +15,8 @@
 
 use super::news_log::{LogAnswer, NewsLog, ServersPlace};
 use super::news_messages::{ConfigNews, NewsAnswer, NewsQuestion, ServerNews, ServersNews};
+use super::servers::ServerTable;
+use super::state_copy::{ServersCopy, ServersState};
 use crate::ids::ConfigVersion;
 
 /// Questions that may still be answered; older ones are no use to the trust in keys.
@@ -37,8 +39,8 @@
     pub changes: Vec<ServerNews>,
     /// Whether the store has to be asked for what the answer could not tell.
     pub must_ask: bool,
-    /// Whether the other node has a newer configuration.
-    pub has_newer_config: bool,
+    /// What the other node holds and this one lacks: a copy of it makes a call to the store needless.
+    pub lacks: Vec<SourceTopic>,
 }
 
 /// What can be read from the source of a fleet's state.
@@ -84,7 +86,6 @@
 #[derive(Debug)]
 pub struct NewsDesk {
     longest_age: Duration,
-    servers_told_from: Duration,
     rng: fastrand::Rng,
     questions: VecDeque<AskedQuestion>,
     /// When another node last asked this one.
@@ -106,7 +107,6 @@
     pub fn new(longest_age: Duration, seed: u64) -> Self {
         Self {
             longest_age,
-            servers_told_from: Duration::ZERO,
             rng: fastrand::Rng::with_seed(seed),
             questions: VecDeque::new(),
             asked_at: None,
@@ -120,16 +120,6 @@
         }
     }
 
-    /// The same, but servers are left to others from a moment on only.
-    ///
-    /// Nodes that start together know each other after a few seconds. Until then each finds better
-    /// collectors one after another, whose logs don't fit together, and reads all servers anew each
-    /// time.
-    pub fn with_servers_told_from(mut self, at: Duration) -> Self {
-        self.servers_told_from = at;
-        self
-    }
-
     /// Takes over another longest age.
     pub fn set_longest_age(&mut self, longest_age: Duration) {
         self.longest_age = longest_age;
@@ -217,10 +207,9 @@
             version,
             epoch: self.followed_epoch,
         });
-        let servers = place.filter(|_| now >= self.servers_told_from);
         let question = NewsQuestion {
             nonce: self.rng.u32(..),
-            servers,
+            servers: place,
         };
         self.questions.push_back(AskedQuestion {
             question,
@@ -267,6 +256,39 @@
         }
     }
 
+    /// The servers as they are passed on whole; none where they are not known here.
+    pub fn servers_copy(&self, servers: &ServerTable, now: Duration) -> Option<ServersCopy> {
+        let known_at = self.servers.known_at?;
+        let state = ServersState {
+            place: self.log.place(self.servers_version?)?,
+            entries: servers.entries().cloned().collect(),
+            doubted: servers.doubted().cloned().collect(),
+        };
+        Some(ServersCopy::new(state, now.saturating_sub(known_at)))
+    }
+
+    /// Goes on from a copy of all servers that was asked for at a moment. Tells whether it may be taken.
+    ///
+    /// One that is older than what is held here would bring back servers that have left, and so would a
+    /// watch under way that ends after it and tells of changes before it.
+    pub fn take_servers_copy(&mut self, copy: &ServersCopy, asked_at: Duration) -> bool {
+        let place = copy.state().place;
+        let is_older = self
+            .servers_version
+            .is_some_and(|version| place.version < version);
+        let Some(known_at) = copy.known_at(asked_at) else {
+            return false;
+        };
+        if is_older || self.is_watching {
+            return false;
+        }
+        self.restart_log(place.version);
+        self.followed_epoch = place.epoch;
+        self.servers.must_read = false;
+        note_told(&mut self.servers, known_at);
+        true
+    }
+
     /// Takes in an answer. It frees this node from reading, and is passed on, only where it comes
     /// from a node `in_charge`: where each of two nodes left the reading to the other, nobody would
     /// read. From any other it still tells that what is held here is in force.
@@ -281,7 +303,7 @@
             if config.version > self.config_version {
                 self.config.must_read = true;
                 taken.must_ask = true;
-                taken.has_newer_config = true;
+                taken.lacks.push(SourceTopic::Config);
             } else if let Some(known_at) = asked.known_at(config.age_ms) {
                 if in_charge {
                     note_told(&mut self.config, known_at);
@@ -306,9 +328,11 @@
             ServersNews::ReadAnew => {
                 self.servers.must_read = true;
                 taken.must_ask = true;
+                taken.lacks.push(SourceTopic::Servers);
             }
             ServersNews::Untold => {
                 taken.must_ask = self.servers.told_at.take().is_some();
+                taken.lacks.push(SourceTopic::Servers);
             }
             ServersNews::Changes {
                 age_ms,
--- a/crates/plumgate/src/gateway/news_log.rs
+++ b/crates/plumgate/src/gateway/news_log.rs
@@ -67,6 +67,14 @@
         }
     }
 
+    /// The place of whoever holds all up to a version; none where nothing was read yet.
+    pub(crate) fn place(&self, version: u64) -> Option<ServersPlace> {
+        (self.epoch != 0).then_some(ServersPlace {
+            version,
+            epoch: Some(self.epoch),
+        })
+    }
+
     /// What changed after a place. `newest` is the version up to which all is known here.
     pub(crate) fn after(&self, place: ServersPlace, newest: u64) -> LogAnswer {
         if place.epoch.is_some_and(|epoch| epoch != self.epoch) {
--- /dev/null
+++ b/crates/plumgate/src/gateway/peers.rs
@@ -0,0 +1,271 @@
+//! The other nodes, and which of them collect for their data centres.
+//!
+//! All nodes prefer the same collector of a data centre without talking: the roomiest VM, among equals
+//! the one that rendezvous hashing names. Whoever is silent is passed over until it is heard again.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use super::news_messages::NewsQuestion;
+use super::told::ToldWork;
+use crate::ids::{DataCentreId, NodeId};
+use crate::membership::rendezvous_weight;
+
+/// How long a collector may be silent before the next one is chosen.
+pub(crate) const COLLECTOR_SILENCE: Duration = Duration::from_millis(900);
+/// Collectors of another data centre that get a sum: a second one where the first just went.
+const FOREIGN_COLLECTORS: usize = 2;
+
+/// A node's share of processors, in thousandths of one; 0 where it is not known.
+pub type NodeCapacity = u32;
+
+/// A node, as it registers itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeEntry {
+    /// Its name.
+    pub node: NodeId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Where the other nodes reach it.
+    pub address: SocketAddr,
+    /// How much work it can bear. A collector's grows with the nodes of its data centre, so that the
+    /// roomiest is preferred.
+    pub capacity: NodeCapacity,
+}
+
+/// Another node.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberState {
+    pub(crate) entry: NodeEntry,
+    pub(crate) told: ToldWork,
+    silent: bool,
+    /// Since when this node, as a collector, has talked to it as to another one in vain.
+    unanswered_since: Option<Instant>,
+    /// Its last question that was not answered yet, and when that came.
+    pub(crate) question: Option<(NewsQuestion, Duration)>,
+}
+
+/// How much a node is preferred as a collector.
+type CollectorRank = (NodeCapacity, u64);
+
+/// The other nodes.
+#[derive(Debug)]
+pub(crate) struct PeerTable {
+    own: NodeEntry,
+    members: BTreeMap<NodeId, MemberState>,
+    /// The other nodes of each data centre, the preferred collector first. Kept from change to change:
+    /// sorted anew for each message, 195 nodes cost a collector more than all else that it does.
+    ranked: BTreeMap<DataCentreId, Vec<(CollectorRank, NodeId)>>,
+    /// How many nodes the collectors of other data centres counted in theirs.
+    counted: BTreeMap<DataCentreId, usize>,
+    /// How many nodes this node's collector counted in the whole fleet.
+    told_count: usize,
+}
+
+impl PeerTable {
+    /// A node that knows of no other.
+    pub(crate) fn new(own: NodeEntry) -> Self {
+        Self {
+            own,
+            members: BTreeMap::new(),
+            ranked: BTreeMap::new(),
+            counted: BTreeMap::new(),
+            told_count: 0,
+        }
+    }
+
+    /// This node.
+    pub(crate) fn own(&self) -> &NodeEntry {
+        &self.own
+    }
+
+    /// Takes over the nodes that have registered.
+    pub(crate) fn set_nodes(&mut self, entries: Vec<NodeEntry>) {
+        let known: BTreeSet<&NodeId> = entries.iter().map(|entry| &entry.node).collect();
+        self.members.retain(|node, _| known.contains(node));
+        self.rank_all();
+        for entry in entries {
+            self.meet(entry);
+        }
+    }
+
+    /// A node was registered or talked.
+    pub(crate) fn meet(&mut self, entry: NodeEntry) {
+        if entry.node == self.own.node {
+            return;
+        }
+        match self.members.get_mut(&entry.node) {
+            Some(member) if member.entry == entry => {}
+            Some(member) => {
+                member.entry = entry;
+                self.rank_all();
+            }
+            None => {
+                let (rank, node) = (collector_rank(&entry), entry.node.clone());
+                let of_centre = self.ranked.entry(entry.data_centre.clone()).or_default();
+                let place = of_centre.partition_point(|(better, _)| *better > rank);
+                of_centre.insert(place, (rank, node.clone()));
+                let state = MemberState {
+                    entry,
+                    told: ToldWork::default(),
+                    silent: false,
+                    unanswered_since: None,
+                    question: None,
+                };
+                self.members.insert(node, state);
+            }
+        }
+    }
+
+    fn rank_all(&mut self) {
+        self.ranked.clear();
+        for member in self.members.values() {
+            let entry = &member.entry;
+            let of_centre = self.ranked.entry(entry.data_centre.clone()).or_default();
+            of_centre.push((collector_rank(entry), entry.node.clone()));
+        }
+        for of_centre in self.ranked.values_mut() {
+            of_centre.sort_by(|one, other| other.cmp(one));
+        }
+    }
+
+    /// A node was heard.
+    pub(crate) fn note_heard(&mut self, node: &NodeId) {
+        if let Some(member) = self.members.get_mut(node) {
+            member.silent = false;
+            member.unanswered_since = None;
+        }
+    }
+
+    /// A node is passed over as a collector until it is heard.
+    pub(crate) fn pass_over(&mut self, node: &NodeId) {
+        if let Some(member) = self.members.get_mut(node) {
+            member.silent = true;
+        }
+    }
+
+    /// Another node.
+    pub(crate) fn member_mut(&mut self, node: &NodeId) -> Option<&mut MemberState> {
+        self.members.get_mut(node)
+    }
+
+    /// The other nodes of this node's data centre.
+    pub(crate) fn own_centre(&self) -> impl Iterator<Item = &MemberState> {
+        self.of_centre(&self.own.data_centre)
+    }
+
+    fn of_centre(&self, centre: &DataCentreId) -> impl Iterator<Item = &MemberState> {
+        let ranked = self.ranked.get(centre).into_iter().flatten();
+        ranked.filter_map(|(_, node)| self.members.get(node))
+    }
+
+    /// The other nodes of a data centre that may be its collector, the preferred one first.
+    fn eligible(&self, centre: &DataCentreId) -> impl Iterator<Item = &NodeId> {
+        self.of_centre(centre)
+            .filter(|member| !member.silent)
+            .map(|member| &member.entry.node)
+    }
+
+    /// The collector of this node's data centre; `None` where this node is it.
+    pub(crate) fn collector(&self) -> Option<&NodeId> {
+        let best = self.eligible(&self.own.data_centre).next()?;
+        let entry = &self.members.get(best)?.entry;
+        (collector_rank(entry) > collector_rank(&self.own)).then_some(best)
+    }
+
+    /// Whether a node reads the store for the collectors of all data centres: the collector of the one
+    /// whose name comes first. It is one node for all, as what two of them tell doesn't fit together,
+    /// and the order keeps two collectors from each leaving the reading to the other.
+    pub(crate) fn is_reader(&self, node: &NodeId) -> bool {
+        let first = self.ranked.iter().find(|(_, nodes)| !nodes.is_empty());
+        let first = first.filter(|(centre, _)| **centre < self.own.data_centre);
+        first.is_some_and(|(centre, _)| self.eligible(centre).next() == Some(node))
+    }
+
+    fn foreign_centres(&self) -> Vec<DataCentreId> {
+        let centres = self.ranked.iter().filter(|(_, nodes)| !nodes.is_empty());
+        let foreign = centres.filter(|(centre, _)| **centre != self.own.data_centre);
+        foreign.map(|(centre, _)| centre.clone()).collect()
+    }
+
+    /// Passes over the collectors of other data centres that don't answer, until they are heard
+    /// again. One that is gone for good stays in the register, and would be asked for ever.
+    pub(crate) fn watch_foreign(&mut self, now: Instant) {
+        for centre in self.foreign_centres() {
+            let Some(first) = self.eligible(&centre).next().cloned() else {
+                // All were passed over, as behind a cut: begin with the first again.
+                let of_centre = self.members.values_mut();
+                let of_centre = of_centre.filter(|member| member.entry.data_centre == centre);
+                of_centre.for_each(|member| member.silent = false);
+                continue;
+            };
+            let Some(member) = self.members.get_mut(&first) else {
+                continue;
+            };
+            let since = *member.unanswered_since.get_or_insert(now);
+            if now.saturating_duration_since(since) > COLLECTOR_SILENCE {
+                member.silent = true;
+                member.unanswered_since = None;
+            }
+        }
+    }
+
+    /// Whom the sums of this data centre go to in the others. The usual collector of each is among them
+    /// even while it is passed over: both sides of a cut pass over each other's, and would otherwise
+    /// have to find them again one by one when it is over.
+    pub(crate) fn foreign_collectors(&self) -> BTreeSet<NodeId> {
+        let mut collectors = BTreeSet::new();
+        for centre in self.foreign_centres() {
+            let eligible = self.eligible(&centre).take(FOREIGN_COLLECTORS);
+            collectors.extend(eligible.cloned());
+            let usual = self.of_centre(&centre).next();
+            collectors.extend(usual.map(|member| member.entry.node.clone()));
+        }
+        collectors
+    }
+
+    /// A collector counted the nodes of its data centre.
+    pub(crate) fn note_count(&mut self, centre: DataCentreId, count: usize) {
+        self.counted.insert(centre, count);
+    }
+
+    /// This node's collector counted the nodes of the fleet.
+    pub(crate) fn note_fleet(&mut self, count: usize) {
+        self.told_count = count;
+    }
+
+    /// How many nodes of this node's data centre are known, this one included.
+    pub(crate) fn centre_count(&self) -> usize {
+        self.known_in(&self.own.data_centre) + 1
+    }
+
+    /// How many nodes of the fleet are known, this one included. Nodes that came since this one read the
+    /// register are known to their collectors, which tell their number.
+    pub(crate) fn count(&self) -> usize {
+        if self.collector().is_some() {
+            return self.told_count.max(self.members.len() + 1);
+        }
+        let centres: BTreeSet<&DataCentreId> =
+            self.ranked.keys().chain(self.counted.keys()).collect();
+        let foreign = centres
+            .into_iter()
+            .filter(|centre| **centre != self.own.data_centre);
+        let foreign: usize = foreign
+            .map(|centre| {
+                let told = self.counted.get(centre).copied().unwrap_or_default();
+                told.max(self.known_in(centre))
+            })
+            .sum();
+        foreign + self.centre_count()
+    }
+
+    fn known_in(&self, centre: &DataCentreId) -> usize {
+        self.ranked.get(centre).map_or(0, Vec::len)
+    }
+}
+
+fn collector_rank(entry: &NodeEntry) -> CollectorRank {
+    let weight = rendezvous_weight(&entry.data_centre, &entry.node);
+    (entry.capacity, weight)
+}
--- a/crates/plumgate/src/gateway/servers.rs
+++ b/crates/plumgate/src/gateway/servers.rs
@@ -178,6 +178,20 @@
             .filter(|entry| entry.state == ServerState::Ready)
     }
 
+    /// All entries that are in use.
+    pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.servers.values().map(|known| &known.entry)
+    }
+
+    /// The servers that are in use although their entries are gone.
+    pub fn doubted(&self) -> impl Iterator<Item = &ServerId> {
+        let doubted = self
+            .servers
+            .iter()
+            .filter(|(_, known)| known.gone_at.is_some());
+        doubted.map(|(id, _)| id)
+    }
+
     /// How many servers are known.
     pub fn len(&self) -> usize {
         self.servers.len()
--- a/crates/plumgate/src/gateway/told.rs
+++ b/crates/plumgate/src/gateway/told.rs
@@ -15,7 +15,7 @@
 
 impl ToldWork {
     /// Takes in what was told.
-    pub(crate) fn tell(&mut self, entries: Vec<WorkEntry>, now: Instant) {
+    pub(crate) fn tell(&mut self, entries: &[WorkEntry], now: Instant) {
         self.0
             .retain(|_, (_, at)| now.saturating_duration_since(*at) < LIFETIME);
         for entry in entries {
--- a/crates/plumgate/tests/entries/mod.rs
+++ b/crates/plumgate/tests/entries/mod.rs
@@ -36,6 +36,7 @@
             node: format!("node-{index}").into(),
             data_centre: format!("hall-{}", index % centres).into(),
             address: SocketAddr::from(([127, 0, 0, 1], 1000 + index as u16)),
+            capacity: 0,
         })
         .collect()
 }
--- a/crates/plumgate/tests/gateway_exchange.rs
+++ b/crates/plumgate/tests/gateway_exchange.rs
@@ -178,12 +178,14 @@
         node: "newcomer".into(),
         data_centre: "hall-0".into(),
         address,
+        capacity: 0,
     });
     let known: Vec<NodeEntry> = (0..3)
         .map(|index| NodeEntry {
             node: format!("node-{index}").into(),
             data_centre: "hall-0".into(),
             address: SocketAddr::from(([127, 0, 0, 1], 1000 + index)),
+            capacity: 0,
         })
         .collect();
     newcomer.set_nodes(known);
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -417,6 +417,7 @@
         node: format!("node-{index}").into(),
         data_centre: format!("hall-{}", index % 3).into(),
         address: address(index),
+        capacity: 0,
     };
     let options = PlacementOptions::new(entry(index).data_centre)
         .with_policy(plan.policy)
