gateway: a collector that the store turns away hands over; whoever was left without news asks at once

Ruled out: the cut nodes themselves (15 calls in two seconds a data centre). Change: a collector whose knowledge of the servers is older than 0.4 of the longest age after 0.5 s of trying says so for three rounds, and the next one collects for 10 s; two in a row at most. The first call after being left without news, and after the start's pause, waits for nothing. A node that becomes the collector stops resting. event=collector tells who collects.

--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -233,7 +233,7 @@
         loop {
             (since, cause) = self.rest(topic, since, cause).await;
             let asked_at = self.shared.clock.boot_time();
-            let answer = self.ask(&mut source, topic, since).await;
+            let answer = self.ask(&mut source, topic, since, cause).await;
             let call_topic = CallTopic::Followed(topic);
             note_source_call(&self.shared, call_topic, cause, answer.is_ok());
             if topic == SourceTopic::Config {
@@ -250,7 +250,9 @@
                     let has_news = !change.events.is_empty();
                     let pause = self.pause_after(topic, cause, is_whole, has_news);
                     since = Some(change.version);
-                    cause = CallCause::Watch;
+                    if !(is_whole && cause == CallCause::Start) {
+                        cause = CallCause::Watch;
+                    }
                     if self.view.apply(topic, change, is_whole, asked_at) {
                         self.life.borrow_mut().configured(&self.shared);
                     }
@@ -337,9 +339,15 @@
         source: &mut S,
         topic: SourceTopic,
         since: Option<u64>,
+        cause: CallCause,
     ) -> Result<SourceChange, SourceError> {
         let is_servers = topic == SourceTopic::Servers;
-        let pause = self.watch_pause(topic);
+        // Whoever was left without news needs an answer at once, and so do those who follow it: one that
+        // waits for a change comes after they have given up and asked by themselves.
+        let pause = match cause {
+            CallCause::Start | CallCause::Outage => Duration::ZERO,
+            _ => self.watch_pause(topic),
+        };
         if is_servers {
             self.view.news().set_watching(true);
         }
@@ -374,7 +382,8 @@
         is_whole: bool,
         has_news: bool,
     ) -> Duration {
-        if cause == CallCause::Start && self.shared.options.peer_listen.is_some() {
+        let is_first = is_whole && cause == CallCause::Start;
+        if is_first && self.shared.options.peer_listen.is_some() {
             return START_PAUSE;
         }
         if is_whole {
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use plumgate::gateway::{LoadExchange, NodeEntry, TalkMoment};
+use plumgate::ids::NodeId;
 
 use super::ports::FleetSource;
 use super::shared::GatewayShared;
@@ -38,6 +39,8 @@
     socket: Async<UdpSocket>,
     own: NodeEntry,
     exchange: RefCell<LoadExchange>,
+    /// The node that collects for this data centre.
+    collector: RefCell<Option<NodeId>>,
     /// Whether the register has been read.
     has_register: Cell<bool>,
 }
@@ -65,6 +68,7 @@
         };
         Some(Self {
             exchange: RefCell::new(LoadExchange::new(own.clone())),
+            collector: RefCell::default(),
             has_register: Cell::new(false),
             shared,
             view,
@@ -138,8 +142,7 @@
                 loads.swap_news(&mut exchange, moment.now);
                 exchange.tick(loads.own_work(), &mut self.view.news(), moment)
             };
-            self.view
-                .set_collector(self.exchange.borrow().is_collector());
+            self.note_collector();
             self.note_nodes();
             for (address, bytes) in packets {
                 // A datagram that can't be sent is as good as one that got lost.
@@ -148,6 +151,21 @@
         }
     }
 
+    /// Takes over which node collects now.
+    fn note_collector(&self) {
+        let collector = self.exchange.borrow().collector().cloned();
+        self.view.set_collector(collector.is_none());
+        let collector = collector.unwrap_or_else(|| self.own.node.clone());
+        let known = self.collector.replace(Some(collector.clone()));
+        if known.as_ref() != Some(&collector) {
+            LogLine::new("collector")
+                .with("node", &collector)
+                .with_some("before", known)
+                .with("handed_over", self.exchange.borrow().has_handed_over())
+                .info(&self.shared.log);
+        }
+    }
+
     async fn keep_register<S: FleetSource>(&self, mut source: S) {
         loop {
             let registered = source.register(&self.own).await;
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -67,7 +67,10 @@
 
     /// Takes over whether this node collects for its data centre.
     pub(crate) fn set_collector(&self, is_collector: bool) {
-        self.is_collector.set(is_collector);
+        if self.is_collector.replace(is_collector) != is_collector {
+            // A collector must not rest for as long as those that it tells of what it reads.
+            self.news_missing.notify(usize::MAX);
+        }
     }
 
     /// A call to the source failed.
--- a/crates/plumgate/src/gateway/exchange.rs
+++ b/crates/plumgate/src/gateway/exchange.rs
@@ -22,6 +22,11 @@
 use crate::errors::{Error, Result};
 use crate::ids::{DataCentreId, NodeId};
 
+/// Time in which a node that has just become the collector reads the store for the first time.
+const FIRST_READING: Duration = Duration::from_millis(500);
+/// Rounds in which a collector that handed over tells so: enough that one message arrives. Those that
+/// don't hear of it wait for it as for a silent one, and follow the store by themselves meanwhile.
+const FAREWELL_ROUNDS: u32 = 3;
 /// Servers in one message, so that it fits into one packet of the network.
 const ENTRIES_MOST: usize = 100;
 /// Rounds in which a place is told: enough that one of them arrives.
@@ -57,6 +62,10 @@
     news: Vec<PartPlace>,
     collector: Option<NodeId>,
     collector_heard: Option<Instant>,
+    /// Rounds in which this node still tells its data centre that another one collects.
+    farewells: u32,
+    /// Since when this node collects.
+    collecting_since: Option<Instant>,
 }
 
 impl LoadExchange {
@@ -72,6 +81,8 @@
             news: Vec::new(),
             collector: None,
             collector_heard: None,
+            farewells: 0,
+            collecting_since: None,
         }
     }
 
@@ -90,6 +101,16 @@
         self.peers.collector().is_none()
     }
 
+    /// The node that collects for this data centre; none where this one does.
+    pub fn collector(&self) -> Option<&NodeId> {
+        self.peers.collector()
+    }
+
+    /// Whether this node let another one collect, as it can't read the store.
+    pub fn has_handed_over(&self) -> bool {
+        self.peers.is_behind()
+    }
+
     /// What the other nodes have in flight at a server, as far as they told lately.
     pub fn peer_work(&self, server: &ServerEntry, now: Instant) -> ServerWork {
         let key = server_key(server);
@@ -118,13 +139,19 @@
         moment: TalkMoment,
     ) -> Vec<ExchangePacket> {
         let now = moment.now;
+        self.peers.set_now(now);
         let question = news.ask(moment.boot);
         let gone: Vec<ServerKey> = self.own_told.keys().copied().collect();
         self.own_told = work
             .map(|(server, work)| (server_key(server), work))
             .collect();
         self.watch_collector(now);
+        self.watch_reading(news, moment);
         self.choose_places();
+        if self.farewells > 0 {
+            self.farewells -= 1;
+            return self.collect(news, question, now);
+        }
         let Some(collector) = self.peers.collector().cloned() else {
             return self.collect(news, question, now);
         };
@@ -151,6 +178,7 @@
         moment: TalkMoment,
     ) -> Result<NewsTaken> {
         let now = moment.now;
+        self.peers.set_now(now);
         let message: ExchangeMessage =
             postcard::from_bytes(bytes).map_err(|_| Error::MalformedMessage)?;
         let node: NodeId = message.node.as_str().into();
@@ -167,7 +195,7 @@
         });
         let collects = self.is_collector();
         let in_charge = self.is_in_charge(&node);
-        self.peers.note_heard(&node);
+        self.peers.note_heard(&node, message.is_behind);
         let Some(member) = self.peers.member_mut(&node) else {
             return Ok(NewsTaken::default());
         };
@@ -254,6 +282,23 @@
         }
     }
 
+    /// Hands over where this node collects and can't read the store.
+    ///
+    /// A store may turn single nodes away. A collector among them would leave each node of its data
+    /// centre to follow the store by itself: 39 nodes made 55 calls a second then.
+    fn watch_reading(&mut self, news: &NewsDesk, moment: TalkMoment) {
+        if !self.is_collector() {
+            self.collecting_since = None;
+            return;
+        }
+        let since = *self.collecting_since.get_or_insert(moment.now);
+        let collects_for = moment.now.saturating_duration_since(since);
+        if collects_for > FIRST_READING && news.is_behind(moment.boot) && !self.peers.is_behind() {
+            self.peers.hand_over();
+            self.farewells = FAREWELL_ROUNDS;
+        }
+    }
+
     /// Adds up the data centre and tells its nodes and the other data centres.
     fn collect(
         &mut self,
@@ -315,6 +360,7 @@
                 node: own.node.to_string(),
                 data_centre: own.data_centre.to_string(),
                 capacity: own.capacity,
+                is_behind: self.peers.is_behind(),
                 body: body(chunk),
                 nodes: 0,
                 places: self.telling.clone(),
--- a/crates/plumgate/src/gateway/messages.rs
+++ b/crates/plumgate/src/gateway/messages.rs
@@ -64,6 +64,8 @@
     pub(crate) data_centre: String,
     /// The sender's share of processors.
     pub(crate) capacity: NodeCapacity,
+    /// Whether the sender can't read the store for others, and somebody else should.
+    pub(crate) is_behind: bool,
     /// How many nodes the body tells of.
     pub(crate) nodes: u32,
     pub(crate) body: ExchangeBody,
--- a/crates/plumgate/src/gateway/news.rs
+++ b/crates/plumgate/src/gateway/news.rs
@@ -26,7 +26,10 @@
 const COLLECTOR_SHARE: f64 = 0.36;
 /// The same for all other nodes: longer, so that their collector goes first when the reader is lost
 /// and they need not.
-const FOLLOWER_SHARE: f64 = 0.48;
+const FOLLOWER_SHARE: f64 = 0.54;
+/// Age of what a collector knows from which on it can't read for others: it has asked by itself since
+/// 0.36 in vain, and those that follow it must hear of another collector before they ask.
+const BEHIND_SHARE: f64 = 0.4;
 /// How long a node counts as asked: many rounds, so that lost messages do no harm.
 const ASKED_SPAN: Duration = Duration::from_secs(2);
 
@@ -195,6 +198,12 @@
         }
     }
 
+    /// Whether what is known here of the servers is too old for others to follow it.
+    pub fn is_behind(&self, now: Duration) -> bool {
+        let age = self.servers.known_at.map(|known| now.saturating_sub(known));
+        age.is_some_and(|age| age > self.longest_age.mul_f64(BEHIND_SHARE))
+    }
+
     /// Whether others lately asked this node, so that its reading serves them too.
     pub fn is_asked(&self, now: Duration) -> bool {
         self.asked_at
--- a/crates/plumgate/src/gateway/peers.rs
+++ b/crates/plumgate/src/gateway/peers.rs
@@ -14,6 +14,12 @@
 
 /// How long a collector may be silent before the next one is chosen.
 pub(crate) const COLLECTOR_SILENCE: Duration = Duration::from_millis(900);
+/// How long a collector that handed over is passed over: longer than most outages of single nodes, as
+/// each change of the collector has its nodes take all servers anew.
+const HANDOVER_TIME: Duration = Duration::from_secs(10);
+/// Nodes of a data centre that hand over at the same time. Where several in a row lost the store it
+/// answers nobody, and going on through all nodes would only change the collector again and again.
+const HANDOVERS_MOST: usize = 2;
 /// Collectors of another data centre that get a sum: a second one where the first just went.
 const FOREIGN_COLLECTORS: usize = 2;
 
@@ -40,6 +46,8 @@
     pub(crate) entry: NodeEntry,
     pub(crate) told: ToldWork,
     silent: bool,
+    /// Until when it is passed over, as it said that it can't read for others.
+    behind_until: Option<Instant>,
     /// Since when this node, as a collector, has talked to it as to another one in vain.
     unanswered_since: Option<Instant>,
     /// Its last question that was not answered yet, and when that came.
@@ -54,6 +62,10 @@
 pub(crate) struct PeerTable {
     own: NodeEntry,
     members: BTreeMap<NodeId, MemberState>,
+    /// Until when this node collects only where no other can.
+    behind_until: Option<Instant>,
+    /// The time as of the last event.
+    now: Option<Instant>,
     /// The other nodes of each data centre, the preferred collector first. Kept from change to change:
     /// sorted anew for each message, 195 nodes cost a collector more than all else that it does.
     ranked: BTreeMap<DataCentreId, Vec<(CollectorRank, NodeId)>>,
@@ -69,6 +81,8 @@
         Self {
             own,
             members: BTreeMap::new(),
+            behind_until: None,
+            now: None,
             ranked: BTreeMap::new(),
             counted: BTreeMap::new(),
             told_count: 0,
@@ -110,6 +124,7 @@
                     entry,
                     told: ToldWork::default(),
                     silent: false,
+                    behind_until: None,
                     unanswered_since: None,
                     question: None,
                 };
@@ -130,14 +145,43 @@
         }
     }
 
-    /// A node was heard.
-    pub(crate) fn note_heard(&mut self, node: &NodeId) {
+    /// Time goes on.
+    pub(crate) fn set_now(&mut self, now: Instant) {
+        self.now = Some(now);
+    }
+
+    /// A node was heard, and may have said that it can't read for others.
+    pub(crate) fn note_heard(&mut self, node: &NodeId, is_behind: bool) {
+        let until = self
+            .now
+            .filter(|_| is_behind)
+            .map(|now| now + HANDOVER_TIME);
         if let Some(member) = self.members.get_mut(node) {
             member.silent = false;
             member.unanswered_since = None;
+            if until.is_some() && !is_before(self.now, member.behind_until) {
+                member.behind_until = until;
+            }
+        }
+    }
+
+    /// Whether this node collects only where no other can.
+    pub(crate) fn is_behind(&self) -> bool {
+        is_before(self.now, self.behind_until)
+    }
+
+    /// This node can't read for the others: another one collects for some time, unless several tried.
+    pub(crate) fn hand_over(&mut self) {
+        let behind = self.own_centre().filter(|member| !self.is_fit(member));
+        if behind.count() < HANDOVERS_MOST {
+            self.behind_until = self.now.map(|now| now + HANDOVER_TIME);
         }
     }
 
+    fn is_fit(&self, member: &MemberState) -> bool {
+        !is_before(self.now, member.behind_until)
+    }
+
     /// A node is passed over as a collector until it is heard.
     pub(crate) fn pass_over(&mut self, node: &NodeId) {
         if let Some(member) = self.members.get_mut(node) {
@@ -160,18 +204,22 @@
         ranked.filter_map(|(_, node)| self.members.get(node))
     }
 
-    /// The other nodes of a data centre that may be its collector, the preferred one first.
+    /// The other nodes of a data centre that may be its collector, the preferred one first: those that
+    /// handed over come last.
     fn eligible(&self, centre: &DataCentreId) -> impl Iterator<Item = &NodeId> {
-        self.of_centre(centre)
-            .filter(|member| !member.silent)
-            .map(|member| &member.entry.node)
+        let heard = || self.of_centre(centre).filter(|member| !member.silent);
+        let fit = heard().filter(|member| self.is_fit(member));
+        let behind = heard().filter(|member| !self.is_fit(member));
+        fit.chain(behind).map(|member| &member.entry.node)
     }
 
     /// The collector of this node's data centre; `None` where this node is it.
     pub(crate) fn collector(&self) -> Option<&NodeId> {
         let best = self.eligible(&self.own.data_centre).next()?;
-        let entry = &self.members.get(best)?.entry;
-        (collector_rank(entry) > collector_rank(&self.own)).then_some(best)
+        let member = self.members.get(best)?;
+        let preference = |is_fit, entry| (is_fit, collector_rank(entry));
+        let other = preference(self.is_fit(member), &member.entry);
+        (other > preference(!self.is_behind(), &self.own)).then_some(best)
     }
 
     /// Whether a node reads the store for the collectors of all data centres: the collector of the one
@@ -265,6 +313,10 @@
     }
 }
 
+fn is_before(now: Option<Instant>, until: Option<Instant>) -> bool {
+    now.zip(until).is_some_and(|(now, until)| now < until)
+}
+
 fn collector_rank(entry: &NodeEntry) -> CollectorRank {
     let weight = rendezvous_weight(&entry.data_centre, &entry.node);
     (entry.capacity, weight)
--- a/crates/plumgate/tests/gateway_news.rs
+++ b/crates/plumgate/tests/gateway_news.rs
@@ -216,7 +216,7 @@
 #[test]
 fn node_that_finds_a_better_collector_takes_all_servers_from_it() {
     let mut first = reader(10, ms(900));
-    let mut second = reader(12, ms(900));
+    let mut second = reader(12, ms(1_500));
     let mut asker = reader(10, ms(800));
     let answer = ask(&mut asker, &mut first, ms(1_000), ms(1_000));
     assert!(!asker.take(answer, true).must_ask);
@@ -232,7 +232,7 @@
     assert_eq!(asker.servers_version(), Some(12));
     assert_eq!(
         asker.known_at(SourceTopic::Servers),
-        Some(ms(894)),
+        Some(ms(1_494)),
         "as old as the giver knows"
     );
     second.extend_log(13, vec![gone("a")]);
@@ -291,7 +291,10 @@
     /// Nodes that don't reach the store.
     storeless: BTreeSet<SocketAddr>,
     store_down: bool,
+    /// Reads of the configuration.
     reads: usize,
+    /// Reads of the servers.
+    server_reads: usize,
     at: Duration,
     start: Instant,
 }
@@ -310,6 +313,7 @@
             storeless: BTreeSet::new(),
             store_down: false,
             reads: 0,
+            server_reads: 0,
             at: ms(1_000),
             start: Instant::now(),
         }
@@ -342,15 +346,21 @@
         }
     }
 
+    /// Reads what the node may not leave to others.
     fn read(&mut self, node: SocketAddr) {
-        let (exchange, desk) = self.nodes.get_mut(&node).expect("a node");
-        let rests_until = desk.rests_until(SourceTopic::Config, exchange.is_collector());
-        if rests_until.is_some_and(|until| self.at < until) {
-            return;
-        }
-        self.reads += 1;
-        if !self.store_down && !self.storeless.contains(&node) {
-            desk.note_read(SourceTopic::Config, self.at);
+        for topic in [SourceTopic::Config, SourceTopic::Servers] {
+            let (exchange, desk) = self.nodes.get_mut(&node).expect("a node");
+            let rests_until = desk.rests_until(topic, exchange.is_collector());
+            if rests_until.is_some_and(|until| self.at < until) {
+                continue;
+            }
+            match topic {
+                SourceTopic::Config => self.reads += 1,
+                SourceTopic::Servers => self.server_reads += 1,
+            }
+            if !self.store_down && !self.storeless.contains(&node) {
+                desk.note_read(topic, self.at);
+            }
         }
     }
 
@@ -450,3 +460,53 @@
         .count();
     assert!(fresh >= 5, "{ages:?}");
 }
+
+// The store turns calls away, as each node of a data centre follows it by itself: it refuses their collector
+// and serves the others. The collector says so, the next one takes over, and again only one node reads.
+// The first comes back later and does not flap.
+#[test]
+fn collector_that_the_store_turns_away_hands_over() {
+    let mut bench = ReadingBench::new(2, 40);
+    bench.rounds(20);
+    let turned_away = bench.collectors();
+    bench.storeless = turned_away.iter().copied().collect();
+    (bench.reads, bench.server_reads) = (0, 0);
+    bench.rounds(30);
+    let reads = bench.reads + bench.server_reads;
+    assert!(reads < 120, "nobody else reads meanwhile: {reads}");
+    assert!(
+        bench
+            .collectors()
+            .iter()
+            .all(|node| !turned_away.contains(node))
+    );
+    (bench.reads, bench.server_reads) = (0, 0);
+    bench.rounds(40);
+    assert_eq!(
+        (bench.reads, bench.server_reads),
+        (40, 40),
+        "one node, once a round"
+    );
+    let ages = bench.ages();
+    assert!(ages.iter().all(|age| *age < ms(600)), "{ages:?}");
+}
+
+// While the store answers nobody, the collectors must not change again and again: each change has all
+// nodes of the data centre take all servers anew. When it is back, one node reads for all.
+#[test]
+fn collectors_stay_while_the_store_answers_nobody() {
+    let mut bench = ReadingBench::new(2, 40);
+    bench.rounds(20);
+    bench.store_down = true;
+    let mut seen: BTreeSet<SocketAddr> = BTreeSet::new();
+    for _ in 0..80 {
+        bench.rounds(1);
+        seen.extend(bench.collectors());
+    }
+    assert!(seen.len() <= 2 * 3, "{} nodes collected", seen.len());
+    bench.store_down = false;
+    bench.rounds(10);
+    bench.reads = 0;
+    bench.rounds(20);
+    assert_eq!(bench.reads, 20, "one node, once a round");
+}
