gateway: a lost store is left to the collectors, for the configuration too; standby collectors told each fourth round

Sums to a second and a third collector of each other data centre each round were half of what collectors send there. Change: the pause goes by whether the topic was ever known; those that may collect next are told each fourth round.

--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -264,7 +264,7 @@
                     self.note_failure(topic, &error, &mut is_lost);
                     if error != SourceError::HistoryLost {
                         let next = backoff.next(&mut rng);
-                        self.shared.clock.sleep(self.retry_pause(since, next)).await;
+                        self.shared.clock.sleep(self.retry_pause(topic, next)).await;
                     }
                 }
             }
@@ -399,8 +399,9 @@
     ///
     /// The collector goes on trying, and tells within two rounds that the store is back. Without this an
     /// outage of 4.5 s made each of 195 nodes call some twelve times for an answer that one of them gets.
-    fn retry_pause(&self, since: Option<u64>, own: Duration) -> Duration {
-        if since.is_none() || !self.view.leaves_retries() {
+    fn retry_pause(&self, topic: SourceTopic, own: Duration) -> Duration {
+        let is_known = self.view.news().known_at(topic).is_some();
+        if !is_known || !self.view.leaves_retries() {
             return own;
         }
         FOLLOWER_RETRY.mul_f64(0.5 + self.shared.random_share())
--- a/crates/plumgate/src/gateway/exchange.rs
+++ b/crates/plumgate/src/gateway/exchange.rs
@@ -24,6 +24,10 @@
 
 /// Time in which a node that has just become the collector reads the store for the first time.
 const FIRST_READING: Duration = Duration::from_millis(500);
+/// Rounds after which those that may collect next in other data centres are told too: often enough that
+/// what they were told still counts when they take over. Told each round, they made half of the bytes
+/// that collectors send to other data centres.
+const STANDBY_ROUNDS: u32 = 4;
 /// Rounds in which a collector that handed over tells so: enough that one message arrives. Those that
 /// don't hear of it wait for it as for a silent one, and follow the store by themselves meanwhile.
 const FAREWELL_ROUNDS: u32 = 3;
@@ -62,6 +66,8 @@
     news: Vec<PartPlace>,
     collector: Option<NodeId>,
     collector_heard: Option<Instant>,
+    /// Rounds in which this node collected.
+    rounds: u32,
     /// Rounds in which this node still tells its data centre that another one collects.
     farewells: u32,
     /// Since when this node collects.
@@ -81,6 +87,7 @@
             news: Vec::new(),
             collector: None,
             collector_heard: None,
+            rounds: 0,
             farewells: 0,
             collecting_since: None,
         }
@@ -323,7 +330,13 @@
         // A collector that the store turns away lives on what its nodes read by themselves then.
         let asked = question.without_servers();
         let mut packets = self.packets(&total, ExchangeBody::Total, &nodes, news, Some(asked));
-        let collectors: Vec<NodeId> = self.peers.foreign_collectors().into_iter().collect();
+        self.rounds += 1;
+        let collectors = if self.rounds.is_multiple_of(STANDBY_ROUNDS) {
+            self.peers.next_foreign_collectors()
+        } else {
+            self.peers.foreign_collectors()
+        };
+        let collectors: Vec<NodeId> = collectors.into_iter().collect();
         packets.extend(self.packets(
             &sum,
             ExchangeBody::Centre,
--- a/crates/plumgate/src/gateway/peers.rs
+++ b/crates/plumgate/src/gateway/peers.rs
@@ -259,10 +259,17 @@
         }
     }
 
-    /// Whom the sums of this data centre go to in the others. The usual collector of each is among them
-    /// even while it is passed over: both sides of a cut pass over each other's, and would otherwise
-    /// have to find them again one by one when it is over.
+    /// The collectors of the other data centres, which the sums of this one go to.
     pub(crate) fn foreign_collectors(&self) -> BTreeSet<NodeId> {
+        let centres = self.foreign_centres().into_iter();
+        let first = centres.filter_map(|centre| self.eligible(&centre).next().cloned());
+        first.collect()
+    }
+
+    /// The same with those that may collect there next. The usual collector of each is among them even
+    /// while it is passed over: both sides of a cut pass over each other's, and would otherwise have to
+    /// find them again one by one when it is over.
+    pub(crate) fn next_foreign_collectors(&self) -> BTreeSet<NodeId> {
         let mut collectors = BTreeSet::new();
         for centre in self.foreign_centres() {
             let eligible = self.eligible(&centre).take(FOREIGN_COLLECTORS);
