news: a lost store is no longer lost once others tell of the configuration

A node left the servers alone for as long as its own last call for the configuration had failed; once it is told of the configuration it makes no such calls any more, so the mark stayed. Where its collector gave no servers either, it would not have asked the store for them. Change: the mark lies with what is told and read, and ends with either. Measured: the new test is red without it (the mark was a cell of the control thread before).

--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -1,6 +1,6 @@
 //! The control thread of a gateway node: follows the source, keeps the life of the node.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -81,8 +81,6 @@
     shared: Arc<GatewayShared<C, W>>,
     view: Rc<FleetView<C, W>>,
     cut_centres: RefCell<Vec<DataCentreId>>,
-    /// Whether the last call for the configuration failed.
-    is_config_lost: Cell<bool>,
     life: RefCell<GatewayLife>,
 }
 
@@ -93,7 +91,6 @@
             view: Rc::new(FleetView::new(shared.clone())),
             shared,
             cut_centres: RefCell::default(),
-            is_config_lost: Cell::new(false),
             life: RefCell::new(GatewayLife::new()),
         }
     }
@@ -236,9 +233,6 @@
             let answer = self.ask(&mut source, topic, since, cause).await;
             let call_topic = CallTopic::Followed(topic);
             note_source_call(&self.shared, call_topic, cause, answer.is_ok());
-            if topic == SourceTopic::Config {
-                self.is_config_lost.set(answer.is_err());
-            }
             match answer {
                 Ok(change) => {
                     if is_lost {
@@ -261,6 +255,7 @@
                 Err(error) => {
                     since = since.filter(|_| error.keeps_place());
                     cause = CallCause::Outage;
+                    self.view.news().note_lost(topic);
                     self.note_failure(topic, &error, &mut is_lost);
                     if error != SourceError::HistoryLost {
                         let next = backoff.next(&mut rng);
@@ -329,7 +324,7 @@
     /// enough to find out that it is back.
     fn pause_before(&self, topic: SourceTopic) -> Option<Duration> {
         let waits = topic == SourceTopic::Servers
-            && self.is_config_lost.get()
+            && self.view.news().is_lost(SourceTopic::Config)
             && self.view.leaves_retries();
         self.view.rest(topic).or(waits.then_some(TICK))
     }
--- a/crates/plumgate/src/gateway/news/desk.rs
+++ b/crates/plumgate/src/gateway/news/desk.rs
@@ -74,6 +74,8 @@
     told_at: Option<Duration>,
     /// Whether something is missing that only the store can tell.
     must_read: bool,
+    /// Whether a call for it failed and nothing was read or told since.
+    is_lost: bool,
 }
 
 /// A question that was asked.
@@ -138,6 +140,20 @@
         let state = self.state(topic);
         state.known_at = state.known_at.max(Some(known_at));
         state.must_read = false;
+        state.is_lost = false;
+    }
+
+    /// The store did not answer a call for a topic.
+    pub fn note_lost(&mut self, topic: SourceTopic) {
+        self.state(topic).is_lost = true;
+    }
+
+    /// Whether the last that is known of a topic is that the store did not answer.
+    pub fn is_lost(&self, topic: SourceTopic) -> bool {
+        match topic {
+            SourceTopic::Config => self.config.is_lost,
+            SourceTopic::Servers => self.servers.is_lost,
+        }
     }
 
     /// All servers were read anew, as of a version of the store.
@@ -384,4 +400,5 @@
 fn note_told(state: &mut TopicState, known_at: Duration) {
     state.known_at = state.known_at.max(Some(known_at));
     state.told_at = state.told_at.max(Some(known_at));
+    state.is_lost = false;
 }
--- a/crates/plumgate/tests/gateway_news.rs
+++ b/crates/plumgate/tests/gateway_news.rs
@@ -261,6 +261,23 @@
     assert_eq!(asker.servers_version(), Some(20));
 }
 
+// A node goes on with servers that have left: it leaves the servers alone while the store does not answer for
+// the configuration. Once it is told of the configuration it makes no such calls any more, and that none has
+// been answered since must not keep it from asking for the servers.
+#[test]
+fn store_is_not_lost_any_more_once_others_tell_of_it() {
+    let mut first = reader(10, ms(900));
+    let mut asker = reader(10, ms(800));
+    asker.note_lost(SourceTopic::Config);
+    assert!(asker.is_lost(SourceTopic::Config));
+    let answer = ask(&mut asker, &mut first, ms(1_000), ms(1_001));
+    asker.take(answer, true);
+    assert!(!asker.is_lost(SourceTopic::Config));
+    asker.note_lost(SourceTopic::Config);
+    asker.note_read(SourceTopic::Config, ms(1_100));
+    assert!(!asker.is_lost(SourceTopic::Config));
+}
+
 // A node that has read nothing itself must not give an empty fleet to others.
 #[test]
 fn node_that_knows_no_servers_gives_no_copy() {
