news: a store counts as lost until something newer than the failed call is known

The mend before this one ended the mark with any news, and collectors go on telling in an outage what they knew before it. Each node then tried the servers beside the configuration. Change: the mark is the moment of the failed call; what is known as of a later moment ends it. The core test tells both cases now.

--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -255,7 +255,7 @@
                 Err(error) => {
                     since = since.filter(|_| error.keeps_place());
                     cause = CallCause::Outage;
-                    self.view.news().note_lost(topic);
+                    self.view.news().note_lost(topic, asked_at);
                     self.note_failure(topic, &error, &mut is_lost);
                     if error != SourceError::HistoryLost {
                         let next = backoff.next(&mut rng);
--- a/crates/plumgate/src/gateway/news/desk.rs
+++ b/crates/plumgate/src/gateway/news/desk.rs
@@ -74,8 +74,8 @@
     told_at: Option<Duration>,
     /// Whether something is missing that only the store can tell.
     must_read: bool,
-    /// Whether a call for it failed and nothing was read or told since.
-    is_lost: bool,
+    /// When the last call for it was made that failed.
+    lost_at: Option<Duration>,
 }
 
 /// A question that was asked.
@@ -140,20 +140,21 @@
         let state = self.state(topic);
         state.known_at = state.known_at.max(Some(known_at));
         state.must_read = false;
-        state.is_lost = false;
     }
 
-    /// The store did not answer a call for a topic.
-    pub fn note_lost(&mut self, topic: SourceTopic) {
-        self.state(topic).is_lost = true;
+    /// The store did not answer a call for a topic that was made at a moment.
+    pub fn note_lost(&mut self, topic: SourceTopic, asked_at: Duration) {
+        self.state(topic).lost_at = Some(asked_at);
     }
 
-    /// Whether the last that is known of a topic is that the store did not answer.
+    /// Whether the store did not answer a call that is newer than all that is known of a topic. What others
+    /// tell in an outage is as old as the outage, and does not end it.
     pub fn is_lost(&self, topic: SourceTopic) -> bool {
-        match topic {
-            SourceTopic::Config => self.config.is_lost,
-            SourceTopic::Servers => self.servers.is_lost,
-        }
+        let state = match topic {
+            SourceTopic::Config => &self.config,
+            SourceTopic::Servers => &self.servers,
+        };
+        state.lost_at > state.known_at
     }
 
     /// All servers were read anew, as of a version of the store.
@@ -400,5 +401,4 @@
 fn note_told(state: &mut TopicState, known_at: Duration) {
     state.known_at = state.known_at.max(Some(known_at));
     state.told_at = state.told_at.max(Some(known_at));
-    state.is_lost = false;
 }
--- a/crates/plumgate/tests/gateway_news.rs
+++ b/crates/plumgate/tests/gateway_news.rs
@@ -268,13 +268,18 @@
 fn store_is_not_lost_any_more_once_others_tell_of_it() {
     let mut first = reader(10, ms(900));
     let mut asker = reader(10, ms(800));
-    asker.note_lost(SourceTopic::Config);
-    assert!(asker.is_lost(SourceTopic::Config));
     let answer = ask(&mut asker, &mut first, ms(1_000), ms(1_001));
     asker.take(answer, true);
+    asker.note_lost(SourceTopic::Config, ms(1_200));
+    let answer = ask(&mut asker, &mut first, ms(1_300), ms(1_301));
+    asker.take(answer, true);
+    assert!(asker.is_lost(SourceTopic::Config), "what is told is older");
+    first.note_read(SourceTopic::Config, ms(1_400));
+    let answer = ask(&mut asker, &mut first, ms(1_500), ms(1_501));
+    asker.take(answer, true);
     assert!(!asker.is_lost(SourceTopic::Config));
-    asker.note_lost(SourceTopic::Config);
-    asker.note_read(SourceTopic::Config, ms(1_100));
+    asker.note_lost(SourceTopic::Config, ms(1_600));
+    asker.note_read(SourceTopic::Config, ms(1_700));
     assert!(!asker.is_lost(SourceTopic::Config));
 }
 
