--- a/crates/plumgate/tests/gateway_copies.rs
+++ b/crates/plumgate/tests/gateway_copies.rs
@@ -55,6 +55,26 @@
         self.table.finish(ticket, WorkEnd::Answered, self.now);
         pick
     }
+
+    /// Requests without shared parts begin at one server and are not answered yet.
+    fn occupy(&mut self, server: &ServerId, count: u64) {
+        let servers = ["a", "b", "c", "d", "e", "f", "g", "h"];
+        let others: Vec<ServerId> = servers.map(ServerId::from).into();
+        let others: Vec<ServerId> = others.into_iter().filter(|id| id != server).collect();
+        let pool = self.pool.clone();
+        for number in 0..count {
+            let alone = PromptShape {
+                parts: vec![PromptPart {
+                    id: 10_000 + number,
+                    tokens: 2_000,
+                }],
+                output_most: 100,
+            };
+            let pick = self.pick(&alone, &others);
+            let request = request(&pool, &alone, &others);
+            let _ticket = self.table.start(&pick, &request, self.now);
+        }
+    }
 }
 
 fn request<'a>(
@@ -140,3 +160,19 @@
     assert_eq!(copy_from(&other), None);
     assert_eq!(other.unread_tokens, 900 + 13_300);
 }
+
+// All callers of a fleet wait longer: as copying is cheap, documents move to whichever server has least to do,
+// push others out of its memory, and nobody knows any more who keeps what. A home that is a little busier
+// keeps its requests; one that is much busier gives them away, and the next one copies.
+#[test]
+fn home_keeps_its_requests_unless_it_is_much_busier() {
+    let mut bench = CopyBench::new(PolicySwitches::new());
+    let asked = shape(1, 13_300);
+    let home = bench.serve(&asked).server.id;
+    bench.occupy(&home, 3);
+    assert_eq!(bench.pick(&asked, &[]).server.id, home, "0.2 s behind");
+    bench.occupy(&home, 100);
+    let other = bench.pick(&asked, &[]);
+    assert_ne!(other.server.id, home, "seconds behind");
+    assert_eq!(copy_from(&other), Some(&home));
+}
