--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod copies;
 mod copy_wishes;
 mod exchange;
+mod following;
 mod life;
 mod links;
 mod lives;
@@ -26,6 +27,7 @@
 mod source_calls;
 mod stream;
 mod view;
+mod view_copies;
 
 pub use node::{GatewayAddresses, GatewayHandle, GatewayNode};
 pub use options::{GatewayBounds, GatewayOptions};
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -10,14 +10,11 @@
 use plumgate::FindingList;
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
-    ConfigCopy, GatewayConfig, NewsDesk, NewsTaken, PolicyPart, ServerEntry, ServerNews,
-    ServerTable, ServersCopy, SourceTopic, StateCopy,
+    GatewayConfig, NewsDesk, NewsTaken, PolicyPart, ServerEntry, ServerNews, ServerTable,
+    SourceTopic,
 };
 use plumgate::ids::ServerId;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 
-use super::copies::{CopyError, ask_node};
 use super::copy_wishes::CopyWishes;
 use super::ports::{SourceChange, SourceEvent};
 use super::shared::GatewayShared;
@@ -29,17 +26,17 @@
 const TROUBLE_TAIL: Duration = Duration::from_millis(1_000);
 /// How long a server stays in use whose entry is missing in such a time. A server that lives has
 /// renewed its entry by then.
-const DOUBT: Duration = Duration::from_millis(1_800);
+pub(super) const DOUBT: Duration = Duration::from_millis(1_800);
 /// What the node believes, kept on the control thread.
 pub(crate) struct FleetView<C, W> {
-    shared: Arc<GatewayShared<C, W>>,
-    servers: RefCell<ServerTable>,
+    pub(super) shared: Arc<GatewayShared<C, W>>,
+    pub(super) servers: RefCell<ServerTable>,
     news: RefCell<NewsDesk>,
     /// Tells the readers of the store that somebody else could not tell them something.
-    news_missing: Event,
+    pub(super) news_missing: Event,
     is_collector: Cell<bool>,
     /// What this node lacks and others hold.
-    wishes: CopyWishes,
+    pub(super) wishes: CopyWishes,
     /// When a call to the source last failed.
     trouble_at: Cell<Option<Instant>>,
 }
@@ -157,88 +154,6 @@
         has_config
     }
 
-    /// Waits until another node holds what this one lacks of a topic, and takes it from there. Tells
-    /// whether another configuration is in force.
-    pub(crate) async fn take_next_copy(&self, topic: SourceTopic) -> bool {
-        let from = self.wishes.next(topic).await;
-        let taken = match topic {
-            SourceTopic::Config => self.take_config(from).await,
-            SourceTopic::Servers => self.take_servers(from).await.map(|()| false),
-        };
-        let line = LogLine::new("copy_asked")
-            .with("topic", topic.as_str())
-            .with("node", from);
-        match &taken {
-            Ok(_) => line.info(&self.shared.log),
-            Err(error) => line.with("error", error).warn(&self.shared.log),
-        }
-        self.wishes
-            .settle(topic, taken.is_ok(), self.shared.clock.now());
-        // Whoever waits for the copy goes on, by it or by the store.
-        self.news_missing.notify(usize::MAX);
-        taken.unwrap_or_default()
-    }
-
-    async fn take_config(&self, from: SocketAddr) -> Result<bool, CopyError> {
-        let asked_at = self.shared.clock.boot_time();
-        let copy: ConfigCopy = ask_node(&self.shared.clock, from, SourceTopic::Config).await?;
-        let known_at = copy.known_at(asked_at).ok_or(CopyError::Overtaken)?;
-        let config = copy.into_state();
-        let held = self.shared.config.load();
-        if held
-            .as_ref()
-            .is_some_and(|held| held.version > config.version)
-        {
-            return Err(CopyError::Overtaken);
-        }
-        let has_config = self.apply_config(config, "told", 0);
-        self.news().note_read(SourceTopic::Config, known_at);
-        self.shared.lease().renew(known_at);
-        Ok(has_config)
-    }
-
-    async fn take_servers(&self, from: SocketAddr) -> Result<(), CopyError> {
-        let asked_at = self.shared.clock.boot_time();
-        let copy: ServersCopy = ask_node(&self.shared.clock, from, SourceTopic::Servers).await?;
-        if !self.news().take_servers_copy(&copy, asked_at) {
-            return Err(CopyError::Overtaken);
-        }
-        let now = self.shared.clock.now();
-        let (entries, doubted) = copy.into_state().into_servers();
-        let doubt = self.doubt(now);
-        let changes = self.servers.borrow_mut().replace(entries, &[], doubt, now);
-        self.publish(&changes, "told");
-        for id in &doubted {
-            self.remove_server(id, Some(DOUBT), "told");
-        }
-        Ok(())
-    }
-
-    /// The configuration in force, as other nodes take it.
-    pub(crate) fn config_copy(&self) -> Option<Vec<u8>> {
-        // The age is read first: what comes into force in between is newer than it says, never older.
-        let age = self.shared.lease().age(self.shared.clock.boot_time())?;
-        let config = self.shared.config.load_full()?;
-        self.encode(&ConfigCopy::new(config, age))
-    }
-
-    /// The servers, as other nodes take them.
-    pub(crate) fn servers_copy(&self) -> Option<Vec<u8>> {
-        let now = self.shared.clock.boot_time();
-        let copy = self.news().servers_copy(&self.servers.borrow(), now)?;
-        self.encode(&copy)
-    }
-
-    fn encode<T: Serialize + DeserializeOwned>(&self, copy: &StateCopy<T>) -> Option<Vec<u8>> {
-        let encoded = copy.encode();
-        if let Err(error) = &encoded {
-            LogLine::new("copy_not_encoded")
-                .with("error", error)
-                .warn(&self.shared.log);
-        }
-        encoded.ok()
-    }
-
     fn apply_configs(&self, change: SourceChange) -> bool {
         let mut has_config = false;
         for event in change.events {
@@ -325,7 +240,7 @@
         self.publish(&changes, source);
     }
 
-    fn remove_server(&self, id: &ServerId, doubt: Option<Duration>, source: &str) {
+    pub(super) fn remove_server(&self, id: &ServerId, doubt: Option<Duration>, source: &str) {
         let now = self.shared.clock.now();
         let change = self.servers.borrow_mut().remove(id, doubt, now);
         self.publish(change.as_slice(), source);
@@ -342,7 +257,7 @@
     /// Entries lapse while the store is away, and the first answers after it show it. What goes
     /// later goes for good: doubted too, a server that has left would get work for longer than it
     /// stays.
-    fn doubt(&self, now: Instant) -> Option<Duration> {
+    pub(super) fn doubt(&self, now: Instant) -> Option<Duration> {
         if !self.shared.options.switches.has(PolicyPart::Doubt) {
             return None;
         }
@@ -350,7 +265,12 @@
         (now.saturating_duration_since(trouble_at) < TROUBLE_TAIL).then_some(DOUBT)
     }
 
-    fn apply_config(&self, config: Arc<GatewayConfig>, source: &str, source_version: u64) -> bool {
+    pub(super) fn apply_config(
+        &self,
+        config: Arc<GatewayConfig>,
+        source: &str,
+        source_version: u64,
+    ) -> bool {
         let held = self.shared.config.load_full();
         let held_version = held.as_ref().map_or(0, |held| held.version);
         // Answers of a source that was away may be old. Going back would bring back routes and
@@ -383,7 +303,7 @@
     }
 
     /// Makes changes of servers known to the traffic thread.
-    fn publish(&self, changes: &[ServerChange], source: &str) {
+    pub(super) fn publish(&self, changes: &[ServerChange], source: &str) {
         if changes.is_empty() {
             return;
         }
