gateway: the plain types of an attempt and of messages lie below their users

Cause: relay, attempt and stream named each other in a circle, and so did messages, peers and told of the exchange, and log and messages of the news. Change: pure moves. A request and its attempts are in request.rs, where it stands in run.rs; relay and stream drive it. A node's entry is in nodes.rs, a place in the store's history beside the messages that carry it.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -1,21 +1,19 @@
 //! One attempt: a request goes to a server, and the head of its answer comes back.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT};
-use hyper::http::response;
 use hyper::{Request, Response, Version};
+use plumgate::gateway::RepeatKind;
 use plumgate::gateway::WorkEnd;
-use plumgate::gateway::{RepeatKind, ServerEntry};
 
 use super::answer::drop_connection_headers;
-use super::ports::{AnswerFacts, AnswerMeaning, AttemptFacts, WireFormat};
-use super::relay::RelayRequest;
+use super::ports::{AnswerMeaning, AttemptFacts, WireFormat};
+use super::request::{AttemptEnd, AttemptOrder, RESTARTED, ServerAnswer};
 use super::shared::{GatewayShared, WorkGuard};
 use crate::clock::{Clock, until};
 use crate::http::OutgoingRequest;
@@ -27,54 +25,6 @@
 /// How long after the end of a request's time the server's own word on it is waited for.
 const LAST_WORD: Duration = Duration::from_millis(80);
 
-/// Why a request ended whose server started again.
-pub(crate) const RESTARTED: &str = "server_restarted";
-
-/// A server's answer, with its head.
-pub(crate) struct ServerAnswer<C: Clock, W> {
-    /// The head.
-    pub(crate) head: response::Parts,
-    /// The body, still to be read.
-    pub(crate) body: Incoming,
-    /// The connection that carries it.
-    pub(crate) link: HttpLink,
-    /// The server's load.
-    pub(crate) work: WorkGuard<C, W>,
-    /// What the head says.
-    pub(crate) facts: AnswerFacts,
-}
-
-/// How an attempt ended.
-pub(crate) enum AttemptEnd<C: Clock, W> {
-    /// The server answers.
-    Answer(Box<ServerAnswer<C, W>>),
-    /// The server surely did not run the request.
-    NotRun {
-        /// Why.
-        reason: &'static str,
-        /// Whether the request arrived at the server.
-        arrived: bool,
-    },
-    /// The server may have run the request.
-    InDoubt(&'static str),
-    /// The time of the request is over; the server may have run it.
-    TimedOut,
-}
-
-/// What is sent to whom, and until when.
-pub(crate) struct AttemptOrder<'a> {
-    /// The request.
-    pub(crate) request: &'a RelayRequest,
-    /// The server.
-    pub(crate) server: &'a ServerEntry,
-    /// Until when the head of the answer is waited for.
-    pub(crate) head_by: Instant,
-    /// The event after which a stream goes on.
-    pub(crate) resume_after: Option<u64>,
-    /// Where another server can be reached that keeps parts of the prompt.
-    pub(crate) copy_from: Option<SocketAddr>,
-}
-
 /// Carries out one attempt up to the head of the answer.
 pub(crate) async fn attempt<C: Clock, W: WireFormat>(
     shared: &Arc<GatewayShared<C, W>>,
--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -19,7 +19,7 @@
 use super::checks::accept;
 use super::connection::{CallerStream, ConnectionUse, GuardedBody};
 use super::ports::WireFormat;
-use super::relay::RelayRun;
+use super::run::RelayRun;
 use super::shared::{ConnectionGuard, GatewayShared};
 use crate::clock::{Clock, until};
 use crate::http::text_response;
--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::ports::{RequestFacts, WireFormat};
-use super::relay::RelayRequest;
+use super::request::RelayRequest;
 use super::shared::GatewayShared;
 use crate::caller_error::CallerError;
 use crate::clock::{Clock, until};
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -23,6 +23,8 @@
 mod options;
 mod relay;
 mod relay_report;
+mod request;
+mod run;
 mod shared;
 mod source_calls;
 mod stream;
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -8,7 +8,7 @@
 
 use super::metrics::{EndLabels, ReasonLabels};
 use super::ports::WireFormat;
-use super::relay::RelayRun;
+use super::run::RelayRun;
 use crate::clock::Clock;
 use crate::log::LogLine;
 
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -0,0 +1,171 @@
+//! Where a request stands on its way, and what each try of a server means for it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use plumgate::RunOutcome;
+use plumgate::attempt::{AttemptEvent, AttemptRun};
+use plumgate::gateway::ServerPick;
+use plumgate::ids::ServerId;
+use plumgate::retry::may_run_again;
+
+use super::attempt::attempt;
+use super::ports::WireFormat;
+use super::request::{AttemptEnd, AttemptOrder, RelayRequest};
+use super::shared::{GatewayShared, RequestGuard, WorkGuard};
+use crate::clock::Clock;
+use crate::log::LogLine;
+
+/// Servers that one request is offered to, those that refused it or could not be reached
+/// included.
+pub(crate) const TRIES_MOST: u32 = 4;
+/// Shortest time left in which another try is worth it.
+const SHORTEST_TRY: Duration = Duration::from_millis(50);
+
+/// One request on its way through the node.
+pub(crate) struct RelayRun<C: Clock, W> {
+    /// What all requests share.
+    pub(crate) shared: Arc<GatewayShared<C, W>>,
+    /// The request.
+    pub(crate) request: RelayRequest,
+    /// Where it stands.
+    pub(crate) run: AttemptRun,
+    /// Servers that it was sent to.
+    pub(crate) tried: Vec<ServerId>,
+    /// Times that it arrived at a server.
+    pub(crate) arrivals: u32,
+    /// Times that it may have run.
+    pub(crate) runs: u32,
+    /// Time from its arrival until the first byte of the answer went to the caller.
+    pub(crate) first_byte: Option<Duration>,
+    /// The longest pause between two events of its answer.
+    pub(crate) longest_pause: Duration,
+    /// Whether its end was told.
+    pub(crate) is_reported: bool,
+    _guard: RequestGuard<C, W>,
+}
+
+impl<C: Clock, W: WireFormat> RelayRun<C, W> {
+    /// A request that was just taken.
+    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>, request: RelayRequest) -> Self {
+        let guard = RequestGuard::new(shared.clone());
+        let now = shared.clock.now();
+        shared.budget().earn(&request.pool, now);
+        Self {
+            shared,
+            request,
+            run: AttemptRun::new(),
+            tried: Vec::new(),
+            arrivals: 0,
+            runs: 0,
+            first_byte: None,
+            longest_pause: Duration::ZERO,
+            is_reported: false,
+            _guard: guard,
+        }
+    }
+
+    /// Offers the request to a server, up to the head of its answer.
+    pub(crate) async fn offer(
+        &mut self,
+        pick: &ServerPick,
+        head_by: Instant,
+        resume_after: Option<u64>,
+    ) -> AttemptEnd<C, W> {
+        let now = self.shared.clock.now();
+        let placement = self.request.placement(&self.tried);
+        let ticket = self.shared.loads().start(pick, &placement, now);
+        let work = WorkGuard::new(self.shared.clone(), ticket);
+        self.begin_try(&pick.server.id);
+        let order = AttemptOrder {
+            request: &self.request,
+            server: &pick.server,
+            head_by,
+            resume_after,
+            copy_from: pick.copy_from.as_ref().map(|server| server.address),
+        };
+        let end = attempt(&self.shared, order, work).await;
+        self.note_try(&end);
+        end
+    }
+
+    /// The request is about to be offered to a server.
+    pub(crate) fn begin_try(&mut self, server: &ServerId) {
+        let dispatched = self.run.dispatch(server.clone());
+        debug_assert!(
+            dispatched.is_ok(),
+            "the chart expects a dispatch: {dispatched:?}"
+        );
+        self.tried.push(server.clone());
+    }
+
+    /// Counts what an attempt means for the request.
+    pub(crate) fn note_try(&mut self, end: &AttemptEnd<C, W>) {
+        if !matches!(end, AttemptEnd::NotRun { arrived: false, .. }) {
+            self.apply(AttemptEvent::FirstByte);
+            self.arrivals += 1;
+        }
+        if !matches!(end, AttemptEnd::NotRun { .. }) {
+            self.runs += 1;
+        }
+    }
+
+    /// A server surely did not run the request.
+    pub(crate) fn note_refusal(&mut self, arrived: bool) {
+        self.apply(if arrived {
+            AttemptEvent::ServerRefused
+        } else {
+            AttemptEvent::ConnectFailed
+        });
+    }
+
+    /// Whether a request that may have run goes to another server, paid from the budget.
+    pub(crate) fn allow_run_again(&mut self, reason: &'static str) -> bool {
+        let tries = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        may_run_again(RunOutcome::Unknown, self.request.route.kind.is_repeatable())
+            && self.runs < self.request.route.attempts_most
+            && tries < TRIES_MOST
+            && self.left() > SHORTEST_TRY
+            && self.pay_retry(reason)
+    }
+
+    /// Takes a retry from the budget, unless no server has seen the request yet.
+    pub(crate) fn pay_retry(&self, reason: &'static str) -> bool {
+        if self.arrivals == 0 {
+            return true;
+        }
+        let now = self.shared.clock.now();
+        let mut budget = self.shared.budget();
+        let is_paid = budget.spend(&self.request.pool, now);
+        let left = budget.left(&self.request.pool, now);
+        drop(budget);
+        let counter = if is_paid {
+            &self.shared.metrics.retries
+        } else {
+            &self.shared.metrics.retries_refused
+        };
+        counter.inc();
+        LogLine::new("retry")
+            .with("request", &self.request.id)
+            .with("reason", reason)
+            .with("paid", is_paid)
+            .with("budget_left", format!("{left:.1}"))
+            .info(&self.shared.log);
+        is_paid
+    }
+
+    /// Time left until the request is due.
+    pub(crate) fn left(&self) -> Duration {
+        let now = self.shared.clock.now();
+        self.request.due.saturating_duration_since(now)
+    }
+
+    /// Goes on in the chart of the request.
+    pub(crate) fn apply(&mut self, event: AttemptEvent) {
+        let applied = self.run.apply(event);
+        debug_assert!(
+            applied.is_ok(),
+            "the chart expects what the relay does: {applied:?}"
+        );
+    }
+}
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -14,9 +14,9 @@
 use plumgate::gateway::{EventSplitter, RepeatKind, ServerPick};
 
 use super::answer::{StreamPiece, drop_length};
-use super::attempt::{AttemptEnd, RESTARTED, ServerAnswer};
 use super::ports::WireFormat;
-use super::relay::RelayRun;
+use super::request::{AttemptEnd, RESTARTED, ServerAnswer};
+use super::run::RelayRun;
 use super::shared::WorkGuard;
 use crate::body::AnswerCut;
 use crate::clock::{Clock, until};
--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -12,7 +12,8 @@
 use std::time::{Duration, Instant};
 
 use super::messages::{ExchangeBody, ExchangeMessage, PartPlace, ServerKey, WorkEntry, server_key};
-use super::peers::{COLLECTOR_SILENCE, NodeEntry, PeerTable};
+use super::nodes::NodeEntry;
+use super::peers::{COLLECTOR_SILENCE, PeerTable};
 use super::places::PlaceQueue;
 use super::told::ToldWork;
 use crate::errors::{Error, Result};
--- a/crates/plumgate/src/gateway/exchange/messages.rs
+++ b/crates/plumgate/src/gateway/exchange/messages.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::peers::NodeCapacity;
+use super::nodes::NodeCapacity;
 use crate::gateway::news::messages::{NewsAnswer, NewsQuestion};
 use crate::gateway::servers::ServerEntry;
 use crate::gateway::work::{ServerWork, URGENCIES};
--- a/crates/plumgate/src/gateway/exchange/mod.rs
+++ b/crates/plumgate/src/gateway/exchange/mod.rs
@@ -3,10 +3,11 @@
 pub(crate) mod messages;
 
 mod load_exchange;
+mod nodes;
 mod peers;
 mod places;
 mod told;
 
 pub use load_exchange::{ExchangePacket, LoadExchange, TalkMoment};
 pub use messages::PartPlace;
-pub use peers::{NodeCapacity, NodeEntry};
+pub use nodes::{NodeCapacity, NodeEntry};
--- a/crates/plumgate/src/gateway/exchange/peers.rs
+++ b/crates/plumgate/src/gateway/exchange/peers.rs
@@ -4,9 +4,9 @@
 //! the one that rendezvous hashing names. Whoever is silent is passed over until it is heard again.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use super::nodes::{NodeCapacity, NodeEntry};
 use super::told::ToldWork;
 use crate::gateway::news::messages::NewsQuestion;
 use crate::ids::{DataCentreId, NodeId};
@@ -23,23 +23,6 @@
 /// Collectors of another data centre that get a sum: a second one where the first just went.
 const FOREIGN_COLLECTORS: usize = 2;
 
-/// A node's share of processors, in thousandths of one; 0 where it is not known.
-pub type NodeCapacity = u32;
-
-/// A node, as it registers itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NodeEntry {
-    /// Its name.
-    pub node: NodeId,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
-    /// Where the other nodes reach it.
-    pub address: SocketAddr,
-    /// How much work it can bear. A collector's grows with the nodes of its data centre, so that the
-    /// roomiest is preferred.
-    pub capacity: NodeCapacity,
-}
-
 /// Another node.
 #[derive(Clone, Debug)]
 pub(crate) struct MemberState {
--- a/crates/plumgate/src/gateway/news/copies.rs
+++ b/crates/plumgate/src/gateway/news/copies.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::log::ServersPlace;
+use super::messages::ServersPlace;
 use crate::errors::{Error, Result};
 use crate::gateway::config::GatewayConfig;
 use crate::gateway::servers::ServerEntry;
--- a/crates/plumgate/src/gateway/news/desk.rs
+++ b/crates/plumgate/src/gateway/news/desk.rs
@@ -14,8 +14,10 @@
 use std::time::Duration;
 
 use super::copies::{ServersCopy, ServersState};
-use super::log::{LogAnswer, NewsLog, ServersPlace};
-use super::messages::{ConfigNews, NewsAnswer, NewsQuestion, ServerNews, ServersNews};
+use super::log::{LogAnswer, NewsLog};
+use super::messages::{
+    ConfigNews, NewsAnswer, NewsQuestion, ServerNews, ServersNews, ServersPlace,
+};
 use crate::gateway::servers::ServerTable;
 use crate::ids::ConfigVersion;
 
--- a/crates/plumgate/src/gateway/news/log.rs
+++ b/crates/plumgate/src/gateway/news/log.rs
@@ -2,9 +2,7 @@
 
 use std::collections::VecDeque;
 
-use serde::{Deserialize, Serialize};
-
-use super::messages::ServerNews;
+use super::messages::{ServerNews, ServersPlace};
 
 /// Server changes that are kept for those who ask: a third of a fleet of 6,500 servers at once. Whoever
 /// is further behind reads the store.
@@ -13,15 +11,6 @@
 /// fits into a few packets and many changes come in a few rounds.
 const CHANGES_MOST: usize = 40;
 
-/// A place in the store's history of servers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ServersPlace {
-    /// The store's version up to which all changes are known.
-    pub(crate) version: u64,
-    /// The epoch of the log by which they are known; none after reading the store.
-    pub(crate) epoch: Option<u32>,
-}
-
 /// What a log can tell.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum LogAnswer {
--- a/crates/plumgate/src/gateway/news/messages.rs
+++ b/crates/plumgate/src/gateway/news/messages.rs
@@ -2,10 +2,18 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::log::ServersPlace;
 use crate::gateway::servers::ServerEntry;
 use crate::ids::{ConfigVersion, ServerId};
 
+/// A place in the store's history of servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ServersPlace {
+    /// The store's version up to which all changes are known.
+    pub(crate) version: u64,
+    /// The epoch of the log by which they are known; none after reading the store.
+    pub(crate) epoch: Option<u32>,
+}
+
 /// A change of a server, as it is passed on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerNews {
