gateway: the log says which requests are the same one under another id

Cause: when a server ends, eleven requests are cut at once, and nothing told which of them stood at the server that ended before. Route, workspace and length hint had to stand in for the content. Ruled out: logging bodies or prompts, which are the callers'; a digest tells as much. Change: a request's identity, the digest of workspace, method, host, path and body, is worked out while the body comes in. route and attempt_failed bear it, and attempt_failed says how long the request had been at the server. Measured: tests only (pieces of a body in any cut give one identity; another workspace, path or body another one).

--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -9,7 +9,11 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
-use plumgate::gateway::{CallerLimits, GatewayConfig, GatewayRoute, RouteMatch, WorkspaceKeys};
+use hyper::http::uri::PathAndQuery;
+use plumgate::gateway::{
+    CallerLimits, GatewayConfig, GatewayRoute, IdentityHasher, RequestHead, RouteMatch,
+    WorkspaceKeys,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::ports::{RequestFacts, WireFormat};
@@ -51,7 +55,13 @@
     let workspace = find_workspace(shared, &config, &route, &facts)?;
     let patience = facts.patience.unwrap_or(DEFAULT_PATIENCE);
     let due = arrived + patience.min(route.timeout);
-    let body = read_body(shared, body, config.limits, due).await?;
+    let mut hasher = IdentityHasher::new(RequestHead {
+        workspace: workspace.map(|keys| &keys.workspace),
+        method: head.method.as_str(),
+        host: host(&head),
+        path: head.uri.path_and_query().map_or("", PathAndQuery::as_str),
+    });
+    let body = read_body(shared, body, config.limits, due, &mut hasher).await?;
     let Some(pool) = route.pool_for(xxh3_64(id.as_bytes())).cloned() else {
         return Err(stale(shared, "no_pool", "the route leads nowhere now"));
     };
@@ -65,6 +75,7 @@
         pool,
         workspace: workspace.map(|keys| keys.workspace.clone()),
         urgency,
+        identity: hasher.finish(),
         head,
         body,
         facts,
@@ -75,14 +86,19 @@
     })
 }
 
+/// The host that a request names, without a port.
+fn host(head: &Parts) -> &str {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    host.split(':').next().unwrap_or_default()
+}
+
 fn find_route<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     config: &GatewayConfig,
     head: &Parts,
 ) -> Result<Arc<GatewayRoute>, CallerError> {
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or(head.uri.host()).unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default();
+    let host = host(head);
     let path = head.uri.path();
     let route = config.route(RouteMatch { host, path });
     if let Some(route) = route {
@@ -156,8 +172,16 @@
     body: Incoming,
     limits: CallerLimits,
     due: Instant,
+    hasher: &mut IdentityHasher,
 ) -> Result<Bytes, CallerError> {
-    let reading = Limited::new(body, limits.body_bytes).collect();
+    let reading = Limited::new(body, limits.body_bytes)
+        .map_frame(|frame| {
+            if let Some(bytes) = frame.data_ref() {
+                hasher.update(bytes);
+            }
+            frame
+        })
+        .collect();
     match until(&shared.clock, due, reading).await {
         Some(Ok(whole)) => Ok(whole.to_bytes()),
         Some(Err(error)) if error.is::<LengthLimitError>() => {
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -36,9 +36,11 @@
         attempts.get_or_create(&labels).inc();
         LogLine::new("attempt_failed")
             .with("request", &self.request.id)
+            .with("digest", self.request.identity)
             .with("attempt", self.tried.len())
             .with_some("server", self.tried.last())
             .with("reason", reason)
+            .with_some("ran_ms", self.ran_for().map(|ran| ran.as_millis()))
             .with("state", self.run.state())
             .info(&self.shared.log);
     }
@@ -48,6 +50,7 @@
         let waited = now.saturating_duration_since(self.request.arrived);
         let line = LogLine::new("route")
             .with("request", &self.request.id)
+            .with("digest", self.request.identity)
             .with("route", &self.request.route.name)
             .with_some("workspace", self.request.workspace.as_ref())
             .with("priority", self.request.urgency)
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -8,7 +8,9 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::http::response;
-use plumgate::gateway::{GatewayRoute, PlacementRequest, ServerEntry, StreamClass};
+use plumgate::gateway::{
+    GatewayRoute, PlacementRequest, RequestIdentity, ServerEntry, StreamClass,
+};
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 
 use super::ports::{AnswerFacts, RequestFacts};
@@ -36,6 +38,8 @@
     pub(crate) class: StreamClass,
     /// The target that it is refused by.
     pub(crate) refusal_target: Duration,
+    /// What tells it from other requests, whatever its id.
+    pub(crate) identity: RequestIdentity,
     /// Its head.
     pub(crate) head: Parts,
     /// Its body.
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -32,6 +32,8 @@
     pub(crate) run: AttemptRun,
     /// Servers that it was sent to.
     pub(crate) tried: Vec<ServerId>,
+    /// When it was last offered to a server.
+    pub(crate) offered: Option<Instant>,
     /// Times that it arrived at a server.
     pub(crate) arrivals: u32,
     /// Times that it may have run.
@@ -56,6 +58,7 @@
             request,
             run: AttemptRun::new(),
             tried: Vec::new(),
+            offered: None,
             arrivals: 0,
             runs: 0,
             first_byte: None,
@@ -97,6 +100,14 @@
             "the chart expects a dispatch: {dispatched:?}"
         );
         self.tried.push(server.clone());
+        self.offered = Some(self.shared.clock.now());
+    }
+
+    /// How long ago it was last offered to a server.
+    pub(crate) fn ran_for(&self) -> Option<Duration> {
+        let now = self.shared.clock.now();
+        self.offered
+            .map(|offered| now.saturating_duration_since(offered))
     }
 
     /// Counts what an attempt means for the request.
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod news;
 pub mod placement;
 pub mod prompt;
+pub mod quarantine;
 pub mod servers;
 pub mod switches;
 pub mod work;
@@ -30,6 +31,7 @@
 };
 pub use placement::{LoadTable, PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
 pub use prompt::{PromptPart, PromptShape};
+pub use quarantine::{IdentityHasher, RequestHead, RequestIdentity};
 pub use servers::{ServerEntry, ServerState, ServerTable};
 pub use switches::{PolicyPart, PolicySwitches};
 pub use work::{ServerWork, WorkEnd, WorkTicket};
--- /dev/null
+++ b/crates/plumgate/tests/gateway_identity.rs
@@ -0,0 +1,46 @@
+//! Requests that are the same one, sent again under other ids, and those that are not.
+
+use plumgate::gateway::{IdentityHasher, RequestHead, RequestIdentity};
+use plumgate::ids::WorkspaceId;
+use quickcheck::quickcheck;
+
+fn identity(workspace: Option<&str>, path: &str, pieces: &[&[u8]]) -> RequestIdentity {
+    let workspace: Option<WorkspaceId> = workspace.map(Into::into);
+    let mut hasher = IdentityHasher::new(RequestHead {
+        workspace: workspace.as_ref(),
+        method: "POST",
+        host: "models.example",
+        path,
+    });
+    for piece in pieces {
+        hasher.update(piece);
+    }
+    hasher.finish()
+}
+
+quickcheck! {
+    /// How a body is cut into pieces on its way is not the caller's doing.
+    fn body_counts_whatever_its_pieces(body: Vec<u8>, at: usize) -> bool {
+        let (head, tail) = body.split_at(at % (body.len() + 1));
+        identity(Some("lab"), "/a/", &[&body]) == identity(Some("lab"), "/a/", &[head, tail])
+    }
+
+    fn other_bodies_are_other_requests(one: Vec<u8>, other: Vec<u8>) -> bool {
+        let same = identity(Some("lab"), "/a/", &[&one]) == identity(Some("lab"), "/a/", &[&other]);
+        same == (one == other)
+    }
+}
+
+// A caller must not be able to have another's requests held back: the same path and body under another
+// key is another request.
+#[test]
+fn workspace_path_and_body_tell_requests_apart() {
+    let own = identity(Some("lab"), "/a/", &[b"x"]);
+    assert_eq!(own, identity(Some("lab"), "/a/", &[b"x"]));
+    assert_ne!(own, identity(Some("clinic"), "/a/", &[b"x"]));
+    assert_ne!(own, identity(None, "/a/", &[b"x"]));
+    assert_ne!(own, identity(Some("lab"), "/a/?b", &[b"x"]));
+    assert_ne!(own, identity(Some("lab"), "/a/", &[]));
+    assert_ne!(own, identity(Some("lab"), "/a/x", &[]));
+    assert_eq!(own.to_string().len(), 16, "what logs show: {own}");
+}
