--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -8,8 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT};
 use hyper::{Request, Response, Version};
-use plumgate::gateway::RepeatKind;
-use plumgate::gateway::WorkEnd;
+use plumgate::gateway::{LinkAge, RepeatKind, WorkEnd};
 
 use super::answer::drop_connection_headers;
 use super::ports::{AnswerMeaning, AttemptFacts, WireFormat};
@@ -31,8 +30,8 @@
     order: AttemptOrder<'_>,
     mut work: WorkGuard<C, W>,
 ) -> AttemptEnd<C, W> {
-    let mut link = match connect(shared, &order).await {
-        Ok(link) => link,
+    let (mut link, age) = match connect(shared, &order).await {
+        Ok(opened) => opened,
         Err(failure) => {
             work.judge(failure.work_end());
             return AttemptEnd::NotRun {
@@ -41,24 +40,37 @@
             };
         }
     };
+    // Another end may have come to light while the connection was opened.
+    if let Err(hold) = work.begin_run(order.request.identity, age) {
+        return AttemptEnd::NotRun {
+            reason: hold.reason.as_str(),
+            arrived: false,
+        };
+    }
     let request = outgoing(shared, &order);
     let wait_until = order.head_by.min(order.request.due + LAST_WORD);
     let life = work.life();
     let exchange = life.run(link.exchange(request));
     match until(&shared.clock, wait_until, exchange).await {
-        Some(None) => AttemptEnd::InDoubt(RESTARTED),
+        Some(None) => {
+            work.judge(WorkEnd::Restarted);
+            AttemptEnd::InDoubt(RESTARTED)
+        }
         Some(Some(Ok(response))) => judge_answer(shared, &order, response, link, work),
-        Some(Some(Err(LinkError::Unsent))) => AttemptEnd::NotRun {
-            reason: "closed_before_send",
-            arrived: false,
-        },
+        Some(Some(Err(LinkError::Unsent))) => {
+            work.judge(WorkEnd::Unsent);
+            AttemptEnd::NotRun {
+                reason: "closed_before_send",
+                arrived: false,
+            }
+        }
         Some(Some(Err(LinkError::Broken(_)))) => {
-            work.judge(WorkEnd::Failed);
+            work.judge(WorkEnd::Broken);
             shared.links.clear(&order.server.id);
             AttemptEnd::InDoubt("broken")
         }
         None if shared.clock.now() < order.request.due => {
-            work.judge(WorkEnd::Failed);
+            work.judge(WorkEnd::Silent);
             shared.links.clear(&order.server.id);
             AttemptEnd::InDoubt("silent")
         }
@@ -94,19 +106,19 @@
 async fn connect<C: Clock, W: WireFormat>(
     shared: &Arc<GatewayShared<C, W>>,
     order: &AttemptOrder<'_>,
-) -> Result<HttpLink, ConnectFailure> {
+) -> Result<(HttpLink, LinkAge), ConnectFailure> {
     // A server may close an idle connection just as a request leaves, and nobody knows then
     // whether it ran. What may run only once therefore gets a connection of its own.
     let now = shared.clock.now();
     if order.request.route.kind == RepeatKind::Idempotent
         && let Some(link) = shared.links.take(&order.server.id, now).await
     {
-        return Ok(link);
+        return Ok((link, LinkAge::Kept));
     }
     let deadline = (now + CONNECT_TIMEOUT).min(order.request.due);
     let opening = HttpLink::open(order.server.address);
     match until(&shared.clock, deadline, opening).await {
-        Some(Ok(link)) => Ok(link),
+        Some(Ok(link)) => Ok((link, LinkAge::Fresh)),
         Some(Err(_)) => Err(ConnectFailure::Refused),
         None => Err(ConnectFailure::Silent),
     }
@@ -157,13 +169,16 @@
         .wire
         .read_answer(&order.request.id, head.status, &head.headers);
     match facts.meaning {
-        AnswerMeaning::Own => AttemptEnd::Answer(Box::new(ServerAnswer {
-            head,
-            body,
-            link,
-            work,
-            facts,
-        })),
+        AnswerMeaning::Own => {
+            work.note_reached();
+            AttemptEnd::Answer(Box::new(ServerAnswer {
+                head,
+                body,
+                link,
+                work,
+                facts,
+            }))
+        }
         AnswerMeaning::NotRun { misdirected } => {
             // Another server has the address now: the entry is old, and nothing else says so.
             let end = if misdirected {
@@ -190,20 +205,47 @@
     }
 }
 
+/// Why a body did not come whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReadFailure {
+    /// The connection broke.
+    Cut,
+    /// It is larger than an answer may be.
+    TooLarge,
+}
+
+impl ReadFailure {
+    /// The name used in logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Cut => "cut",
+            Self::TooLarge => "too_large",
+        }
+    }
+
+    /// What it says of the server.
+    pub(crate) fn work_end(self) -> WorkEnd {
+        match self {
+            Self::Cut => WorkEnd::Broken,
+            Self::TooLarge => WorkEnd::Failed,
+        }
+    }
+}
+
 /// Reads a whole body up to a bound.
 pub(crate) async fn read_whole(
     link: &mut HttpLink,
     body: &mut Incoming,
     most: usize,
-) -> Result<Bytes, &'static str> {
+) -> Result<Bytes, ReadFailure> {
     let mut whole = bytes::BytesMut::new();
     while let Some(frame) = link.frame(body).await {
-        let frame = frame.map_err(|_| "cut")?;
+        let frame = frame.map_err(|_| ReadFailure::Cut)?;
         if let Ok(data) = frame.into_data() {
             whole.extend_from_slice(&data);
         }
         if whole.len() > most {
-            return Err("too_large");
+            return Err(ReadFailure::TooLarge);
         }
     }
     Ok(whole.freeze())
--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -21,6 +21,7 @@
 use super::ports::WireFormat;
 use super::run::RelayRun;
 use super::shared::{ConnectionGuard, GatewayShared};
+use super::suspects::QUARANTINE_PATH;
 use crate::clock::{Clock, until};
 use crate::http::text_response;
 use crate::log::LogLine;
@@ -100,8 +101,11 @@
     stream: Async<TcpStream>,
 ) {
     let service = service_fn(|request: Request<Incoming>| {
-        let response = if request.uri().path() == "/metrics" {
+        let path = request.uri().path();
+        let response = if path == "/metrics" {
             text_response(StatusCode::OK, shared.metrics.page())
+        } else if path.starts_with(QUARANTINE_PATH) {
+            shared.serve_quarantine(request.method(), path)
         } else if shared.is_ready() {
             text_response(StatusCode::OK, "ready\n")
         } else {
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -140,8 +140,14 @@
                 let mut loads = self.shared.loads();
                 let mut exchange = self.exchange.borrow_mut();
                 loads.swap_news(&mut exchange, moment.now);
+                let unix_ms = self.shared.clock.unix_ms();
+                let mut quarantine = self.shared.quarantine();
+                let refused = quarantine.swap_news(&mut exchange, moment.now, unix_ms);
+                self.shared.metrics.peer_refused.inc_by(refused);
+                drop(quarantine);
                 exchange.tick(loads.own_work(), &mut self.view.news(), moment)
             };
+            self.shared.log_suspects();
             self.note_collector();
             self.note_nodes();
             for (address, bytes) in packets {
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -79,6 +79,14 @@
     pub(crate) peer_refused: Counter,
     /// Calls to the source.
     pub(crate) source_calls: Family<CallLabels, Counter>,
+    /// Servers that are believed to have ended under a request, by the sign of it.
+    pub(crate) server_ends: Family<ReasonLabels, Counter>,
+    /// Verdicts on requests under which servers ended: what is done with them, or why they are released.
+    pub(crate) verdicts: Family<ReasonLabels, Counter>,
+    /// Requests that were not sent for it.
+    pub(crate) held_back: Family<ReasonLabels, Counter>,
+    /// Different requests that are in quarantine.
+    pub(crate) quarantined: Gauge,
 }
 
 impl GatewayMetrics {
@@ -100,6 +108,10 @@
             nodes: Gauge::default(),
             peer_refused: Counter::default(),
             source_calls: Family::default(),
+            server_ends: Family::default(),
+            verdicts: Family::default(),
+            held_back: Family::default(),
+            quarantined: Gauge::default(),
         };
         metrics.registry = metrics.register(Registry::with_prefix("plumgate_gateway"));
         metrics
@@ -135,6 +147,26 @@
             "Age of what is known of keys",
             self.key_age.clone(),
         );
+        registry.register(
+            "server_ends",
+            "Servers believed to have ended under a request",
+            self.server_ends.clone(),
+        );
+        registry.register(
+            "suspect_verdicts",
+            "Verdicts on requests under which servers ended",
+            self.verdicts.clone(),
+        );
+        registry.register(
+            "held_back",
+            "Requests not sent as servers ended under them",
+            self.held_back.clone(),
+        );
+        registry.register(
+            "quarantined",
+            "Different requests in quarantine",
+            self.quarantined.clone(),
+        );
         registry.register("servers", "Servers known", self.servers.clone());
         registry.register("nodes", "Nodes known", self.nodes.clone());
         registry.register(
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod shared;
 mod source_calls;
 mod stream;
+mod suspects;
 mod view;
 mod view_copies;
 
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -8,11 +8,13 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
-    AdmissionPolicy, AdmissionVerdict, QueuePrediction, RepeatKind, ServerPick, WorkEnd,
+    AdmissionPolicy, AdmissionVerdict, QueuePrediction, RepeatKind, RequestHold, RequestVerdict,
+    ServerPick, WorkEnd,
 };
 
 use super::answer::{GatewayBody, StreamPiece, own_answer, relayed_head, stream_body, whole_body};
 use super::attempt::read_whole;
+use super::metrics::ReasonLabels;
 use super::ports::{AnswerFacts, WireFormat};
 use super::request::{AttemptEnd, RESTARTED, ServerAnswer};
 use super::run::{RelayRun, TRIES_MOST};
@@ -80,7 +82,12 @@
         if left.is_zero() {
             return Err(self.give_up("timeout", Duration::ZERO));
         }
-        let placement = self.request.placement(&self.tried);
+        let apart = match self.verdict() {
+            RequestVerdict::Send => false,
+            RequestVerdict::SendApart => true,
+            RequestVerdict::Hold(hold) => return Err(self.hold_back(hold)),
+        };
+        let placement = self.request.placement(&self.tried, apart);
         let pick = self.shared.loads().pick(&placement, now);
         let spread = self.shared.random_share();
         let Some(pick) = pick else {
@@ -145,11 +152,17 @@
         let life = answer.work.life();
         let body = match until(&self.shared.clock, deadline, life.run(reading)).await {
             None => return NextTry::Fail(self.time_out()),
-            Some(None) => return self.after_doubt(RESTARTED),
+            Some(None) => {
+                answer.work.judge(WorkEnd::Restarted);
+                drop(answer);
+                return self.after_doubt(RESTARTED);
+            }
             Some(Some(Ok(body))) => body,
-            Some(Some(Err(reason))) => {
-                answer.work.judge(WorkEnd::Failed);
-                return self.after_doubt(reason);
+            Some(Some(Err(failure))) => {
+                answer.work.judge(failure.work_end());
+                // Its part in what is known of the server comes before the decision on another try.
+                drop(answer);
+                return self.after_doubt(failure.as_str());
             }
         };
         let status = answer.head.status;
@@ -209,6 +222,29 @@
         }
     }
 
+    /// The error for a request that may end the next server too.
+    ///
+    /// One that was not sent is refused as such, with the time until which no server will get it: its caller
+    /// should not come back before, and a status that says that the request is wrong would claim more
+    /// than is known.
+    fn hold_back(&self, hold: RequestHold) -> CallerError {
+        let reason = hold.reason.as_str();
+        let labels = ReasonLabels { reason };
+        self.shared.metrics.held_back.get_or_create(&labels).inc();
+        match self.run.outcome() {
+            RunOutcome::NotRun => CallerError::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                reason,
+                "backend servers ended each time that this request ran; this time it was not run",
+                hold.retry_after,
+            ),
+            RunOutcome::Unknown | RunOutcome::Answered => CallerError::unknown(
+                reason,
+                "backend servers ended under this request; it is not sent to another one",
+            ),
+        }
+    }
+
     /// The error for a request that goes to no further server.
     fn give_up(&self, reason: &'static str, retry_after: Duration) -> CallerError {
         match self.run.outcome() {
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -55,13 +55,18 @@
 }
 
 impl RelayRequest {
-    /// What a server is chosen for.
-    pub(crate) fn placement<'a>(&'a self, avoid: &'a [ServerId]) -> PlacementRequest<'a> {
+    /// What a server is chosen for; `apart` where the request may end it.
+    pub(crate) fn placement<'a>(
+        &'a self,
+        avoid: &'a [ServerId],
+        apart: bool,
+    ) -> PlacementRequest<'a> {
         PlacementRequest {
             pool: &self.pool,
             prompt: self.facts.prompt.as_ref(),
             urgency: self.urgency,
             class: self.class,
+            apart,
             avoid,
         }
     }
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -5,7 +5,7 @@
 
 use plumgate::RunOutcome;
 use plumgate::attempt::{AttemptEvent, AttemptRun};
-use plumgate::gateway::ServerPick;
+use plumgate::gateway::{RequestVerdict, ServerPick};
 use plumgate::ids::ServerId;
 use plumgate::retry::may_run_again;
 
@@ -76,9 +76,9 @@
         resume_after: Option<u64>,
     ) -> AttemptEnd<C, W> {
         let now = self.shared.clock.now();
-        let placement = self.request.placement(&self.tried);
+        let placement = self.request.placement(&self.tried, false);
         let ticket = self.shared.loads().start(pick, &placement, now);
-        let work = WorkGuard::new(self.shared.clone(), ticket);
+        let work = WorkGuard::new(self.shared.clone(), pick.server.clone(), ticket);
         self.begin_try(&pick.server.id);
         let order = AttemptOrder {
             request: &self.request,
@@ -137,6 +137,7 @@
             && self.runs < self.request.route.attempts_most
             && tries < TRIES_MOST
             && self.left() > SHORTEST_TRY
+            && !matches!(self.verdict(), RequestVerdict::Hold(_))
             && self.pay_retry(reason)
     }
 
@@ -165,6 +166,12 @@
         is_paid
     }
 
+    /// What may be done with the request, after what is known of servers that ended under it.
+    pub(crate) fn verdict(&self) -> RequestVerdict {
+        let now = self.shared.clock.now();
+        self.shared.quarantine().judge(self.request.identity, now)
+    }
+
     /// Time left until the request is due.
     pub(crate) fn left(&self) -> Duration {
         let now = self.shared.clock.now();
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -7,8 +7,10 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_executor::Executor;
 use event_listener::Event;
-use plumgate::gateway::{FreshnessLease, GatewayConfig, LoadTable, PlacementOptions, WindowBudget};
-use plumgate::gateway::{WorkEnd, WorkTicket};
+use plumgate::gateway::{
+    EndSign, FreshnessLease, GatewayConfig, LinkAge, LoadTable, PlacementOptions, QuarantineTable,
+    RequestHold, RequestIdentity, RunTicket, ServerEntry, WindowBudget, WorkEnd, WorkTicket,
+};
 
 use super::links::LinkPool;
 use super::lives::{ServerLife, ServerLives};
@@ -54,6 +56,7 @@
     lease: Mutex<FreshnessLease>,
     loads: Mutex<LoadTable>,
     budget: Mutex<WindowBudget>,
+    quarantine: Mutex<QuarantineTable>,
     rng: Mutex<fastrand::Rng>,
     open_requests: AtomicU64,
     open_connections: AtomicU64,
@@ -92,6 +95,7 @@
                 bounds.retry_extra,
                 NODES_ASSUMED,
             )),
+            quarantine: Mutex::new(QuarantineTable::new(options.peer_listen.is_some())),
             rng: Mutex::new(fastrand::Rng::with_seed(options.seed)),
             open_requests: AtomicU64::new(0),
             open_connections: AtomicU64::new(0),
@@ -123,6 +127,11 @@
         lock(&self.budget)
     }
 
+    /// What is known of requests that end servers.
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, QuarantineTable> {
+        lock(&self.quarantine)
+    }
+
     /// A random share from 0 to 1.
     pub(crate) fn random_share(&self) -> f64 {
         lock(&self.rng).f64()
@@ -229,7 +238,10 @@
 /// One request at a server; however it ends, the server's load is given back.
 pub(crate) struct WorkGuard<C: Clock, W> {
     shared: Arc<GatewayShared<C, W>>,
+    server: ServerEntry,
     ticket: Option<WorkTicket>,
+    /// The run, once the request was sent.
+    run: Option<RunTicket>,
     end: WorkEnd,
     /// The incarnation of the server that works on it.
     life: Arc<ServerLife>,
@@ -237,11 +249,17 @@
 
 impl<C: Clock, W> WorkGuard<C, W> {
     /// A request goes to a server.
-    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>, ticket: WorkTicket) -> Self {
+    pub(crate) fn new(
+        shared: Arc<GatewayShared<C, W>>,
+        server: ServerEntry,
+        ticket: WorkTicket,
+    ) -> Self {
         let life = shared.lives.current(ticket.server());
         Self {
             shared,
+            server,
             ticket: Some(ticket),
+            run: None,
             end: WorkEnd::Unjudged,
             life,
         }
@@ -252,6 +270,25 @@
         self.life.clone()
     }
 
+    /// The request is about to be sent, unless it is held back.
+    pub(crate) fn begin_run(
+        &mut self,
+        identity: RequestIdentity,
+        age: LinkAge,
+    ) -> Result<(), RequestHold> {
+        let now = self.shared.clock.now();
+        let mut quarantine = self.shared.quarantine();
+        self.run = Some(quarantine.begin(identity, &self.server, age, now)?);
+        Ok(())
+    }
+
+    /// The server surely has the request: the head of its answer came.
+    pub(crate) fn note_reached(&mut self) {
+        if let Some(run) = &mut self.run {
+            run.note_reached();
+        }
+    }
+
     /// The server began to answer.
     pub(crate) fn first_answer(&mut self) {
         if let Some(ticket) = &mut self.ticket {
@@ -268,9 +305,21 @@
 
 impl<C: Clock, W> Drop for WorkGuard<C, W> {
     fn drop(&mut self) {
+        let now = self.shared.clock.now();
         if let Some(ticket) = self.ticket.take() {
-            let now = self.shared.clock.now();
             self.shared.loads().finish(ticket, self.end, now);
         }
+        if let Some(run) = self.run.take() {
+            let identity = run.identity();
+            let sign = self.shared.quarantine().finish(run, self.end, now);
+            if let Some(sign) = sign {
+                self.shared.note_server_end(identity, &self.server, sign);
+            }
+        }
+        if self.end == WorkEnd::Refused {
+            let mut quarantine = self.shared.quarantine();
+            quarantine.note_gone(&self.server, EndSign::Refused, now);
+        }
+        self.shared.log_suspects();
     }
 }
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -10,8 +10,7 @@
 use hyper::http::response;
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
-use plumgate::gateway::WorkEnd;
-use plumgate::gateway::{EventSplitter, RepeatKind, ServerPick};
+use plumgate::gateway::{EventSplitter, RepeatKind, RequestVerdict, ServerPick, WorkEnd};
 
 use super::answer::{StreamPiece, drop_length};
 use super::ports::WireFormat;
@@ -29,6 +28,9 @@
 /// the pause that makes an answer late, and less than callers bear.
 const SILENCE: Duration = Duration::from_millis(1_200);
 
+/// Why a stream ended whose server said nothing for too long.
+const SILENT: &str = "silent";
+
 /// A stream that is being relayed.
 pub(crate) struct StreamRelay<C: Clock, W> {
     run: RelayRun<C, W>,
@@ -115,11 +117,10 @@
                 }
                 Waited::End => return self.end(),
                 Waited::Cut(reason) => {
-                    // Nothing of it is the fault of the server that has the id now.
-                    self.judge(if reason == RESTARTED {
-                        WorkEnd::Unjudged
-                    } else {
-                        WorkEnd::Failed
+                    self.judge(match reason {
+                        RESTARTED => WorkEnd::Restarted,
+                        SILENT => WorkEnd::Silent,
+                        _ => WorkEnd::Broken,
                     });
                     if !self.resume(reason).await {
                         return self.break_off(reason).await;
@@ -155,7 +156,7 @@
             Some(Some(Some(Err(_)))) => Waited::Cut("cut"),
             Some(Some(None)) => Waited::End,
             None if clock.now() >= due => Waited::Late,
-            None => Waited::Cut("silent"),
+            None => Waited::Cut(SILENT),
         }
     }
 
@@ -223,7 +224,8 @@
         }
         while self.run.allow_run_again(reason) {
             let now = self.run.shared.clock.now();
-            let placement = self.run.request.placement(&self.run.tried);
+            let apart = self.run.verdict() == RequestVerdict::SendApart;
+            let placement = self.run.request.placement(&self.run.tried, apart);
             let Some(pick) = self.run.shared.loads().pick(&placement, now) else {
                 return false;
             };
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -0,0 +1,109 @@
+//! Requests that end servers: what operators see of them, and how they lift what is held against one.
+
+use std::fmt::Write;
+
+use hyper::{Method, Response, StatusCode};
+use plumgate::gateway::{EndSign, RequestIdentity, ServerEntry, SuspectEvent, SuspectState};
+
+use super::metrics::ReasonLabels;
+use super::shared::GatewayShared;
+use crate::body::AnswerBody;
+use crate::clock::Clock;
+use crate::http::text_response;
+use crate::log::LogLine;
+
+/// The path under which operators find what is held back.
+pub(crate) const QUARANTINE_PATH: &str = "/quarantine";
+
+impl<C: Clock, W> GatewayShared<C, W> {
+    /// A server is believed to have ended under a request of this node.
+    pub(crate) fn note_server_end(
+        &self,
+        identity: RequestIdentity,
+        server: &ServerEntry,
+        sign: EndSign,
+    ) {
+        let labels = ReasonLabels {
+            reason: sign.as_str(),
+        };
+        self.metrics.server_ends.get_or_create(&labels).inc();
+        LogLine::new("server_end")
+            .with("digest", identity)
+            .with("server", &server.id)
+            .with("key", format!("{:08x}", server.incarnation_key()))
+            .with("sign", sign.as_str())
+            .info(&self.log);
+    }
+
+    /// Logs and counts what has changed of requests that end servers.
+    pub(crate) fn log_suspects(&self) {
+        let mut quarantine = self.quarantine();
+        let events = quarantine.take_events();
+        if events.is_empty() {
+            return;
+        }
+        let held = i64::try_from(quarantine.held_count()).unwrap_or(i64::MAX);
+        drop(quarantine);
+        self.metrics.quarantined.set(held);
+        for event in events {
+            self.log_suspect(&event);
+        }
+    }
+
+    fn log_suspect(&self, event: &SuspectEvent) {
+        let reason = match event.release {
+            Some(release) => release.as_str(),
+            None => event.state.as_str(),
+        };
+        let labels = ReasonLabels { reason };
+        self.metrics.verdicts.get_or_create(&labels).inc();
+        let mut evidence = String::new();
+        for (server, sign, age_ms) in &event.evidence {
+            // Writing to a string does not fail.
+            let _ = write!(evidence, "{server:08x}:{}:{age_ms};", sign.as_str());
+        }
+        let line = LogLine::new("suspect")
+            .with("digest", event.identity)
+            .with("state", event.state.as_str())
+            .with_some("released", event.release.map(|release| release.as_str()))
+            .with("servers", event.count.servers)
+            .with("in_turn", event.count.in_turn)
+            .with("evidence", evidence);
+        if event.state == SuspectState::Free {
+            line.info(&self.log);
+        } else {
+            line.warn(&self.log);
+        }
+    }
+
+    /// Answers an operator: what is held back, or that one is let go.
+    pub(crate) fn serve_quarantine(&self, method: &Method, path: &str) -> Response<AnswerBody> {
+        let digest = path.strip_prefix(QUARANTINE_PATH).unwrap_or_default();
+        let digest = digest.trim_start_matches('/');
+        match (method, digest) {
+            (&Method::GET, "") => text_response(StatusCode::OK, self.quarantine_page()),
+            (&Method::DELETE, digest) if !digest.is_empty() => self.lift(digest),
+            _ => text_response(StatusCode::METHOD_NOT_ALLOWED, "GET, or DELETE a digest\n"),
+        }
+    }
+
+    fn quarantine_page(&self) -> String {
+        let quarantine = self.quarantine();
+        let lines = quarantine.suspects().map(|(identity, state, count)| {
+            let (servers, in_turn) = (count.servers, count.in_turn);
+            let state = state.as_str();
+            format!("digest={identity} state={state} servers={servers} in_turn={in_turn}\n")
+        });
+        lines.collect()
+    }
+
+    fn lift(&self, digest: &str) -> Response<AnswerBody> {
+        let now = self.clock.now();
+        let lifted = self.quarantine().lift(digest, now);
+        self.log_suspects();
+        if lifted == 0 {
+            return text_response(StatusCode::NOT_FOUND, "nothing is held against it\n");
+        }
+        text_response(StatusCode::OK, "lifted\n")
+    }
+}
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -10,8 +10,8 @@
 use plumgate::FindingList;
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
-    GatewayConfig, NewsDesk, NewsTaken, PolicyPart, ServerEntry, ServerNews, ServerTable,
-    SourceTopic,
+    EndSign, GatewayConfig, LoadTable, NewsDesk, NewsTaken, PolicyPart, ServerEntry, ServerNews,
+    ServerState, ServerTable, SourceTopic,
 };
 use plumgate::ids::ServerId;
 
@@ -289,6 +289,7 @@
         let version = i64::try_from(config.version).unwrap_or(i64::MAX);
         self.shared.metrics.config_version.set(version);
         self.news().set_config(config.version);
+        self.shared.quarantine().set_config(&config);
         self.shared.config.store(Some(config));
         true
     }
@@ -302,6 +303,20 @@
         }
     }
 
+    /// Takes note of a server that went without having drained, or that started again: it may have
+    /// ended under a request.
+    fn note_server_end(&self, loads: &LoadTable, change: &ServerChange, now: Instant) {
+        let (id, sign) = match change {
+            ServerChange::Gone(id) => (id, EndSign::Lapsed),
+            ServerChange::Reborn(entry) => (&entry.id, EndSign::Restarted),
+            ServerChange::Changed(_) | ServerChange::Doubted(_) => return,
+        };
+        let before = loads.entry(id);
+        if let Some(before) = before.filter(|entry| entry.state == ServerState::Ready) {
+            self.shared.quarantine().note_gone(before, sign, now);
+        }
+    }
+
     /// Makes changes of servers known to the traffic thread.
     pub(super) fn publish(&self, changes: &[ServerChange], source: &str) {
         if changes.is_empty() {
@@ -310,6 +325,7 @@
         let now = self.shared.clock.now();
         let mut loads = self.shared.loads();
         for change in changes {
+            self.note_server_end(&loads, change, now);
             loads.apply(change, now);
             let line = LogLine::new("server").with("source", source);
             let line = match change {
--- a/crates/plumgate/src/gateway/config.rs
+++ b/crates/plumgate/src/gateway/config.rs
@@ -283,6 +283,11 @@
         self.routes.values().map(Vec::len).sum()
     }
 
+    /// The API keys, in no order.
+    pub fn keys(&self) -> impl Iterator<Item = &str> {
+        self.keys.keys().map(String::as_str)
+    }
+
     /// How many keys there are.
     pub fn key_count(&self) -> usize {
         self.keys.len()
--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -35,6 +35,9 @@
 /// Servers in one message, so that it fits into one packet of the network.
 const ENTRIES_MOST: usize = 100;
 
+/// Notices that are kept until they are taken: two of each node of a large data centre in a round.
+const NOTICES_MOST: usize = 256;
+
 /// One moment on both clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct TalkMoment {
@@ -56,6 +59,10 @@
     /// What this node told of itself last.
     own_told: HashMap<ServerKey, ServerWork>,
     places: PlaceQueue,
+    /// Sealed notices that this round tells.
+    notices: Vec<Vec<u8>>,
+    /// Sealed notices that came since they were taken last.
+    heard_notices: Vec<Vec<u8>>,
     collector: Option<NodeId>,
     collector_heard: Option<Instant>,
     /// Rounds in which this node collected.
@@ -75,6 +82,8 @@
             total: ToldWork::default(),
             own_told: HashMap::new(),
             places: PlaceQueue::default(),
+            notices: Vec::new(),
+            heard_notices: Vec::new(),
             collector: None,
             collector_heard: None,
             rounds: 0,
@@ -126,6 +135,21 @@
         self.places.tell(places);
     }
 
+    /// Sealed notices that the next round tells.
+    pub fn tell_notices(&mut self, notices: Vec<Vec<u8>>) {
+        self.notices = notices;
+    }
+
+    /// Sealed notices that came since the last call.
+    pub fn take_notices(&mut self) -> Vec<Vec<u8>> {
+        std::mem::take(&mut self.heard_notices)
+    }
+
+    /// How many nodes come before this one in an order that a seed names and all agree on.
+    pub fn turn(&self, seed: u64) -> usize {
+        self.peers.turn(seed)
+    }
+
     /// One round: what is to be sent, given what this node has in flight.
     pub fn tick<'a>(
         &mut self,
@@ -202,6 +226,9 @@
         }
         let passes_on = collects && !matches!(message.body, ExchangeBody::Total(_));
         self.places.hear(message.places, passes_on);
+        let room = NOTICES_MOST.saturating_sub(self.heard_notices.len());
+        self.heard_notices
+            .extend(message.notices.into_iter().take(room));
         let count = usize::try_from(message.nodes).unwrap_or(usize::MAX);
         match message.body {
             ExchangeBody::Own(_) => {}
@@ -337,6 +364,7 @@
                 body: body(chunk),
                 nodes: 0,
                 places: self.places.telling().to_vec(),
+                notices: Vec::new(),
                 question: None,
                 answer: None,
             })
@@ -349,6 +377,7 @@
             };
             message.nodes = u32::try_from(count).unwrap_or(u32::MAX);
         }
+        messages[0].notices.clone_from(&self.notices);
         let mut packets = Vec::with_capacity(to.len() * messages.len());
         for node in to {
             let Some(member) = self.peers.member_mut(node) else {
--- a/crates/plumgate/src/gateway/exchange/messages.rs
+++ b/crates/plumgate/src/gateway/exchange/messages.rs
@@ -1,7 +1,6 @@
 //! What the nodes send each other.
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::nodes::NodeCapacity;
 use crate::gateway::news::messages::{NewsAnswer, NewsQuestion};
@@ -70,6 +69,8 @@
     pub(crate) nodes: u32,
     pub(crate) body: ExchangeBody,
     pub(crate) places: Vec<PartPlace>,
+    /// What the sender tells of requests that end servers, each sealed by itself.
+    pub(crate) notices: Vec<Vec<u8>>,
     /// What the sender asks of the store's news.
     pub(crate) question: Option<NewsQuestion>,
     /// The answer to the receiver's last question.
@@ -78,8 +79,7 @@
 
 /// The digest of a server's id and birth.
 pub(crate) fn server_key(server: &ServerEntry) -> ServerKey {
-    // The lower half tells a few thousand servers apart.
-    xxh3_64_with_seed(server.id.as_bytes(), server.born.unwrap_or(0)) as ServerKey
+    server.incarnation_key()
 }
 
 impl WorkEntry {
--- a/crates/plumgate/src/gateway/exchange/peers.rs
+++ b/crates/plumgate/src/gateway/exchange/peers.rs
@@ -6,6 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::nodes::{NodeCapacity, NodeEntry};
 use super::told::ToldWork;
 use crate::gateway::news::messages::NewsQuestion;
@@ -205,6 +207,14 @@
         (other > preference(!self.is_behind(), &self.own)).then_some(best)
     }
 
+    /// How many nodes come before this one in an order that a seed names: the same at all nodes that know
+    /// the same others.
+    pub(crate) fn turn(&self, seed: u64) -> usize {
+        let rank = |node: &NodeId| xxh3_64_with_seed(node.as_bytes(), seed);
+        let own = rank(&self.own.node);
+        self.members.keys().filter(|node| rank(node) > own).count()
+    }
+
     /// Whether a node reads the store for the collectors of all data centres: the collector of the one
     /// whose name comes first. It is one node for all, as what two of them tell doesn't fit together,
     /// and the order keeps two collectors from each leaving the reading to the other.
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -31,7 +31,11 @@
 };
 pub use placement::{LoadTable, PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
 pub use prompt::{PromptPart, PromptShape};
-pub use quarantine::{IdentityHasher, RequestHead, RequestIdentity};
+pub use quarantine::{
+    EndCount, EndSign, HOLD_TIME, HoldReason, IdentityHasher, LinkAge, QuarantineTable,
+    ReleaseReason, RequestHead, RequestHold, RequestIdentity, RequestVerdict, RunTicket,
+    SuspectEvent, SuspectState,
+};
 pub use servers::{ServerEntry, ServerState, ServerTable};
 pub use switches::{PolicyPart, PolicySwitches};
 pub use work::{ServerWork, WorkEnd, WorkTicket};
--- a/crates/plumgate/src/gateway/placement/choice.rs
+++ b/crates/plumgate/src/gateway/placement/choice.rs
@@ -74,6 +74,8 @@
     pub urgency: u8,
     /// How sensitive its stream is.
     pub class: StreamClass,
+    /// Whether it may end its server, so that the one with the least work is best.
+    pub apart: bool,
     /// Servers that were tried already.
     pub avoid: &'a [ServerId],
 }
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// A server's entry, as it is known.
+    pub fn entry(&self, server: &ServerId) -> Option<&ServerEntry> {
+        self.servers.get(server).map(|load| &load.entry)
+    }
+
     /// Takes over a change of the servers.
     pub fn apply(&mut self, change: &ServerChange, now: Instant) {
         match change {
@@ -155,7 +160,7 @@
             });
         let keeper = self.keeper(request, now);
         let is_homeless = request.prompt.is_some() && homes.first.is_none();
-        let candidates = if is_homeless && self.has(PolicyPart::Sampling) {
+        let candidates = if is_homeless && !request.apart && self.has(PolicyPart::Sampling) {
             self.sample(&members, &candidates)
         } else {
             candidates
@@ -184,6 +189,7 @@
             let is_divided = request.prompt.is_some() && self.has(PolicyPart::Groups);
             let stray = if is_divided { stray } else { 0.0 };
             let cost = match self.options.policy {
+                _ if request.apart => f64::from(load.own.in_flight + load.peers.in_flight),
                 PlacementPolicy::PredictedCost => prediction.cost + stray,
                 PlacementPolicy::LeastInFlight => f64::from(load.own.in_flight),
                 PlacementPolicy::Random => 0.0,
@@ -330,7 +336,12 @@
             WorkEnd::Unreachable => {
                 self.centres.note_silence(centre, &load.entry.id, now);
             }
-            WorkEnd::Failed | WorkEnd::Unjudged => {}
+            WorkEnd::Failed
+            | WorkEnd::Broken
+            | WorkEnd::Silent
+            | WorkEnd::Restarted
+            | WorkEnd::Unsent
+            | WorkEnd::Unjudged => {}
         }
     }
 
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -236,7 +236,7 @@
                 self.breaker.record_success();
                 0.0
             }
-            WorkEnd::Failed => 1.0,
+            WorkEnd::Failed | WorkEnd::Broken | WorkEnd::Silent => 1.0,
             WorkEnd::Refused | WorkEnd::Unreachable => {
                 self.breaker.record_failure(now);
                 self.unreachable_until = Some(now + UNREACHABLE_PAUSE);
@@ -246,7 +246,7 @@
                 self.full_until = Some(now + FULL_PAUSE);
                 return;
             }
-            WorkEnd::Unjudged => return,
+            WorkEnd::Restarted | WorkEnd::Unsent | WorkEnd::Unjudged => return,
         };
         let share = self.failure_share(now);
         self.failures = share + FAILURE_WEIGHT * (failed - share);
--- a/crates/plumgate/src/gateway/quarantine/identity.rs
+++ b/crates/plumgate/src/gateway/quarantine/identity.rs
@@ -47,7 +47,8 @@
     pub fn new(head: RequestHead<'_>) -> Self {
         let workspace = head.workspace.map_or(&[][..], |id| id.as_bytes());
         let mut content = Xxh3::new();
-        for part in [head.method, head.host, head.path] {
+        let host = head.host.to_ascii_lowercase();
+        for part in [head.method, &host, head.path] {
             content.update(part.as_bytes());
             content.update(SEPARATOR);
         }
@@ -71,6 +72,18 @@
     }
 }
 
+impl RequestIdentity {
+    /// Whether two requests are of one workspace.
+    pub(crate) fn is_of_workspace(&self, other: &Self) -> bool {
+        self.workspace == other.workspace
+    }
+
+    /// A number by which nodes are ranked for it.
+    pub(crate) fn rank_seed(&self) -> u64 {
+        self.content as u64
+    }
+}
+
 impl fmt::Display for RequestIdentity {
     /// The part that logs show and operators name it by.
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/plumgate/src/gateway/quarantine/mod.rs
+++ b/crates/plumgate/src/gateway/quarantine/mod.rs
@@ -1,6 +1,24 @@
-//! Requests that end the backend servers that run them: what tells them apart, and when no server gets
-//! them any more.
+//! Requests that end the backend servers that run them (queries of death): what tells them apart, what
+//! speaks against them, and when no server gets them any more.
+//!
+//! A node learns of an end by the connection that broke, by the server's next start, or by its entry that
+//! lapses after silence. What it learns it tells the others beside its load, sealed; each node judges
+//! by itself, and all that know the same come to the same verdict. An answer to the request, or a
+//! sign of life of a server, takes evidence back.
 
+mod doubts;
+mod evidence;
 mod identity;
+mod notice;
+mod rule;
+mod table;
+mod telling;
+mod verdict;
 
+pub use evidence::{EndCount, EndSign};
 pub use identity::{IdentityHasher, RequestHead, RequestIdentity};
+pub use rule::{HOLD_TIME, SuspectState};
+pub use table::QuarantineTable;
+pub use verdict::{
+    HoldReason, LinkAge, ReleaseReason, RequestHold, RequestVerdict, RunTicket, SuspectEvent,
+};
--- /dev/null
+++ b/crates/plumgate/src/gateway/quarantine/notice.rs
@@ -0,0 +1,151 @@
+//! What nodes tell each other of requests that end servers, sealed so that nobody else can.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::evidence::{EndEvidence, EndSign, age_ms, moment_of};
+use super::identity::RequestIdentity;
+use crate::errors::{Error, Result};
+use crate::gateway::config::GatewayConfig;
+use crate::gateway::exchange::messages::ServerKey;
+use crate::wire::{PeerKey, TIME_BOUND_MS};
+
+/// Reports in one notice: some 60 bytes each, so that a notice fits into a packet beside the rest.
+pub(crate) const REPORTS_MOST: usize = 16;
+/// Rounds in which news are told, so that one message arrives.
+pub(crate) const TELL_ROUNDS: u32 = 3;
+/// Ends in one report that are taken in.
+const ENDS_TAKEN: usize = 8;
+/// Keys of earlier configurations by which a notice may be sealed: nodes learn of a change of the keys
+/// within a second or two of each other, and changes may come in quick succession.
+const KEYS_KEPT: usize = 6;
+
+/// An end, as it is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ToldEnd {
+    server: ServerKey,
+    sign: EndSign,
+    /// Milliseconds since the request was sent.
+    began_ms: u32,
+    /// Milliseconds since its run ended.
+    ended_ms: u32,
+    is_refuted: bool,
+}
+
+/// What one node knows of one request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SuspectReport {
+    pub(crate) identity: RequestIdentity,
+    ends: Vec<ToldEnd>,
+}
+
+/// What is sealed.
+#[derive(Debug, Serialize, Deserialize)]
+struct NoticeBody {
+    /// When it was sealed, in milliseconds of the Unix epoch.
+    sent_ms: u64,
+    reports: Vec<SuspectReport>,
+}
+
+impl SuspectReport {
+    /// What is known of a request, as of now.
+    pub(crate) fn new(identity: RequestIdentity, ends: &[EndEvidence], now: Instant) -> Self {
+        let told = ends.iter().map(|end| ToldEnd {
+            server: end.server,
+            sign: end.sign,
+            began_ms: age_ms(end.began, now),
+            ended_ms: age_ms(end.ended, now),
+            is_refuted: end.is_refuted,
+        });
+        Self {
+            identity,
+            ends: told.collect(),
+        }
+    }
+
+    /// The ends, by the clock of whoever was told.
+    pub(crate) fn ends(&self, now: Instant) -> impl Iterator<Item = EndEvidence> {
+        self.ends
+            .iter()
+            .take(ENDS_TAKEN)
+            .map(move |end| EndEvidence {
+                server: end.server,
+                sign: end.sign,
+                began: moment_of(end.began_ms.max(end.ended_ms), now),
+                ended: moment_of(end.ended_ms, now),
+                is_refuted: end.is_refuted,
+            })
+    }
+}
+
+/// The keys by which notices are sealed: all nodes have the same, and nobody else has.
+///
+/// They are worked out from all API keys of the configuration, as the platform gives nodes no secret of
+/// their own. A caller knows its own keys only. Where a configuration has none, anybody could seal; such a
+/// fleet's network must keep strangers from the nodes' ports.
+#[derive(Default)]
+pub(crate) struct NoticeKeys {
+    /// The key of each configuration, the newest first.
+    keys: VecDeque<([u8; 32], PeerKey)>,
+}
+
+impl fmt::Debug for NoticeKeys {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "NoticeKeys({})", self.keys.len())
+    }
+}
+
+impl NoticeKeys {
+    /// A configuration is in force.
+    pub(crate) fn set_config(&mut self, config: &GatewayConfig) {
+        let mut texts: Vec<&str> = config.keys().collect();
+        texts.sort_unstable();
+        let mut digest = Sha256::new();
+        for text in texts {
+            digest.update(text.as_bytes());
+            digest.update([0]);
+        }
+        let secret: [u8; 32] = digest.finalize().into();
+        self.keys.retain(|(held, _)| *held != secret);
+        self.keys.push_front((secret, PeerKey::new(&secret)));
+        self.keys.truncate(KEYS_KEPT);
+    }
+
+    /// Packs and seals reports; none before a configuration is in force.
+    ///
+    /// They are sealed by the newest key and by the one before: a node that has not heard of a change of the
+    /// keys yet has only that one.
+    pub(crate) fn seal(&self, reports: Vec<SuspectReport>, unix_ms: u64) -> Vec<Vec<u8>> {
+        let body = NoticeBody {
+            sent_ms: unix_ms,
+            reports,
+        };
+        let Ok(packed) = postcard::to_stdvec(&body) else {
+            return Vec::new();
+        };
+        let newest = self.keys.iter().take(2);
+        newest
+            .map(|(_, key)| key.seal_bytes(packed.clone()))
+            .collect()
+    }
+
+    /// Checks and unpacks a notice.
+    pub(crate) fn open(&self, sealed: &[u8], unix_ms: u64) -> Result<Vec<SuspectReport>> {
+        let opened = self
+            .keys
+            .iter()
+            .find_map(|(_, key)| key.open_bytes(sealed).ok());
+        let packed = opened.ok_or(Error::ForgedMessage)?;
+        let body: NoticeBody = postcard::from_bytes(packed).map_err(|_| Error::MalformedMessage)?;
+        // What a notice says is told by ages: kept back and sent later it would be about other moments.
+        let distance = body.sent_ms.abs_diff(unix_ms);
+        if distance > TIME_BOUND_MS {
+            return Err(Error::StaleMessage(distance));
+        }
+        Ok(body.reports)
+    }
+}
--- /dev/null
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -0,0 +1,401 @@
+//! What one node knows of requests that end servers, and what it does with them.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::doubts::{DoubtQueue, SilentRun};
+use super::evidence::{EndCount, EndEvidence, EndHistory, EndSign};
+use super::identity::RequestIdentity;
+use super::notice::{NoticeKeys, TELL_ROUNDS};
+use super::rule::{HOLD_TIME, SuspectState, TURN};
+use super::verdict::{
+    HoldReason, LinkAge, ReleaseReason, RequestHold, RequestVerdict, RunTicket, SuspectEvent,
+};
+use crate::gateway::config::GatewayConfig;
+use crate::gateway::exchange::messages::{ServerKey, server_key};
+use crate::gateway::servers::ServerEntry;
+use crate::gateway::work::WorkEnd;
+
+/// Requests that are remembered, some 400 bytes each: those that were cut at a hundred ends.
+const RECORDS_MOST: usize = 1_024;
+/// Share of them that one workspace may have once all are taken: one part in this many.
+const WORKSPACE_PART: usize = 4;
+/// How soon after an end an answer of the same server shows that it lives. Later it may come from the next
+/// process, as not all entries say when a server was born; none is back sooner.
+const ALIVE_SPAN: Duration = Duration::from_millis(1_500);
+/// How long a run that goes alone keeps others waiting, where nothing is heard of its end.
+const RUN_MOST: Duration = Duration::from_secs(10);
+/// Events that wait to be logged.
+const EVENTS_MOST: usize = 64;
+
+/// What is known of one request.
+#[derive(Debug, Default)]
+pub(crate) struct SuspectRecord {
+    pub(crate) history: EndHistory,
+    pub(crate) state: SuspectState,
+    /// Since when this node has it at a server, alone.
+    running_since: Option<Instant>,
+    /// How many nodes have their turn before this one; none before the nodes are known.
+    pub(crate) turn: Option<usize>,
+    /// For how many more rounds it is told.
+    pub(crate) tell_rounds: u32,
+}
+
+/// What one node knows of requests that end servers.
+///
+/// An ordinary request costs one look into an empty table, and one by its digest where the table is not
+/// empty; nothing here grows with the nodes.
+#[derive(Debug)]
+pub struct QuarantineTable {
+    pub(crate) records: HashMap<RequestIdentity, SuspectRecord>,
+    /// When the servers ended that anything is believed of.
+    ended: HashMap<ServerKey, Instant>,
+    doubts: DoubtQueue,
+    pub(crate) keys: NoticeKeys,
+    /// Whether there may be other nodes, whose turn it may be.
+    has_peers: bool,
+    /// When all that is not free was told last.
+    pub(crate) retold_at: Option<Instant>,
+    events: Vec<SuspectEvent>,
+}
+
+impl QuarantineTable {
+    /// A table that knows nothing.
+    pub fn new(has_peers: bool) -> Self {
+        Self {
+            records: HashMap::new(),
+            ended: HashMap::new(),
+            doubts: DoubtQueue::default(),
+            keys: NoticeKeys::default(),
+            has_peers,
+            retold_at: None,
+            events: Vec::new(),
+        }
+    }
+
+    /// A configuration is in force: its keys seal what nodes tell each other.
+    pub fn set_config(&mut self, config: &GatewayConfig) {
+        self.keys.set_config(config);
+    }
+
+    /// What may be done with a request.
+    pub fn judge(&self, identity: RequestIdentity, now: Instant) -> RequestVerdict {
+        let Some(record) = self.records.get(&identity) else {
+            return RequestVerdict::Send;
+        };
+        match record.state {
+            SuspectState::Free => RequestVerdict::Send,
+            SuspectState::OneByOne => self.judge_turn(record, now),
+            SuspectState::HeldBack => {
+                let until = record.history.last_end().map(|end| end + HOLD_TIME);
+                let left = until.map(|until| until.saturating_duration_since(now));
+                RequestVerdict::Hold(RequestHold {
+                    reason: HoldReason::Quarantined,
+                    retry_after: left.unwrap_or(HOLD_TIME),
+                })
+            }
+        }
+    }
+
+    fn judge_turn(&self, record: &SuspectRecord, now: Instant) -> RequestVerdict {
+        let awaits = |pause: Duration| {
+            RequestVerdict::Hold(RequestHold {
+                reason: HoldReason::AwaitsTurn,
+                retry_after: pause,
+            })
+        };
+        let is_running = record
+            .running_since
+            .is_some_and(|since| now.saturating_duration_since(since) < RUN_MOST);
+        if is_running {
+            return awaits(TURN);
+        }
+        let turn = record.turn.or((!self.has_peers).then_some(0));
+        let Some(turn) = turn else {
+            return awaits(TURN);
+        };
+        let turns = u32::try_from(turn).unwrap_or(u32::MAX);
+        let due = record.history.last_end().map(|end| end + TURN * turns);
+        match due.map(|due| due.saturating_duration_since(now)) {
+            Some(left) if !left.is_zero() => awaits(left),
+            _ => RequestVerdict::SendApart,
+        }
+    }
+
+    /// A request is about to be sent to a server, unless it may not.
+    pub fn begin(
+        &mut self,
+        identity: RequestIdentity,
+        server: &ServerEntry,
+        link: LinkAge,
+        now: Instant,
+    ) -> std::result::Result<RunTicket, RequestHold> {
+        match self.judge(identity, now) {
+            RequestVerdict::Send => {}
+            RequestVerdict::SendApart => {
+                if let Some(record) = self.records.get_mut(&identity) {
+                    record.running_since = Some(now);
+                }
+            }
+            RequestVerdict::Hold(hold) => return Err(hold),
+        }
+        Ok(RunTicket {
+            identity,
+            server: server_key(server),
+            began: now,
+            is_reached: link == LinkAge::Fresh,
+        })
+    }
+
+    /// A request that was sent has ended. Tells why the server is believed to have ended under it.
+    ///
+    /// What broke on a kept connection before any answer says nothing: the server may have ended before.
+    pub fn finish(&mut self, ticket: RunTicket, end: WorkEnd, now: Instant) -> Option<EndSign> {
+        if let Some(record) = self.records.get_mut(&ticket.identity) {
+            record.running_since = None;
+        }
+        match end {
+            WorkEnd::Answered => {
+                self.note_alive(ticket.server, ticket.began, now);
+                self.release(ticket.identity, ReleaseReason::Answered, now);
+                None
+            }
+            WorkEnd::Failed | WorkEnd::Full => {
+                self.note_alive(ticket.server, ticket.began, now);
+                None
+            }
+            WorkEnd::Broken if ticket.is_reached => {
+                self.believe(&ticket, EndSign::Broken, now);
+                Some(EndSign::Broken)
+            }
+            WorkEnd::Restarted => {
+                self.believe(&ticket, EndSign::Restarted, now);
+                Some(EndSign::Restarted)
+            }
+            WorkEnd::Silent | WorkEnd::Unjudged if ticket.is_reached => {
+                let run = SilentRun {
+                    identity: ticket.identity,
+                    server: ticket.server,
+                    began: ticket.began,
+                    ended: now,
+                };
+                let is_gone = self.doubts.note_run(run, now);
+                is_gone.then(|| {
+                    self.believe(&ticket, EndSign::Lapsed, now);
+                    EndSign::Lapsed
+                })
+            }
+            WorkEnd::Broken
+            | WorkEnd::Silent
+            | WorkEnd::Unjudged
+            | WorkEnd::Unsent
+            | WorkEnd::Refused
+            | WorkEnd::Unreachable => None,
+        }
+    }
+
+    fn believe(&mut self, ticket: &RunTicket, sign: EndSign, now: Instant) {
+        let evidence = EndEvidence {
+            server: ticket.server,
+            sign,
+            began: ticket.began,
+            ended: now,
+            is_refuted: false,
+        };
+        self.take_evidence(ticket.identity, evidence, true, now);
+    }
+
+    /// A server went without having drained, or its machine refuses connections: what ended in silence
+    /// there was its end.
+    pub fn note_gone(&mut self, server: &ServerEntry, sign: EndSign, now: Instant) {
+        let key = server_key(server);
+        let runs = match sign {
+            // A refused connection alone may be a moment's matter.
+            EndSign::Refused => self.doubts.take_runs(key),
+            _ => self.doubts.note_gone(key, now),
+        };
+        for run in runs {
+            let evidence = EndEvidence {
+                server: key,
+                sign,
+                began: run.began,
+                ended: run.ended,
+                is_refuted: false,
+            };
+            self.take_evidence(run.identity, evidence, true, now);
+        }
+    }
+
+    /// A server answered something that was sent at a moment.
+    fn note_alive(&mut self, server: ServerKey, began: Instant, now: Instant) {
+        self.doubts.note_alive(server, began);
+        let Some(ended) = self.ended.get(&server).copied() else {
+            return;
+        };
+        let is_proof = began >= ended && now.saturating_duration_since(ended) <= ALIVE_SPAN;
+        if !is_proof {
+            return;
+        }
+        self.ended.remove(&server);
+        let mut refuted = Vec::new();
+        for (identity, record) in &mut self.records {
+            if record.history.refute_server(server) {
+                record.tell_rounds = TELL_ROUNDS;
+                refuted.push(*identity);
+            }
+        }
+        for identity in refuted {
+            self.update(identity, ReleaseReason::Refuted, now);
+        }
+    }
+
+    /// A request does no harm: its ends are none of its doing.
+    fn release(&mut self, identity: RequestIdentity, reason: ReleaseReason, now: Instant) {
+        let Some(record) = self.records.get_mut(&identity) else {
+            return;
+        };
+        if record.history.refute_all() {
+            record.tell_rounds = TELL_ROUNDS;
+            self.update(identity, reason, now);
+        }
+    }
+
+    /// An operator lifts what is held against requests, by the text that logs show of them. Tells how many
+    /// there were.
+    pub fn lift(&mut self, digest: &str, now: Instant) -> usize {
+        let named = self.records.keys().copied();
+        let named: Vec<RequestIdentity> = named
+            .filter(|identity| identity.to_string() == digest)
+            .collect();
+        for identity in &named {
+            self.release(*identity, ReleaseReason::Lifted, now);
+        }
+        named.len()
+    }
+
+    /// Takes in that a server ended, and tells whether it was news.
+    pub(crate) fn take_evidence(
+        &mut self,
+        identity: RequestIdentity,
+        evidence: EndEvidence,
+        is_told: bool,
+        now: Instant,
+    ) -> bool {
+        if !self.records.contains_key(&identity) {
+            self.make_room(identity);
+        }
+        let record = self.records.entry(identity).or_default();
+        if !record.history.add(evidence) {
+            return false;
+        }
+        if is_told {
+            record.tell_rounds = TELL_ROUNDS;
+        }
+        if !evidence.is_refuted {
+            let ended = self.ended.entry(evidence.server).or_insert(evidence.ended);
+            *ended = (*ended).max(evidence.ended);
+        }
+        self.update(identity, ReleaseReason::Refuted, now);
+        true
+    }
+
+    /// Judges a request anew.
+    fn update(&mut self, identity: RequestIdentity, reason: ReleaseReason, now: Instant) {
+        let Some(record) = self.records.get_mut(&identity) else {
+            return;
+        };
+        let count = record.history.count();
+        let state = SuspectState::judge(count);
+        let before = std::mem::replace(&mut record.state, state);
+        // The order in which nodes have their turn is drawn anew at each end.
+        record.turn = None;
+        if before == state {
+            return;
+        }
+        let is_less = (before, state) == (SuspectState::HeldBack, SuspectState::OneByOne)
+            || state == SuspectState::Free;
+        let evidence = record.history.ends().iter().map(|end| {
+            let age = now.saturating_duration_since(end.ended).as_millis();
+            (end.server, end.sign, u64::try_from(age).unwrap_or(u64::MAX))
+        });
+        let event = SuspectEvent {
+            identity,
+            state,
+            release: is_less.then_some(reason),
+            count,
+            evidence: evidence.collect(),
+        };
+        if self.events.len() < EVENTS_MOST {
+            self.events.push(event);
+        }
+    }
+
+    /// Makes room for one more request: the workspace that has most of them gives way to itself, so that
+    /// nobody's many requests hide another's.
+    fn make_room(&mut self, newest: RequestIdentity) {
+        if self.records.len() < RECORDS_MOST {
+            return;
+        }
+        let own = self
+            .records
+            .keys()
+            .filter(|held| held.is_of_workspace(&newest));
+        let crowds = own.count() * WORKSPACE_PART > RECORDS_MOST;
+        let candidates = self.records.iter();
+        let candidates = candidates.filter(|(held, _)| !crowds || held.is_of_workspace(&newest));
+        let least = candidates.min_by_key(|(_, record)| {
+            let is_held = record.state != SuspectState::Free;
+            (is_held, record.history.last_change())
+        });
+        if let Some(identity) = least.map(|(identity, _)| *identity) {
+            self.records.remove(&identity);
+        }
+    }
+
+    /// Time goes on: what is old is forgotten.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        if self.records.is_empty() {
+            return;
+        }
+        let is_old = |at: Instant| now.saturating_duration_since(at) > HOLD_TIME;
+        self.ended.retain(|_, at| !is_old(*at));
+        let old = self.records.iter().filter(|(_, record)| {
+            let last = record.history.last_change();
+            last.is_none_or(is_old)
+        });
+        let old: Vec<RequestIdentity> = old.map(|(identity, _)| *identity).collect();
+        for identity in old {
+            self.release(identity, ReleaseReason::Expired, now);
+            self.records.remove(&identity);
+        }
+    }
+
+    /// What happened since the last call.
+    pub fn take_events(&mut self) -> Vec<SuspectEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// How many requests are held back.
+    pub fn held_count(&self) -> usize {
+        let held = self.records.values();
+        held.filter(|record| record.state == SuspectState::HeldBack)
+            .count()
+    }
+
+    /// How many requests are remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether nothing is held against any request.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// The requests that are not sent like any other, with what is done with them and what is believed.
+    pub fn suspects(&self) -> impl Iterator<Item = (RequestIdentity, SuspectState, EndCount)> {
+        let suspects = self.records.iter();
+        let suspects = suspects.filter(|(_, record)| record.state != SuspectState::Free);
+        suspects.map(|(identity, record)| (*identity, record.state, record.history.count()))
+    }
+}
--- /dev/null
+++ b/crates/plumgate/src/gateway/quarantine/telling.rs
@@ -0,0 +1,87 @@
+//! What a node tells the others of requests that end servers, and what it hears of them.
+
+use std::time::{Duration, Instant};
+
+use super::notice::{REPORTS_MOST, SuspectReport};
+use super::rule::{HOLD_TIME, SuspectState};
+use super::table::QuarantineTable;
+use crate::errors::Result;
+use crate::gateway::exchange::LoadExchange;
+
+/// Time after which all that is not free is told anew, for nodes that started or were cut off since.
+const RETELL: Duration = Duration::from_secs(1);
+
+impl QuarantineTable {
+    /// One round of the nodes' talk: takes in what others told, and gives what this node tells. Tells how many
+    /// notices were forged, too old or malformed.
+    pub fn swap_news(&mut self, exchange: &mut LoadExchange, now: Instant, unix_ms: u64) -> u64 {
+        self.tick(now);
+        let passes_on = exchange.is_collector();
+        let heard = exchange.take_notices().into_iter();
+        let refused = heard
+            .map(|notice| self.hear(&notice, passes_on, now, unix_ms))
+            .filter(Result::is_err);
+        let refused = refused.count() as u64;
+        self.set_turns(|seed| exchange.turn(seed));
+        exchange.tell_notices(self.tell(now, unix_ms));
+        refused
+    }
+
+    /// Takes over how many nodes come before this one with each request that goes one by one.
+    fn set_turns(&mut self, turn: impl Fn(u64) -> usize) {
+        for (identity, record) in &mut self.records {
+            if record.state == SuspectState::OneByOne && record.turn.is_none() {
+                record.turn = Some(turn(identity.rank_seed()));
+            }
+        }
+    }
+
+    /// What this round tells the other nodes, sealed; mostly nothing.
+    fn tell(&mut self, now: Instant, unix_ms: u64) -> Vec<Vec<u8>> {
+        if self.records.is_empty() {
+            return Vec::new();
+        }
+        let is_retold = self
+            .retold_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= RETELL);
+        if is_retold {
+            self.retold_at = Some(now);
+            let suspects = self.records.values_mut();
+            for record in suspects.filter(|record| record.state != SuspectState::Free) {
+                record.tell_rounds = record.tell_rounds.max(1);
+            }
+        }
+        let telling = self.records.iter_mut();
+        let mut telling: Vec<_> = telling
+            .filter(|(_, record)| record.tell_rounds > 0)
+            .collect();
+        if telling.is_empty() {
+            return Vec::new();
+        }
+        // What weighs most goes first, and what was told least often.
+        telling.sort_by_key(|(_, record)| {
+            let is_free = record.state == SuspectState::Free;
+            (is_free, std::cmp::Reverse(record.tell_rounds))
+        });
+        telling.truncate(REPORTS_MOST);
+        let reports = telling.into_iter().map(|(identity, record)| {
+            record.tell_rounds -= 1;
+            SuspectReport::new(*identity, record.history.ends(), now)
+        });
+        let reports = reports.collect();
+        self.keys.seal(reports, unix_ms)
+    }
+
+    /// Takes in what another node told; `passes_on` where this node tells it to others.
+    fn hear(&mut self, sealed: &[u8], passes_on: bool, now: Instant, unix_ms: u64) -> Result<()> {
+        for report in self.keys.open(sealed, unix_ms)? {
+            for evidence in report.ends(now) {
+                let is_old = now.saturating_duration_since(evidence.ended) > HOLD_TIME;
+                if !is_old {
+                    self.take_evidence(report.identity, evidence, passes_on, now);
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/plumgate/src/gateway/quarantine/verdict.rs
@@ -0,0 +1,119 @@
+//! What may be done with a request, and what operators are told of it.
+
+use std::time::{Duration, Instant};
+
+use super::evidence::{EndCount, EndSign};
+use super::identity::RequestIdentity;
+use super::rule::SuspectState;
+use crate::gateway::exchange::messages::ServerKey;
+
+/// Why a request is not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldReason {
+    /// It ended too many servers.
+    Quarantined,
+    /// It goes one by one, and it is another node's or another caller's turn.
+    AwaitsTurn,
+}
+
+impl HoldReason {
+    /// The name used in logs, metrics and answers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Quarantined => "quarantined",
+            Self::AwaitsTurn => "awaits_turn",
+        }
+    }
+}
+
+/// That a request is not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestHold {
+    /// Why.
+    pub reason: HoldReason,
+    /// When it may be worth to send it again.
+    pub retry_after: Duration,
+}
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestVerdict {
+    /// Send it.
+    Send,
+    /// Send it where the fewest others run.
+    SendApart,
+    /// Don't send it.
+    Hold(RequestHold),
+}
+
+/// One request at a server, to be given back when it ends.
+#[derive(Clone, Debug)]
+pub struct RunTicket {
+    pub(crate) identity: RequestIdentity,
+    pub(crate) server: ServerKey,
+    /// When it was sent.
+    pub(crate) began: Instant,
+    /// Whether the server surely has it.
+    pub(crate) is_reached: bool,
+}
+
+impl RunTicket {
+    /// The request that runs.
+    pub fn identity(&self) -> RequestIdentity {
+        self.identity
+    }
+
+    /// The server surely has the request: its answer begins.
+    pub fn note_reached(&mut self) {
+        self.is_reached = true;
+    }
+}
+
+/// How a request reaches a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkAge {
+    /// By a connection that was just opened: the server lived then.
+    Fresh,
+    /// By one that was kept: the server may have ended since it was last used.
+    Kept,
+}
+
+/// Why a request is no longer held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ReleaseReason {
+    /// It was answered, so it does not end servers.
+    Answered,
+    /// Servers live that were believed to have ended.
+    Refuted,
+    /// Its time is over.
+    Expired,
+    /// An operator lifted it.
+    Lifted,
+}
+
+impl ReleaseReason {
+    /// The name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Refuted => "refuted",
+            Self::Expired => "expired",
+            Self::Lifted => "lifted",
+        }
+    }
+}
+
+/// Something that operators want to know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SuspectEvent {
+    /// The request.
+    pub identity: RequestIdentity,
+    /// What is done with it from now on.
+    pub state: SuspectState,
+    /// Why, where less is done than before.
+    pub release: Option<ReleaseReason>,
+    /// What is believed.
+    pub count: EndCount,
+    /// The evidence: a server's digest, the sign, milliseconds since the end.
+    pub evidence: Vec<(ServerKey, EndSign, u64)>,
+}
--- a/crates/plumgate/src/gateway/servers.rs
+++ b/crates/plumgate/src/gateway/servers.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ids::{DataCentreId, PoolId, ServerId};
 
@@ -41,6 +42,14 @@
     pub cold_for: Duration,
 }
 
+impl ServerEntry {
+    /// The short name that nodes give this incarnation among themselves.
+    pub fn incarnation_key(&self) -> u32 {
+        // The lower half tells a few thousand servers apart.
+        xxh3_64_with_seed(self.id.as_bytes(), self.born.unwrap_or(0)) as u32
+    }
+}
+
 /// An entry with what is known of its end.
 #[derive(Clone, Debug)]
 struct TableEntry {
--- a/crates/plumgate/src/gateway/work.rs
+++ b/crates/plumgate/src/gateway/work.rs
@@ -61,8 +61,16 @@
 pub enum WorkEnd {
     /// It answered.
     Answered,
-    /// It failed, broke off or was silent.
+    /// What it answered is a failure, or no answer to this request.
     Failed,
+    /// The connection broke before the answer was whole.
+    Broken,
+    /// It was silent for too long.
+    Silent,
+    /// It started again meanwhile, and knows nothing of the request.
+    Restarted,
+    /// The connection was closed before the request left.
+    Unsent,
     /// A new connection was refused.
     Refused,
     /// A new connection got no answer, as behind a cut.
--- a/crates/plumgate/src/wire.rs
+++ b/crates/plumgate/src/wire.rs
@@ -22,7 +22,7 @@
 /// Length of the authentication code in bytes.
 const CODE_LENGTH: usize = 16;
 /// How far a message's time may lie from this node's, in milliseconds.
-const TIME_BOUND_MS: u64 = 30_000;
+pub(crate) const TIME_BOUND_MS: u64 = 30_000;
 /// How many late messages of a sender are told apart from repeated ones.
 const WINDOW: u64 = 64;
 
@@ -210,8 +210,12 @@
     /// Packs and authenticates a message.
     pub fn seal(&self, envelope: &PeerEnvelope) -> Result<Vec<u8>> {
         let start = vec![PROTOCOL_VERSION];
-        let mut bytes =
-            postcard::to_extend(envelope, start).map_err(|_| Error::MalformedMessage)?;
+        let bytes = postcard::to_extend(envelope, start).map_err(|_| Error::MalformedMessage)?;
+        Ok(self.seal_bytes(bytes))
+    }
+
+    /// Puts a code behind bytes that authenticates them.
+    pub(crate) fn seal_bytes(&self, mut bytes: Vec<u8>) -> Vec<u8> {
         let code = self
             .code
             .clone()
@@ -219,7 +223,7 @@
             .finalize()
             .into_bytes();
         bytes.extend_from_slice(&code[..CODE_LENGTH]);
-        Ok(bytes)
+        bytes
     }
 
     /// Checks and unpacks a message.
@@ -227,21 +231,27 @@
         if bytes.len() > LARGEST_MESSAGE {
             return Err(Error::OversizedMessage(bytes.len(), LARGEST_MESSAGE));
         }
-        let end = bytes
+        let body = self.open_bytes(bytes)?;
+        let (version, packed) = body.split_first().ok_or(Error::MalformedMessage)?;
+        if !(OLDEST_PROTOCOL..=PROTOCOL_VERSION).contains(version) {
+            return Err(Error::UnknownProtocol(*version));
+        }
+        postcard::from_bytes(packed).map_err(|_| Error::MalformedMessage)
+    }
+
+    /// The bytes that a code authenticates. It is checked before anything is unpacked: nothing of a
+    /// stranger is parsed.
+    pub(crate) fn open_bytes<'a>(&self, sealed: &'a [u8]) -> Result<&'a [u8]> {
+        let end = sealed
             .len()
             .checked_sub(CODE_LENGTH)
             .ok_or(Error::MalformedMessage)?;
-        let (body, code) = bytes.split_at(end);
-        // The code is checked before anything is unpacked: nothing of a stranger is parsed.
+        let (body, code) = sealed.split_at(end);
         let expected = self.code.clone().chain_update(body);
         expected
             .verify_truncated_left(code)
             .map_err(|_| Error::ForgedMessage)?;
-        let (version, packed) = body.split_first().ok_or(Error::MalformedMessage)?;
-        if !(OLDEST_PROTOCOL..=PROTOCOL_VERSION).contains(version) {
-            return Err(Error::UnknownProtocol(*version));
-        }
-        postcard::from_bytes(packed).map_err(|_| Error::MalformedMessage)
+        Ok(body)
     }
 }
 
--- a/crates/plumgate/tests/gateway_copies.rs
+++ b/crates/plumgate/tests/gateway_copies.rs
@@ -87,6 +87,7 @@
         prompt: Some(shape),
         urgency: 2,
         class: StreamClass::Batch,
+        apart: false,
         avoid,
     }
 }
--- a/crates/plumgate/tests/gateway_reading.rs
+++ b/crates/plumgate/tests/gateway_reading.rs
@@ -69,6 +69,7 @@
         prompt: Some(prompt),
         urgency: 0,
         class: StreamClass::Interactive,
+        apart: false,
         avoid: &[],
     }
 }
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -256,6 +256,7 @@
             prompt: Some(&wish.prompt),
             urgency: traffic.urgency,
             class: traffic.class,
+            apart: false,
             avoid: &[],
         };
         let node = &mut self.nodes[index];
