quarantine: turns go round, runs are told in microseconds as of their arrival; a fleet without a network as its test

Cause: tests of the rule without a network. A burst after a pause met five nodes whose turn had all come (turns were delays after the last end); an end that was told counted as of the next round, up to 100 ms late a hop, so that runs at two nodes that came at once looked as if they came in turn, and a popular read was held back after a rack had gone dark; a server whose entry was back still counted as gone. Change: each node has its turn for a second, again and again (two at once in a fleet of 195); a notice is dated by its arrival, a run's length rounded up; an entry that is back, or an answer, ends the memory that a server went. Bursts at 6 to 24 nodes, four seconds apart: one run at most later than the contact time after the third end.

--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -309,7 +309,13 @@
         let (id, sign) = match change {
             ServerChange::Gone(id) => (id, EndSign::Lapsed),
             ServerChange::Reborn(entry) => (&entry.id, EndSign::Restarted),
-            ServerChange::Changed(_) | ServerChange::Doubted(_) => return,
+            ServerChange::Changed(entry) => {
+                if loads.entry(&entry.id).is_none() {
+                    self.shared.quarantine().note_back(entry);
+                }
+                return;
+            }
+            ServerChange::Doubted(_) => return,
         };
         let before = loads.entry(id);
         if let Some(before) = before.filter(|entry| entry.state == ServerState::Ready) {
--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -47,6 +47,16 @@
     pub boot: Duration,
 }
 
+/// A sealed notice of another node.
+#[derive(Clone, Debug)]
+pub struct HeardNotice {
+    /// What came.
+    pub sealed: Vec<u8>,
+    /// When it came. It is opened a round later at most, and told by ages: taken as of then, runs at two
+    /// nodes would shift against each other.
+    pub came_at: Instant,
+}
+
 /// A message and where it goes.
 pub type ExchangePacket = (SocketAddr, Vec<u8>);
 
@@ -62,7 +72,7 @@
     /// Sealed notices that this round tells.
     notices: Vec<Vec<u8>>,
     /// Sealed notices that came since they were taken last.
-    heard_notices: Vec<Vec<u8>>,
+    heard_notices: Vec<HeardNotice>,
     collector: Option<NodeId>,
     collector_heard: Option<Instant>,
     /// Rounds in which this node collected.
@@ -140,8 +150,24 @@
         self.notices = notices;
     }
 
+    /// The sealed notices that the next round tells.
+    pub fn telling(&self) -> &[Vec<u8>] {
+        &self.notices
+    }
+
+    /// Sealed notices came.
+    pub fn hear_notices(&mut self, notices: impl IntoIterator<Item = Vec<u8>>, now: Instant) {
+        let room = NOTICES_MOST.saturating_sub(self.heard_notices.len());
+        let heard = notices.into_iter().take(room);
+        let heard = heard.map(|sealed| HeardNotice {
+            sealed,
+            came_at: now,
+        });
+        self.heard_notices.extend(heard);
+    }
+
     /// Sealed notices that came since the last call.
-    pub fn take_notices(&mut self) -> Vec<Vec<u8>> {
+    pub fn take_notices(&mut self) -> Vec<HeardNotice> {
         std::mem::take(&mut self.heard_notices)
     }
 
@@ -226,9 +252,7 @@
         }
         let passes_on = collects && !matches!(message.body, ExchangeBody::Total(_));
         self.places.hear(message.places, passes_on);
-        let room = NOTICES_MOST.saturating_sub(self.heard_notices.len());
-        self.heard_notices
-            .extend(message.notices.into_iter().take(room));
+        self.hear_notices(message.notices, now);
         let count = usize::try_from(message.nodes).unwrap_or(usize::MAX);
         match message.body {
             ExchangeBody::Own(_) => {}
--- a/crates/plumgate/src/gateway/exchange/mod.rs
+++ b/crates/plumgate/src/gateway/exchange/mod.rs
@@ -8,6 +8,6 @@
 mod places;
 mod told;
 
-pub use load_exchange::{ExchangePacket, LoadExchange, TalkMoment};
+pub use load_exchange::{ExchangePacket, HeardNotice, LoadExchange, TalkMoment};
 pub use messages::PartPlace;
 pub use nodes::{NodeCapacity, NodeEntry};
--- a/crates/plumgate/src/gateway/quarantine/doubts.rs
+++ b/crates/plumgate/src/gateway/quarantine/doubts.rs
@@ -70,6 +70,11 @@
         self.take_runs(server)
     }
 
+    /// A server's entry is there again.
+    pub(crate) fn note_back(&mut self, server: ServerKey) {
+        self.gone.retain(|(gone, _)| *gone != server);
+    }
+
     /// The runs at a server.
     pub(crate) fn take_runs(&mut self, server: ServerKey) -> Vec<SilentRun> {
         let (taken, kept): (VecDeque<_>, _) =
@@ -80,6 +85,9 @@
 
     /// A server lives that took a request at a moment: what ended before that was not its end.
     pub(crate) fn note_alive(&mut self, server: ServerKey, began: Instant) {
+        if !self.gone.is_empty() {
+            self.note_back(server);
+        }
         if !self.runs.is_empty() {
             self.runs
                 .retain(|run| run.server != server || run.ended > began);
--- a/crates/plumgate/src/gateway/quarantine/evidence.rs
+++ b/crates/plumgate/src/gateway/quarantine/evidence.rs
@@ -148,7 +148,7 @@
         let mut in_turn = 0;
         let mut last: Option<Instant> = None;
         for (ended, began) in &runs {
-            if last.is_none_or(|last| *began >= last) {
+            if last.is_none_or(|last| *began > last) {
                 in_turn += 1;
                 last = Some(*ended);
             }
@@ -160,14 +160,14 @@
     }
 }
 
-/// A moment as others are told of it: how long ago it was, in milliseconds.
-pub(crate) fn age_ms(at: Instant, now: Instant) -> u32 {
+/// A moment as others are told of it: how long ago it was, in microseconds.
+pub(crate) fn age_us(at: Instant, now: Instant) -> u64 {
     let age = now.saturating_duration_since(at);
-    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+    u64::try_from(age.as_micros()).unwrap_or(u64::MAX)
 }
 
 /// The moment that somebody told of by its age.
-pub(crate) fn moment_of(age_ms: u32, now: Instant) -> Instant {
-    let age = Duration::from_millis(age_ms.into());
+pub(crate) fn moment_of(age_us: u64, now: Instant) -> Instant {
+    let age = Duration::from_micros(age_us);
     now.checked_sub(age).unwrap_or(now)
 }
--- a/crates/plumgate/src/gateway/quarantine/notice.rs
+++ b/crates/plumgate/src/gateway/quarantine/notice.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use super::evidence::{EndEvidence, EndSign, age_ms, moment_of};
+use super::evidence::{EndEvidence, EndSign, age_us, moment_of};
 use super::identity::RequestIdentity;
 use crate::errors::{Error, Result};
 use crate::gateway::config::GatewayConfig;
@@ -29,10 +29,11 @@
 struct ToldEnd {
     server: ServerKey,
     sign: EndSign,
-    /// Milliseconds since the request was sent.
-    began_ms: u32,
-    /// Milliseconds since its run ended.
-    ended_ms: u32,
+    /// Microseconds since the request was sent, rounded up: told, a run must not look shorter than it was, or
+    /// runs that came at once would look as if they came one after another.
+    began_us: u64,
+    /// Microseconds since its run ended, rounded down.
+    ended_us: u64,
     is_refuted: bool,
 }
 
@@ -57,8 +58,8 @@
         let told = ends.iter().map(|end| ToldEnd {
             server: end.server,
             sign: end.sign,
-            began_ms: age_ms(end.began, now),
-            ended_ms: age_ms(end.ended, now),
+            began_us: age_us(end.began, now).saturating_add(1),
+            ended_us: age_us(end.ended, now),
             is_refuted: end.is_refuted,
         });
         Self {
@@ -75,8 +76,8 @@
             .map(move |end| EndEvidence {
                 server: end.server,
                 sign: end.sign,
-                began: moment_of(end.began_ms.max(end.ended_ms), now),
-                ended: moment_of(end.ended_ms, now),
+                began: moment_of(end.began_us.max(end.ended_us), now),
+                ended: moment_of(end.ended_us, now),
                 is_refuted: end.is_refuted,
             })
     }
--- a/crates/plumgate/src/gateway/quarantine/rule.rs
+++ b/crates/plumgate/src/gateway/quarantine/rule.rs
@@ -19,9 +19,24 @@
 /// callers go on sending one text, and short enough that a wrong verdict, or one that an update of the
 /// servers made obsolete, ends without an operator.
 pub const HOLD_TIME: Duration = Duration::from_secs(600);
-/// How much later each next node may try a request that goes one by one: within it a server that ends shows
+/// How long a node's turn lasts with a request that goes one by one: within it a server that ends shows
 /// that (200 ms in the median, a second behind a queue), and all nodes are told (300 ms over three hops).
 pub(crate) const TURN: Duration = Duration::from_secs(1);
+/// Nodes of a fleet for each that has its turn at the same time. One would do in a small fleet; in a large
+/// one a popular text would wait for minutes until it meets the node whose turn it is.
+const NODES_A_TURN: usize = 100;
+
+/// Whether a node may send a request that goes one by one, by its place among so many nodes and the time since
+/// the last end. Each has its turn again and again, so that none that is gone keeps the others waiting; and
+/// never all at once, or a burst after a pause would end as many servers as there are nodes.
+pub(crate) fn has_turn(place: usize, nodes: usize, since_end: Duration) -> bool {
+    let nodes = nodes.max(1);
+    let at_once = nodes.div_ceil(NODES_A_TURN);
+    let groups = nodes.div_ceil(at_once);
+    let turn = since_end.as_millis() / TURN.as_millis();
+    let turn = usize::try_from(turn).unwrap_or(usize::MAX);
+    place / at_once == turn % groups
+}
 
 /// What is done with a request under which servers ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -7,7 +7,7 @@
 use super::evidence::{EndCount, EndEvidence, EndHistory, EndSign};
 use super::identity::RequestIdentity;
 use super::notice::{NoticeKeys, TELL_ROUNDS};
-use super::rule::{HOLD_TIME, SuspectState, TURN};
+use super::rule::{HOLD_TIME, SuspectState, TURN, has_turn};
 use super::verdict::{
     HoldReason, LinkAge, ReleaseReason, RequestHold, RequestVerdict, RunTicket, SuspectEvent,
 };
@@ -35,8 +35,8 @@
     pub(crate) state: SuspectState,
     /// Since when this node has it at a server, alone.
     running_since: Option<Instant>,
-    /// How many nodes have their turn before this one; none before the nodes are known.
-    pub(crate) turn: Option<usize>,
+    /// This node's place in the order of turns; none before the nodes are known.
+    pub(crate) place: Option<usize>,
     /// For how many more rounds it is told.
     pub(crate) tell_rounds: u32,
 }
@@ -54,6 +54,8 @@
     pub(crate) keys: NoticeKeys,
     /// Whether there may be other nodes, whose turn it may be.
     has_peers: bool,
+    /// Nodes among which the turn goes round.
+    pub(crate) nodes: usize,
     /// When all that is not free was told last.
     pub(crate) retold_at: Option<Instant>,
     events: Vec<SuspectEvent>,
@@ -68,6 +70,7 @@
             doubts: DoubtQueue::default(),
             keys: NoticeKeys::default(),
             has_peers,
+            nodes: 1,
             retold_at: None,
             events: Vec::new(),
         }
@@ -110,15 +113,14 @@
         if is_running {
             return awaits(TURN);
         }
-        let turn = record.turn.or((!self.has_peers).then_some(0));
-        let Some(turn) = turn else {
-            return awaits(TURN);
-        };
-        let turns = u32::try_from(turn).unwrap_or(u32::MAX);
-        let due = record.history.last_end().map(|end| end + TURN * turns);
-        match due.map(|due| due.saturating_duration_since(now)) {
-            Some(left) if !left.is_zero() => awaits(left),
-            _ => RequestVerdict::SendApart,
+        let place = record.place.or((!self.has_peers).then_some(0));
+        let since_end = record
+            .history
+            .last_end()
+            .map(|end| now.saturating_duration_since(end));
+        match place.zip(since_end) {
+            Some((place, since)) if has_turn(place, self.nodes, since) => RequestVerdict::SendApart,
+            _ => awaits(TURN),
         }
     }
 
@@ -226,6 +228,11 @@
         }
     }
 
+    /// A server's entry is there again that had gone.
+    pub fn note_back(&mut self, server: &ServerEntry) {
+        self.doubts.note_back(server_key(server));
+    }
+
     /// A server answered something that was sent at a moment.
     fn note_alive(&mut self, server: ServerKey, began: Instant, now: Instant) {
         self.doubts.note_alive(server, began);
@@ -308,7 +315,7 @@
         let state = SuspectState::judge(count);
         let before = std::mem::replace(&mut record.state, state);
         // The order in which nodes have their turn is drawn anew at each end.
-        record.turn = None;
+        record.place = None;
         if before == state {
             return;
         }
--- a/crates/plumgate/src/gateway/quarantine/telling.rs
+++ b/crates/plumgate/src/gateway/quarantine/telling.rs
@@ -6,7 +6,7 @@
 use super::rule::{HOLD_TIME, SuspectState};
 use super::table::QuarantineTable;
 use crate::errors::Result;
-use crate::gateway::exchange::LoadExchange;
+use crate::gateway::exchange::{HeardNotice, LoadExchange};
 
 /// Time after which all that is not free is told anew, for nodes that started or were cut off since.
 const RETELL: Duration = Duration::from_secs(1);
@@ -19,19 +19,20 @@
         let passes_on = exchange.is_collector();
         let heard = exchange.take_notices().into_iter();
         let refused = heard
-            .map(|notice| self.hear(&notice, passes_on, now, unix_ms))
+            .map(|notice| self.hear(&notice, passes_on, unix_ms))
             .filter(Result::is_err);
         let refused = refused.count() as u64;
+        self.nodes = exchange.node_count();
         self.set_turns(|seed| exchange.turn(seed));
         exchange.tell_notices(self.tell(now, unix_ms));
         refused
     }
 
-    /// Takes over how many nodes come before this one with each request that goes one by one.
-    fn set_turns(&mut self, turn: impl Fn(u64) -> usize) {
+    /// Takes over this node's place in the order of turns of each request that goes one by one.
+    fn set_turns(&mut self, place: impl Fn(u64) -> usize) {
         for (identity, record) in &mut self.records {
-            if record.state == SuspectState::OneByOne && record.turn.is_none() {
-                record.turn = Some(turn(identity.rank_seed()));
+            if record.state == SuspectState::OneByOne && record.place.is_none() {
+                record.place = Some(place(identity.rank_seed()));
             }
         }
     }
@@ -73,8 +74,9 @@
     }
 
     /// Takes in what another node told; `passes_on` where this node tells it to others.
-    fn hear(&mut self, sealed: &[u8], passes_on: bool, now: Instant, unix_ms: u64) -> Result<()> {
-        for report in self.keys.open(sealed, unix_ms)? {
+    fn hear(&mut self, notice: &HeardNotice, passes_on: bool, unix_ms: u64) -> Result<()> {
+        let now = notice.came_at;
+        for report in self.keys.open(&notice.sealed, unix_ms)? {
             for evidence in report.ends(now) {
                 let is_old = now.saturating_duration_since(evidence.ended) > HOLD_TIME;
                 if !is_old {
--- /dev/null
+++ b/crates/plumgate/tests/gateway_quarantine.rs
@@ -0,0 +1,529 @@
+//! Requests that end servers, and those that only ran where servers ended.
+
+mod entries;
+mod suspects;
+
+use std::time::Duration;
+
+use plumgate::gateway::{
+    EndSign, HOLD_TIME, HoldReason, LinkAge, QuarantineTable, ServerEntry, ServerState,
+    SuspectState, WorkEnd,
+};
+
+use entries::server_entry;
+use suspects::{AWAY, SuspectFleet, config, identity};
+
+/// How long after a third end nodes may not have heard of it, as the operators allow.
+const CONTACT: Duration = Duration::from_secs(3);
+const SECOND: Duration = Duration::from_secs(1);
+const MOMENT: Duration = Duration::from_millis(200);
+
+fn lone_table() -> QuarantineTable {
+    let mut table = QuarantineTable::new(false);
+    table.set_config(&config(1, &["key-1"]));
+    table
+}
+
+/// Sends a request at one node after the other until each holds it back.
+fn send_until_held(fleet: &mut SuspectFleet, request: plumgate::gateway::RequestIdentity) {
+    for number in 0..60 {
+        if fleet.all_hold(request) {
+            return;
+        }
+        fleet.send(number % fleet.nodes.len(), request);
+        fleet.advance(Duration::from_millis(500));
+    }
+    panic!("not held back after 30 s");
+}
+
+// Callers all over the fleet lose their answers each time that one text comes again. Three servers end
+// under it; from then on no node sends it, in whichever data centre, and its callers are told until when.
+#[test]
+fn request_that_ended_three_servers_is_held_back_at_all_nodes() {
+    let mut fleet = SuspectFleet::new(3, 2, 18);
+    let deadly = identity("lab", "deadly");
+    fleet.deadly.insert(deadly);
+    send_until_held(&mut fleet, deadly);
+    assert_eq!(fleet.ends.len(), 3, "servers that ended");
+    for _ in 0..40 {
+        for node in 0..6 {
+            let hold = fleet.send(node, deadly).expect("held back");
+            assert_eq!(hold.reason, HoldReason::Quarantined);
+            assert!(hold.retry_after > HOLD_TIME - Duration::from_secs(60));
+        }
+        fleet.advance(SECOND);
+    }
+    assert_eq!(fleet.sent_after_third(deadly, Duration::ZERO), 0);
+}
+
+// The same text comes at all nodes at once, before any of them can know. All those runs end servers
+// together, which a rack that goes dark does too; the next run alone tells, and no further one follows.
+#[test]
+fn burst_of_a_deadly_request_is_followed_by_one_run_at_most() {
+    for nodes in [2, 4, 8] {
+        let mut fleet = SuspectFleet::new(3, nodes, 40);
+        let deadly = identity("lab", "deadly");
+        fleet.deadly.insert(deadly);
+        for _ in 0..3 {
+            for node in 0..fleet.nodes.len() {
+                fleet.send(node, deadly);
+            }
+            fleet.advance(CONTACT + SECOND);
+        }
+        for _ in 0..30 {
+            for node in 0..fleet.nodes.len() {
+                fleet.send(node, deadly);
+            }
+            fleet.advance(MOMENT);
+        }
+        let after = fleet.sent_after_third(deadly, CONTACT);
+        assert!(
+            after <= 1,
+            "{after} runs after the burst, {nodes} nodes a data centre"
+        );
+        assert!(fleet.all_hold(deadly));
+    }
+}
+
+// Three texts end servers at the same time, from several callers and at all nodes, while others are served.
+#[test]
+fn several_deadly_requests_are_each_held_back() {
+    let mut fleet = SuspectFleet::new(3, 2, 18);
+    let deadly = ["one", "two", "three"].map(|text| identity("lab", text));
+    fleet.deadly.extend(deadly);
+    for number in 0..120_u32 {
+        let node = number as usize % 6;
+        fleet.send(node, deadly[number as usize % 3]);
+        fleet.send(node, identity("clinic", &format!("unique {number}")));
+        fleet.advance(MOMENT);
+    }
+    for request in deadly {
+        assert!(fleet.all_hold(request));
+        assert_eq!(fleet.sent_after_third(request, CONTACT), 0);
+    }
+    let held: u32 = fleet
+        .results
+        .iter()
+        .filter(|(of, _)| !deadly.contains(of))
+        .map(|(_, result)| result.held)
+        .sum();
+    assert_eq!(held, 0, "unique requests that were held back");
+}
+
+// A popular read must not go out of service with its servers. All copies of a service crash at the same moment,
+// with a run of the read at each; when they are back, its callers are served again, within a contact time.
+#[test]
+fn popular_read_survives_a_crash_of_all_copies() {
+    for (nodes_each, a_second) in [(2, 25), (8, 25), (65, 60)] {
+        let mut fleet = SuspectFleet::new(3, nodes_each, 6);
+        let read = identity("lab", "popular");
+        let nodes = fleet.nodes.len();
+        let pause = SECOND / a_second;
+        for crash in 0..3 {
+            for step in 0..60 {
+                fleet.send(step % nodes, read);
+                fleet.advance(pause);
+            }
+            for server in 0..6 {
+                fleet.send_to((crash + server) % nodes, read, server);
+            }
+            fleet.advance(MOMENT / 10);
+            for server in 0..6 {
+                fleet.end_server(server, WorkEnd::Broken);
+            }
+            // Callers come all the while, until after the servers are back.
+            let back = fleet.now + AWAY;
+            let mut step = 0;
+            while fleet.now < back || fleet.state(0, read) != SuspectState::Free {
+                assert!(fleet.now < back + CONTACT, "{nodes} nodes");
+                fleet.send(step % nodes, read);
+                fleet.advance(pause);
+                step += 1;
+            }
+        }
+        let result = *fleet.result(read);
+        println!("{nodes} nodes, three crashes of all servers: {result:?}");
+        assert!((0..nodes).all(|node| fleet.state(node, read) != SuspectState::HeldBack));
+    }
+}
+
+// Servers crash one after the other, for reasons of their own, under a popular read: it is answered in
+// between, so that nothing is held against it.
+#[test]
+fn popular_read_survives_servers_that_crash_in_turn() {
+    let mut fleet = SuspectFleet::new(3, 2, 6);
+    let read = identity("lab", "popular");
+    for server in 0..6 {
+        fleet.send_to(server, read, server);
+        fleet.end_server(server, WorkEnd::Broken);
+        for node in 0..6 {
+            fleet.send(node, read);
+            fleet.advance(MOMENT);
+        }
+    }
+    let result = *fleet.result(read);
+    assert_eq!(result.held, 0, "{result:?}");
+}
+
+// A rack goes dark: requests stay without an answer, callers leave, entries lapse seconds later. What
+// was sent there after it had gone dark reached nobody, and what ran there before ran all at once.
+#[test]
+fn rack_that_goes_dark_holds_nothing_back() {
+    let mut fleet = SuspectFleet::new(3, 2, 8);
+    let read = identity("lab", "popular");
+    for server in 0..4 {
+        fleet.send_to(server, read, server);
+    }
+    for server in 0..4 {
+        fleet.end_server(server, WorkEnd::Silent);
+    }
+    // Kept connections lead nowhere, one after the other.
+    for number in 0..4 {
+        let dark = server_entry(&format!("s{number}-0"));
+        let now = fleet.now;
+        let table = &mut fleet.nodes[0].table;
+        let ticket = table.begin(read, &dark, LinkAge::Kept, now).expect("sent");
+        fleet.advance(MOMENT);
+        let now = fleet.now;
+        fleet.nodes[0].table.finish(ticket, WorkEnd::Silent, now);
+    }
+    for server in 0..4 {
+        fleet.lapse(server);
+    }
+    fleet.advance(SECOND);
+    assert!((0..6).all(|node| fleet.state(node, read) != SuspectState::HeldBack));
+    for number in 0..36 {
+        fleet.send(number % 6, read);
+        fleet.advance(MOMENT);
+    }
+    assert_eq!(fleet.state(0, read), SuspectState::Free);
+}
+
+// The third server goes dark instead of breaking its connections. Its caller leaves without an answer, and
+// only the entry that lapses shows the end.
+#[test]
+fn server_that_goes_dark_counts_once_its_entry_lapses() {
+    for how in [WorkEnd::Silent, WorkEnd::Unjudged] {
+        let mut table = lone_table();
+        let request = identity("lab", "deadly");
+        let mut now = std::time::Instant::now();
+        for number in 0..3 {
+            let server = server_entry(&format!("s{number}"));
+            let ticket = table
+                .begin(request, &server, LinkAge::Fresh, now)
+                .expect("sent");
+            now += SECOND * 2;
+            assert_eq!(table.finish(ticket, how, now), None, "not known yet");
+            now += SECOND;
+            table.note_gone(&server, EndSign::Lapsed, now);
+            now += SECOND;
+        }
+        let late = server_entry("s3");
+        let hold = table.begin(request, &late, LinkAge::Fresh, now);
+        assert_eq!(hold.expect_err("held back").reason, HoldReason::Quarantined);
+    }
+}
+
+// An entry may lapse before the run that it ended is given up.
+#[test]
+fn run_that_ends_after_its_server_went_counts() {
+    let mut table = lone_table();
+    let request = identity("lab", "deadly");
+    let now = std::time::Instant::now();
+    let server = server_entry("s1");
+    let ticket = table
+        .begin(request, &server, LinkAge::Fresh, now)
+        .expect("sent");
+    table.note_gone(&server, EndSign::Lapsed, now + SECOND);
+    let sign = table.finish(ticket, WorkEnd::Unjudged, now + SECOND * 2);
+    assert_eq!(sign, Some(EndSign::Lapsed));
+}
+
+// Callers leave all the time, servers are slow, and links lose answers: none of that ends a server that
+// goes on answering, or whose entry stays.
+#[test]
+fn silence_alone_is_no_evidence() {
+    let mut table = lone_table();
+    let request = identity("lab", "patient");
+    let mut now = std::time::Instant::now();
+    for number in 0..6 {
+        let server = server_entry(&format!("s{}", number % 3));
+        let ticket = table
+            .begin(request, &server, LinkAge::Fresh, now)
+            .expect("sent");
+        now += SECOND;
+        assert_eq!(table.finish(ticket, WorkEnd::Unjudged, now), None);
+        let other = identity("lab", "other");
+        let ticket = table
+            .begin(other, &server, LinkAge::Fresh, now)
+            .expect("sent");
+        table.finish(ticket, WorkEnd::Answered, now + MOMENT);
+        // It was taken away as planned, or for reasons of its own, after it had lived on.
+        table.note_gone(&server, EndSign::Lapsed, now + SECOND);
+        now += SECOND * 2;
+        table.note_back(&server);
+    }
+    assert!(table.is_empty());
+}
+
+// Servers that spoil answers break connections and live on. Whatever else they answer within a second and a
+// half of it takes the evidence back, here and at the other nodes.
+#[test]
+fn server_that_lives_takes_evidence_back() {
+    let mut fleet = SuspectFleet::new(2, 2, 6);
+    let request = identity("lab", "unlucky");
+    for server in 0..3 {
+        fleet.send_to(0, request, server);
+        let now = fleet.now;
+        let entry = server_entry(&format!("s{server}-0"));
+        let table = &mut fleet.nodes[0].table;
+        let broken = table.begin(request, &entry, LinkAge::Fresh, now);
+        table.finish(broken.expect("sent"), WorkEnd::Broken, now);
+        fleet.advance(MOMENT);
+        fleet.send_to(1, identity("clinic", "another"), server);
+        fleet.send_to(0, identity("clinic", "another"), server);
+        fleet.advance(SECOND);
+    }
+    assert!((0..4).all(|node| fleet.state(node, request) == SuspectState::Free));
+    assert_eq!(fleet.result(request).held, 0);
+}
+
+// A kept connection breaks as the next request leaves: its server ended before, under something else.
+#[test]
+fn break_of_a_kept_connection_is_no_evidence() {
+    let mut table = lone_table();
+    let request = identity("lab", "late");
+    let now = std::time::Instant::now();
+    for number in 0..5 {
+        let server = server_entry(&format!("s{number}"));
+        let ticket = table.begin(request, &server, LinkAge::Kept, now + SECOND * number);
+        let ended = now + SECOND * number + MOMENT;
+        let sign = table.finish(ticket.expect("sent"), WorkEnd::Broken, ended);
+        assert_eq!(sign, None);
+    }
+    assert!(table.is_empty());
+}
+
+// What is believed of a server that drained or that says it is full is nothing.
+#[test]
+fn refusals_are_no_evidence() {
+    let mut table = lone_table();
+    let request = identity("lab", "refused");
+    let now = std::time::Instant::now();
+    let ends = [
+        WorkEnd::Full,
+        WorkEnd::Failed,
+        WorkEnd::Unsent,
+        WorkEnd::Refused,
+    ];
+    for (number, end) in ends.into_iter().enumerate() {
+        let server = ServerEntry {
+            state: ServerState::Draining,
+            ..server_entry(&format!("s{number}"))
+        };
+        let ticket = table.begin(request, &server, LinkAge::Fresh, now);
+        assert_eq!(table.finish(ticket.expect("sent"), end, now), None);
+    }
+    assert!(table.is_empty());
+}
+
+// A wrong verdict must not last: an answer to the request, an operator, or its time ends it, at all nodes.
+#[test]
+fn verdict_ends_by_an_answer_by_an_operator_and_by_its_time() {
+    let mut fleet = SuspectFleet::new(3, 2, 18);
+    let deadly = identity("lab", "deadly");
+    fleet.deadly.insert(deadly);
+    send_until_held(&mut fleet, deadly);
+    let now = fleet.now;
+    assert_eq!(fleet.nodes[4].table.lift(&deadly.to_string(), now), 1);
+    fleet.advance(SECOND);
+    assert!((0..6).all(|node| fleet.state(node, deadly) == SuspectState::Free));
+    fleet.ends.clear();
+    send_until_held(&mut fleet, deadly);
+    assert_eq!(fleet.ends.len(), 3, "it counts anew");
+    fleet.advance(HOLD_TIME + SECOND);
+    assert!((0..6).all(|node| fleet.nodes[node].table.is_empty()));
+    assert_eq!(fleet.send(0, deadly), None, "it may be tried again");
+}
+
+// Nodes are killed and come back, and one was cut off while the verdict was told: each holds the request back
+// within a contact time of its start.
+#[test]
+fn nodes_that_start_later_or_were_cut_off_learn_the_verdict() {
+    let mut fleet = SuspectFleet::new(3, 2, 18);
+    let deadly = identity("lab", "deadly");
+    fleet.deadly.insert(deadly);
+    send_until_held(&mut fleet, deadly);
+    for node in 0..6 {
+        fleet.restart(node);
+        fleet.advance(CONTACT);
+        assert!(fleet.all_hold(deadly), "node {node}");
+    }
+    let other = identity("lab", "other");
+    fleet.deadly.insert(other);
+    fleet.is_cut = true;
+    for number in 0..30 {
+        fleet.send(3 * (number % 2), other);
+        fleet.advance(Duration::from_millis(500));
+    }
+    assert_eq!(fleet.state(0, other), SuspectState::HeldBack);
+    assert_eq!(
+        fleet.state(1, other),
+        SuspectState::Free,
+        "the other side of the cut"
+    );
+    fleet.is_cut = false;
+    fleet.advance(CONTACT);
+    assert!(fleet.all_hold(other));
+}
+
+// One by one means one: all nodes get the request at the same moment, again and again.
+#[test]
+fn request_in_doubt_runs_at_one_node_at_a_time() {
+    let mut fleet = SuspectFleet::new(3, 4, 40);
+    let request = identity("lab", "doubtful");
+    for server in 0..4 {
+        fleet.send_to(server, request, server);
+    }
+    for server in 0..4 {
+        fleet.end_server(server, WorkEnd::Broken);
+    }
+    fleet.advance(SECOND);
+    assert_eq!(fleet.state(5, request), SuspectState::OneByOne);
+    fleet.deadly.insert(request);
+    for node in 0..12 {
+        fleet.send(node, request);
+    }
+    assert!(fleet.sent.len() <= 2, "{} at once", fleet.sent.len());
+}
+
+// A stranger must not be able to hold requests back: nor by a notice of its own, nor by one that it
+// recorded and sends again, nor by one that it recorded before an operator lifted the verdict.
+#[test]
+fn forged_old_and_repeated_notices_change_nothing() {
+    let mut fleet = SuspectFleet::new(1, 2, 18);
+    let deadly = identity("lab", "deadly");
+    fleet.deadly.insert(deadly);
+    send_until_held(&mut fleet, deadly);
+    let (now, unix_ms) = (fleet.now, 1_767_225_600_000 + 100_000);
+    let told = fleet.nodes[0].told(now + SECOND, unix_ms);
+    assert!(!told.is_empty(), "it is told again each second");
+    let mut forged = told[0].clone();
+    forged[8] ^= 1;
+    assert_eq!(fleet.hear(1, &forged), 1, "a code that does not fit");
+    assert_eq!(fleet.hear(1, b""), 1);
+    assert_eq!(fleet.hear(1, &told[0]), 1, "sent at another time of day");
+    let mut stranger = lone_table();
+    stranger.set_config(&config(1, &["key-1"]));
+    let mut other = SuspectFleet::new(1, 2, 18);
+    other.nodes[0].table = stranger;
+    other.deadly.insert(deadly);
+    for _ in 0..6 {
+        other.send(0, deadly);
+        other.advance(SECOND);
+    }
+    let told = other.nodes[0].told(now + SECOND, unix_ms);
+    for notice in &told {
+        assert_eq!(fleet.hear(1, notice), 1, "a caller knows its own key only");
+    }
+}
+
+// Recorded before a verdict was lifted, a notice that is sent again within its time brings nothing back.
+#[test]
+fn repeated_notice_does_not_undo_a_release() {
+    let mut table = lone_table();
+    let mut fleet = SuspectFleet::new(1, 1, 6);
+    let request = identity("lab", "deadly");
+    let mut now = fleet.now;
+    for number in 0..3 {
+        let server = server_entry(&format!("s{number}"));
+        let ticket = table.begin(request, &server, LinkAge::Fresh, now);
+        now += MOMENT;
+        table.finish(ticket.expect("sent"), WorkEnd::Broken, now);
+        now += SECOND * 4;
+    }
+    fleet.nodes[0].table = table;
+    let told = fleet.nodes[0].told(now, 1_000);
+    assert_eq!(fleet.state(0, request), SuspectState::HeldBack);
+    fleet.nodes[0].table.lift(&request.to_string(), now);
+    assert_eq!(fleet.state(0, request), SuspectState::Free);
+    for notice in told {
+        fleet.nodes[0].hear_at(&notice, now, 1_000);
+    }
+    assert_eq!(fleet.state(0, request), SuspectState::Free);
+}
+
+// Somebody sends any number of different requests under which servers end. What is kept stays bounded, and
+// what is known of another workspace's request stays.
+#[test]
+fn what_is_kept_is_bounded_and_fair() {
+    let mut table = lone_table();
+    let mut now = std::time::Instant::now();
+    let held = identity("clinic", "deadly");
+    for number in 0..3 {
+        let server = server_entry(&format!("c{number}"));
+        let ticket = table.begin(held, &server, LinkAge::Fresh, now);
+        now += MOMENT;
+        table.finish(ticket.expect("sent"), WorkEnd::Broken, now);
+        now += SECOND;
+    }
+    for number in 0..20_000 {
+        let request = identity("lab", &format!("text {number}"));
+        let server = server_entry(&format!("s{number}"));
+        let ticket = table.begin(request, &server, LinkAge::Fresh, now);
+        now += Duration::from_millis(1);
+        let end = if number % 2 == 0 {
+            WorkEnd::Broken
+        } else {
+            WorkEnd::Unjudged
+        };
+        table.finish(ticket.expect("sent"), end, now);
+    }
+    assert!(table.len() <= 1_024, "{}", table.len());
+    assert_eq!(table.held_count(), 1, "the other workspace's is kept");
+    assert!(table.take_events().len() <= 64);
+}
+
+// Keys change while nodes learn of it one after the other: what they tell each other still counts.
+#[test]
+fn change_of_the_keys_does_not_silence_the_nodes() {
+    let mut fleet = SuspectFleet::new(3, 2, 18);
+    let deadly = identity("lab", "deadly");
+    fleet.deadly.insert(deadly);
+    for node in [0, 3] {
+        fleet.nodes[node]
+            .table
+            .set_config(&config(2, &["key-1", "key-3"]));
+    }
+    send_until_held(&mut fleet, deadly);
+    assert_eq!(fleet.ends.len(), 3);
+}
+
+// What the talk of it costs: nothing while nothing ends, and a bounded number of bytes while a request is held
+// back, in a small fleet and in a large one.
+#[test]
+fn quiet_fleet_tells_nothing_of_it() {
+    for (nodes_each, most) in [(2, 60.0), (65, 60.0)] {
+        let mut fleet = SuspectFleet::new(3, nodes_each, 30);
+        let nodes = fleet.nodes.len() as f64;
+        let bytes_of = |fleet: &mut SuspectFleet| {
+            let before = fleet.bytes;
+            fleet.advance(SECOND * 5);
+            (fleet.bytes - before) as f64 / nodes / 5.0
+        };
+        let quiet = bytes_of(&mut fleet);
+        let deadly = identity("lab", "deadly");
+        fleet.deadly.insert(deadly);
+        while !fleet.all_hold(deadly) {
+            for node in 0..3 {
+                fleet.send(node, deadly);
+            }
+            fleet.advance(SECOND);
+        }
+        let held = bytes_of(&mut fleet);
+        println!(
+            "bytes a node and second: {quiet:.0} quiet, {held:.0} with one held back, {nodes} nodes"
+        );
+        assert!(held - quiet < most * 8.0, "{quiet:.0} and {held:.0} bytes");
+    }
+}
