quarantine: a broken connection is a doubt until the server's machine refuses the next one

Cause: each broken connection counted as the end of its server. Servers that break each connection and live (a bad release, a proxy before them) had a popular read held back for ten minutes after a fault of seconds: nothing is answered in between, and the runs come one after another. Ruled out: waiting for entries to lapse alone (up to three seconds, the whole contact time). Change: a run that breaks, or stays silent, waits in doubt. After a break the node opens a bare connection to the server, one for all that broke there: refused, the server ended; taken, it lives. Silence is explained by an entry that lapses.

--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -13,7 +13,7 @@
 };
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 
-use super::ports::{AnswerFacts, RequestFacts};
+use super::ports::{AnswerFacts, RequestFacts, WireFormat};
 use super::shared::WorkGuard;
 use crate::clock::Clock;
 use crate::link::HttpLink;
@@ -73,7 +73,7 @@
 }
 
 /// A server's answer, with its head.
-pub(crate) struct ServerAnswer<C: Clock, W> {
+pub(crate) struct ServerAnswer<C: Clock, W: WireFormat> {
     /// The head.
     pub(crate) head: response::Parts,
     /// The body, still to be read.
@@ -87,7 +87,7 @@
 }
 
 /// How an attempt ended.
-pub(crate) enum AttemptEnd<C: Clock, W> {
+pub(crate) enum AttemptEnd<C: Clock, W: WireFormat> {
     /// The server answers.
     Answer(Box<ServerAnswer<C, W>>),
     /// The server surely did not run the request.
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -8,14 +8,17 @@
 use async_executor::Executor;
 use event_listener::Event;
 use plumgate::gateway::{
-    EndSign, FreshnessLease, GatewayConfig, LinkAge, LoadTable, PlacementOptions, QuarantineTable,
-    RequestHold, RequestIdentity, RunTicket, ServerEntry, WindowBudget, WorkEnd, WorkTicket,
+    FreshnessLease, GatewayConfig, LinkAge, LoadTable, PlacementOptions, QuarantineTable,
+    RequestHold, RequestIdentity, RunFinding, RunTicket, ServerEntry, WindowBudget, WorkEnd,
+    WorkTicket,
 };
 
 use super::links::LinkPool;
 use super::lives::{ServerLife, ServerLives};
 use super::metrics::GatewayMetrics;
 use super::options::{GatewayBounds, GatewayOptions};
+use super::ports::WireFormat;
+use super::suspects::ask_server;
 use crate::clock::Clock;
 use crate::log::EventLog;
 use crate::shared::LifeView;
@@ -236,7 +239,7 @@
 }
 
 /// One request at a server; however it ends, the server's load is given back.
-pub(crate) struct WorkGuard<C: Clock, W> {
+pub(crate) struct WorkGuard<C: Clock, W: WireFormat> {
     shared: Arc<GatewayShared<C, W>>,
     server: ServerEntry,
     ticket: Option<WorkTicket>,
@@ -247,7 +250,7 @@
     life: Arc<ServerLife>,
 }
 
-impl<C: Clock, W> WorkGuard<C, W> {
+impl<C: Clock, W: WireFormat> WorkGuard<C, W> {
     /// A request goes to a server.
     pub(crate) fn new(
         shared: Arc<GatewayShared<C, W>>,
@@ -303,7 +306,7 @@
     }
 }
 
-impl<C: Clock, W> Drop for WorkGuard<C, W> {
+impl<C: Clock, W: WireFormat> Drop for WorkGuard<C, W> {
     fn drop(&mut self) {
         let now = self.shared.clock.now();
         if let Some(ticket) = self.ticket.take() {
@@ -311,14 +314,17 @@
         }
         if let Some(run) = self.run.take() {
             let identity = run.identity();
-            let sign = self.shared.quarantine().finish(run, self.end, now);
-            if let Some(sign) = sign {
-                self.shared.note_server_end(identity, &self.server, sign);
+            let finding = self.shared.quarantine().finish(run, self.end, now);
+            match finding {
+                RunFinding::Nothing => {}
+                RunFinding::AskServer => ask_server(&self.shared, &self.server),
+                RunFinding::ServerEnded(sign) => {
+                    self.shared.note_server_end(&[identity], &self.server, sign);
+                }
             }
         }
         if self.end == WorkEnd::Refused {
-            let mut quarantine = self.shared.quarantine();
-            quarantine.note_gone(&self.server, EndSign::Refused, now);
+            self.shared.note_refused(&self.server);
         }
         self.shared.log_suspects();
     }
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -32,7 +32,7 @@
 const SILENT: &str = "silent";
 
 /// A stream that is being relayed.
-pub(crate) struct StreamRelay<C: Clock, W> {
+pub(crate) struct StreamRelay<C: Clock, W: WireFormat> {
     run: RelayRun<C, W>,
     /// None while another server is looked for.
     source: Option<StreamSource<C, W>>,
@@ -42,7 +42,7 @@
 }
 
 /// The server that makes the stream.
-struct StreamSource<C: Clock, W> {
+struct StreamSource<C: Clock, W: WireFormat> {
     link: HttpLink,
     body: Incoming,
     work: WorkGuard<C, W>,
--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -1,38 +1,75 @@
 //! Requests that end servers: what operators see of them, and how they lift what is held against one.
 
 use std::fmt::Write;
+use std::sync::Arc;
 
 use hyper::{Method, Response, StatusCode};
 use plumgate::gateway::{EndSign, RequestIdentity, ServerEntry, SuspectEvent, SuspectState};
 
+use super::attempt::CONNECT_TIMEOUT;
 use super::metrics::ReasonLabels;
 use super::shared::GatewayShared;
 use crate::body::AnswerBody;
-use crate::clock::Clock;
-use crate::http::text_response;
+use crate::clock::{Clock, until};
+use crate::http::{open_stream, text_response};
 use crate::log::LogLine;
 
 /// The path under which operators find what is held back.
 pub(crate) const QUARANTINE_PATH: &str = "/quarantine";
 
+/// Asks a server whether it lives, by a bare connection, as one to it broke in the middle of an answer.
+///
+/// Its entry would show an end only seconds later; until then the next one would get the request.
+pub(crate) fn ask_server<C: Clock, W: Send + Sync + 'static>(
+    shared: &Arc<GatewayShared<C, W>>,
+    server: &ServerEntry,
+) {
+    let (asking, server) = (shared.clone(), server.clone());
+    let task = async move {
+        let opened = asking.clock.now();
+        let opening = open_stream(server.address);
+        let answer = until(&asking.clock, opened + CONNECT_TIMEOUT, opening).await;
+        match &answer {
+            Some(Ok(_)) => {
+                let now = asking.clock.now();
+                asking.quarantine().note_reached(&server, opened, now);
+            }
+            Some(Err(_)) => asking.note_refused(&server),
+            // It may be dark or cut off: its entry will show.
+            None => {}
+        }
+        asking.log_suspects();
+    };
+    shared.executor.spawn(task).detach();
+}
+
 impl<C: Clock, W> GatewayShared<C, W> {
-    /// A server is believed to have ended under a request of this node.
+    /// A server is believed to have ended under requests of this node.
     pub(crate) fn note_server_end(
         &self,
-        identity: RequestIdentity,
+        identities: &[RequestIdentity],
         server: &ServerEntry,
         sign: EndSign,
     ) {
         let labels = ReasonLabels {
             reason: sign.as_str(),
         };
-        self.metrics.server_ends.get_or_create(&labels).inc();
-        LogLine::new("server_end")
-            .with("digest", identity)
-            .with("server", &server.id)
-            .with("key", format!("{:08x}", server.incarnation_key()))
-            .with("sign", sign.as_str())
-            .info(&self.log);
+        for identity in identities {
+            self.metrics.server_ends.get_or_create(&labels).inc();
+            LogLine::new("server_end")
+                .with("digest", identity)
+                .with("server", &server.id)
+                .with("key", format!("{:08x}", server.incarnation_key()))
+                .with("sign", sign.as_str())
+                .info(&self.log);
+        }
+    }
+
+    /// A server's machine refused a connection.
+    pub(crate) fn note_refused(&self, server: &ServerEntry) {
+        let now = self.clock.now();
+        let ended = self.quarantine().note_gone(server, EndSign::Refused, now);
+        self.note_server_end(&ended, server, EndSign::Refused);
     }
 
     /// Logs and counts what has changed of requests that end servers.
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -319,7 +319,8 @@
         };
         let before = loads.entry(id);
         if let Some(before) = before.filter(|entry| entry.state == ServerState::Ready) {
-            self.shared.quarantine().note_gone(before, sign, now);
+            let ended = self.shared.quarantine().note_gone(before, sign, now);
+            self.shared.note_server_end(&ended, before, sign);
         }
     }
 
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -33,8 +33,8 @@
 pub use prompt::{PromptPart, PromptShape};
 pub use quarantine::{
     EndCount, EndSign, HOLD_TIME, HoldReason, IdentityHasher, LinkAge, QuarantineTable,
-    ReleaseReason, RequestHead, RequestHold, RequestIdentity, RequestVerdict, RunTicket,
-    SuspectEvent, SuspectState,
+    ReleaseReason, RequestHead, RequestHold, RequestIdentity, RequestVerdict, RunFinding,
+    RunTicket, SuspectEvent, SuspectState,
 };
 pub use servers::{ServerEntry, ServerState, ServerTable};
 pub use switches::{PolicyPart, PolicySwitches};
--- a/crates/plumgate/src/gateway/quarantine/doubts.rs
+++ b/crates/plumgate/src/gateway/quarantine/doubts.rs
@@ -1,4 +1,9 @@
-//! Runs that ended without an answer or a broken connection: their server may have gone dark under them.
+//! Runs that ended without a whole answer, until it shows whether their servers ended.
+//!
+//! A connection that breaks, or that stays silent, is no end of a server: a bad release or a proxy may break
+//! each connection of servers that live, and callers leave all the time. Held back for that, a popular
+//! read would be out of service for minutes after a fault of seconds. Each run waits here until the server's
+//! machine refuses a connection, or its entry lapses, or until it answers.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -8,30 +13,36 @@
 
 /// Runs that are remembered.
 const RUNS_MOST: usize = 256;
-/// Servers that are remembered as gone.
-const GONE_MOST: usize = 256;
+/// Servers that are remembered as gone, or that are being asked.
+const SERVERS_MOST: usize = 256;
 /// How long each is: entries of servers that went dark lapse within three seconds.
 const MEMORY: Duration = Duration::from_secs(8);
+/// How long a server that is being asked is not asked again: longer than a connection may take.
+const ASKING: Duration = Duration::from_millis(400);
 
-/// A run whose server may have gone dark.
+/// A run whose server may have ended.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct SilentRun {
+pub(crate) struct DoubtfulRun {
     pub(crate) identity: RequestIdentity,
     pub(crate) server: ServerKey,
     pub(crate) began: Instant,
     pub(crate) ended: Instant,
 }
 
-/// Silent runs, and servers whose entries lapsed, until one explains the other.
+/// Servers and when something was noted of them, the newest last.
+type ServerQueue = VecDeque<(ServerKey, Instant)>;
+
+/// Runs in doubt, and servers that are gone, until one explains the other.
 #[derive(Debug, Default)]
 pub(crate) struct DoubtQueue {
-    runs: VecDeque<SilentRun>,
-    gone: VecDeque<(ServerKey, Instant)>,
+    runs: VecDeque<DoubtfulRun>,
+    gone: ServerQueue,
+    asked: ServerQueue,
 }
 
 impl DoubtQueue {
-    /// A run ended in silence. Tells whether its server is gone already.
-    pub(crate) fn note_run(&mut self, run: SilentRun, now: Instant) -> bool {
+    /// A run ended in doubt. Tells whether its server is gone already.
+    pub(crate) fn note_run(&mut self, run: DoubtfulRun, now: Instant) -> bool {
         self.forget(now);
         if self.gone.iter().any(|(server, _)| *server == run.server) {
             return true;
@@ -60,14 +71,26 @@
         }
     }
 
+    /// Whether a server should be asked now whether it lives: many runs break at once where one ends.
+    pub(crate) fn ask(&mut self, server: ServerKey, now: Instant) -> bool {
+        let is_asked = self
+            .asked
+            .iter()
+            .any(|(held, at)| *held == server && now.saturating_duration_since(*at) < ASKING);
+        if !is_asked {
+            push(&mut self.asked, server, now);
+        }
+        !is_asked
+    }
+
     /// A server is gone; gives back the runs that it explains.
-    pub(crate) fn note_gone(&mut self, server: ServerKey, now: Instant) -> Vec<SilentRun> {
+    pub(crate) fn note_gone(&mut self, server: ServerKey, now: Instant) -> Vec<DoubtfulRun> {
         self.forget(now);
-        if self.gone.len() >= GONE_MOST {
-            self.gone.pop_front();
+        self.asked.retain(|(asked, _)| *asked != server);
+        if !self.gone.iter().any(|(gone, _)| *gone == server) {
+            push(&mut self.gone, server, now);
         }
-        self.gone.push_back((server, now));
-        self.take_runs(server)
+        self.take_runs(|run| run.server == server)
     }
 
     /// A server's entry is there again.
@@ -75,23 +98,22 @@
         self.gone.retain(|(gone, _)| *gone != server);
     }
 
-    /// The runs at a server.
-    pub(crate) fn take_runs(&mut self, server: ServerKey) -> Vec<SilentRun> {
-        let (taken, kept): (VecDeque<_>, _) =
-            self.runs.drain(..).partition(|run| run.server == server);
-        self.runs = kept;
-        taken.into()
-    }
-
-    /// A server lives that took a request at a moment: what ended before that was not its end.
-    pub(crate) fn note_alive(&mut self, server: ServerKey, began: Instant) {
+    /// A server lives that took something at a moment: what ended before that was not its end. Gives back the
+    /// runs that this explains.
+    pub(crate) fn note_alive(&mut self, server: ServerKey, began: Instant) -> Vec<DoubtfulRun> {
         if !self.gone.is_empty() {
             self.note_back(server);
         }
-        if !self.runs.is_empty() {
-            self.runs
-                .retain(|run| run.server != server || run.ended > began);
+        if self.runs.is_empty() {
+            return Vec::new();
         }
+        self.take_runs(|run| run.server == server && run.ended <= began)
+    }
+
+    fn take_runs(&mut self, is_meant: impl Fn(&DoubtfulRun) -> bool) -> Vec<DoubtfulRun> {
+        let (taken, kept): (VecDeque<_>, _) = self.runs.drain(..).partition(is_meant);
+        self.runs = kept;
+        taken.into()
     }
 
     fn forget(&mut self, now: Instant) {
@@ -99,8 +121,17 @@
         while self.runs.front().is_some_and(|run| is_old(run.ended)) {
             self.runs.pop_front();
         }
-        while self.gone.front().is_some_and(|(_, at)| is_old(*at)) {
-            self.gone.pop_front();
+        for servers in [&mut self.gone, &mut self.asked] {
+            while servers.front().is_some_and(|(_, at)| is_old(*at)) {
+                servers.pop_front();
+            }
         }
     }
 }
+
+fn push(servers: &mut ServerQueue, server: ServerKey, now: Instant) {
+    if servers.len() >= SERVERS_MOST {
+        servers.pop_front();
+    }
+    servers.push_back((server, now));
+}
--- a/crates/plumgate/src/gateway/quarantine/evidence.rs
+++ b/crates/plumgate/src/gateway/quarantine/evidence.rs
@@ -13,24 +13,21 @@
 /// Why a server is believed to have ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum EndSign {
-    /// The connection broke before the answer was whole.
-    Broken,
+    /// The answer broke off or did not come, and the server's machine refused the next connection.
+    Refused,
+    /// The same, and the server's entry lapsed without its having drained.
+    Lapsed,
     /// The server's entry was written by a later start.
     Restarted,
-    /// No answer came, and the server's entry lapsed without its having drained.
-    Lapsed,
-    /// No answer came, and the server's machine refused the next connection.
-    Refused,
 }
 
 impl EndSign {
     /// The name used in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Broken => "broken",
-            Self::Restarted => "restarted",
-            Self::Lapsed => "lapsed",
             Self::Refused => "refused",
+            Self::Lapsed => "lapsed",
+            Self::Restarted => "restarted",
         }
     }
 }
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -3,13 +3,14 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use super::doubts::{DoubtQueue, SilentRun};
+use super::doubts::{DoubtQueue, DoubtfulRun};
 use super::evidence::{EndCount, EndEvidence, EndHistory, EndSign};
 use super::identity::RequestIdentity;
 use super::notice::{NoticeKeys, TELL_ROUNDS};
 use super::rule::{HOLD_TIME, SuspectState, TURN, has_turn};
 use super::verdict::{
-    HoldReason, LinkAge, ReleaseReason, RequestHold, RequestVerdict, RunTicket, SuspectEvent,
+    HoldReason, LinkAge, ReleaseReason, RequestHold, RequestVerdict, RunFinding, RunTicket,
+    SuspectEvent,
 };
 use crate::gateway::config::GatewayConfig;
 use crate::gateway::exchange::messages::{ServerKey, server_key};
@@ -149,83 +150,88 @@
         })
     }
 
-    /// A request that was sent has ended. Tells why the server is believed to have ended under it.
+    /// A request that was sent has ended.
     ///
     /// What broke on a kept connection before any answer says nothing: the server may have ended before.
-    pub fn finish(&mut self, ticket: RunTicket, end: WorkEnd, now: Instant) -> Option<EndSign> {
-        if let Some(record) = self.records.get_mut(&ticket.identity) {
-            record.running_since = None;
+    pub fn finish(&mut self, ticket: RunTicket, end: WorkEnd, now: Instant) -> RunFinding {
+        let is_in_doubt = ticket.is_reached
+            && matches!(end, WorkEnd::Broken | WorkEnd::Silent | WorkEnd::Unjudged);
+        if is_in_doubt {
+            return self.doubt(&ticket, end, now);
         }
+        self.note_over(ticket.identity);
         match end {
             WorkEnd::Answered => {
                 self.note_alive(ticket.server, ticket.began, now);
                 self.release(ticket.identity, ReleaseReason::Answered, now);
-                None
             }
             WorkEnd::Failed | WorkEnd::Full => {
                 self.note_alive(ticket.server, ticket.began, now);
-                None
-            }
-            WorkEnd::Broken if ticket.is_reached => {
-                self.believe(&ticket, EndSign::Broken, now);
-                Some(EndSign::Broken)
             }
             WorkEnd::Restarted => {
-                self.believe(&ticket, EndSign::Restarted, now);
-                Some(EndSign::Restarted)
-            }
-            WorkEnd::Silent | WorkEnd::Unjudged if ticket.is_reached => {
-                let run = SilentRun {
-                    identity: ticket.identity,
-                    server: ticket.server,
-                    began: ticket.began,
-                    ended: now,
-                };
-                let is_gone = self.doubts.note_run(run, now);
-                is_gone.then(|| {
-                    self.believe(&ticket, EndSign::Lapsed, now);
-                    EndSign::Lapsed
-                })
+                self.believe(ticket.run(now), EndSign::Restarted, now);
+                return RunFinding::ServerEnded(EndSign::Restarted);
             }
             WorkEnd::Broken
             | WorkEnd::Silent
             | WorkEnd::Unjudged
             | WorkEnd::Unsent
             | WorkEnd::Refused
-            | WorkEnd::Unreachable => None,
+            | WorkEnd::Unreachable => {}
+        }
+        RunFinding::Nothing
+    }
+
+    fn doubt(&mut self, ticket: &RunTicket, end: WorkEnd, now: Instant) -> RunFinding {
+        let run = ticket.run(now);
+        if self.doubts.note_run(run, now) {
+            self.believe(run, EndSign::Lapsed, now);
+            return RunFinding::ServerEnded(EndSign::Lapsed);
+        }
+        // What only stayed silent may go on for long, and a caller that left says nothing of the server. A
+        // server that went dark shows by its entry.
+        if end != WorkEnd::Broken {
+            self.note_over(ticket.identity);
+            return RunFinding::Nothing;
+        }
+        if self.doubts.ask(ticket.server, now) {
+            return RunFinding::AskServer;
+        }
+        RunFinding::Nothing
+    }
+
+    /// A request that goes one by one is no longer at a server.
+    fn note_over(&mut self, identity: RequestIdentity) {
+        if let Some(record) = self.records.get_mut(&identity) {
+            record.running_since = None;
         }
     }
 
-    fn believe(&mut self, ticket: &RunTicket, sign: EndSign, now: Instant) {
+    fn believe(&mut self, run: DoubtfulRun, sign: EndSign, now: Instant) {
+        self.note_over(run.identity);
         let evidence = EndEvidence {
-            server: ticket.server,
+            server: run.server,
             sign,
-            began: ticket.began,
-            ended: now,
+            began: run.began,
+            ended: run.ended,
             is_refuted: false,
         };
-        self.take_evidence(ticket.identity, evidence, true, now);
+        self.take_evidence(run.identity, evidence, true, now);
     }
 
-    /// A server went without having drained, or its machine refuses connections: what ended in silence
-    /// there was its end.
-    pub fn note_gone(&mut self, server: &ServerEntry, sign: EndSign, now: Instant) {
-        let key = server_key(server);
-        let runs = match sign {
-            // A refused connection alone may be a moment's matter.
-            EndSign::Refused => self.doubts.take_runs(key),
-            _ => self.doubts.note_gone(key, now),
-        };
-        for run in runs {
-            let evidence = EndEvidence {
-                server: key,
-                sign,
-                began: run.began,
-                ended: run.ended,
-                is_refuted: false,
-            };
-            self.take_evidence(run.identity, evidence, true, now);
+    /// A server went without having drained, started again, or its machine refuses connections: what ended there in
+    /// doubt was its end. Gives back the requests.
+    pub fn note_gone(
+        &mut self,
+        server: &ServerEntry,
+        sign: EndSign,
+        now: Instant,
+    ) -> Vec<RequestIdentity> {
+        let runs = self.doubts.note_gone(server_key(server), now);
+        for run in &runs {
+            self.believe(*run, sign, now);
         }
+        runs.iter().map(|run| run.identity).collect()
     }
 
     /// A server's entry is there again that had gone.
@@ -233,9 +239,16 @@
         self.doubts.note_back(server_key(server));
     }
 
+    /// A server took a connection that was opened at a moment.
+    pub fn note_reached(&mut self, server: &ServerEntry, opened: Instant, now: Instant) {
+        self.note_alive(server_key(server), opened, now);
+    }
+
     /// A server answered something that was sent at a moment.
     fn note_alive(&mut self, server: ServerKey, began: Instant, now: Instant) {
-        self.doubts.note_alive(server, began);
+        for run in self.doubts.note_alive(server, began) {
+            self.note_over(run.identity);
+        }
         let Some(ended) = self.ended.get(&server).copied() else {
             return;
         };
--- a/crates/plumgate/src/gateway/quarantine/verdict.rs
+++ b/crates/plumgate/src/gateway/quarantine/verdict.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::doubts::DoubtfulRun;
 use super::evidence::{EndCount, EndSign};
 use super::identity::RequestIdentity;
 use super::rule::SuspectState;
@@ -57,7 +58,28 @@
     pub(crate) is_reached: bool,
 }
 
+/// What the end of a run leaves to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunFinding {
+    /// Nothing.
+    Nothing,
+    /// The connection broke: whether the server takes another one shows whether it ended.
+    AskServer,
+    /// The server ended under the request.
+    ServerEnded(EndSign),
+}
+
 impl RunTicket {
+    /// The run, as it ended.
+    pub(crate) fn run(&self, now: Instant) -> DoubtfulRun {
+        DoubtfulRun {
+            identity: self.identity,
+            server: self.server,
+            began: self.began,
+            ended: now,
+        }
+    }
+
     /// The request that runs.
     pub fn identity(&self) -> RequestIdentity {
         self.identity
