quarantine: verdicts outlive the end of all nodes

Cause: what nodes know of a request ended with them. Ruled out: a topic of its own to read at the start (one call more a node); sealing the rows (the keys of a configuration change, and who may write to the store is trusted). Change: the node that sees the deciding end writes the verdict beside the register of nodes, which each node reads at its start anyway: one write for a verdict, no call more otherwise.

--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -14,6 +14,7 @@
 use super::ports::FleetSource;
 use super::shared::GatewayShared;
 use super::source_calls::{CallCause, CallTopic, note_source_call};
+use super::verdicts::VerdictKeeper;
 use super::view::FleetView;
 use crate::clock::Clock;
 use crate::log::LogLine;
@@ -39,6 +40,7 @@
     socket: Async<UdpSocket>,
     own: NodeEntry,
     exchange: RefCell<LoadExchange>,
+    verdicts: VerdictKeeper<C, W>,
     /// The node that collects for this data centre.
     collector: RefCell<Option<NodeId>>,
     /// Whether the register has been read.
@@ -68,6 +70,7 @@
         };
         Some(Self {
             exchange: RefCell::new(LoadExchange::new(own.clone())),
+            verdicts: VerdictKeeper::new(shared.clone()),
             collector: RefCell::default(),
             has_register: Cell::new(false),
             shared,
@@ -94,6 +97,10 @@
             .detach();
         let talking = link.clone();
         executor.spawn(async move { talking.talk().await }).detach();
+        let (keeper, keeping) = (link.clone(), source.clone());
+        executor
+            .spawn(async move { keeper.verdicts.run(keeping).await })
+            .detach();
         executor
             .spawn(async move { link.keep_register(source).await })
             .detach();
@@ -144,7 +151,9 @@
                 let mut quarantine = self.shared.quarantine();
                 let refused = quarantine.swap_news(&mut exchange, moment.now, unix_ms);
                 self.shared.metrics.peer_refused.inc_by(refused);
+                let changes = quarantine.take_changes();
                 drop(quarantine);
+                self.verdicts.note(changes);
                 exchange.tick(loads.own_work(), &mut self.view.news(), moment)
             };
             self.shared.log_suspects();
@@ -202,9 +211,10 @@
         let nodes = source.nodes().await;
         self.note_call(nodes.is_ok());
         match nodes {
-            Ok(nodes) => {
-                self.exchange.borrow_mut().set_nodes(nodes);
+            Ok(register) => {
+                self.exchange.borrow_mut().set_nodes(register.nodes);
                 self.has_register.set(true);
+                self.verdicts.take(&register.verdicts);
                 true
             }
             Err(error) => {
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod source_calls;
 mod stream;
 mod suspects;
+mod verdicts;
 mod view;
 mod view_copies;
 
--- a/crates/plumgate-node/src/gateway/ports.rs
+++ b/crates/plumgate-node/src/gateway/ports.rs
@@ -10,7 +10,7 @@
 use hyper::{HeaderMap, StatusCode};
 use plumgate::FindingList;
 pub use plumgate::gateway::SourceTopic;
-use plumgate::gateway::{GatewayConfig, NodeEntry, PromptShape, ServerEntry};
+use plumgate::gateway::{GatewayConfig, KeptVerdict, NodeEntry, PromptShape, ServerEntry};
 use plumgate::ids::{ServerId, WorkspaceId};
 
 /// One change that the source tells of.
@@ -66,6 +66,15 @@
     }
 }
 
+/// What the fleet's nodes have written for each other.
+#[derive(Clone, Debug, Default)]
+pub struct FleetRegister {
+    /// The nodes.
+    pub nodes: Vec<NodeEntry>,
+    /// Requests that are held back as they end servers.
+    pub verdicts: Vec<KeptVerdict>,
+}
+
 /// Where a fleet's configuration and servers are read from.
 pub trait FleetSource: Clone + 'static {
     /// Reads all of a topic as of one moment.
@@ -89,8 +98,14 @@
     /// Takes this node out of the register.
     fn unregister(&mut self, node: &NodeEntry) -> impl Future<Output = Result<(), SourceError>>;
 
-    /// Reads the nodes that have registered.
-    fn nodes(&mut self) -> impl Future<Output = Result<Vec<NodeEntry>, SourceError>>;
+    /// Reads the nodes that have registered, and the verdicts that are kept with them: one call for both.
+    fn nodes(&mut self) -> impl Future<Output = Result<FleetRegister, SourceError>>;
+
+    /// Keeps a verdict for nodes that start.
+    fn keep(&mut self, verdict: &KeptVerdict) -> impl Future<Output = Result<(), SourceError>>;
+
+    /// Drops a verdict by its name.
+    fn forget(&mut self, name: &str) -> impl Future<Output = Result<(), SourceError>>;
 }
 
 /// What a caller's request says of itself.
--- a/crates/plumgate-node/src/gateway/source_calls.rs
+++ b/crates/plumgate-node/src/gateway/source_calls.rs
@@ -44,6 +44,8 @@
     Followed(SourceTopic),
     /// The register of nodes.
     Nodes,
+    /// Requests that are held back.
+    Verdicts,
 }
 
 impl CallTopic {
@@ -52,6 +54,7 @@
         match self {
             Self::Followed(topic) => topic.as_str(),
             Self::Nodes => "nodes",
+            Self::Verdicts => "verdicts",
         }
     }
 }
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -32,9 +32,9 @@
 pub use placement::{LoadTable, PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
 pub use prompt::{PromptPart, PromptShape};
 pub use quarantine::{
-    EndCount, EndSign, HOLD_TIME, HoldReason, IdentityHasher, LinkAge, QuarantineTable,
-    ReleaseReason, RequestHead, RequestHold, RequestIdentity, RequestVerdict, RunFinding,
-    RunTicket, SuspectEvent, SuspectState,
+    EndCount, EndSign, HOLD_TIME, HoldReason, IdentityHasher, KeepChange, KeptVerdict, LinkAge,
+    QuarantineTable, ReleaseReason, RequestHead, RequestHold, RequestIdentity, RequestVerdict,
+    RunFinding, RunTicket, SuspectEvent, SuspectState,
 };
 pub use servers::{ServerEntry, ServerState, ServerTable};
 pub use switches::{PolicyPart, PolicySwitches};
--- a/crates/plumgate/src/gateway/quarantine/evidence.rs
+++ b/crates/plumgate/src/gateway/quarantine/evidence.rs
@@ -48,6 +48,19 @@
     pub(crate) is_refuted: bool,
 }
 
+/// Whence evidence comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EvidenceSource {
+    /// This node saw it.
+    Own,
+    /// Another node told it, and this one tells it on.
+    ToldOn,
+    /// Another node told it.
+    Told,
+    /// The store kept it.
+    Store,
+}
+
 /// The ends of servers under one request.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EndHistory {
--- a/crates/plumgate/src/gateway/quarantine/identity.rs
+++ b/crates/plumgate/src/gateway/quarantine/identity.rs
@@ -78,6 +78,11 @@
         self.workspace == other.workspace
     }
 
+    /// The whole of it as a text, by which it is kept.
+    pub(crate) fn name(&self) -> String {
+        format!("{:016x}{:032x}", self.workspace, self.content)
+    }
+
     /// A number by which nodes are ranked for it.
     pub(crate) fn rank_seed(&self) -> u64 {
         self.content as u64
--- a/crates/plumgate/src/gateway/quarantine/mod.rs
+++ b/crates/plumgate/src/gateway/quarantine/mod.rs
@@ -9,6 +9,7 @@
 mod doubts;
 mod evidence;
 mod identity;
+mod keeping;
 mod notice;
 mod rule;
 mod table;
@@ -20,6 +21,6 @@
 pub use rule::{HOLD_TIME, SuspectState};
 pub use table::QuarantineTable;
 pub use verdict::{
-    HoldReason, LinkAge, ReleaseReason, RequestHold, RequestVerdict, RunFinding, RunTicket,
-    SuspectEvent,
+    HoldReason, KeepChange, KeptVerdict, LinkAge, ReleaseReason, RequestHold, RequestVerdict,
+    RunFinding, RunTicket, SuspectEvent,
 };
--- a/crates/plumgate/src/gateway/quarantine/notice.rs
+++ b/crates/plumgate/src/gateway/quarantine/notice.rs
@@ -44,12 +44,26 @@
     ends: Vec<ToldEnd>,
 }
 
-/// What is sealed.
+/// Reports with the time of day at which they were packed.
 #[derive(Debug, Serialize, Deserialize)]
-struct NoticeBody {
-    /// When it was sealed, in milliseconds of the Unix epoch.
-    sent_ms: u64,
-    reports: Vec<SuspectReport>,
+pub(crate) struct NoticeBody {
+    /// When that was, in milliseconds of the Unix epoch.
+    pub(crate) sent_ms: u64,
+    pub(crate) reports: Vec<SuspectReport>,
+}
+
+/// Packs reports.
+pub(crate) fn pack(reports: Vec<SuspectReport>, unix_ms: u64) -> Result<Vec<u8>> {
+    let body = NoticeBody {
+        sent_ms: unix_ms,
+        reports,
+    };
+    postcard::to_stdvec(&body).map_err(|_| Error::MalformedMessage)
+}
+
+/// Unpacks what was packed.
+pub(crate) fn unpack(bytes: &[u8]) -> Result<NoticeBody> {
+    postcard::from_bytes(bytes).map_err(|_| Error::MalformedMessage)
 }
 
 impl SuspectReport {
@@ -121,11 +135,7 @@
     /// They are sealed by the newest key and by the one before: a node that has not heard of a change of the
     /// keys yet has only that one.
     pub(crate) fn seal(&self, reports: Vec<SuspectReport>, unix_ms: u64) -> Vec<Vec<u8>> {
-        let body = NoticeBody {
-            sent_ms: unix_ms,
-            reports,
-        };
-        let Ok(packed) = postcard::to_stdvec(&body) else {
+        let Ok(packed) = pack(reports, unix_ms) else {
             return Vec::new();
         };
         let newest = self.keys.iter().take(2);
@@ -141,7 +151,7 @@
             .iter()
             .find_map(|(_, key)| key.open_bytes(sealed).ok());
         let packed = opened.ok_or(Error::ForgedMessage)?;
-        let body: NoticeBody = postcard::from_bytes(packed).map_err(|_| Error::MalformedMessage)?;
+        let body = unpack(packed)?;
         // What a notice says is told by ages: kept back and sent later it would be about other moments.
         let distance = body.sent_ms.abs_diff(unix_ms);
         if distance > TIME_BOUND_MS {
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -4,13 +4,13 @@
 use std::time::{Duration, Instant};
 
 use super::doubts::{DoubtQueue, DoubtfulRun};
-use super::evidence::{EndCount, EndEvidence, EndHistory, EndSign};
+use super::evidence::{EndCount, EndEvidence, EndHistory, EndSign, EvidenceSource};
 use super::identity::RequestIdentity;
 use super::notice::{NoticeKeys, TELL_ROUNDS};
 use super::rule::{HOLD_TIME, SuspectState, TURN, has_turn};
 use super::verdict::{
-    HoldReason, LinkAge, ReleaseReason, RequestHold, RequestVerdict, RunFinding, RunTicket,
-    SuspectEvent,
+    HoldReason, KeepChange, LinkAge, ReleaseReason, RequestHold, RequestVerdict, RunFinding,
+    RunTicket, SuspectEvent,
 };
 use crate::gateway::config::GatewayConfig;
 use crate::gateway::exchange::messages::{ServerKey, server_key};
@@ -60,6 +60,8 @@
     /// When all that is not free was told last.
     pub(crate) retold_at: Option<Instant>,
     events: Vec<SuspectEvent>,
+    /// Changes that the store has not been told of.
+    pub(crate) changes: Vec<KeepChange>,
 }
 
 impl QuarantineTable {
@@ -74,6 +76,7 @@
             nodes: 1,
             retold_at: None,
             events: Vec::new(),
+            changes: Vec::new(),
         }
     }
 
@@ -216,7 +219,7 @@
             ended: run.ended,
             is_refuted: false,
         };
-        self.take_evidence(run.identity, evidence, true, now);
+        self.take_evidence(run.identity, evidence, EvidenceSource::Own, now);
     }
 
     /// A server went without having drained, started again, or its machine refuses connections: what ended there in
@@ -274,9 +277,13 @@
         let Some(record) = self.records.get_mut(&identity) else {
             return;
         };
-        if record.history.refute_all() {
-            record.tell_rounds = TELL_ROUNDS;
-            self.update(identity, reason, now);
+        if !record.history.refute_all() {
+            return;
+        }
+        record.tell_rounds = TELL_ROUNDS;
+        let before = self.update(identity, reason, now);
+        if before == SuspectState::HeldBack {
+            self.note_change(KeepChange::Forget(identity.name()));
         }
     }
 
@@ -298,7 +305,7 @@
         &mut self,
         identity: RequestIdentity,
         evidence: EndEvidence,
-        is_told: bool,
+        source: EvidenceSource,
         now: Instant,
     ) -> bool {
         if !self.records.contains_key(&identity) {
@@ -308,21 +315,35 @@
         if !record.history.add(evidence) {
             return false;
         }
-        if is_told {
+        if matches!(source, EvidenceSource::Own | EvidenceSource::ToldOn) {
             record.tell_rounds = TELL_ROUNDS;
         }
         if !evidence.is_refuted {
             let ended = self.ended.entry(evidence.server).or_insert(evidence.ended);
             *ended = (*ended).max(evidence.ended);
         }
-        self.update(identity, ReleaseReason::Refuted, now);
+        let before = self.update(identity, ReleaseReason::Refuted, now);
+        let is_held = self.state(identity) == SuspectState::HeldBack;
+        if source == EvidenceSource::Own && is_held && before != SuspectState::HeldBack {
+            self.note_change(KeepChange::Keep(identity));
+        }
         true
     }
 
-    /// Judges a request anew.
-    fn update(&mut self, identity: RequestIdentity, reason: ReleaseReason, now: Instant) {
+    fn state(&self, identity: RequestIdentity) -> SuspectState {
+        let record = self.records.get(&identity);
+        record.map(|record| record.state).unwrap_or_default()
+    }
+
+    /// Judges a request anew, and gives back the state that it had.
+    fn update(
+        &mut self,
+        identity: RequestIdentity,
+        reason: ReleaseReason,
+        now: Instant,
+    ) -> SuspectState {
         let Some(record) = self.records.get_mut(&identity) else {
-            return;
+            return SuspectState::Free;
         };
         let count = record.history.count();
         let state = SuspectState::judge(count);
@@ -330,7 +351,7 @@
         // The order in which nodes have their turn is drawn anew at each end.
         record.place = None;
         if before == state {
-            return;
+            return before;
         }
         let is_less = (before, state) == (SuspectState::HeldBack, SuspectState::OneByOne)
             || state == SuspectState::Free;
@@ -348,6 +369,7 @@
         if self.events.len() < EVENTS_MOST {
             self.events.push(event);
         }
+        before
     }
 
     /// Makes room for one more request: the workspace that has most of them gives way to itself, so that
--- a/crates/plumgate/src/gateway/quarantine/telling.rs
+++ b/crates/plumgate/src/gateway/quarantine/telling.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::evidence::EvidenceSource;
 use super::notice::{REPORTS_MOST, SuspectReport};
 use super::rule::{HOLD_TIME, SuspectState};
 use super::table::QuarantineTable;
@@ -76,11 +77,16 @@
     /// Takes in what another node told; `passes_on` where this node tells it to others.
     fn hear(&mut self, notice: &HeardNotice, passes_on: bool, unix_ms: u64) -> Result<()> {
         let now = notice.came_at;
+        let source = if passes_on {
+            EvidenceSource::ToldOn
+        } else {
+            EvidenceSource::Told
+        };
         for report in self.keys.open(&notice.sealed, unix_ms)? {
             for evidence in report.ends(now) {
                 let is_old = now.saturating_duration_since(evidence.ended) > HOLD_TIME;
                 if !is_old {
-                    self.take_evidence(report.identity, evidence, passes_on, now);
+                    self.take_evidence(report.identity, evidence, source, now);
                 }
             }
         }
--- a/crates/plumgate/src/gateway/quarantine/verdict.rs
+++ b/crates/plumgate/src/gateway/quarantine/verdict.rs
@@ -139,3 +139,21 @@
     /// The evidence: a server's digest, the sign, milliseconds since the end.
     pub evidence: Vec<(ServerKey, EndSign, u64)>,
 }
+
+/// A verdict, as the fleet's store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeptVerdict {
+    /// Names the request.
+    pub name: String,
+    /// What is known of it, with the time of day. Not sealed: whoever may write to the store is trusted.
+    pub bytes: Vec<u8>,
+}
+
+/// What is to be changed in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeepChange {
+    /// A request is held back.
+    Keep(RequestIdentity),
+    /// It no longer is.
+    Forget(String),
+}
--- a/crates/plumgate/tests/gateway_quarantine.rs
+++ b/crates/plumgate/tests/gateway_quarantine.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use plumgate::gateway::{
-    EndSign, HOLD_TIME, HoldReason, LinkAge, QuarantineTable, RequestIdentity, RunFinding,
-    ServerEntry, ServerState, SuspectState, WorkEnd,
+    EndSign, HOLD_TIME, HoldReason, KeepChange, KeptVerdict, LinkAge, QuarantineTable,
+    RequestIdentity, RequestVerdict, RunFinding, ServerEntry, ServerState, SuspectState, WorkEnd,
 };
 
 use entries::server_entry;
@@ -442,6 +442,42 @@
     assert!(fleet.all_hold(other));
 }
 
+// All nodes end at the same moment. What the store keeps brings the verdict back, as old as it is; one whose
+// time is over, and bytes that make no sense, hold nothing back.
+#[test]
+fn kept_verdict_comes_back_and_grows_old() {
+    let mut table = lone_table();
+    let request = identity("lab", "deadly");
+    let mut now = Instant::now();
+    for number in 0..3 {
+        let server = server_entry(&format!("s{number}"));
+        end_under(&mut table, request, &server, now, now + MOMENT);
+        now += SECOND * 4;
+    }
+    let changes = table.take_changes();
+    assert_eq!(changes, [KeepChange::Keep(request)]);
+    let kept = table.kept(request, now, 1_000_000).expect("a verdict");
+    let mut next = lone_table();
+    let later = now + SECOND * 20;
+    assert_eq!(next.take_kept(&kept, later, 1_020_000), Ok(true));
+    let RequestVerdict::Hold(hold) = next.judge(request, later) else {
+        panic!("held back");
+    };
+    assert!(hold.retry_after < HOLD_TIME - SECOND * 20);
+    assert!(next.take_changes().is_empty(), "it is in the store already");
+    let mut late = lone_table();
+    let far = now + HOLD_TIME;
+    assert_eq!(late.take_kept(&kept, far, 1_000_000 + 600_000), Ok(false));
+    assert!(late.is_empty());
+    let foreign = KeptVerdict {
+        bytes: b"{}".to_vec(),
+        ..kept
+    };
+    assert!(late.take_kept(&foreign, far, 1_000_000).is_err());
+    table.lift(&request.to_string(), now);
+    assert!(matches!(table.take_changes()[..], [KeepChange::Forget(_)]));
+}
+
 // One by one means one: all nodes get the request at the same moment, again and again.
 #[test]
 fn request_in_doubt_runs_at_one_node_at_a_time() {
