--- a/crates/plumgate-standin/src/link.rs
+++ b/crates/plumgate-standin/src/link.rs
@@ -16,6 +16,8 @@
 const PIECE: usize = 16 * 1024;
 /// Set while new connections are refused.
 const REFUSES: u64 = 1;
+/// Set once nobody listens any more.
+const CLOSED: u64 = 2;
 
 /// What has happened to a link so far.
 #[derive(Debug, Default)]
@@ -67,7 +69,7 @@
 
     /// Lets new connections through again.
     pub fn mend(&self) {
-        self.state.flags.store(0, Ordering::SeqCst);
+        self.state.flags.fetch_and(CLOSED, Ordering::SeqCst);
         self.state.cut_after.store(0, Ordering::SeqCst);
         self.state.delay_ms.store(0, Ordering::SeqCst);
     }
@@ -85,10 +87,17 @@
 
     /// Cuts all connections and refuses new ones.
     pub fn cut(&self) {
-        self.state.flags.store(REFUSES, Ordering::SeqCst);
+        self.state.flags.fetch_or(REFUSES, Ordering::SeqCst);
         self.drop_connections();
     }
 
+    /// Ends the link for good: nobody listens any more, so that machines refuse new connections, and then the
+    /// open ones are cut.
+    pub fn close(&self) {
+        self.state.flags.fetch_or(CLOSED, Ordering::SeqCst);
+        self.state.changed.notify(usize::MAX);
+    }
+
     /// Cuts the open connections; new ones work.
     pub fn drop_connections(&self) {
         let accepted = self.state.accepted.load(Ordering::SeqCst);
@@ -116,7 +125,17 @@
     state: Arc<LinkState>,
 ) {
     loop {
-        let Ok((client, _)) = listener.accept().await else {
+        let changed = state.changed.listen();
+        let flags = state.flags.load(Ordering::SeqCst);
+        if flags & CLOSED != 0 {
+            break;
+        }
+        let accepting = async { Some(listener.accept().await) };
+        let changing = async {
+            changed.await;
+            None
+        };
+        let Some(Ok((client, _))) = future::or(changing, accepting).await else {
             continue;
         };
         if state.flags.load(Ordering::SeqCst) & REFUSES != 0 {
@@ -126,6 +145,12 @@
         let carried = carry(client, to, number, state.clone());
         executor.spawn(carried).detach();
     }
+    drop(listener);
+    let accepted = state.accepted.load(Ordering::SeqCst);
+    state.cut_below.store(accepted, Ordering::SeqCst);
+    state.changed.notify(usize::MAX);
+    // What is open still has to be closed by whoever carries it.
+    future::pending().await
 }
 
 async fn carry(client: Async<TcpStream>, to: SocketAddr, number: u64, state: Arc<LinkState>) {
