tests: four safeguards of the quarantine that their tests did not miss

Cause: scripts/red showed four of sixteen safeguards whose tests stayed green without them: an answer cleared the request before the server's sign of life could, notices of strangers were refused for their time of day already, a repeat's harm showed only at the next end, and the other workspace's only request was held back, which never gives way. Change: the four tests. None asks for less.

--- a/crates/plumgate/tests/gateway_quarantine.rs
+++ b/crates/plumgate/tests/gateway_quarantine.rs
@@ -291,7 +291,6 @@
     let mut fleet = SuspectFleet::new(2, 2, 6);
     let request = identity("lab", "unlucky");
     for server in 0..3 {
-        fleet.send_to(0, request, server);
         let now = fleet.now;
         let entry = server_entry(&format!("s{server}-0"));
         let table = &mut fleet.nodes[0].table;
@@ -506,8 +505,9 @@
     let deadly = identity("lab", "deadly");
     fleet.deadly.insert(deadly);
     send_until_held(&mut fleet, deadly);
-    let (now, unix_ms) = (fleet.now, 1_767_225_600_000 + 100_000);
-    let told = fleet.nodes[0].told(now + SECOND, unix_ms);
+    let now = fleet.now;
+    let far = fleet.unix_ms() + 100_000;
+    let told = fleet.nodes[0].told(now + SECOND, far);
     assert!(!told.is_empty(), "it is told again each second");
     let mut forged = told[0].clone();
     forged[8] ^= 1;
@@ -523,7 +523,8 @@
         other.send(0, deadly);
         other.advance(SECOND);
     }
-    let told = other.nodes[0].told(now + SECOND, unix_ms);
+    let told = other.nodes[0].told(other.now + SECOND * 2, fleet.unix_ms());
+    assert!(!told.is_empty());
     for notice in &told {
         assert_eq!(fleet.hear(1, notice), 1, "a caller knows its own key only");
     }
@@ -550,6 +551,14 @@
         fleet.nodes[0].hear_at(&notice, now, 1_000);
     }
     assert_eq!(fleet.state(0, request), SuspectState::Free);
+    let server = server_entry("s9");
+    let table = &mut fleet.nodes[0].table;
+    end_under(table, request, &server, now, now + MOMENT);
+    assert_eq!(
+        fleet.state(0, request),
+        SuspectState::Free,
+        "it counts anew"
+    );
 }
 
 // Somebody sends any number of different requests under which servers end. What is kept stays bounded, and
@@ -564,6 +573,11 @@
         end_under(&mut table, held, &server, now, now + MOMENT);
         now += SECOND;
     }
+    // Another one of theirs has ended one server so far.
+    let noted = identity("clinic", "noted");
+    let server = server_entry("n0");
+    end_under(&mut table, noted, &server, now, now + MOMENT);
+    now += SECOND;
     for number in 0..20_000 {
         let request = identity("lab", &format!("text {number}"));
         let server = server_entry(&format!("s{number}"));
@@ -578,6 +592,16 @@
     }
     assert!(table.len() <= 1_024, "{}", table.len());
     assert_eq!(table.held_count(), 1, "the other workspace's is kept");
+    for number in 1..3 {
+        let server = server_entry(&format!("n{number}"));
+        end_under(&mut table, noted, &server, now, now + MOMENT);
+        now += SECOND;
+    }
+    assert_eq!(
+        table.held_count(),
+        2,
+        "and so is what was noted of the other"
+    );
     assert!(table.take_events().len() <= 64);
 }
 
--- a/crates/plumgate/tests/suspects/mod.rs
+++ b/crates/plumgate/tests/suspects/mod.rs
@@ -134,7 +134,8 @@
         fleet
     }
 
-    fn unix_ms(&self) -> u64 {
+    /// The time of day, in milliseconds of the Unix epoch.
+    pub(crate) fn unix_ms(&self) -> u64 {
         START_MS + u64::try_from((self.now - self.start).as_millis()).expect("a short test")
     }
 
