quarantine: notices stay short, the worst first; an end of time writes nothing

Sixteen reports with eight ends each, sealed twice, are 6 KB: beside load, places and news a datagram could pass the 8 KB that are read, and would be lost whole, load included. At the end of a verdict's time each node wrote its removal to the store. A verdict whose last end was taken back later than the others stayed longer than its time. A server known to be gone was logged as lapsed whatever showed it. Change: a notice holds 1,000 bytes of reports, by state, then by servers; expired rows are left to whoever reads the register; time counts from the last end that is believed; the sign is kept.

--- a/crates/plumgate/src/gateway/quarantine/doubts.rs
+++ b/crates/plumgate/src/gateway/quarantine/doubts.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use super::evidence::EndSign;
 use super::identity::RequestIdentity;
 use crate::gateway::exchange::messages::ServerKey;
 
@@ -29,29 +30,42 @@
     pub(crate) ended: Instant,
 }
 
-/// Servers and when something was noted of them, the newest last.
-type ServerQueue = VecDeque<(ServerKey, Instant)>;
+/// A server that is gone.
+#[derive(Clone, Copy, Debug)]
+struct GoneServer {
+    server: ServerKey,
+    /// By what that showed.
+    sign: EndSign,
+    at: Instant,
+}
+
+/// A server that is being asked whether it lives.
+#[derive(Clone, Copy, Debug)]
+struct AskedServer {
+    server: ServerKey,
+    at: Instant,
+}
 
 /// Runs in doubt, and servers that are gone, until one explains the other.
 #[derive(Debug, Default)]
 pub(crate) struct DoubtQueue {
     runs: VecDeque<DoubtfulRun>,
-    gone: ServerQueue,
-    asked: ServerQueue,
+    gone: VecDeque<GoneServer>,
+    asked: VecDeque<AskedServer>,
 }
 
 impl DoubtQueue {
-    /// A run ended in doubt. Tells whether its server is gone already.
-    pub(crate) fn note_run(&mut self, run: DoubtfulRun, now: Instant) -> bool {
+    /// A run ended in doubt. Tells by what its server showed to be gone already, where it did.
+    pub(crate) fn note_run(&mut self, run: DoubtfulRun, now: Instant) -> Option<EndSign> {
         self.forget(now);
-        if self.gone.iter().any(|(server, _)| *server == run.server) {
-            return true;
+        if let Some(gone) = self.gone.iter().find(|gone| gone.server == run.server) {
+            return Some(gone.sign);
         }
         if self.runs.len() >= RUNS_MOST {
             self.drop_run(run.identity);
         }
         self.runs.push_back(run);
-        false
+        None
     }
 
     /// Drops the oldest run of the workspace that has most of them, or one that leaves many requests
@@ -73,29 +87,34 @@
 
     /// Whether a server should be asked now whether it lives: many runs break at once where one ends.
     pub(crate) fn ask(&mut self, server: ServerKey, now: Instant) -> bool {
-        let is_asked = self
-            .asked
-            .iter()
-            .any(|(held, at)| *held == server && now.saturating_duration_since(*at) < ASKING);
-        if !is_asked {
-            push(&mut self.asked, server, now);
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < ASKING;
+        let mut asked = self.asked.iter();
+        if asked.any(|asked| asked.server == server && is_recent(asked.at)) {
+            return false;
         }
-        !is_asked
+        push(&mut self.asked, AskedServer { server, at: now });
+        true
     }
 
     /// A server is gone; gives back the runs that it explains.
-    pub(crate) fn note_gone(&mut self, server: ServerKey, now: Instant) -> Vec<DoubtfulRun> {
+    pub(crate) fn note_gone(
+        &mut self,
+        server: ServerKey,
+        sign: EndSign,
+        now: Instant,
+    ) -> Vec<DoubtfulRun> {
         self.forget(now);
-        self.asked.retain(|(asked, _)| *asked != server);
-        if !self.gone.iter().any(|(gone, _)| *gone == server) {
-            push(&mut self.gone, server, now);
+        self.asked.retain(|asked| asked.server != server);
+        if !self.gone.iter().any(|gone| gone.server == server) {
+            let at = now;
+            push(&mut self.gone, GoneServer { server, sign, at });
         }
         self.take_runs(|run| run.server == server)
     }
 
     /// A server's entry is there again.
     pub(crate) fn note_back(&mut self, server: ServerKey) {
-        self.gone.retain(|(gone, _)| *gone != server);
+        self.gone.retain(|gone| gone.server != server);
     }
 
     /// A server lives that took something at a moment: what ended before that was not its end. Gives back the
@@ -121,17 +140,18 @@
         while self.runs.front().is_some_and(|run| is_old(run.ended)) {
             self.runs.pop_front();
         }
-        for servers in [&mut self.gone, &mut self.asked] {
-            while servers.front().is_some_and(|(_, at)| is_old(*at)) {
-                servers.pop_front();
-            }
+        while self.gone.front().is_some_and(|gone| is_old(gone.at)) {
+            self.gone.pop_front();
+        }
+        while self.asked.front().is_some_and(|asked| is_old(asked.at)) {
+            self.asked.pop_front();
         }
     }
 }
 
-fn push(servers: &mut ServerQueue, server: ServerKey, now: Instant) {
+fn push<T>(servers: &mut VecDeque<T>, server: T) {
     if servers.len() >= SERVERS_MOST {
         servers.pop_front();
     }
-    servers.push_back((server, now));
+    servers.push_back(server);
 }
--- a/crates/plumgate/src/gateway/quarantine/notice.rs
+++ b/crates/plumgate/src/gateway/quarantine/notice.rs
@@ -14,8 +14,12 @@
 use crate::gateway::exchange::messages::ServerKey;
 use crate::wire::{PeerKey, TIME_BOUND_MS};
 
-/// Reports in one notice: some 60 bytes each, so that a notice fits into a packet beside the rest.
-pub(crate) const REPORTS_MOST: usize = 16;
+/// Bytes of the reports in one notice. Two notices, sealed by two keys, fit into a datagram beside load, places
+/// and news of the store; one that is too long would be lost whole, with all of these.
+const NOTICE_BYTES: usize = 1_000;
+/// Bytes of a report without its ends, and of one end, at most.
+const REPORT_BYTES: usize = 32;
+const END_BYTES: usize = 17;
 /// Rounds in which news are told, so that one message arrives.
 pub(crate) const TELL_ROUNDS: u32 = 3;
 /// Ends in one report that are taken in.
@@ -82,6 +86,11 @@
         }
     }
 
+    /// How many bytes it takes at most.
+    fn size(&self) -> usize {
+        REPORT_BYTES + END_BYTES * self.ends.len()
+    }
+
     /// The ends, by the clock of whoever was told.
     pub(crate) fn ends(&self, now: Instant) -> impl Iterator<Item = EndEvidence> {
         self.ends
@@ -114,6 +123,16 @@
     }
 }
 
+/// The reports that fit into one notice, from the first on.
+pub(crate) fn fitting(reports: impl Iterator<Item = SuspectReport>) -> Vec<SuspectReport> {
+    let mut size = 0;
+    let fitting = reports.take_while(|report| {
+        size += report.size();
+        size <= NOTICE_BYTES
+    });
+    fitting.collect()
+}
+
 impl NoticeKeys {
     /// A configuration is in force.
     pub(crate) fn set_config(&mut self, config: &GatewayConfig) {
--- a/crates/plumgate/src/gateway/quarantine/rule.rs
+++ b/crates/plumgate/src/gateway/quarantine/rule.rs
@@ -38,8 +38,8 @@
     place / at_once == turn % groups
 }
 
-/// What is done with a request under which servers ended.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// What is done with a request under which servers ended, the least first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SuspectState {
     /// It is sent like any other.
     #[default]
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -187,9 +187,9 @@
 
     fn doubt(&mut self, ticket: &RunTicket, end: WorkEnd, now: Instant) -> RunFinding {
         let run = ticket.run(now);
-        if self.doubts.note_run(run, now) {
-            self.believe(run, EndSign::Lapsed, now);
-            return RunFinding::ServerEnded(EndSign::Lapsed);
+        if let Some(sign) = self.doubts.note_run(run, now) {
+            self.believe(run, sign, now);
+            return RunFinding::ServerEnded(sign);
         }
         // What only stayed silent may go on for long, and a caller that left says nothing of the server. A
         // server that went dark shows by its entry.
@@ -230,7 +230,7 @@
         sign: EndSign,
         now: Instant,
     ) -> Vec<RequestIdentity> {
-        let runs = self.doubts.note_gone(server_key(server), now);
+        let runs = self.doubts.note_gone(server_key(server), sign, now);
         for run in &runs {
             self.believe(*run, sign, now);
         }
@@ -282,7 +282,8 @@
         }
         record.tell_rounds = TELL_ROUNDS;
         let before = self.update(identity, reason, now);
-        if before == SuspectState::HeldBack {
+        // At its time's end all nodes let it go at once; whoever reads the store next removes it there.
+        if before == SuspectState::HeldBack && reason != ReleaseReason::Expired {
             self.note_change(KeepChange::Forget(identity.name()));
         }
     }
@@ -402,7 +403,8 @@
         let is_old = |at: Instant| now.saturating_duration_since(at) > HOLD_TIME;
         self.ended.retain(|_, at| !is_old(*at));
         let old = self.records.iter().filter(|(_, record)| {
-            let last = record.history.last_change();
+            let history = &record.history;
+            let last = history.last_end().or(history.last_change());
             last.is_none_or(is_old)
         });
         let old: Vec<RequestIdentity> = old.map(|(identity, _)| *identity).collect();
--- a/crates/plumgate/src/gateway/quarantine/telling.rs
+++ b/crates/plumgate/src/gateway/quarantine/telling.rs
@@ -1,9 +1,10 @@
 //! What a node tells the others of requests that end servers, and what it hears of them.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use super::evidence::EvidenceSource;
-use super::notice::{REPORTS_MOST, SuspectReport};
+use super::notice::{SuspectReport, fitting};
 use super::rule::{HOLD_TIME, SuspectState};
 use super::table::QuarantineTable;
 use crate::errors::Result;
@@ -62,15 +63,17 @@
         }
         // What weighs most goes first, and what was told least often.
         telling.sort_by_key(|(_, record)| {
-            let is_free = record.state == SuspectState::Free;
-            (is_free, std::cmp::Reverse(record.tell_rounds))
+            let servers = record.history.count().servers;
+            let weight = (record.state, servers);
+            (Reverse(weight), Reverse(record.tell_rounds))
         });
-        telling.truncate(REPORTS_MOST);
-        let reports = telling.into_iter().map(|(identity, record)| {
+        let reports = telling
+            .iter()
+            .map(|(identity, record)| SuspectReport::new(**identity, record.history.ends(), now));
+        let reports = fitting(reports);
+        for (_, record) in telling.iter_mut().take(reports.len()) {
             record.tell_rounds -= 1;
-            SuspectReport::new(*identity, record.history.ends(), now)
-        });
-        let reports = reports.collect();
+        }
         self.keys.seal(reports, unix_ms)
     }
 
--- a/crates/plumgate/tests/gateway_quarantine.rs
+++ b/crates/plumgate/tests/gateway_quarantine.rs
@@ -605,6 +605,41 @@
     assert!(table.take_events().len() <= 64);
 }
 
+// A rack ends with hundreds of runs. All that is told goes into datagrams that also carry load and news of the
+// store: one that is too long would be lost whole. What weighs most is told first.
+#[test]
+fn notices_stay_short_and_tell_the_worst_first() {
+    let mut table = lone_table();
+    table.set_config(&config(2, &["key-2"]));
+    let mut now = Instant::now();
+    let worst = identity("clinic", "deadly");
+    for number in 0..500 {
+        let request = identity("lab", &format!("text {number}"));
+        for copy in 0..number % 3 + 1 {
+            let server = server_entry(&format!("s{number}-{copy}"));
+            end_under(&mut table, request, &server, now, now + MOMENT);
+        }
+        now += Duration::from_millis(1);
+    }
+    for number in 0..3 {
+        let server = server_entry(&format!("w{number}"));
+        end_under(&mut table, worst, &server, now, now + MOMENT);
+        now += SECOND;
+    }
+    let mut fleet = SuspectFleet::new(1, 1, 6);
+    fleet.nodes[0].table = table;
+    let mut next = lone_table();
+    next.set_config(&config(2, &["key-2"]));
+    let told = fleet.nodes[0].told(now, 1_000);
+    assert_eq!(told.len(), 2, "one by each key");
+    assert!(told.iter().all(|notice| notice.len() <= 1_100));
+    fleet.nodes[0].table = next;
+    for notice in &told {
+        fleet.nodes[0].hear_at(notice, now, 1_000);
+    }
+    assert_eq!(fleet.state(0, worst), SuspectState::HeldBack);
+}
+
 // Keys change while nodes learn of it one after the other: what they tell each other still counts.
 #[test]
 fn change_of_the_keys_does_not_silence_the_nodes() {
