quarantine: an innocent request that is sent on beside a deadly one is not held back

Its evidence: two servers that ended 84 ms apart, as the node sent it on beside a deadly request and both ended the next server; then, going one by one, it was sent to the server with the least work, which had gone dark under another request, and whose entry lapsed. By the logs of all six nodes; not load. Ruled out: counting lapsed entries for less (a dark server is one of the ways to end). Change: a run counts as in turn only where it began 100 ms after the last end. A request apart goes to the least loaded server that answered within a second.

--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -62,7 +62,10 @@
                 }
                 AttemptEnd::Answer(answer) => self.take_whole(*answer).await,
                 AttemptEnd::NotRun { reason, arrived } => self.after_refusal(reason, arrived),
-                AttemptEnd::InDoubt(reason) => self.after_doubt(reason),
+                AttemptEnd::InDoubt(reason) => {
+                    self.settle().await;
+                    self.after_doubt(reason)
+                }
                 AttemptEnd::TimedOut => NextTry::Fail(self.time_out()),
             };
             match next {
@@ -160,8 +163,8 @@
             Some(Some(Ok(body))) => body,
             Some(Some(Err(failure))) => {
                 answer.work.judge(failure.work_end());
-                // Its part in what is known of the server comes before the decision on another try.
                 drop(answer);
+                self.settle().await;
                 return self.after_doubt(failure.as_str());
             }
         };
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -9,11 +9,11 @@
 use plumgate::ids::ServerId;
 use plumgate::retry::may_run_again;
 
-use super::attempt::attempt;
+use super::attempt::{CONNECT_TIMEOUT, attempt};
 use super::ports::WireFormat;
 use super::request::{AttemptEnd, AttemptOrder, RelayRequest};
 use super::shared::{GatewayShared, RequestGuard, WorkGuard};
-use crate::clock::Clock;
+use crate::clock::{Clock, until};
 use crate::log::LogLine;
 
 /// Servers that one request is offered to, those that refused it or could not be reached
@@ -172,6 +172,25 @@
         self.shared.quarantine().judge(self.request.identity, now)
     }
 
+    /// Waits until it shows whether a server just ended under the request, where others did before: sent on at
+    /// once, it would end the next one.
+    pub(crate) async fn settle(&self) {
+        let clock = &self.shared.clock;
+        let until_then = clock.now() + CONNECT_TIMEOUT;
+        loop {
+            let asked = self.shared.server_asked.listen();
+            let now = clock.now();
+            let is_asking = self
+                .shared
+                .quarantine()
+                .is_asking(self.request.identity, now);
+            if !is_asking || now >= until_then {
+                return;
+            }
+            let _ = until(clock, until_then, asked).await;
+        }
+    }
+
     /// Time left until the request is due.
     pub(crate) fn left(&self) -> Duration {
         let now = self.shared.clock.now();
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -48,6 +48,8 @@
     pub(crate) life: ArcSwap<LifeView>,
     /// The operators' bounds, as last read.
     pub(crate) bounds: ArcSwap<GatewayBounds>,
+    /// Tells that a server was asked whether it lives.
+    pub(crate) server_asked: Event,
     /// Tells connections that the life went on.
     pub(crate) life_changed: Event,
     /// Idle connections to servers.
@@ -86,6 +88,7 @@
                 ..LifeView::default()
             }),
             bounds: ArcSwap::from_pointee(bounds),
+            server_asked: Event::new(),
             life_changed: Event::new(),
             links: LinkPool::default(),
             lives: ServerLives::default(),
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -222,6 +222,7 @@
         if self.run.request.route.kind != RepeatKind::ResumableStream {
             return false;
         }
+        self.run.settle().await;
         while self.run.allow_run_again(reason) {
             let now = self.run.shared.clock.now();
             let apart = self.run.verdict() == RequestVerdict::SendApart;
--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -35,9 +35,9 @@
                 asking.quarantine().note_reached(&server, opened, now);
             }
             Some(Err(_)) => asking.note_refused(&server),
-            // It may be dark or cut off: its entry will show.
-            None => {}
+            None => asking.quarantine().note_unanswered(&server),
         }
+        asking.server_asked.notify(usize::MAX);
         asking.log_suspects();
     };
     shared.executor.spawn(task).detach();
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -145,9 +145,25 @@
             .map(|load| (&load.entry, load.own))
     }
 
+    /// Those of some servers that answered lately, or all where none did.
+    fn answering(&self, servers: Vec<ServerId>, now: Instant) -> Vec<ServerId> {
+        let answering: Vec<ServerId> = servers
+            .iter()
+            .filter(|id| self.servers[*id].answered_lately(now))
+            .cloned()
+            .collect();
+        if answering.is_empty() {
+            return servers;
+        }
+        answering
+    }
+
     /// Chooses the server of a request.
     pub fn pick(&mut self, request: &PlacementRequest<'_>, now: Instant) -> Option<ServerPick> {
-        let candidates = self.candidates(request, now);
+        let mut candidates = self.candidates(request, now);
+        if request.apart {
+            candidates = self.answering(candidates, now);
+        }
         let mut costs: Vec<(f64, CostPrediction, ServerId)> = Vec::with_capacity(candidates.len());
         let groups = self.groups(request.pool);
         let members = groups.members(request.class, &candidates);
@@ -311,6 +327,7 @@
         let Some(load) = ticket_load(&mut self.servers, ticket) else {
             return;
         };
+        load.note_answer(now);
         load.own.unread[ticket.urgency] = load.own.unread[ticket.urgency].saturating_sub(tokens);
         if learns && tokens > 0 {
             let took = now.saturating_duration_since(ticket.started);
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -40,6 +40,9 @@
 /// How long a server is believed to keep a part after its last use.
 const PART_LIFETIME: Duration = Duration::from_secs(30);
 
+/// How long a server counts as answering: one that went dark takes no work any more, and would pass for the one
+/// with the least.
+const ANSWERED_LATELY: Duration = Duration::from_secs(1);
 /// How long a server that said that it is full gets no more from this node.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 /// How long a server that could not be reached gets no more from this node. The next requests
@@ -57,6 +60,8 @@
     breaker: CircuitBreaker,
     failures: f64,
     failures_at: Instant,
+    /// When it last began or ended an answer to this node.
+    answered_at: Option<Instant>,
     /// Until when it rests as it said that it is full.
     full_until: Option<Instant>,
     /// Until when it rests as it could not be reached.
@@ -103,6 +108,7 @@
             breaker: CircuitBreaker::new(),
             failures: 0.0,
             failures_at: now,
+            answered_at: None,
             full_until: None,
             unreachable_until: None,
             parts: HashMap::new(),
@@ -229,11 +235,23 @@
         self.failures * (-age.as_secs_f64() / FAILURE_MEMORY.as_secs_f64()).exp()
     }
 
+    /// It answers this node.
+    pub(crate) fn note_answer(&mut self, now: Instant) {
+        self.answered_at = Some(now);
+    }
+
+    /// Whether it answered this node lately.
+    pub(crate) fn answered_lately(&self, now: Instant) -> bool {
+        self.answered_at
+            .is_some_and(|at| now.saturating_duration_since(at) < ANSWERED_LATELY)
+    }
+
     /// A request ended there.
     pub(crate) fn note_end(&mut self, end: WorkEnd, now: Instant) {
         let failed = match end {
             WorkEnd::Answered => {
                 self.breaker.record_success();
+                self.note_answer(now);
                 0.0
             }
             WorkEnd::Failed | WorkEnd::Broken | WorkEnd::Silent => 1.0,
--- a/crates/plumgate/src/gateway/quarantine/doubts.rs
+++ b/crates/plumgate/src/gateway/quarantine/doubts.rs
@@ -96,6 +96,21 @@
         true
     }
 
+    /// Whether a server is being asked that a request ran at.
+    pub(crate) fn is_asking(&self, identity: RequestIdentity, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < ASKING;
+        let mut runs = self.runs.iter().filter(|run| run.identity == identity);
+        runs.any(|run| {
+            let mut asked = self.asked.iter();
+            asked.any(|asked| asked.server == run.server && is_recent(asked.at))
+        })
+    }
+
+    /// A server gave no answer whether it lives.
+    pub(crate) fn note_unanswered(&mut self, server: ServerKey) {
+        self.asked.retain(|asked| asked.server != server);
+    }
+
     /// A server is gone; gives back the runs that it explains.
     pub(crate) fn note_gone(
         &mut self,
@@ -104,7 +119,7 @@
         now: Instant,
     ) -> Vec<DoubtfulRun> {
         self.forget(now);
-        self.asked.retain(|asked| asked.server != server);
+        self.note_unanswered(server);
         if !self.gone.iter().any(|gone| gone.server == server) {
             let at = now;
             push(&mut self.gone, GoneServer { server, sign, at });
@@ -123,6 +138,9 @@
         if !self.gone.is_empty() {
             self.note_back(server);
         }
+        if !self.asked.is_empty() {
+            self.note_unanswered(server);
+        }
         if self.runs.is_empty() {
             return Vec::new();
         }
--- a/crates/plumgate/src/gateway/quarantine/evidence.rs
+++ b/crates/plumgate/src/gateway/quarantine/evidence.rs
@@ -10,6 +10,11 @@
 /// leave enough.
 const ENDS_MOST: usize = 8;
 
+/// How long after the end of one server a run must begin to come in turn. A node's own retry follows within a few
+/// milliseconds, also that of an innocent request that runs beside a deadly one, and the servers of a rack may
+/// end that far apart; a run that ends its server lasts longer, so that the next but one counts.
+const TURN_GAP: Duration = Duration::from_millis(100);
+
 /// Why a server is believed to have ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum EndSign {
@@ -72,7 +77,7 @@
 pub struct EndCount {
     /// Servers that ended.
     pub servers: usize,
-    /// How many of the runs came one after another: each began after the one before had ended.
+    /// How many of the runs came one after another: each began a while after the one before had ended.
     pub in_turn: usize,
 }
 
@@ -158,7 +163,7 @@
         let mut in_turn = 0;
         let mut last: Option<Instant> = None;
         for (ended, began) in &runs {
-            if last.is_none_or(|last| *began > last) {
+            if last.is_none_or(|last| *began > last + TURN_GAP) {
                 in_turn += 1;
                 last = Some(*ended);
             }
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -237,6 +237,17 @@
         runs.iter().map(|run| run.identity).collect()
     }
 
+    /// A server gave no answer whether it lives; its entry will show.
+    pub fn note_unanswered(&mut self, server: &ServerEntry) {
+        self.doubts.note_unanswered(server_key(server));
+    }
+
+    /// Whether it will show within moments that one more server ended under a request, so that it should not
+    /// be sent on before. Only of a request that something is noted of: any other may be sent on at once.
+    pub fn is_asking(&self, identity: RequestIdentity, now: Instant) -> bool {
+        self.records.contains_key(&identity) && self.doubts.is_asking(identity, now)
+    }
+
     /// A server's entry is there again that had gone.
     pub fn note_back(&mut self, server: &ServerEntry) {
         self.doubts.note_back(server_key(server));
--- a/crates/plumgate/tests/gateway_quarantine.rs
+++ b/crates/plumgate/tests/gateway_quarantine.rs
@@ -162,6 +162,23 @@
     }
 }
 
+// A popular read and a deadly request run at one server; it ends, the node sends both on, within milliseconds,
+// and the next one ends too. That the second run of the read began after the first had ended says nothing, as both
+// followed the deadly one.
+#[test]
+fn own_retry_beside_a_deadly_request_is_no_row_of_ends() {
+    let mut table = lone_table();
+    let read = identity("lab", "popular");
+    let start = Instant::now();
+    let milli = Duration::from_millis(1);
+    let (first, second) = (server_entry("s1"), server_entry("s2"));
+    end_under(&mut table, read, &first, start, start + MOMENT);
+    let again = start + MOMENT + milli * 2;
+    end_under(&mut table, read, &second, again, again + MOMENT);
+    let verdict = table.judge(read, again + MOMENT);
+    assert_eq!(verdict, RequestVerdict::Send, "two ends at once");
+}
+
 // Servers crash one after the other, for reasons of their own, under a popular read: it is answered in
 // between, so that nothing is held against it.
 #[test]
