quarantine: kept connections count, and answers before the ends speak for a request

Ruled out: load (the logs of all nodes name each end); more servers a verdict, which gives deadly requests more. Change: a run by a kept connection counts from the server's last answer to this node on, so that runs which the server may have missed don't look as if they came in turn. A request of which an end is noted opens connections.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -110,10 +110,13 @@
     // A server may close an idle connection just as a request leaves, and nobody knows then
     // whether it ran. What may run only once therefore gets a connection of its own.
     let now = shared.clock.now();
+    // A request under which a server ended gets one too: it shows that the next one lived.
     if order.request.route.kind == RepeatKind::Idempotent
+        && !shared.quarantine().is_noted(order.request.identity)
         && let Some(link) = shared.links.take(&order.server.id, now).await
     {
-        return Ok((link, LinkAge::Kept));
+        let answered = shared.loads().answered_at(&order.server.id);
+        return Ok((link, LinkAge::Kept { answered }));
     }
     let deadline = (now + CONNECT_TIMEOUT).min(order.request.due);
     let opening = HttpLink::open(order.server.address);
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -64,6 +64,11 @@
         self.servers.get(server).map(|load| &load.entry)
     }
 
+    /// When a server last answered this node.
+    pub fn answered_at(&self, server: &ServerId) -> Option<Instant> {
+        self.servers.get(server)?.answered_at
+    }
+
     /// Takes over a change of the servers.
     pub fn apply(&mut self, change: &ServerChange, now: Instant) {
         match change {
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -61,7 +61,7 @@
     failures: f64,
     failures_at: Instant,
     /// When it last began or ended an answer to this node.
-    answered_at: Option<Instant>,
+    pub(crate) answered_at: Option<Instant>,
     /// Until when it rests as it said that it is full.
     full_until: Option<Instant>,
     /// Until when it rests as it could not be reached.
--- a/crates/plumgate/src/gateway/quarantine/mod.rs
+++ b/crates/plumgate/src/gateway/quarantine/mod.rs
@@ -6,6 +6,7 @@
 //! by itself, and all that know the same come to the same verdict. An answer to the request, or a
 //! sign of life of a server, takes evidence back.
 
+mod answers;
 mod doubts;
 mod evidence;
 mod identity;
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use super::answers::RecentAnswers;
 use super::doubts::{DoubtQueue, DoubtfulRun};
 use super::evidence::{EndCount, EndEvidence, EndHistory, EndSign, EvidenceSource};
 use super::identity::RequestIdentity;
@@ -52,6 +53,7 @@
     /// When the servers ended that anything is believed of.
     ended: HashMap<ServerKey, Instant>,
     doubts: DoubtQueue,
+    answers: RecentAnswers,
     pub(crate) keys: NoticeKeys,
     /// Whether there may be other nodes, whose turn it may be.
     has_peers: bool,
@@ -71,6 +73,7 @@
             records: HashMap::new(),
             ended: HashMap::new(),
             doubts: DoubtQueue::default(),
+            answers: RecentAnswers::default(),
             keys: NoticeKeys::default(),
             has_peers,
             nodes: 1,
@@ -149,22 +152,23 @@
             identity,
             server: server_key(server),
             began: now,
-            is_reached: link == LinkAge::Fresh,
+            since: match link {
+                LinkAge::Fresh => Some(now),
+                LinkAge::Kept { answered } => answered,
+            },
         })
     }
 
     /// A request that was sent has ended.
-    ///
-    /// What broke on a kept connection before any answer says nothing: the server may have ended before.
     pub fn finish(&mut self, ticket: RunTicket, end: WorkEnd, now: Instant) -> RunFinding {
-        let is_in_doubt = ticket.is_reached
-            && matches!(end, WorkEnd::Broken | WorkEnd::Silent | WorkEnd::Unjudged);
-        if is_in_doubt {
-            return self.doubt(&ticket, end, now);
+        let is_in_doubt = matches!(end, WorkEnd::Broken | WorkEnd::Silent | WorkEnd::Unjudged);
+        if let Some(run) = ticket.run(now).filter(|_| is_in_doubt) {
+            return self.doubt(run, end, now);
         }
         self.note_over(ticket.identity);
         match end {
             WorkEnd::Answered => {
+                self.answers.note(ticket.identity, now);
                 self.note_alive(ticket.server, ticket.began, now);
                 self.release(ticket.identity, ReleaseReason::Answered, now);
             }
@@ -172,8 +176,10 @@
                 self.note_alive(ticket.server, ticket.began, now);
             }
             WorkEnd::Restarted => {
-                self.believe(ticket.run(now), EndSign::Restarted, now);
-                return RunFinding::ServerEnded(EndSign::Restarted);
+                if let Some(run) = ticket.run(now) {
+                    self.believe(run, EndSign::Restarted, now);
+                    return RunFinding::ServerEnded(EndSign::Restarted);
+                }
             }
             WorkEnd::Broken
             | WorkEnd::Silent
@@ -185,8 +191,7 @@
         RunFinding::Nothing
     }
 
-    fn doubt(&mut self, ticket: &RunTicket, end: WorkEnd, now: Instant) -> RunFinding {
-        let run = ticket.run(now);
+    fn doubt(&mut self, run: DoubtfulRun, end: WorkEnd, now: Instant) -> RunFinding {
         if let Some(sign) = self.doubts.note_run(run, now) {
             self.believe(run, sign, now);
             return RunFinding::ServerEnded(sign);
@@ -194,10 +199,10 @@
         // What only stayed silent may go on for long, and a caller that left says nothing of the server. A
         // server that went dark shows by its entry.
         if end != WorkEnd::Broken {
-            self.note_over(ticket.identity);
+            self.note_over(run.identity);
             return RunFinding::Nothing;
         }
-        if self.doubts.ask(ticket.server, now) {
+        if self.doubts.ask(run.server, now) {
             return RunFinding::AskServer;
         }
         RunFinding::Nothing
@@ -242,10 +247,15 @@
         self.doubts.note_unanswered(server_key(server));
     }
 
+    /// Whether an end is noted of a request: by a connection that was just opened, what comes next shows more.
+    pub fn is_noted(&self, identity: RequestIdentity) -> bool {
+        self.records.contains_key(&identity)
+    }
+
     /// Whether it will show within moments that one more server ended under a request, so that it should not
     /// be sent on before. Only of a request that something is noted of: any other may be sent on at once.
     pub fn is_asking(&self, identity: RequestIdentity, now: Instant) -> bool {
-        self.records.contains_key(&identity) && self.doubts.is_asking(identity, now)
+        self.is_noted(identity) && self.doubts.is_asking(identity, now)
     }
 
     /// A server's entry is there again that had gone.
@@ -316,10 +326,14 @@
     pub(crate) fn take_evidence(
         &mut self,
         identity: RequestIdentity,
-        evidence: EndEvidence,
+        mut evidence: EndEvidence,
         source: EvidenceSource,
         now: Instant,
     ) -> bool {
+        // It is told as refuted, so that the nodes which did not answer it learn that others did.
+        let is_answered = self.answers.speak_for(identity, now);
+        let is_objection = is_answered && !evidence.is_refuted;
+        evidence.is_refuted |= is_answered;
         if !self.records.contains_key(&identity) {
             self.make_room(identity);
         }
@@ -327,7 +341,7 @@
         if !record.history.add(evidence) {
             return false;
         }
-        if matches!(source, EvidenceSource::Own | EvidenceSource::ToldOn) {
+        if is_objection || matches!(source, EvidenceSource::Own | EvidenceSource::ToldOn) {
             record.tell_rounds = TELL_ROUNDS;
         }
         if !evidence.is_refuted {
--- a/crates/plumgate/src/gateway/quarantine/verdict.rs
+++ b/crates/plumgate/src/gateway/quarantine/verdict.rs
@@ -54,8 +54,8 @@
     pub(crate) server: ServerKey,
     /// When it was sent.
     pub(crate) began: Instant,
-    /// Whether the server surely has it.
-    pub(crate) is_reached: bool,
+    /// Since when its server may have ended; none where that is not known.
+    pub(crate) since: Option<Instant>,
 }
 
 /// What the end of a run leaves to do.
@@ -70,14 +70,16 @@
 }
 
 impl RunTicket {
-    /// The run, as it ended.
-    pub(crate) fn run(&self, now: Instant) -> DoubtfulRun {
-        DoubtfulRun {
+    /// The run, as it ended. By a kept connection it counts from the server's last answer on: the server may
+    /// have ended at any time since, and runs that it might have had in common must not look as if they came
+    /// one after another.
+    pub(crate) fn run(&self, now: Instant) -> Option<DoubtfulRun> {
+        Some(DoubtfulRun {
             identity: self.identity,
             server: self.server,
-            began: self.began,
+            began: self.since?,
             ended: now,
-        }
+        })
     }
 
     /// The request that runs.
@@ -87,7 +89,7 @@
 
     /// The server surely has the request: its answer begins.
     pub fn note_reached(&mut self) {
-        self.is_reached = true;
+        self.since = Some(self.began);
     }
 }
 
@@ -96,8 +98,11 @@
 pub enum LinkAge {
     /// By a connection that was just opened: the server lived then.
     Fresh,
-    /// By one that was kept: the server may have ended since it was last used.
-    Kept,
+    /// By one that was kept: the server may have ended before the request was sent.
+    Kept {
+        /// When the server last answered this node.
+        answered: Option<Instant>,
+    },
 }
 
 /// Why a request is no longer held back.
--- a/crates/plumgate/tests/gateway_quarantine.rs
+++ b/crates/plumgate/tests/gateway_quarantine.rs
@@ -179,6 +179,35 @@
     assert_eq!(verdict, RequestVerdict::Send, "two ends at once");
 }
 
+// All three servers of a small pool end within two seconds, under deadly requests, and a popular read runs at each,
+// once by itself and once sent on. No answer comes in between; but it was answered at another node before.
+#[test]
+fn answers_before_the_ends_speak_for_a_popular_read() {
+    let mut fleet = SuspectFleet::new(2, 2, 6);
+    let read = identity("lab", "popular");
+    fleet.send(3, read);
+    fleet.advance(SECOND);
+    for server in 0..3 {
+        let entry = server_entry(&format!("s{server}-0"));
+        let now = fleet.now;
+        let table = &mut fleet.nodes[0].table;
+        end_under(table, read, &entry, now, now + MOMENT);
+        fleet.advance(SECOND);
+        let free = (0..4).all(|node| fleet.state(node, read) == SuspectState::Free);
+        assert!(free, "server {server}");
+    }
+    // Long after its last answer nothing speaks for it any more.
+    fleet.advance(SECOND * 12);
+    for server in 3..6 {
+        let entry = server_entry(&format!("s{server}-0"));
+        let now = fleet.now;
+        let table = &mut fleet.nodes[0].table;
+        end_under(table, read, &entry, now, now + MOMENT);
+        fleet.advance(SECOND);
+    }
+    assert!(fleet.all_hold(read));
+}
+
 // Servers crash one after the other, for reasons of their own, under a popular read: it is answered in
 // between, so that nothing is held against it.
 #[test]
@@ -210,11 +239,15 @@
         fleet.end_server(server, WorkEnd::Silent);
     }
     // Kept connections lead nowhere, one after the other.
+    let before = fleet.now - MOMENT;
     for number in 0..4 {
         let dark = server_entry(&format!("s{number}-0"));
         let now = fleet.now;
         let table = &mut fleet.nodes[0].table;
-        let ticket = table.begin(read, &dark, LinkAge::Kept, now).expect("sent");
+        let link = LinkAge::Kept {
+            answered: Some(before),
+        };
+        let ticket = table.begin(read, &dark, link, now).expect("sent");
         fleet.advance(MOMENT);
         let now = fleet.now;
         fleet.nodes[0].table.finish(ticket, WorkEnd::Silent, now);
@@ -366,20 +399,55 @@
     assert_eq!(ends.len(), 9);
 }
 
-// A kept connection breaks as the next request leaves: its server ended before, under something else.
+// Kept connections break one after another as requests leave by them: their servers had ended before, all at
+// once. That these are five servers is no row of five runs; the request is not held back.
 #[test]
-fn break_of_a_kept_connection_is_no_evidence() {
+fn kept_connections_to_servers_that_had_ended_are_no_row() {
     let mut table = lone_table();
     let request = identity("lab", "late");
-    let now = Instant::now();
+    let now = Instant::now() + SECOND;
     for number in 0..5 {
         let server = server_entry(&format!("s{number}"));
-        let ticket = table.begin(request, &server, LinkAge::Kept, now + SECOND * number);
-        let ended = now + SECOND * number + MOMENT;
-        let sign = table.finish(ticket.expect("sent"), WorkEnd::Broken, ended);
-        assert_eq!(sign, RunFinding::Nothing);
+        let sent = now + SECOND * number;
+        let link = LinkAge::Kept {
+            answered: Some(now - MOMENT),
+        };
+        let Ok(ticket) = table.begin(request, &server, link, sent) else {
+            // It goes one by one by now, and what goes apart opens a connection.
+            continue;
+        };
+        table.finish(ticket, WorkEnd::Broken, sent + MOMENT);
+        table.note_gone(&server, EndSign::Refused, sent + MOMENT);
     }
-    assert!(table.is_empty());
+    let verdict = table.judge(request, now + SECOND * 5);
+    assert_eq!(verdict, RequestVerdict::SendApart);
+    let mut table = lone_table();
+    let unknown = LinkAge::Kept { answered: None };
+    let ticket = table.begin(request, &server_entry("s9"), unknown, now);
+    let finding = table.finish(ticket.expect("sent"), WorkEnd::Broken, now);
+    assert_eq!(finding, RunFinding::Nothing, "nothing is known of it");
+}
+
+// A request ends servers before their first byte, and may be repeated, so that it goes by kept connections.
+// The servers answered others shortly before: they ended under it, one after another.
+#[test]
+fn ends_by_kept_connections_of_servers_that_just_answered_count() {
+    let mut table = lone_table();
+    let request = identity("lab", "deadly");
+    let mut now = Instant::now() + SECOND;
+    for number in 0..3 {
+        let server = server_entry(&format!("s{number}"));
+        let link = LinkAge::Kept {
+            answered: Some(now - MOMENT),
+        };
+        let ticket = table.begin(request, &server, link, now);
+        let finding = table.finish(ticket.expect("sent"), WorkEnd::Broken, now + MOMENT);
+        assert_eq!(finding, RunFinding::AskServer);
+        table.note_gone(&server, EndSign::Refused, now + MOMENT);
+        now += SECOND;
+    }
+    let verdict = table.judge(request, now);
+    assert!(matches!(verdict, RequestVerdict::Hold(_)), "{verdict:?}");
 }
 
 // What is believed of a server that drained or that says it is full is nothing.
