quarantine: a run under way counts when its server's entry lapses

Cause: under a request that makes servers go dark nothing was noted before its caller left: up to eight seconds after the first for a dossier, by then at one server after another. Change: runs under way are kept by server; where an entry lapses without draining, those that have been under way for a second count, and their answers take that back.

--- a/crates/plumgate/src/gateway/quarantine/mod.rs
+++ b/crates/plumgate/src/gateway/quarantine/mod.rs
@@ -9,6 +9,7 @@
 mod answers;
 mod doubts;
 mod evidence;
+mod flights;
 mod identity;
 mod keeping;
 mod notice;
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -6,6 +6,7 @@
 use super::answers::RecentAnswers;
 use super::doubts::{DoubtQueue, DoubtfulRun};
 use super::evidence::{EndCount, EndEvidence, EndHistory, EndSign, EvidenceSource};
+use super::flights::FlightTable;
 use super::identity::RequestIdentity;
 use super::notice::{NoticeKeys, TELL_ROUNDS};
 use super::rule::{HOLD_TIME, SuspectState, TURN, has_turn};
@@ -52,6 +53,7 @@
     pub(crate) records: HashMap<RequestIdentity, SuspectRecord>,
     /// When the servers ended that anything is believed of.
     ended: HashMap<ServerKey, Instant>,
+    flights: FlightTable,
     doubts: DoubtQueue,
     answers: RecentAnswers,
     pub(crate) keys: NoticeKeys,
@@ -72,6 +74,7 @@
         Self {
             records: HashMap::new(),
             ended: HashMap::new(),
+            flights: FlightTable::default(),
             doubts: DoubtQueue::default(),
             answers: RecentAnswers::default(),
             keys: NoticeKeys::default(),
@@ -148,9 +151,11 @@
             }
             RequestVerdict::Hold(hold) => return Err(hold),
         }
+        let server = server_key(server);
+        self.flights.begin(server, identity, now);
         Ok(RunTicket {
             identity,
-            server: server_key(server),
+            server,
             began: now,
             since: match link {
                 LinkAge::Fresh => Some(now),
@@ -161,6 +166,8 @@
 
     /// A request that was sent has ended.
     pub fn finish(&mut self, ticket: RunTicket, end: WorkEnd, now: Instant) -> RunFinding {
+        self.flights
+            .end(ticket.server, ticket.identity, ticket.began);
         let is_in_doubt = matches!(end, WorkEnd::Broken | WorkEnd::Silent | WorkEnd::Unjudged);
         if let Some(run) = ticket.run(now).filter(|_| is_in_doubt) {
             return self.doubt(run, end, now);
@@ -228,14 +235,19 @@
     }
 
     /// A server went without having drained, started again, or its machine refuses connections: what ended there in
-    /// doubt was its end. Gives back the requests.
+    /// doubt was its end, and what is under way may be. Gives back the requests.
     pub fn note_gone(
         &mut self,
         server: &ServerEntry,
         sign: EndSign,
         now: Instant,
     ) -> Vec<RequestIdentity> {
-        let runs = self.doubts.note_gone(server_key(server), sign, now);
+        let key = server_key(server);
+        let mut runs = self.doubts.note_gone(key, sign, now);
+        if sign == EndSign::Lapsed {
+            // Their callers may wait for long. Where the server lives on, their answers take it back.
+            runs.extend(self.flights.at(key, now));
+        }
         for run in &runs {
             self.believe(*run, sign, now);
         }
--- a/crates/plumgate/tests/gateway_quarantine.rs
+++ b/crates/plumgate/tests/gateway_quarantine.rs
@@ -304,6 +304,30 @@
     assert_eq!(sign, RunFinding::ServerEnded(EndSign::Lapsed));
 }
 
+// Callers wait long for a dossier. Its server goes dark under it, and the entry lapses while the caller still
+// waits: until it leaves, seconds later, the request would end one server after another. Where the server
+// lives on and answers after all, nothing is held against it.
+#[test]
+fn run_under_way_counts_when_its_server_s_entry_lapses() {
+    let mut table = lone_table();
+    let request = identity("lab", "deadly");
+    let mut now = Instant::now();
+    let mut waiting = Vec::new();
+    for number in 0..3 {
+        let server = server_entry(&format!("s{number}"));
+        let ticket = table.begin(request, &server, LinkAge::Fresh, now);
+        waiting.push(ticket.expect("sent"));
+        now += SECOND * 3;
+        let ends = table.note_gone(&server, EndSign::Lapsed, now);
+        assert_eq!(ends, [request]);
+        now += SECOND;
+    }
+    assert!(matches!(table.judge(request, now), RequestVerdict::Hold(_)));
+    let answered = waiting.pop().expect("a run");
+    table.finish(answered, WorkEnd::Answered, now);
+    assert_eq!(table.judge(request, now), RequestVerdict::Send);
+}
+
 // Callers leave all the time, servers are slow, and links lose answers: none of that ends a server that
 // goes on answering, or whose entry stays.
 #[test]
