--- a/crates/plumgate/tests/gateway_quarantine.rs
+++ b/crates/plumgate/tests/gateway_quarantine.rs
@@ -304,6 +304,30 @@
     assert_eq!(sign, RunFinding::ServerEnded(EndSign::Lapsed));
 }
 
+// A popular read was held back at the start of a day. Two servers of three ended at once under a deadly request
+// beside it; the third had gone dark under another one, took its connection and said nothing until its entry
+// lapsed. It had not been answered anywhere yet. The third server may have ended with the first two: its last
+// answer came before theirs, so that its run is no run in turn.
+#[test]
+fn run_at_a_server_that_had_gone_dark_is_no_row_of_ends() {
+    let mut table = lone_table();
+    let read = identity("lab", "new and popular");
+    let start = Instant::now();
+    let milli = Duration::from_millis(1);
+    let again = start + MOMENT + milli;
+    end_under(&mut table, read, &server_entry("s1"), start, start + MOMENT);
+    end_under(&mut table, read, &server_entry("s2"), again, again + MOMENT);
+    // No answer of the third server is known since before the first two ended.
+    let dark = server_entry("dark");
+    let sent = start + SECOND * 2;
+    let ticket = table.begin(read, &dark, LinkAge::Fresh, sent);
+    let late = sent + SECOND * 2;
+    table.finish(ticket.expect("sent"), WorkEnd::Unjudged, late);
+    table.note_gone(&dark, EndSign::Lapsed, late);
+    let verdict = table.judge(read, late);
+    assert_eq!(verdict, RequestVerdict::SendApart);
+}
+
 // Callers wait long for a dossier. Its server goes dark under it, and the entry lapses while the caller still
 // waits: until it leaves, seconds later, the request would end one server after another. Where the server
 // lives on and answers after all, nothing is held against it.
