quarantine: a run without any answer counts from its server's last one

Cause: a silent run by a fresh connection counted from its own beginning. Ruled out: a gap between runs (the ends lie 2 s apart), and counting no such run (servers that go dark under a request would never count: server_that_goes_dark_counts_once_its_entry_lapses). Change: the table notes when each server last answered this node; a run without any answer, and one that is under way when the entry lapses, counts from there on, 4 s before the sending at the earliest, as a silent server's entry lapses by then. The test is unchanged; it was red and is green, with the other 28 of its file.

--- a/crates/plumgate/src/gateway/quarantine/flights.rs
+++ b/crates/plumgate/src/gateway/quarantine/flights.rs
@@ -5,6 +5,7 @@
 
 use super::doubts::DoubtfulRun;
 use super::identity::RequestIdentity;
+use super::verdict::RunTicket;
 use crate::gateway::exchange::messages::ServerKey;
 
 /// How long a run has been under way that may have ended its server: one that began later was sent to a server
@@ -16,6 +17,8 @@
 struct FlyingRun {
     identity: RequestIdentity,
     began: Instant,
+    /// Since when its server may have ended; none where that is not known.
+    since: Option<Instant>,
 }
 
 /// Runs under way. A server has as many as it has slots for this node, so that looking one up costs little.
@@ -26,9 +29,13 @@
 
 impl FlightTable {
     /// A run begins.
-    pub(crate) fn begin(&mut self, server: ServerKey, identity: RequestIdentity, began: Instant) {
-        let runs = self.runs.entry(server).or_default();
-        runs.push(FlyingRun { identity, began });
+    pub(crate) fn begin(&mut self, ticket: &RunTicket) {
+        let runs = self.runs.entry(ticket.server).or_default();
+        runs.push(FlyingRun {
+            identity: ticket.identity,
+            began: ticket.began,
+            since: ticket.silent_since,
+        });
     }
 
     /// A run has ended.
@@ -51,11 +58,13 @@
     pub(crate) fn at(&self, server: ServerKey, now: Instant) -> Vec<DoubtfulRun> {
         let runs = self.runs.get(&server).into_iter().flatten();
         let long = runs.filter(|run| now.saturating_duration_since(run.began) >= SHORTEST);
-        let doubtful = long.map(|run| DoubtfulRun {
-            identity: run.identity,
-            server,
-            began: run.began,
-            ended: now,
+        let doubtful = long.filter_map(|run| {
+            Some(DoubtfulRun {
+                identity: run.identity,
+                server,
+                began: run.since?,
+                ended: now,
+            })
         });
         doubtful.collect()
     }
--- a/crates/plumgate/src/gateway/quarantine/mod.rs
+++ b/crates/plumgate/src/gateway/quarantine/mod.rs
@@ -12,6 +12,7 @@
 mod flights;
 mod identity;
 mod keeping;
+mod life_signs;
 mod notice;
 mod rule;
 mod table;
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -8,6 +8,7 @@
 use super::evidence::{EndCount, EndEvidence, EndHistory, EndSign, EvidenceSource};
 use super::flights::FlightTable;
 use super::identity::RequestIdentity;
+use super::life_signs::LifeSigns;
 use super::notice::{NoticeKeys, TELL_ROUNDS};
 use super::rule::{HOLD_TIME, SuspectState, TURN, has_turn};
 use super::verdict::{
@@ -55,6 +56,7 @@
     ended: HashMap<ServerKey, Instant>,
     flights: FlightTable,
     doubts: DoubtQueue,
+    signs: LifeSigns,
     answers: RecentAnswers,
     pub(crate) keys: NoticeKeys,
     /// Whether there may be other nodes, whose turn it may be.
@@ -76,6 +78,7 @@
             ended: HashMap::new(),
             flights: FlightTable::default(),
             doubts: DoubtQueue::default(),
+            signs: LifeSigns::default(),
             answers: RecentAnswers::default(),
             keys: NoticeKeys::default(),
             has_peers,
@@ -152,16 +155,19 @@
             RequestVerdict::Hold(hold) => return Err(hold),
         }
         let server = server_key(server);
-        self.flights.begin(server, identity, now);
-        Ok(RunTicket {
+        let (since, silent_since) = match link {
+            LinkAge::Fresh => (Some(now), Some(self.signs.last_before(server, now))),
+            LinkAge::Kept { answered } => (answered, answered),
+        };
+        let ticket = RunTicket {
             identity,
             server,
             began: now,
-            since: match link {
-                LinkAge::Fresh => Some(now),
-                LinkAge::Kept { answered } => answered,
-            },
-        })
+            since,
+            silent_since,
+        };
+        self.flights.begin(&ticket);
+        Ok(ticket)
     }
 
     /// A request that was sent has ended.
@@ -169,21 +175,23 @@
         self.flights
             .end(ticket.server, ticket.identity, ticket.began);
         let is_in_doubt = matches!(end, WorkEnd::Broken | WorkEnd::Silent | WorkEnd::Unjudged);
-        if let Some(run) = ticket.run(now).filter(|_| is_in_doubt) {
+        if let Some(run) = ticket.run(end, now).filter(|_| is_in_doubt) {
             return self.doubt(run, end, now);
         }
         self.note_over(ticket.identity);
         match end {
             WorkEnd::Answered => {
                 self.answers.note(ticket.identity, now);
+                self.signs.note(ticket.server, now);
                 self.note_alive(ticket.server, ticket.began, now);
                 self.release(ticket.identity, ReleaseReason::Answered, now);
             }
             WorkEnd::Failed | WorkEnd::Full => {
+                self.signs.note(ticket.server, now);
                 self.note_alive(ticket.server, ticket.began, now);
             }
             WorkEnd::Restarted => {
-                if let Some(run) = ticket.run(now) {
+                if let Some(run) = ticket.run(end, now) {
                     self.believe(run, EndSign::Restarted, now);
                     return RunFinding::ServerEnded(EndSign::Restarted);
                 }
@@ -434,6 +442,7 @@
 
     /// Time goes on: what is old is forgotten.
     pub(crate) fn tick(&mut self, now: Instant) {
+        self.signs.tick(now);
         if self.records.is_empty() {
             return;
         }
--- a/crates/plumgate/src/gateway/quarantine/verdict.rs
+++ b/crates/plumgate/src/gateway/quarantine/verdict.rs
@@ -7,6 +7,7 @@
 use super::identity::RequestIdentity;
 use super::rule::SuspectState;
 use crate::gateway::exchange::messages::ServerKey;
+use crate::gateway::work::WorkEnd;
 
 /// Why a request is not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,8 +55,10 @@
     pub(crate) server: ServerKey,
     /// When it was sent.
     pub(crate) began: Instant,
-    /// Since when its server may have ended; none where that is not known.
+    /// Since when its server may have ended if the connection breaks; none where that is not known.
     pub(crate) since: Option<Instant>,
+    /// The same if nothing comes back at all.
+    pub(crate) silent_since: Option<Instant>,
 }
 
 /// What the end of a run leaves to do.
@@ -70,14 +73,21 @@
 }
 
 impl RunTicket {
-    /// The run, as it ended. By a kept connection it counts from the server's last answer on: the server may
-    /// have ended at any time since, and runs that it might have had in common must not look as if they came
-    /// one after another.
-    pub(crate) fn run(&self, now: Instant) -> Option<DoubtfulRun> {
+    /// The run, as it ended in doubt. By a kept connection it counts from the server's last answer on: the server
+    /// may have ended at any time since, and runs that it might have had in common must not look as if they came
+    /// one after another. So does a run without any answer by a fresh connection, as the machine of a server
+    /// that hangs still takes connections.
+    pub(crate) fn run(&self, end: WorkEnd, now: Instant) -> Option<DoubtfulRun> {
+        let is_silent = matches!(end, WorkEnd::Silent | WorkEnd::Unjudged);
+        let since = if is_silent {
+            self.silent_since
+        } else {
+            self.since
+        };
         Some(DoubtfulRun {
             identity: self.identity,
             server: self.server,
-            began: self.since?,
+            began: since?,
             ended: now,
         })
     }
@@ -90,13 +100,14 @@
     /// The server surely has the request: its answer begins.
     pub fn note_reached(&mut self) {
         self.since = Some(self.began);
+        self.silent_since = Some(self.began);
     }
 }
 
 /// How a request reaches a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkAge {
-    /// By a connection that was just opened: the server lived then.
+    /// By one that was just opened: the server's machine took it.
     Fresh,
     /// By one that was kept: the server may have ended before the request was sent.
     Kept {
