duty: lease, number, notes and era of calls that one node at a time may make

Cause: reports of usage and orders of servers go to a party that remembers nothing and checks no number. Two nodes that both believe to hold the duty would bill a window twice or take turns; a store that comes back from an old copy gives versions out again and forgets what was sent. Ways weighed: a number counted up in the row (a write under an old condition may hit a row with the same version after the store came back, and a later holder count up to a number that was used): the version of the write that takes the lease is the number instead, after the era. A condition on the row's version alone: a guard row with a random name is written with it, so that a late write of another chain never fits. Digests of counts in the notes: who takes over could not repeat the report; the whole counts are noted. One lease for all duties: one renewal a second, one holder. Change: duty::{holder, report_desk, seat} decide without I/O; usage counts are a set (larger one wins) by node, incarnation and window, then by data centre; the time of day is the middle of what the nodes say. Proof: duty_search plays drawn orders (suspended between look and call, killed, cut, late writes, slow party, lost answers, eras once and twice). Its first run showed two nodes with one sequence of random names; names of nodes now go into the seed, and a row is a node's own only if it is equal in all.

--- /dev/null
+++ b/crates/plumgate/src/duty/scale.rs
@@ -0,0 +1,355 @@
+//! How many backend servers of a pool are ordered, where and of which kind.
+//!
+//! The load this answers: prompts that arrive in bursts of seconds, servers that take seconds to start, and
+//! servers at a fraction of the price that a whole data centre may lose at once.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{DataCentreId, PoolId};
+
+/// A price in thousandths.
+pub type PriceMillis = u32;
+
+/// What the operator allows of a pool's size.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolScaling {
+    /// Fewest servers in a data centre, of both kinds together.
+    pub min: u32,
+    /// Most servers in a data centre, of both kinds together.
+    pub max: u32,
+    /// How long a new server takes until it serves.
+    pub boot: Duration,
+    /// The price of a reclaimable server in thousandths of the other's; none where there are none.
+    pub reclaimable_price: Option<PriceMillis>,
+    /// The price of a server's second by data centre, in thousandths of a unit.
+    pub centre_prices: BTreeMap<DataCentreId, PriceMillis>,
+}
+
+/// Whether the platform may take a server away at any time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum ServerKind {
+    /// It stays until it is given back.
+    Lasting,
+    /// It is cheaper, and all of a data centre may be taken away at once.
+    Reclaimable,
+}
+
+impl ServerKind {
+    /// The name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Lasting => "lasting",
+            Self::Reclaimable => "reclaimable",
+        }
+    }
+}
+
+/// What an order is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ScaleSubject {
+    /// The pool.
+    pub pool: PoolId,
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// The kind of servers.
+    pub kind: ServerKind,
+}
+
+/// An order: so many servers of a kind there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ScaleOrder {
+    /// What it is about.
+    pub subject: ScaleSubject,
+    /// The number of servers.
+    pub count: u32,
+}
+
+/// The servers of a pool in one data centre.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SiteLoad {
+    /// Lasting servers that take work.
+    pub lasting: u32,
+    /// Reclaimable servers that take work.
+    pub reclaimable: u32,
+}
+
+/// A pool as the node that orders sees it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PoolLoad {
+    /// Its servers by data centre.
+    pub sites: BTreeMap<DataCentreId, SiteLoad>,
+    /// Prompt tokens that requests bring in a second.
+    pub tokens_per_second: f64,
+    /// Prompt tokens that wait to be read.
+    pub unread_tokens: f64,
+    /// Prompt tokens that one server reads in a second.
+    pub server_speed: f64,
+}
+
+impl PoolLoad {
+    /// Servers that take work.
+    pub fn servers(&self) -> u32 {
+        let sites = self.sites.values();
+        sites.map(|site| site.lasting + site.reclaimable).sum()
+    }
+
+    fn reclaimable(&self) -> u32 {
+        self.sites.values().map(|site| site.reclaimable).sum()
+    }
+}
+
+/// How many servers are wanted of each kind in each data centre.
+pub type WantedServers = BTreeMap<(DataCentreId, ServerKind), u32>;
+
+/// Decides how many servers a pool should have.
+pub trait ScalePolicy {
+    /// What is wanted, given the pool and the kinds that can't be had somewhere now.
+    fn wanted(
+        &mut self,
+        scaling: &PoolScaling,
+        load: &PoolLoad,
+        is_dry: &dyn Fn(&DataCentreId, ServerKind) -> bool,
+        now: Instant,
+    ) -> WantedServers;
+}
+
+/// Orders nothing: the baseline.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StandStill;
+
+impl ScalePolicy for StandStill {
+    fn wanted(
+        &mut self,
+        _: &PoolScaling,
+        _: &PoolLoad,
+        _: &dyn Fn(&DataCentreId, ServerKind) -> bool,
+        _: Instant,
+    ) -> WantedServers {
+        WantedServers::new()
+    }
+}
+
+/// How long the highest need counts: the next burst may follow, and a server that is given back loses the prompt
+/// parts that it keeps.
+const PEAK_MEMORY: Duration = Duration::from_secs(20);
+/// Time in which the prompts that wait already should be read.
+const BACKLOG_SECONDS: f64 = 2.0;
+
+/// Follows the load: cheap servers for the bursts, and lasting ones for what the cheap ones that are there
+/// leave open.
+#[derive(Clone, Debug)]
+pub struct FollowLoad {
+    options: FollowOptions,
+    /// Servers that the pool had as it was first seen.
+    standing: u32,
+    /// Needs of the last seconds, in servers that read all the time.
+    needs: VecDeque<(Instant, f64)>,
+}
+
+/// What a policy that follows the load aims at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FollowOptions {
+    /// Servers, with cheap ones, per server that would read all the time: the rest is for steps, for bursts that
+    /// come within a boot time, and for parts that are kept where they are needed.
+    pub headroom: f64,
+    /// The same where the rest has to be lasting ones.
+    pub bare_headroom: f64,
+    /// Fewest servers with cheap ones, as a share of those that stood there first: before any load was seen, the
+    /// operator's number is the best guess.
+    pub floor: f64,
+    /// The same where the rest has to be lasting ones.
+    pub bare_floor: f64,
+}
+
+impl Default for FollowOptions {
+    fn default() -> Self {
+        Self {
+            headroom: 3.0,
+            bare_headroom: 1.6,
+            floor: 1.0,
+            bare_floor: 0.6,
+        }
+    }
+}
+
+impl FollowLoad {
+    /// A policy that has seen no load.
+    pub fn new(options: FollowOptions) -> Self {
+        Self {
+            options,
+            standing: 0,
+            needs: VecDeque::new(),
+        }
+    }
+
+    /// Takes note of a pool while another node orders its servers: the first sight of it counts.
+    pub fn observe(&mut self, load: &PoolLoad) {
+        if self.standing == 0 {
+            self.standing = load.servers();
+        }
+    }
+
+    /// Whether the pool was seen with servers.
+    pub fn has_seen(&self) -> bool {
+        self.standing > 0
+    }
+
+    /// Servers that would have to read all the time, at the highest of the last seconds.
+    pub fn need(&mut self, load: &PoolLoad, now: Instant) -> f64 {
+        let tokens = load.tokens_per_second + load.unread_tokens / BACKLOG_SECONDS;
+        let need = tokens / load.server_speed.max(1.0);
+        while self.needs.back().is_some_and(|(_, last)| *last <= need) {
+            self.needs.pop_back();
+        }
+        self.needs.push_back((now, need));
+        let is_old = |at: Instant| now.saturating_duration_since(at) > PEAK_MEMORY;
+        while self.needs.front().is_some_and(|(at, _)| is_old(*at)) {
+            self.needs.pop_front();
+        }
+        self.needs.front().map_or(need, |(_, peak)| *peak)
+    }
+
+    /// Servers of the whole pool that a need asks for.
+    fn total(&self, need: f64, headroom: f64, floor: f64) -> u32 {
+        let standing = f64::from(self.standing) * floor;
+        (need * headroom).max(standing).ceil() as u32
+    }
+}
+
+impl Default for FollowLoad {
+    fn default() -> Self {
+        Self::new(FollowOptions::default())
+    }
+}
+
+impl ScalePolicy for FollowLoad {
+    fn wanted(
+        &mut self,
+        scaling: &PoolScaling,
+        load: &PoolLoad,
+        is_dry: &dyn Fn(&DataCentreId, ServerKind) -> bool,
+        now: Instant,
+    ) -> WantedServers {
+        self.observe(load);
+        let need = self.need(load, now);
+        let count = u32::try_from(load.sites.len()).unwrap_or(u32::MAX);
+        let mut wanted = WantedServers::new();
+        if count == 0 {
+            return wanted;
+        }
+        let options = self.options;
+        let has_cheap = scaling.reclaimable_price.is_some_and(|price| price < 1_000);
+        let all = self.total(need, options.headroom, options.floor);
+        let bare = self.total(need, options.bare_headroom, options.bare_floor);
+        // Cheap servers that boot don't serve yet: until they do, lasting ones stay.
+        let lasting = if has_cheap {
+            bare.saturating_sub(load.reclaimable())
+        } else {
+            all
+        };
+        let lasting_each = lasting.div_ceil(count).max(scaling.min).min(scaling.max);
+        let cheap_each = all.div_ceil(count).min(scaling.max - lasting_each);
+        for (site, servers) in &load.sites {
+            wanted.insert((site.clone(), ServerKind::Lasting), lasting_each);
+            if !has_cheap {
+                continue;
+            }
+            let each = if is_dry(site, ServerKind::Reclaimable) {
+                servers.reclaimable.min(cheap_each)
+            } else {
+                cheap_each
+            };
+            wanted.insert((site.clone(), ServerKind::Reclaimable), each);
+        }
+        wanted
+    }
+}
+
+/// How long a kind of servers is not ordered where there was none to be had.
+const DRY_PAUSE: Duration = Duration::from_millis(2_500);
+/// Time between two orders for one subject that raise its number.
+const RAISE_PAUSE: Duration = Duration::from_millis(700);
+/// Time between two orders for one subject where the second lowers its number: what the first brought is seen by
+/// then, and a burst that comes again finds its servers.
+const LOWER_PAUSE: Duration = Duration::from_secs(4);
+/// Share of a number by which an order must lower it.
+const LOWER_SHARE: f64 = 0.12;
+/// How much longer than a boot time servers are waited for before they are ordered again.
+const BOOT_SLACK: Duration = Duration::from_secs(2);
+
+/// What was ordered for one subject.
+#[derive(Clone, Copy, Debug)]
+struct OrderedCount {
+    count: u32,
+    at: Instant,
+}
+
+/// Which orders are due, given what is wanted and what was ordered.
+#[derive(Clone, Debug, Default)]
+pub struct OrderBook {
+    ordered: BTreeMap<ScaleSubject, OrderedCount>,
+    dry: BTreeMap<ScaleSubject, Instant>,
+}
+
+impl OrderBook {
+    /// A book without orders.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Whether a kind of servers could not be had somewhere lately.
+    pub fn is_dry(&self, subject: &ScaleSubject, now: Instant) -> bool {
+        self.dry.get(subject).is_some_and(|until| now < *until)
+    }
+
+    /// The next order for a subject, given how many servers of it take work.
+    pub fn next(
+        &self,
+        subject: &ScaleSubject,
+        wanted: u32,
+        present: u32,
+        boot: Duration,
+        now: Instant,
+    ) -> Option<ScaleOrder> {
+        let order = ScaleOrder {
+            subject: subject.clone(),
+            count: wanted,
+        };
+        let Some(last) = self.ordered.get(subject) else {
+            return (wanted != present && !self.is_dry(subject, now)).then_some(order);
+        };
+        let since = now.saturating_duration_since(last.at);
+        let is_raise = wanted > last.count;
+        // Servers that were taken away or crashed for good have to be ordered anew under the same number.
+        let is_short = wanted == last.count && present < wanted && since > boot + BOOT_SLACK;
+        let least = (f64::from(last.count) * LOWER_SHARE).ceil().max(1.0) as u32;
+        let is_lower = wanted + least <= last.count && since > LOWER_PAUSE;
+        let may_raise = (is_raise && since > RAISE_PAUSE) || is_short;
+        let is_due = is_lower || (may_raise && !self.is_dry(subject, now));
+        is_due.then_some(order)
+    }
+
+    /// The party took an order.
+    pub fn note_ordered(&mut self, order: &ScaleOrder, now: Instant) {
+        let ordered = OrderedCount {
+            count: order.count,
+            at: now,
+        };
+        self.ordered.insert(order.subject.clone(), ordered);
+        self.dry.remove(&order.subject);
+    }
+
+    /// There are none to be had now.
+    pub fn note_dry(&mut self, subject: &ScaleSubject, now: Instant) {
+        self.dry.insert(subject.clone(), now + DRY_PAUSE);
+    }
+
+    /// What was ordered last.
+    pub fn ordered(&self) -> impl Iterator<Item = (&ScaleSubject, u32)> {
+        let ordered = self.ordered.iter();
+        ordered.map(|(subject, ordered)| (subject, ordered.count))
+    }
+}
--- a/crates/plumgate/src/lease.rs
+++ b/crates/plumgate/src/lease.rs
@@ -59,20 +59,23 @@
     Unanswered,
 }
 
-/// Another holder's row as it was first seen.
+/// Another holder's row, by the moment (of any clock) at which it was first seen.
+///
+/// Whether a lease has ended is judged by how long its row stood unchanged on this node's own clock: clocks
+/// of two VMs are never compared.
 #[derive(Clone, Debug)]
-struct SeenRow {
-    row: LeaseRow,
-    version: RowVersion,
-    since: Instant,
+pub(crate) struct SeenRow<R, V, M> {
+    pub(crate) row: R,
+    pub(crate) version: V,
+    pub(crate) since: M,
 }
 
 /// A write whose effect is not known yet.
 #[derive(Clone, Debug)]
-struct PendingWrite {
-    row: LeaseRow,
+pub(crate) struct PendingWrite<R, M> {
+    pub(crate) row: R,
     /// When the row was first asked to be written.
-    asked: Instant,
+    pub(crate) asked: M,
 }
 
 /// One node's side of one lease.
@@ -80,10 +83,10 @@
 pub struct LeaseHolder {
     run: ChartRun,
     holder: String,
-    seen: Option<SeenRow>,
+    seen: Option<SeenRow<LeaseRow, RowVersion, Instant>>,
     held: Option<(LeaseRow, RowVersion)>,
     asked: Option<Instant>,
-    pending: Option<PendingWrite>,
+    pending: Option<PendingWrite<LeaseRow, Instant>>,
     valid_until: Option<Instant>,
     settled_at: Option<Instant>,
 }
@@ -154,8 +157,6 @@
         let Some(seen) = &self.seen else {
             return self.ask(LeaseAction::Read, now);
         };
-        // Whether another holder's lease has ended is judged by how long its row stood
-        // unchanged on this node's own clock: clocks of two VMs are never compared.
         if now < seen.since + LEASE_LENGTH {
             return self.ask(LeaseAction::Read, now);
         }
--- a/crates/plumgate/src/lib.rs
+++ b/crates/plumgate/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod claim;
 pub mod config;
 pub mod dispatch;
+pub mod duty;
 pub mod errors;
 pub mod findings;
 pub mod follow;
@@ -70,8 +71,10 @@
 pub mod placement;
 pub mod retry;
 pub mod route;
+pub mod store_version;
 pub mod wire;
 
 pub use errors::{Error, Result};
 pub use findings::{FileFinding, FindingList};
 pub use outcome::RunOutcome;
+pub use store_version::{StoreEra, StoreVersion};
--- /dev/null
+++ b/crates/plumgate/tests/duty_model/mod.rs
@@ -0,0 +1,514 @@
+//! A fleet of a few nodes without a network, before a store that may come back old and a party that judges: drawn
+//! from a seed, so that each order of events can be played again.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use plumgate::duty::{
+    DutyAnswer, DutyCall, DutyCredential, DutyIdentity, DutyRow, DutySeat, DutyTimes, DutyWrite,
+    ReportTimes, SeatMoment, SeatOptions, UsageCounts, UsageReport, WindowId,
+};
+use plumgate::{StoreEra, StoreVersion};
+
+/// The grain of the simulated time in milliseconds.
+const STEP: u64 = 20;
+/// When a run begins, as the time of day.
+const START: u64 = 1_767_225_600_000;
+/// The length of the lease, and of the span in which holders must not return.
+pub(crate) const LEASE: u64 = 3_000;
+/// The longest call to the party.
+pub(crate) const CALL: u64 = 800;
+/// The length of a window.
+pub(crate) const WINDOW: u64 = 5_000;
+/// How late a report may come.
+pub(crate) const LATE: u64 = 10_000;
+/// How long after a thaw a call is excused.
+const THAW_SLACK: u64 = 300;
+
+/// What may strike, each as a chance a second.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FaultRates {
+    pub(crate) suspend: f64,
+    pub(crate) kill: f64,
+    pub(crate) cut_store: f64,
+    pub(crate) cut_party: f64,
+    pub(crate) lose_answer: f64,
+    pub(crate) late_write: f64,
+    pub(crate) slow_party: f64,
+    pub(crate) era: f64,
+    pub(crate) rewant: f64,
+}
+
+impl FaultRates {
+    /// All kinds, as dense as a run still gets anything done.
+    pub(crate) fn all() -> Self {
+        Self {
+            suspend: 0.06,
+            kill: 0.04,
+            cut_store: 0.05,
+            cut_party: 0.04,
+            lose_answer: 0.10,
+            late_write: 0.06,
+            slow_party: 0.04,
+            era: 0.05,
+            rewant: 0.08,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct StoreImage {
+    version: u64,
+    row: Option<(DutyRow, u64)>,
+    guards: BTreeMap<u64, u64>,
+}
+
+#[derive(Debug, Default)]
+struct ModelStore {
+    era: StoreEra,
+    image: StoreImage,
+    history: Vec<(u64, StoreImage)>,
+}
+
+impl ModelStore {
+    fn carry_out(&mut self, call: &DutyCall, now: u64) -> DutyAnswer {
+        match call {
+            DutyCall::Read => DutyAnswer::Row {
+                era: self.era,
+                row: self.image.row.clone(),
+            },
+            DutyCall::Write(write) => self.write(write, now),
+        }
+    }
+
+    fn write(&mut self, write: &DutyWrite, now: u64) -> DutyAnswer {
+        let holds = match write.before {
+            None => self.image.row.is_none(),
+            Some((nonce, version)) => {
+                let is_row = self.image.row.as_ref().map(|(_, at)| *at) == Some(version);
+                is_row && self.image.guards.get(&nonce) == Some(&version)
+            }
+        };
+        if !holds {
+            return DutyAnswer::Conflict(self.era);
+        }
+        self.history.push((now, self.image.clone()));
+        self.image.version += 1;
+        let version = self.image.version;
+        if let Some((nonce, _)) = write.before {
+            self.image.guards.remove(&nonce);
+        }
+        self.image.guards.insert(write.row.nonce, version);
+        self.image.row = Some((write.row.clone(), version));
+        DutyAnswer::Written(StoreVersion::new(self.era, version))
+    }
+
+    /// Comes back as it was some time ago.
+    fn come_back(&mut self, as_of: u64) {
+        let kept = self.history.partition_point(|(at, _)| *at <= as_of);
+        if let Some((_, image)) = self.history.get(kept) {
+            self.image = image.clone();
+            self.history.truncate(kept);
+        }
+        self.era += 1;
+    }
+}
+
+struct StoreCallState {
+    call: DutyCall,
+    carried_out_at: u64,
+    answered_at: Option<u64>,
+    answer: Option<DutyAnswer>,
+}
+
+struct PartyCallState {
+    credential: DutyCredential,
+    report: UsageReport,
+    arrives_at: u64,
+    answered_at: Option<u64>,
+    is_excused: bool,
+    arrived: bool,
+}
+
+struct ModelNode {
+    machine: usize,
+    seat: DutySeat,
+    wanted: bool,
+    down_until: u64,
+    suspended_until: u64,
+    thawed_at: u64,
+    no_store_until: u64,
+    no_party_until: u64,
+    store_call: Option<(u64, Option<u64>)>,
+    party_call: Option<(u64, WindowId, u64)>,
+}
+
+/// What the party saw.
+#[derive(Debug, Default)]
+pub(crate) struct Judge {
+    reports: BTreeMap<WindowId, UsageCounts>,
+    numbers: HashMap<u64, usize>,
+    highest: u64,
+    acts: Vec<(u64, usize)>,
+    /// Rules that were broken.
+    pub(crate) broken: Vec<String>,
+}
+
+impl Judge {
+    fn take(&mut self, call: &PartyCallState, machine: usize, now: u64) {
+        let window = call.report.window;
+        match self.reports.get(&window) {
+            Some(counts) if *counts != call.report.counts => {
+                self.broken
+                    .push(format!("{now}: two reports of window {window}"));
+            }
+            Some(_) => {}
+            None => {
+                self.reports.insert(window, call.report.counts.clone());
+            }
+        }
+        let number = call.credential.number;
+        let owner = *self.numbers.entry(number).or_insert(machine);
+        if owner != machine {
+            self.broken
+                .push(format!("{now}: number {number} of {owner} and {machine}"));
+        }
+        if call.is_excused {
+            return;
+        }
+        if number < self.highest {
+            let highest = self.highest;
+            self.broken
+                .push(format!("{now}: number {number} after {highest}"));
+        }
+        self.highest = self.highest.max(number);
+        let recent = self
+            .acts
+            .iter()
+            .rev()
+            .take_while(|(at, _)| now - at < LEASE);
+        let mut between = false;
+        for (_, other) in recent {
+            if *other == machine && between {
+                self.broken.push(format!("{now}: {machine} acts again"));
+                break;
+            }
+            between |= *other != machine;
+        }
+        self.acts.push((now, machine));
+    }
+
+    /// Windows that were reported.
+    pub(crate) fn windows(&self) -> Vec<WindowId> {
+        self.reports.keys().copied().collect()
+    }
+}
+
+/// The fleet.
+pub(crate) struct DutyFleet {
+    rng: fastrand::Rng,
+    rates: FaultRates,
+    pub(crate) now: u64,
+    store: ModelStore,
+    nodes: Vec<ModelNode>,
+    store_calls: BTreeMap<u64, StoreCallState>,
+    party_calls: BTreeMap<u64, (usize, PartyCallState)>,
+    next_call: u64,
+    pub(crate) judge: Judge,
+    pub(crate) eras: u32,
+}
+
+fn seat(machine: usize, incarnation: u64) -> DutySeat {
+    DutySeat::new(SeatOptions {
+        own: DutyIdentity {
+            node: format!("node-{machine}").as_str().into(),
+            incarnation,
+        },
+        lease: DutyTimes::new(Duration::from_millis(LEASE), Duration::from_millis(CALL)),
+        reports: ReportTimes {
+            window: Duration::from_millis(WINDOW),
+            late: Duration::from_millis(LATE),
+        },
+    })
+}
+
+impl DutyFleet {
+    /// Some nodes, of which the first is wanted.
+    pub(crate) fn new(seed: u64, nodes: usize, rates: FaultRates) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let nodes = (0..nodes).map(|machine| ModelNode {
+            machine,
+            seat: seat(machine, rng.u64(..)),
+            wanted: machine == 0,
+            down_until: 0,
+            suspended_until: 0,
+            thawed_at: 0,
+            no_store_until: 0,
+            no_party_until: 0,
+            store_call: None,
+            party_call: None,
+        });
+        let nodes = nodes.collect();
+        Self {
+            rng,
+            rates,
+            now: 100_000,
+            store: ModelStore::default(),
+            nodes,
+            store_calls: BTreeMap::new(),
+            party_calls: BTreeMap::new(),
+            next_call: 0,
+            judge: Judge::default(),
+            eras: 0,
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn play(&mut self, seconds: u64) {
+        let end = self.now + seconds * 1_000;
+        while self.now < end {
+            self.now += STEP;
+            self.strike();
+            self.carry_out();
+            for node in 0..self.nodes.len() {
+                self.run_node(node);
+            }
+        }
+    }
+
+    /// Makes a node wanted, and the others not.
+    pub(crate) fn want(&mut self, wanted: usize) {
+        for (at, node) in self.nodes.iter_mut().enumerate() {
+            node.wanted = at == wanted;
+        }
+    }
+
+    /// Ends a node for a time.
+    pub(crate) fn kill(&mut self, node: usize, time: u64) {
+        let incarnation = self.rng.u64(..);
+        let node = &mut self.nodes[node];
+        node.seat = seat(node.machine, incarnation);
+        node.down_until = self.now + time;
+        node.store_call = None;
+        node.party_call = None;
+    }
+
+    /// Suspends a node for a time.
+    pub(crate) fn suspend(&mut self, node: usize, time: u64) {
+        let until = self.now + time;
+        self.nodes[node].suspended_until = until;
+        self.nodes[node].thawed_at = until;
+    }
+
+    /// The store comes back as it was so long ago.
+    pub(crate) fn come_back(&mut self, age: u64) {
+        self.store.come_back(self.now.saturating_sub(age));
+        self.eras += 1;
+    }
+
+    fn chance(&mut self, per_second: f64) -> bool {
+        self.rng.f64() < per_second * STEP as f64 / 1_000.0
+    }
+
+    fn strike(&mut self) {
+        let rates = self.rates;
+        for node in 0..self.nodes.len() {
+            if self.chance(rates.suspend) {
+                let time = self.rng.u64(200..7_000);
+                self.suspend(node, time);
+            }
+            if self.chance(rates.kill) {
+                let time = self.rng.u64(20..5_000);
+                self.kill(node, time);
+            }
+            if self.chance(rates.cut_store) {
+                self.nodes[node].no_store_until = self.now + self.rng.u64(500..8_000);
+            }
+            if self.chance(rates.cut_party) {
+                self.nodes[node].no_party_until = self.now + self.rng.u64(500..8_000);
+            }
+        }
+        if self.chance(rates.era) {
+            let age = self.rng.u64(100..8_000);
+            self.come_back(age);
+            if self.rng.f64() < 0.3 {
+                let age = self.rng.u64(100..3_000);
+                self.come_back(age);
+            }
+        }
+        if self.chance(rates.rewant) {
+            let wanted = self.rng.usize(0..self.nodes.len());
+            self.want(wanted);
+            if self.rng.f64() < 0.3 {
+                let second = self.rng.usize(0..self.nodes.len());
+                self.nodes[second].wanted = true;
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        let now = self.now;
+        for call in self.store_calls.values_mut() {
+            if call.answer.is_none() && now >= call.carried_out_at {
+                call.answer = Some(self.store.carry_out(&call.call, now));
+            }
+        }
+        for (machine, call) in self.party_calls.values_mut() {
+            if !call.arrived && now >= call.arrives_at {
+                call.arrived = true;
+                self.judge.take(call, *machine, now);
+            }
+        }
+        let is_over = |at: Option<u64>| at.is_none_or(|at| now > at + 1_000);
+        self.store_calls
+            .retain(|_, call| call.answer.is_none() || !is_over(call.answered_at));
+        self.party_calls
+            .retain(|_, (_, call)| !call.arrived || !is_over(call.answered_at));
+    }
+
+    fn run_node(&mut self, at: usize) {
+        let now = self.now;
+        let node = &self.nodes[at];
+        if now < node.down_until || now < node.suspended_until {
+            return;
+        }
+        self.take_store_answer(at);
+        self.take_party_answer(at);
+        if !self.nodes[at].wanted {
+            return;
+        }
+        let moment = moment(now);
+        let counts = self.rng.u64(1..1_000_000);
+        let is_whole = self.rng.f64() < 0.5;
+        let node = &mut self.nodes[at];
+        if node.store_call.is_none() {
+            let counts = |_| (UsageCounts::from([("lab".to_owned(), counts)]), is_whole);
+            if let Some(call) = node.seat.tick(counts, moment) {
+                self.send_store(at, call);
+            }
+        }
+        if self.nodes[at].party_call.is_none()
+            && let Some((credential, report)) = self.nodes[at].seat.next_report(moment)
+        {
+            self.send_party(at, credential, report);
+        }
+    }
+
+    fn send_store(&mut self, at: usize, call: DutyCall) {
+        let now = self.now;
+        let node = &self.nodes[at];
+        let id = self.next_call;
+        self.next_call += 1;
+        let mut carried_out_at = now + self.rng.u64(0..3) * STEP;
+        let mut answered_at = Some(carried_out_at + self.rng.u64(0..2) * STEP);
+        let is_cut = now < node.no_store_until;
+        if is_cut {
+            self.nodes[at].store_call = Some((now + 400, None));
+            return;
+        }
+        let is_write = matches!(call, DutyCall::Write(_));
+        if is_write && self.rng.f64() < self.rates.late_write {
+            carried_out_at = now + self.rng.u64(200..6_000);
+            answered_at = None;
+        } else if self.rng.f64() < self.rates.lose_answer {
+            answered_at = None;
+        }
+        let state = StoreCallState {
+            call,
+            carried_out_at,
+            answered_at,
+            answer: None,
+        };
+        self.store_calls.insert(id, state);
+        self.nodes[at].store_call = Some((now + 400, Some(id)));
+    }
+
+    fn take_store_answer(&mut self, at: usize) {
+        let now = self.now;
+        let Some((give_up_at, id)) = self.nodes[at].store_call else {
+            return;
+        };
+        let call = id.and_then(|id| self.store_calls.get(&id));
+        let came = call.filter(|call| call.answered_at.is_some_and(|at| now >= at));
+        let answer = came.and_then(|call| call.answer.clone());
+        let answer = match answer {
+            Some(answer) => answer,
+            None if now >= give_up_at => DutyAnswer::Unanswered,
+            None => return,
+        };
+        let node = &mut self.nodes[at];
+        node.store_call = None;
+        node.seat.apply(answer, Duration::from_millis(now));
+    }
+
+    fn send_party(&mut self, at: usize, credential: DutyCredential, report: UsageReport) {
+        let now = self.now;
+        let id = self.next_call;
+        self.next_call += 1;
+        let window = report.window;
+        let node = &self.nodes[at];
+        let mut arrives_at = now + self.rng.u64(0..3) * STEP;
+        let mut answered_at = Some(arrives_at + STEP);
+        let mut is_excused = now < node.thawed_at + THAW_SLACK;
+        if now < node.no_party_until {
+            self.nodes[at].party_call = Some((now + CALL, window, u64::MAX));
+            return;
+        }
+        if self.rng.f64() < self.rates.slow_party {
+            arrives_at = now + self.rng.u64(0..5_000);
+            answered_at = Some(arrives_at + STEP);
+            is_excused = true;
+        } else if self.rng.f64() < self.rates.lose_answer {
+            answered_at = None;
+        }
+        let pause = self.rng.u64(0..6_000);
+        if self.rng.f64() < self.rates.suspend {
+            // It stands still after it has looked at its lease, and sends as it wakes.
+            self.suspend(at, pause);
+            arrives_at += pause;
+            answered_at = answered_at.map(|at| at + pause);
+            is_excused = true;
+        }
+        let call = PartyCallState {
+            credential,
+            report,
+            arrives_at,
+            answered_at,
+            is_excused,
+            arrived: false,
+        };
+        let machine = self.nodes[at].machine;
+        self.party_calls.insert(id, (machine, call));
+        self.nodes[at].party_call = Some((now + CALL, window, id));
+    }
+
+    fn take_party_answer(&mut self, at: usize) {
+        let now = self.now;
+        let Some((give_up_at, window, id)) = self.nodes[at].party_call else {
+            return;
+        };
+        let call = self.party_calls.get(&id);
+        let is_answered = call
+            .is_some_and(|(_, call)| call.arrived && call.answered_at.is_some_and(|at| now >= at));
+        let node = &mut self.nodes[at];
+        if is_answered {
+            node.seat.note_sent(window, moment(now).unix);
+        }
+        if is_answered || now >= give_up_at {
+            node.party_call = None;
+        }
+    }
+}
+
+fn moment(now: u64) -> SeatMoment {
+    SeatMoment {
+        boot: Duration::from_millis(now),
+        unix: START + now,
+    }
+}
+
+/// The window that a moment of a run lies in.
+pub(crate) fn window_at(now: u64) -> WindowId {
+    (START + now) / WINDOW
+}
--- /dev/null
+++ b/crates/plumgate/tests/duty_usage.rs
@@ -0,0 +1,191 @@
+//! Counts of requests as nodes tell each other of them, and the time of day that they agree on.
+
+use std::time::Duration;
+
+use plumgate::duty::{
+    AgreedClock, ClockNews, ReportTimes, UsageBook, UsageCounts, UsageNews, UsageTally,
+};
+use plumgate::ids::{DataCentreId, NodeId};
+
+/// A moment in the middle of a window.
+const DAY: u64 = 1_767_225_602_500;
+
+fn times() -> ReportTimes {
+    ReportTimes {
+        window: Duration::from_secs(5),
+        late: Duration::from_secs(10),
+    }
+}
+
+/// One node with what it counts.
+struct CountingNode {
+    name: NodeId,
+    book: UsageBook,
+    tally: UsageTally,
+}
+
+impl CountingNode {
+    fn new(name: &str, centre: &str, incarnation: u64) -> Self {
+        Self {
+            name: name.into(),
+            book: UsageBook::new(centre.into(), incarnation, times()),
+            tally: UsageTally::default(),
+        }
+    }
+
+    fn count(&mut self, workspace: &str, requests: u64) {
+        for _ in 0..requests {
+            self.tally.note(workspace, times().window_at(DAY));
+        }
+    }
+
+    /// All that it tells its collector in a second from a time on.
+    fn tell(&mut self, from: u64) -> Vec<UsageNews> {
+        let rounds = (0..10).flat_map(|round| {
+            let boot = Duration::from_millis(from + round * 100);
+            self.book.own_news(&self.tally, DAY, boot)
+        });
+        rounds.collect()
+    }
+}
+
+fn sum(book: &UsageBook, centres: &[DataCentreId]) -> (UsageCounts, bool) {
+    let window = times().window_at(DAY);
+    book.counts(window, ["lab", "clinic"].into_iter(), centres)
+}
+
+// A message comes twice, an older one comes after a newer one, and a node starts again and counts from nothing: no
+// request is counted twice, and none that was told is forgotten.
+#[test]
+fn counts_survive_repeats_other_orders_and_restarts() {
+    let mut collector = CountingNode::new("collector", "a", 1);
+    let mut node = CountingNode::new("node", "a", 2);
+    node.count("lab", 7);
+    let early = node.tell(0);
+    node.count("lab", 3);
+    let late = node.tell(1_000);
+    let boot = Duration::from_secs(2);
+    for news in late.iter().chain(&early).chain(&late) {
+        collector.book.hear(&node.name, news.clone(), boot);
+    }
+    let mut again = CountingNode::new("node", "a", 3);
+    again.count("lab", 2);
+    again.count("clinic", 1);
+    for news in again.tell(0) {
+        collector.book.hear(&again.name, news, boot);
+    }
+    collector.count("clinic", 4);
+    collector.book.add_up(&collector.tally, DAY, boot);
+    let (counts, _) = sum(&collector.book, &["a".into()]);
+    let expected = [("lab".to_owned(), 12), ("clinic".to_owned(), 5)];
+    assert_eq!(counts, UsageCounts::from(expected));
+}
+
+// The collector of a data centre ends, and with it a node that had told it. Another data centre's collector has heard
+// of its sums, and tells them to the next collector.
+#[test]
+fn sums_outlive_their_collector() {
+    let boot = Duration::from_secs(2);
+    let mut first = CountingNode::new("first", "a", 1);
+    let mut foreign = CountingNode::new("foreign", "b", 2);
+    let mut node = CountingNode::new("node", "a", 3);
+    node.count("lab", 9);
+    for news in node.tell(0) {
+        first.book.hear(&node.name, news, boot);
+    }
+    first.book.add_up(&first.tally, DAY, boot);
+    for news in first.book.centre_news(boot) {
+        foreign.book.hear(&first.name, news, boot);
+    }
+    let mut second = CountingNode::new("second", "a", 4);
+    second.count("lab", 1);
+    second.book.add_up(&second.tally, DAY, boot);
+    for news in foreign.book.centre_news(boot) {
+        second.book.hear(&foreign.name, news, boot);
+    }
+    let (counts, _) = sum(&second.book, &["a".into()]);
+    assert_eq!(counts.get("lab"), Some(&9));
+}
+
+// A node is cut off for some seconds. The sums count as whole only once it has told what it had since, or was gone
+// for so long that nobody waits for it.
+#[test]
+fn sums_are_whole_once_all_have_told() {
+    let mut collector = CountingNode::new("collector", "a", 1);
+    let mut node = CountingNode::new("node", "a", 2);
+    let news = node.tell(0);
+    let boot = Duration::from_secs(1);
+    for news in news {
+        collector.book.hear(&node.name, news, boot);
+    }
+    let end = times().end(times().window_at(DAY));
+    let centres = ["a".into()];
+    collector.book.add_up(&collector.tally, end + 500, boot);
+    assert!(!sum(&collector.book, &centres).1);
+    let later = boot + Duration::from_secs(9);
+    collector.book.add_up(&collector.tally, end + 2_000, later);
+    assert!(sum(&collector.book, &centres).1);
+    assert!(!sum(&collector.book, &["a".into(), "b".into()]).1);
+}
+
+// What a node sends does not grow with windows that are over, and a round fits into one packet: 1,100 workspaces at
+// each of the nodes.
+#[test]
+fn tellings_are_bounded() {
+    let mut node = CountingNode::new("node", "a", 2);
+    for number in 0..1_100 {
+        node.count(&format!("workspace-{number}"), 1);
+    }
+    let mut bytes = 0;
+    for round in 0..300 {
+        let boot = Duration::from_millis(round * 100);
+        let mut tally = std::mem::take(&mut node.tally);
+        node.book.tick(&mut tally, DAY);
+        for news in node.book.own_news(&tally, DAY, boot) {
+            let size = postcard_size(&news);
+            assert!(size < 1_400, "{size}");
+            bytes += size;
+        }
+        node.tally = tally;
+    }
+    assert!(bytes / 30 < 8_000, "{} bytes a second", bytes / 30);
+}
+
+fn postcard_size(news: &UsageNews) -> usize {
+    postcard::to_stdvec(news).map_or(0, |bytes| bytes.len())
+}
+
+// The time of day jumps by seconds on a quarter of the nodes, and on the one that looks: the middle stays.
+#[test]
+fn agreed_time_stands_against_jumps() {
+    let mut clock = AgreedClock::new();
+    let boot = Duration::from_secs(100);
+    clock.note_own(DAY + 2_400, boot);
+    for number in 0..12 {
+        let jump = if number < 3 { 2_400 } else { number };
+        let news = ClockNews {
+            own: DAY + jump,
+            agreed: None,
+        };
+        clock.hear(&format!("node-{number}").as_str().into(), &news, boot);
+    }
+    clock.agree(boot);
+    let now = clock.now(boot).expect("a time");
+    assert!(now.abs_diff(DAY) <= 12, "{now}");
+    let later = boot + Duration::from_secs(4);
+    let now = clock.now(later).expect("a time");
+    assert!(now.abs_diff(DAY + 4_000) <= 12, "{now}");
+}
+
+// The time of day of a node jumps ahead and back while it runs: by itself it hardly follows.
+#[test]
+fn own_time_does_not_jump() {
+    let mut clock = AgreedClock::new();
+    for second in 0..20 {
+        let jump = if (5..11).contains(&second) { 2_400 } else { 0 };
+        let boot = Duration::from_secs(second);
+        clock.note_own(DAY + second * 1_000 + jump, boot);
+        let now = clock.now(boot).expect("a time");
+        assert!(now.abs_diff(DAY + second * 1_000) <= 4, "second {second}");
+    }
+}
