--- a/crates/plumgate-cli/src/commands.rs
+++ b/crates/plumgate-cli/src/commands.rs
@@ -14,7 +14,7 @@
 use crate::apply::{ApplyBase, apply_files, check, raced, set_drained};
 use crate::errors::{Error, Result};
 use crate::flags;
-use crate::nodes::{statuses, versions_in_force, wait_in_force};
+use crate::nodes::{duty_pages, statuses, versions_in_force, wait_in_force};
 use crate::output::print_line;
 use crate::store::ConfigStore;
 
@@ -26,6 +26,7 @@
         Some(("diff", sub)) => context.diff(sub).await,
         Some(("apply", sub)) => context.apply(sub).await,
         Some(("status", _)) => context.status().await,
+        Some(("duties", _)) => context.duties().await,
         Some(("show", sub)) => context.show(sub).await,
         Some(("drain", sub)) => context.drain(sub, true).await,
         Some(("undrain", sub)) => context.drain(sub, false).await,
@@ -240,6 +241,22 @@
         Ok(ExitCode::SUCCESS)
     }
 
+    /// Prints what the nodes say of the duties, each under its address.
+    async fn duties(&self) -> Result<ExitCode> {
+        let pages = duty_pages(&self.nodes()).await?;
+        if self.is_json() {
+            print_line(json!(pages));
+            return Ok(ExitCode::SUCCESS);
+        }
+        for (address, page) in &pages {
+            print_line(format!("{address}:"));
+            for line in page.lines() {
+                print_line(format!("  {line}"));
+            }
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+
     async fn show(&self, matches: &ArgMatches) -> Result<ExitCode> {
         let store = self.store()?;
         let head = match matches.get_one::<u64>("version") {
--- a/crates/plumgate-cli/src/flags.rs
+++ b/crates/plumgate-cli/src/flags.rs
@@ -33,6 +33,9 @@
                     .help("Apply only on top of this version"),
             ),
             Command::new("status").about("Shows data centres, nodes, servers and queues"),
+            Command::new("duties").about(
+                "Shows who holds the duties, the last windows of usage and the orders, by the nodes' readiness addresses",
+            ),
             Command::new("show")
                 .about("Prints the configuration in force, or an earlier one")
                 .arg(
--- a/crates/plumgate-cli/src/nodes.rs
+++ b/crates/plumgate-cli/src/nodes.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use plumgate_node::status::{NodeStatus, fetch_status};
+use plumgate_node::gateway::DUTIES_PATH;
+use plumgate_node::status::{NodeStatus, fetch_page, fetch_status};
 
 use crate::errors::{Error, Result};
 
@@ -25,6 +26,21 @@
     }
 }
 
+/// What the nodes that answer say of the duties, by their readiness addresses.
+pub(crate) async fn duty_pages(addresses: &[SocketAddr]) -> Result<BTreeMap<SocketAddr, String>> {
+    let mut pages = BTreeMap::new();
+    for address in addresses {
+        if let Some(page) = fetch_page(*address, DUTIES_PATH).await {
+            pages.insert(*address, page);
+        }
+    }
+    if pages.is_empty() {
+        Err(Error::NoNode)
+    } else {
+        Ok(pages)
+    }
+}
+
 /// The lowest version in force in each data centre that some node knows of.
 pub(crate) fn versions_in_force(statuses: &[NodeStatus]) -> BTreeMap<String, u64> {
     let mut nodes: BTreeMap<&str, (&str, u64)> = BTreeMap::new();
--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -18,6 +18,7 @@
 use super::answer::{GatewayBody, StreamPiece, mark_last, own_answer};
 use super::checks::accept;
 use super::connection::{CallerStream, ConnectionUse, GuardedBody};
+use super::duties::DUTIES_PATH;
 use super::ports::WireFormat;
 use super::run::RelayRun;
 use super::shared::{ConnectionGuard, GatewayShared};
@@ -104,6 +105,8 @@
         let path = request.uri().path();
         let response = if path == "/metrics" {
             text_response(StatusCode::OK, shared.metrics.page())
+        } else if path == DUTIES_PATH {
+            text_response(StatusCode::OK, shared.duties_page.load().to_string())
         } else if path.starts_with(QUARANTINE_PATH) {
             shared.serve_quarantine(request.method(), path)
         } else if shared.is_ready() {
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -15,6 +15,7 @@
 
 use super::attempt::CONNECT_TIMEOUT;
 use super::copies::{COPIES_AT_ONCE, serve_copies};
+use super::duties::DutyState;
 use super::exchange::PeerExchange;
 use super::life::GatewayLife;
 use super::options::GatewayBounds;
@@ -86,7 +87,14 @@
                 executor.spawn(serving).detach();
             }
         }
-        let own = PeerExchange::new(control.shared.clone(), control.view.clone())
+        let duties = DutyState::new(control.shared.clone()).map(Rc::new);
+        if let Some(duties) = &duties {
+            let party = source.party(duties.options.party);
+            let keeping = duties.clone().keep_lease(source.clone());
+            executor.spawn(keeping).detach();
+            executor.spawn(duties.clone().serve_party(party)).detach();
+        }
+        let own = PeerExchange::new(control.shared.clone(), control.view.clone(), duties)
             .map(|exchange| exchange.spawn(&executor, source.clone()));
         let living = async {
             control.live(signals).await;
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/duty_calls.rs
@@ -0,0 +1,284 @@
+//! The calls that duties take: to the store for the lease, to the party for reports and orders.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use plumgate::duty::{
+    DutyAnswer, DutyCall, PoolScaling, ScaleOrder, ScalePolicy, ScaleSubject, ServerKind,
+};
+use plumgate::ids::{DataCentreId, PoolId};
+
+use super::duties::{CALL_TIMEOUT, DutyState};
+use super::metrics::DutyLabels;
+use super::ports::{DutyParty, FleetSource, PartyError, SourceError};
+use super::source_calls::{CallCause, CallTopic, note_source_call};
+use crate::clock::Clock;
+use crate::log::LogLine;
+
+/// Time between two looks at what is due.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two looks at how many servers are wanted.
+const SCALE_PAUSE: Duration = Duration::from_millis(400);
+/// Time between two looks that operators get.
+const PAGE_PAUSE: Duration = Duration::from_secs(1);
+/// Pause after a call that the party did not take.
+const PARTY_RETRY: Duration = Duration::from_millis(300);
+
+impl<C: Clock, W> DutyState<C, W> {
+    /// Keeps the lease for as long as the node runs.
+    pub(crate) async fn keep_lease<S: FleetSource>(self: Rc<Self>, mut source: S) {
+        loop {
+            self.shared.clock.sleep(LOOK_PAUSE).await;
+            if self.shared.options.peer_listen.is_none() {
+                self.tick_alone();
+            }
+            let Some(moment) = self.moment().filter(|_| self.is_wanted()) else {
+                continue;
+            };
+            let counts = |window| self.counts(window);
+            let call = self.seat.borrow_mut().tick(counts, moment);
+            let Some(call) = call else {
+                self.log_windows();
+                continue;
+            };
+            let answer = source.duty(&call).await;
+            let cause = match call {
+                DutyCall::Read => CallCause::Watch,
+                DutyCall::Write(_) => CallCause::Change,
+            };
+            note_source_call(&self.shared, CallTopic::Duties, cause, answer.is_ok());
+            let answer = self.answer_of(answer);
+            let now = self.shared.clock.boot_time();
+            let events = self.seat.borrow_mut().apply(answer, now);
+            self.log_events(&events);
+        }
+    }
+
+    fn answer_of(&self, answer: Result<DutyAnswer, SourceError>) -> DutyAnswer {
+        match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                LogLine::new("duty_store_failed")
+                    .with("error", &error)
+                    .warn(&self.shared.log);
+                match error {
+                    SourceError::Refused(_) => DutyAnswer::Refused,
+                    _ => DutyAnswer::Unanswered,
+                }
+            }
+        }
+    }
+
+    fn log_windows(&self) {
+        for end in self.seat.borrow_mut().desk_mut().take_ends() {
+            LogLine::new("usage_window")
+                .with("window", end.window)
+                .with("result", end.result)
+                .info(&self.shared.log);
+        }
+    }
+
+    /// Sends what is due to the party for as long as the node runs.
+    pub(crate) async fn serve_party<P: DutyParty>(self: Rc<Self>, mut party: P) {
+        let mut scale_at = self.shared.clock.now();
+        let mut page_at = scale_at;
+        loop {
+            self.shared.clock.sleep(LOOK_PAUSE).await;
+            if self.shared.clock.now() >= page_at {
+                page_at = self.shared.clock.now() + PAGE_PAUSE;
+                self.publish_page();
+            }
+            if !self.is_wanted() {
+                self.observe_pools();
+                continue;
+            }
+            if self.options.reports_usage && !self.send_report(&mut party).await {
+                self.shared.clock.sleep(PARTY_RETRY).await;
+            }
+            let now = self.shared.clock.now();
+            if self.options.orders_servers && now >= scale_at {
+                scale_at = now + SCALE_PAUSE;
+                self.send_orders(&mut party).await;
+            }
+        }
+    }
+
+    /// Sends the next report, if one is due. Tells whether nothing went wrong.
+    async fn send_report<P: DutyParty>(&self, party: &mut P) -> bool {
+        let next = || {
+            let moment = self.moment()?;
+            self.seat.borrow().next_report(moment)
+        };
+        if next().is_none() {
+            return true;
+        }
+        if let Err(error) = party.connect(CALL_TIMEOUT).await {
+            self.note_call("report", &error);
+            return false;
+        }
+        // The lease is looked at right before the call: the connection may have taken longer than it lasts.
+        let Some((credential, report)) = next() else {
+            return true;
+        };
+        let sent = party.report(&credential, &report, CALL_TIMEOUT).await;
+        let total: u64 = report.counts.values().sum();
+        LogLine::new("usage_report")
+            .with("window", report.window)
+            .with("number", credential.number)
+            .with("workspaces", report.counts.len())
+            .with("requests", total)
+            .with("result", result_word(&sent))
+            .info(&self.shared.log);
+        self.count_call("report", &sent);
+        match sent {
+            Ok(()) => {
+                if let Some(moment) = self.moment() {
+                    let mut seat = self.seat.borrow_mut();
+                    seat.note_sent(report.window, moment.unix);
+                }
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Orders servers where what is wanted differs from what was ordered.
+    async fn send_orders<P: DutyParty>(&self, party: &mut P) {
+        for order in self.due_orders() {
+            if let Err(error) = party.connect(CALL_TIMEOUT).await {
+                self.note_call("order", &error);
+                return;
+            }
+            let now = self.shared.clock.boot_time();
+            let credential = self.seat.borrow().credential(now);
+            let Some(credential) = credential.filter(|_| self.is_wanted()) else {
+                return;
+            };
+            let sent = party.order(&credential, &order, CALL_TIMEOUT).await;
+            LogLine::new("scale_order")
+                .with("pool", &order.subject.pool)
+                .with("data_centre", &order.subject.data_centre)
+                .with("kind", order.subject.kind.as_str())
+                .with("count", order.count)
+                .with("number", credential.number)
+                .with("result", result_word(&sent))
+                .info(&self.shared.log);
+            self.count_call("order", &sent);
+            let now = self.shared.clock.now();
+            match sent {
+                Ok(()) => self.orders.borrow_mut().note_ordered(&order, now),
+                Err(PartyError::NoneLeft) => {
+                    self.orders.borrow_mut().note_dry(&order.subject, now);
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// The orders that are due, the raising ones first: what is given back must not go before what replaces it.
+    fn due_orders(&self) -> Vec<ScaleOrder> {
+        let now = self.shared.clock.now();
+        let boot = self.shared.clock.boot_time();
+        let config = self.shared.config.load();
+        let Some(config) = config.as_ref() else {
+            return Vec::new();
+        };
+        // Who doesn't see the load orders nothing: its servers may have left, or be full, without its knowing.
+        if self.seat.borrow().credential(boot).is_none() || !self.shared.allows_ready() {
+            return Vec::new();
+        }
+        let mut orders = Vec::new();
+        for (pool, scaling) in config.scaling() {
+            orders.extend(self.pool_orders(pool, scaling, now));
+        }
+        orders.sort_by_key(|(is_lower, _)| *is_lower);
+        orders.into_iter().map(|(_, order)| order).collect()
+    }
+
+    /// Looks at the pools while another node orders their servers.
+    fn observe_pools(&self) {
+        let config = self.shared.config.load();
+        let Some(config) = config.as_ref().filter(|_| self.options.orders_servers) else {
+            return;
+        };
+        let now = self.shared.clock.now();
+        for (pool, _) in config.scaling() {
+            let mut policies = self.policies.borrow_mut();
+            let policy = policies.entry(pool.clone()).or_default();
+            if !policy.has_seen(now) {
+                let load = self.shared.loads().pool_load(pool, 0, now);
+                policy.observe(&load, now);
+            }
+        }
+    }
+
+    fn pool_orders(
+        &self,
+        pool: &PoolId,
+        scaling: &PoolScaling,
+        now: Instant,
+    ) -> Vec<(bool, ScaleOrder)> {
+        let demand = self.demand.borrow();
+        let rate = demand.iter().find(|(of, _)| of == pool);
+        let rate = rate.map_or(0, |(_, rate)| *rate);
+        let load = self.shared.loads().pool_load(pool, rate, now);
+        let subject = |data_centre: &DataCentreId, kind| ScaleSubject {
+            pool: pool.clone(),
+            data_centre: data_centre.clone(),
+            kind,
+        };
+        let book = self.orders.borrow();
+        let is_dry = |centre: &DataCentreId, kind| book.is_dry(&subject(centre, kind), now);
+        let mut policies = self.policies.borrow_mut();
+        let policy = policies.entry(pool.clone()).or_default();
+        let wanted = policy.wanted(scaling, &load, &is_dry, now);
+        let mut orders = Vec::new();
+        for ((centre, kind), count) in wanted {
+            let site = load.sites.get(&centre).copied().unwrap_or_default();
+            let present = match kind {
+                ServerKind::Lasting => site.lasting,
+                ServerKind::Reclaimable => site.reclaimable,
+            };
+            let subject = subject(&centre, kind);
+            if let Some(order) = book.next(&subject, count, present, scaling.boot, now) {
+                orders.push((count < present, order));
+            }
+        }
+        if !orders.is_empty() {
+            // What the orders below follow from.
+            LogLine::new("pool_load")
+                .with("pool", pool)
+                .with("tokens_per_second", load.tokens_per_second as u64)
+                .with("unread_tokens", load.unread_tokens as u64)
+                .with("server_speed", load.server_speed as u64)
+                .with("need", format!("{:.1}", policy.mean_need(now)))
+                .with("peak_need", format!("{:.1}", policy.peak_need()))
+                .with("servers", load.servers())
+                .info(&self.shared.log);
+        }
+        orders
+    }
+
+    fn note_call(&self, call: &'static str, error: &PartyError) {
+        LogLine::new("party_unreached")
+            .with("call", call)
+            .with("error", error)
+            .warn(&self.shared.log);
+        self.count_call(call, &Err(error.clone()));
+    }
+
+    fn count_call(&self, call: &'static str, result: &Result<(), PartyError>) {
+        let labels = DutyLabels {
+            call,
+            result: if result.is_ok() { "ok" } else { "failed" },
+        };
+        self.shared.metrics.duty_calls.get_or_create(&labels).inc();
+    }
+}
+
+fn result_word(result: &Result<(), PartyError>) -> String {
+    match result {
+        Ok(()) => "ok".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -11,12 +11,13 @@
 use plumgate::gateway::{LoadExchange, NodeEntry, TalkMoment};
 use plumgate::ids::NodeId;
 
+use super::duties::DutyState;
 use super::ports::FleetSource;
 use super::shared::GatewayShared;
 use super::source_calls::{CallCause, CallTopic, note_source_call};
 use super::verdicts::VerdictKeeper;
 use super::view::FleetView;
-use crate::clock::Clock;
+use crate::clock::{Clock, until};
 use crate::log::LogLine;
 
 /// Time between two rounds of the exchange.
@@ -28,6 +29,9 @@
 /// Time between two reads of the register by a collector. All other nodes know it by then, as they talk
 /// to it, and it tells the others how many they are.
 const READ_PAUSE: Duration = Duration::from_secs(30);
+/// Time over which the nodes write their rows again after the store came back old: 76 nodes then make some 40
+/// writes a second, a tenth of what a small store takes.
+const WRITE_AGAIN: Duration = Duration::from_secs(2);
 /// Pause before a call to the register is tried again.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 /// Nodes that may have come since the register was read, as a share of those in it.
@@ -41,6 +45,7 @@
     own: NodeEntry,
     exchange: RefCell<LoadExchange>,
     verdicts: VerdictKeeper<C, W>,
+    duties: Option<Rc<DutyState<C, W>>>,
     /// The node that collects for this data centre.
     collector: RefCell<Option<NodeId>>,
     /// Whether the register has been read.
@@ -49,7 +54,11 @@
 
 impl<C: Clock, W: Send + Sync + 'static> PeerExchange<C, W> {
     /// The link of a node that has an address for it.
-    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>, view: Rc<FleetView<C, W>>) -> Option<Self> {
+    pub(crate) fn new(
+        shared: Arc<GatewayShared<C, W>>,
+        view: Rc<FleetView<C, W>>,
+        duties: Option<Rc<DutyState<C, W>>>,
+    ) -> Option<Self> {
         let address = shared.options.peer_listen?;
         let socket = match Async::<UdpSocket>::bind(address) {
             Ok(socket) => socket,
@@ -71,6 +80,7 @@
         Some(Self {
             exchange: RefCell::new(LoadExchange::new(own.clone())),
             verdicts: VerdictKeeper::new(shared.clone()),
+            duties,
             collector: RefCell::default(),
             has_register: Cell::new(false),
             shared,
@@ -154,6 +164,9 @@
                 let changes = quarantine.take_changes();
                 drop(quarantine);
                 self.verdicts.note(changes);
+                if let Some(duties) = &self.duties {
+                    duties.swap_news(&mut exchange);
+                }
                 exchange.tick(loads.own_work(), &mut self.view.news(), moment)
             };
             self.shared.log_suspects();
@@ -182,28 +195,44 @@
     }
 
     async fn keep_register<S: FleetSource>(&self, mut source: S) {
+        self.register(&mut source).await;
+        self.shared.clock.sleep(FIRST_READ).await;
+        while !self.read_register(&mut source).await {
+            self.shared.clock.sleep(RETRY_PAUSE).await;
+        }
+        let mut era = self.view.era();
+        loop {
+            let spread = READ_PAUSE.mul_f64(0.5 + self.shared.random_share());
+            let until_then = self.shared.clock.now() + spread;
+            let has_risen = until(&self.shared.clock, until_then, self.view.era_after(era)).await;
+            if let Some(risen) = has_risen {
+                // The row may be gone, of each node at once: they write it one after another.
+                let spread = WRITE_AGAIN.mul_f64(self.shared.random_share());
+                self.shared.clock.sleep(spread).await;
+                era = risen;
+                self.register(&mut source).await;
+                if self.exchange.borrow().is_collector() {
+                    self.verdicts.keep_all();
+                }
+            } else if self.exchange.borrow().is_collector() {
+                self.read_register(&mut source).await;
+            }
+        }
+    }
+
+    /// Writes this node's row, again and again until the store takes it.
+    async fn register<S: FleetSource>(&self, source: &mut S) {
         loop {
             let registered = source.register(&self.own).await;
             self.note_call(registered.is_ok());
             let Err(error) = registered else {
-                break;
+                return;
             };
             LogLine::new("register_failed")
                 .with("error", error)
                 .warn(&self.shared.log);
             self.shared.clock.sleep(RETRY_PAUSE).await;
         }
-        self.shared.clock.sleep(FIRST_READ).await;
-        while !self.read_register(&mut source).await {
-            self.shared.clock.sleep(RETRY_PAUSE).await;
-        }
-        loop {
-            let spread = READ_PAUSE.mul_f64(0.5 + self.shared.random_share());
-            self.shared.clock.sleep(spread).await;
-            if self.exchange.borrow().is_collector() {
-                self.read_register(&mut source).await;
-            }
-        }
     }
 
     /// Reads the register, and tells whether it could.
--- a/crates/plumgate-node/src/gateway/following.rs
+++ b/crates/plumgate-node/src/gateway/following.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use plumgate::StoreVersion;
 use plumgate::retry::BackoffPause;
 
 use super::control::{GatewayControl, TICK};
@@ -62,6 +63,15 @@
             let call_topic = CallTopic::Followed(topic);
             note_source_call(&self.shared, call_topic, cause, answer.is_ok());
             match answer {
+                Ok(change)
+                    if since.is_some_and(|since: StoreVersion| since.era < change.version.era) =>
+                {
+                    // The store came back from an old copy. What it tells after a version of another era says
+                    // nothing of what lies between: all is read anew.
+                    self.note_era(topic, change.version);
+                    since = None;
+                    cause = CallCause::Change;
+                }
                 Ok(change) => {
                     if is_lost {
                         self.log_regained(topic, change.version);
@@ -111,9 +121,9 @@
     async fn rest(
         &self,
         topic: SourceTopic,
-        since: Option<u64>,
+        since: Option<StoreVersion>,
         cause: CallCause,
-    ) -> (Option<u64>, CallCause) {
+    ) -> (Option<StoreVersion>, CallCause) {
         if since.is_none() {
             return (None, cause);
         }
@@ -161,7 +171,7 @@
         &self,
         source: &mut S,
         topic: SourceTopic,
-        since: Option<u64>,
+        since: Option<StoreVersion>,
         cause: CallCause,
     ) -> Result<SourceChange, SourceError> {
         let is_servers = topic == SourceTopic::Servers;
@@ -230,7 +240,15 @@
         FOLLOWER_RETRY.mul_f64(0.5 + self.shared.random_share())
     }
 
-    fn log_regained(&self, topic: SourceTopic, version: u64) {
+    fn note_era(&self, topic: SourceTopic, version: StoreVersion) {
+        LogLine::new("source_era")
+            .with("topic", topic.as_str())
+            .with("source_version", version)
+            .warn(&self.shared.log);
+        self.view.note_era(version.era);
+    }
+
+    fn log_regained(&self, topic: SourceTopic, version: StoreVersion) {
         LogLine::new("source_regained")
             .with("topic", topic.as_str())
             .with("source_version", version)
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -50,9 +50,24 @@
     pub(crate) result: &'static str,
 }
 
+/// A call to the party of the duties.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct DutyLabels {
+    /// `report` or `order`.
+    pub(crate) call: &'static str,
+    /// `ok` or `failed`.
+    pub(crate) result: &'static str,
+}
+
 /// All metrics of a gateway node.
 pub(crate) struct GatewayMetrics {
     registry: Registry,
+    /// The generation number of the duties that this node holds; 0 where it holds none.
+    pub(crate) duty_number: Gauge,
+    /// Renewals of their lease.
+    pub(crate) duty_renewals: Counter,
+    /// Calls to the party of the duties.
+    pub(crate) duty_calls: Family<DutyLabels, Counter>,
     /// Requests that ended.
     pub(crate) requests: Family<EndLabels, Counter>,
     /// Attempts that were followed by another or by a failure.
@@ -95,6 +110,9 @@
         let times = || Histogram::new(TIME_BUCKETS);
         let mut metrics = Self {
             registry: Registry::default(),
+            duty_number: Gauge::default(),
+            duty_renewals: Counter::default(),
+            duty_calls: Family::default(),
             requests: Family::default(),
             failed_attempts: Family::default(),
             first_byte: Family::new_with_constructor(times),
@@ -167,6 +185,21 @@
             "Different requests in quarantine",
             self.quarantined.clone(),
         );
+        registry.register(
+            "duty_number",
+            "Generation number of the duties held here",
+            self.duty_number.clone(),
+        );
+        registry.register(
+            "duty_renewals",
+            "Renewals of the duties' lease",
+            self.duty_renewals.clone(),
+        );
+        registry.register(
+            "duty_calls",
+            "Reports and orders sent",
+            self.duty_calls.clone(),
+        );
         registry.register("servers", "Servers known", self.servers.clone());
         registry.register("nodes", "Nodes known", self.nodes.clone());
         registry.register(
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -13,6 +13,8 @@
 mod control;
 mod copies;
 mod copy_wishes;
+mod duties;
+mod duty_calls;
 mod exchange;
 mod following;
 mod life;
@@ -33,5 +35,6 @@
 mod view;
 mod view_copies;
 
+pub use duties::DUTIES_PATH;
 pub use node::{GatewayAddresses, GatewayHandle, GatewayNode};
-pub use options::{GatewayBounds, GatewayOptions};
+pub use options::{DutyOptions, GatewayBounds, GatewayOptions};
--- a/crates/plumgate-node/src/gateway/options.rs
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -33,6 +33,40 @@
     }
 }
 
+/// The party that takes usage reports and orders of servers, and what it expects.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DutyOptions {
+    /// Where it listens.
+    pub party: SocketAddr,
+    /// Whether it takes reports of usage.
+    pub reports_usage: bool,
+    /// Whether it takes orders of servers.
+    pub orders_servers: bool,
+    /// The span in which two holders must not take turns, and the length of the lease.
+    pub lease: Duration,
+    /// The length of a window of usage.
+    pub window: Duration,
+    /// How long after a window's end its report may come.
+    pub late: Duration,
+    /// Calls a second that it takes of all nodes.
+    pub calls_per_second: f64,
+}
+
+impl DutyOptions {
+    /// A party at an address that takes nothing yet.
+    pub fn new(party: SocketAddr) -> Self {
+        Self {
+            party,
+            reports_usage: false,
+            orders_servers: false,
+            lease: Duration::from_secs(3),
+            window: Duration::from_secs(5),
+            late: Duration::from_secs(10),
+            calls_per_second: 10.0,
+        }
+    }
+}
+
 /// How a gateway node is set up.
 #[derive(Clone, Debug)]
 pub struct GatewayOptions {
@@ -58,6 +92,8 @@
     pub seed: u64,
     /// Mechanisms of the policy that are on.
     pub switches: PolicySwitches,
+    /// The party that one node at a time calls; none where there is none.
+    pub duties: Option<DutyOptions>,
 }
 
 impl GatewayOptions {
@@ -80,6 +116,7 @@
             policy: PlacementPolicy::default(),
             seed: 0,
             switches: PolicySwitches::new(),
+            duties: None,
         }
     }
 
@@ -89,6 +126,12 @@
         self
     }
 
+    /// The same with a party that one node at a time calls.
+    pub fn with_duties(mut self, duties: DutyOptions) -> Self {
+        self.duties = Some(duties);
+        self
+    }
+
     /// The same with an address for metrics.
     pub fn with_metrics(mut self, listen: SocketAddr) -> Self {
         self.metrics_listen = Some(listen);
--- a/crates/plumgate-node/src/gateway/ports.rs
+++ b/crates/plumgate-node/src/gateway/ports.rs
@@ -8,10 +8,11 @@
 use displaydoc::Display;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode};
-use plumgate::FindingList;
+use plumgate::duty::{DutyAnswer, DutyCall, DutyCredential, ScaleOrder, UsageReport};
 pub use plumgate::gateway::SourceTopic;
 use plumgate::gateway::{GatewayConfig, KeptVerdict, NodeEntry, PromptShape, ServerEntry};
 use plumgate::ids::{ServerId, WorkspaceId};
+use plumgate::{FindingList, StoreEra, StoreVersion};
 
 /// One change that the source tells of.
 #[derive(Clone, Debug)]
@@ -33,7 +34,7 @@
 #[derive(Clone, Debug)]
 pub struct SourceChange {
     /// The source's version up to which the events tell all; a watch goes on from here.
-    pub version: u64,
+    pub version: StoreVersion,
     /// The events in their order.
     pub events: Vec<SourceEvent>,
 }
@@ -49,6 +50,8 @@
     TimedOut,
     /// refused with status {0}
     Refused(u16),
+    /// the write's condition does not hold in era {0}
+    ConditionFailed(StoreEra),
     /// the answer makes no sense: {0}
     Malformed(String),
 }
@@ -77,6 +80,15 @@
 
 /// Where a fleet's configuration and servers are read from.
 pub trait FleetSource: Clone + 'static {
+    /// Speaks to the party that takes usage reports and orders of servers.
+    type Party: DutyParty;
+
+    /// A client of the party at an address.
+    fn party(&self, address: SocketAddr) -> Self::Party;
+
+    /// Reads or writes the row of the duties.
+    fn duty(&mut self, call: &DutyCall) -> impl Future<Output = Result<DutyAnswer, SourceError>>;
+
     /// Reads all of a topic as of one moment.
     fn read(
         &mut self,
@@ -88,7 +100,7 @@
     fn watch(
         &mut self,
         topic: SourceTopic,
-        since: u64,
+        since: StoreVersion,
         pause: Duration,
     ) -> impl Future<Output = Result<SourceChange, SourceError>>;
 
@@ -108,6 +120,47 @@
     fn forget(&mut self, name: &str) -> impl Future<Output = Result<(), SourceError>>;
 }
 
+/// Why the party did not take a call.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum PartyError {
+    /// no connection is open
+    NotConnected,
+    /// no answer: {0}
+    Unanswered(String),
+    /// nothing came in time
+    TimedOut,
+    /// too many calls
+    Limited,
+    /// there are none to be had now
+    NoneLeft,
+    /// refused with status {0}
+    Refused(u16),
+}
+
+impl std::error::Error for PartyError {}
+
+/// The party that takes usage reports and orders of servers. It remembers nothing for us.
+pub trait DutyParty: 'static {
+    /// Opens a connection, unless one is open. What may be sent is looked at after this, right before a call.
+    fn connect(&mut self, timeout: Duration) -> impl Future<Output = Result<(), PartyError>>;
+
+    /// Sends a report of usage over the open connection.
+    fn report(
+        &mut self,
+        credential: &DutyCredential,
+        report: &UsageReport,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<(), PartyError>>;
+
+    /// Sends an order of servers over the open connection.
+    fn order(
+        &mut self,
+        credential: &DutyCredential,
+        order: &ScaleOrder,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<(), PartyError>>;
+}
+
 /// What a caller's request says of itself.
 #[derive(Clone, Debug, Default)]
 pub struct RequestFacts {
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -98,6 +98,10 @@
             let pause = policy.return_after(NO_SERVER_PAUSE, left, spread);
             return Err(self.give_up("no_server", pause));
         };
+        if self.tried.is_empty() {
+            let mut loads = self.shared.loads();
+            loads.note_demand(&self.request.pool, &pick, now);
+        }
         let wait = QueuePrediction {
             queue: pick.queue,
             wait: pick.wait,
@@ -149,6 +153,7 @@
     /// Reads an answer whole: what breaks off can then be tried again, or fails visibly.
     async fn take_whole(&mut self, mut answer: ServerAnswer<C, W>) -> NextTry {
         self.apply(AttemptEvent::HeadReceived);
+        self.shared.note_began(self.request.workspace.as_ref());
         answer.work.first_answer();
         let deadline = self.request.due + WHOLE_RESERVE;
         let reading = read_whole(&mut answer.link, &mut answer.body, LARGEST_WHOLE);
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -89,9 +89,21 @@
         };
         let end = attempt(&self.shared, order, work).await;
         self.note_try(&end);
+        if matches!(end, AttemptEnd::InDoubt(_)) {
+            self.note_doubtful_run(pick);
+        }
         end
     }
 
+    /// Counts a run whose answer was lost, where the server had probably begun it: a plain service begins at once,
+    /// an engine once it has read what was before it and the prompt.
+    fn note_doubtful_run(&self, pick: &ServerPick) {
+        let ran_for = self.ran_for().unwrap_or_default();
+        if self.request.facts.prompt.is_none() || ran_for >= pick.wait {
+            self.shared.note_began(self.request.workspace.as_ref());
+        }
+    }
+
     /// The request is about to be offered to a server.
     pub(crate) fn begin_try(&mut self, server: &ServerId) {
         let dispatched = self.run.dispatch(server.clone());
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -1,17 +1,19 @@
 //! What the threads of a gateway node share.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_executor::Executor;
 use event_listener::Event;
+use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
     FreshnessLease, GatewayConfig, LinkAge, LoadTable, PlacementOptions, QuarantineTable,
     RequestHold, RequestIdentity, RunFinding, RunTicket, ServerEntry, WindowBudget, WorkEnd,
     WorkTicket,
 };
+use plumgate::ids::WorkspaceId;
 
 use super::links::LinkPool;
 use super::lives::{ServerLife, ServerLives};
@@ -46,6 +48,8 @@
     pub(crate) config: ArcSwapOption<GatewayConfig>,
     /// How far the node has come in its life.
     pub(crate) life: ArcSwap<LifeView>,
+    /// How the duties stand, for operators.
+    pub(crate) duties_page: ArcSwap<String>,
     /// The operators' bounds, as last read.
     pub(crate) bounds: ArcSwap<GatewayBounds>,
     /// Tells that a server was asked whether it lives.
@@ -62,6 +66,9 @@
     loads: Mutex<LoadTable>,
     budget: Mutex<WindowBudget>,
     quarantine: Mutex<QuarantineTable>,
+    usage: Mutex<UsageTally>,
+    /// The time of day that the nodes agree on, less the time since the VM started, in milliseconds.
+    pub(crate) day_offset_ms: AtomicI64,
     rng: Mutex<fastrand::Rng>,
     open_requests: AtomicU64,
     open_connections: AtomicU64,
@@ -87,6 +94,7 @@
                 state: "starting".to_owned(),
                 ..LifeView::default()
             }),
+            duties_page: ArcSwap::from_pointee(String::new()),
             bounds: ArcSwap::from_pointee(bounds),
             server_asked: Event::new(),
             life_changed: Event::new(),
@@ -102,6 +110,8 @@
                 NODES_ASSUMED,
             )),
             quarantine: Mutex::new(QuarantineTable::new(options.peer_listen.is_some())),
+            usage: Mutex::default(),
+            day_offset_ms: AtomicI64::new(0),
             rng: Mutex::new(fastrand::Rng::with_seed(options.seed)),
             open_requests: AtomicU64::new(0),
             open_connections: AtomicU64::new(0),
@@ -138,6 +148,34 @@
         lock(&self.quarantine)
     }
 
+    /// What this node counts of usage.
+    pub(crate) fn usage(&self) -> MutexGuard<'_, UsageTally> {
+        lock(&self.usage)
+    }
+
+    /// A request of a workspace began to run at a server.
+    pub(crate) fn note_began(&self, workspace: Option<&WorkspaceId>) {
+        let (Some(workspace), Some(duties)) = (workspace, self.options.duties) else {
+            return;
+        };
+        let offset = self.day_offset_ms.load(Ordering::Relaxed);
+        if offset == 0 || !duties.reports_usage {
+            return;
+        }
+        let boot = i64::try_from(self.clock.boot_time().as_millis()).unwrap_or(i64::MAX);
+        let unix = u64::try_from(boot.saturating_add(offset)).unwrap_or_default();
+        let times = ReportTimes {
+            window: duties.window,
+            late: duties.late,
+        };
+        self.usage().note(workspace, times.window_at(unix));
+    }
+
+    /// Whether what is known of the store is recent enough to take callers.
+    pub(crate) fn allows_ready(&self) -> bool {
+        self.lease().allows_ready(self.clock.boot_time())
+    }
+
     /// A random share from 0 to 1.
     pub(crate) fn random_share(&self) -> f64 {
         lock(&self.rng).f64()
@@ -186,7 +224,7 @@
 
     /// Whether the balancer should send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.life.load().ready && self.lease().allows_ready(self.clock.boot_time())
+        self.life.load().ready && self.allows_ready()
     }
 
     /// Whether neither requests nor connections are open.
--- a/crates/plumgate-node/src/gateway/source_calls.rs
+++ b/crates/plumgate-node/src/gateway/source_calls.rs
@@ -46,6 +46,8 @@
     Nodes,
     /// Requests that are held back.
     Verdicts,
+    /// The lease of the duties.
+    Duties,
 }
 
 impl CallTopic {
@@ -55,6 +57,7 @@
             Self::Followed(topic) => topic.as_str(),
             Self::Nodes => "nodes",
             Self::Verdicts => "verdicts",
+            Self::Duties => "duties",
         }
     }
 }
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -179,6 +179,8 @@
                 if let Some(source) = &mut self.source {
                     source.work.first_answer();
                 }
+                let workspace = self.run.request.workspace.as_ref();
+                self.run.shared.note_began(workspace);
                 self.run.observe_first_byte();
             }
             Some(last) => {
--- a/crates/plumgate-node/src/gateway/verdicts.rs
+++ b/crates/plumgate-node/src/gateway/verdicts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use plumgate::gateway::{KeepChange, KeptVerdict};
+use plumgate::gateway::{KeepChange, KeptVerdict, SuspectState};
 
 use super::ports::{FleetSource, SourceError};
 use super::shared::GatewayShared;
@@ -48,6 +48,18 @@
         }
     }
 
+    /// Writes all that is held back again, as the store came back from an old copy.
+    pub(crate) fn keep_all(&self) {
+        let held: Vec<KeepChange> = {
+            let quarantine = self.shared.quarantine();
+            let held = quarantine.suspects();
+            let held = held.filter(|(_, state, _)| *state == SuspectState::HeldBack);
+            held.map(|(identity, ..)| KeepChange::Keep(identity))
+                .collect()
+        };
+        self.note(held);
+    }
+
     /// Takes over the verdicts of the store, and has those removed whose time is over.
     pub(crate) fn take(&self, verdicts: &[KeptVerdict]) {
         let (now, unix_ms) = (self.shared.clock.now(), self.shared.clock.unix_ms());
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -7,13 +7,13 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
-use plumgate::FindingList;
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
     EndSign, GatewayConfig, LoadTable, NewsDesk, NewsTaken, PolicyPart, ServerEntry, ServerNews,
     ServerState, ServerTable, SourceTopic,
 };
 use plumgate::ids::ServerId;
+use plumgate::{FindingList, StoreEra, StoreVersion};
 
 use super::copy_wishes::CopyWishes;
 use super::ports::{SourceChange, SourceEvent};
@@ -39,6 +39,9 @@
     pub(super) wishes: CopyWishes,
     /// When a call to the source last failed.
     trouble_at: Cell<Option<Instant>>,
+    /// The newest era of the store that was heard of.
+    era: Cell<StoreEra>,
+    era_risen: Event,
 }
 
 impl<C: Clock, W: Send + Sync + 'static> FleetView<C, W> {
@@ -54,6 +57,8 @@
             is_collector: Cell::new(false),
             wishes: CopyWishes::default(),
             trouble_at: Cell::new(None),
+            era: Cell::new(0),
+            era_risen: Event::new(),
         }
     }
 
@@ -70,6 +75,40 @@
         }
     }
 
+    /// The newest era of the store that was heard of.
+    pub(crate) fn era(&self) -> StoreEra {
+        self.era.get()
+    }
+
+    /// Completes with the era once it is later than one.
+    pub(crate) async fn era_after(&self, era: StoreEra) -> StoreEra {
+        loop {
+            let risen = self.era_risen.listen();
+            if self.era.get() > era {
+                return self.era.get();
+            }
+            risen.await;
+        }
+    }
+
+    /// The store came back from an old copy: entries of servers that have left may be in it again, and those of
+    /// servers that came are missing until these write again.
+    pub(crate) fn note_era(&self, era: StoreEra) {
+        if era <= self.era.get() {
+            return;
+        }
+        let is_first =
+            self.news().servers_version().is_none() && self.shared.config.load().is_none();
+        self.era.set(era);
+        if !is_first {
+            self.note_trouble();
+            self.servers
+                .borrow_mut()
+                .note_old_entries(self.shared.clock.now());
+            self.era_risen.notify(usize::MAX);
+        }
+    }
+
     /// A call to the source failed.
     pub(crate) fn note_trouble(&self) {
         self.trouble_at.set(Some(self.shared.clock.now()));
@@ -140,6 +179,7 @@
         is_whole: bool,
         asked_at: Duration,
     ) -> bool {
+        self.note_era(change.version.era);
         let has_config = match topic {
             SourceTopic::Config => self.apply_configs(change),
             SourceTopic::Servers => {
@@ -269,7 +309,7 @@
         &self,
         config: Arc<GatewayConfig>,
         source: &str,
-        source_version: u64,
+        source_version: StoreVersion,
     ) -> bool {
         let held = self.shared.config.load_full();
         let held_version = held.as_ref().map_or(0, |held| held.version);
--- a/crates/plumgate-node/src/gateway/view_copies.rs
+++ b/crates/plumgate-node/src/gateway/view_copies.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use plumgate::StoreVersion;
 use plumgate::gateway::{ConfigCopy, ServersCopy, SourceTopic, StateCopy};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -46,7 +47,7 @@
         {
             return Err(CopyError::Overtaken);
         }
-        let has_config = self.apply_config(config, "told", 0);
+        let has_config = self.apply_config(config, "told", StoreVersion::default());
         self.news().note_read(SourceTopic::Config, known_at);
         self.shared.lease().renew(known_at);
         Ok(has_config)
@@ -58,6 +59,7 @@
         if !self.news().take_servers_copy(&copy, asked_at) {
             return Err(CopyError::Overtaken);
         }
+        self.note_era(copy.state().era());
         let now = self.shared.clock.now();
         let (entries, doubted) = copy.into_state().into_servers();
         let doubt = self.doubt(now);
--- a/crates/plumgate-node/src/http.rs
+++ b/crates/plumgate-node/src/http.rs
@@ -50,6 +50,22 @@
     Ok(stream)
 }
 
+/// Opens a stream for calls that must not arrive later than a time after they were given up.
+///
+/// The kernel goes on sending what a process has written, after a cut of the network and after the process has closed
+/// the connection or ended: a call would arrive seconds later, when another node has long taken over. So
+/// a close drops what was not sent, and what nobody acknowledges in time is dropped as well.
+pub(crate) async fn open_call_stream(
+    address: SocketAddr,
+    most: Duration,
+) -> io::Result<Async<TcpStream>> {
+    let stream = open_stream(address).await?;
+    let socket = SockRef::from(stream.get_ref());
+    socket.set_linger(Some(Duration::ZERO))?;
+    socket.set_tcp_user_timeout(Some(most))?;
+    Ok(stream)
+}
+
 /// Opens a connection. The returned future carries it and must be run by somebody.
 pub(crate) async fn open_connection(
     address: SocketAddr,
--- a/crates/plumgate-node/src/link.rs
+++ b/crates/plumgate-node/src/link.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers and to the platform, driven by whoever uses them.
 
 use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
 use async_io::Async;
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use smol_hyper::rt::FuturesIo;
 
-use crate::http::{OutgoingRequest, open_stream};
+use crate::http::{OutgoingRequest, open_call_stream, open_stream};
 
 /// Bytes that are read of a server at once: whole small answers, and many events.
 const READ_BUFFER: usize = 16 * 1024;
@@ -40,7 +41,15 @@
 impl HttpLink {
     /// Opens a connection.
     pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        let stream = open_stream(address).await?;
+        Self::over(open_stream(address).await?).await
+    }
+
+    /// Opens a connection for calls that must not arrive once they were given up, after a time at most.
+    pub async fn open_for_calls(address: SocketAddr, most: Duration) -> std::io::Result<Self> {
+        Self::over(open_call_stream(address, most).await?).await
+    }
+
+    async fn over(stream: Async<TcpStream>) -> std::io::Result<Self> {
         let (sender, carry) = Builder::new()
             .max_buf_size(READ_BUFFER)
             .handshake(FuturesIo::new(stream))
--- a/crates/plumgate-node/src/log.rs
+++ b/crates/plumgate-node/src/log.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// The line as text of a page for operators.
+    pub fn text(self) -> String {
+        self.text + "\n"
+    }
+
     /// Writes the line as an ordinary event.
     pub fn info(self, log: &EventLog) {
         self.write(log, Level::Info);
--- a/crates/plumgate-node/src/status.rs
+++ b/crates/plumgate-node/src/status.rs
@@ -76,7 +76,18 @@
 
 /// Reads the status page of the node behind an operators' address, if it answers.
 pub async fn fetch_status(address: SocketAddr) -> Option<NodeStatus> {
-    let request = Request::get("/status").header(header::HOST, address.to_string());
+    let body = fetch_body(address, "/status").await?;
+    serde_json::from_slice(&body).ok()
+}
+
+/// Reads a page of text of the node behind an operators' address, if it answers.
+pub async fn fetch_page(address: SocketAddr, path: &str) -> Option<String> {
+    let body = fetch_body(address, path).await?;
+    String::from_utf8(body.to_vec()).ok()
+}
+
+async fn fetch_body(address: SocketAddr, path: &str) -> Option<Bytes> {
+    let request = Request::get(path).header(header::HOST, address.to_string());
     let request = request.body(Full::new(Bytes::new())).ok()?;
     let timeout = async {
         Timer::after(ANSWER_TIMEOUT).await;
@@ -84,7 +95,5 @@
     };
     let answer = async { fetch_once(address, request, LARGEST_PAGE).await.ok() };
     let (status, _, body) = future::or(answer, timeout).await?;
-    (status == StatusCode::OK)
-        .then(|| serde_json::from_slice(&body).ok())
-        .flatten()
+    (status == StatusCode::OK).then_some(body)
 }
--- a/crates/plumgate/src/duty/holder.rs
+++ b/crates/plumgate/src/duty/holder.rs
@@ -89,8 +89,8 @@
 /// A lease that this node held as the store came back from an old copy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct CarriedTenure {
-    /// The era up to which nobody else can have acted.
-    era: StoreEra,
+    /// Until when nobody else can have taken the lease.
+    until: Duration,
 }
 
 /// A call under way.
@@ -202,9 +202,11 @@
             if !is_due && is_noted {
                 return None;
             }
-            let (number, row, version) = (tenure.number, tenure.row.clone(), tenure.version);
-            let before = Some((row.nonce, version.number));
-            return self.write(Some(number), contents.clone(), before, now);
+            let (number, version) = (tenure.number, tenure.version);
+            return self.write(Some(number), contents.clone(), version.number, now);
+        }
+        if self.carried.is_some_and(|carried| now >= carried.until) {
+            self.carried = None;
         }
         let seen = self.seen.as_ref()?;
         let is_free = now >= seen.since + self.times.lease;
@@ -214,10 +216,7 @@
         if !(is_free || is_own_chain || is_first) {
             return self.ask(DutyCall::Read, now);
         }
-        let before = seen
-            .row
-            .as_ref()
-            .map(|row| (row.nonce, seen.version.number));
+        let before = seen.version.number;
         let inherited = if is_own_chain {
             contents.clone()
         } else {
@@ -234,7 +233,7 @@
         &mut self,
         number: Option<FencingNumber>,
         contents: DutyContents,
-        before: Option<(u64, u64)>,
+        before: u64,
         now: Duration,
     ) -> Option<DutyCall> {
         let row = DutyRow {
@@ -310,17 +309,18 @@
         if era <= self.era {
             return;
         }
-        // While no other node can have taken the lease before the store went, this one knows all that was sent. In
-        // the new era nobody acts before its row has stood for a lease's length.
-        let carries = self
+        // While no other node can have taken the lease, before the store went or since it is back, this one knows all
+        // that was sent. Others first see the row stand for a lease's length in the new era.
+        let until = self
             .tenure
             .as_ref()
-            .is_some_and(|tenure| now < tenure.renewed_at + self.times.lease);
+            .map(|tenure| tenure.renewed_at + self.times.lease);
+        let until = until.filter(|until| now < *until);
         self.era = era;
         self.seen = None;
         self.pending.clear();
         self.must_read = true;
-        self.carried = carries.then_some(CarriedTenure { era });
+        self.carried = until.map(|until| CarriedTenure { until });
         self.lose("era");
     }
 
@@ -352,11 +352,6 @@
         }
         self.lose("taken");
         self.pending.clear();
-        if let (Some(carried), Some(row)) = (self.carried, &row)
-            && row.era >= carried.era
-        {
-            self.carried = None;
-        }
         let is_same = self.seen.as_ref().is_some_and(|seen| {
             let nonce = |row: &Option<DutyRow>| row.as_ref().map(|row| row.nonce);
             nonce(&seen.row) == nonce(&row)
--- a/crates/plumgate/src/duty/mod.rs
+++ b/crates/plumgate/src/duty/mod.rs
@@ -15,8 +15,7 @@
 pub use holder::{DutyHolder, DutyTimes, HolderEvent};
 pub use report_desk::{ReportDesk, ReportTimes, WindowEnd, WindowId, WindowState};
 pub use row::{
-    DutyAnswer, DutyCall, DutyContents, DutyCredential, DutyIdentity, DutyRow, DutyWrite,
-    UsageNote, guard_key,
+    DutyAnswer, DutyCall, DutyContents, DutyCredential, DutyIdentity, DutyRow, DutyWrite, UsageNote,
 };
 pub use scale::{
     FollowLoad, FollowOptions, OrderBook, PoolLoad, PoolScaling, PriceMillis, ScaleOrder,
--- a/crates/plumgate/src/duty/report_desk.rs
+++ b/crates/plumgate/src/duty/report_desk.rs
@@ -51,6 +51,16 @@
     Sent,
 }
 
+impl WindowState {
+    /// The name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Noted => "noted",
+            Self::Sent => "sent",
+        }
+    }
+}
+
 /// How a window ended, for operators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WindowEnd {
--- a/crates/plumgate/src/duty/row.rs
+++ b/crates/plumgate/src/duty/row.rs
@@ -49,10 +49,8 @@
     pub holder: DutyIdentity,
     /// The store's era as its writer knew it.
     pub era: StoreEra,
-    /// Random, new with each write: names the guard that is written beside the row.
-    ///
-    /// A store that came back gives versions out again, so that a write under the condition of a version may hit
-    /// another row with that version. A guard of that name is there only if the row is the very one.
+    /// Random, new with each write: tells it from any other, also from one under the same version after the store
+    /// came back old.
     pub nonce: u64,
     /// The generation number; none in the write that takes the lease, whose version it is.
     pub number: Option<FencingNumber>,
@@ -82,18 +80,13 @@
     }
 }
 
-/// The key of the row that guards a write.
-pub fn guard_key(nonce: u64) -> String {
-    format!("~guard.{nonce:016x}")
-}
-
 /// A write of the row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DutyWrite {
     /// The row.
     pub row: DutyRow,
-    /// The row that must be there: its nonce and its version. None: there must be no row.
-    pub before: Option<(u64, u64)>,
+    /// The version that the row must have; 0: there must be none.
+    pub before: u64,
 }
 
 /// What the store is asked.
--- a/crates/plumgate/src/duty/scale.rs
+++ b/crates/plumgate/src/duty/scale.rs
@@ -135,6 +135,10 @@
 /// How long the highest need counts: the next burst may follow, and a server that is given back loses the prompt
 /// parts that it keeps.
 const PEAK_MEMORY: Duration = Duration::from_secs(20);
+/// Span over which the need for dear servers is taken: a burst that is over before one would serve orders none.
+const MEAN_SPAN: Duration = Duration::from_secs(8);
+/// How long a pool is looked at before its servers are ordered: longer than two of a server's reports of its status.
+const FIRST_SIGHT: Duration = Duration::from_millis(3_000);
 /// Time in which the prompts that wait already should be read.
 const BACKLOG_SECONDS: f64 = 2.0;
 
@@ -143,8 +147,10 @@
 #[derive(Clone, Debug)]
 pub struct FollowLoad {
     options: FollowOptions,
-    /// Servers that the pool had as it was first seen.
+    /// Most servers that the pool had in the first seconds in which it was seen: the operator's number.
     standing: u32,
+    /// Since when it is seen.
+    seen_since: Option<Instant>,
     /// Needs of the last seconds, in servers that read all the time.
     needs: VecDeque<(Instant, f64)>,
 }
@@ -167,7 +173,7 @@
 impl Default for FollowOptions {
     fn default() -> Self {
         Self {
-            headroom: 3.0,
+            headroom: 2.0,
             bare_headroom: 1.6,
             floor: 1.0,
             bare_floor: 0.6,
@@ -181,35 +187,55 @@
         Self {
             options,
             standing: 0,
+            seen_since: None,
             needs: VecDeque::new(),
         }
     }
 
-    /// Takes note of a pool while another node orders its servers: the first sight of it counts.
-    pub fn observe(&mut self, load: &PoolLoad) {
-        if self.standing == 0 {
-            self.standing = load.servers();
+    /// Takes note of a pool, whichever node orders its servers. Tells whether it was seen for long enough to order
+    /// any: servers write their entries one after another, and half of them would look like all.
+    pub fn observe(&mut self, load: &PoolLoad, now: Instant) -> bool {
+        if load.servers() == 0 && self.seen_since.is_none() {
+            return false;
         }
+        let since = *self.seen_since.get_or_insert(now);
+        let is_seen = now.saturating_duration_since(since) > FIRST_SIGHT;
+        if !is_seen {
+            self.standing = self.standing.max(load.servers());
+        }
+        is_seen
     }
 
-    /// Whether the pool was seen with servers.
-    pub fn has_seen(&self) -> bool {
-        self.standing > 0
+    /// Whether the pool was seen for long enough to order servers.
+    pub fn has_seen(&self, now: Instant) -> bool {
+        let since = self.seen_since;
+        since.is_some_and(|since| now.saturating_duration_since(since) > FIRST_SIGHT)
     }
 
-    /// Servers that would have to read all the time, at the highest of the last seconds.
-    pub fn need(&mut self, load: &PoolLoad, now: Instant) -> f64 {
+    /// Takes note of what is needed now.
+    fn note_need(&mut self, load: &PoolLoad, now: Instant) {
         let tokens = load.tokens_per_second + load.unread_tokens / BACKLOG_SECONDS;
-        let need = tokens / load.server_speed.max(1.0);
-        while self.needs.back().is_some_and(|(_, last)| *last <= need) {
-            self.needs.pop_back();
-        }
-        self.needs.push_back((now, need));
+        self.needs
+            .push_back((now, tokens / load.server_speed.max(1.0)));
         let is_old = |at: Instant| now.saturating_duration_since(at) > PEAK_MEMORY;
         while self.needs.front().is_some_and(|(at, _)| is_old(*at)) {
             self.needs.pop_front();
         }
-        self.needs.front().map_or(need, |(_, peak)| *peak)
+    }
+
+    /// Servers that would have to read all the time, at the highest of the last seconds.
+    pub fn peak_need(&self) -> f64 {
+        self.needs
+            .iter()
+            .fold(0.0, |peak, (_, need)| need.max(peak))
+    }
+
+    /// The same on average over the last few seconds.
+    pub fn mean_need(&self, now: Instant) -> f64 {
+        let is_new = |at: Instant| now.saturating_duration_since(at) <= MEAN_SPAN;
+        let recent = self.needs.iter().rev().take_while(|(at, _)| is_new(*at));
+        let (sum, count) = recent.fold((0.0, 0), |(sum, count), (_, need)| (sum + need, count + 1));
+        sum / f64::from(count.max(1))
     }
 
     /// Servers of the whole pool that a need asks for.
@@ -233,17 +259,23 @@
         is_dry: &dyn Fn(&DataCentreId, ServerKind) -> bool,
         now: Instant,
     ) -> WantedServers {
-        self.observe(load);
-        let need = self.need(load, now);
-        let count = u32::try_from(load.sites.len()).unwrap_or(u32::MAX);
+        self.note_need(load, now);
         let mut wanted = WantedServers::new();
+        if !self.observe(load, now) {
+            return wanted;
+        }
+        let count = u32::try_from(load.sites.len()).unwrap_or(u32::MAX);
         if count == 0 {
             return wanted;
         }
         let options = self.options;
         let has_cheap = scaling.reclaimable_price.is_some_and(|price| price < 1_000);
-        let all = self.total(need, options.headroom, options.floor);
-        let bare = self.total(need, options.bare_headroom, options.bare_floor);
+        let all = self.total(self.peak_need(), options.headroom, options.floor);
+        let bare = self.total(
+            self.mean_need(now),
+            options.bare_headroom,
+            options.bare_floor,
+        );
         // Cheap servers that boot don't serve yet: until they do, lasting ones stay.
         let lasting = if has_cheap {
             bare.saturating_sub(load.reclaimable())
--- a/crates/plumgate/src/gateway/config.rs
+++ b/crates/plumgate/src/gateway/config.rs
@@ -1,11 +1,12 @@
 //! The configuration of a gateway: routes, workspaces with their keys, callers' limits.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::duty::PoolScaling;
 use crate::ids::{ConfigVersion, PoolId, WorkspaceId};
 
 /// What may be repeated of a route's requests.
@@ -172,6 +173,8 @@
     shortest_pauses: HashMap<PoolId, Duration>,
     /// The longest target of each pool's routes by their rank.
     longest_targets: HashMap<PoolId, BTreeMap<u8, Duration>>,
+    /// How many servers a pool may have, where this system orders them.
+    scaling: BTreeMap<PoolId, PoolScaling>,
 }
 
 impl GatewayConfig {
@@ -278,6 +281,22 @@
         self.keys.get(key)
     }
 
+    /// The same with a pool whose servers this system orders.
+    pub fn with_scaling(mut self, pool: PoolId, scaling: PoolScaling) -> Self {
+        self.scaling.insert(pool, scaling);
+        self
+    }
+
+    /// The pools whose servers this system orders.
+    pub fn scaling(&self) -> impl Iterator<Item = (&PoolId, &PoolScaling)> {
+        self.scaling.iter()
+    }
+
+    /// The workspaces, each once.
+    pub fn workspaces(&self) -> BTreeSet<&WorkspaceId> {
+        self.keys.values().map(|keys| &keys.workspace).collect()
+    }
+
     /// How many routes there are.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -11,11 +11,15 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use super::messages::{ExchangeBody, ExchangeMessage, PartPlace, ServerKey, WorkEntry, server_key};
+use super::messages::{
+    ExchangeBody, ExchangeMessage, PartPlace, PoolDemand, ServerKey, WorkEntry, pool_key,
+    server_key,
+};
 use super::nodes::NodeEntry;
 use super::peers::{COLLECTOR_SILENCE, PeerTable};
 use super::places::PlaceQueue;
 use super::told::ToldWork;
+use crate::duty::{ClockNews, UsageNews};
 use crate::errors::{Error, Result};
 use crate::gateway::news::messages::NewsQuestion;
 use crate::gateway::news::{NewsDesk, NewsTaken};
@@ -35,6 +39,13 @@
 /// Servers in one message, so that it fits into one packet of the network.
 const ENTRIES_MOST: usize = 100;
 
+/// How long no collector of another data centre must be heard before this one no longer leaves the duties to it:
+/// longer than a change of the collector there takes.
+const CENTRE_SILENCE: Duration = Duration::from_millis(1_500);
+/// How long what was told of demand counts.
+const DEMAND_LIFETIME: Duration = Duration::from_secs(2);
+/// Messages of usage that are kept until they are taken: two of each node of a large data centre.
+const USAGE_MOST: usize = 256;
 /// Notices that are kept until they are taken: two of each node of a large data centre in a round.
 const NOTICES_MOST: usize = 256;
 
@@ -57,6 +68,44 @@
     pub came_at: Instant,
 }
 
+/// What another node said of the time of day.
+#[derive(Clone, Debug)]
+pub struct HeardClock {
+    /// The node.
+    pub node: NodeId,
+    /// For whom it speaks.
+    pub speaker: ClockSpeaker,
+    /// What it said.
+    pub news: ClockNews,
+    /// When it came.
+    pub came_at: Duration,
+}
+
+/// For whom a node speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClockSpeaker {
+    /// A node of this data centre, for itself.
+    Member,
+    /// The collector of another data centre, for so many nodes.
+    Centre(usize),
+    /// This node's collector, for the fleet.
+    Collector,
+}
+
+/// What another node told of usage.
+#[derive(Clone, Debug)]
+pub struct HeardUsage {
+    /// The node.
+    pub node: NodeId,
+    /// What it told.
+    pub news: UsageNews,
+    /// When it came.
+    pub came_at: Duration,
+}
+
+/// What somebody told of demand, with its time.
+type ToldDemand = (Vec<PoolDemand>, Instant);
+
 /// A message and where it goes.
 pub type ExchangePacket = (SocketAddr, Vec<u8>);
 
@@ -81,6 +130,20 @@
     farewells: u32,
     /// Since when this node collects.
     collecting_since: Option<Instant>,
+    /// What this node says of the time of day.
+    clock: Option<ClockNews>,
+    heard_clocks: Vec<HeardClock>,
+    /// What this node tells of usage in this round.
+    usage: Vec<UsageNews>,
+    heard_usage: Vec<HeardUsage>,
+    /// What this node's own requests bring.
+    own_demand: Vec<PoolDemand>,
+    /// What those of the other nodes of this data centre bring.
+    member_demand: HashMap<NodeId, ToldDemand>,
+    /// What those of other data centres bring.
+    centre_demand: BTreeMap<DataCentreId, ToldDemand>,
+    /// When a collector of each other data centre was last heard.
+    centre_heard: BTreeMap<DataCentreId, Instant>,
 }
 
 impl LoadExchange {
@@ -99,6 +162,14 @@
             rounds: 0,
             farewells: 0,
             collecting_since: None,
+            clock: None,
+            heard_clocks: Vec::new(),
+            usage: Vec::new(),
+            heard_usage: Vec::new(),
+            own_demand: Vec::new(),
+            member_demand: HashMap::new(),
+            centre_demand: BTreeMap::new(),
+            centre_heard: BTreeMap::new(),
         }
     }
 
@@ -171,6 +242,77 @@
         std::mem::take(&mut self.heard_notices)
     }
 
+    /// What this node says of the time of day from now on.
+    pub fn tell_clock(&mut self, clock: Option<ClockNews>) {
+        self.clock = clock;
+    }
+
+    /// What others said of the time of day since the last call.
+    pub fn take_clocks(&mut self) -> Vec<HeardClock> {
+        std::mem::take(&mut self.heard_clocks)
+    }
+
+    /// What the next round tells of usage: a node its collector, a collector those of other data centres.
+    pub fn tell_usage(&mut self, news: Vec<UsageNews>) {
+        self.usage = news;
+    }
+
+    /// What others told of usage since the last call.
+    pub fn take_usage(&mut self) -> Vec<HeardUsage> {
+        std::mem::take(&mut self.heard_usage)
+    }
+
+    /// What this node's requests bring from now on.
+    pub fn tell_demand(&mut self, demand: Vec<PoolDemand>) {
+        self.own_demand = demand;
+    }
+
+    /// Prompt tokens a second that the fleet's requests for a pool bring; for a node that collects.
+    pub fn demand(&self, pool: &str, now: Instant) -> u64 {
+        let key = pool_key(pool);
+        let foreign = self.centre_demand.values();
+        let foreign = foreign.filter(|(_, at)| is_recent(*at, now));
+        let told = foreign.flat_map(|(demand, _)| demand);
+        let all = self.centre_demand_sum(now);
+        let of_pool = told.chain(&all).filter(|demand| demand.pool == key);
+        of_pool.map(|demand| demand.tokens_per_second).sum()
+    }
+
+    /// What the requests of this data centre bring.
+    fn centre_demand_sum(&self, now: Instant) -> Vec<PoolDemand> {
+        let mut sums: BTreeMap<u32, u64> = BTreeMap::new();
+        let members = self.member_demand.values();
+        let members = members.filter(|(_, at)| is_recent(*at, now));
+        for demand in members
+            .flat_map(|(demand, _)| demand)
+            .chain(&self.own_demand)
+        {
+            *sums.entry(demand.pool).or_default() += demand.tokens_per_second;
+        }
+        let sums = sums.into_iter();
+        let demand = sums.map(|(pool, tokens_per_second)| PoolDemand {
+            pool,
+            tokens_per_second,
+        });
+        demand.collect()
+    }
+
+    /// Whether this node should hold the fleet's duties: it collects for the data centre whose name comes first
+    /// among those that are heard. The reader of the store is the same node, so that no other has to see all.
+    pub fn leads(&self, now: Instant) -> bool {
+        let own = &self.peers.own().data_centre;
+        let is_settled = self
+            .collecting_since
+            .is_some_and(|since| now.saturating_duration_since(since) > CENTRE_SILENCE);
+        let mut earlier = self.centre_heard.range::<DataCentreId, _>(..own);
+        is_settled && earlier.all(|(_, at)| now.saturating_duration_since(*at) > CENTRE_SILENCE)
+    }
+
+    /// The data centres whose nodes are known, this node's own among them.
+    pub fn data_centres(&self) -> Vec<DataCentreId> {
+        self.peers.data_centres()
+    }
+
     /// How many nodes come before this one in an order that a seed names and all agree on.
     pub fn turn(&self, seed: u64) -> usize {
         self.peers.turn(seed)
@@ -200,18 +342,57 @@
         let Some(collector) = self.peers.collector().cloned() else {
             return self.collect(news, question, now);
         };
+        let mut packets = self.usage_packets(std::slice::from_ref(&collector));
         // What this node no longer has must be told once, or it would count until it lapses.
         let mut entries = self.own_told.clone();
         for key in gone {
             entries.entry(key).or_default();
         }
-        self.packets(
+        packets.extend(self.packets(
             &entries,
             ExchangeBody::Own,
             &[collector],
             news,
             Some(question),
-        )
+            now,
+        ));
+        packets
+    }
+
+    /// The messages that tell of usage.
+    fn usage_packets(&mut self, to: &[NodeId]) -> Vec<ExchangePacket> {
+        let mut packets = Vec::new();
+        for news in std::mem::take(&mut self.usage) {
+            let message = self.message(ExchangeBody::Usage(news));
+            let Ok(bytes) = postcard::to_stdvec(&message) else {
+                continue;
+            };
+            for node in to {
+                if let Some(member) = self.peers.member_mut(node) {
+                    packets.push((member.entry.address, bytes.clone()));
+                }
+            }
+        }
+        packets
+    }
+
+    /// A message of this node with a body and nothing beside it.
+    fn message(&self, body: ExchangeBody) -> ExchangeMessage {
+        let own = self.peers.own();
+        ExchangeMessage {
+            node: own.node.to_string(),
+            data_centre: own.data_centre.to_string(),
+            capacity: own.capacity,
+            is_behind: self.peers.is_behind(),
+            body,
+            nodes: 0,
+            places: Vec::new(),
+            notices: Vec::new(),
+            demand: Vec::new(),
+            clock: None,
+            question: None,
+            answer: None,
+        }
     }
 
     /// Takes in a message.
@@ -250,13 +431,51 @@
         if let ExchangeBody::Own(entries) = &message.body {
             member.told.tell(entries, now);
         }
+        if let Some(clock) = message.clock {
+            let speaker = match &message.body {
+                ExchangeBody::Own(_) if collects => Some(ClockSpeaker::Member),
+                ExchangeBody::Centre(_) => Some(ClockSpeaker::Centre(
+                    usize::try_from(message.nodes).unwrap_or(usize::MAX),
+                )),
+                ExchangeBody::Total(_) if self.collector.as_ref() == Some(&node) => {
+                    Some(ClockSpeaker::Collector)
+                }
+                _ => None,
+            };
+            self.heard_clocks.extend(speaker.map(|speaker| HeardClock {
+                node: node.clone(),
+                speaker,
+                news: clock,
+                came_at: moment.boot,
+            }));
+        }
         let passes_on = collects && !matches!(message.body, ExchangeBody::Total(_));
         self.places.hear(message.places, passes_on);
         self.hear_notices(message.notices, now);
         let count = usize::try_from(message.nodes).unwrap_or(usize::MAX);
         match message.body {
-            ExchangeBody::Own(_) => {}
+            ExchangeBody::Own(_) => {
+                // A message that tells of further servers brings none, and takes none back.
+                if !message.demand.is_empty() {
+                    self.member_demand.insert(node, (message.demand, now));
+                }
+            }
+            ExchangeBody::Usage(news) => {
+                if self.heard_usage.len() < USAGE_MOST {
+                    let came_at = moment.boot;
+                    self.heard_usage.push(HeardUsage {
+                        node,
+                        news,
+                        came_at,
+                    });
+                }
+            }
             ExchangeBody::Centre(entries) => {
+                self.centre_heard.insert(data_centre.clone(), now);
+                if !message.demand.is_empty() {
+                    let demand = (message.demand, now);
+                    self.centre_demand.insert(data_centre.clone(), demand);
+                }
                 let told = self.centres.entry(data_centre.clone()).or_default();
                 told.tell(&entries, now);
                 self.peers.note_count(data_centre, count);
@@ -340,7 +559,7 @@
         let nodes: Vec<NodeId> = members.map(|member| member.entry.node.clone()).collect();
         // A collector that the store turns away lives on what its nodes read by themselves then.
         let asked = question.without_servers();
-        let mut packets = self.packets(&total, ExchangeBody::Total, &nodes, news, Some(asked));
+        let mut packets = self.packets(&total, ExchangeBody::Total, &nodes, news, Some(asked), now);
         self.rounds += 1;
         let collectors = if self.rounds.is_multiple_of(STANDBY_ROUNDS) {
             self.peers.next_foreign_collectors()
@@ -348,12 +567,14 @@
             self.peers.foreign_collectors()
         };
         let collectors: Vec<NodeId> = collectors.into_iter().collect();
+        packets.extend(self.usage_packets(&collectors));
         packets.extend(self.packets(
             &sum,
             ExchangeBody::Centre,
             &collectors,
             news,
             Some(question),
+            now,
         ));
         packets
     }
@@ -366,6 +587,7 @@
         to: &[NodeId],
         news: &mut NewsDesk,
         question: Option<NewsQuestion>,
+        now: Instant,
     ) -> Vec<ExchangePacket> {
         let entries: Vec<WorkEntry> = work
             .iter()
@@ -377,31 +599,28 @@
             // An empty message still says that its sender is there.
             chunks.push(Vec::new());
         }
-        let own = self.peers.own();
+        let chunks = chunks.into_iter();
         let mut messages: Vec<ExchangeMessage> = chunks
-            .into_iter()
             .map(|chunk| ExchangeMessage {
-                node: own.node.to_string(),
-                data_centre: own.data_centre.to_string(),
-                capacity: own.capacity,
-                is_behind: self.peers.is_behind(),
-                body: body(chunk),
-                nodes: 0,
                 places: self.places.telling().to_vec(),
-                notices: Vec::new(),
-                question: None,
-                answer: None,
+                ..self.message(body(chunk))
             })
             .collect();
         for message in &mut messages {
             let count = match message.body {
-                ExchangeBody::Own(_) => 1,
+                ExchangeBody::Own(_) | ExchangeBody::Usage(_) => 1,
                 ExchangeBody::Centre(_) => self.peers.centre_count(),
                 ExchangeBody::Total(_) => self.peers.count(),
             };
             message.nodes = u32::try_from(count).unwrap_or(u32::MAX);
         }
         messages[0].notices.clone_from(&self.notices);
+        messages[0].clock = self.clock;
+        messages[0].demand = match messages[0].body {
+            ExchangeBody::Own(_) => self.own_demand.clone(),
+            ExchangeBody::Centre(_) => self.centre_demand_sum(now),
+            ExchangeBody::Total(_) | ExchangeBody::Usage(_) => Vec::new(),
+        };
         let mut packets = Vec::with_capacity(to.len() * messages.len());
         for node in to {
             let Some(member) = self.peers.member_mut(node) else {
@@ -416,3 +635,7 @@
         packets
     }
 }
+
+fn is_recent(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < DEMAND_LIFETIME
+}
--- a/crates/plumgate/src/gateway/exchange/messages.rs
+++ b/crates/plumgate/src/gateway/exchange/messages.rs
@@ -1,8 +1,10 @@
 //! What the nodes send each other.
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::nodes::NodeCapacity;
+use crate::duty::{ClockNews, UsageNews};
 use crate::gateway::news::messages::{NewsAnswer, NewsQuestion};
 use crate::gateway::servers::ServerEntry;
 use crate::gateway::work::{ServerWork, URGENCIES};
@@ -32,6 +34,32 @@
     Centre(Vec<WorkEntry>),
     /// What the whole fleet has in flight.
     Total(Vec<WorkEntry>),
+    /// Requests that began at servers.
+    Usage(UsageNews),
+}
+
+/// What a pool's requests bring.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolDemand {
+    /// The digest of the pool's name.
+    pub(crate) pool: u32,
+    /// Prompt tokens a second that have to be read.
+    pub(crate) tokens_per_second: u64,
+}
+
+impl PoolDemand {
+    /// The demand of a pool.
+    pub fn new(pool: &str, tokens_per_second: u64) -> Self {
+        Self {
+            pool: pool_key(pool),
+            tokens_per_second,
+        }
+    }
+}
+
+/// The digest of a pool's name.
+pub(crate) fn pool_key(pool: &str) -> u32 {
+    xxh3_64(pool.as_bytes()) as u32
 }
 
 /// A prompt part that a server other than its home has read.
@@ -71,6 +99,10 @@
     pub(crate) places: Vec<PartPlace>,
     /// What the sender tells of requests that end servers, each sealed by itself.
     pub(crate) notices: Vec<Vec<u8>>,
+    /// What the requests bring that the body tells of.
+    pub(crate) demand: Vec<PoolDemand>,
+    /// What the sender says of the time of day.
+    pub(crate) clock: Option<ClockNews>,
     /// What the sender asks of the store's news.
     pub(crate) question: Option<NewsQuestion>,
     /// The answer to the receiver's last question.
--- a/crates/plumgate/src/gateway/exchange/mod.rs
+++ b/crates/plumgate/src/gateway/exchange/mod.rs
@@ -8,6 +8,8 @@
 mod places;
 mod told;
 
-pub use load_exchange::{ExchangePacket, HeardNotice, LoadExchange, TalkMoment};
-pub use messages::PartPlace;
+pub use load_exchange::{
+    ClockSpeaker, ExchangePacket, HeardClock, HeardNotice, HeardUsage, LoadExchange, TalkMoment,
+};
+pub use messages::{PartPlace, PoolDemand};
 pub use nodes::{NodeCapacity, NodeEntry};
--- a/crates/plumgate/src/gateway/exchange/peers.rs
+++ b/crates/plumgate/src/gateway/exchange/peers.rs
@@ -224,6 +224,13 @@
         first.is_some_and(|(centre, _)| self.eligible(centre).next() == Some(node))
     }
 
+    /// The data centres whose nodes are known, this node's own among them.
+    pub(crate) fn data_centres(&self) -> Vec<DataCentreId> {
+        let mut centres = self.foreign_centres();
+        centres.push(self.own.data_centre.clone());
+        centres
+    }
+
     fn foreign_centres(&self) -> Vec<DataCentreId> {
         let centres = self.ranked.iter().filter(|(_, nodes)| !nodes.is_empty());
         let foreign = centres.filter(|(centre, _)| **centre != self.own.data_centre);
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -24,7 +24,10 @@
     WorkspaceKeys,
 };
 pub use events::EventSplitter;
-pub use exchange::{LoadExchange, NodeCapacity, NodeEntry, PartPlace, TalkMoment};
+pub use exchange::{
+    ClockSpeaker, HeardClock, HeardUsage, LoadExchange, NodeCapacity, NodeEntry, PartPlace,
+    PoolDemand, TalkMoment,
+};
 pub use news::{
     ConfigCopy, NewsAnswer, NewsDesk, NewsQuestion, NewsTaken, ServerNews, ServersCopy,
     ServersState, SourceTopic, StateCopy,
--- a/crates/plumgate/src/gateway/news/copies.rs
+++ b/crates/plumgate/src/gateway/news/copies.rs
@@ -15,6 +15,7 @@
 use crate::gateway::config::GatewayConfig;
 use crate::gateway::servers::ServerEntry;
 use crate::ids::ServerId;
+use crate::store_version::StoreEra;
 
 /// A state, and since when it is known to be the newest.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +44,11 @@
 }
 
 impl ServersState {
+    /// The store's era that the state is from.
+    pub fn era(&self) -> StoreEra {
+        self.place.version.era
+    }
+
     /// The servers that are in use, and those of them that are doubted.
     pub fn into_servers(self) -> (Vec<ServerEntry>, Vec<ServerId>) {
         (self.entries, self.doubted)
--- a/crates/plumgate/src/gateway/news/desk.rs
+++ b/crates/plumgate/src/gateway/news/desk.rs
@@ -20,6 +20,7 @@
 };
 use crate::gateway::servers::ServerTable;
 use crate::ids::ConfigVersion;
+use crate::store_version::StoreVersion;
 
 /// Questions that may still be answered; older ones are no use to the trust in keys.
 const QUESTIONS_MOST: usize = 16;
@@ -100,7 +101,7 @@
     config_version: ConfigVersion,
     config: TopicState,
     servers: TopicState,
-    servers_version: Option<u64>,
+    servers_version: Option<StoreVersion>,
     /// Whether a watch of the servers is under way, which tells of its own changes.
     is_watching: bool,
     /// The log that this node follows.
@@ -163,14 +164,16 @@
     ///
     /// Something may have been missed before, also by those who were told from here. A new epoch
     /// makes them read anew as well.
-    pub fn restart_log(&mut self, version: u64) {
+    pub fn restart_log(&mut self, version: impl Into<StoreVersion>) {
+        let version = version.into();
         self.servers_version = Some(version);
         self.followed_epoch = None;
         self.log.restart(version, self.rng.u32(1..));
     }
 
     /// The store told of changes of servers up to a version.
-    pub fn extend_log(&mut self, version: u64, changes: Vec<ServerNews>) {
+    pub fn extend_log(&mut self, version: impl Into<StoreVersion>, changes: Vec<ServerNews>) {
+        let version = version.into();
         self.servers_version = Some(version);
         self.followed_epoch = None;
         self.log.push(version, changes);
@@ -182,7 +185,7 @@
     }
 
     /// The version from which on a watch of the servers goes on; none before the first reading.
-    pub fn servers_version(&self) -> Option<u64> {
+    pub fn servers_version(&self) -> Option<StoreVersion> {
         self.servers_version
     }
 
--- a/crates/plumgate/src/gateway/news/log.rs
+++ b/crates/plumgate/src/gateway/news/log.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use super::messages::{ServerNews, ServersPlace};
+use crate::store_version::StoreVersion;
 
 /// Server changes that are kept for those who ask: a third of a fleet of 6,500 servers at once. Whoever
 /// is further behind reads the store.
@@ -27,21 +28,21 @@
 pub(crate) struct NewsLog {
     /// Names the log since all was read last; 0 before.
     epoch: u32,
-    batches: VecDeque<(u64, Vec<ServerNews>)>,
+    batches: VecDeque<(StoreVersion, Vec<ServerNews>)>,
     /// The version from which on the log tells all.
-    from: u64,
+    from: StoreVersion,
 }
 
 impl NewsLog {
     /// All was read anew as of a version: the log begins again, under a name of its own.
-    pub(crate) fn restart(&mut self, version: u64, epoch: u32) {
+    pub(crate) fn restart(&mut self, version: StoreVersion, epoch: u32) {
         self.epoch = epoch;
         self.batches.clear();
         self.from = version;
     }
 
     /// Changes came up to a version.
-    pub(crate) fn push(&mut self, version: u64, changes: Vec<ServerNews>) {
+    pub(crate) fn push(&mut self, version: StoreVersion, changes: Vec<ServerNews>) {
         if changes.is_empty() {
             return;
         }
@@ -57,7 +58,7 @@
     }
 
     /// The place of whoever holds all up to a version; none where nothing was read yet.
-    pub(crate) fn place(&self, version: u64) -> Option<ServersPlace> {
+    pub(crate) fn place(&self, version: StoreVersion) -> Option<ServersPlace> {
         (self.epoch != 0).then_some(ServersPlace {
             version,
             epoch: Some(self.epoch),
@@ -65,7 +66,7 @@
     }
 
     /// What changed after a place. `newest` is the version up to which all is known here.
-    pub(crate) fn after(&self, place: ServersPlace, newest: u64) -> LogAnswer {
+    pub(crate) fn after(&self, place: ServersPlace, newest: StoreVersion) -> LogAnswer {
         if place.epoch.is_some_and(|epoch| epoch != self.epoch) {
             return LogAnswer::ReadAnew;
         }
--- a/crates/plumgate/src/gateway/news/messages.rs
+++ b/crates/plumgate/src/gateway/news/messages.rs
@@ -4,12 +4,13 @@
 
 use crate::gateway::servers::ServerEntry;
 use crate::ids::{ConfigVersion, ServerId};
+use crate::store_version::StoreVersion;
 
 /// A place in the store's history of servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ServersPlace {
     /// The store's version up to which all changes are known.
-    pub(crate) version: u64,
+    pub(crate) version: StoreVersion,
     /// The epoch of the log by which they are known; none after reading the store.
     pub(crate) epoch: Option<u32>,
 }
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -6,14 +6,16 @@
 
 use super::centres::CentreTable;
 use super::choice::{PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
+use super::demand::DemandMeter;
 use super::groups::{GroupShares, ServerGroups};
 use super::homes::HomeRanks;
 use super::keepers::PartKeeper;
 use super::reading::ReadingSpeeds;
 use super::server_load::{CostPrediction, ServerLoad, TokenCosts};
+use crate::duty::{PoolLoad, ServerKind};
 use crate::gateway::config::StreamClass;
 use crate::gateway::exchange::LoadExchange;
-use crate::gateway::exchange::messages::{PartPlace, ServerKey, server_key};
+use crate::gateway::exchange::messages::{PartPlace, PoolDemand, ServerKey, server_key};
 use crate::gateway::prompt::{PromptShape, SMALL_PART};
 use crate::gateway::servers::{ServerChange, ServerEntry, ServerState};
 use crate::gateway::switches::PolicyPart;
@@ -42,6 +44,8 @@
     shares: GroupShares,
     /// Parts that this node was the first to send to a server, still to be told.
     new_places: Vec<PartPlace>,
+    /// What this node's requests bring.
+    demand: DemandMeter,
 }
 
 impl LoadTable {
@@ -56,6 +60,7 @@
             speeds: ReadingSpeeds::default(),
             shares: GroupShares::default(),
             new_places: Vec::new(),
+            demand: DemandMeter::default(),
         }
     }
 
@@ -94,6 +99,9 @@
     pub fn swap_news(&mut self, exchange: &mut LoadExchange, now: Instant) {
         self.adapt_shares(now);
         exchange.tell_places(self.new_places.drain(..));
+        let rates = self.demand.rates(now);
+        let demand = rates.map(|(pool, rate)| PoolDemand::new(pool, rate));
+        exchange.tell_demand(demand.collect());
         let mut parts: HashMap<ServerKey, Vec<u64>> = HashMap::new();
         for place in exchange.take_places() {
             parts.entry(place.server).or_default().push(place.part);
@@ -142,6 +150,39 @@
         f64::from(taken) / f64::from(slots.max(1))
     }
 
+    /// A request came for which a server was chosen; whether it is sent there or refused, it is demand.
+    pub fn note_demand(&mut self, pool: &PoolId, pick: &ServerPick, now: Instant) {
+        self.demand.note(pool, pick.unread_tokens, now);
+    }
+
+    /// A pool as a whole, given the prompt tokens a second that the fleet's requests bring.
+    pub fn pool_load(&self, pool: &PoolId, tokens_per_second: u64, now: Instant) -> PoolLoad {
+        let mut load = PoolLoad {
+            tokens_per_second: tokens_per_second as f64,
+            server_speed: self.speeds.speed(pool, now),
+            ..PoolLoad::default()
+        };
+        let of_pool = self
+            .servers
+            .values()
+            .filter(|load| load.entry.pool == *pool);
+        for server in of_pool {
+            let site = load
+                .sites
+                .entry(server.entry.data_centre.clone())
+                .or_default();
+            if server.entry.state == ServerState::Ready {
+                match server.entry.kind {
+                    ServerKind::Lasting => site.lasting += 1,
+                    ServerKind::Reclaimable => site.reclaimable += 1,
+                }
+            }
+            let unread = server.own.plus(&server.peers).unread;
+            load.unread_tokens += unread.iter().sum::<u64>() as f64;
+        }
+        load
+    }
+
     /// What this node has in flight, servers without work left out.
     pub fn own_work(&self) -> impl Iterator<Item = (&ServerEntry, ServerWork)> {
         self.servers
--- a/crates/plumgate/src/gateway/placement/mod.rs
+++ b/crates/plumgate/src/gateway/placement/mod.rs
@@ -3,6 +3,7 @@
 pub mod centres;
 
 mod choice;
+mod demand;
 mod groups;
 mod homes;
 mod keepers;
--- a/crates/plumgate/src/gateway/servers.rs
+++ b/crates/plumgate/src/gateway/servers.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::duty::ServerKind;
 use crate::ids::{DataCentreId, PoolId, ServerId};
 
 /// What a server says of itself.
@@ -40,9 +41,23 @@
     pub state: ServerState,
     /// How much longer it is slow after its start, as of the entry.
     pub cold_for: Duration,
+    /// Whether the platform may take it away at any time.
+    pub kind: ServerKind,
+    /// How often the server has written its entry: tells a newer entry from an older one.
+    pub writes: u64,
 }
 
 impl ServerEntry {
+    /// Whether another entry differs in nothing but how often it was written.
+    fn says_the_same(&self, other: &Self) -> bool {
+        let writes = self.writes;
+        *self
+            == Self {
+                writes,
+                ..other.clone()
+            }
+    }
+
     /// The short name that nodes give this incarnation among themselves.
     pub fn incarnation_key(&self) -> u32 {
         // The lower half tells a few thousand servers apart.
@@ -58,10 +73,27 @@
     gone_at: Option<Instant>,
 }
 
+/// How long a server that left is remembered: longer than a copy of the store is old, and than the store leaves
+/// an entry that nobody renews.
+const LEFT_MEMORY: Duration = Duration::from_secs(60);
+/// Servers that left and are remembered: a third of a fleet of 6,500 servers at once.
+const LEFT_MOST: usize = 2_048;
+
+/// A server that left, as its entry was last seen.
+#[derive(Clone, Copy, Debug)]
+struct LeftServer {
+    born: Option<BirthTime>,
+    writes: u64,
+    at: Instant,
+}
+
 /// All servers that are known.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
     servers: BTreeMap<ServerId, TableEntry>,
+    left: BTreeMap<ServerId, LeftServer>,
+    /// Whether entries may be older than what was seen of them, as the store came back from an old copy.
+    has_old_entries: bool,
 }
 
 /// What a change of the table means.
@@ -90,14 +122,22 @@
     /// cut off what runs at the successor. The time of birth tells them apart, as it only goes up
     /// from one incarnation to the next.
     pub fn put(&mut self, entry: ServerEntry) -> Option<ServerChange> {
-        let known = self.servers.get(&entry.id);
-        if known.is_some_and(|known| known.entry == entry && known.gone_at.is_none()) {
+        let known = self.servers.get_mut(&entry.id);
+        if let Some(known) = known
+            && known.gone_at.is_none()
+            && known.entry.says_the_same(&entry)
+        {
+            known.entry.writes = known.entry.writes.max(entry.writes);
             return None;
         }
+        let known = self.servers.get(&entry.id);
         let known_born = known.and_then(|known| known.entry.born);
         if known_born.is_some() && entry.born < known_born {
             return None;
         }
+        if self.has_old_entries && self.is_old(&entry) {
+            return None;
+        }
         let is_reborn = known_born.is_some() && entry.born > known_born;
         let row = TableEntry {
             entry: entry.clone(),
@@ -110,6 +150,41 @@
         Some(ServerChange::Changed(entry))
     }
 
+    /// The store came back from an old copy, and may tell again what was so before.
+    pub fn note_old_entries(&mut self, now: Instant) {
+        self.has_old_entries = true;
+        self.left
+            .retain(|_, left| now.saturating_duration_since(left.at) < LEFT_MEMORY);
+    }
+
+    /// Whether more is known of a server than an entry says, as the entry lay in a copy of the store. Taken for
+    /// news, it would bring back a server that has left, or make one that is leaving ready again. A server that
+    /// lives writes again, and counts its writes.
+    fn is_old(&self, entry: &ServerEntry) -> bool {
+        if let Some(known) = self.servers.get(&entry.id) {
+            let is_same = known.entry.born == entry.born;
+            return is_same && entry.writes < known.entry.writes;
+        }
+        let left = self.left.get(&entry.id);
+        left.is_some_and(|left| left.born == entry.born && entry.writes <= left.writes)
+    }
+
+    /// Remembers a server that left.
+    fn note_left(&mut self, entry: &ServerEntry, now: Instant) {
+        if self.left.len() >= LEFT_MOST {
+            self.left
+                .retain(|_, left| now.saturating_duration_since(left.at) < LEFT_MEMORY);
+        }
+        if self.left.len() < LEFT_MOST {
+            let left = LeftServer {
+                born: entry.born,
+                writes: entry.writes,
+                at: now,
+            };
+            self.left.insert(entry.id.clone(), left);
+        }
+    }
+
     /// Whether an entry comes from somebody else than the server: it lacks the time of birth that the
     /// server has given before.
     pub fn is_foreign(&self, entry: &ServerEntry) -> bool {
@@ -129,7 +204,8 @@
         now: Instant,
     ) -> Option<ServerChange> {
         let Some(doubt) = doubt else {
-            self.servers.remove(id)?;
+            let gone = self.servers.remove(id)?;
+            self.note_left(&gone.entry, now);
             return Some(ServerChange::Gone(id.clone()));
         };
         let known = self.servers.get_mut(id)?;
--- a/crates/plumgate/tests/duty_model/mod.rs
+++ b/crates/plumgate/tests/duty_model/mod.rs
@@ -21,8 +21,12 @@
 pub(crate) const CALL: u64 = 800;
 /// The length of a window.
 pub(crate) const WINDOW: u64 = 5_000;
+/// One that makes calls dense.
+pub(crate) const SHORT_WINDOW: u64 = 1_000;
 /// How late a report may come.
 pub(crate) const LATE: u64 = 10_000;
+/// Share of the steps in which a holder gives an order.
+const ORDER_SHARE: f64 = 0.5;
 /// How long after a thaw a call is excused.
 const THAW_SLACK: u64 = 300;
 
@@ -38,6 +42,8 @@
     pub(crate) slow_party: f64,
     pub(crate) era: f64,
     pub(crate) rewant: f64,
+    /// Whether all nodes want the duties all the time.
+    pub(crate) all_want: bool,
 }
 
 impl FaultRates {
@@ -53,6 +59,7 @@
             slow_party: 0.04,
             era: 0.05,
             rewant: 0.08,
+            all_want: false,
         }
     }
 }
@@ -61,7 +68,6 @@
 struct StoreImage {
     version: u64,
     row: Option<(DutyRow, u64)>,
-    guards: BTreeMap<u64, u64>,
 }
 
 #[derive(Debug, Default)]
@@ -83,23 +89,14 @@
     }
 
     fn write(&mut self, write: &DutyWrite, now: u64) -> DutyAnswer {
-        let holds = match write.before {
-            None => self.image.row.is_none(),
-            Some((nonce, version)) => {
-                let is_row = self.image.row.as_ref().map(|(_, at)| *at) == Some(version);
-                is_row && self.image.guards.get(&nonce) == Some(&version)
-            }
-        };
+        let version = self.image.row.as_ref().map_or(0, |(_, version)| *version);
+        let holds = version == write.before;
         if !holds {
             return DutyAnswer::Conflict(self.era);
         }
         self.history.push((now, self.image.clone()));
         self.image.version += 1;
         let version = self.image.version;
-        if let Some((nonce, _)) = write.before {
-            self.image.guards.remove(&nonce);
-        }
-        self.image.guards.insert(write.row.nonce, version);
         self.image.row = Some((write.row.clone(), version));
         DutyAnswer::Written(StoreVersion::new(self.era, version))
     }
@@ -124,7 +121,8 @@
 
 struct PartyCallState {
     credential: DutyCredential,
-    report: UsageReport,
+    /// What it reports; none for an order.
+    report: Option<UsageReport>,
     arrives_at: u64,
     answered_at: Option<u64>,
     is_excused: bool,
@@ -141,7 +139,7 @@
     no_store_until: u64,
     no_party_until: u64,
     store_call: Option<(u64, Option<u64>)>,
-    party_call: Option<(u64, WindowId, u64)>,
+    party_call: Option<(u64, Option<WindowId>, u64)>,
 }
 
 /// What the party saw.
@@ -157,16 +155,8 @@
 
 impl Judge {
     fn take(&mut self, call: &PartyCallState, machine: usize, now: u64) {
-        let window = call.report.window;
-        match self.reports.get(&window) {
-            Some(counts) if *counts != call.report.counts => {
-                self.broken
-                    .push(format!("{now}: two reports of window {window}"));
-            }
-            Some(_) => {}
-            None => {
-                self.reports.insert(window, call.report.counts.clone());
-            }
+        if let Some(report) = &call.report {
+            self.take_report(report, now);
         }
         let number = call.credential.number;
         let owner = *self.numbers.entry(number).or_insert(machine);
@@ -199,6 +189,18 @@
         self.acts.push((now, machine));
     }
 
+    fn take_report(&mut self, report: &UsageReport, now: u64) {
+        let window = report.window;
+        let known = self
+            .reports
+            .entry(window)
+            .or_insert_with(|| report.counts.clone());
+        if *known != report.counts {
+            self.broken
+                .push(format!("{now}: two reports of window {window}"));
+        }
+    }
+
     /// Windows that were reported.
     pub(crate) fn windows(&self) -> Vec<WindowId> {
         self.reports.keys().copied().collect()
@@ -209,6 +211,7 @@
 pub(crate) struct DutyFleet {
     rng: fastrand::Rng,
     rates: FaultRates,
+    window: u64,
     pub(crate) now: u64,
     store: ModelStore,
     nodes: Vec<ModelNode>,
@@ -219,7 +222,7 @@
     pub(crate) eras: u32,
 }
 
-fn seat(machine: usize, incarnation: u64) -> DutySeat {
+fn seat(machine: usize, incarnation: u64, window: u64) -> DutySeat {
     DutySeat::new(SeatOptions {
         own: DutyIdentity {
             node: format!("node-{machine}").as_str().into(),
@@ -227,7 +230,7 @@
         },
         lease: DutyTimes::new(Duration::from_millis(LEASE), Duration::from_millis(CALL)),
         reports: ReportTimes {
-            window: Duration::from_millis(WINDOW),
+            window: Duration::from_millis(window),
             late: Duration::from_millis(LATE),
         },
     })
@@ -236,11 +239,16 @@
 impl DutyFleet {
     /// Some nodes, of which the first is wanted.
     pub(crate) fn new(seed: u64, nodes: usize, rates: FaultRates) -> Self {
+        Self::with_window(seed, nodes, rates, WINDOW)
+    }
+
+    /// The same with windows of a length.
+    pub(crate) fn with_window(seed: u64, nodes: usize, rates: FaultRates, window: u64) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let nodes = (0..nodes).map(|machine| ModelNode {
             machine,
-            seat: seat(machine, rng.u64(..)),
-            wanted: machine == 0,
+            seat: seat(machine, rng.u64(..), window),
+            wanted: machine == 0 || rates.all_want,
             down_until: 0,
             suspended_until: 0,
             thawed_at: 0,
@@ -253,6 +261,7 @@
         Self {
             rng,
             rates,
+            window,
             now: 100_000,
             store: ModelStore::default(),
             nodes,
@@ -288,7 +297,7 @@
     pub(crate) fn kill(&mut self, node: usize, time: u64) {
         let incarnation = self.rng.u64(..);
         let node = &mut self.nodes[node];
-        node.seat = seat(node.machine, incarnation);
+        node.seat = seat(node.machine, incarnation, self.window);
         node.down_until = self.now + time;
         node.store_call = None;
         node.party_call = None;
@@ -360,7 +369,8 @@
                 self.judge.take(call, *machine, now);
             }
         }
-        let is_over = |at: Option<u64>| at.is_none_or(|at| now > at + 1_000);
+        // An answer that came while a node stood still waits for it.
+        let is_over = |at: Option<u64>| at.is_none_or(|at| now > at + 20_000);
         self.store_calls
             .retain(|_, call| call.answer.is_none() || !is_over(call.answered_at));
         self.party_calls
@@ -388,10 +398,15 @@
                 self.send_store(at, call);
             }
         }
-        if self.nodes[at].party_call.is_none()
-            && let Some((credential, report)) = self.nodes[at].seat.next_report(moment)
+        if self.nodes[at].party_call.is_some() {
+            return;
+        }
+        if let Some((credential, report)) = self.nodes[at].seat.next_report(moment) {
+            self.send_party(at, credential, Some(report));
+        } else if self.rng.f64() < ORDER_SHARE
+            && let Some(credential) = self.nodes[at].seat.credential(moment.boot)
         {
-            self.send_party(at, credential, report);
+            self.send_party(at, credential, None);
         }
     }
 
@@ -442,11 +457,11 @@
         node.seat.apply(answer, Duration::from_millis(now));
     }
 
-    fn send_party(&mut self, at: usize, credential: DutyCredential, report: UsageReport) {
+    fn send_party(&mut self, at: usize, credential: DutyCredential, report: Option<UsageReport>) {
         let now = self.now;
         let id = self.next_call;
         self.next_call += 1;
-        let window = report.window;
+        let window = report.as_ref().map(|report| report.window);
         let node = &self.nodes[at];
         let mut arrives_at = now + self.rng.u64(0..3) * STEP;
         let mut answered_at = Some(arrives_at + STEP);
@@ -456,6 +471,10 @@
             return;
         }
         if self.rng.f64() < self.rates.slow_party {
+            // Within the time that a call may take, nothing is excused.
+            arrives_at = now + CALL - STEP - self.rng.u64(0..CALL / 4);
+            answered_at = Some(arrives_at + STEP);
+        } else if self.rng.f64() < self.rates.slow_party {
             arrives_at = now + self.rng.u64(0..5_000);
             answered_at = Some(arrives_at + STEP);
             is_excused = true;
@@ -492,7 +511,7 @@
         let is_answered = call
             .is_some_and(|(_, call)| call.arrived && call.answered_at.is_some_and(|at| now >= at));
         let node = &mut self.nodes[at];
-        if is_answered {
+        if let Some(window) = window.filter(|_| is_answered) {
             node.seat.note_sent(window, moment(now).unix);
         }
         if is_answered || now >= give_up_at {
--- a/crates/plumgate/tests/duty_search.rs
+++ b/crates/plumgate/tests/duty_search.rs
@@ -5,7 +5,7 @@
 
 mod duty_model;
 
-use duty_model::{DutyFleet, FaultRates};
+use duty_model::{DutyFleet, FaultRates, SHORT_WINDOW};
 
 /// Runs in CI: some seconds.
 const SEEDS: u64 = 400;
@@ -20,7 +20,7 @@
 fn search(name: &str, rates: FaultRates) {
     let mut windows = 0;
     for seed in 0..seeds() {
-        let mut fleet = DutyFleet::new(seed, 3, rates);
+        let mut fleet = DutyFleet::with_window(seed, 3, rates, SHORT_WINDOW);
         fleet.play(SECONDS);
         let broken = &fleet.judge.broken;
         assert!(broken.is_empty(), "{name}, seed {seed}: {broken:?}");
@@ -62,3 +62,16 @@
     };
     search("struck", rates);
 }
+
+// All nodes want the duties; the holder loses the store and goes on until its lease ends, and its calls take as long
+// as they may. The next one waits for the last of them.
+#[test]
+fn last_call_of_a_holder_is_waited_for() {
+    let rates = FaultRates {
+        cut_store: 0.25,
+        slow_party: 0.8,
+        all_want: true,
+        ..FaultRates::default()
+    };
+    search("last call", rates);
+}
--- a/crates/plumgate/tests/entries/mod.rs
+++ b/crates/plumgate/tests/entries/mod.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use plumgate::duty::ServerKind;
 use plumgate::gateway::{NodeEntry, ServerEntry, ServerState};
 
 /// A server that takes work and does not say when it was born.
@@ -17,6 +18,8 @@
         slots: 64,
         state: ServerState::Ready,
         cold_for: Duration::ZERO,
+        kind: ServerKind::Lasting,
+        writes: 1,
     }
 }
 
--- a/crates/plumgate/tests/gateway_news.rs
+++ b/crates/plumgate/tests/gateway_news.rs
@@ -123,7 +123,7 @@
             gone("b")
         ]
     );
-    assert_eq!(asker.servers_version(), Some(15));
+    assert_eq!(asker.servers_version(), Some(15u64.into()));
     // Told again, as by a message that was held up, it would bring the server back.
     assert_eq!(asker.take(late, true).changes, Vec::new());
 }
@@ -143,7 +143,7 @@
         told += asker.take(answer, true).changes.len();
     }
     assert_eq!(told, 100);
-    assert_eq!(asker.servers_version(), Some(110));
+    assert_eq!(asker.servers_version(), Some(110u64.into()));
 }
 
 // A node sends requests to a server that has left. The reader's watch was deaf for a second: it gave
@@ -158,7 +158,7 @@
     first.extend_log(20, Vec::new());
     let answer = ask(&mut asker, &mut first, ms(1_100), ms(1_101));
     asker.take(answer, true);
-    assert_eq!(asker.servers_version(), Some(20));
+    assert_eq!(asker.servers_version(), Some(20u64.into()));
     first.restart_log(20);
     let answer = ask(&mut asker, &mut first, ms(1_200), ms(1_201));
     assert!(asker.take(answer, true).must_ask);
@@ -229,7 +229,7 @@
     let copy = copy.expect("it knows the servers");
     assert!(asker.take_servers_copy(&copy, ms(2_005)));
     assert!(!asker.must_read(SourceTopic::Servers));
-    assert_eq!(asker.servers_version(), Some(12));
+    assert_eq!(asker.servers_version(), Some(12u64.into()));
     assert_eq!(
         asker.known_at(SourceTopic::Servers),
         Some(ms(1_494)),
@@ -251,14 +251,14 @@
     let mut asker = reader(12, ms(800));
     let copy = old.servers_copy(&table(&["a"]), ms(1_000)).expect("a copy");
     assert!(!asker.take_servers_copy(&copy, ms(1_000)));
-    assert_eq!(asker.servers_version(), Some(12));
+    assert_eq!(asker.servers_version(), Some(12u64.into()));
     old.extend_log(20, vec![gone("b")]);
     let copy = old.servers_copy(&table(&["a"]), ms(1_000)).expect("a copy");
     asker.set_watching(true);
     assert!(!asker.take_servers_copy(&copy, ms(1_000)));
     asker.set_watching(false);
     assert!(asker.take_servers_copy(&copy, ms(1_000)));
-    assert_eq!(asker.servers_version(), Some(20));
+    assert_eq!(asker.servers_version(), Some(20u64.into()));
 }
 
 // A node goes on with servers that have left: it leaves the servers alone while the store does not answer for
@@ -300,7 +300,7 @@
     first.extend_log(12, vec![gone("a")]);
     let answer = ask(&mut asker, &mut first, ms(1_000), ms(1_001));
     assert_eq!(asker.take(answer, true).changes, Vec::new());
-    assert_eq!(asker.servers_version(), Some(10));
+    assert_eq!(asker.servers_version(), Some(10u64.into()));
     asker.set_watching(false);
     let answer = ask(&mut asker, &mut first, ms(1_100), ms(1_101));
     assert_eq!(asker.take(answer, true).changes, [gone("a")]);
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use plumgate::duty::ServerKind;
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
     AdmissionPolicy, AdmissionVerdict, LoadExchange, LoadTable, NewsDesk, NodeEntry,
@@ -489,6 +490,8 @@
         slots: SLOTS as u32,
         state: ServerState::Ready,
         cold_for: Duration::ZERO,
+        kind: ServerKind::Lasting,
+        writes: 1,
     }
 }
 
