exchange, switches: what goes along for the duties in a file of its own; scaling can be switched off

Switches 'scaling' and 'scale-by-load' play the ways to order servers in pairs: stand still, the operator's number with cheap servers, by load.

--- a/crates/plumgate-node/src/gateway/duties.rs
+++ b/crates/plumgate-node/src/gateway/duties.rs
@@ -104,8 +104,10 @@
         let is_collector = exchange.is_collector();
         self.hear_clocks(exchange, is_collector, boot);
         self.note_time();
-        exchange.tell_clock(self.clock.borrow().news(boot));
-        for heard in exchange.take_usage() {
+        exchange
+            .duty_talk()
+            .tell_clock(self.clock.borrow().news(boot));
+        for heard in exchange.duty_talk().take_usage() {
             let mut book = self.book.borrow_mut();
             book.hear(&heard.node, heard.news, heard.came_at);
         }
@@ -119,7 +121,7 @@
 
     fn hear_clocks(&self, exchange: &mut LoadExchange, is_collector: bool, boot: Duration) {
         let mut clock = self.clock.borrow_mut();
-        for heard in exchange.take_clocks() {
+        for heard in exchange.duty_talk().take_clocks() {
             match heard.speaker {
                 ClockSpeaker::Member => clock.hear(&heard.node, &heard.news, heard.came_at),
                 ClockSpeaker::Centre(nodes) => {
@@ -149,10 +151,10 @@
         } else {
             book.own_news(&tally, moment.unix, moment.boot)
         };
-        exchange.tell_usage(news);
+        exchange.duty_talk().tell_usage(news);
     }
 
-    fn note_demand(&self, exchange: &LoadExchange) {
+    fn note_demand(&self, exchange: &mut LoadExchange) {
         let now = self.shared.clock.now();
         let config = self.shared.config.load();
         let Some(config) = config.as_ref() else {
@@ -160,7 +162,7 @@
         };
         let pools = config.scaling().map(|(pool, _)| pool.clone());
         let demand = pools.map(|pool| {
-            let rate = exchange.demand(&pool, now);
+            let rate = exchange.duty_talk().demand(&pool, now);
             (pool, rate)
         });
         *self.demand.borrow_mut() = demand.collect();
--- a/crates/plumgate-node/src/gateway/duty_calls.rs
+++ b/crates/plumgate-node/src/gateway/duty_calls.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use plumgate::duty::{
-    DutyAnswer, DutyCall, PoolScaling, ScaleOrder, ScalePolicy, ScaleSubject, ServerKind,
+    DutyAnswer, DutyCall, FollowLoad, FollowOptions, PoolScaling, ScaleOrder, ScalePolicy,
+    ScaleSubject, ServerKind,
 };
+use plumgate::gateway::PolicyPart;
 use plumgate::ids::{DataCentreId, PoolId};
 
 use super::duties::{CALL_TIMEOUT, DutyState};
@@ -96,7 +98,7 @@
                 self.shared.clock.sleep(PARTY_RETRY).await;
             }
             let now = self.shared.clock.now();
-            if self.options.orders_servers && now >= scale_at {
+            if self.orders_servers() && now >= scale_at {
                 scale_at = now + SCALE_PAUSE;
                 self.send_orders(&mut party).await;
             }
@@ -195,16 +197,36 @@
         orders.into_iter().map(|(_, order)| order).collect()
     }
 
+    fn orders_servers(&self) -> bool {
+        let switches = self.shared.options.switches;
+        self.options.orders_servers && switches.has(PolicyPart::Scaling)
+    }
+
+    /// What a pool's size follows.
+    fn new_policy(&self) -> FollowLoad {
+        if self.shared.options.switches.has(PolicyPart::ScaleByLoad) {
+            return FollowLoad::default();
+        }
+        let options = FollowOptions {
+            headroom: 0.0,
+            bare_headroom: 0.0,
+            ..FollowOptions::default()
+        };
+        FollowLoad::new(options)
+    }
+
     /// Looks at the pools while another node orders their servers.
     fn observe_pools(&self) {
         let config = self.shared.config.load();
-        let Some(config) = config.as_ref().filter(|_| self.options.orders_servers) else {
+        let Some(config) = config.as_ref().filter(|_| self.orders_servers()) else {
             return;
         };
         let now = self.shared.clock.now();
         for (pool, _) in config.scaling() {
             let mut policies = self.policies.borrow_mut();
-            let policy = policies.entry(pool.clone()).or_default();
+            let policy = policies
+                .entry(pool.clone())
+                .or_insert_with(|| self.new_policy());
             if !policy.has_seen(now) {
                 let load = self.shared.loads().pool_load(pool, 0, now);
                 policy.observe(&load, now);
@@ -231,7 +253,9 @@
         let dry = book.clone();
         let is_dry = |centre: &DataCentreId, kind| dry.is_dry(&subject(centre, kind), now);
         let mut policies = self.policies.borrow_mut();
-        let policy = policies.entry(pool.clone()).or_default();
+        let policy = policies
+            .entry(pool.clone())
+            .or_insert_with(|| self.new_policy());
         let wanted = policy.wanted(scaling, &load, &is_dry, now);
         let mut orders = Vec::new();
         for ((centre, kind), count) in wanted {
--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -11,15 +11,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use super::messages::{
-    ExchangeBody, ExchangeMessage, PartPlace, PoolDemand, ServerKey, WorkEntry, pool_key,
-    server_key,
-};
+use super::duty_talk::{CENTRE_SILENCE, ClockSpeaker, DutyTalk};
+use super::messages::{ExchangeBody, ExchangeMessage, PartPlace, ServerKey, WorkEntry, server_key};
 use super::nodes::NodeEntry;
 use super::peers::{COLLECTOR_SILENCE, PeerTable};
 use super::places::PlaceQueue;
 use super::told::ToldWork;
-use crate::duty::{ClockNews, UsageNews};
 use crate::errors::{Error, Result};
 use crate::gateway::news::messages::NewsQuestion;
 use crate::gateway::news::{NewsDesk, NewsTaken};
@@ -39,13 +36,6 @@
 /// Servers in one message, so that it fits into one packet of the network.
 const ENTRIES_MOST: usize = 100;
 
-/// How long no collector of another data centre must be heard before this one no longer leaves the duties to it:
-/// longer than a change of the collector there takes.
-const CENTRE_SILENCE: Duration = Duration::from_millis(1_500);
-/// How long what was told of demand counts.
-const DEMAND_LIFETIME: Duration = Duration::from_secs(2);
-/// Messages of usage that are kept until they are taken: two of each node of a large data centre.
-const USAGE_MOST: usize = 256;
 /// Notices that are kept until they are taken: two of each node of a large data centre in a round.
 const NOTICES_MOST: usize = 256;
 
@@ -68,44 +58,6 @@
     pub came_at: Instant,
 }
 
-/// What another node said of the time of day.
-#[derive(Clone, Debug)]
-pub struct HeardClock {
-    /// The node.
-    pub node: NodeId,
-    /// For whom it speaks.
-    pub speaker: ClockSpeaker,
-    /// What it said.
-    pub news: ClockNews,
-    /// When it came.
-    pub came_at: Duration,
-}
-
-/// For whom a node speaks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClockSpeaker {
-    /// A node of this data centre, for itself.
-    Member,
-    /// The collector of another data centre, for so many nodes.
-    Centre(usize),
-    /// This node's collector, for the fleet.
-    Collector,
-}
-
-/// What another node told of usage.
-#[derive(Clone, Debug)]
-pub struct HeardUsage {
-    /// The node.
-    pub node: NodeId,
-    /// What it told.
-    pub news: UsageNews,
-    /// When it came.
-    pub came_at: Duration,
-}
-
-/// What somebody told of demand, with its time.
-type ToldDemand = (Vec<PoolDemand>, Instant);
-
 /// A message and where it goes.
 pub type ExchangePacket = (SocketAddr, Vec<u8>);
 
@@ -130,20 +82,8 @@
     farewells: u32,
     /// Since when this node collects.
     collecting_since: Option<Instant>,
-    /// What this node says of the time of day.
-    clock: Option<ClockNews>,
-    heard_clocks: Vec<HeardClock>,
-    /// What this node tells of usage in this round.
-    usage: Vec<UsageNews>,
-    heard_usage: Vec<HeardUsage>,
-    /// What this node's own requests bring.
-    own_demand: Vec<PoolDemand>,
-    /// What those of the other nodes of this data centre bring.
-    member_demand: HashMap<NodeId, ToldDemand>,
-    /// What those of other data centres bring.
-    centre_demand: BTreeMap<DataCentreId, ToldDemand>,
-    /// When a collector of each other data centre was last heard.
-    centre_heard: BTreeMap<DataCentreId, Instant>,
+    /// What goes with the messages for the duties.
+    duty_talk: DutyTalk,
 }
 
 impl LoadExchange {
@@ -162,14 +102,7 @@
             rounds: 0,
             farewells: 0,
             collecting_since: None,
-            clock: None,
-            heard_clocks: Vec::new(),
-            usage: Vec::new(),
-            heard_usage: Vec::new(),
-            own_demand: Vec::new(),
-            member_demand: HashMap::new(),
-            centre_demand: BTreeMap::new(),
-            centre_heard: BTreeMap::new(),
+            duty_talk: DutyTalk::default(),
         }
     }
 
@@ -242,59 +175,9 @@
         std::mem::take(&mut self.heard_notices)
     }
 
-    /// What this node says of the time of day from now on.
-    pub fn tell_clock(&mut self, clock: Option<ClockNews>) {
-        self.clock = clock;
-    }
-
-    /// What others said of the time of day since the last call.
-    pub fn take_clocks(&mut self) -> Vec<HeardClock> {
-        std::mem::take(&mut self.heard_clocks)
-    }
-
-    /// What the next round tells of usage: a node its collector, a collector those of other data centres.
-    pub fn tell_usage(&mut self, news: Vec<UsageNews>) {
-        self.usage = news;
-    }
-
-    /// What others told of usage since the last call.
-    pub fn take_usage(&mut self) -> Vec<HeardUsage> {
-        std::mem::take(&mut self.heard_usage)
-    }
-
-    /// What this node's requests bring from now on.
-    pub fn tell_demand(&mut self, demand: Vec<PoolDemand>) {
-        self.own_demand = demand;
-    }
-
-    /// Prompt tokens a second that the fleet's requests for a pool bring; for a node that collects.
-    pub fn demand(&self, pool: &str, now: Instant) -> u64 {
-        let key = pool_key(pool);
-        let foreign = self.centre_demand.values();
-        let foreign = foreign.filter(|(_, at)| is_recent(*at, now));
-        let told = foreign.flat_map(|(demand, _)| demand);
-        let all = self.centre_demand_sum(now);
-        let of_pool = told.chain(&all).filter(|demand| demand.pool == key);
-        of_pool.map(|demand| demand.tokens_per_second).sum()
-    }
-
-    /// What the requests of this data centre bring.
-    fn centre_demand_sum(&self, now: Instant) -> Vec<PoolDemand> {
-        let mut sums: BTreeMap<u32, u64> = BTreeMap::new();
-        let members = self.member_demand.values();
-        let members = members.filter(|(_, at)| is_recent(*at, now));
-        for demand in members
-            .flat_map(|(demand, _)| demand)
-            .chain(&self.own_demand)
-        {
-            *sums.entry(demand.pool).or_default() += demand.tokens_per_second;
-        }
-        let sums = sums.into_iter();
-        let demand = sums.map(|(pool, tokens_per_second)| PoolDemand {
-            pool,
-            tokens_per_second,
-        });
-        demand.collect()
+    /// What goes with the messages for the duties.
+    pub fn duty_talk(&mut self) -> &mut DutyTalk {
+        &mut self.duty_talk
     }
 
     /// Whether this node should hold the fleet's duties: it collects for the data centre whose name comes first
@@ -304,8 +187,7 @@
         let is_settled = self
             .collecting_since
             .is_some_and(|since| now.saturating_duration_since(since) > CENTRE_SILENCE);
-        let mut earlier = self.centre_heard.range::<DataCentreId, _>(..own);
-        is_settled && earlier.all(|(_, at)| now.saturating_duration_since(*at) > CENTRE_SILENCE)
+        is_settled && !self.duty_talk.hears_before(own, now)
     }
 
     /// The data centres whose nodes are known, this node's own among them.
@@ -362,7 +244,7 @@
     /// The messages that tell of usage.
     fn usage_packets(&mut self, to: &[NodeId]) -> Vec<ExchangePacket> {
         let mut packets = Vec::new();
-        for news in std::mem::take(&mut self.usage) {
+        for news in self.duty_talk.take_told_usage() {
             let message = self.message(ExchangeBody::Usage(news));
             let Ok(bytes) = postcard::to_stdvec(&message) else {
                 continue;
@@ -432,22 +314,18 @@
             member.told.tell(entries, now);
         }
         if let Some(clock) = message.clock {
+            let is_collector = self.collector.as_ref() == Some(&node);
             let speaker = match &message.body {
                 ExchangeBody::Own(_) if collects => Some(ClockSpeaker::Member),
                 ExchangeBody::Centre(_) => Some(ClockSpeaker::Centre(
                     usize::try_from(message.nodes).unwrap_or(usize::MAX),
                 )),
-                ExchangeBody::Total(_) if self.collector.as_ref() == Some(&node) => {
-                    Some(ClockSpeaker::Collector)
-                }
+                ExchangeBody::Total(_) if is_collector => Some(ClockSpeaker::Collector),
                 _ => None,
             };
-            self.heard_clocks.extend(speaker.map(|speaker| HeardClock {
-                node: node.clone(),
-                speaker,
-                news: clock,
-                came_at: moment.boot,
-            }));
+            if let Some(speaker) = speaker {
+                self.duty_talk.hear_clock(&node, speaker, clock, moment);
+            }
         }
         let passes_on = collects && !matches!(message.body, ExchangeBody::Total(_));
         self.places.hear(message.places, passes_on);
@@ -455,27 +333,14 @@
         let count = usize::try_from(message.nodes).unwrap_or(usize::MAX);
         match message.body {
             ExchangeBody::Own(_) => {
-                // A message that tells of further servers brings none, and takes none back.
-                if !message.demand.is_empty() {
-                    self.member_demand.insert(node, (message.demand, now));
-                }
+                self.duty_talk.hear_member_demand(node, message.demand, now);
             }
             ExchangeBody::Usage(news) => {
-                if self.heard_usage.len() < USAGE_MOST {
-                    let came_at = moment.boot;
-                    self.heard_usage.push(HeardUsage {
-                        node,
-                        news,
-                        came_at,
-                    });
-                }
+                self.duty_talk.hear_usage(node, news, moment);
             }
             ExchangeBody::Centre(entries) => {
-                self.centre_heard.insert(data_centre.clone(), now);
-                if !message.demand.is_empty() {
-                    let demand = (message.demand, now);
-                    self.centre_demand.insert(data_centre.clone(), demand);
-                }
+                self.duty_talk
+                    .hear_centre(&data_centre, message.demand, now);
                 let told = self.centres.entry(data_centre.clone()).or_default();
                 told.tell(&entries, now);
                 self.peers.note_count(data_centre, count);
@@ -615,10 +480,10 @@
             message.nodes = u32::try_from(count).unwrap_or(u32::MAX);
         }
         messages[0].notices.clone_from(&self.notices);
-        messages[0].clock = self.clock;
+        messages[0].clock = self.duty_talk.clock();
         messages[0].demand = match messages[0].body {
-            ExchangeBody::Own(_) => self.own_demand.clone(),
-            ExchangeBody::Centre(_) => self.centre_demand_sum(now),
+            ExchangeBody::Own(_) => self.duty_talk.own_demand().to_vec(),
+            ExchangeBody::Centre(_) => self.duty_talk.centre_demand(now),
             ExchangeBody::Total(_) | ExchangeBody::Usage(_) => Vec::new(),
         };
         let mut packets = Vec::with_capacity(to.len() * messages.len());
@@ -635,7 +500,3 @@
         packets
     }
 }
-
-fn is_recent(at: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(at) < DEMAND_LIFETIME
-}
--- a/crates/plumgate/src/gateway/exchange/mod.rs
+++ b/crates/plumgate/src/gateway/exchange/mod.rs
@@ -2,14 +2,14 @@
 
 pub(crate) mod messages;
 
+mod duty_talk;
 mod load_exchange;
 mod nodes;
 mod peers;
 mod places;
 mod told;
 
-pub use load_exchange::{
-    ClockSpeaker, ExchangePacket, HeardClock, HeardNotice, HeardUsage, LoadExchange, TalkMoment,
-};
+pub use duty_talk::{ClockSpeaker, DutyTalk, HeardClock, HeardUsage};
+pub use load_exchange::{ExchangePacket, HeardNotice, LoadExchange, TalkMoment};
 pub use messages::{PartPlace, PoolDemand};
 pub use nodes::{NodeCapacity, NodeEntry};
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -25,8 +25,8 @@
 };
 pub use events::EventSplitter;
 pub use exchange::{
-    ClockSpeaker, HeardClock, HeardUsage, LoadExchange, NodeCapacity, NodeEntry, PartPlace,
-    PoolDemand, TalkMoment,
+    ClockSpeaker, DutyTalk, HeardClock, HeardUsage, LoadExchange, NodeCapacity, NodeEntry,
+    PartPlace, PoolDemand, TalkMoment,
 };
 pub use news::{
     ConfigCopy, NewsAnswer, NewsDesk, NewsQuestion, NewsTaken, ServerNews, ServersCopy,
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -101,7 +101,7 @@
         exchange.tell_places(self.new_places.drain(..));
         let rates = self.demand.rates(now);
         let demand = rates.map(|(pool, rate)| PoolDemand::new(pool, rate));
-        exchange.tell_demand(demand.collect());
+        exchange.duty_talk().tell_demand(demand.collect());
         let mut parts: HashMap<ServerKey, Vec<u64>> = HashMap::new();
         for place in exchange.take_places() {
             parts.entry(place.server).or_default().push(place.part);
--- a/crates/plumgate/src/gateway/switches.rs
+++ b/crates/plumgate/src/gateway/switches.rs
@@ -47,10 +47,14 @@
     LearntSpeed,
     /// Servers copy shared parts from each other rather than read them again.
     PartCopies,
+    /// Servers are ordered; without it those that stand there stay.
+    Scaling,
+    /// More servers are ordered where the load asks for more; without it the operator's number is kept, with cheap ones.
+    ScaleByLoad,
 }
 
 /// All mechanisms with the words by which they are named.
-const PARTS: [(PolicyPart, &str); 18] = [
+const PARTS: [(PolicyPart, &str); 20] = [
     (PolicyPart::Exchange, "exchange"),
     (PolicyPart::Homes, "homes"),
     (PolicyPart::SecondHome, "second-home"),
@@ -69,6 +73,8 @@
     (PolicyPart::Doubt, "doubt"),
     (PolicyPart::LearntSpeed, "learnt-speed"),
     (PolicyPart::PartCopies, "part-copies"),
+    (PolicyPart::Scaling, "scaling"),
+    (PolicyPart::ScaleByLoad, "scale-by-load"),
 ];
 
 impl PolicyPart {
