--- a/crates/plumgate-node/src/gateway/duty_calls.rs
+++ b/crates/plumgate-node/src/gateway/duty_calls.rs
@@ -251,7 +251,7 @@
         };
         let mut book = self.orders.borrow_mut();
         let dry = book.clone();
-        let is_dry = |centre: &DataCentreId, kind| dry.is_dry(&subject(centre, kind), now);
+        let is_dry = |centre: &DataCentreId, kind| dry.is_dry(&subject(centre, kind));
         let mut policies = self.policies.borrow_mut();
         let policy = policies
             .entry(pool.clone())
--- a/crates/plumgate/src/duty/scale.rs
+++ b/crates/plumgate/src/duty/scale.rs
@@ -139,7 +139,7 @@
 /// Span over which the need for dear servers is taken: a burst that is over before one would serve orders none.
 const MEAN_SPAN: Duration = Duration::from_secs(8);
 /// How long a pool is looked at before its servers are ordered: longer than two of a server's reports of its status.
-const FIRST_SIGHT: Duration = Duration::from_millis(3_000);
+const FIRST_SIGHT: Duration = Duration::from_millis(2_500);
 /// Follows the load: cheap servers for the bursts, and lasting ones for what the cheap ones that are there
 /// leave open.
 #[derive(Clone, Debug)]
@@ -280,16 +280,20 @@
             all
         };
         let lasting_each = lasting.div_ceil(count).max(scaling.min).min(scaling.max);
-        let cheap_each = all.div_ceil(count).min(scaling.max - scaling.min);
+        // What can't be had in one data centre is ordered in the others.
+        let is_wet = |site: &&DataCentreId| !is_dry(site, ServerKind::Reclaimable);
+        let wet = u32::try_from(load.sites.keys().filter(is_wet).count()).unwrap_or(count);
+        let share = |sites: u32| all.div_ceil(sites.max(1)).min(scaling.max - scaling.min);
         for (site, servers) in &load.sites {
             // Cheap servers that keep prompt parts don't give way to lasting ones that keep none.
             let room = scaling.max - servers.reclaimable.min(scaling.max);
             let lasting = lasting_each.min(room.max(scaling.min));
             wanted.insert((site.clone(), ServerKind::Lasting), lasting);
-            if !has_cheap || is_dry(site, ServerKind::Reclaimable) {
+            if !has_cheap {
                 continue;
             }
-            let each = cheap_each.min(scaling.max - lasting);
+            let sites = if is_wet(&site) { wet } else { count };
+            let each = share(sites).min(scaling.max - lasting);
             wanted.insert((site.clone(), ServerKind::Reclaimable), each);
         }
         wanted
@@ -300,9 +304,14 @@
 const DRY_PAUSE: Duration = Duration::from_millis(2_500);
 /// Time between two orders for one subject that raise its number.
 const RAISE_PAUSE: Duration = Duration::from_millis(700);
-/// Time between two orders for one subject where the second lowers its number: what the first brought is seen by
-/// then, and a burst that comes again finds its servers.
-const LOWER_PAUSE: Duration = Duration::from_secs(4);
+/// Time between two orders for one subject where the second lowers its number, by kind. Cheap servers stay until a
+/// burst that comes again finds them; a lasting one costs several times as much, and goes as soon as what the first
+/// order brought is seen.
+const CHEAP_LOWER_PAUSE: Duration = Duration::from_secs(5);
+/// The same for lasting servers.
+const LASTING_LOWER_PAUSE: Duration = Duration::from_secs(2);
+/// How long a new holder takes nothing away.
+const FIRST_PAUSE: Duration = Duration::from_secs(4);
 /// Share of a number by which an order must lower it.
 const LOWER_SHARE: f64 = 0.12;
 /// How much longer than a boot time servers are waited for before they are ordered again.
@@ -324,14 +333,26 @@
     dry: BTreeMap<ScaleSubject, Instant>,
 }
 
+fn lower_pause(kind: ServerKind) -> Duration {
+    match kind {
+        ServerKind::Lasting => LASTING_LOWER_PAUSE,
+        ServerKind::Reclaimable => CHEAP_LOWER_PAUSE,
+    }
+}
+
 impl OrderBook {
     /// A book without orders.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Whether a kind of servers could not be had somewhere lately.
-    pub fn is_dry(&self, subject: &ScaleSubject, now: Instant) -> bool {
+    /// Whether a kind of servers could not be had somewhere when it was last asked for.
+    pub fn is_dry(&self, subject: &ScaleSubject) -> bool {
+        self.dry.contains_key(subject)
+    }
+
+    /// Whether a kind of servers is not asked for again yet.
+    fn rests(&self, subject: &ScaleSubject, now: Instant) -> bool {
         self.dry.get(subject).is_some_and(|until| now < *until)
     }
 
@@ -351,18 +372,18 @@
         let opened_at = *self.opened_at.get_or_insert(now);
         let Some(last) = self.ordered.get(subject) else {
             // Who has just taken the duty does not know what was ordered before, and takes nothing away at once.
-            let is_new = now.saturating_duration_since(opened_at) < LOWER_PAUSE;
+            let is_new = now.saturating_duration_since(opened_at) < FIRST_PAUSE;
             let is_due = wanted > present || (wanted < present && !is_new);
-            return (is_due && !self.is_dry(subject, now)).then_some(order);
+            return (is_due && !self.rests(subject, now)).then_some(order);
         };
         let since = now.saturating_duration_since(last.at);
         let is_raise = wanted > last.count;
         // Servers that were taken away or crashed for good have to be ordered anew under the same number.
         let is_short = wanted == last.count && present < wanted && since > boot + BOOT_SLACK;
         let least = (f64::from(last.count) * LOWER_SHARE).ceil().max(1.0) as u32;
-        let is_lower = wanted + least <= last.count && since > LOWER_PAUSE;
+        let is_lower = wanted + least <= last.count && since > lower_pause(subject.kind);
         let may_raise = (is_raise && since > RAISE_PAUSE) || is_short;
-        let is_due = is_lower || (may_raise && !self.is_dry(subject, now));
+        let is_due = is_lower || (may_raise && !self.rests(subject, now));
         is_due.then_some(order)
     }
 
--- a/crates/plumgate/tests/duty_scale.rs
+++ b/crates/plumgate/tests/duty_scale.rs
@@ -151,7 +151,7 @@
             kind,
         };
         let book = self.book.clone();
-        let is_dry = |site: &DataCentreId, kind| book.is_dry(&subject(site, kind), now);
+        let is_dry = |site: &DataCentreId, kind| book.is_dry(&subject(site, kind));
         for ((site, kind), count) in policy.wanted(scaling, load, &is_dry, now) {
             let present = self
                 .servers
@@ -286,3 +286,33 @@
     }
     assert!(orders == 0, "{orders} orders");
 }
+
+// All cheap servers of one data centre are taken away, and none is to be had there: the others get as many more, and
+// go back once it has some again.
+#[test]
+fn what_is_dry_in_one_place_is_ordered_in_the_others() {
+    let mut policy = FollowLoad::default();
+    let limits = scaling(Some(180));
+    let now = Instant::now();
+    let mut load = PoolLoad::default();
+    for site in SITES {
+        let servers = SiteLoad {
+            lasting: 1,
+            reclaimable: 29,
+        };
+        load.sites.insert(site.into(), servers);
+    }
+    let none_dry = |_: &DataCentreId, _| false;
+    policy.wanted(&limits, &load, &none_dry, now);
+    let later = now + Duration::from_secs(4);
+    let cheap = |wanted: &BTreeMap<_, u32>, site: &str| {
+        let key = (DataCentreId::from(site), ServerKind::Reclaimable);
+        wanted.get(&key).copied()
+    };
+    let a_dry = |site: &DataCentreId, _| **site == *"a";
+    let wanted = policy.wanted(&limits, &load, &a_dry, later);
+    assert_eq!(cheap(&wanted, "b"), Some(45));
+    assert_eq!(cheap(&wanted, "a"), Some(30));
+    let wanted = policy.wanted(&limits, &load, &none_dry, later);
+    assert_eq!(cheap(&wanted, "b"), Some(30));
+}
