duty: more cheap servers than the operator's number, and more lasting ones where cheap ones are gone

Ways: 1.0 and 0.6 of the operator's number (cheap, and where lasting ones stand in); 1.3 and 0.8, and twice the mean need in place of 1.6. The second is kept; more was not tried. Tests that name numbers now set the options that they speak of; their bounds are as they were.

--- a/crates/plumgate/src/duty/scale.rs
+++ b/crates/plumgate/src/duty/scale.rs
@@ -172,9 +172,9 @@
     fn default() -> Self {
         Self {
             headroom: 2.0,
-            bare_headroom: 1.6,
-            floor: 1.0,
-            bare_floor: 0.6,
+            bare_headroom: 2.0,
+            floor: 1.3,
+            bare_floor: 0.8,
         }
     }
 }
--- a/crates/plumgate/tests/duty_scale.rs
+++ b/crates/plumgate/tests/duty_scale.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use plumgate::duty::{
-    FollowLoad, OrderBook, PoolLoad, PoolScaling, ScalePolicy, ScaleSubject, ServerKind, SiteLoad,
-    StandStill,
+    FollowLoad, FollowOptions, OrderBook, PoolLoad, PoolScaling, ScalePolicy, ScaleSubject,
+    ServerKind, SiteLoad, StandStill,
 };
 use plumgate::ids::DataCentreId;
 
@@ -30,6 +30,16 @@
     }
 }
 
+/// A policy that keeps the operator's number, whatever the load.
+fn keeps_the_number() -> FollowLoad {
+    let options = FollowOptions {
+        floor: 1.0,
+        bare_floor: 0.6,
+        ..FollowOptions::default()
+    };
+    FollowLoad::new(options)
+}
+
 /// Servers of one kind in one data centre.
 #[derive(Clone, Debug, Default)]
 struct SimServers {
@@ -239,7 +249,7 @@
 // by that, or the rest would be taken away.
 #[test]
 fn nothing_is_ordered_before_the_pool_was_seen() {
-    let mut policy = FollowLoad::default();
+    let mut policy = keeps_the_number();
     let limits = scaling(Some(180));
     let now = Instant::now();
     let no_dry = |_: &DataCentreId, _| false;
@@ -291,7 +301,7 @@
 // go back once it has some again.
 #[test]
 fn what_is_dry_in_one_place_is_ordered_in_the_others() {
-    let mut policy = FollowLoad::default();
+    let mut policy = keeps_the_number();
     let limits = scaling(Some(180));
     let now = Instant::now();
     let mut load = PoolLoad::default();
