duty: a node that begins to listen is told all counts at once

The new holder had fixed the window's counts by then: 3 where some 13 had begun. Ruled out: lost reports (each window came, with its number), a second holder (none). Change: whoever hears another collector than before tells all counts in the next round.

--- a/crates/plumgate-node/src/gateway/duties.rs
+++ b/crates/plumgate-node/src/gateway/duties.rs
@@ -145,6 +145,9 @@
         let mut tally = self.shared.usage();
         let mut book = self.book.borrow_mut();
         book.tick(&mut tally, moment.unix);
+        if exchange.duty_talk().take_new_listener() {
+            book.tell_all();
+        }
         let news = if is_collector {
             book.add_up(&tally, moment.unix, moment.boot);
             book.centre_news(moment.boot)
--- a/crates/plumgate/src/duty/usage.rs
+++ b/crates/plumgate/src/duty/usage.rs
@@ -189,6 +189,13 @@
         }
     }
 
+    /// Another node listens, which has heard nothing: all is told again at once. Told in its turn, it came too late for
+    /// the windows that a new holder reports first.
+    pub fn tell_all(&mut self) {
+        self.queue.told.clear();
+        self.queue.next_at = Duration::ZERO;
+    }
+
     /// Adds up this data centre; for a node that collects.
     pub fn add_up(&mut self, tally: &UsageTally, unix: UnixMillis, boot: Duration) {
         let oldest = self.oldest(unix);
--- a/crates/plumgate/src/gateway/exchange/duty_talk.rs
+++ b/crates/plumgate/src/gateway/exchange/duty_talk.rs
@@ -71,6 +71,10 @@
     centre_demand: BTreeMap<DataCentreId, ToldDemand>,
     /// When a collector of each other data centre was last heard.
     centre_heard: BTreeMap<DataCentreId, Instant>,
+    /// The collector of each other data centre that was heard last.
+    centre_speakers: BTreeMap<DataCentreId, NodeId>,
+    /// Whether another node listens than before, which has heard nothing.
+    has_new_listener: bool,
 }
 
 impl DutyTalk {
@@ -158,15 +162,28 @@
     pub(crate) fn hear_centre(
         &mut self,
         centre: &DataCentreId,
+        node: NodeId,
         demand: Vec<PoolDemand>,
         now: Instant,
     ) {
+        let before = self.centre_speakers.insert(centre.clone(), node.clone());
+        self.has_new_listener |= before != Some(node);
         self.centre_heard.insert(centre.clone(), now);
         if !demand.is_empty() {
             self.centre_demand.insert(centre.clone(), (demand, now));
         }
     }
 
+    /// Another node collects for this data centre.
+    pub(crate) fn note_collector(&mut self) {
+        self.has_new_listener = true;
+    }
+
+    /// Whether another node listens than at the last call: it has to be told all.
+    pub fn take_new_listener(&mut self) -> bool {
+        std::mem::take(&mut self.has_new_listener)
+    }
+
     /// Whether a data centre is heard whose name comes before this node's.
     pub(crate) fn hears_before(&self, own: &DataCentreId, now: Instant) -> bool {
         let mut earlier = self.centre_heard.range::<DataCentreId, _>(..own);
--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -340,7 +340,7 @@
             }
             ExchangeBody::Centre(entries) => {
                 self.duty_talk
-                    .hear_centre(&data_centre, message.demand, now);
+                    .hear_centre(&data_centre, node, message.demand, now);
                 let told = self.centres.entry(data_centre.clone()).or_default();
                 told.tell(&entries, now);
                 self.peers.note_count(data_centre, count);
@@ -370,6 +370,7 @@
     fn watch_collector(&mut self, now: Instant) {
         let chosen = self.peers.collector().cloned();
         if chosen != self.collector {
+            self.duty_talk.note_collector();
             self.collector = chosen;
             self.collector_heard = Some(now);
             return;
@@ -378,6 +379,7 @@
             .collector_heard
             .is_some_and(|heard| now.saturating_duration_since(heard) > COLLECTOR_SILENCE);
         if let Some(collector) = self.collector.clone().filter(|_| is_silent) {
+            self.duty_talk.note_collector();
             self.peers.pass_over(&collector);
             self.collector = self.peers.collector().cloned();
             self.collector_heard = Some(now);
--- a/crates/plumgate/tests/duty_usage.rs
+++ b/crates/plumgate/tests/duty_usage.rs
@@ -277,3 +277,21 @@
         assert!(now.abs_diff(DAY + 60_000) <= 60, "{now}");
     }
 }
+
+// Another node begins to collect, and a window is due: all is told again within a round, changed or not.
+#[test]
+fn new_listener_is_told_all_at_once() {
+    let mut node = CountingNode::new("node", "a", 2);
+    node.count("lab", 4);
+    assert!(!node.tell(0).is_empty());
+    let boot = Duration::from_millis(1_100);
+    let has_counts = |news: &[UsageNews]| {
+        let rows = news.iter().map(|news| match news {
+            UsageNews::Own { rows, .. } | UsageNews::Centre { rows, .. } => rows.len(),
+        });
+        rows.sum::<usize>() > 0
+    };
+    assert!(!has_counts(&node.book.own_news(&node.tally, DAY, boot)));
+    node.book.tell_all();
+    assert!(has_counts(&node.book.own_news(&node.tally, DAY, boot)));
+}
