--- a/crates/plumgate-standin/tests/golden.rs
+++ b/crates/plumgate-standin/tests/golden.rs
@@ -417,6 +417,8 @@
     session.service_faults(&json!({ "delay_ms": 3000 }));
     let first = session.send(&receipt("sack-18", "one sack"));
     session.wait_for_line("server=receipt-1");
+    // The claim is written over a connection: its line may come before or after the next request's.
+    session.wait_for_line("event=claim");
     let second = session.send(&receipt("sack-19", "one sack"));
     session.wait_for_line("event=queued");
     session.wait_for_runs(1);
