--- a/crates/plumgate/src/duty/mod.rs
+++ b/crates/plumgate/src/duty/mod.rs
@@ -5,6 +5,7 @@
 
 mod agreed_clock;
 mod holder;
+mod order_book;
 mod report_desk;
 mod row;
 mod scale;
@@ -13,13 +14,14 @@
 
 pub use agreed_clock::{AgreedClock, ClockNews, UnixMillis};
 pub use holder::{DutyHolder, DutyTimes, HolderEvent};
+pub use order_book::OrderBook;
 pub use report_desk::{ReportDesk, ReportTimes, WindowEnd, WindowId, WindowState};
 pub use row::{
     DutyAnswer, DutyCall, DutyContents, DutyCredential, DutyIdentity, DutyRow, DutyWrite, UsageNote,
 };
 pub use scale::{
-    FollowLoad, FollowOptions, OrderBook, PoolLoad, PoolScaling, PriceMillis, ScaleOrder,
-    ScalePolicy, ScaleSubject, ServerKind, SiteLoad, StandStill, WantedServers,
+    FollowLoad, FollowOptions, PoolLoad, PoolScaling, PriceMillis, ScaleOrder, ScalePolicy,
+    ScaleSubject, ServerKind, SiteLoad, StandStill, WantedServers,
 };
 pub use seat::{DutySeat, SeatMoment, SeatOptions};
 pub use usage::{UsageBook, UsageCounts, UsageNews, UsageReport, UsageTally, workspace_key};
