gateway: limits that servers name are read, logged and counted

What a server says of itself in an answer is now one type that the wire format fills; a limit is learnt from answers that bear the request's own id, whatever order they come in; what is no decimal number, or stands twice, leaves a line and changes nothing. Log: server_limit, server_limit_malformed, limited_send. Metrics: limited_servers, limited_sends, limits_malformed. Nothing is decided by it yet.

Ruled out: a field in the route line alone. It is written before the connection, and a resumed stream has none.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -47,6 +47,7 @@
             arrived: false,
         };
     }
+    shared.note_limited_send(&order.request.id, order.server, order.cause);
     let request = outgoing(shared, &order);
     let wait_until = order.head_by.min(order.request.due + LAST_WORD);
     let life = work.life();
@@ -171,6 +172,9 @@
     let facts = shared
         .wire
         .read_answer(&order.request.id, head.status, &head.headers);
+    if let Some(statement) = facts.statement {
+        work.note_statement(statement);
+    }
     match facts.meaning {
         AnswerMeaning::Own => {
             work.note_reached();
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -102,6 +102,12 @@
     pub(crate) held_back: Family<ReasonLabels, Counter>,
     /// Different requests that are in quarantine.
     pub(crate) quarantined: Gauge,
+    /// Servers that have named a limit.
+    pub(crate) limited_servers: Gauge,
+    /// Requests sent to servers that had named a limit, by what made the node send them.
+    pub(crate) limited_sends: Family<ReasonLabels, Counter>,
+    /// Limits that servers named and that make no sense.
+    pub(crate) limits_malformed: Counter,
 }
 
 impl GatewayMetrics {
@@ -130,6 +136,9 @@
             verdicts: Family::default(),
             held_back: Family::default(),
             quarantined: Gauge::default(),
+            limited_servers: Gauge::default(),
+            limited_sends: Family::default(),
+            limits_malformed: Counter::default(),
         };
         metrics.registry = metrics.register(Registry::with_prefix("plumgate_gateway"));
         metrics
@@ -185,6 +194,21 @@
             "Different requests in quarantine",
             self.quarantined.clone(),
         );
+        registry.register(
+            "limited_servers",
+            "Servers that named a limit",
+            self.limited_servers.clone(),
+        );
+        registry.register(
+            "limited_sends",
+            "Requests sent to servers that had named a limit",
+            self.limited_sends.clone(),
+        );
+        registry.register(
+            "limits_malformed",
+            "Limits of servers that make no sense",
+            self.limits_malformed.clone(),
+        );
         registry.register(
             "duty_number",
             "Generation number of the duties held here",
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod relay_report;
 mod request;
 mod run;
+mod server_limits;
 mod shared;
 mod source_calls;
 mod stream;
--- a/crates/plumgate-node/src/gateway/ports.rs
+++ b/crates/plumgate-node/src/gateway/ports.rs
@@ -10,7 +10,9 @@
 use hyper::{HeaderMap, StatusCode};
 use plumgate::duty::{DutyAnswer, DutyCall, DutyCredential, ScaleOrder, UsageReport};
 pub use plumgate::gateway::SourceTopic;
-use plumgate::gateway::{GatewayConfig, KeptVerdict, NodeEntry, PromptShape, ServerEntry};
+use plumgate::gateway::{
+    GatewayConfig, KeptVerdict, NodeEntry, PromptShape, ServerEntry, ServerStatement,
+};
 use plumgate::ids::{ServerId, WorkspaceId};
 use plumgate::{FindingList, StoreEra, StoreVersion};
 
@@ -218,6 +220,8 @@
     pub meaning: AnswerMeaning,
     /// How long the server keeps the connection without a request; `None` where it doesn't say.
     pub keeps_for: Option<Duration>,
+    /// What the server says of itself; `None` where the answer is not surely its own to this request.
+    pub statement: Option<ServerStatement>,
 }
 
 /// The headers that callers and servers speak.
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -14,6 +14,7 @@
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 
 use super::ports::{AnswerFacts, RequestFacts, WireFormat};
+use super::server_limits::SendCause;
 use super::shared::WorkGuard;
 use crate::clock::Clock;
 use crate::link::HttpLink;
@@ -109,6 +110,8 @@
     pub(crate) request: &'a RelayRequest,
     /// The server.
     pub(crate) server: &'a ServerEntry,
+    /// What made the node send it.
+    pub(crate) cause: SendCause,
     /// Until when the head of the answer is waited for.
     pub(crate) head_by: Instant,
     /// The event after which a stream goes on.
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -12,6 +12,7 @@
 use super::attempt::{CONNECT_TIMEOUT, attempt};
 use super::ports::WireFormat;
 use super::request::{AttemptEnd, AttemptOrder, RelayRequest};
+use super::server_limits::SendCause;
 use super::shared::{GatewayShared, RequestGuard, WorkGuard};
 use crate::clock::{Clock, until};
 use crate::log::LogLine;
@@ -86,6 +87,7 @@
         let order = AttemptOrder {
             request: &self.request,
             server: &pick.server,
+            cause: self.send_cause(),
             head_by,
             resume_after,
             copy_from: pick.copy_from.as_ref().map(|server| server.address),
@@ -98,6 +100,17 @@
         end
     }
 
+    /// What makes the node send the request now.
+    fn send_cause(&self) -> SendCause {
+        if self.first_byte.is_some() {
+            SendCause::Resume
+        } else if self.arrivals > 0 {
+            SendCause::Retry
+        } else {
+            SendCause::FirstTry
+        }
+    }
+
     /// Counts a run whose answer was lost, where the server had probably begun it: a plain service begins at once,
     /// an engine once it has read what was before it and the prompt.
     fn note_doubtful_run(&mut self, pick: &ServerPick) {
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -9,9 +9,9 @@
 use event_listener::Event;
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
-    FreshnessLease, GatewayConfig, LinkAge, LoadTable, PlacementOptions, QuarantineTable,
-    RequestHold, RequestIdentity, RunFinding, RunTicket, ServerEntry, WindowBudget, WorkEnd,
-    WorkTicket,
+    BootTime, FreshnessLease, GatewayConfig, LinkAge, LoadTable, PlacementOptions, QuarantineTable,
+    RequestHold, RequestIdentity, RunFinding, RunTicket, ServerEntry, ServerLimits,
+    ServerStatement, WindowBudget, WorkEnd, WorkTicket,
 };
 use plumgate::ids::WorkspaceId;
 
@@ -66,6 +66,7 @@
     loads: Mutex<LoadTable>,
     budget: Mutex<WindowBudget>,
     quarantine: Mutex<QuarantineTable>,
+    limits: Mutex<ServerLimits>,
     usage: Mutex<UsageTally>,
     /// The time of day that the nodes agree on, less the time since the VM started, in milliseconds.
     pub(crate) day_offset_ms: AtomicI64,
@@ -110,6 +111,7 @@
                 NODES_ASSUMED,
             )),
             quarantine: Mutex::new(QuarantineTable::new(options.peer_listen.is_some())),
+            limits: Mutex::default(),
             usage: Mutex::default(),
             day_offset_ms: AtomicI64::new(0),
             rng: Mutex::new(fastrand::Rng::with_seed(options.seed)),
@@ -148,6 +150,11 @@
         lock(&self.quarantine)
     }
 
+    /// The limits that servers named.
+    pub(crate) fn limits(&self) -> MutexGuard<'_, ServerLimits> {
+        lock(&self.limits)
+    }
+
     /// What this node counts of usage.
     pub(crate) fn usage(&self) -> MutexGuard<'_, UsageTally> {
         lock(&self.usage)
@@ -287,6 +294,8 @@
     ticket: Option<WorkTicket>,
     /// The run, once the request was sent.
     run: Option<RunTicket>,
+    /// When the request was sent.
+    sent: BootTime,
     end: WorkEnd,
     /// The incarnation of the server that works on it.
     life: Arc<ServerLife>,
@@ -305,6 +314,7 @@
             server,
             ticket: Some(ticket),
             run: None,
+            sent: BootTime::ZERO,
             end: WorkEnd::Unjudged,
             life,
         }
@@ -322,11 +332,18 @@
         age: LinkAge,
     ) -> Result<(), RequestHold> {
         let now = self.shared.clock.now();
+        self.sent = self.shared.clock.boot_time();
         let mut quarantine = self.shared.quarantine();
         self.run = Some(quarantine.begin(identity, &self.server, age, now)?);
         Ok(())
     }
 
+    /// The server said something of itself in its answer.
+    pub(crate) fn note_statement(&self, statement: ServerStatement) {
+        self.shared
+            .note_statement(&self.server, statement, self.sent);
+    }
+
     /// The server surely has the request: the head of its answer came.
     pub(crate) fn note_reached(&mut self) {
         if let Some(run) = &mut self.run {
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod placement;
 pub mod prompt;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod servers;
 pub mod switches;
 pub mod work;
@@ -39,6 +40,9 @@
     QuarantineTable, ReleaseReason, RequestHead, RequestHold, RequestIdentity, RequestVerdict,
     RunFinding, RunTicket, SuspectEvent, SuspectState,
 };
+pub use rate_limit::{
+    BootTime, LimitChange, LimitSighting, RateStatement, RequestRate, ServerLimits, ServerStatement,
+};
 pub use servers::{ServerEntry, ServerState, ServerTable};
 pub use switches::{PolicyPart, PolicySwitches};
 pub use work::{ServerWork, WorkEnd, WorkTicket};
--- /dev/null
+++ b/crates/plumgate/src/gateway/rate_limit/statement.rs
@@ -0,0 +1,59 @@
+//! What a backend server says of itself in an answer, beside the answer.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Millionths of a request in one request.
+const MICROS: f64 = 1e6;
+
+/// Requests a second, as a decimal number; kept in millionths, so that equal rates compare equal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestRate(u64);
+
+impl RequestRate {
+    /// No request at all.
+    pub const ZERO: Self = Self(0);
+
+    /// A rate; none where the number is negative or not finite.
+    pub fn new(per_second: f64) -> Option<Self> {
+        let is_rate = per_second.is_finite() && per_second >= 0.0;
+        is_rate.then(|| Self((per_second * MICROS).round() as u64))
+    }
+
+    /// Requests a second.
+    pub fn per_second(self) -> f64 {
+        self.0 as f64 / MICROS
+    }
+
+    /// The mean time between two requests; none at a rate of zero.
+    pub fn interval(self) -> Option<Duration> {
+        (self.0 > 0).then(|| Duration::from_secs_f64(MICROS / self.0 as f64))
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.per_second())
+    }
+}
+
+/// What an answer says of the requests that its server takes from all nodes together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RateStatement {
+    /// It names no limit.
+    #[default]
+    Unlimited,
+    /// It names a limit.
+    Limited(RequestRate),
+    /// It names something that is no limit; nothing follows from it.
+    Malformed,
+}
+
+/// All that an answer says of its server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerStatement {
+    /// The requests that the server takes.
+    pub rate_limit: RateStatement,
+}
