gateway: one token bucket, and the keys of notices in a module of their own

Both are needed once more for limits that servers name. The bucket was written out in the workspaces' limits; the keys were known to notices of requests that end servers alone.

--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod events;
 pub mod exchange;
 pub mod news;
+pub(crate) mod notice_keys;
 pub mod placement;
 pub mod prompt;
 pub mod quarantine;
--- a/crates/plumgate/src/gateway/quarantine/keeping.rs
+++ b/crates/plumgate/src/gateway/quarantine/keeping.rs
@@ -4,11 +4,12 @@
 
 use super::evidence::EvidenceSource;
 use super::identity::RequestIdentity;
-use super::notice::{SuspectReport, pack, unpack};
+use super::notice::SuspectReport;
 use super::rule::HOLD_TIME;
 use super::table::QuarantineTable;
 use super::verdict::{KeepChange, KeptVerdict};
 use crate::errors::Result;
+use crate::gateway::notice_keys::{DatedNotice, pack, unpack};
 
 /// Changes that wait to be written.
 const CHANGES_MOST: usize = 64;
@@ -44,13 +45,13 @@
     /// Takes over a verdict from the store. Tells whether it still holds; what is too old is for
     /// removal.
     pub fn take_kept(&mut self, verdict: &KeptVerdict, now: Instant, unix_ms: u64) -> Result<bool> {
-        let body = unpack(&verdict.bytes)?;
+        let body: DatedNotice<Vec<SuspectReport>> = unpack(&verdict.bytes)?;
         // The clocks of two VMs differ by less than what this is about.
         let age = Duration::from_millis(unix_ms.saturating_sub(body.sent_ms));
         let Some(written) = now.checked_sub(age).filter(|_| age < HOLD_TIME) else {
             return Ok(false);
         };
-        for report in body.reports {
+        for report in body.content {
             for evidence in report.ends(written) {
                 self.take_evidence(report.identity, evidence, EvidenceSource::Store, now);
             }
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -9,7 +9,7 @@
 use super::flights::FlightTable;
 use super::identity::RequestIdentity;
 use super::life_signs::LifeSigns;
-use super::notice::{NoticeKeys, TELL_ROUNDS};
+use super::notice::TELL_ROUNDS;
 use super::rule::{HOLD_TIME, SuspectState, TURN, has_turn};
 use super::verdict::{
     HoldReason, KeepChange, LinkAge, ReleaseReason, RequestHold, RequestVerdict, RunFinding,
@@ -17,6 +17,7 @@
 };
 use crate::gateway::config::GatewayConfig;
 use crate::gateway::exchange::messages::{ServerKey, server_key};
+use crate::gateway::notice_keys::NoticeKeys;
 use crate::gateway::servers::ServerEntry;
 use crate::gateway::work::WorkEnd;
 
--- a/crates/plumgate/src/gateway/quarantine/telling.rs
+++ b/crates/plumgate/src/gateway/quarantine/telling.rs
@@ -85,7 +85,8 @@
         } else {
             EvidenceSource::Told
         };
-        for report in self.keys.open(&notice.sealed, unix_ms)? {
+        let reports: Vec<SuspectReport> = self.keys.open(&notice.sealed, unix_ms)?;
+        for report in reports {
             for evidence in report.ends(now) {
                 let is_old = now.saturating_duration_since(evidence.ended) > HOLD_TIME;
                 if !is_old {
--- a/crates/plumgate/src/lib.rs
+++ b/crates/plumgate/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod retry;
 pub mod route;
 pub mod store_version;
+pub(crate) mod token_bucket;
 pub mod wire;
 
 pub use errors::{Error, Result};
--- a/crates/plumgate/src/limits.rs
+++ b/crates/plumgate/src/limits.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::{NodeId, WorkspaceId};
+use crate::token_bucket::TokenBucket;
 
 /// How long what a peer told about its demand counts, at the least.
 const DEMAND_LIFETIME: Duration = Duration::from_secs(5);
@@ -27,8 +28,7 @@
 #[derive(Clone, Debug)]
 struct WorkspaceUse {
     in_flight: u32,
-    tokens: f64,
-    refilled: Instant,
+    bucket: TokenBucket<Instant>,
     demand: f64,
     demand_at: Instant,
 }
@@ -38,8 +38,7 @@
         Self {
             in_flight: 0,
             // Nothing was used yet: the first refill cuts this to the burst that is allowed.
-            tokens: f64::INFINITY,
-            refilled: now,
+            bucket: TokenBucket::new(f64::INFINITY, now),
             demand: 0.0,
             demand_at: now,
         }
@@ -112,17 +111,12 @@
         self.count_demand(workspace, now);
         let rate = self.share(workspace, limit, now);
         let used = self.used(workspace, now);
-        let elapsed = now.saturating_duration_since(used.refilled).as_secs_f64();
         let most = (rate * BURST_SECONDS).max(BURST_LEAST);
-        used.tokens = (used.tokens + elapsed * rate).min(most);
-        used.refilled = now;
-        if used.tokens >= 1.0 {
-            used.tokens -= 1.0;
+        used.bucket.refill(rate, most, now);
+        if used.bucket.take(1.0) {
             return Ok(());
         }
-        Err(Duration::from_secs_f64(
-            (1.0 - used.tokens) / rate.max(0.001),
-        ))
+        Err(used.bucket.wait(rate))
     }
 
     /// Whether the workspace may have one more request in flight on this node.
