placement: a limited server is not copied from

The test (limited_server_is_not_copied_from) failed before: copy from the limited server. Parts that it alone keeps are read again.

--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -224,7 +224,11 @@
                 }
                 let mut packets = exchange.tick(loads.own_work(), &mut self.view.news(), moment);
                 let mut limits = self.shared.limits();
+                let knew_limits = !limits.is_empty();
                 packets.extend(limits.talk(&exchange, self.mail_moment()));
+                if knew_limits {
+                    loads.set_limits(&limits);
+                }
                 packets
             };
             self.shared.log_suspects();
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -17,6 +17,7 @@
 use crate::gateway::exchange::LoadExchange;
 use crate::gateway::exchange::messages::{PartPlace, PoolDemand, ServerKey, server_key};
 use crate::gateway::prompt::{PromptShape, SMALL_PART};
+use crate::gateway::rate_limit::ServerLimits;
 use crate::gateway::servers::{ServerChange, ServerEntry, ServerState};
 use crate::gateway::switches::PolicyPart;
 use crate::gateway::work::{ServerWork, URGENCIES, WorkEnd, WorkTicket};
@@ -267,6 +268,7 @@
             .get(1)
             .map(|(cost, _, id)| (id.clone(), Duration::from_secs_f64(*cost)));
         let source = keeper.source(id, prediction.shared_unread, homes.first.as_ref());
+        let source = source.filter(|id| self.servers[*id].limit.is_none());
         Some(ServerPick {
             server: self.servers[id].entry.clone(),
             queue: Duration::from_secs_f64(prediction.queue),
@@ -286,7 +288,9 @@
             return PartKeeper::default();
         };
         let of_pool = self.servers.values().filter(|load| {
-            load.entry.pool == *request.pool && load.is_sound(self.options.switches, now)
+            load.entry.pool == *request.pool
+                && load.limit.is_none()
+                && load.is_sound(self.options.switches, now)
         });
         PartKeeper::among(of_pool, prompt, now)
     }
@@ -339,6 +343,13 @@
         sound
     }
 
+    /// Takes over which servers are limited.
+    pub fn set_limits(&mut self, limits: &ServerLimits) {
+        for load in self.servers.values_mut() {
+            load.limit = limits.rate(&load.entry);
+        }
+    }
+
     /// A server gets nothing from this node until a moment, as it named a limit.
     pub fn hold_back(&mut self, server: &ServerId, until: Instant) {
         if let Some(load) = self.servers.get_mut(server) {
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -6,6 +6,7 @@
 use super::choice::{PlacementOptions, PlacementRequest};
 use crate::gateway::config::StreamClass;
 use crate::gateway::prompt::{PromptShape, SMALL_PART};
+use crate::gateway::rate_limit::RequestRate;
 use crate::gateway::servers::ServerEntry;
 use crate::gateway::switches::{PolicyPart, PolicySwitches};
 use crate::gateway::work::{ServerWork, URGENCIES, WorkEnd};
@@ -66,6 +67,8 @@
     full_until: Option<Instant>,
     /// Until when it rests as it could not be reached.
     unreachable_until: Option<Instant>,
+    /// The requests a second that it takes, if it named a limit.
+    pub(crate) limit: Option<RequestRate>,
     /// Until when it gets nothing from this node, as it named a limit.
     held_until: Option<Instant>,
     parts: HashMap<u64, Instant>,
@@ -113,6 +116,7 @@
             answered_at: None,
             full_until: None,
             unreachable_until: None,
+            limit: None,
             held_until: None,
             parts: HashMap::new(),
             part_order: VecDeque::new(),
--- a/crates/plumgate/src/gateway/rate_limit/table.rs
+++ b/crates/plumgate/src/gateway/rate_limit/table.rs
@@ -112,6 +112,11 @@
         self.book.rate(server.incarnation_key())
     }
 
+    /// Whether nothing is known of any limit.
+    pub fn is_empty(&self) -> bool {
+        self.book.is_empty()
+    }
+
     /// The servers that are limited, by the digest of id and birth.
     pub fn limited(&self) -> impl Iterator<Item = (u32, RequestRate)> {
         self.book.limited()
--- a/crates/plumgate/tests/gateway_copies.rs
+++ b/crates/plumgate/tests/gateway_copies.rs
@@ -6,8 +6,9 @@
 
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
-    LoadTable, PlacementOptions, PlacementRequest, PolicyPart, PolicySwitches, PromptPart,
-    PromptShape, ServerEntry, ServerPick, ServerState, StreamClass, WorkEnd,
+    LimitSighting, LoadTable, PlacementOptions, PlacementRequest, PolicyPart, PolicySwitches,
+    PromptPart, PromptShape, RequestRate, ServerEntry, ServerLimits, ServerPick, ServerState,
+    StreamClass, WorkEnd,
 };
 use plumgate::ids::{PoolId, ServerId};
 
@@ -177,3 +178,23 @@
     assert_ne!(other.server.id, home, "seconds behind");
     assert_eq!(copy_from(&other), Some(&home));
 }
+
+/// A server in need was copied from by all others, beside the requests that it had asked to be kept from.
+#[test]
+fn limited_server_is_not_copied_from() {
+    let mut bench = CopyBench::new(PolicySwitches::new());
+    let prompt = shape(1, 13_300);
+    let keeper = bench.serve(&prompt).server;
+    let elsewhere = bench.pick(&prompt, std::slice::from_ref(&keeper.id));
+    assert_eq!(copy_from(&elsewhere), Some(&keeper.id));
+    let sighting = LimitSighting {
+        rate: RequestRate::new(1.0),
+        sent: Duration::from_secs(1),
+        seen: Duration::from_secs(1),
+    };
+    let mut limits = ServerLimits::new(false, 1);
+    limits.note_answer(&keeper, sighting);
+    bench.table.set_limits(&limits);
+    let elsewhere = bench.pick(&prompt, std::slice::from_ref(&keeper.id));
+    assert_eq!(copy_from(&elsewhere), None);
+}
