retry budget: no share of the extra while the fleet's size is unknown

A node that had started and not read the register yet divided the extra by 16. 195 nodes that start together would spend 585 of 52 (the test nodes_that_do_not_know_how_many_they_are_spend_no_extra, red before: 585). The ratio to a node's own requests is spent as before; nodes that don't talk to each other still count as one of 16.

--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -324,7 +324,7 @@
         let count = self.exchange.borrow().node_count();
         let is_collector = self.exchange.borrow().is_collector();
         if !self.has_register.get() {
-            // What was assumed of the fleet's size at the start holds until it is known.
+            // Nothing of the extra is spent until the fleet's size is known.
             return;
         }
         let assumed = (count as f64 * (1.0 + UNSEEN_SHARE)).ceil() as u32;
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -27,8 +27,8 @@
 use crate::log::EventLog;
 use crate::shared::LifeView;
 
-/// Nodes among which the retries of the fleet are divided until the fleet's size is known: more
-/// than a small fleet has with its spare VMs.
+/// Nodes among which the retries of the fleet are divided where nodes don't talk to each other: more than
+/// a small fleet has with its spare VMs.
 const NODES_ASSUMED: u32 = 16;
 
 /// How long no other node must be heard before this one counts as cut off: several of their rounds.
@@ -87,6 +87,12 @@
     /// The shared part of a node that knows nothing yet.
     pub(crate) fn new(options: GatewayOptions, clock: C, log: EventLog, wire: W) -> Self {
         let bounds = options.bounds;
+        let budget = WindowBudget::new(bounds.retry_window, bounds.retry_ratio, bounds.retry_extra);
+        let budget = match options.peer_listen {
+            // The register tells how many nodes there are.
+            Some(_) => budget,
+            None => budget.with_nodes(NODES_ASSUMED),
+        };
         // What nodes draw to name their rounds must differ from node to node.
         let limits_seed = options.seed ^ xxh3_64(options.node.as_bytes()) ^ clock.unix_ms();
         let placement = PlacementOptions::new(options.data_centre.clone())
@@ -112,12 +118,7 @@
             executor: Arc::new(Executor::new()),
             lease: Mutex::new(FreshnessLease::new(bounds.key_age)),
             loads: Mutex::new(LoadTable::new(placement)),
-            budget: Mutex::new(WindowBudget::new(
-                bounds.retry_window,
-                bounds.retry_ratio,
-                bounds.retry_extra,
-                NODES_ASSUMED,
-            )),
+            budget: Mutex::new(budget),
             quarantine: Mutex::new(QuarantineTable::new(options.peer_listen.is_some())),
             limits: Mutex::new(ServerLimits::new(
                 options.peer_listen.is_some(),
--- a/crates/plumgate/src/gateway/admission/budget.rs
+++ b/crates/plumgate/src/gateway/admission/budget.rs
@@ -29,22 +29,30 @@
     window: Duration,
     ratio: f64,
     extra: f64,
-    nodes: u32,
+    /// How many nodes divide the extra; none where that is not known.
+    nodes: Option<u32>,
     pools: HashMap<PoolId, VecDeque<WindowPart>>,
 }
 
 impl WindowBudget {
-    /// A budget for a fleet of this many nodes.
-    pub fn new(window: Duration, ratio: f64, extra: f64, nodes: u32) -> Self {
+    /// A budget for a fleet of which nobody knows yet how many nodes it has: a share of the extra would be
+    /// a guess, and all guesses together might exceed it.
+    pub fn new(window: Duration, ratio: f64, extra: f64) -> Self {
         Self {
             window,
             ratio,
             extra,
-            nodes: nodes.max(1),
+            nodes: None,
             pools: HashMap::new(),
         }
     }
 
+    /// The same for a fleet of this many nodes.
+    pub fn with_nodes(mut self, nodes: u32) -> Self {
+        self.set_nodes(nodes);
+        self
+    }
+
     /// Takes over other bounds.
     pub fn set_bounds(&mut self, window: Duration, ratio: f64, extra: f64) {
         self.window = window;
@@ -54,7 +62,7 @@
 
     /// Takes over how many nodes may be alive.
     pub fn set_nodes(&mut self, nodes: u32) {
-        self.nodes = nodes.max(1);
+        self.nodes = Some(nodes.max(1));
     }
 
     /// A request for the pool came from a caller.
@@ -73,7 +81,8 @@
 
     /// Retries that may still be sent.
     pub fn left(&mut self, pool: &PoolId, now: Instant) -> f64 {
-        let allowed_extra = self.extra / f64::from(self.nodes);
+        let share = self.nodes.map_or(0.0, |nodes| 1.0 / f64::from(nodes));
+        let allowed_extra = self.extra * share;
         let ratio = self.ratio * RATIO_SHARE;
         self.part(pool, now);
         let parts = &self.pools[pool];
--- a/crates/plumgate/tests/gateway_budget.rs
+++ b/crates/plumgate/tests/gateway_budget.rs
@@ -15,7 +15,7 @@
 #[test]
 fn node_spends_its_share_of_the_extra_and_earns_the_ratio() {
     let now = Instant::now();
-    let mut budget = WindowBudget::new(WINDOW, 0.2, 56.0, 8);
+    let mut budget = WindowBudget::new(WINDOW, 0.2, 56.0).with_nodes(8);
     let spent = (0..100).filter(|_| budget.spend(&pool(), now)).count();
     assert_eq!(spent, 7, "56 retries over 8 nodes");
     for _ in 0..100 {
@@ -36,7 +36,7 @@
 #[test]
 fn pools_don_t_pay_for_each_other() {
     let now = Instant::now();
-    let mut budget = WindowBudget::new(WINDOW, 0.2, 8.0, 8);
+    let mut budget = WindowBudget::new(WINDOW, 0.2, 8.0).with_nodes(8);
     assert!(budget.spend(&pool(), now));
     assert!(!budget.spend(&pool(), now));
     assert!(budget.spend(&"records".into(), now));
@@ -45,12 +45,26 @@
 #[test]
 fn share_shrinks_when_the_fleet_grows() {
     let now = Instant::now();
-    let mut budget = WindowBudget::new(WINDOW, 0.2, 160.0, 8);
+    let mut budget = WindowBudget::new(WINDOW, 0.2, 160.0).with_nodes(8);
     budget.set_nodes(80);
     let spent = (0..100).filter(|_| budget.spend(&pool(), now)).count();
     assert_eq!(spent, 2);
 }
 
+/// All nodes of a large fleet started again while its size could not be read, and each took a share as of a small one.
+#[test]
+fn nodes_that_do_not_know_how_many_they_are_spend_no_extra() {
+    let now = Instant::now();
+    let extra = 52.0;
+    let spent: usize = (0..195)
+        .map(|_| {
+            let mut budget = WindowBudget::new(WINDOW, 0.2, extra);
+            (0..100).filter(|_| budget.spend(&pool(), now)).count()
+        })
+        .sum();
+    assert!(spent as f64 <= extra, "{spent} retries of {extra}");
+}
+
 quickcheck! {
     /// A server that fails everything gets no second load: however requests and failures fall,
     /// the retries of all nodes stay within the ratio and the extra in each sliding window.
@@ -58,7 +72,7 @@
         let start = Instant::now();
         let nodes = 4;
         let mut budgets: Vec<WindowBudget> =
-            (0..nodes).map(|_| WindowBudget::new(WINDOW, 0.2, 20.0, nodes)).collect();
+            (0..nodes).map(|_| WindowBudget::new(WINDOW, 0.2, 20.0).with_nodes(nodes)).collect();
         let mut now = start;
         let mut requests: Vec<Instant> = Vec::new();
         let mut retries: Vec<Instant> = Vec::new();
