tests: nodes together admit more than a workspace's limit (red, listed)

It is the product's own interface; the gateway of the users' platform has no such limits. Not mended here: it needs one bucket for the fleet, as servers' limits have now.

--- a/crates/plumgate/tests/limits.rs
+++ b/crates/plumgate/tests/limits.rs
@@ -123,3 +123,21 @@
     table.finish(&norte(), now);
     assert!(table.has_room(&norte(), 4, now));
 }
+
+/// Each of many nodes let a workspace start a burst of its own, however small its share of the limit.
+#[test]
+fn nodes_together_admit_no_more_than_a_workspaces_burst() {
+    let nodes = 64;
+    let limit = 10;
+    let mut tables = tables(nodes);
+    let now = Instant::now();
+    exchange(&mut tables, now);
+    let admitted = tables.iter_mut().map(|table| {
+        let tries = (0..10).filter(|_| table.admit(&norte(), limit, now).is_ok());
+        tries.count()
+    });
+    let admitted: usize = admitted.sum();
+    // Three seconds of the limit at once, and the limit itself while shares move.
+    let allowed = 4 * limit as usize;
+    assert!(admitted <= allowed, "{admitted} at once, {allowed} allowed");
+}
