gateway, cli: operators see which servers are limited and who issues their permits

GET /limits on the address of the readiness checks, and plumgate limits: each limited server with its rate, for how long this node holds it back, and whether this node issues permits.

--- a/crates/plumgate-cli/src/commands.rs
+++ b/crates/plumgate-cli/src/commands.rs
@@ -8,13 +8,14 @@
 use clap_complete::{Shell, generate};
 use plumgate::config::{ConfigBundle, config_changes, key_digest};
 use plumgate::follow::ConfigHead;
+use plumgate_node::gateway::{DUTIES_PATH, LIMITS_PATH};
 use plumgate_node::status::NodeStatus;
 use serde_json::json;
 
 use crate::apply::{ApplyBase, apply_files, check, raced, set_drained};
 use crate::errors::{Error, Result};
 use crate::flags;
-use crate::nodes::{duty_pages, statuses, versions_in_force, wait_in_force};
+use crate::nodes::{node_pages, statuses, versions_in_force, wait_in_force};
 use crate::output::print_line;
 use crate::store::ConfigStore;
 
@@ -26,7 +27,8 @@
         Some(("diff", sub)) => context.diff(sub).await,
         Some(("apply", sub)) => context.apply(sub).await,
         Some(("status", _)) => context.status().await,
-        Some(("duties", _)) => context.duties().await,
+        Some(("duties", _)) => context.pages(DUTIES_PATH).await,
+        Some(("limits", _)) => context.pages(LIMITS_PATH).await,
         Some(("show", sub)) => context.show(sub).await,
         Some(("drain", sub)) => context.drain(sub, true).await,
         Some(("undrain", sub)) => context.drain(sub, false).await,
@@ -241,9 +243,9 @@
         Ok(ExitCode::SUCCESS)
     }
 
-    /// Prints what the nodes say of the duties, each under its address.
-    async fn duties(&self) -> Result<ExitCode> {
-        let pages = duty_pages(&self.nodes()).await?;
+    /// Prints a page of each node under its address.
+    async fn pages(&self, path: &str) -> Result<ExitCode> {
+        let pages = node_pages(&self.nodes(), path).await?;
         if self.is_json() {
             print_line(json!(pages));
             return Ok(ExitCode::SUCCESS);
--- a/crates/plumgate-cli/src/flags.rs
+++ b/crates/plumgate-cli/src/flags.rs
@@ -36,6 +36,9 @@
             Command::new("duties").about(
                 "Shows who holds the duties, the last windows of usage and the orders, by the nodes' readiness addresses",
             ),
+            Command::new("limits").about(
+                "Shows the servers that named a limit and who issues their permits, by the nodes' readiness addresses",
+            ),
             Command::new("show")
                 .about("Prints the configuration in force, or an earlier one")
                 .arg(
--- a/crates/plumgate-cli/src/nodes.rs
+++ b/crates/plumgate-cli/src/nodes.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use plumgate_node::gateway::DUTIES_PATH;
 use plumgate_node::status::{NodeStatus, fetch_page, fetch_status};
 
 use crate::errors::{Error, Result};
@@ -26,11 +25,14 @@
     }
 }
 
-/// What the nodes that answer say of the duties, by their readiness addresses.
-pub(crate) async fn duty_pages(addresses: &[SocketAddr]) -> Result<BTreeMap<SocketAddr, String>> {
+/// The pages that the nodes which answer serve under a path, by their readiness addresses.
+pub(crate) async fn node_pages(
+    addresses: &[SocketAddr],
+    path: &str,
+) -> Result<BTreeMap<SocketAddr, String>> {
     let mut pages = BTreeMap::new();
     for address in addresses {
-        if let Some(page) = fetch_page(*address, DUTIES_PATH).await {
+        if let Some(page) = fetch_page(*address, path).await {
             pages.insert(*address, page);
         }
     }
--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -21,6 +21,7 @@
 use super::duties::DUTIES_PATH;
 use super::ports::WireFormat;
 use super::run::RelayRun;
+use super::server_limits::LIMITS_PATH;
 use super::shared::{ConnectionGuard, GatewayShared};
 use super::suspects::QUARANTINE_PATH;
 use crate::clock::{Clock, until};
@@ -107,6 +108,8 @@
             text_response(StatusCode::OK, shared.metrics.page())
         } else if path == DUTIES_PATH {
             text_response(StatusCode::OK, shared.duties_page.load().to_string())
+        } else if path == LIMITS_PATH {
+            text_response(StatusCode::OK, shared.limits_page())
         } else if path.starts_with(QUARANTINE_PATH) {
             shared.serve_quarantine(request.method(), path)
         } else if shared.is_ready() {
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -39,3 +39,4 @@
 pub use duties::DUTIES_PATH;
 pub use node::{GatewayAddresses, GatewayHandle, GatewayNode};
 pub use options::{DutyOptions, GatewayBounds, GatewayOptions};
+pub use server_limits::LIMITS_PATH;
--- a/crates/plumgate-node/src/gateway/server_limits.rs
+++ b/crates/plumgate-node/src/gateway/server_limits.rs
@@ -1,5 +1,6 @@
 //! The limits that backend servers name: how they are learnt and kept, and what operators see of them.
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use plumgate::gateway::{
@@ -12,6 +13,9 @@
 use crate::clock::{Clock, until};
 use crate::log::LogLine;
 
+/// The path under which operators find the servers that are limited.
+pub const LIMITS_PATH: &str = "/limits";
+
 /// Why a request was not sent to a server that named a limit.
 pub(crate) const LIMITED: &str = "server_limit";
 
@@ -171,6 +175,31 @@
         }
     }
 
+    /// The servers that are limited, a line each, and whether this node issues permits.
+    pub(crate) fn limits_page(&self) -> String {
+        let now = self.clock.boot_time();
+        let loads = self.loads();
+        let limits = self.limits();
+        let mut page = format!("issuer={}\n", limits.issues(now));
+        for server in loads.entries() {
+            let Some(rate) = limits.rate(server) else {
+                continue;
+            };
+            let key = server.incarnation_key();
+            let held = limits.held_for(server, now).unwrap_or_default();
+            // Writing to a string does not fail.
+            let _ = writeln!(
+                page,
+                "server={} key={key:08x} pool={} data_centre={} rate={rate} held_ms={}",
+                server.id,
+                server.pool,
+                server.data_centre,
+                held.as_millis()
+            );
+        }
+        page
+    }
+
     /// Logs and counts a request that leaves for a server which has named a limit.
     pub(crate) fn note_limited_send(&self, request: &str, server: &ServerEntry, cause: SendCause) {
         let Some(rate) = self.limits().rate(server) else {
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -70,6 +70,11 @@
         self.servers.get(server).map(|load| &load.entry)
     }
 
+    /// All servers, as they are known.
+    pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.servers.values().map(|load| &load.entry)
+    }
+
     /// When a server last answered this node.
     pub fn answered_at(&self, server: &ServerId) -> Option<Instant> {
         self.servers.get(server)?.answered_at
