rate limits: most urgent requests first, and others not starved

What callers saw in the test (most_urgent_requests_go_first_and_others_are_ not_starved, red before: 26 urgent requests and 243 others sent in a minute, where either kind alone would use the limit up): a less urgent request that was turned away held the server back for all requests of its node.

A bucket now fills from the moment on from which its node may issue, not from the first ask: the first request after an idle time found it empty.

--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -110,7 +110,7 @@
         let (request, server) = (&self.request, &pick.server);
         let claimed = self.shared.claim(server, request.urgency).await;
         if let Err(pause) = claimed {
-            self.shared.note_held(&request.id, server, pause);
+            self.shared.note_held(request, server, pause);
         }
         claimed
     }
--- a/crates/plumgate-node/src/gateway/server_limits.rs
+++ b/crates/plumgate-node/src/gateway/server_limits.rs
@@ -9,6 +9,7 @@
 };
 
 use super::metrics::ReasonLabels;
+use super::request::RelayRequest;
 use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
 use crate::log::LogLine;
@@ -93,10 +94,8 @@
             Some(SendClaim::Held(pause)) => Err(pause),
             Some(SendClaim::Asked(_)) | None => {
                 let now = self.clock.boot_time();
-                Err(self
-                    .limits()
-                    .held_for(server, now)
-                    .unwrap_or(ANSWER_TIMEOUT))
+                let held = self.limits().held_for(server, urgency, now);
+                Err(held.unwrap_or(ANSWER_TIMEOUT))
             }
         }
     }
@@ -130,12 +129,14 @@
     }
 
     /// A request is not sent to a server for its limit.
-    pub(crate) fn note_held(&self, request: &str, server: &ServerEntry, pause: Duration) {
-        self.loads().hold_back(&server.id, self.clock.now() + pause);
+    pub(crate) fn note_held(&self, request: &RelayRequest, server: &ServerEntry, pause: Duration) {
+        let until = self.clock.now() + pause;
+        self.loads().hold_back(&server.id, request.urgency, until);
         self.metrics.limit_holds.inc();
         LogLine::new("server_limit_hold")
-            .with("request", request)
+            .with("request", &request.id)
             .with("server", &server.id)
+            .with("priority", request.urgency)
             .with("pause_ms", pause.as_millis())
             .info(&self.log);
     }
@@ -186,7 +187,7 @@
                 continue;
             };
             let key = server.incarnation_key();
-            let held = limits.held_for(server, now).unwrap_or_default();
+            let held = limits.held_for(server, u8::MAX, now).unwrap_or_default();
             // Writing to a string does not fail.
             let _ = writeln!(
                 page,
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -329,7 +329,7 @@
         let of_pool = self.servers.values().filter(|load| {
             load.entry.pool == *request.pool
                 && load.entry.state == ServerState::Ready
-                && load.held_until(now).is_none()
+                && load.held_until(request.urgency, now).is_none()
                 && !request.avoid.contains(&load.entry.id)
         });
         let all: Vec<&ServerLoad> = of_pool.collect();
@@ -355,10 +355,11 @@
         }
     }
 
-    /// A server gets nothing from this node until a moment, as it named a limit.
-    pub fn hold_back(&mut self, server: &ServerId, until: Instant) {
+    /// A server gets no requests of an urgency, nor less urgent ones, from this node until a moment, as it named a
+    /// limit.
+    pub fn hold_back(&mut self, server: &ServerId, urgency: u8, until: Instant) {
         if let Some(load) = self.servers.get_mut(server) {
-            load.hold_back(until);
+            load.hold_back(urgency, until);
         }
     }
 
@@ -369,7 +370,9 @@
                 && load.entry.state == ServerState::Ready
                 && !request.avoid.contains(&load.entry.id)
         });
-        of_pool.filter_map(|load| load.held_until(now)).min()
+        of_pool
+            .filter_map(|load| load.held_until(request.urgency, now))
+            .min()
     }
 
     /// A request goes to a server.
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -69,8 +69,8 @@
     unreachable_until: Option<Instant>,
     /// The requests a second that it takes, if it named a limit.
     pub(crate) limit: Option<RequestRate>,
-    /// Until when it gets nothing from this node, as it named a limit.
-    held_until: Option<Instant>,
+    /// Until when it gets no requests of an urgency, nor less urgent ones, from this node, as it named a limit.
+    held_until: Vec<(u8, Instant)>,
     parts: HashMap<u64, Instant>,
     part_order: VecDeque<u64>,
 }
@@ -117,7 +117,7 @@
             full_until: None,
             unreachable_until: None,
             limit: None,
-            held_until: None,
+            held_until: Vec::new(),
             parts: HashMap::new(),
             part_order: VecDeque::new(),
         }
@@ -134,14 +134,17 @@
             && !is_resting(PolicyPart::FullPause, self.full_until)
     }
 
-    /// It gets nothing from this node for some time, as it named a limit.
-    pub(crate) fn hold_back(&mut self, until: Instant) {
-        self.held_until = Some(until);
+    /// It gets no requests of an urgency, nor less urgent ones, from this node for some time.
+    pub(crate) fn hold_back(&mut self, urgency: u8, until: Instant) {
+        self.held_until.retain(|(held, _)| *held != urgency);
+        self.held_until.push((urgency, until));
     }
 
-    /// Until when it gets nothing from this node, if it is held back.
-    pub(crate) fn held_until(&self, now: Instant) -> Option<Instant> {
-        self.held_until.filter(|until| now < *until)
+    /// Until when it gets no requests of an urgency from this node, if it is held back.
+    pub(crate) fn held_until(&self, urgency: u8, now: Instant) -> Option<Instant> {
+        let holds = self.held_until.iter();
+        let holds = holds.filter(|(held, until)| *held <= urgency && now < *until);
+        holds.map(|(_, until)| *until).max()
     }
 
     /// What the server would mean to a request, by what its shared tokens cost there.
--- a/crates/plumgate/src/gateway/rate_limit/desk.rs
+++ b/crates/plumgate/src/gateway/rate_limit/desk.rs
@@ -14,7 +14,7 @@
 pub const ASK_AGAIN: Duration = Duration::from_millis(35);
 /// How long a server is left alone whose issuer did not answer.
 const SILENT_PAUSE: Duration = Duration::from_millis(300);
-/// Asks of one node for one server that may wait at the same time.
+/// Asks of one node for one server and urgency that may wait at the same time.
 const ASKS_MOST: usize = 4;
 /// How long a server is left alone for which as many asks wait as may.
 const BUSY_PAUSE: Duration = Duration::from_millis(20);
@@ -63,8 +63,8 @@
     asks: BTreeMap<AskId, OpenAsk>,
     /// Permits that the requests they were for did not use.
     spare: Vec<SendPermit>,
-    /// Until when servers are left alone.
-    held: BTreeMap<ServerKey, BootTime>,
+    /// Until when servers are left alone by requests of an urgency and by less urgent ones.
+    held: BTreeMap<(ServerKey, u8), BootTime>,
 }
 
 impl PermitDesk {
@@ -83,25 +83,34 @@
         self.spare.push(permit);
     }
 
-    /// How long a server is still to be left alone.
-    pub(crate) fn held_for(&self, server: ServerKey, now: BootTime) -> Option<Duration> {
-        let until = self.held.get(&server)?;
+    /// How long a server is still to be left alone by requests of some urgency.
+    pub(crate) fn held_for(
+        &self,
+        server: ServerKey,
+        urgency: u8,
+        now: BootTime,
+    ) -> Option<Duration> {
+        let holds = self.held.range((server, 0)..=(server, urgency));
+        let until = holds.map(|(_, until)| *until).max()?;
         let left = until.saturating_sub(now);
         (!left.is_zero()).then_some(left)
     }
 
-    /// Leaves a server alone for some time.
-    pub(crate) fn hold(&mut self, server: ServerKey, pause: Duration, now: BootTime) {
-        self.held.insert(server, now + pause);
+    /// Has a server left alone for some time by requests of an urgency and by less urgent ones.
+    pub(crate) fn hold(&mut self, server: ServerKey, urgency: u8, pause: Duration, now: BootTime) {
+        self.held.insert((server, urgency), now + pause);
     }
 
     /// Notes an ask, unless too many wait already.
     pub(crate) fn open(&mut self, ask: PermitAsk, now: BootTime) -> bool {
         let server = ask.report.server;
         let asks = self.asks.values();
-        let waiting = asks.filter(|open| open.server() == server && open.verdict.is_none());
+        let urgency = ask.urgency;
+        let waiting = asks.filter(|open| {
+            open.server() == server && open.ask.urgency == urgency && open.verdict.is_none()
+        });
         if waiting.count() >= ASKS_MOST {
-            self.hold(server, BUSY_PAUSE, now);
+            self.hold(server, urgency, BUSY_PAUSE, now);
             return false;
         }
         let id = ask.id;
@@ -130,9 +139,11 @@
             return;
         }
         open.verdict = Some(answer.verdict);
-        let (server, is_abandoned) = (open.server(), open.is_abandoned);
+        let (server, urgency) = (open.server(), open.ask.urgency);
+        let is_abandoned = open.is_abandoned;
         if let PermitVerdict::Denied { pause_ms } = answer.verdict {
-            self.hold(server, Duration::from_millis(pause_ms.into()), now);
+            let pause = Duration::from_millis(pause_ms.into());
+            self.hold(server, urgency, pause, now);
         }
         if is_abandoned {
             self.leave_over(answer.id);
@@ -146,6 +157,11 @@
         }
     }
 
+    /// The urgency of an ask.
+    pub(crate) fn urgency(&self, id: AskId) -> Option<u8> {
+        self.asks.get(&id).map(|open| open.ask.urgency)
+    }
+
     /// Takes the answer to an ask, if it came.
     pub(crate) fn take(&mut self, id: AskId) -> Option<(PermitVerdict, SendPermit)> {
         let open = self.asks.get(&id)?;
@@ -161,11 +177,11 @@
             return;
         };
         open.is_abandoned = true;
-        let server = open.server();
+        let (server, urgency) = (open.server(), open.ask.urgency);
         let is_silent = now.saturating_sub(open.asked) >= ANSWER_TIMEOUT;
         match open.verdict {
             Some(_) => self.leave_over(id),
-            None if is_silent => self.hold(server, SILENT_PAUSE, now),
+            None if is_silent => self.hold(server, urgency, SILENT_PAUSE, now),
             None => {}
         }
     }
--- a/crates/plumgate/src/gateway/rate_limit/issuer.rs
+++ b/crates/plumgate/src/gateway/rate_limit/issuer.rs
@@ -87,29 +87,30 @@
         self.judged.insert(id, (verdict, now));
     }
 
-    /// Judges an ask, for a server under a limit.
+    /// Judges an ask, for a server under a limit whose permits this node has issued since some time.
     pub(crate) fn judge(
         &mut self,
         key: ServerKey,
         rate: RequestRate,
         urgency: u8,
+        since: BootTime,
         now: BootTime,
     ) -> PermitVerdict {
         let issued = self
             .limits
             .entry(key)
-            .or_insert_with(|| IssuedLimit::new(now));
+            .or_insert_with(|| IssuedLimit::new(since));
         issued.judge(rate, urgency, now)
     }
 }
 
 impl IssuedLimit {
-    fn new(now: BootTime) -> Self {
+    fn new(since: BootTime) -> Self {
         Self {
-            bucket: TokenBucket::new(0.0, now),
-            asked_at: now,
+            bucket: TokenBucket::new(0.0, since),
+            asked_at: since,
             denials: 0.0,
-            counted_at: now,
+            counted_at: since,
             denied_at: [None; URGENCIES],
             since_floor: 0,
         }
--- a/crates/plumgate/src/gateway/rate_limit/table.rs
+++ b/crates/plumgate/src/gateway/rate_limit/table.rs
@@ -124,7 +124,7 @@
 
     /// Whether this node issues permits now.
     pub fn issues(&self, now: BootTime) -> bool {
-        self.votes.is_settled(now) || !self.has_peers
+        self.votes.settled_since(now).is_some() || !self.has_peers
     }
 
     /// Asks for leave to send a request of some urgency to a server.
@@ -136,17 +136,17 @@
         if let Some(permit) = self.desk.take_spare(key, now) {
             return SendClaim::Permitted(permit);
         }
-        if let Some(left) = self.desk.held_for(key, now) {
+        if let Some(left) = self.desk.held_for(key, urgency, now) {
             return SendClaim::Held(left);
         }
         let centre = self.issuing_centre(server);
         if self.is_issuer(centre.as_ref()) {
             let verdict = self.judge(key, urgency, now);
-            return self.settle(key, verdict, SendPermit::new(key, now), now);
+            return self.settle(verdict, SendPermit::new(key, now), urgency, now);
         }
         match centre {
             Some(centre) => self.ask(key, centre, urgency, now),
-            None => self.settle(key, unelected(), SendPermit::new(key, now), now),
+            None => self.settle(unelected(), SendPermit::new(key, now), urgency, now),
         }
     }
 
@@ -158,13 +158,14 @@
 
     /// The answer to an ask, once it came.
     pub fn take_answer(&mut self, id: AskId, now: BootTime) -> Option<SendClaim> {
+        let urgency = self.desk.urgency(id)?;
         let (verdict, permit) = self.desk.take(id)?;
-        Some(self.settle(permit.server, verdict, permit, now))
+        Some(self.settle(verdict, permit, urgency, now))
     }
 
-    /// How long a server is still to be left alone.
-    pub fn held_for(&self, server: &ServerEntry, now: BootTime) -> Option<Duration> {
-        self.desk.held_for(server.incarnation_key(), now)
+    /// How long a server is still to be left alone by requests of some urgency.
+    pub fn held_for(&self, server: &ServerEntry, urgency: u8, now: BootTime) -> Option<Duration> {
+        self.desk.held_for(server.incarnation_key(), urgency, now)
     }
 
     /// Nobody waits for the answer to an ask any more.
@@ -186,11 +187,12 @@
     /// What a verdict means to the request that it is for.
     fn settle(
         &mut self,
-        key: ServerKey,
         verdict: PermitVerdict,
         permit: SendPermit,
+        urgency: u8,
         now: BootTime,
     ) -> SendClaim {
+        let key = permit.server;
         match verdict {
             PermitVerdict::Granted => SendClaim::Permitted(permit),
             PermitVerdict::Unlimited if self.book.rate(key).is_none() => SendClaim::Free,
@@ -198,7 +200,7 @@
             PermitVerdict::Unlimited => SendClaim::Held(DOUBT_PAUSE),
             PermitVerdict::Denied { pause_ms } => {
                 let pause = Duration::from_millis(pause_ms.into());
-                self.desk.hold(key, pause, now);
+                self.desk.hold(key, urgency, pause, now);
                 SendClaim::Held(pause)
             }
         }
@@ -233,13 +235,15 @@
         let Some(rate) = limit.rate() else {
             return PermitVerdict::Unlimited;
         };
+        let named = limit.first_named();
         // No other node can have issued permits for a limit that was named only now.
-        let is_new = now.saturating_sub(limit.first_named()) < SETTLE_TIME;
-        let may_issue = self.votes.is_settled(now) || self.votes.is_elected() && is_new;
-        if self.has_peers && !may_issue {
-            return unelected();
-        }
-        self.issuer.judge(key, rate, urgency, now)
+        let is_new = now.saturating_sub(named) < SETTLE_TIME;
+        let since = match self.votes.settled_since(now) {
+            Some(settled) => settled.max(named),
+            None if !self.has_peers || self.votes.is_elected() && is_new => named,
+            None => return unelected(),
+        };
+        self.issuer.judge(key, rate, urgency, since, now)
     }
 
     fn ask(
@@ -260,7 +264,7 @@
             report: LimitReport::new(key, limit, now),
         };
         if !self.desk.open(ask.clone(), now) {
-            let left = self.desk.held_for(key, now).unwrap_or_default();
+            let left = self.desk.held_for(key, urgency, now).unwrap_or_default();
             return SendClaim::Held(left);
         }
         let id = ask.id;
--- a/crates/plumgate/src/gateway/rate_limit/votes.rs
+++ b/crates/plumgate/src/gateway/rate_limit/votes.rs
@@ -86,10 +86,10 @@
         self.elected_since.is_some()
     }
 
-    /// Whether nobody who was elected before can still act.
-    pub(crate) fn is_settled(&self, now: BootTime) -> bool {
-        self.elected_since
-            .is_some_and(|since| now.saturating_sub(since) >= SETTLE_TIME)
+    /// Since when nobody who was elected before can still act; none where one may.
+    pub(crate) fn settled_since(&self, now: BootTime) -> Option<BootTime> {
+        let settled = self.elected_since? + SETTLE_TIME;
+        (settled <= now).then_some(settled)
     }
 
     /// Nodes of this node's data centre that follow it, itself included.
--- a/crates/plumgate/tests/limit_fleet/judge.rs
+++ b/crates/plumgate/tests/limit_fleet/judge.rs
@@ -82,6 +82,12 @@
         worst
     }
 
+    /// The share of the callers' requests of a time that arrived.
+    pub(crate) fn served(&self, from: Micros, to: Micros) -> f64 {
+        let demands = self.demands.iter().filter(|at| (from..to).contains(*at));
+        self.rate(from, to) * ((to - from) as f64 / 1e6) / demands.count() as f64
+    }
+
     /// Requests a second that arrived in a time.
     pub(crate) fn rate(&self, from: Micros, to: Micros) -> f64 {
         let arrivals = self
--- a/crates/plumgate/tests/limit_fleet/node.rs
+++ b/crates/plumgate/tests/limit_fleet/node.rs
@@ -109,10 +109,7 @@
         }
         let moment = self.mail(now);
         let (packets, outcome) = self.limits.hear(&self.exchange, mail, moment);
-        assert_eq!(
-            outcome.refused, 0,
-            "all messages are sealed by the same key"
-        );
+        assert_eq!(outcome.refused, 0, "all nodes have the same keys");
         (packets, outcome.is_answer)
     }
 
