rate limits: a limit that has ended is told for half a minute, not for ever

Seen by a test (nothing_is_told_before_and_long_after_a_limit, red before: 10,028 bytes in 2 s before any limit, 26,395 long after it): each answer without a limit renewed the memory of its end. It now counts from the last answer that named one.

--- a/crates/plumgate/src/gateway/rate_limit/book.rs
+++ b/crates/plumgate/src/gateway/rate_limit/book.rs
@@ -126,7 +126,7 @@
                 Some(_) => LIMIT_MEMORY,
                 None => END_MEMORY,
             };
-            now.saturating_sub(entry.limit.sighting().seen) < memory
+            now.saturating_sub(entry.limit.last_named()) < memory
         });
     }
 
--- a/crates/plumgate/src/gateway/rate_limit/observed.rs
+++ b/crates/plumgate/src/gateway/rate_limit/observed.rs
@@ -64,6 +64,8 @@
     known: LimitSighting,
     /// When the server first named a limit, as far as any node that told of it knows.
     first_named: BootTime,
+    /// When an answer that names a limit came last.
+    last_named: BootTime,
 }
 
 impl ObservedLimit {
@@ -72,6 +74,7 @@
         Self {
             known: sighting,
             first_named,
+            last_named: sighting.seen,
         }
     }
 
@@ -90,6 +93,11 @@
         self.first_named
     }
 
+    /// When an answer that names a limit came last.
+    pub(crate) fn last_named(&self) -> BootTime {
+        self.last_named
+    }
+
     /// Another node has known of a limit since some time.
     pub(crate) fn note_first_named(&mut self, at: BootTime) {
         self.first_named = self.first_named.min(at);
@@ -108,6 +116,9 @@
         }
         let before = self.known.rate;
         self.known = sighting;
+        if sighting.rate.is_some() {
+            self.last_named = sighting.seen;
+        }
         LimitChange::between(before, sighting.rate)
     }
 }
--- a/crates/plumgate/tests/server_limits.rs
+++ b/crates/plumgate/tests/server_limits.rs
@@ -390,3 +390,27 @@
         "nor is what was said a minute ago"
     );
 }
+
+/// Nodes went on telling each other of a limit that had long ended.
+#[test]
+fn nothing_is_told_before_and_long_after_a_limit() {
+    let bytes = |fleet: &mut LimitFleet| {
+        let before = fleet.bytes;
+        fleet.run(seconds(2.0));
+        fleet.bytes - before
+    };
+    let mut fleet = LimitFleet::new(FleetShape::new(3, 2, 20.0));
+    fleet.run(seconds(3.0));
+    let quiet = bytes(&mut fleet);
+    fleet.set_limit(Some(2.0));
+    fleet.run(seconds(4.0));
+    let limited = bytes(&mut fleet);
+    fleet.set_limit(None);
+    fleet.run(seconds(45.0));
+    let after = bytes(&mut fleet);
+    assert!(limited > quiet, "{quiet} bytes, {limited} under a limit");
+    assert!(
+        after <= quiet * 21 / 20,
+        "{quiet} bytes, {after} after the limit"
+    );
+}
--- a/crates/plumgate/tests/server_limits_random.rs
+++ b/crates/plumgate/tests/server_limits_random.rs
@@ -107,3 +107,21 @@
         broken.len()
     );
 }
+
+// Each side of a fleet cut in halves had a node that issued permits, backed by half of another data centre.
+#[test]
+fn seed_188_with_a_fleet_cut_in_halves() {
+    assert_eq!(play(188), Ok(()));
+}
+
+// Two nodes of a single data centre stood still in turn, and the third took them for gone.
+#[test]
+fn seed_297_with_one_node_cut_off_from_two_that_stand_still() {
+    assert_eq!(play(297), Ok(()));
+}
+
+#[test]
+fn seeds_88_and_192_with_cuts_of_some_nodes() {
+    assert_eq!(play(88), Ok(()));
+    assert_eq!(play(192), Ok(()));
+}
