--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -157,7 +157,7 @@
             }
             let moment = self.mail_moment();
             let (packets, outcome) = self.shared.limits().hear(&exchange, mail, moment);
-            self.shared.metrics.peer_refused.inc_by(outcome.refused);
+            self.note_refused(outcome.refused);
             if outcome.is_answer {
                 self.shared.limit_answered.notify(usize::MAX);
             }
@@ -167,6 +167,17 @@
         self.send_all(packets).await;
     }
 
+    /// Counts and logs messages about limits that were forged, too old or malformed.
+    fn note_refused(&self, count: u64) {
+        self.shared.metrics.peer_refused.inc_by(count);
+        if count > 0 {
+            LogLine::new("peer_refused")
+                .with("topic", "limits")
+                .with("count", count)
+                .info(&self.shared.log);
+        }
+    }
+
     /// Asks for the permits that requests wait for.
     async fn ask_permits(&self) {
         loop {
--- a/crates/plumgate/src/gateway/exchange/peer_view.rs
+++ b/crates/plumgate/src/gateway/exchange/peer_view.rs
@@ -16,7 +16,7 @@
     pub(crate) own: NodeEntry,
     /// The collector of this node's data centre; none where this node is it.
     pub(crate) collector: Option<PeerPlace>,
-    /// The other nodes of this node's data centre.
+    /// The other nodes of this node's data centre, where this one collects.
     pub(crate) members: Vec<PeerPlace>,
     /// The other data centres and the collector of each, where one is heard.
     pub(crate) foreign: BTreeMap<DataCentreId, Option<PeerPlace>>,
--- a/crates/plumgate/src/gateway/exchange/peers.rs
+++ b/crates/plumgate/src/gateway/exchange/peers.rs
@@ -303,7 +303,9 @@
             let collector = self.eligible(&centre).next().and_then(place);
             (centre, collector)
         });
-        let members = self.own_centre().map(|member| {
+        let collector = self.collector().and_then(place);
+        let members = self.own_centre().filter(|_| collector.is_none());
+        let members = members.map(|member| {
             let entry = &member.entry;
             (entry.node.clone(), entry.address)
         });
@@ -312,8 +314,8 @@
         let own_rank = collector_rank(&self.own);
         PeerView {
             own: self.own.clone(),
-            collector: self.collector().and_then(place),
             members: members.collect(),
+            collector,
             foreign: foreign.collect(),
             centre_count: self.centre_count(),
             fleet_count: self.count(),
--- a/crates/plumgate/src/gateway/rate_limit/table.rs
+++ b/crates/plumgate/src/gateway/rate_limit/table.rs
@@ -227,8 +227,22 @@
         view.is_some_and(|view| view.collector.is_none() && Some(&view.own.data_centre) == centre)
     }
 
+    /// Judges anew whether this node is elected; nothing that it saved up counts where it is not.
+    pub(super) fn review_votes(&mut self, now: BootTime) {
+        if let Some(view) = &self.view {
+            self.votes.review(view, now);
+        }
+        if !self.votes.is_elected() {
+            self.issuer.reset();
+        }
+    }
+
     /// Judges an ask for a server whose permits this node issues.
     pub(super) fn judge(&mut self, key: ServerKey, urgency: u8, now: BootTime) -> PermitVerdict {
+        if self.has_peers {
+            // Votes may have lapsed while this node stood still.
+            self.review_votes(now);
+        }
         let Some(limit) = self.book.limit(key) else {
             return unelected();
         };
--- a/crates/plumgate/src/gateway/rate_limit/talk.rs
+++ b/crates/plumgate/src/gateway/rate_limit/talk.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::issuer::unelected;
 use super::messages::{
     LimitMessage, LimitNews, LimitReport, PermitAnswer, PermitAsk, PermitVerdict,
 };
@@ -105,15 +106,6 @@
         self.active_at = now;
     }
 
-    fn review_votes(&mut self, now: BootTime) {
-        if let Some(view) = &self.view {
-            self.votes.review(view, now);
-        }
-        if !self.votes.is_elected() {
-            self.issuer.reset();
-        }
-    }
-
     fn tell(&mut self, exchange: &LoadExchange, moment: MailMoment) -> Vec<ExchangePacket> {
         let now = moment.boot;
         let Some(view) = &self.view else {
@@ -272,13 +264,12 @@
         let view = self.view.as_ref()?;
         if view.collector.is_some() {
             // The sender follows another collector than this node.
-            return self.reply(exchange, &ask, super::issuer::unelected(), moment);
+            return self.reply(exchange, &ask, unelected(), moment);
         }
         if *view.own.data_centre != *ask.centre {
             let to = self.next_hop(&ask)?;
             return self.post(exchange, to, LimitMessage::Ask(ask), moment);
         }
-        self.review_votes(now);
         let verdict = self.judge_once(&ask, now);
         self.reply(exchange, &ask, verdict, moment)
     }
