--- a/crates/plumgate/tests/limit_fleet/mod.rs
+++ b/crates/plumgate/tests/limit_fleet/mod.rs
@@ -6,7 +6,7 @@
 mod node;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -88,6 +88,8 @@
     /// Bytes that nodes sent about limits and all else.
     pub(crate) bytes: u64,
     nodes: Vec<FleetNode>,
+    /// Nodes whose messages do not reach another one, by sender and receiver.
+    deaf_pairs: BTreeSet<(usize, usize)>,
     entries: Vec<NodeEntry>,
     places: BTreeMap<SocketAddr, usize>,
     events: BinaryHeap<Reverse<(Micros, u64, EventBox)>>,
@@ -144,6 +146,7 @@
             limit: None,
             bytes: 0,
             nodes,
+            deaf_pairs: BTreeSet::new(),
             entries,
             places,
             events: BinaryHeap::new(),
@@ -219,8 +222,14 @@
         }
     }
 
+    /// What some nodes send does not reach some others, while the other direction works.
+    pub(crate) fn deafen(&mut self, pairs: impl IntoIterator<Item = (usize, usize)>) {
+        self.deaf_pairs = pairs.into_iter().collect();
+    }
+
     /// Ends all cuts.
     pub(crate) fn heal(&mut self) {
+        self.deaf_pairs.clear();
         for node in &mut self.nodes {
             node.is_cut = false;
         }
@@ -361,7 +370,8 @@
         };
         let (sender, index) = (*sender, *index);
         let is_cut = self.nodes[sender].is_cut != self.nodes[index].is_cut;
-        if is_cut || self.nodes[index].is_down {
+        let is_deaf = self.deaf_pairs.contains(&(sender, index));
+        if is_cut || is_deaf || self.nodes[index].is_down {
             return;
         }
         let (start, now) = (self.start, self.now);
--- a/crates/plumgate/tests/server_limits_random.rs
+++ b/crates/plumgate/tests/server_limits_random.rs
@@ -57,7 +57,7 @@
     let index = rng.usize(0..fleet.node_count());
     let pause = Duration::from_millis(rng.u64(100..6_000));
     let at = fleet.now / 1_000;
-    match rng.u32(0..8) {
+    match rng.u32(0..10) {
         0 => {
             fleet.restart(index, pause);
             format!("{at} restart {index} {pause:?}")
@@ -85,6 +85,15 @@
             }
             format!("{at} restart all {pause:?}")
         }
+        6 | 7 => {
+            let nodes = fleet.node_count();
+            let share = 0.5 * rng.f64();
+            let pairs = (0..nodes).flat_map(|from| (0..nodes).map(move |to| (from, to)));
+            let pairs: Vec<(usize, usize)> = pairs.filter(|_| rng.f64() < share).collect();
+            let count = pairs.len();
+            fleet.deafen(pairs);
+            format!("{at} deafen {count} of {}", nodes * nodes)
+        }
         _ => {
             let limit = (rng.f64() < 0.8).then(|| RATES[rng.usize(0..RATES.len())]);
             fleet.set_limit(limit);
