scale: a limited server counts as what it named

What limited servers leave unread of what they could read, by the mean size of a request and the speed of the pool, is added to what is ordered, and logged with it. Nothing changes where no server is limited.

--- a/crates/plumgate/src/duty/scale.rs
+++ b/crates/plumgate/src/duty/scale.rs
@@ -88,6 +88,8 @@
     pub unread_tokens: f64,
     /// Prompt tokens that one server reads in a second.
     pub server_speed: f64,
+    /// What limited servers leave unread of what they could read, in servers.
+    pub limited: f64,
 }
 
 impl PoolLoad {
@@ -97,6 +99,11 @@
         sites.map(|site| site.lasting + site.reclaimable).sum()
     }
 
+    /// Servers that have to be there beside those that a need asks for, as limited ones take only what they named.
+    fn spare(&self) -> u32 {
+        self.limited.ceil() as u32
+    }
+
     fn reclaimable(&self) -> u32 {
         self.sites.values().map(|site| site.reclaimable).sum()
     }
@@ -267,12 +274,12 @@
         }
         let options = self.options;
         let has_cheap = scaling.reclaimable_price.is_some_and(|price| price < 1_000);
-        let all = self.total(self.peak_need(), options.headroom, options.floor);
+        let all = self.total(self.peak_need(), options.headroom, options.floor) + load.spare();
         let bare = self.total(
             self.mean_need(now),
             options.bare_headroom,
             options.bare_floor,
-        );
+        ) + load.spare();
         // Cheap servers that boot don't serve yet: until they do, lasting ones stay.
         let lasting = if has_cheap {
             bare.saturating_sub(load.reclaimable())
--- a/crates/plumgate/src/gateway/placement/demand.rs
+++ b/crates/plumgate/src/gateway/placement/demand.rs
@@ -14,7 +14,10 @@
 struct DemandCount {
     since: Instant,
     tokens: u64,
+    requests: u64,
     rate: u64,
+    /// Mean tokens of a request.
+    mean: f64,
 }
 
 /// What requests bring to each pool, whether they were sent on or refused.
@@ -29,9 +32,17 @@
         let count = self.pools.entry(pool.clone()).or_insert(DemandCount {
             since: now,
             tokens: 0,
+            requests: 0,
             rate: 0,
+            mean: 0.0,
         });
         count.tokens += tokens;
+        count.requests += 1;
+    }
+
+    /// Mean tokens of a request, over the last full span with any; 0 where none came.
+    pub(crate) fn mean(&self, pool: &PoolId) -> f64 {
+        self.pools.get(pool).map_or(0.0, |count| count.mean)
     }
 
     /// Tokens a second by pool, over the last full span.
@@ -40,7 +51,11 @@
             let passed = now.saturating_duration_since(count.since);
             if passed >= SPAN {
                 count.rate = (count.tokens as f64 / passed.as_secs_f64()) as u64;
+                if count.requests > 0 {
+                    count.mean = count.tokens as f64 / count.requests as f64;
+                }
                 count.tokens = 0;
+                count.requests = 0;
                 count.since = now;
             }
         }
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -173,6 +173,7 @@
             .servers
             .values()
             .filter(|load| load.entry.pool == *pool);
+        let mean_tokens = self.demand.mean(pool);
         for server in of_pool {
             let site = load
                 .sites
@@ -183,6 +184,10 @@
                     ServerKind::Lasting => site.lasting += 1,
                     ServerKind::Reclaimable => site.reclaimable += 1,
                 }
+                if let Some(limit) = server.limit.filter(|_| mean_tokens > 0.0) {
+                    let read = limit.per_second() * mean_tokens / load.server_speed.max(1.0);
+                    load.limited += (1.0 - read).max(0.0);
+                }
             }
             let unread = server.own.plus(&server.peers).unread;
             load.unread_tokens += unread.iter().sum::<u64>() as f64;
--- /dev/null
+++ b/crates/plumgate/tests/limited_capacity.rs
@@ -0,0 +1,104 @@
+//! Orders of servers count a limited server as what it takes.
+
+mod entries;
+
+use std::time::{Duration, Instant};
+
+use plumgate::duty::{FollowLoad, PoolLoad, PoolScaling, ScalePolicy, SiteLoad};
+use plumgate::gateway::servers::ServerChange;
+use plumgate::gateway::{
+    LimitSighting, LoadExchange, LoadTable, PlacementOptions, PlacementRequest, PromptPart,
+    PromptShape, RequestRate, ServerLimits, StreamClass,
+};
+use plumgate::ids::PoolId;
+
+use entries::{node_entries, server_entry};
+
+/// Prompt tokens of each request.
+const TOKENS: u32 = 4_000;
+
+/// What a node sees of three servers, the first of which takes so many requests a second.
+fn pool_load(rate: f64) -> PoolLoad {
+    let pool: PoolId = "models".into();
+    let mut now = Instant::now();
+    let mut table = LoadTable::new(PlacementOptions::new("hall-a"));
+    for id in ["a", "b", "c"] {
+        table.apply(&ServerChange::Changed(server_entry(id)), now);
+    }
+    let shape = PromptShape {
+        parts: vec![PromptPart {
+            id: 1,
+            tokens: TOKENS,
+        }],
+        output_most: 100,
+    };
+    let request = PlacementRequest {
+        pool: &pool,
+        prompt: Some(&shape),
+        urgency: 0,
+        class: StreamClass::Batch,
+        apart: false,
+        avoid: &[],
+    };
+    let pick = table.pick(&request, now).expect("a server");
+    table.note_demand(&pool, &pick, now);
+    now += Duration::from_secs(2);
+    let mut exchange = LoadExchange::new(node_entries(1, 1).remove(0));
+    table.swap_news(&mut exchange, now);
+    let sighting = LimitSighting {
+        rate: RequestRate::new(rate),
+        sent: Duration::from_secs(1),
+        seen: Duration::from_secs(1),
+    };
+    let mut limits = ServerLimits::new(false, 1);
+    limits.note_answer(&server_entry("a"), sighting);
+    table.set_limits(&limits);
+    table.pool_load(&pool, 0, now)
+}
+
+/// A server that takes one request in ten seconds counted as one that reads all the time.
+#[test]
+fn limited_server_counts_as_what_it_takes() {
+    let load = pool_load(0.1);
+    assert_eq!(load.servers(), 3);
+    assert!(load.limited > 0.9, "{load:?}");
+    assert_eq!(pool_load(1_000.0).limited, 0.0, "more than it could read");
+}
+
+/// Servers were given back, or not ordered, although some of those that stood there took next to nothing.
+#[test]
+fn servers_are_ordered_for_what_limited_ones_leave() {
+    let ordered = |limited: f64| {
+        let mut now = Instant::now();
+        let mut policy = FollowLoad::default();
+        let site = SiteLoad {
+            lasting: 6,
+            reclaimable: 0,
+        };
+        let load = PoolLoad {
+            sites: [("hall-a".into(), site)].into(),
+            tokens_per_second: 200_000.0,
+            server_speed: 40_000.0,
+            limited,
+            ..PoolLoad::default()
+        };
+        let scaling = PoolScaling {
+            min: 1,
+            max: 60,
+            boot: Duration::from_secs(4),
+            reclaimable_price: None,
+            centre_prices: [("hall-a".into(), 1_000)].into(),
+        };
+        let mut wanted = 0;
+        for _ in 0..20 {
+            now += Duration::from_millis(400);
+            wanted = policy
+                .wanted(&scaling, &load, &|_, _| false, now)
+                .into_values()
+                .sum();
+        }
+        wanted
+    };
+    let usual: u32 = ordered(0.0);
+    assert_eq!(ordered(2.8), usual + 3);
+}
