rate limits: names that say what they are; an ask without a view is held back

Reading the diff: a path that can't be taken today would have let a request go to a limited server freely. Renamed what was called wary and letters.

--- a/crates/plumgate/src/gateway/rate_limit/table.rs
+++ b/crates/plumgate/src/gateway/rate_limit/table.rs
@@ -54,7 +54,7 @@
     pub(super) keys: NoticeKeys,
     /// The other nodes; none where there are none to talk to.
     pub(super) view: Option<PeerView>,
-    /// Asks that are to be sent, with what the server's data centre is.
+    /// Asks that are to be sent.
     pub(super) outgoing: VecDeque<PermitAsk>,
     pub(super) events: Vec<LimitEvent>,
     /// The newest stamp of each collector that this node hears.
@@ -64,7 +64,7 @@
     pub(super) has_peers: bool,
     /// When this node last did anything here, and until when it believes no news that loosens a limit.
     pub(super) active_at: BootTime,
-    pub(super) wary_until: BootTime,
+    pub(super) distrust_until: BootTime,
 }
 
 impl ServerLimits {
@@ -83,7 +83,7 @@
             rng: fastrand::Rng::with_seed(seed),
             has_peers,
             active_at: BootTime::ZERO,
-            wary_until: BootTime::ZERO,
+            distrust_until: BootTime::ZERO,
         }
     }
 
@@ -268,7 +268,7 @@
         now: BootTime,
     ) -> SendClaim {
         let (Some(limit), Some(view)) = (self.book.limit(key), &self.view) else {
-            return SendClaim::Free;
+            return SendClaim::Held(DOUBT_PAUSE);
         };
         let ask = PermitAsk {
             id: self.rng.u64(..),
--- a/crates/plumgate/src/gateway/rate_limit/talk.rs
+++ b/crates/plumgate/src/gateway/rate_limit/talk.rs
@@ -18,10 +18,10 @@
 const REPORTS_MOST: usize = 30;
 /// Messages in one round to each node: it is told of a thousand servers a second.
 const MESSAGES_MOST: usize = 4;
-/// How long a node must have stood still to doubt what it then hears: messages may have waited as long.
+/// How long a node must have stood still to distrust what it then hears: messages may have waited as long.
 const STALL: Duration = Duration::from_millis(700);
-/// How long it doubts: until what is sent after the stall has come.
-const WARY_TIME: Duration = Duration::from_secs(1);
+/// How long it distrusts what loosens a limit: until what is sent after the stall has come.
+const DISTRUST_TIME: Duration = Duration::from_secs(1);
 
 /// What became of a message.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -101,7 +101,7 @@
     /// A node that stood still finds messages that have waited as long, and takes them for new.
     fn note_active(&mut self, now: BootTime) {
         if now.saturating_sub(self.active_at) > STALL {
-            self.wary_until = now + WARY_TIME;
+            self.distrust_until = now + DISTRUST_TIME;
         }
         self.active_at = now;
     }
@@ -111,7 +111,7 @@
         let Some(view) = &self.view else {
             return Vec::new();
         };
-        let mut letters: Vec<(SocketAddr, LimitNews)> = Vec::new();
+        let mut outgoing: Vec<(SocketAddr, LimitNews)> = Vec::new();
         let followers = u32::try_from(self.votes.followers()).unwrap_or(u32::MAX);
         let vote = |(node, address): &PeerPlace| {
             let news = LimitNews {
@@ -123,22 +123,22 @@
         };
         let collects = view.collector.is_none();
         match &view.collector {
-            Some(collector) => letters.push(vote(collector)),
+            Some(collector) => outgoing.push(vote(collector)),
             None => {
-                letters.extend(view.foreign.values().flatten().map(vote));
+                outgoing.extend(view.foreign.values().flatten().map(vote));
                 let members = view.members.iter();
-                letters.extend(members.map(|(_, address)| (*address, LimitNews::default())));
+                outgoing.extend(members.map(|(_, address)| (*address, LimitNews::default())));
             }
         }
         if collects {
             let stamp = self.rng.u64(..);
             self.votes.begin_round(stamp, now);
-            for (_, news) in &mut letters {
+            for (_, news) in &mut outgoing {
                 news.stamp = Some(stamp);
             }
         }
         let reports = self.book.tell(REPORTS_MOST * MESSAGES_MOST, collects, now);
-        let packets = letters
+        let packets = outgoing
             .into_iter()
             .flat_map(|(to, news)| self.post_news(exchange, to, news, &reports, moment));
         packets.collect()
@@ -229,7 +229,7 @@
     ) {
         let known = self.book.rate(report.server);
         let is_looser = known.is_some_and(|known| sighting.rate.is_none_or(|rate| rate > known));
-        if is_looser && now < self.wary_until {
+        if is_looser && now < self.distrust_until {
             return;
         }
         self.apply_report(report, sighting, tells, now);
