--- a/crates/plumgate/tests/limit_fleet/mod.rs
+++ b/crates/plumgate/tests/limit_fleet/mod.rs
@@ -2,6 +2,7 @@
 //! or reordered, and nodes that end, start again, stand still or are cut off.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+mod faults;
 mod judge;
 mod node;
 
@@ -188,53 +189,6 @@
         self.judge.note_limit(limit, self.now);
     }
 
-    /// A node ends and starts again after some time.
-    pub(crate) fn restart(&mut self, index: usize, pause: Duration) {
-        self.nodes[index].life += 1;
-        self.nodes[index].is_down = true;
-        let at = self.now + micros(pause);
-        self.at(at, FleetEvent::Start(index));
-    }
-
-    /// A node ends for good.
-    pub(crate) fn end(&mut self, index: usize) {
-        self.nodes[index].life += 1;
-        self.nodes[index].is_down = true;
-    }
-
-    /// A node stands still; `stops_clock` where its steady clock does too.
-    pub(crate) fn suspend(&mut self, index: usize, pause: Duration, stops_clock: bool) {
-        if self.nodes[index].is_down || self.nodes[index].stands_still {
-            return;
-        }
-        self.nodes[index].stands_still = true;
-        if stops_clock {
-            self.nodes[index].stood_still += pause;
-        }
-        let at = self.now + micros(pause);
-        self.at(at, FleetEvent::Resume(index));
-    }
-
-    /// Cuts nodes off from all others, but not from the server.
-    pub(crate) fn cut(&mut self, indexes: &[usize]) {
-        for index in indexes {
-            self.nodes[*index].is_cut = true;
-        }
-    }
-
-    /// What some nodes send does not reach some others, while the other direction works.
-    pub(crate) fn deafen(&mut self, pairs: impl IntoIterator<Item = (usize, usize)>) {
-        self.deaf_pairs = pairs.into_iter().collect();
-    }
-
-    /// Ends all cuts.
-    pub(crate) fn heal(&mut self) {
-        self.deaf_pairs.clear();
-        for node in &mut self.nodes {
-            node.is_cut = false;
-        }
-    }
-
     /// Whether a node believes that the server is limited.
     pub(crate) fn believes_limited(&self, index: usize) -> bool {
         self.nodes[index].limits.rate(&self.server).is_some()
@@ -308,32 +262,6 @@
         }
     }
 
-    fn resume(&mut self, index: usize) {
-        self.nodes[index].stands_still = false;
-        let waiting = std::mem::take(&mut self.nodes[index].waiting);
-        // What waited comes all at once, in any order.
-        let mut waiting = waiting;
-        self.rng.shuffle(&mut waiting);
-        for event in waiting {
-            let at = self.now + self.rng.u64(1..2_000);
-            self.at(at, event);
-        }
-    }
-
-    fn start_again(&mut self, index: usize) {
-        let offset = self.nodes[index].offset;
-        let seed = self.rng.u64(..);
-        let life = self.nodes[index].life;
-        let is_cut = self.nodes[index].is_cut;
-        let mut node = FleetNode::new(&self.entries[index], &self.entries, offset, seed);
-        node.life = life;
-        node.is_cut = is_cut;
-        node.started = self.now;
-        self.nodes[index] = node;
-        let at = self.now + self.rng.u64(0..ROUND);
-        self.at(at, FleetEvent::Round(index));
-    }
-
     fn round(&mut self, index: usize) {
         if self.nodes[index].is_down {
             return;
