--- /dev/null
+++ b/crates/plumgate/tests/limit_decisions.rs
@@ -0,0 +1,172 @@
+//! What single nodes decide about servers that name limits.
+
+mod entries;
+
+use std::time::{Duration, Instant};
+
+use plumgate::gateway::{
+    GatewayConfig, LimitChange, LimitSighting, LoadExchange, MailMoment, NewsDesk, NodeEntry,
+    RequestRate, SendClaim, ServerLimits, TalkMoment, WorkspaceKeys,
+};
+
+fn seconds(count: f64) -> Duration {
+    Duration::from_secs_f64(count)
+}
+
+/// Less urgent requests that were turned away kept more urgent ones of the same node from the server.
+#[test]
+fn most_urgent_requests_go_first_and_others_are_not_starved() {
+    let server = entries::server_entry("limited");
+    let mut limits = ServerLimits::new(false, 1);
+    let named = LimitSighting {
+        rate: RequestRate::new(5.0),
+        sent: seconds(1.0),
+        seen: seconds(1.0),
+    };
+    limits.note_answer(&server, named);
+    let mut sent = [0_u32; 2];
+    let mut now = seconds(2.0);
+    for step in 0..6_000 {
+        now += Duration::from_millis(10);
+        // Eight of nine requests are less urgent; either kind alone would use the limit up.
+        let urgency = if step % 9 == 0 { 1 } else { 4 };
+        if let SendClaim::Permitted(_) = limits.claim(&server, urgency, now) {
+            sent[usize::from(urgency == 4)] += 1;
+        }
+    }
+    let [urgent, others] = sent;
+    assert!(urgent >= 200, "{urgent} urgent and {others} others in 60 s");
+    assert!(others >= 20, "{urgent} urgent and {others} others in 60 s");
+}
+
+/// A request that waited for its connection was sent although its server had named a limit meanwhile.
+#[test]
+fn request_that_waited_for_a_connection_needs_a_permit_too() {
+    let server = entries::server_entry("limited");
+    let mut limits = ServerLimits::new(false, 1);
+    assert_eq!(limits.claim(&server, 0, seconds(1.0)), SendClaim::Free);
+    let named = LimitSighting {
+        rate: RequestRate::new(1.0),
+        sent: seconds(1.0),
+        seen: seconds(1.1),
+    };
+    limits.note_answer(&server, named);
+    assert!(!limits.allows(&server, None, seconds(1.2)));
+    let SendClaim::Permitted(permit) = limits.claim(&server, 0, seconds(4.0)) else {
+        panic!("the server gets one a second");
+    };
+    assert!(limits.allows(&server, Some(&permit), seconds(4.1)));
+    assert!(
+        !limits.allows(&server, Some(&permit), seconds(5.0)),
+        "it was saved up"
+    );
+}
+
+/// An answer that came late lifted a limit, or brought one back that had ended.
+#[test]
+fn answers_that_overtake_each_other_neither_lift_nor_restore_a_limit() {
+    let server = entries::server_entry("limited");
+    let mut limits = ServerLimits::new(false, 1);
+    let sighting = |rate: Option<f64>, sent: f64, seen: f64| LimitSighting {
+        rate: rate.and_then(RequestRate::new),
+        sent: seconds(sent),
+        seen: seconds(seen),
+    };
+    limits.note_answer(&server, sighting(Some(1.0), 10.0, 10.5));
+    // It left before the limit was seen: it may have been written before.
+    assert_eq!(
+        limits.note_answer(&server, sighting(None, 10.2, 11.0)),
+        None
+    );
+    assert_eq!(
+        limits.note_answer(&server, sighting(Some(9.0), 10.2, 11.0)),
+        None
+    );
+    let ended = limits.note_answer(&server, sighting(None, 11.0, 11.2));
+    assert_eq!(ended, Some(LimitChange::Ended));
+    // It came after the end, and was written before it.
+    assert_eq!(
+        limits.note_answer(&server, sighting(Some(1.0), 9.0, 10.9)),
+        None
+    );
+    assert_eq!(limits.rate(&server), None);
+}
+
+/// A server that started again under its id was held to the limit of the one before.
+#[test]
+fn server_that_starts_again_has_no_limit_and_its_entry_may_lapse_and_return() {
+    let mut limits = ServerLimits::new(false, 1);
+    let before = entries::born_entry("limited", 1);
+    let named = LimitSighting {
+        rate: RequestRate::new(1.0),
+        sent: seconds(1.0),
+        seen: seconds(1.0),
+    };
+    limits.note_answer(&before, named);
+    assert_eq!(limits.rate(&entries::born_entry("limited", 2)), None);
+    assert!(limits.rate(&entries::born_entry("limited", 1)).is_some());
+}
+
+/// One of two nodes that talk to each other, under the keys of a configuration.
+fn talker(own: &NodeEntry, entries: &[NodeEntry], key: &str) -> (LoadExchange, ServerLimits) {
+    let mut exchange = LoadExchange::new(own.clone());
+    exchange.set_nodes(entries.to_vec());
+    let workspace = WorkspaceKeys {
+        workspace: "lab".into(),
+        priority: None,
+    };
+    let config = GatewayConfig::default().with_workspace(&workspace, [key.to_owned()]);
+    let mut limits = ServerLimits::new(true, 1);
+    limits.set_config(&config);
+    (exchange, limits)
+}
+
+/// What a node believes that got a message about a limit, sealed under some key and some milliseconds ago.
+fn believes(key: &str, late_ms: u64) -> bool {
+    let entries = entries::node_entries(1, 2);
+    let (sender, mut told) = talker(&entries[0], &entries, key);
+    let (mut receiver, mut limits) = talker(&entries[1], &entries, "key-1");
+    let server = entries::server_entry("limited");
+    let named = LimitSighting {
+        rate: RequestRate::new(1.0),
+        sent: seconds(1.0),
+        seen: seconds(1.0),
+    };
+    told.note_answer(&server, named);
+    let mut desk = NewsDesk::new(seconds(5.0), 1);
+    let sent = MailMoment {
+        boot: seconds(1.1),
+        unix_ms: 1_767_225_600_000,
+    };
+    let came = MailMoment {
+        boot: seconds(500.0),
+        unix_ms: sent.unix_ms + late_ms,
+    };
+    let moment = TalkMoment {
+        now: Instant::now(),
+        boot: came.boot,
+    };
+    let packets = told.talk(&sender, sent);
+    assert!(!packets.is_empty(), "a limit is told");
+    for (_, bytes) in packets {
+        let from = entries[0].address;
+        let taken = receiver.receive(&bytes, from, &mut desk, moment);
+        taken.expect("a message");
+    }
+    let mail = receiver.take_mail();
+    let (_, outcome) = limits.hear(&receiver, mail, came);
+    let is_believed = limits.rate(&server).is_some();
+    assert_eq!(outcome.refused == 0, is_believed);
+    is_believed
+}
+
+/// Somebody who knows no keys, or sends an old message once more, told nodes of limits.
+#[test]
+fn forged_and_old_messages_change_nothing() {
+    assert!(believes("key-1", 0), "a node is believed");
+    assert!(!believes("another key", 0), "a stranger is not");
+    assert!(
+        !believes("key-1", 60_000),
+        "nor is what was said a minute ago"
+    );
+}
