--- a/crates/plumgate/tests/limit_decisions.rs
+++ b/crates/plumgate/tests/limit_decisions.rs
@@ -170,3 +170,61 @@
         "nor is what was said a minute ago"
     );
 }
+
+/// Has a node that knows of a limit hear of its end, in a message that was on its way for some time; whether it
+/// believes that.
+fn believes_end(known_seen: f64, end_sent: f64, told: f64, heard: f64, rounds: &[f64]) -> bool {
+    let entries = entries::node_entries(1, 2);
+    let (sender, mut teller) = talker(&entries[0], &entries, "key-1");
+    let (mut receiver, mut limits) = talker(&entries[1], &entries, "key-1");
+    let server = entries::server_entry("limited");
+    let sighting = |rate: Option<f64>, sent: f64| LimitSighting {
+        rate: rate.and_then(RequestRate::new),
+        sent: seconds(sent),
+        seen: seconds(sent + 0.01),
+    };
+    let mail = |at: f64| MailMoment {
+        boot: seconds(at),
+        unix_ms: 1_767_225_600_000,
+    };
+    teller.note_answer(&server, sighting(Some(1.0), 5.0));
+    teller.note_answer(&server, sighting(None, end_sent));
+    limits.note_answer(&server, sighting(Some(1.0), known_seen));
+    for at in rounds {
+        limits.talk(&receiver, mail(*at));
+    }
+    let mut desk = NewsDesk::new(seconds(5.0), 1);
+    let moment = TalkMoment {
+        now: Instant::now(),
+        boot: seconds(heard),
+    };
+    for (_, bytes) in teller.talk(&sender, mail(told)) {
+        let taken = receiver.receive(&bytes, entries[0].address, &mut desk, moment);
+        taken.expect("a message");
+    }
+    let mails = receiver.take_mail();
+    limits.hear(&receiver, mails, mail(heard));
+    limits.rate(&server).is_none()
+}
+
+/// A message that came late said that a limit had ended which the server named again meanwhile.
+#[test]
+fn end_that_is_told_late_lifts_no_newer_limit() {
+    let rounds = [8.0, 8.4, 8.8, 9.2, 9.6];
+    assert!(believes_end(8.0, 9.5, 9.6, 9.7, &rounds), "news in time");
+    let rounds = [8.8, 9.2, 9.6, 10.0, 10.4];
+    assert!(
+        !believes_end(10.0, 9.5, 9.6, 10.4, &rounds),
+        "0.8 s on its way"
+    );
+}
+
+/// A node that woke believed what had waited for it as long as it stood still.
+#[test]
+fn node_that_wakes_believes_no_end_that_waited_for_it() {
+    let before = [15.8, 16.0];
+    assert!(
+        !believes_end(15.0, 16.9, 17.0, 20.0, &before),
+        "it stood still from 16 to 20"
+    );
+}
--- a/crates/plumgate/tests/server_limits.rs
+++ b/crates/plumgate/tests/server_limits.rs
@@ -252,3 +252,23 @@
         "{quiet} bytes, {after} after the limit"
     );
 }
+
+/// A node that started became the issuer at once, while the one before it did not hear it and went on.
+#[test]
+fn new_issuer_waits_until_the_one_before_can_act_no_more() {
+    for index in 0..5 {
+        let mut shape = FleetShape::new(1, 5, 160.0);
+        shape.seed = 100 + index as u64;
+        let mut fleet = LimitFleet::new(shape);
+        fleet.run(seconds(3.0));
+        fleet.set_limit(Some(40.0));
+        fleet.run(seconds(4.0));
+        fleet.restart(index, seconds(4.0));
+        fleet.run(seconds(3.9));
+        let before = fleet.issuers();
+        assert_eq!(before.len(), 1, "node {index} is down");
+        fleet.deafen([(index, before[0])]);
+        fleet.run(seconds(8.0));
+        assert_kept(&fleet, &format!("node {index} started again"));
+    }
+}
