gateway: a resumed stream pays one retry, whatever limited servers turn it away

Found while reading the diff. What callers would see: streams and requests that may be repeated run out of the fleet's retries sooner while servers are limited. Cause: each server that was passed over for its limit was one more turn of the loop that takes a retry from the budget first. Now one retry is paid, and servers are asked for until one may get the stream or its time is over. The test (resumed_streams_and_retries_...) was red before: 142 retries paid for 124 runs again.

Also: a request that finds its server free again just as it would wait for it is placed anew rather than refused.

--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -99,8 +99,10 @@
     async fn await_limit(&mut self) -> Result<(), CallerError> {
         let now = self.shared.clock.now();
         let placement = self.request.placement(&self.tried, false);
-        let held = self.shared.loads().held_until(&placement, now);
-        let held_for = held.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
+        let Some(held) = self.shared.loads().held_until(&placement, now) else {
+            return Ok(());
+        };
+        let held_for = held.saturating_duration_since(now);
         let waited = now.saturating_duration_since(self.request.arrived);
         let patience = self.request.route.target.mul_f64(LIMIT_WAIT_SHARE);
         if waited + held_for <= patience {
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -248,15 +248,9 @@
         }
         self.run.settle().await;
         while self.run.allow_run_again(reason) {
-            let now = self.run.shared.clock.now();
-            let apart = self.run.verdict() == RequestVerdict::SendApart;
-            let placement = self.run.request.placement(&self.run.tried, apart);
-            let Some(pick) = self.run.shared.loads().pick(&placement, now) else {
+            let Some((pick, permit)) = self.next_server().await else {
                 return false;
             };
-            let Ok(permit) = self.run.claim(&pick).await else {
-                continue;
-            };
             if self.go_on_at(&pick, permit).await {
                 return true;
             }
@@ -264,6 +258,20 @@
         false
     }
 
+    /// The next server that the stream may go on at, and the permit that it takes to send there.
+    async fn next_server(&self) -> Option<(ServerPick, Option<SendPermit>)> {
+        while !self.run.left().is_zero() {
+            let now = self.run.shared.clock.now();
+            let apart = self.run.verdict() == RequestVerdict::SendApart;
+            let placement = self.run.request.placement(&self.run.tried, apart);
+            let pick = self.run.shared.loads().pick(&placement, now)?;
+            if let Ok(permit) = self.run.claim(&pick).await {
+                return Some((pick, permit));
+            }
+        }
+        None
+    }
+
     /// Goes on at a certain server.
     async fn go_on_at(&mut self, pick: &ServerPick, permit: Option<SendPermit>) -> bool {
         let resume_after = self.splitter.last_id();
