gateway: servers' notices of leaving and resting are read, logged and counted

Change: the answer's Server-Leaving and Retry-After are decoded in platform/, once; a book of notices by incarnation keeps them; server_notice is logged when one is new, noticed_send for each request that leaves for such a server, with its cause. No decision reads the book yet. The statements of a server (limits, notices) stand behind one lock now. An answer of another server (X-Instance-Id) states nothing.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -48,6 +48,7 @@
         };
     }
     shared.note_limited_send(&order.request.id, order.server, order.cause);
+    shared.note_noticed_send(&order.request.id, order.server, order.cause);
     let request = outgoing(shared, &order);
     let wait_until = order.head_by.min(order.request.due + LAST_WORD);
     let life = work.life();
@@ -169,11 +170,12 @@
     mut work: WorkGuard<C, W>,
 ) -> AttemptEnd<C, W> {
     let (head, body) = response.into_parts();
+    let (id, server) = (&order.request.id, &order.server.id);
     let facts = shared
         .wire
-        .read_answer(&order.request.id, head.status, &head.headers);
+        .read_answer(id, server, head.status, &head.headers);
     if let Some(statement) = facts.statement {
-        work.note_statement(statement);
+        work.note_statement(&statement);
     }
     match facts.meaning {
         AnswerMeaning::Own => {
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -156,7 +156,11 @@
                 return;
             }
             let moment = self.mail_moment();
-            let (packets, outcome) = self.shared.limits().hear(&exchange, mail, moment);
+            let (packets, outcome) = self
+                .shared
+                .statements()
+                .limits
+                .hear(&exchange, mail, moment);
             self.note_refused(outcome.refused);
             if outcome.is_answer {
                 self.shared.limit_answered.notify(usize::MAX);
@@ -185,7 +189,7 @@
             let packets = {
                 let exchange = self.exchange.borrow();
                 let moment = self.mail_moment();
-                self.shared.limits().take_asks(&exchange, moment)
+                self.shared.statements().limits.take_asks(&exchange, moment)
             };
             if packets.is_empty() {
                 asked.await;
@@ -234,16 +238,19 @@
                     duties.swap_news(&mut exchange);
                 }
                 let mut packets = exchange.tick(loads.own_work(), &mut self.view.news(), moment);
-                let mut limits = self.shared.limits();
-                let knew_limits = !limits.is_empty();
-                packets.extend(limits.talk(&exchange, self.mail_moment()));
+                let mut statements = self.shared.statements();
+                let knew_limits = !statements.limits.is_empty();
+                packets.extend(statements.limits.talk(&exchange, self.mail_moment()));
+                let is_known = |life| loads.entries().any(|entry| entry.life_key() == life);
+                statements.notices.forget_old(moment.boot, is_known);
                 if knew_limits {
-                    loads.set_limits(&limits);
+                    loads.set_limits(&statements.limits);
                 }
                 packets
             };
             self.shared.log_suspects();
             self.shared.note_limited();
+            self.shared.note_noticed();
             self.note_collector();
             self.note_nodes();
             self.send_all(packets).await;
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -39,6 +39,15 @@
     pub(crate) reason: &'static str,
 }
 
+/// A notice of a server.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct NoticeLabels {
+    /// `leaving` or `resting`.
+    pub(crate) notice: &'static str,
+    /// Where it was learnt, or what made the node send a request all the same.
+    pub(crate) source: &'static str,
+}
+
 /// A call to the source.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct CallLabels {
@@ -112,6 +121,14 @@
     pub(crate) limit_holds: Counter,
     /// Limits that servers named and that make no sense.
     pub(crate) limits_malformed: Counter,
+    /// Notices of servers that leave or rest.
+    pub(crate) notices: Family<NoticeLabels, Counter>,
+    /// Requests sent to servers that had given such a notice.
+    pub(crate) noticed_sends: Family<NoticeLabels, Counter>,
+    /// Servers that are known to leave.
+    pub(crate) leaving_servers: Gauge,
+    /// Servers that rest.
+    pub(crate) resting_servers: Gauge,
 }
 
 impl GatewayMetrics {
@@ -145,6 +162,10 @@
             limit_issuer: Gauge::default(),
             limit_holds: Counter::default(),
             limits_malformed: Counter::default(),
+            notices: Family::default(),
+            noticed_sends: Family::default(),
+            leaving_servers: Gauge::default(),
+            resting_servers: Gauge::default(),
         };
         metrics.registry = metrics.register(Registry::with_prefix("plumgate_gateway"));
         metrics
@@ -225,6 +246,26 @@
             "Limits of servers that make no sense",
             self.limits_malformed.clone(),
         );
+        registry.register(
+            "notices",
+            "Notices of servers that leave or rest",
+            self.notices.clone(),
+        );
+        registry.register(
+            "noticed_sends",
+            "Requests sent to servers that leave or rest",
+            self.noticed_sends.clone(),
+        );
+        registry.register(
+            "leaving_servers",
+            "Servers that said that they leave",
+            self.leaving_servers.clone(),
+        );
+        registry.register(
+            "resting_servers",
+            "Servers that asked for a rest",
+            self.resting_servers.clone(),
+        );
         registry.register(
             "duty_number",
             "Generation number of the duties held here",
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod request;
 mod run;
 mod server_limits;
+mod server_notices;
 mod shared;
 mod source_calls;
 mod stream;
--- a/crates/plumgate-node/src/gateway/ports.rs
+++ b/crates/plumgate-node/src/gateway/ports.rs
@@ -233,8 +233,14 @@
     /// dropped, and the attempt's own are set.
     fn write_attempt(&self, headers: &mut HeaderMap, facts: &AttemptFacts<'_>);
 
-    /// Reads the head of a server's answer to the request with this id.
-    fn read_answer(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+    /// Reads the head of an answer to the request with this id, which was sent to a server.
+    fn read_answer(
+        &self,
+        id: &str,
+        server: &ServerId,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> AnswerFacts;
 
     /// Names the caller's attempt in an answer of the node's own, and when to come back.
     fn write_own_answer(&self, headers: &mut HeaderMap, id: &str, retry_after: Option<Duration>);
--- a/crates/plumgate-node/src/gateway/server_limits.rs
+++ b/crates/plumgate-node/src/gateway/server_limits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use plumgate::gateway::{
-    ANSWER_TIMEOUT, ASK_AGAIN, AskId, BootTime, LimitEvent, LimitSighting, RateStatement,
+    ANSWER_TIMEOUT, ASK_AGAIN, AnswerTimes, AskId, LimitEvent, LimitSighting, RateStatement,
     SendClaim, SendPermit, ServerEntry, ServerStatement,
 };
 
@@ -43,12 +43,12 @@
 }
 
 impl<C: Clock, W> GatewayShared<C, W> {
-    /// Takes in what a server said of itself in the answer to a request that left at some time.
-    pub(crate) fn note_statement(
+    /// Takes in the limit that a server named in an answer.
+    pub(super) fn note_limit(
         &self,
         server: &ServerEntry,
-        statement: ServerStatement,
-        sent: BootTime,
+        statement: &ServerStatement,
+        times: AnswerTimes,
     ) {
         let rate = match statement.rate_limit {
             RateStatement::Unlimited => None,
@@ -61,9 +61,12 @@
                 return;
             }
         };
-        let seen = self.clock.boot_time();
-        let sighting = LimitSighting { rate, sent, seen };
-        let change = self.limits().note_answer(server, sighting);
+        let sighting = LimitSighting {
+            rate,
+            sent: times.sent,
+            seen: times.seen,
+        };
+        let change = self.statements().limits.note_answer(server, sighting);
         if let Some(change) = change {
             LogLine::new("server_limit")
                 .with("server", &server.id)
@@ -83,7 +86,7 @@
         urgency: u8,
     ) -> Result<Option<SendPermit>, Duration> {
         let now = self.clock.boot_time();
-        let claimed = self.limits().claim(server, urgency, now);
+        let claimed = self.statements().limits.claim(server, urgency, now);
         let claimed = match claimed {
             SendClaim::Asked(id) => self.await_answer(id).await,
             known => Some(known),
@@ -94,7 +97,7 @@
             Some(SendClaim::Held(pause)) => Err(pause),
             Some(SendClaim::Asked(_)) | None => {
                 let now = self.clock.boot_time();
-                let held = self.limits().held_for(server, urgency, now);
+                let held = self.statements().limits.held_for(server, urgency, now);
                 Err(held.unwrap_or(ANSWER_TIMEOUT))
             }
         }
@@ -109,7 +112,7 @@
         loop {
             let answered = self.limit_answered.listen();
             let now = self.clock.boot_time();
-            let claim = self.limits().take_answer(waiting.id, now);
+            let claim = self.statements().limits.take_answer(waiting.id, now);
             if claim.is_some() {
                 return claim;
             }
@@ -123,7 +126,7 @@
                 return None;
             }
             ask_again += ASK_AGAIN;
-            self.limits().ask_again(waiting.id);
+            self.statements().limits.ask_again(waiting.id);
             self.limit_asked.notify(1);
         }
     }
@@ -143,7 +146,7 @@
 
     /// Logs what other nodes told of limits.
     pub(crate) fn log_told_limits(&self) {
-        let events = self.limits().take_events();
+        let events = self.statements().limits.take_events();
         for event in events {
             self.log_told_limit(&event);
         }
@@ -162,10 +165,11 @@
     /// Counts the servers that are limited, and logs whether this node issues their permits.
     pub(crate) fn note_limited(&self) {
         let now = self.clock.boot_time();
-        let limits = self.limits();
+        let statements = self.statements();
+        let limits = &statements.limits;
         let count = limits.limited().count();
         let issues = limits.issues(now);
-        drop(limits);
+        drop(statements);
         let gauge = i64::try_from(count).unwrap_or(i64::MAX);
         self.metrics.limited_servers.set(gauge);
         let issuing = i64::from(issues);
@@ -180,7 +184,8 @@
     pub(crate) fn limits_page(&self) -> String {
         let now = self.clock.boot_time();
         let loads = self.loads();
-        let limits = self.limits();
+        let statements = self.statements();
+        let limits = &statements.limits;
         let mut page = format!("issuer={}\n", limits.issues(now));
         for server in loads.entries() {
             let Some(rate) = limits.rate(server) else {
@@ -203,7 +208,7 @@
 
     /// Logs and counts a request that leaves for a server which has named a limit.
     pub(crate) fn note_limited_send(&self, request: &str, server: &ServerEntry, cause: SendCause) {
-        let Some(rate) = self.limits().rate(server) else {
+        let Some(rate) = self.statements().limits.rate(server) else {
             return;
         };
         let labels = ReasonLabels {
@@ -228,6 +233,6 @@
 impl<C: Clock, W> Drop for AskGuard<'_, C, W> {
     fn drop(&mut self) {
         let now = self.shared.clock.boot_time();
-        self.shared.limits().abandon(self.id, now);
+        self.shared.statements().limits.abandon(self.id, now);
     }
 }
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -0,0 +1,124 @@
+//! Servers that said that they leave or asked for a rest: what operators see of it.
+
+use plumgate::gateway::{
+    AnswerTimes, LeaveStatement, NoticeChange, RestStatement, ServerEntry, ServerStatement,
+};
+
+use super::metrics::NoticeLabels;
+use super::server_limits::SendCause;
+use super::shared::GatewayShared;
+use crate::clock::Clock;
+use crate::log::LogLine;
+
+/// The notice of a server that leaves.
+const LEAVING: &str = "leaving";
+/// The notice of a server that asked for a rest.
+const RESTING: &str = "resting";
+
+impl<C: Clock, W> GatewayShared<C, W> {
+    /// Takes in what a server said of its leaving and resting in an answer.
+    pub(super) fn note_notices(
+        &self,
+        server: &ServerEntry,
+        statement: &ServerStatement,
+        times: AnswerTimes,
+    ) {
+        if statement.leaving == LeaveStatement::Malformed {
+            self.note_malformed(LEAVING, server);
+        }
+        if statement.rest == RestStatement::Malformed {
+            self.note_malformed(RESTING, server);
+        }
+        let changes = self.statements().note_notices(server, statement, times);
+        for change in changes {
+            self.log_notice(server, change, times);
+        }
+        self.note_dropped_notices();
+    }
+
+    fn note_malformed(&self, notice: &'static str, server: &ServerEntry) {
+        let labels = NoticeLabels {
+            notice,
+            source: "malformed",
+        };
+        self.metrics.notices.get_or_create(&labels).inc();
+        LogLine::new("server_notice_malformed")
+            .with("server", &server.id)
+            .with("notice", notice)
+            .info(&self.log);
+    }
+
+    fn log_notice(&self, server: &ServerEntry, change: NoticeChange, times: AnswerTimes) {
+        let notice = match change {
+            NoticeChange::Leaves => LEAVING,
+            NoticeChange::Rests(_) => RESTING,
+        };
+        let labels = NoticeLabels {
+            notice,
+            source: "answer",
+        };
+        self.metrics.notices.get_or_create(&labels).inc();
+        let line = LogLine::new("server_notice")
+            .with("server", &server.id)
+            .with("life", format!("{:016x}", server.life_key()))
+            .with("notice", notice)
+            .with("source", "answer");
+        let line = match change {
+            NoticeChange::Leaves => line,
+            NoticeChange::Rests(rest) => line
+                .with("rest_ms", rest.until.saturating_sub(times.seen).as_millis())
+                .with("extended", rest.is_extended),
+        };
+        line.info(&self.log);
+    }
+
+    /// Logs that there was no room for what servers said.
+    fn note_dropped_notices(&self) {
+        let dropped = self.statements().notices.take_dropped();
+        if dropped > 0 {
+            LogLine::new("server_notice_dropped")
+                .with("count", dropped)
+                .warn(&self.log);
+        }
+    }
+
+    /// Logs and counts a request that leaves for a server which has said that it leaves, or asked for a rest.
+    pub(crate) fn note_noticed_send(&self, request: &str, server: &ServerEntry, cause: SendCause) {
+        let now = self.clock.boot_time();
+        let statements = self.statements();
+        let leaving = statements.notices.leaving_since(server);
+        let rest = statements.notices.rest_left(server, now);
+        drop(statements);
+        let line = LogLine::new("noticed_send")
+            .with("request", request)
+            .with("server", &server.id)
+            .with("cause", cause.as_str());
+        let line = match (leaving, rest) {
+            (None, None) => return,
+            (Some(since), _) => line
+                .with("notice", LEAVING)
+                .with("since_ms", now.saturating_sub(since).as_millis()),
+            (None, Some(left)) => line
+                .with("notice", RESTING)
+                .with("left_ms", left.as_millis()),
+        };
+        line.info(&self.log);
+        let labels = NoticeLabels {
+            notice: if leaving.is_some() { LEAVING } else { RESTING },
+            source: cause.as_str(),
+        };
+        self.metrics.noticed_sends.get_or_create(&labels).inc();
+    }
+
+    /// Counts the servers that leave and those that rest.
+    pub(crate) fn note_noticed(&self) {
+        let now = self.clock.boot_time();
+        let statements = self.statements();
+        let leaving = statements.notices.leaving_count();
+        let resting = statements.notices.resting_count(now);
+        drop(statements);
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.leaving_servers.set(gauge(leaving));
+        self.metrics.resting_servers.set(gauge(resting));
+    }
+}
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -9,9 +9,9 @@
 use event_listener::Event;
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
-    BootTime, FreshnessLease, GatewayConfig, LinkAge, LoadTable, PlacementOptions, QuarantineTable,
-    RequestHold, RequestIdentity, RunFinding, RunTicket, SendPermit, ServerEntry, ServerLimits,
-    ServerStatement, WindowBudget, WorkEnd, WorkTicket,
+    AnswerTimes, BootTime, FreshnessLease, GatewayConfig, LinkAge, LoadTable, PlacementOptions,
+    QuarantineTable, RequestHold, RequestIdentity, RunFinding, RunTicket, SendPermit, ServerEntry,
+    ServerStatement, ServerStatements, WindowBudget, WorkEnd, WorkTicket,
 };
 use plumgate::ids::WorkspaceId;
 use xxhash_rust::xxh3::xxh3_64;
@@ -72,7 +72,7 @@
     loads: Mutex<LoadTable>,
     budget: Mutex<WindowBudget>,
     quarantine: Mutex<QuarantineTable>,
-    limits: Mutex<ServerLimits>,
+    statements: Mutex<ServerStatements>,
     usage: Mutex<UsageTally>,
     /// The time of day that the nodes agree on, less the time since the VM started, in milliseconds.
     pub(crate) day_offset_ms: AtomicI64,
@@ -120,7 +120,7 @@
             loads: Mutex::new(LoadTable::new(placement)),
             budget: Mutex::new(budget),
             quarantine: Mutex::new(QuarantineTable::new(options.peer_listen.is_some())),
-            limits: Mutex::new(ServerLimits::new(
+            statements: Mutex::new(ServerStatements::new(
                 options.peer_listen.is_some(),
                 limits_seed,
             )),
@@ -164,9 +164,9 @@
         lock(&self.quarantine)
     }
 
-    /// The limits that servers named.
-    pub(crate) fn limits(&self) -> MutexGuard<'_, ServerLimits> {
-        lock(&self.limits)
+    /// What servers said of themselves.
+    pub(crate) fn statements(&self) -> MutexGuard<'_, ServerStatements> {
+        lock(&self.statements)
     }
 
     /// What this node counts of usage.
@@ -371,7 +371,8 @@
         let now = self.shared.clock.now();
         self.sent = self.shared.clock.boot_time();
         let permit = self.permit.as_ref();
-        if !self.shared.limits().allows(&self.server, permit, self.sent) {
+        let allows = (self.shared.statements().limits).allows(&self.server, permit, self.sent);
+        if !allows {
             return Err(RunRefusal::Limited);
         }
         let mut quarantine = self.shared.quarantine();
@@ -382,9 +383,14 @@
     }
 
     /// The server said something of itself in its answer.
-    pub(crate) fn note_statement(&self, statement: ServerStatement) {
-        self.shared
-            .note_statement(&self.server, statement, self.sent);
+    pub(crate) fn note_statement(&self, statement: &ServerStatement) {
+        let times = AnswerTimes {
+            sent: self.sent,
+            seen: self.shared.clock.boot_time(),
+            seen_unix_ms: self.shared.clock.unix_ms(),
+        };
+        self.shared.note_limit(&self.server, statement, times);
+        self.shared.note_notices(&self.server, statement, times);
     }
 
     /// The server surely has the request: the head of its answer came.
@@ -412,7 +418,7 @@
     fn drop(&mut self) {
         let now = self.shared.clock.now();
         if let Some(permit) = self.permit.take() {
-            self.shared.limits().give_back(permit);
+            self.shared.statements().limits.give_back(permit);
         }
         if let Some(ticket) = self.ticket.take() {
             self.shared.loads().finish(ticket, self.end, now);
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -330,7 +330,7 @@
         self.shared.metrics.config_version.set(version);
         self.news().set_config(config.version);
         self.shared.quarantine().set_config(&config);
-        self.shared.limits().set_config(&config);
+        self.shared.statements().set_config(&config);
         self.shared.config.store(Some(config));
         true
     }
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod servers;
+pub mod statements;
 pub mod switches;
 pub mod work;
 
@@ -43,8 +44,12 @@
 };
 pub use rate_limit::{
     ANSWER_TIMEOUT, ASK_AGAIN, AskId, BootTime, LimitChange, LimitEvent, LimitSighting, MailMoment,
-    MailOutcome, RateStatement, RequestRate, SendClaim, SendPermit, ServerLimits, ServerStatement,
+    MailOutcome, RateStatement, RequestRate, SendClaim, SendPermit, ServerLimits,
+};
+pub use servers::{LifeKey, ServerEntry, ServerState, ServerTable};
+pub use statements::{
+    AnswerTimes, LeaveStatement, NoticeBook, NoticeChange, RestNotice, RestStatement,
+    ServerStatement, ServerStatements,
 };
-pub use servers::{ServerEntry, ServerState, ServerTable};
 pub use switches::{PolicyPart, PolicySwitches};
 pub use work::{ServerWork, WorkEnd, WorkTicket};
--- a/crates/plumgate/src/gateway/rate_limit/mod.rs
+++ b/crates/plumgate/src/gateway/rate_limit/mod.rs
@@ -17,6 +17,6 @@
 pub use desk::{ANSWER_TIMEOUT, ASK_AGAIN, SendPermit};
 pub use messages::AskId;
 pub use observed::{BootTime, LimitChange, LimitSighting};
-pub use statement::{RateStatement, RequestRate, ServerStatement};
+pub use statement::{RateStatement, RequestRate};
 pub use table::{LimitEvent, SendClaim, ServerLimits};
 pub use talk::{MailMoment, MailOutcome};
--- a/crates/plumgate/src/gateway/rate_limit/statement.rs
+++ b/crates/plumgate/src/gateway/rate_limit/statement.rs
@@ -1,4 +1,4 @@
-//! What a backend server says of itself in an answer, beside the answer.
+//! The rate of requests that a backend server names in an answer.
 
 use std::fmt;
 use std::time::Duration;
@@ -50,10 +50,3 @@
     /// It names something that is no limit; nothing follows from it.
     Malformed,
 }
-
-/// All that an answer says of its server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ServerStatement {
-    /// The requests that the server takes.
-    pub rate_limit: RateStatement,
-}
--- a/crates/plumgate/src/gateway/servers.rs
+++ b/crates/plumgate/src/gateway/servers.rs
@@ -22,6 +22,9 @@
 /// Milliseconds of Unix time at which a server started, as it says itself.
 pub type BirthTime = u64;
 
+/// Names one incarnation of a server among all: a digest of its id and birth.
+pub type LifeKey = u64;
+
 /// One incarnation of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
@@ -61,7 +64,12 @@
     /// The short name that nodes give this incarnation among themselves.
     pub fn incarnation_key(&self) -> u32 {
         // The lower half tells a few thousand servers apart.
-        xxh3_64_with_seed(self.id.as_bytes(), self.born.unwrap_or(0)) as u32
+        self.life_key() as u32
+    }
+
+    /// The name of this incarnation where two must not be taken for one.
+    pub fn life_key(&self) -> LifeKey {
+        xxh3_64_with_seed(self.id.as_bytes(), self.born.unwrap_or(0))
     }
 }
 
--- /dev/null
+++ b/crates/plumgate/src/gateway/statements/notices.rs
@@ -0,0 +1,151 @@
+//! The servers that said that they leave, and those that asked this node for a rest, by incarnation.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::gateway::rate_limit::BootTime;
+use crate::gateway::servers::{LifeKey, ServerEntry};
+
+/// How long it is remembered that a server leaves which nobody hears of any more.
+const LEAVE_MEMORY: Duration = Duration::from_secs(600);
+/// Servers that are remembered, some 100 bytes each.
+const NOTICES_MOST: usize = 8_192;
+
+/// How an answer changed what is known of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoticeChange {
+    /// The server leaves.
+    Leaves,
+    /// It wants no requests for longer than was known.
+    Rests(RestNotice),
+}
+
+/// A rest that a server asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RestNotice {
+    /// When it ends, by the time since the VM started.
+    pub until: BootTime,
+    /// Whether it makes an earlier one longer.
+    pub is_extended: bool,
+}
+
+/// What one server said.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServerNotice {
+    /// When it was first known here that it leaves.
+    leaving_since: Option<BootTime>,
+    /// When that was last said.
+    leaving_heard: BootTime,
+    rest_until: Option<BootTime>,
+}
+
+impl ServerNotice {
+    fn matters(&self, now: BootTime) -> bool {
+        let is_remembered = now.saturating_sub(self.leaving_heard) < LEAVE_MEMORY;
+        let rests = self.rest_until.is_some_and(|until| now < until);
+        rests || self.leaving_since.is_some() && is_remembered
+    }
+}
+
+/// All that servers said to one node of their leaving and resting.
+///
+/// Only another incarnation of a server is free of it: neither an older row nor an answer that was on its way
+/// takes it back.
+#[derive(Debug, Default)]
+pub struct NoticeBook {
+    notices: BTreeMap<LifeKey, ServerNotice>,
+    /// Notices for which there was no room.
+    dropped: u64,
+}
+
+impl NoticeBook {
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.notices.is_empty()
+    }
+
+    /// A server said that it leaves; whether that is new.
+    pub fn note_leaving(&mut self, life: LifeKey, now: BootTime) -> bool {
+        let Some(notice) = self.notice(life, now) else {
+            return false;
+        };
+        notice.leaving_heard = now;
+        let is_new = notice.leaving_since.is_none();
+        notice.leaving_since.get_or_insert(now);
+        is_new
+    }
+
+    /// A server asked for a rest. A shorter one that follows a longer one changes nothing.
+    pub fn note_rest(
+        &mut self,
+        life: LifeKey,
+        rest: Duration,
+        now: BootTime,
+    ) -> Option<RestNotice> {
+        let until = now.saturating_add(rest);
+        let notice = self.notice(life, now)?;
+        let before = notice.rest_until.filter(|before| now < *before);
+        if rest.is_zero() || before.is_some_and(|before| until <= before) {
+            return None;
+        }
+        notice.rest_until = Some(until);
+        Some(RestNotice {
+            until,
+            is_extended: before.is_some(),
+        })
+    }
+
+    fn notice(&mut self, life: LifeKey, now: BootTime) -> Option<&mut ServerNotice> {
+        if !self.notices.contains_key(&life) && self.notices.len() >= NOTICES_MOST {
+            self.forget_old(now, |_| false);
+            if self.notices.len() >= NOTICES_MOST {
+                self.dropped += 1;
+                return None;
+            }
+        }
+        Some(self.notices.entry(life).or_default())
+    }
+
+    /// Since when a server is known to leave.
+    pub fn leaving_since(&self, server: &ServerEntry) -> Option<BootTime> {
+        self.notices.get(&server.life_key())?.leaving_since
+    }
+
+    /// How long a server still wants no requests.
+    pub fn rest_left(&self, server: &ServerEntry, now: BootTime) -> Option<Duration> {
+        let until = self.notices.get(&server.life_key())?.rest_until?;
+        let left = until.saturating_sub(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Servers that are known to leave.
+    pub fn leaving_count(&self) -> usize {
+        let notices = self.notices.values();
+        notices
+            .filter(|notice| notice.leaving_since.is_some())
+            .count()
+    }
+
+    /// Servers that rest now.
+    pub fn resting_count(&self, now: BootTime) -> usize {
+        let notices = self.notices.values();
+        notices
+            .filter(|notice| notice.rest_until.is_some_and(|until| now < until))
+            .count()
+    }
+
+    /// Notices for which there was no room since the last call.
+    pub fn take_dropped(&mut self) -> u64 {
+        std::mem::take(&mut self.dropped)
+    }
+
+    /// Forgets what no longer matters; of servers that are still known nothing is forgotten.
+    pub fn forget_old(&mut self, now: BootTime, is_known: impl Fn(LifeKey) -> bool) {
+        self.notices.retain(|life, notice| {
+            if !notice.matters(now) && notice.leaving_since.is_some() && is_known(*life) {
+                notice.leaving_heard = now;
+            }
+            notice.matters(now)
+        });
+    }
+}
