gateway: no request leaves for a server that said that it leaves

Cause: nobody kept to the word. Ruled out by the log of the red test: a row that takes the word back, retries.

Change: what a server says of itself binds every request to that incarnation. One function, ServerStatements::check, is asked right before a request is written, whatever led there; placement leaves such servers out before. Only another incarnation is free of it: rows, lists and answers that were on their way are not. While no other server can take work, a leaving one is used for the time that it promised (bounds.drainMs, half a second less); then the refusal is at once, with reason server_leaving. A request that is stopped there was seen by nobody: it pays no retry and counts as no try. Orders of servers, copies of shared parts and the signs of servers' ends count a leaving server as gone.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -13,7 +13,7 @@
 use super::answer::drop_connection_headers;
 use super::ports::{AnswerMeaning, AttemptFacts, WireFormat};
 use super::request::{AttemptEnd, AttemptOrder, RESTARTED, ServerAnswer};
-use super::shared::{GatewayShared, WorkGuard};
+use super::shared::{GatewayShared, RunRefusal, WorkGuard};
 use crate::clock::{Clock, until};
 use crate::http::OutgoingRequest;
 use crate::link::{HttpLink, LinkError};
@@ -40,12 +40,19 @@
             };
         }
     };
-    // Another end, or a limit, may have come to light while the connection was opened.
-    if let Err(refusal) = work.begin_run(order.request.identity, age) {
-        return AttemptEnd::NotRun {
-            reason: refusal.as_str(),
-            arrived: false,
-        };
+    // Another end, or the server's own word, may have come to light while the connection was opened.
+    match work.begin_run(order.request.identity, age) {
+        Ok(()) => {}
+        Err(RunRefusal::Barred(refusal)) => {
+            work.judge(WorkEnd::Unsent);
+            return AttemptEnd::Barred(refusal);
+        }
+        Err(RunRefusal::Held(hold)) => {
+            return AttemptEnd::NotRun {
+                reason: hold.reason.as_str(),
+                arrived: false,
+            };
+        }
     }
     shared.note_limited_send(&order.request.id, order.server, order.cause);
     shared.note_noticed_send(&order.request.id, order.server, order.cause);
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -241,6 +241,9 @@
                 let mut statements = self.shared.statements();
                 let knew_limits = !statements.limits.is_empty();
                 packets.extend(statements.limits.talk(&exchange, self.mail_moment()));
+                if !statements.notices.is_empty() {
+                    loads.set_standings(&statements.notices, moment.boot, moment.now);
+                }
                 let is_known = |life| loads.entries().any(|entry| entry.life_key() == life);
                 statements.notices.forget_old(moment.boot, is_known);
                 if knew_limits {
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -125,6 +125,8 @@
     pub(crate) notices: Family<NoticeLabels, Counter>,
     /// Requests sent to servers that had given such a notice.
     pub(crate) noticed_sends: Family<NoticeLabels, Counter>,
+    /// Requests that did not leave for a server, as its own word was against it.
+    pub(crate) barred_sends: Family<ReasonLabels, Counter>,
     /// Servers that are known to leave.
     pub(crate) leaving_servers: Gauge,
     /// Servers that rest.
@@ -164,6 +166,7 @@
             limits_malformed: Counter::default(),
             notices: Family::default(),
             noticed_sends: Family::default(),
+            barred_sends: Family::default(),
             leaving_servers: Gauge::default(),
             resting_servers: Gauge::default(),
         };
@@ -256,6 +259,11 @@
             "Requests sent to servers that leave or rest",
             self.noticed_sends.clone(),
         );
+        registry.register(
+            "barred_sends",
+            "Requests not sent as their server's own word was against it",
+            self.barred_sends.clone(),
+        );
         registry.register(
             "leaving_servers",
             "Servers that said that they leave",
--- a/crates/plumgate-node/src/gateway/options.rs
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -19,6 +19,8 @@
     pub retry_extra: f64,
     /// The window over which retries are counted.
     pub retry_window: Duration,
+    /// How long a server serves on once it has said that it leaves.
+    pub drain: Duration,
 }
 
 impl Default for GatewayBounds {
@@ -29,6 +31,7 @@
             retry_ratio: 0.2,
             retry_extra: 50.0,
             retry_window: Duration::from_secs(10),
+            drain: Duration::from_secs(2),
         }
     }
 }
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -9,7 +9,7 @@
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
     AdmissionPolicy, AdmissionVerdict, QueuePrediction, RepeatKind, RequestHold, RequestVerdict,
-    SendPermit, ServerPick, WorkEnd,
+    SendPermit, SendRefusal, ServerPick, WorkEnd,
 };
 
 use super::answer::{GatewayBody, StreamPiece, own_answer, relayed_head, stream_body, whole_body};
@@ -36,6 +36,9 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(400);
 /// Pause that is asked of a caller where no server takes work.
 const NO_SERVER_PAUSE: Duration = Duration::from_millis(400);
+/// The same where all servers that are known leave: others are started, and the store tells of them within about a
+/// second of their first row.
+const SUCCESSOR_PAUSE: Duration = Duration::from_secs(1);
 /// Share of a route's target for which a request waits for a server that is held back for its limit.
 const LIMIT_WAIT_SHARE: f64 = 0.125;
 /// Time by which a server's connection is given up before the server would close it.
@@ -65,6 +68,7 @@
                 }
                 AttemptEnd::Answer(answer) => self.take_whole(*answer).await,
                 AttemptEnd::NotRun { reason, arrived } => self.after_refusal(reason, arrived),
+                AttemptEnd::Barred(refusal) => self.after_bar(refusal),
                 AttemptEnd::InDoubt(reason) => {
                     self.settle().await;
                     self.after_doubt(reason)
@@ -133,9 +137,14 @@
             if self.shared.loads().held_until(&placement, now).is_some() {
                 return Ok(None);
             }
-            let policy = self.admission();
-            let pause = policy.return_after(NO_SERVER_PAUSE, left, spread);
-            return Err(self.give_up("no_server", pause));
+            let is_left = self.shared.loads().has_only_leaving(&self.request.pool);
+            let (reason, pause) = if is_left {
+                (SendRefusal::Leaving.as_str(), SUCCESSOR_PAUSE)
+            } else {
+                ("no_server", NO_SERVER_PAUSE)
+            };
+            let pause = self.admission().return_after(pause, left, spread);
+            return Err(self.give_up(reason, pause));
         };
         if !std::mem::replace(&mut self.is_demand_noted, true) {
             let mut loads = self.shared.loads();
@@ -237,6 +246,13 @@
         NextTry::Done(relayed_head(answer.head, body))
     }
 
+    /// The request did not leave, as its server said something of itself meanwhile. That costs it nothing: no
+    /// server has seen it.
+    fn after_bar(&mut self, refusal: SendRefusal) -> NextTry {
+        self.note_bar(refusal);
+        NextTry::Again
+    }
+
     /// A server surely did not run the request.
     fn after_refusal(&mut self, reason: &'static str, arrived: bool) -> NextTry {
         self.note_refusal(arrived);
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -9,7 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::http::response;
 use plumgate::gateway::{
-    GatewayRoute, PlacementRequest, RequestIdentity, ServerEntry, StreamClass,
+    GatewayRoute, PlacementRequest, RequestIdentity, SendRefusal, ServerEntry, StreamClass,
 };
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 
@@ -98,6 +98,8 @@
         /// Whether the request arrived at the server.
         arrived: bool,
     },
+    /// It was not sent: the server's own word is against it.
+    Barred(SendRefusal),
     /// The server may have run the request.
     InDoubt(&'static str),
     /// The time of the request is over; the server may have run it.
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -5,7 +5,7 @@
 
 use plumgate::RunOutcome;
 use plumgate::attempt::{AttemptEvent, AttemptRun};
-use plumgate::gateway::{RequestVerdict, SendPermit, ServerPick};
+use plumgate::gateway::{RequestVerdict, SendPermit, SendRefusal, ServerPick};
 use plumgate::ids::ServerId;
 use plumgate::retry::may_run_again;
 
@@ -86,7 +86,7 @@
         let now = self.shared.clock.now();
         let placement = self.request.placement(&self.tried, false);
         let ticket = self.shared.loads().start(pick, &placement, now);
-        let work = WorkGuard::new(self.shared.clone(), pick.server.clone(), ticket, permit);
+        let work = WorkGuard::new(self.shared.clone(), pick, ticket, permit);
         self.begin_try(&pick.server.id);
         let order = AttemptOrder {
             request: &self.request,
@@ -164,7 +164,12 @@
 
     /// Counts what an attempt means for the request.
     pub(crate) fn note_try(&mut self, end: &AttemptEnd<C, W>) {
-        if !matches!(end, AttemptEnd::NotRun { arrived: false, .. }) {
+        let is_sent = match end {
+            AttemptEnd::Barred(_) => return,
+            AttemptEnd::NotRun { arrived, .. } => *arrived,
+            AttemptEnd::Answer(_) | AttemptEnd::InDoubt(_) | AttemptEnd::TimedOut => true,
+        };
+        if is_sent {
             self.apply(AttemptEvent::FirstByte);
             self.arrivals += 1;
         }
@@ -173,6 +178,14 @@
         }
     }
 
+    /// The request did not leave for the server that it was offered to: it may be offered there again.
+    pub(crate) fn note_bar(&mut self, refusal: SendRefusal) {
+        self.apply(AttemptEvent::ConnectFailed);
+        let server = self.tried.pop();
+        self.shared
+            .note_bar(&self.request, server.as_ref(), refusal);
+    }
+
     /// A server surely did not run the request.
     pub(crate) fn note_refusal(&mut self, arrived: bool) {
         self.apply(if arrived {
--- a/crates/plumgate-node/src/gateway/server_notices.rs
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -1,10 +1,13 @@
 //! Servers that said that they leave or asked for a rest: what operators see of it.
 
 use plumgate::gateway::{
-    AnswerTimes, LeaveStatement, NoticeChange, RestStatement, ServerEntry, ServerStatement,
+    AnswerTimes, LeaveStatement, NoticeChange, RestStatement, SendRefusal, ServerEntry,
+    ServerStatement,
 };
+use plumgate::ids::ServerId;
 
-use super::metrics::NoticeLabels;
+use super::metrics::{NoticeLabels, ReasonLabels};
+use super::request::RelayRequest;
 use super::server_limits::SendCause;
 use super::shared::GatewayShared;
 use crate::clock::Clock;
@@ -30,12 +33,42 @@
             self.note_malformed(RESTING, server);
         }
         let changes = self.statements().note_notices(server, statement, times);
+        if !changes.is_empty() {
+            self.set_standing(server);
+        }
         for change in changes {
             self.log_notice(server, change, times);
         }
         self.note_dropped_notices();
     }
 
+    /// Has placement keep to what a server said of itself.
+    fn set_standing(&self, server: &ServerEntry) {
+        let now = self.clock.now();
+        let boot = self.clock.boot_time();
+        let mut loads = self.loads();
+        let standing = self.statements().notices.standing(server.life_key(), boot);
+        loads.set_standing(server, standing, now);
+    }
+
+    /// Logs and counts a request that did not leave for its server.
+    pub(crate) fn note_bar(
+        &self,
+        request: &RelayRequest,
+        server: Option<&ServerId>,
+        refusal: SendRefusal,
+    ) {
+        let labels = ReasonLabels {
+            reason: refusal.as_str(),
+        };
+        self.metrics.barred_sends.get_or_create(&labels).inc();
+        LogLine::new("barred_send")
+            .with("request", &request.id)
+            .with_some("server", server)
+            .with("reason", refusal.as_str())
+            .info(&self.log);
+    }
+
     fn note_malformed(&self, notice: &'static str, server: &ServerEntry) {
         let labels = NoticeLabels {
             notice,
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -10,8 +10,9 @@
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
     AnswerTimes, BootTime, FreshnessLease, GatewayConfig, LinkAge, LoadTable, PlacementOptions,
-    QuarantineTable, RequestHold, RequestIdentity, RunFinding, RunTicket, SendPermit, ServerEntry,
-    ServerStatement, ServerStatements, WindowBudget, WorkEnd, WorkTicket,
+    QuarantineTable, RequestHold, RequestIdentity, RunFinding, RunTicket, SendMoment, SendPermit,
+    SendRefusal, ServerEntry, ServerPick, ServerStatement, ServerStatements, WindowBudget, WorkEnd,
+    WorkTicket,
 };
 use plumgate::ids::WorkspaceId;
 use xxhash_rust::xxh3::xxh3_64;
@@ -21,7 +22,6 @@
 use super::metrics::GatewayMetrics;
 use super::options::{GatewayBounds, GatewayOptions};
 use super::ports::WireFormat;
-use super::server_limits::LIMITED;
 use super::suspects::ask_server;
 use crate::clock::Clock;
 use crate::log::EventLog;
@@ -123,6 +123,7 @@
             statements: Mutex::new(ServerStatements::new(
                 options.peer_listen.is_some(),
                 limits_seed,
+                bounds.drain,
             )),
             limit_asked: Event::new(),
             limit_answered: Event::new(),
@@ -141,6 +142,7 @@
         self.budget()
             .set_bounds(bounds.retry_window, bounds.retry_ratio, bounds.retry_extra);
         self.lease().set_longest(bounds.key_age);
+        self.statements().notices.set_drain_time(bounds.drain);
         self.bounds.store(Arc::new(bounds));
     }
 
@@ -306,18 +308,8 @@
 pub(crate) enum RunRefusal {
     /// It may end the server.
     Held(RequestHold),
-    /// The server named a limit meanwhile, or the permit has lapsed.
-    Limited,
-}
-
-impl RunRefusal {
-    /// The name used in logs and metrics.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Self::Held(hold) => hold.reason.as_str(),
-            Self::Limited => LIMITED,
-        }
-    }
+    /// The server's own word is against it: it said something meanwhile, or a permit has lapsed.
+    Barred(SendRefusal),
 }
 
 /// One request at a server; however it ends, the server's load is given back.
@@ -331,6 +323,8 @@
     sent: BootTime,
     /// The permit to send it, until it is used.
     permit: Option<SendPermit>,
+    /// Whether the server leaves, and no other can take the request.
+    is_last_resort: bool,
     end: WorkEnd,
     /// The incarnation of the server that works on it.
     life: Arc<ServerLife>,
@@ -340,14 +334,15 @@
     /// A request goes to a server.
     pub(crate) fn new(
         shared: Arc<GatewayShared<C, W>>,
-        server: ServerEntry,
+        pick: &ServerPick,
         ticket: WorkTicket,
         permit: Option<SendPermit>,
     ) -> Self {
         let life = shared.lives.current(ticket.server());
         Self {
             shared,
-            server,
+            server: pick.server.clone(),
+            is_last_resort: pick.is_last_resort,
             ticket: Some(ticket),
             run: None,
             sent: BootTime::ZERO,
@@ -370,11 +365,13 @@
     ) -> Result<(), RunRefusal> {
         let now = self.shared.clock.now();
         self.sent = self.shared.clock.boot_time();
-        let permit = self.permit.as_ref();
-        let allows = (self.shared.statements().limits).allows(&self.server, permit, self.sent);
-        if !allows {
-            return Err(RunRefusal::Limited);
-        }
+        let send = SendMoment {
+            now: self.sent,
+            permit: self.permit.as_ref(),
+            is_last_resort: self.is_last_resort,
+        };
+        let checked = self.shared.statements().check(&self.server, send);
+        checked.map_err(RunRefusal::Barred)?;
         let mut quarantine = self.shared.quarantine();
         let run = quarantine.begin(identity, &self.server, age, now);
         self.run = Some(run.map_err(RunRefusal::Held)?);
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -76,6 +76,13 @@
     Late,
 }
 
+/// What came of sending a broken stream's request to another server.
+enum Resumed {
+    GoesOn,
+    Failed,
+    NoServer,
+}
+
 impl<C: Clock, W: WireFormat> StreamRelay<C, W> {
     /// A stream whose head has come, and the head for the caller.
     pub(crate) fn begin(
@@ -248,14 +255,25 @@
         }
         self.run.settle().await;
         while self.run.allow_run_again(reason) {
+            match self.go_on().await {
+                Resumed::GoesOn => return true,
+                Resumed::Failed => {}
+                Resumed::NoServer => return false,
+            }
+        }
+        false
+    }
+
+    /// Goes on at the best server whose own word is not against it.
+    async fn go_on(&mut self) -> Resumed {
+        loop {
             let Some((pick, permit)) = self.next_server().await else {
-                return false;
+                return Resumed::NoServer;
             };
-            if self.go_on_at(&pick, permit).await {
-                return true;
+            if let Some(resumed) = self.go_on_at(&pick, permit).await {
+                return resumed;
             }
         }
-        false
     }
 
     /// The next server that the stream may go on at, and the permit that it takes to send there.
@@ -272,8 +290,8 @@
         None
     }
 
-    /// Goes on at a certain server.
-    async fn go_on_at(&mut self, pick: &ServerPick, permit: Option<SendPermit>) -> bool {
+    /// Goes on at a certain server; none where the request did not leave.
+    async fn go_on_at(&mut self, pick: &ServerPick, permit: Option<SendPermit>) -> Option<Resumed> {
         let resume_after = self.splitter.last_id();
         LogLine::new("resume")
             .with("request", &self.run.request.id)
@@ -288,16 +306,20 @@
                 // Callers keep the head that they have.
                 let (_, source) = StreamSource::new(*answer);
                 self.source = Some(source);
-                true
+                Some(Resumed::GoesOn)
+            }
+            AttemptEnd::Barred(refusal) => {
+                self.run.note_bar(refusal);
+                None
             }
             AttemptEnd::NotRun { arrived, .. } => {
                 self.run.note_refusal(arrived);
-                false
+                Some(Resumed::Failed)
             }
-            _ => {
+            AttemptEnd::Answer(_) | AttemptEnd::InDoubt(_) | AttemptEnd::TimedOut => {
                 self.run.apply(AttemptEvent::Cut);
                 self.run.apply(AttemptEvent::RunAgain);
-                false
+                Some(Resumed::Failed)
             }
         }
     }
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -359,7 +359,11 @@
             ServerChange::Doubted(_) => return,
         };
         let before = loads.entry(id);
-        if let Some(before) = before.filter(|entry| entry.state == ServerState::Ready) {
+        let stayed = |entry: &&ServerEntry| {
+            let leaves = self.shared.statements().notices.leaving_since(entry);
+            entry.state == ServerState::Ready && leaves.is_none()
+        };
+        if let Some(before) = before.filter(stayed) {
             let ended = self.shared.quarantine().note_gone(before, sign, now);
             self.shared.note_server_end(&ended, before, sign);
         }
@@ -375,6 +379,12 @@
         for change in changes {
             self.note_server_end(&loads, change, now);
             loads.apply(change, now);
+            if let ServerChange::Changed(entry) | ServerChange::Reborn(entry) = change {
+                let boot = self.shared.clock.boot_time();
+                let statements = self.shared.statements();
+                let standing = statements.notices.standing(entry.life_key(), boot);
+                loads.set_standing(entry, standing, now);
+            }
             let line = LogLine::new("server").with("source", source);
             let line = match change {
                 ServerChange::Changed(entry) | ServerChange::Reborn(entry) => line
--- a/crates/plumgate/src/gateway/placement/choice.rs
+++ b/crates/plumgate/src/gateway/placement/choice.rs
@@ -85,6 +85,8 @@
 pub struct ServerPick {
     /// The server.
     pub server: ServerEntry,
+    /// Whether it leaves, and no other can take the request.
+    pub is_last_resort: bool,
     /// Predicted time until it begins to read the request's own prompt.
     pub queue: Duration,
     /// Predicted time until it begins to answer.
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -18,7 +18,7 @@
 use crate::gateway::exchange::messages::{PartPlace, PoolDemand, ServerKey, server_key};
 use crate::gateway::prompt::{PromptShape, SMALL_PART};
 use crate::gateway::rate_limit::ServerLimits;
-use crate::gateway::servers::{ServerChange, ServerEntry, ServerState};
+use crate::gateway::servers::{ServerChange, ServerEntry};
 use crate::gateway::switches::PolicyPart;
 use crate::gateway::work::{ServerWork, URGENCIES, WorkEnd, WorkTicket};
 use crate::ids::{DataCentreId, PoolId, ServerId};
@@ -35,9 +35,9 @@
 /// What one node knows of all servers.
 #[derive(Debug)]
 pub struct LoadTable {
-    options: PlacementOptions,
+    pub(super) options: PlacementOptions,
     rng: fastrand::Rng,
-    servers: BTreeMap<ServerId, ServerLoad>,
+    pub(super) servers: BTreeMap<ServerId, ServerLoad>,
     centres: CentreTable,
     /// How fast each pool's servers read prompts.
     speeds: ReadingSpeeds,
@@ -84,7 +84,7 @@
     pub fn apply(&mut self, change: &ServerChange, now: Instant) {
         match change {
             ServerChange::Changed(entry) => match self.servers.get_mut(&entry.id) {
-                Some(load) => load.entry = entry.clone(),
+                Some(load) => load.set_entry(entry),
                 None => {
                     let load = ServerLoad::new(entry.clone(), now);
                     self.servers.insert(entry.id.clone(), load);
@@ -125,7 +125,7 @@
         }
     }
 
-    fn has(&self, part: PolicyPart) -> bool {
+    pub(super) fn has(&self, part: PolicyPart) -> bool {
         self.options.switches.has(part)
     }
 
@@ -179,7 +179,7 @@
                 .sites
                 .entry(server.entry.data_centre.clone())
                 .or_default();
-            if server.entry.state == ServerState::Ready {
+            if server.stays() {
                 match server.entry.kind {
                     ServerKind::Lasting => site.lasting += 1,
                     ServerKind::Reclaimable => site.reclaimable += 1,
@@ -281,6 +281,7 @@
         let source = source.filter(|id| self.servers[*id].limit.is_none());
         Some(ServerPick {
             server: self.servers[id].entry.clone(),
+            is_last_resort: self.servers[id].is_leaving(),
             queue: Duration::from_secs_f64(prediction.queue),
             wait: Duration::from_secs_f64(prediction.wait),
             unread_tokens: prediction.unread,
@@ -292,6 +293,11 @@
         })
     }
 
+    /// Whether a server's data centre seems cut off.
+    pub(super) fn is_cut(&self, server: &ServerEntry) -> bool {
+        self.has(PolicyPart::CutCentres) && self.centres.is_cut(&server.data_centre)
+    }
+
     /// The server that another one may copy a prompt's shared parts from.
     fn keeper(&self, request: &PlacementRequest<'_>, now: Instant) -> PartKeeper {
         let Some(prompt) = request.prompt.filter(|_| self.has(PolicyPart::PartCopies)) else {
@@ -300,6 +306,7 @@
         let of_pool = self.servers.values().filter(|load| {
             load.entry.pool == *request.pool
                 && load.limit.is_none()
+                && !load.is_leaving()
                 && load.is_sound(self.options.switches, now)
         });
         PartKeeper::among(of_pool, prompt, now)
@@ -320,7 +327,7 @@
         let of_pool = self
             .servers
             .values()
-            .filter(|load| load.entry.pool == *pool && load.entry.state == ServerState::Ready);
+            .filter(|load| load.entry.pool == *pool && load.stays());
         let share = if self.has(PolicyPart::Groups) {
             self.shares.share(pool)
         } else {
@@ -329,30 +336,6 @@
         ServerGroups::new(of_pool.map(|load| load.entry.id.clone()), share)
     }
 
-    /// The servers that may get the request: those in doubt only where there is no other.
-    fn candidates(&self, request: &PlacementRequest<'_>, now: Instant) -> Vec<ServerId> {
-        let of_pool = self.servers.values().filter(|load| {
-            load.entry.pool == *request.pool
-                && load.entry.state == ServerState::Ready
-                && load.held_until(request.urgency, now).is_none()
-                && !request.avoid.contains(&load.entry.id)
-        });
-        let all: Vec<&ServerLoad> = of_pool.collect();
-        let sound: Vec<ServerId> = all
-            .iter()
-            .filter(|load| {
-                let is_cut = self.has(PolicyPart::CutCentres)
-                    && self.centres.is_cut(&load.entry.data_centre);
-                load.is_sound(self.options.switches, now) && !is_cut
-            })
-            .map(|load| load.entry.id.clone())
-            .collect();
-        if sound.is_empty() {
-            return all.iter().map(|load| load.entry.id.clone()).collect();
-        }
-        sound
-    }
-
     /// Takes over which servers are limited.
     pub fn set_limits(&mut self, limits: &ServerLimits) {
         for load in self.servers.values_mut() {
@@ -360,26 +343,6 @@
         }
     }
 
-    /// A server gets no requests of an urgency, nor less urgent ones, from this node until a moment, as it named a
-    /// limit.
-    pub fn hold_back(&mut self, server: &ServerId, urgency: u8, until: Instant) {
-        if let Some(load) = self.servers.get_mut(server) {
-            load.hold_back(urgency, until);
-        }
-    }
-
-    /// When the first server that could take a request is no longer held back; none where none is.
-    pub fn held_until(&self, request: &PlacementRequest<'_>, now: Instant) -> Option<Instant> {
-        let of_pool = self.servers.values().filter(|load| {
-            load.entry.pool == *request.pool
-                && load.entry.state == ServerState::Ready
-                && !request.avoid.contains(&load.entry.id)
-        });
-        of_pool
-            .filter_map(|load| load.held_until(request.urgency, now))
-            .min()
-    }
-
     /// A request goes to a server.
     pub fn start(
         &mut self,
--- a/crates/plumgate/src/gateway/placement/mod.rs
+++ b/crates/plumgate/src/gateway/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Which backend server a request goes to, and what a node knows of the servers.
 
+mod candidates;
 pub mod centres;
 
 mod choice;
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -7,7 +7,8 @@
 use crate::gateway::config::StreamClass;
 use crate::gateway::prompt::{PromptShape, SMALL_PART};
 use crate::gateway::rate_limit::RequestRate;
-use crate::gateway::servers::ServerEntry;
+use crate::gateway::servers::{LifeKey, ServerEntry, ServerState};
+use crate::gateway::statements::ServerStanding;
 use crate::gateway::switches::{PolicyPart, PolicySwitches};
 use crate::gateway::work::{ServerWork, URGENCIES, WorkEnd};
 use crate::retry::CircuitBreaker;
@@ -67,6 +68,10 @@
     full_until: Option<Instant>,
     /// Until when it rests as it could not be reached.
     unreachable_until: Option<Instant>,
+    /// The name of its incarnation.
+    life: LifeKey,
+    /// Until when it serves on, if it said that it leaves.
+    serves_until: Option<Instant>,
     /// The requests a second that it takes, if it named a limit.
     pub(crate) limit: Option<RequestRate>,
     /// Until when it gets no requests of an urgency, nor less urgent ones, from this node, as it named a limit.
@@ -107,7 +112,9 @@
     /// A server that nothing is known of yet.
     pub(crate) fn new(entry: ServerEntry, now: Instant) -> Self {
         Self {
+            life: entry.life_key(),
             entry,
+            serves_until: None,
             own: ServerWork::default(),
             peers: ServerWork::default(),
             breaker: CircuitBreaker::new(),
@@ -123,7 +130,39 @@
         }
     }
 
-    /// Whether new work may go there.
+    /// Another entry of the same incarnation holds.
+    pub(crate) fn set_entry(&mut self, entry: &ServerEntry) {
+        self.life = entry.life_key();
+        self.entry = entry.clone();
+    }
+
+    /// The name of its incarnation.
+    pub(crate) fn life(&self) -> LifeKey {
+        self.life
+    }
+
+    /// Takes over what it said of itself.
+    pub(crate) fn set_standing(&mut self, standing: ServerStanding, now: Instant) {
+        self.serves_until = standing.serves_for.map(|serves| now + serves);
+    }
+
+    /// Whether it said in an answer that it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.serves_until.is_some()
+    }
+
+    /// Whether it takes new work, as far as it says itself.
+    pub(crate) fn stays(&self) -> bool {
+        self.entry.state == ServerState::Ready && !self.is_leaving()
+    }
+
+    /// Whether it leaves and still takes work, for which there is no other server.
+    pub(crate) fn serves_on(&self, now: Instant) -> bool {
+        let serves = self.serves_until.is_some_and(|until| now < until);
+        serves && self.entry.state == ServerState::Ready
+    }
+
+    /// Whether what this node saw of it speaks for new work.
     pub(crate) fn is_sound(&self, switches: PolicySwitches, now: Instant) -> bool {
         let is_resting = |part, until: Option<Instant>| {
             switches.has(part) && until.is_some_and(|until| now < until)
--- a/crates/plumgate/src/gateway/statements/mod.rs
+++ b/crates/plumgate/src/gateway/statements/mod.rs
@@ -5,6 +5,6 @@
 mod statement;
 mod table;
 
-pub use notices::{NoticeBook, NoticeChange, RestNotice};
+pub use notices::{NoticeBook, NoticeChange, RestNotice, ServerStanding};
 pub use statement::{LeaveStatement, RestStatement, ServerStatement};
-pub use table::{AnswerTimes, ServerStatements};
+pub use table::{AnswerTimes, SendMoment, SendRefusal, ServerStatements};
--- a/crates/plumgate/src/gateway/statements/notices.rs
+++ b/crates/plumgate/src/gateway/statements/notices.rs
@@ -8,6 +8,9 @@
 
 /// How long it is remembered that a server leaves which nobody hears of any more.
 const LEAVE_MEMORY: Duration = Duration::from_secs(600);
+/// Time by which a server's promise to serve on is not used up: a request waits for a connection, and is then on
+/// its way.
+const SERVE_MARGIN: Duration = Duration::from_millis(500);
 /// Servers that are remembered, some 100 bytes each.
 const NOTICES_MOST: usize = 8_192;
 
@@ -29,6 +32,13 @@
     pub is_extended: bool,
 }
 
+/// What follows now from what one server said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerStanding {
+    /// How much longer it serves, where it leaves.
+    pub serves_for: Option<Duration>,
+}
+
 /// What one server said.
 #[derive(Clone, Copy, Debug, Default)]
 struct ServerNotice {
@@ -51,14 +61,41 @@
 ///
 /// Only another incarnation of a server is free of it: neither an older row nor an answer that was on its way
 /// takes it back.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct NoticeBook {
     notices: BTreeMap<LifeKey, ServerNotice>,
+    /// How long a server serves on once it has said that it leaves.
+    drain_time: Duration,
     /// Notices for which there was no room.
     dropped: u64,
 }
 
 impl NoticeBook {
+    /// A node that was told nothing yet, of servers that serve on for some time once they leave.
+    pub fn new(drain_time: Duration) -> Self {
+        Self {
+            notices: BTreeMap::new(),
+            drain_time,
+            dropped: 0,
+        }
+    }
+
+    /// Servers that leave serve on for another time.
+    pub fn set_drain_time(&mut self, drain_time: Duration) {
+        self.drain_time = drain_time;
+    }
+
+    /// What follows now from what an incarnation said.
+    pub fn standing(&self, life: LifeKey, now: BootTime) -> ServerStanding {
+        let notice = self.notices.get(&life).copied().unwrap_or_default();
+        let serves = self.drain_time.saturating_sub(SERVE_MARGIN);
+        ServerStanding {
+            serves_for: notice
+                .leaving_since
+                .map(|since| (since + serves).saturating_sub(now)),
+        }
+    }
+
     /// Whether nothing is known.
     pub fn is_empty(&self) -> bool {
         self.notices.is_empty()
--- a/crates/plumgate/src/gateway/statements/table.rs
+++ b/crates/plumgate/src/gateway/statements/table.rs
@@ -5,7 +5,7 @@
 use super::notices::{NoticeBook, NoticeChange};
 use super::statement::{LeaveStatement, ServerStatement};
 use crate::gateway::config::GatewayConfig;
-use crate::gateway::rate_limit::{BootTime, ServerLimits};
+use crate::gateway::rate_limit::{BootTime, SendPermit, ServerLimits};
 use crate::gateway::servers::ServerEntry;
 
 /// When an answer was made and read.
@@ -19,6 +19,36 @@
     pub seen_unix_ms: u64,
 }
 
+/// A request that is about to leave for a server.
+#[derive(Clone, Copy, Debug)]
+pub struct SendMoment<'a> {
+    /// The time since the VM started.
+    pub now: BootTime,
+    /// The permit that the request has, if any.
+    pub permit: Option<&'a SendPermit>,
+    /// Whether no other server can take it.
+    pub is_last_resort: bool,
+}
+
+/// Why a request must not leave for a server, by the server's own word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendRefusal {
+    /// It named a limit, and the request has no permit.
+    Limited,
+    /// It leaves.
+    Leaving,
+}
+
+impl SendRefusal {
+    /// The name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Limited => "server_limit",
+            Self::Leaving => "server_leaving",
+        }
+    }
+}
+
 /// What servers said of themselves.
 #[derive(Debug)]
 pub struct ServerStatements {
@@ -30,10 +60,12 @@
 
 impl ServerStatements {
     /// A node that was told nothing yet; `has_peers` where it talks to others.
-    pub fn new(has_peers: bool, seed: u64) -> Self {
+    ///
+    /// Servers that leave serve on for `drain_time`.
+    pub fn new(has_peers: bool, seed: u64, drain_time: Duration) -> Self {
         Self {
             limits: ServerLimits::new(has_peers, seed),
-            notices: NoticeBook::default(),
+            notices: NoticeBook::new(drain_time),
         }
     }
 
@@ -62,4 +94,19 @@
         changes.extend(rest.flatten().map(NoticeChange::Rests));
         changes
     }
+
+    /// Whether a request may leave for this incarnation of a server now. Every request to a server is asked for
+    /// here, right before it is written.
+    pub fn check(&self, server: &ServerEntry, send: SendMoment<'_>) -> Result<(), SendRefusal> {
+        let standing = self.notices.standing(server.life_key(), send.now);
+        if let Some(serves_for) = standing.serves_for
+            && (serves_for.is_zero() || !send.is_last_resort)
+        {
+            return Err(SendRefusal::Leaving);
+        }
+        if !self.limits.allows(server, send.permit, send.now) {
+            return Err(SendRefusal::Limited);
+        }
+        Ok(())
+    }
 }
--- /dev/null
+++ b/crates/plumgate/tests/notices/mod.rs
@@ -0,0 +1,192 @@
+//! One node before servers that say that they leave or ask for a rest.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::time::{Duration, Instant};
+
+use plumgate::gateway::servers::ServerChange;
+use plumgate::gateway::{
+    AnswerTimes, LeaveStatement, LoadTable, NoticeChange, PlacementOptions, PlacementRequest,
+    RestStatement, SendMoment, SendRefusal, ServerEntry, ServerPick, ServerStatement,
+    ServerStatements, StreamClass, WorkEnd, WorkTicket,
+};
+use plumgate::ids::{PoolId, ServerId};
+
+/// How long a server serves on once it has said that it leaves.
+pub(crate) const DRAIN: Duration = Duration::from_secs(2);
+/// The time of day at the start.
+const UNIX_MS: u64 = 1_790_000_000_000;
+
+/// A request on its way.
+pub(crate) struct SentRequest {
+    pub(crate) server: ServerEntry,
+    pub(crate) sent: Duration,
+    ticket: WorkTicket,
+}
+
+/// What a node knows, and the time by both of its clocks.
+pub(crate) struct NoticeBench {
+    pub(crate) table: LoadTable,
+    pub(crate) statements: ServerStatements,
+    start: Instant,
+    /// Time that passed while the VM ran.
+    ran: Duration,
+    /// Time that passed.
+    pub(crate) boot: Duration,
+    pool: PoolId,
+}
+
+/// An answer that says that its server leaves.
+pub(crate) fn leaving() -> ServerStatement {
+    ServerStatement {
+        leaving: LeaveStatement::Leaves,
+        ..ServerStatement::default()
+    }
+}
+
+/// A refusal that asks for a rest.
+pub(crate) fn resting(rest: Duration) -> ServerStatement {
+    ServerStatement {
+        rest: RestStatement::For(rest),
+        ..ServerStatement::default()
+    }
+}
+
+impl NoticeBench {
+    /// A node that knows some servers.
+    pub(crate) fn new(entries: impl IntoIterator<Item = ServerEntry>) -> Self {
+        let mut bench = Self {
+            table: LoadTable::new(PlacementOptions::new("hall-a").with_seed(3)),
+            statements: ServerStatements::new(false, 3, DRAIN),
+            start: Instant::now(),
+            ran: Duration::ZERO,
+            boot: Duration::from_secs(100),
+            pool: "models".into(),
+        };
+        for entry in entries {
+            bench.apply(&ServerChange::Changed(entry));
+        }
+        bench
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.start + self.ran
+    }
+
+    /// Time passes.
+    pub(crate) fn pass(&mut self, time: Duration) {
+        self.ran += time;
+        self.boot += time;
+        self.round();
+    }
+
+    /// The VM stands still for some time.
+    pub(crate) fn suspend(&mut self, time: Duration) {
+        self.boot += time;
+        self.round();
+    }
+
+    fn round(&mut self) {
+        let now = self.now();
+        self.table
+            .set_standings(&self.statements.notices, self.boot, now);
+    }
+
+    /// A change of the servers, as the node takes it over.
+    pub(crate) fn apply(&mut self, change: &ServerChange) {
+        let now = self.now();
+        self.table.apply(change, now);
+        if let ServerChange::Changed(entry) | ServerChange::Reborn(entry) = change {
+            self.set_standing(entry);
+        }
+    }
+
+    fn set_standing(&mut self, entry: &ServerEntry) {
+        let now = self.now();
+        let standing = (self.statements.notices).standing(entry.life_key(), self.boot);
+        self.table.set_standing(entry, standing, now);
+    }
+
+    /// An answer came in that left its server now.
+    pub(crate) fn hear(
+        &mut self,
+        server: &ServerEntry,
+        statement: ServerStatement,
+    ) -> Vec<NoticeChange> {
+        let times = AnswerTimes {
+            sent: self.boot,
+            seen: self.boot,
+            seen_unix_ms: UNIX_MS,
+        };
+        let changes = (self.statements).note_notices(server, &statement, times);
+        self.set_standing(server);
+        changes
+    }
+
+    /// What a request without a prompt is placed for.
+    pub(crate) fn request<'a>(
+        pool: &'a PoolId,
+        urgency: u8,
+        avoid: &'a [ServerId],
+    ) -> PlacementRequest<'a> {
+        PlacementRequest {
+            pool,
+            prompt: None,
+            urgency,
+            class: StreamClass::Batch,
+            apart: false,
+            avoid,
+        }
+    }
+
+    /// The server that is chosen for a request.
+    pub(crate) fn pick(&mut self, avoid: &[ServerId]) -> Option<ServerPick> {
+        let (pool, now) = (self.pool.clone(), self.now());
+        let request = Self::request(&pool, 0, avoid);
+        self.table.pick(&request, now)
+    }
+
+    /// Whether a request may leave for the server that was chosen for it.
+    pub(crate) fn check(&self, pick: &ServerPick) -> Result<(), SendRefusal> {
+        let send = SendMoment {
+            now: self.boot,
+            permit: None,
+            is_last_resort: pick.is_last_resort,
+        };
+        self.statements.check(&pick.server, send)
+    }
+
+    /// Sends a request, if a server takes it.
+    pub(crate) fn send(&mut self) -> Option<SentRequest> {
+        let pick = self.pick(&[])?;
+        self.check(&pick).ok()?;
+        let (pool, now) = (self.pool.clone(), self.now());
+        let request = Self::request(&pool, 0, &[]);
+        let ticket = self.table.start(&pick, &request, now);
+        Some(SentRequest {
+            server: pick.server,
+            sent: self.boot,
+            ticket,
+        })
+    }
+
+    /// The names of the servers that some requests are sent to and answered by.
+    pub(crate) fn servers_of(&mut self, requests: usize) -> Vec<ServerId> {
+        let mut names = Vec::new();
+        for _ in 0..requests {
+            if let Some(sent) = self.send() {
+                names.push(sent.server.id.clone());
+                self.finish(sent, WorkEnd::Answered);
+            }
+        }
+        names
+    }
+
+    /// A request ended.
+    pub(crate) fn finish(&mut self, mut sent: SentRequest, end: WorkEnd) {
+        let now = self.now();
+        if end == WorkEnd::Answered {
+            self.table.first_answer(&mut sent.ticket, now);
+        }
+        self.table.finish(sent.ticket, end, now);
+    }
+}
