gateway: no request leaves for a server in the rest that it asked this node for

Change: rests are kept by incarnation and checked by the same function as leaving, by the time since the VM started, suspension included. A shorter rest, a rest of nothing or an answer without one ends none. After its end a server gets one request at a time until it answers one, for half a second at most; nodes come back up to a tenth of the rest later, not all at once. Requests wait for a server that is back soon (an eighth of their target), the most urgent first; others are refused with the soonest end, spread. The end and the reason (server_rest, server_limit) are one hold now.

--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -18,7 +18,6 @@
 use super::ports::{AnswerFacts, WireFormat};
 use super::request::{AttemptEnd, RESTARTED, ServerAnswer};
 use super::run::{RelayRun, TRIES_MOST};
-use super::server_limits::LIMITED;
 use super::stream::StreamRelay;
 use crate::caller_error::CallerError;
 use crate::clock::{Clock, until};
@@ -39,8 +38,10 @@
 /// The same where all servers that are known leave: others are started, and the store tells of them within about a
 /// second of their first row.
 const SUCCESSOR_PAUSE: Duration = Duration::from_secs(1);
-/// Share of a route's target for which a request waits for a server that is held back for its limit.
-const LIMIT_WAIT_SHARE: f64 = 0.125;
+/// Share of a route's target for which a request waits for a server that is held back by its own word.
+const HOLD_WAIT_SHARE: f64 = 0.125;
+/// How much longer a request waits for it than one that is one step more urgent.
+const WAKE_STEP: Duration = Duration::from_millis(2);
 /// Time by which a server's connection is given up before the server would close it.
 const KEEP_MARGIN: Duration = Duration::from_millis(500);
 
@@ -68,7 +69,7 @@
                 }
                 AttemptEnd::Answer(answer) => self.take_whole(*answer).await,
                 AttemptEnd::NotRun { reason, arrived } => self.after_refusal(reason, arrived),
-                AttemptEnd::Barred(refusal) => self.after_bar(refusal),
+                AttemptEnd::Barred(refusal) => self.after_bar(&pick, refusal),
                 AttemptEnd::InDoubt(reason) => {
                     self.settle().await;
                     self.after_doubt(reason)
@@ -89,7 +90,7 @@
     async fn choose(&mut self) -> Result<(ServerPick, Option<SendPermit>), CallerError> {
         loop {
             let Some(pick) = self.pick()? else {
-                self.await_limit().await?;
+                self.await_server().await?;
                 continue;
             };
             if let Ok(permit) = self.claim(&pick).await {
@@ -98,27 +99,29 @@
         }
     }
 
-    /// Waits for a server that is held back for its limit, if that is soon. Otherwise the caller is told when to
+    /// Waits for a server that is held back by its own word, if that is soon. Otherwise the caller is told when to
     /// come back.
-    async fn await_limit(&mut self) -> Result<(), CallerError> {
+    async fn await_server(&mut self) -> Result<(), CallerError> {
         let now = self.shared.clock.now();
         let placement = self.request.placement(&self.tried, false);
-        let Some(held) = self.shared.loads().held_until(&placement, now) else {
+        let Some(hold) = self.shared.loads().held_until(&placement, now) else {
             return Ok(());
         };
-        let held_for = held.saturating_duration_since(now);
+        let held_for = hold.until.saturating_duration_since(now);
         let waited = now.saturating_duration_since(self.request.arrived);
-        let patience = self.request.route.target.mul_f64(LIMIT_WAIT_SHARE);
+        let patience = self.request.route.target.mul_f64(HOLD_WAIT_SHARE);
         if waited + held_for <= patience {
-            self.shared.clock.sleep(held_for).await;
+            // The most urgent request is the first to see that the server is back.
+            let behind = WAKE_STEP * u32::from(self.request.urgency);
+            self.shared.clock.sleep(held_for + behind).await;
             return Ok(());
         }
         let spread = self.shared.random_share();
         let pause = self.admission().return_after(held_for, self.left(), spread);
-        Err(self.give_up(LIMITED, pause))
+        Err(self.give_up(hold.cause.as_str(), pause))
     }
 
-    /// The next server, or why there is none; none too where all are held back for their limits.
+    /// The next server, or why there is none; none too where all are held back by their own words.
     fn pick(&mut self) -> Result<Option<ServerPick>, CallerError> {
         let now = self.shared.clock.now();
         let left = self.request.due.saturating_duration_since(now);
@@ -248,8 +251,8 @@
 
     /// The request did not leave, as its server said something of itself meanwhile. That costs it nothing: no
     /// server has seen it.
-    fn after_bar(&mut self, refusal: SendRefusal) -> NextTry {
-        self.note_bar(refusal);
+    fn after_bar(&mut self, pick: &ServerPick, refusal: SendRefusal) -> NextTry {
+        self.note_bar(&pick.server, refusal);
         NextTry::Again
     }
 
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -5,7 +5,7 @@
 
 use plumgate::RunOutcome;
 use plumgate::attempt::{AttemptEvent, AttemptRun};
-use plumgate::gateway::{RequestVerdict, SendPermit, SendRefusal, ServerPick};
+use plumgate::gateway::{RequestVerdict, SendPermit, SendRefusal, ServerEntry, ServerPick};
 use plumgate::ids::ServerId;
 use plumgate::retry::may_run_again;
 
@@ -179,11 +179,10 @@
     }
 
     /// The request did not leave for the server that it was offered to: it may be offered there again.
-    pub(crate) fn note_bar(&mut self, refusal: SendRefusal) {
+    pub(crate) fn note_bar(&mut self, server: &ServerEntry, refusal: SendRefusal) {
         self.apply(AttemptEvent::ConnectFailed);
-        let server = self.tried.pop();
-        self.shared
-            .note_bar(&self.request, server.as_ref(), refusal);
+        self.tried.pop();
+        self.shared.note_bar(&self.request, server, refusal);
     }
 
     /// A server surely did not run the request.
--- a/crates/plumgate-node/src/gateway/server_limits.rs
+++ b/crates/plumgate-node/src/gateway/server_limits.rs
@@ -17,9 +17,6 @@
 /// The path under which operators find the servers that are limited.
 pub const LIMITS_PATH: &str = "/limits";
 
-/// Why a request was not sent to a server that named a limit.
-pub(crate) const LIMITED: &str = "server_limit";
-
 /// What made this node send a request to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SendCause {
--- a/crates/plumgate-node/src/gateway/server_notices.rs
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -4,7 +4,6 @@
     AnswerTimes, LeaveStatement, NoticeChange, RestStatement, SendRefusal, ServerEntry,
     ServerStatement,
 };
-use plumgate::ids::ServerId;
 
 use super::metrics::{NoticeLabels, ReasonLabels};
 use super::request::RelayRequest;
@@ -55,16 +54,18 @@
     pub(crate) fn note_bar(
         &self,
         request: &RelayRequest,
-        server: Option<&ServerId>,
+        server: &ServerEntry,
         refusal: SendRefusal,
     ) {
+        // Placement knows it now, or the request would be offered there again and again.
+        self.set_standing(server);
         let labels = ReasonLabels {
             reason: refusal.as_str(),
         };
         self.metrics.barred_sends.get_or_create(&labels).inc();
         LogLine::new("barred_send")
             .with("request", &request.id)
-            .with_some("server", server)
+            .with("server", &server.id)
             .with("reason", refusal.as_str())
             .info(&self.log);
     }
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -309,7 +309,7 @@
                 Some(Resumed::GoesOn)
             }
             AttemptEnd::Barred(refusal) => {
-                self.run.note_bar(refusal);
+                self.run.note_bar(&pick.server, refusal);
                 None
             }
             AttemptEnd::NotRun { arrived, .. } => {
--- a/crates/plumgate/src/gateway/placement/candidates.rs
+++ b/crates/plumgate/src/gateway/placement/candidates.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::choice::PlacementRequest;
+use super::choice::{PlacementRequest, ServerHold};
 use super::load::LoadTable;
 use super::server_load::ServerLoad;
 use crate::gateway::rate_limit::BootTime;
@@ -23,7 +23,9 @@
         if !has_takers {
             usable = self
                 .of_pool(request)
-                .filter(|load| load.serves_on(now))
+                .filter(|load| {
+                    load.serves_on(now) && load.held_until(request.urgency, now).is_none()
+                })
                 .collect();
         }
         usable.retain(|load| !request.avoid.contains(&load.entry.id));
@@ -57,13 +59,13 @@
     }
 
     /// When the first server that could take a request is no longer held back; none where none is.
-    pub fn held_until(&self, request: &PlacementRequest<'_>, now: Instant) -> Option<Instant> {
+    pub fn held_until(&self, request: &PlacementRequest<'_>, now: Instant) -> Option<ServerHold> {
         let untried = self
             .of_pool(request)
             .filter(|load| load.stays() && !request.avoid.contains(&load.entry.id));
         untried
             .filter_map(|load| load.held_until(request.urgency, now))
-            .min()
+            .min_by_key(|hold| hold.until)
     }
 
     /// Whether servers of a pool are known, and all of them leave.
@@ -78,9 +80,10 @@
 
     /// Takes over what a server said of itself.
     pub fn set_standing(&mut self, server: &ServerEntry, standing: ServerStanding, now: Instant) {
+        let spread = self.rng.f64();
         let load = self.servers.get_mut(&server.id);
         if let Some(load) = load.filter(|load| load.entry.born == server.born) {
-            load.set_standing(standing, now);
+            load.set_standing(standing, spread, now);
         }
     }
 
@@ -88,7 +91,7 @@
     pub fn set_standings(&mut self, notices: &NoticeBook, boot: BootTime, now: Instant) {
         for load in self.servers.values_mut() {
             let standing = notices.standing(load.life(), boot);
-            load.set_standing(standing, now);
+            load.set_standing(standing, self.rng.f64(), now);
         }
     }
 }
--- a/crates/plumgate/src/gateway/placement/choice.rs
+++ b/crates/plumgate/src/gateway/placement/choice.rs
@@ -1,10 +1,11 @@
 //! What a server is chosen for, by which way, and what was chosen.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::gateway::config::StreamClass;
 use crate::gateway::prompt::PromptShape;
 use crate::gateway::servers::ServerEntry;
+use crate::gateway::statements::SendRefusal;
 use crate::gateway::switches::PolicySwitches;
 use crate::ids::{DataCentreId, PoolId, ServerId};
 
@@ -20,6 +21,15 @@
     Random,
 }
 
+/// Why a server gets no request for some time, and until when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerHold {
+    /// When the time is over.
+    pub until: Instant,
+    /// What of its own words is in the way.
+    pub cause: SendRefusal,
+}
+
 /// Options of the choice.
 #[derive(Clone, Debug)]
 pub struct PlacementOptions {
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -3,12 +3,13 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use super::choice::{PlacementOptions, PlacementRequest};
+use super::choice::{PlacementOptions, PlacementRequest, ServerHold};
+use super::rest::ServerRest;
 use crate::gateway::config::StreamClass;
 use crate::gateway::prompt::{PromptShape, SMALL_PART};
 use crate::gateway::rate_limit::RequestRate;
 use crate::gateway::servers::{LifeKey, ServerEntry, ServerState};
-use crate::gateway::statements::ServerStanding;
+use crate::gateway::statements::{SendRefusal, ServerStanding};
 use crate::gateway::switches::{PolicyPart, PolicySwitches};
 use crate::gateway::work::{ServerWork, URGENCIES, WorkEnd};
 use crate::retry::CircuitBreaker;
@@ -72,6 +73,8 @@
     life: LifeKey,
     /// Until when it serves on, if it said that it leaves.
     serves_until: Option<Instant>,
+    /// The rest that it asked for.
+    rest: ServerRest,
     /// The requests a second that it takes, if it named a limit.
     pub(crate) limit: Option<RequestRate>,
     /// Until when it gets no requests of an urgency, nor less urgent ones, from this node, as it named a limit.
@@ -115,6 +118,7 @@
             life: entry.life_key(),
             entry,
             serves_until: None,
+            rest: ServerRest::default(),
             own: ServerWork::default(),
             peers: ServerWork::default(),
             breaker: CircuitBreaker::new(),
@@ -141,9 +145,16 @@
         self.life
     }
 
-    /// Takes over what it said of itself.
-    pub(crate) fn set_standing(&mut self, standing: ServerStanding, now: Instant) {
+    /// Takes over what it said of itself; `spread` from 0 to 1 spreads the nodes' return after a rest.
+    pub(crate) fn set_standing(&mut self, standing: ServerStanding, spread: f64, now: Instant) {
         self.serves_until = standing.serves_for.map(|serves| now + serves);
+        self.rest.set_left(standing.rest_left, spread, now);
+    }
+
+    /// A request goes there.
+    pub(crate) fn note_start(&mut self, now: Instant) {
+        self.own.in_flight += 1;
+        self.rest.note_start(now);
     }
 
     /// Whether it said in an answer that it leaves.
@@ -179,11 +190,24 @@
         self.held_until.push((urgency, until));
     }
 
-    /// Until when it gets no requests of an urgency from this node, if it is held back.
-    pub(crate) fn held_until(&self, urgency: u8, now: Instant) -> Option<Instant> {
+    /// Until when it gets no requests of an urgency from this node, and why, if it is held back.
+    pub(crate) fn held_until(&self, urgency: u8, now: Instant) -> Option<ServerHold> {
         let holds = self.held_until.iter();
         let holds = holds.filter(|(held, until)| *held <= urgency && now < *until);
-        holds.map(|(_, until)| *until).max()
+        let limited = holds.map(|(_, until)| ServerHold {
+            until: *until,
+            cause: SendRefusal::Limited,
+        });
+        let rest = self.rest.blocks_until(now).map(|until| ServerHold {
+            until,
+            cause: SendRefusal::Resting,
+        });
+        limited.chain(rest).max_by_key(|hold| hold.until)
+    }
+
+    /// Whether it rests, or comes back from a rest.
+    pub(crate) fn rests(&self, now: Instant) -> bool {
+        self.rest.blocks_until(now).is_some()
     }
 
     /// What the server would mean to a request, by what its shared tokens cost there.
@@ -294,9 +318,10 @@
         self.failures * (-age.as_secs_f64() / FAILURE_MEMORY.as_secs_f64()).exp()
     }
 
-    /// It answers this node.
-    pub(crate) fn note_answer(&mut self, now: Instant) {
+    /// It answers a request of this node that went there at a moment.
+    pub(crate) fn note_answer(&mut self, started: Instant, now: Instant) {
         self.answered_at = Some(now);
+        self.rest.note_answer(started);
     }
 
     /// Whether it answered this node lately.
@@ -305,12 +330,13 @@
             .is_some_and(|at| now.saturating_duration_since(at) < ANSWERED_LATELY)
     }
 
-    /// A request ended there.
-    pub(crate) fn note_end(&mut self, end: WorkEnd, now: Instant) {
+    /// A request ended there that went there at a moment.
+    pub(crate) fn note_end(&mut self, end: WorkEnd, started: Instant, now: Instant) {
+        self.rest.note_end(started);
         let failed = match end {
             WorkEnd::Answered => {
                 self.breaker.record_success();
-                self.note_answer(now);
+                self.note_answer(started, now);
                 0.0
             }
             WorkEnd::Failed | WorkEnd::Broken | WorkEnd::Silent => 1.0,
--- a/crates/plumgate/src/gateway/statements/notices.rs
+++ b/crates/plumgate/src/gateway/statements/notices.rs
@@ -37,6 +37,8 @@
 pub struct ServerStanding {
     /// How much longer it serves, where it leaves.
     pub serves_for: Option<Duration>,
+    /// How much longer it wants no requests, where it rests.
+    pub rest_left: Option<Duration>,
 }
 
 /// What one server said.
@@ -50,10 +52,14 @@
 }
 
 impl ServerNotice {
+    fn rest_left(&self, now: BootTime) -> Option<Duration> {
+        let left = self.rest_until?.saturating_sub(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     fn matters(&self, now: BootTime) -> bool {
         let is_remembered = now.saturating_sub(self.leaving_heard) < LEAVE_MEMORY;
-        let rests = self.rest_until.is_some_and(|until| now < until);
-        rests || self.leaving_since.is_some() && is_remembered
+        self.rest_left(now).is_some() || self.leaving_since.is_some() && is_remembered
     }
 }
 
@@ -93,6 +99,7 @@
             serves_for: notice
                 .leaving_since
                 .map(|since| (since + serves).saturating_sub(now)),
+            rest_left: notice.rest_left(now),
         }
     }
 
@@ -150,9 +157,7 @@
 
     /// How long a server still wants no requests.
     pub fn rest_left(&self, server: &ServerEntry, now: BootTime) -> Option<Duration> {
-        let until = self.notices.get(&server.life_key())?.rest_until?;
-        let left = until.saturating_sub(now);
-        (!left.is_zero()).then_some(left)
+        self.notices.get(&server.life_key())?.rest_left(now)
     }
 
     /// Servers that are known to leave.
@@ -167,7 +172,7 @@
     pub fn resting_count(&self, now: BootTime) -> usize {
         let notices = self.notices.values();
         notices
-            .filter(|notice| notice.rest_until.is_some_and(|until| now < until))
+            .filter(|notice| notice.rest_left(now).is_some())
             .count()
     }
 
--- a/crates/plumgate/src/gateway/statements/table.rs
+++ b/crates/plumgate/src/gateway/statements/table.rs
@@ -37,6 +37,8 @@
     Limited,
     /// It leaves.
     Leaving,
+    /// It asked this node for a rest.
+    Resting,
 }
 
 impl SendRefusal {
@@ -45,6 +47,7 @@
         match self {
             Self::Limited => "server_limit",
             Self::Leaving => "server_leaving",
+            Self::Resting => "server_rest",
         }
     }
 }
@@ -104,6 +107,9 @@
         {
             return Err(SendRefusal::Leaving);
         }
+        if standing.rest_left.is_some() {
+            return Err(SendRefusal::Resting);
+        }
         if !self.limits.allows(server, send.permit, send.now) {
             return Err(SendRefusal::Limited);
         }
--- a/crates/plumgate/tests/server_notices.rs
+++ b/crates/plumgate/tests/server_notices.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use plumgate::gateway::servers::ServerChange;
-use plumgate::gateway::{NoticeChange, SendRefusal, ServerState};
+use plumgate::gateway::{NoticeChange, SendRefusal, ServerState, ServerStatement, WorkEnd};
 
 use entries::{born_entry, server_entry};
-use notices::{DRAIN, NoticeBench, leaving};
+use notices::{DRAIN, NoticeBench, leaving, resting};
 
 /// A server that said that it leaves went on getting requests.
 #[test]
@@ -126,3 +126,133 @@
     let lasting: u32 = load.sites.values().map(|site| site.lasting).sum();
     assert_eq!(lasting, 1);
 }
+
+/// A server that asked for a rest was asked again before its end, or never after it.
+#[test]
+fn resting_server_gets_nothing_until_its_rest_is_over() {
+    let mut bench = NoticeBench::new([server_entry("a"), server_entry("b")]);
+    let rest = Duration::from_secs(3);
+    bench.hear(&server_entry("a"), resting(rest));
+    for _ in 0..29 {
+        assert!(bench.servers_of(5).iter().all(|id| **id == *"b"));
+        bench.pass(Duration::from_millis(100));
+    }
+    bench.pass(Duration::from_millis(500));
+    assert!(bench.servers_of(40).iter().any(|id| **id == *"a"));
+}
+
+/// A choice from before the refusal, or a queued request, was carried out in the rest.
+#[test]
+fn choice_from_before_a_rest_is_not_carried_out() {
+    let mut bench = NoticeBench::new([server_entry("a")]);
+    let pick = bench.pick(&[]).expect("a server");
+    bench.hear(&server_entry("a"), resting(Duration::from_secs(1)));
+    assert_eq!(bench.check(&pick), Err(SendRefusal::Resting));
+    assert!(bench.pick(&[]).is_none(), "not even as the last one");
+    bench.pass(Duration::from_secs(1));
+    assert_eq!(bench.check(&pick), Ok(()));
+}
+
+/// A shorter rest that followed a longer one ended it.
+#[test]
+fn longest_rest_holds() {
+    let mut bench = NoticeBench::new([server_entry("a")]);
+    let pick = bench.pick(&[]).expect("a server");
+    bench.hear(&server_entry("a"), resting(Duration::from_secs(5)));
+    let shorter = resting(Duration::from_secs(1));
+    assert!(bench.hear(&server_entry("a"), shorter).is_empty());
+    bench.hear(&server_entry("a"), resting(Duration::ZERO));
+    bench.hear(&server_entry("a"), ServerStatement::default());
+    bench.pass(Duration::from_millis(4_900));
+    assert_eq!(bench.check(&pick), Err(SendRefusal::Resting));
+    bench.pass(Duration::from_millis(200));
+    assert_eq!(bench.check(&pick), Ok(()));
+}
+
+/// A rest that no clock can tell made the node panic.
+#[test]
+fn endless_rests_are_kept_without_overflow() {
+    for rest in [Duration::from_secs(1_000_000_000_000), Duration::MAX] {
+        let mut bench = NoticeBench::new([server_entry("a"), server_entry("b")]);
+        bench.hear(&server_entry("a"), resting(rest));
+        bench.pass(Duration::from_secs(86_400));
+        assert!(bench.servers_of(10).iter().all(|id| **id == *"b"));
+        bench.statements.notices.forget_old(bench.boot, |_| false);
+        let a = server_entry("a");
+        assert!(bench.statements.notices.rest_left(&a, bench.boot).is_some());
+    }
+}
+
+/// A rest was forgotten as the server's row lapsed, or bound its next life.
+#[test]
+fn rest_outlives_the_row_and_not_the_life() {
+    let mut bench = NoticeBench::new([born_entry("a", 7), born_entry("b", 7)]);
+    bench.hear(&born_entry("a", 7), resting(Duration::from_secs(10)));
+    bench.apply(&ServerChange::Gone("a".into()));
+    bench.apply(&ServerChange::Changed(born_entry("a", 7)));
+    assert!(bench.servers_of(20).iter().all(|id| **id == *"b"));
+    bench.apply(&ServerChange::Reborn(born_entry("a", 8)));
+    assert!(bench.servers_of(40).iter().any(|id| **id == *"a"));
+}
+
+/// After a suspension a rest counted only the time in which the VM ran.
+#[test]
+fn rest_runs_while_the_vm_is_suspended() {
+    let mut bench = NoticeBench::new([server_entry("a")]);
+    bench.hear(&server_entry("a"), resting(Duration::from_secs(5)));
+    bench.suspend(Duration::from_secs(6));
+    bench.pass(Duration::from_millis(400));
+    assert_eq!(bench.servers_of(3).len(), 3);
+}
+
+/// All that waited for a server fell on it at the end of its rest.
+#[test]
+fn server_comes_back_with_one_request_until_it_answers() {
+    let mut bench = NoticeBench::new([server_entry("a")]);
+    bench.hear(&server_entry("a"), resting(Duration::from_secs(1)));
+    bench.pass(Duration::from_millis(1_310));
+    let probe = bench.send().expect("one request shows it");
+    assert!(bench.send().is_none());
+    bench.finish(probe, WorkEnd::Answered);
+    let sent: Vec<_> = (0..20).filter_map(|_| bench.send()).collect();
+    assert_eq!(sent.len(), 20);
+}
+
+/// A server that answers nothing after its rest was left alone for good.
+#[test]
+fn silent_probe_holds_others_back_for_a_bounded_time() {
+    let mut bench = NoticeBench::new([server_entry("a")]);
+    bench.hear(&server_entry("a"), resting(Duration::from_secs(1)));
+    bench.pass(Duration::from_millis(1_310));
+    let _probe = bench.send().expect("one request shows it");
+    bench.pass(Duration::from_millis(500));
+    assert!(bench.send().is_some());
+}
+
+/// An answer to a request from before the rest opened the server for all.
+#[test]
+fn answer_that_was_on_its_way_does_not_end_the_return() {
+    let mut bench = NoticeBench::new([server_entry("a")]);
+    let early = bench.send().expect("a server");
+    bench.hear(&server_entry("a"), resting(Duration::from_secs(1)));
+    bench.pass(Duration::from_millis(1_310));
+    bench.finish(early, WorkEnd::Answered);
+    let _probe = bench.send().expect("one request shows it");
+    assert!(bench.send().is_none());
+}
+
+/// Limit, rest and leaving at once: the strictest holds.
+#[test]
+fn leaving_server_that_rests_is_no_last_resort() {
+    let mut bench = NoticeBench::new([server_entry("a")]);
+    bench.hear(&server_entry("a"), leaving());
+    bench.hear(&server_entry("a"), resting(Duration::from_secs(1)));
+    assert!(bench.pick(&[]).is_none());
+    bench.pass(Duration::from_millis(1_310));
+    assert!(
+        bench.send().is_some(),
+        "it serves on until its time is over"
+    );
+    bench.pass(Duration::from_secs(1));
+    assert!(bench.send().is_none());
+}
