gateway: nodes tell each other which servers leave

What callers would see: a server that told one node that it leaves went on getting requests from the others, while the store is away or behind its rows.

Red before: other_nodes_hear_that_a_server_leaves_while_the_store_is_away (2 requests, one of each other node until its own answer told it) and restarted_node_hears_that_a_server_leaves (1).

Change: the word goes the way of the limits, sealed: to the node's collector, from there to its data centre and the other collectors, three rounds in a row, then after 1, 2, 4 s and so on up to half a minute, and at once when a node asks for a copy of the servers. Told twice, late or out of order it changes nothing: it only says that one incarnation leaves. Rests are not told: a server asks one node for them.

After: both pass.

--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -147,21 +147,16 @@
         }
     }
 
-    /// Takes in what other nodes said of limits, and answers it.
+    /// Takes in what other nodes said of servers' own words, and answers it.
     async fn take_mail(&self) {
         let packets = {
             let mut exchange = self.exchange.borrow_mut();
-            let mail = exchange.take_mail();
-            if mail.is_empty() {
-                return;
-            }
             let moment = self.mail_moment();
-            let (packets, outcome) = self
-                .shared
-                .statements()
-                .limits
-                .hear(&exchange, mail, moment);
+            let mut statements = self.shared.statements();
+            let (packets, outcome, leaves) = statements.hear(&mut exchange, moment);
+            drop(statements);
             self.note_refused(outcome.refused);
+            self.shared.note_told_leaves(&leaves);
             if outcome.is_answer {
                 self.shared.limit_answered.notify(usize::MAX);
             }
@@ -240,7 +235,7 @@
                 let mut packets = exchange.tick(loads.own_work(), &mut self.view.news(), moment);
                 let mut statements = self.shared.statements();
                 let knew_limits = !statements.limits.is_empty();
-                packets.extend(statements.limits.talk(&exchange, self.mail_moment()));
+                packets.extend(statements.talk(&exchange, self.mail_moment()));
                 if !statements.notices.is_empty() {
                     loads.set_standings(&statements.notices, moment.boot, moment.now);
                 }
--- a/crates/plumgate-node/src/gateway/server_notices.rs
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -1,7 +1,7 @@
 //! Servers that said that they leave or asked for a rest: what operators see of it.
 
 use plumgate::gateway::{
-    AnswerTimes, LeaveStatement, NoticeChange, RestStatement, SendRefusal, ServerEntry,
+    AnswerTimes, LeaveEvent, LeaveStatement, NoticeChange, RestStatement, SendRefusal, ServerEntry,
     ServerStatement,
 };
 
@@ -70,6 +70,31 @@
             .info(&self.log);
     }
 
+    /// Other nodes told of servers that leave.
+    pub(crate) fn note_told_leaves(&self, leaves: &[LeaveEvent]) {
+        if leaves.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let boot = self.clock.boot_time();
+        let mut loads = self.loads();
+        loads.set_standings(&self.statements().notices, boot, now);
+        drop(loads);
+        let labels = NoticeLabels {
+            notice: LEAVING,
+            source: "peer",
+        };
+        for event in leaves {
+            self.metrics.notices.get_or_create(&labels).inc();
+            LogLine::new("server_notice")
+                .with("life", format!("{:016x}", event.life))
+                .with("notice", LEAVING)
+                .with("source", "peer")
+                .with("age_ms", event.age.as_millis())
+                .info(&self.log);
+        }
+    }
+
     fn note_malformed(&self, notice: &'static str, server: &ServerEntry) {
         let labels = NoticeLabels {
             notice,
--- a/crates/plumgate-node/src/gateway/view_copies.rs
+++ b/crates/plumgate-node/src/gateway/view_copies.rs
@@ -82,6 +82,8 @@
     /// The servers, as other nodes take them.
     pub(crate) fn servers_copy(&self) -> Option<Vec<u8>> {
         let now = self.shared.clock.boot_time();
+        // Rows don't say what servers said to nodes.
+        self.shared.statements().notices.tell_again(now);
         let copy = self.news().servers_copy(&self.servers.borrow(), now)?;
         self.encode(&copy)
     }
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -48,8 +48,8 @@
 };
 pub use servers::{LifeKey, ServerEntry, ServerState, ServerTable};
 pub use statements::{
-    AnswerTimes, LeaveStatement, NoticeBook, NoticeChange, RestNotice, RestStatement, SendMoment,
-    SendRefusal, ServerStanding, ServerStatement, ServerStatements,
+    AnswerTimes, LeaveEvent, LeaveStatement, NoticeBook, NoticeChange, RestNotice, RestStatement,
+    SendMoment, SendRefusal, ServerStanding, ServerStatement, ServerStatements,
 };
 pub use switches::{PolicyPart, PolicySwitches};
 pub use work::{ServerWork, WorkEnd, WorkTicket};
--- a/crates/plumgate/src/gateway/rate_limit/messages.rs
+++ b/crates/plumgate/src/gateway/rate_limit/messages.rs
@@ -8,6 +8,7 @@
 use super::observed::{BootTime, LimitSighting, ObservedLimit};
 use super::statement::RequestRate;
 use crate::gateway::exchange::messages::ServerKey;
+use crate::gateway::statements::LeaveReport;
 
 /// Longest time that a message is expected to be on its way from one node to the next.
 const TRANSIT_MOST: Duration = Duration::from_secs(1);
@@ -78,12 +79,13 @@
     pub(crate) report: Option<LimitReport>,
 }
 
-/// One message.
+/// One message about what servers said of themselves.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum LimitMessage {
+pub(crate) enum StatementMessage {
     News(LimitNews),
     Ask(PermitAsk),
     Answer(PermitAnswer),
+    Leaves(Vec<LeaveReport>),
 }
 
 impl LimitReport {
--- a/crates/plumgate/src/gateway/rate_limit/mod.rs
+++ b/crates/plumgate/src/gateway/rate_limit/mod.rs
@@ -16,6 +16,7 @@
 
 pub use desk::{ANSWER_TIMEOUT, ASK_AGAIN, SendPermit};
 pub use messages::AskId;
+pub(crate) use messages::StatementMessage;
 pub use observed::{BootTime, LimitChange, LimitSighting};
 pub use statement::{RateStatement, RequestRate};
 pub use table::{LimitEvent, SendClaim, ServerLimits};
--- a/crates/plumgate/src/gateway/rate_limit/talk.rs
+++ b/crates/plumgate/src/gateway/rate_limit/talk.rs
@@ -5,13 +5,14 @@
 
 use super::issuer::unelected;
 use super::messages::{
-    LimitMessage, LimitNews, LimitReport, PermitAnswer, PermitAsk, PermitVerdict,
+    LimitNews, LimitReport, PermitAnswer, PermitAsk, PermitVerdict, StatementMessage,
 };
 use super::observed::{BootTime, LimitSighting};
 use super::table::{LimitEvent, ServerLimits};
 use super::votes::VoterName;
 use crate::errors::{Error, Result};
 use crate::gateway::exchange::{ExchangePacket, HeardMail, LoadExchange, PeerPlace};
+use crate::gateway::statements::LeaveReport;
 use crate::ids::DataCentreId;
 
 /// Reports in one message, some 20 bytes each: it is sealed twice and fits into one packet.
@@ -24,12 +25,14 @@
 const DISTRUST_TIME: Duration = Duration::from_secs(1);
 
 /// What became of a message.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MailOutcome {
     /// Whether an ask of this node was answered.
     pub is_answer: bool,
     /// Messages that were forged, too old or malformed.
     pub refused: u64,
+    /// Servers that leave, as other nodes told.
+    pub(crate) leaves: Vec<LeaveReport>,
 }
 
 /// The time on both clocks that messages need.
@@ -67,7 +70,7 @@
         let asks: Vec<PermitAsk> = self.outgoing.drain(..).collect();
         let packets = asks.into_iter().filter_map(|ask| {
             let to = self.next_hop(&ask)?;
-            self.post(exchange, to, LimitMessage::Ask(ask), moment)
+            self.post(exchange, to, StatementMessage::Ask(ask), moment)
         });
         packets.collect()
     }
@@ -88,9 +91,12 @@
                 continue;
             };
             match message {
-                LimitMessage::News(news) => self.hear_news(exchange, &heard, &news, moment.boot),
-                LimitMessage::Ask(ask) => packets.extend(self.hear_ask(exchange, ask, moment)),
-                LimitMessage::Answer(answer) => {
+                StatementMessage::News(news) => {
+                    self.hear_news(exchange, &heard, &news, moment.boot)
+                }
+                StatementMessage::Ask(ask) => packets.extend(self.hear_ask(exchange, ask, moment)),
+                StatementMessage::Leaves(leaves) => outcome.leaves.extend(leaves),
+                StatementMessage::Answer(answer) => {
                     outcome.is_answer |= self.hear_answer(&answer, moment.boot);
                 }
             }
@@ -168,23 +174,23 @@
             }
             None => parts.push(news),
         }
-        let messages = parts.into_iter().map(LimitMessage::News);
+        let messages = parts.into_iter().map(StatementMessage::News);
         let packets = messages.filter_map(|message| self.post(exchange, to, message, moment));
         packets.collect()
     }
 
-    fn post(
+    pub(crate) fn post(
         &self,
         exchange: &LoadExchange,
         to: SocketAddr,
-        message: LimitMessage,
+        message: StatementMessage,
         moment: MailMoment,
     ) -> Option<ExchangePacket> {
         let sealed = self.keys.seal(message, moment.unix_ms);
         exchange.mail_packet(to, sealed)
     }
 
-    fn open(&self, heard: &HeardMail, moment: MailMoment) -> Result<LimitMessage> {
+    fn open(&self, heard: &HeardMail, moment: MailMoment) -> Result<StatementMessage> {
         let mut opened = Err(Error::MalformedMessage);
         for sealed in &heard.sealed {
             opened = self.keys.open(sealed, moment.unix_ms);
@@ -268,7 +274,7 @@
         }
         if *view.own.data_centre != *ask.centre {
             let to = self.next_hop(&ask)?;
-            return self.post(exchange, to, LimitMessage::Ask(ask), moment);
+            return self.post(exchange, to, StatementMessage::Ask(ask), moment);
         }
         let verdict = self.judge_once(&ask, now);
         self.reply(exchange, &ask, verdict, moment)
@@ -298,7 +304,12 @@
             verdict,
             report: limit.map(|limit| LimitReport::new(key, limit, moment.boot)),
         };
-        self.post(exchange, ask.origin, LimitMessage::Answer(answer), moment)
+        self.post(
+            exchange,
+            ask.origin,
+            StatementMessage::Answer(answer),
+            moment,
+        )
     }
 
     /// Takes in the answer to an ask of this node; whether it is one.
--- a/crates/plumgate/src/gateway/statements/mod.rs
+++ b/crates/plumgate/src/gateway/statements/mod.rs
@@ -4,7 +4,10 @@
 mod notices;
 mod statement;
 mod table;
+mod telling;
 
 pub use notices::{NoticeBook, NoticeChange, RestNotice, ServerStanding};
 pub use statement::{LeaveStatement, RestStatement, ServerStatement};
 pub use table::{AnswerTimes, SendMoment, SendRefusal, ServerStatements};
+pub use telling::LeaveEvent;
+pub(crate) use telling::LeaveReport;
--- a/crates/plumgate/src/gateway/statements/notices.rs
+++ b/crates/plumgate/src/gateway/statements/notices.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::telling::LeaveReport;
 use crate::gateway::rate_limit::BootTime;
 use crate::gateway::servers::{LifeKey, ServerEntry};
 
@@ -11,6 +12,12 @@
 /// Time by which a server's promise to serve on is not used up: a request waits for a connection, and is then on
 /// its way.
 const SERVE_MARGIN: Duration = Duration::from_millis(500);
+/// Rounds in which it is told at once that a server leaves.
+const TELL_ROUNDS: u32 = 3;
+/// Time after which it is told anew for the first time; each further time comes after twice the pause.
+const RETELL: Duration = Duration::from_secs(1);
+/// How often the pause doubles: it ends at half a minute.
+const RETELL_DOUBLINGS: u32 = 6;
 /// Servers that are remembered, some 100 bytes each.
 const NOTICES_MOST: usize = 8_192;
 
@@ -49,6 +56,38 @@
     /// When that was last said.
     leaving_heard: BootTime,
     rest_until: Option<BootTime>,
+    telling: LeaveTelling,
+}
+
+/// How far it has been told to other nodes that a server leaves.
+#[derive(Clone, Copy, Debug, Default)]
+struct LeaveTelling {
+    /// Whether this node tells it: it heard the server itself, or collects.
+    is_on: bool,
+    /// How often it was told.
+    times: u32,
+    next_at: BootTime,
+}
+
+impl LeaveTelling {
+    fn start(&mut self, now: BootTime) {
+        *self = Self {
+            is_on: true,
+            times: 0,
+            next_at: now,
+        };
+    }
+
+    /// It is told now; first in each round, so that one message arrives, then for nodes that came since.
+    fn note_told(&mut self, now: BootTime) {
+        self.times += 1;
+        let doublings = self.times.saturating_sub(TELL_ROUNDS).min(RETELL_DOUBLINGS);
+        let pause = match doublings {
+            0 => Duration::ZERO,
+            doublings => RETELL * (1 << (doublings - 1)),
+        };
+        self.next_at = now + pause;
+    }
 }
 
 impl ServerNotice {
@@ -116,9 +155,61 @@
         notice.leaving_heard = now;
         let is_new = notice.leaving_since.is_none();
         notice.leaving_since.get_or_insert(now);
+        if !notice.telling.is_on {
+            notice.telling.start(now);
+        }
+        is_new
+    }
+
+    /// Another node told that a server leaves; whether that is new. `tells` where this node passes it on.
+    pub(crate) fn note_told(&mut self, report: &LeaveReport, tells: bool, now: BootTime) -> bool {
+        let Some(notice) = self.notice(report.life, now) else {
+            return false;
+        };
+        let since = now.saturating_sub(report.age());
+        let is_new = notice.leaving_since.is_none();
+        if is_new {
+            notice.leaving_heard = now;
+            if tells {
+                notice.telling.start(now);
+            }
+        }
+        let known = notice.leaving_since.unwrap_or(since);
+        notice.leaving_since = Some(known.min(since));
         is_new
     }
 
+    /// Tells all again in the next rounds: a node has asked for what others know.
+    pub fn tell_again(&mut self, now: BootTime) {
+        for notice in self.notices.values_mut() {
+            if notice.leaving_since.is_some() {
+                notice.telling.start(now);
+            }
+        }
+    }
+
+    /// What this round tells, the newest first. A collector tells all that it knows.
+    pub(crate) fn tell(
+        &mut self,
+        most: usize,
+        is_collector: bool,
+        now: BootTime,
+    ) -> Vec<LeaveReport> {
+        let mut telling: Vec<(LifeKey, BootTime, &mut LeaveTelling)> = self
+            .notices
+            .iter_mut()
+            .filter_map(|(life, notice)| Some((*life, notice.leaving_since?, &mut notice.telling)))
+            .filter(|(.., telling)| (telling.is_on || is_collector) && telling.next_at <= now)
+            .collect();
+        telling.sort_by_key(|(.., telling)| telling.times);
+        telling.truncate(most);
+        let reports = telling.into_iter().map(|(life, since, telling)| {
+            telling.note_told(now);
+            LeaveReport::new(life, since, now)
+        });
+        reports.collect()
+    }
+
     /// A server asked for a rest. A shorter one that follows a longer one changes nothing.
     pub fn note_rest(
         &mut self,
