servers: a row that is no newer does not make a draining server ready

The same cause in another place: what a server said of itself in its row was taken back by an older row, where a list is read from an old copy of the store or another node tells late. Only the return of the store from another era was guarded.

Red before: older_row_does_not_make_a_draining_server_ready (the older row was taken as news).

--- a/crates/plumgate/src/gateway/servers.rs
+++ b/crates/plumgate/src/gateway/servers.rs
@@ -143,7 +143,7 @@
         if known_born.is_some() && entry.born < known_born {
             return None;
         }
-        if self.has_old_entries && self.is_old(&entry) {
+        if self.has_old_entries && self.is_old(&entry) || self.takes_back(&entry) {
             return None;
         }
         let is_reborn = known_born.is_some() && entry.born > known_born;
@@ -177,6 +177,18 @@
         left.is_some_and(|left| left.born == entry.born && entry.writes <= left.writes)
     }
 
+    /// Whether an entry that is no newer than the known one would make a draining server ready: lists that are read
+    /// from an old copy of the store, and what other nodes tell late, come after newer entries.
+    fn takes_back(&self, entry: &ServerEntry) -> bool {
+        let known = self.servers.get(&entry.id).map(|known| &known.entry);
+        known.is_some_and(|known| {
+            known.born == entry.born
+                && known.state == ServerState::Draining
+                && entry.state == ServerState::Ready
+                && entry.writes <= known.writes
+        })
+    }
+
     /// Remembers a server that left.
     fn note_left(&mut self, entry: &ServerEntry, now: Instant) {
         if self.left.len() >= LEFT_MOST {
--- a/crates/plumgate/tests/gateway_servers.rs
+++ b/crates/plumgate/tests/gateway_servers.rs
@@ -171,3 +171,21 @@
         })
     }
 }
+
+/// A list that the store read from an old copy made a draining server ready again.
+#[test]
+fn older_row_does_not_make_a_draining_server_ready() {
+    let mut table = ServerTable::new();
+    let row = |state, writes| ServerEntry {
+        state,
+        writes,
+        ..server_entry("a")
+    };
+    table.put(row(ServerState::Ready, 4));
+    table.put(row(ServerState::Draining, 5));
+    assert_eq!(table.put(row(ServerState::Ready, 4)), None);
+    assert_eq!(table.put(row(ServerState::Ready, 5)), None);
+    assert_eq!(table.ready().count(), 0);
+    let newer = table.put(row(ServerState::Ready, 6));
+    assert!(matches!(newer, Some(ServerChange::Changed(_))));
+}
--- a/crates/plumgate/tests/limit_fleet/faults.rs
+++ b/crates/plumgate/tests/limit_fleet/faults.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::node::FleetNode;
-use super::{FleetEvent, LimitFleet, ROUND, micros};
+use super::{FleetEvent, LimitFleet, ROUND, ServerWords, micros};
 
 impl LimitFleet {
     /// A node ends and starts again after some time.
@@ -53,6 +53,17 @@
         }
     }
 
+    /// The server starts again under its id; the nodes learn of it within some time.
+    pub(crate) fn rebirth(&mut self, learnt_within: Duration) {
+        let born = self.server.born.unwrap_or(0) + 1;
+        self.server.born = Some(born);
+        self.words = ServerWords::default();
+        for index in 0..self.nodes.len() {
+            let at = self.now + self.rng.u64(0..micros(learnt_within).max(1));
+            self.at(at, FleetEvent::Reborn(index, born));
+        }
+    }
+
     pub(super) fn resume(&mut self, index: usize) {
         self.nodes[index].stands_still = false;
         let waiting = std::mem::take(&mut self.nodes[index].waiting);
@@ -70,10 +81,12 @@
         let seed = self.rng.u64(..);
         let life = self.nodes[index].life;
         let is_cut = self.nodes[index].is_cut;
-        let mut node = FleetNode::new(&self.entries[index], &self.entries, offset, seed);
+        let own = &self.entries[index];
+        let mut node = FleetNode::new(own, &self.entries, &self.server, offset, seed);
         node.life = life;
         node.is_cut = is_cut;
         node.started = self.now;
+        self.notices.forget(index);
         self.nodes[index] = node;
         let at = self.now + self.rng.u64(0..ROUND);
         self.at(at, FleetEvent::Round(index));
--- a/crates/plumgate/tests/limit_fleet/mod.rs
+++ b/crates/plumgate/tests/limit_fleet/mod.rs
@@ -5,16 +5,18 @@
 mod faults;
 mod judge;
 mod node;
+mod notice_judge;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use plumgate::gateway::{NodeEntry, RequestRate, ServerEntry};
+use plumgate::gateway::{LeaveStatement, NodeEntry, RequestRate, RestStatement, ServerEntry};
 
 pub(crate) use judge::LimitJudge;
-use node::FleetNode;
+use node::{FleetAnswer, FleetNode};
+pub(crate) use notice_judge::NoticeJudge;
 
 use super::entries::{node_entries, server_entry};
 
@@ -55,6 +57,15 @@
     }
 }
 
+/// What the server says in its answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ServerWords {
+    pub(crate) limit: Option<f64>,
+    pub(crate) is_leaving: bool,
+    /// The rest that it asks for as it turns requests away; none where it takes them.
+    pub(crate) rest: Option<Duration>,
+}
+
 /// What happens at some moment.
 #[derive(Clone, Debug)]
 enum FleetEvent {
@@ -66,8 +77,10 @@
     Caller,
     /// A node sends a request, if it still may.
     Send(usize, u32, node::Sending),
-    /// An answer arrives at the node that sent the request at a moment of its clock.
-    Answer(usize, u32, Duration, Option<RequestRate>),
+    /// An answer arrives at the node that sent the request.
+    Answer(usize, u32, FleetAnswer),
+    /// A node learns of another life of the server.
+    Reborn(usize, u64),
     /// An ask is sent again.
     AskAgain(usize, u32, u64),
     /// The time of an ask is over.
@@ -84,8 +97,9 @@
     pub(crate) now: Micros,
     pub(crate) judge: LimitJudge,
     pub(crate) server: ServerEntry,
-    /// What the server names.
-    pub(crate) limit: Option<f64>,
+    pub(crate) notices: NoticeJudge,
+    /// What the server says of itself.
+    pub(crate) words: ServerWords,
     /// Bytes that nodes sent about limits and all else.
     pub(crate) bytes: u64,
     nodes: Vec<FleetNode>,
@@ -129,10 +143,11 @@
         let start = Instant::now() + Duration::from_secs(1_000);
         let mut server = server_entry("limited");
         server.data_centre = "hall-0".into();
+        server.born = Some(1);
         let mut rng = fastrand::Rng::with_seed(shape.seed);
         let nodes = entries.iter().map(|own| {
             let offset = Duration::from_secs(rng.u64(100..10_000));
-            FleetNode::new(own, &entries, offset, rng.u64(..))
+            FleetNode::new(own, &entries, &server, offset, rng.u64(..))
         });
         let nodes = nodes.collect();
         let places = entries.iter().enumerate();
@@ -144,7 +159,8 @@
             now: 0,
             judge: LimitJudge::default(),
             server,
-            limit: None,
+            notices: NoticeJudge::default(),
+            words: ServerWords::default(),
             bytes: 0,
             nodes,
             deaf_pairs: BTreeSet::new(),
@@ -185,20 +201,25 @@
 
     /// The server names a limit, or none any more.
     pub(crate) fn set_limit(&mut self, limit: Option<f64>) {
-        self.limit = limit;
+        self.words.limit = limit;
         self.judge.note_limit(limit, self.now);
     }
 
     /// Whether a node believes that the server is limited.
     pub(crate) fn believes_limited(&self, index: usize) -> bool {
-        self.nodes[index].limits.rate(&self.server).is_some()
+        self.nodes[index]
+            .statements
+            .limits
+            .rate(&self.server)
+            .is_some()
     }
 
     /// The nodes that issue permits.
     pub(crate) fn issuers(&self) -> Vec<usize> {
         let now = self.now;
         let nodes = self.nodes.iter().enumerate();
-        let issuing = nodes.filter(|(_, node)| !node.is_down && node.limits.issues(node.boot(now)));
+        let issuing = nodes
+            .filter(|(_, node)| !node.is_down && node.statements.limits.issues(node.boot(now)));
         issuing.map(|(index, _)| index).collect()
     }
 
@@ -218,7 +239,10 @@
 
     fn happen(&mut self, event: FleetEvent) {
         let held = match &event {
-            FleetEvent::Caller | FleetEvent::Resume(_) | FleetEvent::Start(_) => None,
+            FleetEvent::Caller
+            | FleetEvent::Resume(_)
+            | FleetEvent::Start(_)
+            | FleetEvent::Reborn(..) => None,
             FleetEvent::Packet(_, to, _) => self.places.get(to).copied(),
             FleetEvent::Round(index)
             | FleetEvent::Send(index, ..)
@@ -241,15 +265,11 @@
                 self.call(index);
             }
             FleetEvent::Send(index, life, sending) => self.send(index, life, sending),
-            FleetEvent::Answer(index, life, sent, rate) => {
-                let now = self.now;
-                if self.nodes[index].life == life {
-                    self.nodes[index].answered(&self.server, sent, rate, now);
-                }
-            }
+            FleetEvent::Answer(index, life, answer) => self.answer(index, life, &answer),
+            FleetEvent::Reborn(index, born) => self.nodes[index].server.born = Some(born),
             FleetEvent::AskAgain(index, life, ask) => {
                 if self.nodes[index].life == life {
-                    self.nodes[index].limits.ask_again(ask);
+                    self.nodes[index].statements.limits.ask_again(ask);
                     let now = self.now;
                     let packets = self.nodes[index].take_asks(now);
                     self.post_all(index, packets);
@@ -318,8 +338,7 @@
         }
         self.judge.note_demand(self.now);
         let now = self.now;
-        let server = self.server.clone();
-        match self.nodes[index].claim(&server, now) {
+        match self.nodes[index].claim(now) {
             node::Claimed::Send(sending) => self.begin(index, sending),
             node::Claimed::Wait(ask) => {
                 let packets = self.nodes[index].take_asks(now);
@@ -347,22 +366,45 @@
 
     fn send(&mut self, index: usize, life: u32, sending: node::Sending) {
         let now = self.now;
-        let server = self.server.clone();
         if self.nodes[index].life != life || self.nodes[index].is_down {
             return;
         }
-        if !self.nodes[index].may_send(&server, sending, now) {
+        if !self.nodes[index].may_send(sending, now) {
             return;
         }
         let sent = self.nodes[index].boot(now);
+        let server = self.nodes[index].server.clone();
         self.judge.note_arrival(self.nodes[index].started, now);
-        let rate = self.limit.and_then(RequestRate::new);
+        if server.born == self.server.born {
+            self.notices.note_arrival(index, server.born, now);
+        }
+        let words = self.words;
+        let answer = FleetAnswer {
+            server,
+            sent,
+            rate: words.limit.and_then(RequestRate::new),
+            leaving: if words.is_leaving {
+                LeaveStatement::Leaves
+            } else {
+                LeaveStatement::Stays
+            },
+            rest: words.rest.map_or(RestStatement::None, RestStatement::For),
+        };
         let pause = if self.rng.f64() < 0.1 {
             self.rng.u64(2_000..1_500_000)
         } else {
             self.rng.u64(2_000..50_000)
         };
-        self.at(now + pause, FleetEvent::Answer(index, life, sent, rate));
+        self.at(now + pause, FleetEvent::Answer(index, life, answer));
+    }
+
+    fn answer(&mut self, index: usize, life: u32, answer: &FleetAnswer) {
+        let now = self.now;
+        if self.nodes[index].life != life || self.nodes[index].is_down {
+            return;
+        }
+        self.nodes[index].answered(answer, now);
+        self.notices.note_answer(index, answer, now);
     }
 
     fn give_up(&mut self, index: usize, life: u32, ask: u64) {
--- a/crates/plumgate/tests/limit_fleet/node.rs
+++ b/crates/plumgate/tests/limit_fleet/node.rs
@@ -4,12 +4,28 @@
 use std::time::{Duration, Instant};
 
 use plumgate::gateway::{
-    ExchangePacket, GatewayConfig, LimitSighting, LoadExchange, MailMoment, NewsDesk, NodeEntry,
-    RequestRate, SendClaim, SendPermit, ServerEntry, ServerLimits, TalkMoment,
+    AnswerTimes, ExchangePacket, GatewayConfig, LeaveStatement, LimitSighting, LoadExchange,
+    MailMoment, NewsDesk, NodeEntry, RequestRate, RestStatement, SendClaim, SendMoment, SendPermit,
+    ServerEntry, ServerStatement, ServerStatements, TalkMoment,
 };
 
 use super::{FleetEvent, Micros, UNIX_START_MS};
 
+/// How long a server serves on once it has said that it leaves.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// An answer of the server.
+#[derive(Clone, Debug)]
+pub(crate) struct FleetAnswer {
+    /// The server that the request was sent to.
+    pub(crate) server: ServerEntry,
+    /// When it was sent, by the sender's clock.
+    pub(crate) sent: Duration,
+    pub(crate) rate: Option<RequestRate>,
+    pub(crate) leaving: LeaveStatement,
+    pub(crate) rest: RestStatement,
+}
+
 /// A request that may be sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Sending {
@@ -25,7 +41,9 @@
 
 /// A node.
 pub(crate) struct FleetNode {
-    pub(crate) limits: ServerLimits,
+    pub(crate) statements: ServerStatements,
+    /// The server, as this node knows it.
+    pub(crate) server: ServerEntry,
     pub(crate) offset: Duration,
     pub(crate) started: Micros,
     pub(crate) life: u32,
@@ -42,13 +60,20 @@
 }
 
 impl FleetNode {
-    pub(crate) fn new(own: &NodeEntry, entries: &[NodeEntry], offset: Duration, seed: u64) -> Self {
+    pub(crate) fn new(
+        own: &NodeEntry,
+        entries: &[NodeEntry],
+        server: &ServerEntry,
+        offset: Duration,
+        seed: u64,
+    ) -> Self {
         let mut exchange = LoadExchange::new(own.clone());
         exchange.set_nodes(entries.to_vec());
-        let mut limits = ServerLimits::new(true, seed);
-        limits.set_config(&GatewayConfig::default());
+        let mut statements = ServerStatements::new(true, seed, DRAIN);
+        statements.set_config(&GatewayConfig::default());
         Self {
-            limits,
+            statements,
+            server: server.clone(),
             offset,
             started: 0,
             life: 0,
@@ -88,7 +113,7 @@
             .exchange
             .tick(std::iter::empty(), &mut self.desk, moment);
         let mail = self.mail(now);
-        packets.extend(self.limits.talk(&self.exchange, mail));
+        packets.extend(self.statements.talk(&self.exchange, mail));
         packets
     }
 
@@ -103,19 +128,15 @@
         self.exchange
             .receive(bytes, from, &mut self.desk, moment)
             .expect("a message");
-        let mail = self.exchange.take_mail();
-        if mail.is_empty() {
-            return (Vec::new(), false);
-        }
         let moment = self.mail(now);
-        let (packets, outcome) = self.limits.hear(&self.exchange, mail, moment);
+        let (packets, outcome, _) = self.statements.hear(&mut self.exchange, moment);
         assert_eq!(outcome.refused, 0, "all nodes have the same keys");
         (packets, outcome.is_answer)
     }
 
-    pub(crate) fn claim(&mut self, server: &ServerEntry, now: Micros) -> Claimed {
+    pub(crate) fn claim(&mut self, now: Micros) -> Claimed {
         let boot = self.boot(now);
-        match self.limits.claim(server, 0, boot) {
+        match self.statements.limits.claim(&self.server, 0, boot) {
             SendClaim::Free => Claimed::Send(Sending { permit: None }),
             SendClaim::Permitted(permit) => Claimed::Send(Sending {
                 permit: Some(permit),
@@ -130,14 +151,14 @@
 
     pub(crate) fn take_asks(&mut self, now: Micros) -> Vec<ExchangePacket> {
         let moment = self.mail(now);
-        self.limits.take_asks(&self.exchange, moment)
+        self.statements.limits.take_asks(&self.exchange, moment)
     }
 
     /// The requests whose asks were answered with leave to send.
     pub(crate) fn take_answered(&mut self, now: Micros) -> Vec<Sending> {
         let boot = self.boot(now);
         let mut sendings = Vec::new();
-        let limits = &mut self.limits;
+        let limits = &mut self.statements.limits;
         self.asks.retain(|ask| {
             let Some(claim) = limits.take_answer(*ask, boot) else {
                 return true;
@@ -158,28 +179,44 @@
         let boot = self.boot(now);
         if self.asks.contains(&ask) {
             self.asks.retain(|open| *open != ask);
-            self.limits.abandon(ask, boot);
+            self.statements.limits.abandon(ask, boot);
         }
     }
 
-    pub(crate) fn may_send(&mut self, server: &ServerEntry, sending: Sending, now: Micros) -> bool {
-        let boot = self.boot(now);
-        let may = self.limits.allows(server, sending.permit.as_ref(), boot);
+    /// Whether a request may leave now.
+    pub(crate) fn may_send(&mut self, sending: Sending, now: Micros) -> bool {
+        let send = SendMoment {
+            now: self.boot(now),
+            permit: sending.permit.as_ref(),
+            is_last_resort: false,
+        };
+        let may = self.statements.check(&self.server, send).is_ok();
         if let Some(permit) = sending.permit.filter(|_| !may) {
-            self.limits.give_back(permit);
+            self.statements.limits.give_back(permit);
         }
         may
     }
 
-    pub(crate) fn answered(
-        &mut self,
-        server: &ServerEntry,
-        sent: Duration,
-        rate: Option<RequestRate>,
-        now: Micros,
-    ) {
+    /// The head of an answer came.
+    pub(crate) fn answered(&mut self, answer: &FleetAnswer, now: Micros) {
         let seen = self.boot(now);
-        self.limits
-            .note_answer(server, LimitSighting { rate, sent, seen });
+        let times = AnswerTimes {
+            sent: answer.sent,
+            seen,
+            seen_unix_ms: UNIX_START_MS + now / 1_000,
+        };
+        let sighting = LimitSighting {
+            rate: answer.rate,
+            sent: answer.sent,
+            seen,
+        };
+        self.statements.limits.note_answer(&answer.server, sighting);
+        let statement = ServerStatement {
+            leaving: answer.leaving,
+            rest: answer.rest,
+            ..ServerStatement::default()
+        };
+        self.statements
+            .note_notices(&answer.server, &statement, times);
     }
 }
