--- a/crates/plumgate/src/gateway/placement/candidates.rs
+++ b/crates/plumgate/src/gateway/placement/candidates.rs
@@ -80,10 +80,9 @@
 
     /// Takes over what a server said of itself.
     pub fn set_standing(&mut self, server: &ServerEntry, standing: ServerStanding, now: Instant) {
-        let spread = self.rng.f64();
         let load = self.servers.get_mut(&server.id);
         if let Some(load) = load.filter(|load| load.entry.born == server.born) {
-            load.set_standing(standing, spread, now);
+            load.set_standing(standing, now);
         }
     }
 
@@ -91,7 +90,7 @@
     pub fn set_standings(&mut self, notices: &NoticeBook, boot: BootTime, now: Instant) {
         for load in self.servers.values_mut() {
             let standing = notices.standing(load.life(), boot);
-            load.set_standing(standing, self.rng.f64(), now);
+            load.set_standing(standing, now);
         }
     }
 }
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub struct LoadTable {
     pub(super) options: PlacementOptions,
-    pub(super) rng: fastrand::Rng,
+    rng: fastrand::Rng,
     pub(super) servers: BTreeMap<ServerId, ServerLoad>,
     centres: CentreTable,
     /// How fast each pool's servers read prompts.
@@ -360,7 +360,7 @@
             started: now,
         };
         if let Some(load) = ticket_load(&mut self.servers, &ticket) {
-            load.note_start(now);
+            load.own.in_flight += 1;
             load.own.unread[ticket.urgency] += ticket.unread_tokens;
             let shared = request.prompt.map_or(&[][..], PromptShape::shared);
             for part in shared.iter().filter(|part| part.tokens >= SMALL_PART) {
@@ -380,7 +380,7 @@
         let Some(load) = ticket_load(&mut self.servers, ticket) else {
             return;
         };
-        load.note_answer(ticket.started, now);
+        load.note_answer(now);
         load.own.unread[ticket.urgency] = load.own.unread[ticket.urgency].saturating_sub(tokens);
         if learns && tokens > 0 {
             let took = now.saturating_duration_since(ticket.started);
@@ -397,7 +397,7 @@
         load.own.in_flight = load.own.in_flight.saturating_sub(1);
         let unread = &mut load.own.unread[ticket.urgency];
         *unread = unread.saturating_sub(ticket.unread_tokens);
-        load.note_end(end, ticket.started, now);
+        load.note_end(end, now);
         let centre = &load.entry.data_centre;
         match end {
             WorkEnd::Answered | WorkEnd::Full | WorkEnd::Refused => {
--- a/crates/plumgate/src/gateway/placement/mod.rs
+++ b/crates/plumgate/src/gateway/placement/mod.rs
@@ -10,7 +10,6 @@
 mod keepers;
 mod load;
 mod reading;
-mod rest;
 mod server_load;
 
 pub use choice::{PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use super::choice::{PlacementOptions, PlacementRequest, ServerHold};
-use super::rest::ServerRest;
 use crate::gateway::config::StreamClass;
 use crate::gateway::prompt::{PromptShape, SMALL_PART};
 use crate::gateway::rate_limit::RequestRate;
@@ -51,6 +50,9 @@
 /// How long a server that could not be reached gets no more from this node. The next requests
 /// would each lose the time of a connection that does not come about.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(400);
+/// The farthest end of a rest that placement tells apart from later ones: no clock shows any moment.
+const FARTHEST_END: Duration = Duration::from_secs(365 * 86_400);
+
 /// What one node knows of one server.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerLoad {
@@ -73,8 +75,8 @@
     life: LifeKey,
     /// Until when it serves on, if it said that it leaves.
     serves_until: Option<Instant>,
-    /// The rest that it asked for.
-    rest: ServerRest,
+    /// Until when it rests, if it asked for that.
+    rests_until: Option<Instant>,
     /// The requests a second that it takes, if it named a limit.
     pub(crate) limit: Option<RequestRate>,
     /// Until when it gets no requests of an urgency, nor less urgent ones, from this node, as it named a limit.
@@ -118,7 +120,7 @@
             life: entry.life_key(),
             entry,
             serves_until: None,
-            rest: ServerRest::default(),
+            rests_until: None,
             own: ServerWork::default(),
             peers: ServerWork::default(),
             breaker: CircuitBreaker::new(),
@@ -145,16 +147,11 @@
         self.life
     }
 
-    /// Takes over what it said of itself; `spread` from 0 to 1 spreads the nodes' return after a rest.
-    pub(crate) fn set_standing(&mut self, standing: ServerStanding, spread: f64, now: Instant) {
+    /// Takes over what it said of itself.
+    pub(crate) fn set_standing(&mut self, standing: ServerStanding, now: Instant) {
         self.serves_until = standing.serves_for.map(|serves| now + serves);
-        self.rest.set_left(standing.rest_left, spread, now);
-    }
-
-    /// A request goes there.
-    pub(crate) fn note_start(&mut self, now: Instant) {
-        self.own.in_flight += 1;
-        self.rest.note_start(now);
+        let rest = standing.rest_left.map(|left| left.min(FARTHEST_END));
+        self.rests_until = rest.map(|left| now + left);
     }
 
     /// Whether it said in an answer that it leaves.
@@ -198,16 +195,17 @@
             until: *until,
             cause: SendRefusal::Limited,
         });
-        let rest = self.rest.blocks_until(now).map(|until| ServerHold {
+        let rest = self.rests_until.filter(|until| now < *until);
+        let rest = rest.map(|until| ServerHold {
             until,
             cause: SendRefusal::Resting,
         });
         limited.chain(rest).max_by_key(|hold| hold.until)
     }
 
-    /// Whether it rests, or comes back from a rest.
+    /// Whether it rests.
     pub(crate) fn rests(&self, now: Instant) -> bool {
-        self.rest.blocks_until(now).is_some()
+        self.rests_until.is_some_and(|until| now < until)
     }
 
     /// What the server would mean to a request, by what its shared tokens cost there.
@@ -318,10 +316,9 @@
         self.failures * (-age.as_secs_f64() / FAILURE_MEMORY.as_secs_f64()).exp()
     }
 
-    /// It answers a request of this node that went there at a moment.
-    pub(crate) fn note_answer(&mut self, started: Instant, now: Instant) {
+    /// It answers this node.
+    pub(crate) fn note_answer(&mut self, now: Instant) {
         self.answered_at = Some(now);
-        self.rest.note_answer(started);
     }
 
     /// Whether it answered this node lately.
@@ -330,13 +327,12 @@
             .is_some_and(|at| now.saturating_duration_since(at) < ANSWERED_LATELY)
     }
 
-    /// A request ended there that went there at a moment.
-    pub(crate) fn note_end(&mut self, end: WorkEnd, started: Instant, now: Instant) {
-        self.rest.note_end(started);
+    /// A request ended there.
+    pub(crate) fn note_end(&mut self, end: WorkEnd, now: Instant) {
         let failed = match end {
             WorkEnd::Answered => {
                 self.breaker.record_success();
-                self.note_answer(started, now);
+                self.note_answer(now);
                 0.0
             }
             WorkEnd::Failed | WorkEnd::Broken | WorkEnd::Silent => 1.0,
--- a/crates/plumgate/tests/gateway_load.rs
+++ b/crates/plumgate/tests/gateway_load.rs
@@ -3,7 +3,7 @@
 mod load;
 
 use load::engine::TOKENS_PER_SECOND;
-use load::{LoadPlan, LoadResult, LoadRun, TrafficKind};
+use load::{LoadPlan, LoadResult, LoadRun, RestWay, ShedPlan, TrafficKind};
 use plumgate::gateway::{PlacementPolicy, PolicyPart, PolicySwitches, StreamClass};
 
 /// Traffic of three kinds: long dossiers that share documents, checks, short captions.
@@ -67,6 +67,7 @@
         exchanges: true,
         returns: false,
         samples: false,
+        shedding: None,
         seed: 11,
     }
 }
@@ -274,3 +275,73 @@
     assert!(samples > 50);
     assert!(mean(apart) < 0.7 * mean(usual));
 }
+
+/// Seconds of a run in which engines shed, and the longest rest that they ask for.
+const SHED_SECONDS: f64 = 20.0;
+const LONGEST_REST: f64 = 5.0;
+
+/// A pool of which some engines shed for six seconds, at a load of so much of what it carries.
+fn shed(load: f64, share: f64, way: RestWay, seed: u64) -> LoadResult {
+    let mut plan = plan(12, 6, 1.0);
+    for kind in &mut plan.kinds {
+        kind.per_second *= load;
+    }
+    plan.returns = true;
+    plan.seconds = SHED_SECONDS;
+    plan.seed = seed;
+    plan.shedding = Some(ShedPlan {
+        share,
+        from: 6.0,
+        to: 12.0,
+        rests: (1.0, LONGEST_REST),
+        way,
+    });
+    LoadRun::new(plan).play()
+}
+
+/// What callers and engines got, as means over some seeds.
+struct ShedMean {
+    /// The share in time of captions, checks and dossiers, the most urgent first.
+    in_time: [f64; 3],
+    turned_away: f64,
+    in_rest: u64,
+}
+
+fn shed_mean(load: f64, share: f64, way: RestWay) -> ShedMean {
+    let results: Vec<LoadResult> = (1..=4).map(|seed| shed(load, share, way, seed)).collect();
+    let count = results.len() as f64;
+    let in_time = ["caption", "check", "dossier"].map(|kind| {
+        let shares = results.iter().map(|result| self::share(result, kind));
+        shares.sum::<f64>() / count
+    });
+    let turned_away = results.iter().map(|result| result.shed).sum::<u64>() as f64 / count;
+    let in_rest = results.iter().map(|result| result.in_rest).sum();
+    println!(
+        "load {load}, {share:.2} shed, {way:?}: in time {in_time:.3?}, {turned_away:.0} turned away, {in_rest} in rests"
+    );
+    ShedMean {
+        in_time,
+        turned_away,
+        in_rest,
+    }
+}
+
+/// Callers got less for it that servers were given the rest they asked for.
+#[test]
+fn rests_cost_callers_nothing_and_spare_the_servers() {
+    for load in [0.6, 1.2] {
+        for share in [0.34, 1.0] {
+            let before = shed_mean(load, share, RestWay::Ignored);
+            let kept = shed_mean(load, share, RestWay::OwnNode);
+            shed_mean(load, share, RestWay::AllNodes);
+            assert!(before.in_rest > 0, "the load asks for it");
+            assert_eq!(kept.in_rest, 0);
+            assert!(kept.turned_away < before.turned_away);
+            // Engines that shed no more may still rest for as long as they asked.
+            let lost = share * LONGEST_REST / SHED_SECONDS;
+            for (kept, before) in kept.in_time.into_iter().zip(before.in_time) {
+                assert!(kept >= before - lost, "{kept} in time, {before} before");
+            }
+        }
+    }
+}
