gateway: operators see what servers said of themselves; shared state and guards apart

Each node serves GET /statements, and 'plumgate statements' shows it: a line for each server that named a limit, leaves or rests, with its row's state.

--- a/crates/plumgate-cli/src/commands.rs
+++ b/crates/plumgate-cli/src/commands.rs
@@ -8,7 +8,7 @@
 use clap_complete::{Shell, generate};
 use plumgate::config::{ConfigBundle, config_changes, key_digest};
 use plumgate::follow::ConfigHead;
-use plumgate_node::gateway::{DUTIES_PATH, LIMITS_PATH};
+use plumgate_node::gateway::{DUTIES_PATH, LIMITS_PATH, STATEMENTS_PATH};
 use plumgate_node::status::NodeStatus;
 use serde_json::json;
 
@@ -29,6 +29,7 @@
         Some(("status", _)) => context.status().await,
         Some(("duties", _)) => context.pages(DUTIES_PATH).await,
         Some(("limits", _)) => context.pages(LIMITS_PATH).await,
+        Some(("statements", _)) => context.pages(STATEMENTS_PATH).await,
         Some(("show", sub)) => context.show(sub).await,
         Some(("drain", sub)) => context.drain(sub, true).await,
         Some(("undrain", sub)) => context.drain(sub, false).await,
--- a/crates/plumgate-cli/src/flags.rs
+++ b/crates/plumgate-cli/src/flags.rs
@@ -39,6 +39,9 @@
             Command::new("limits").about(
                 "Shows the servers that named a limit and who issues their permits, by the nodes' readiness addresses",
             ),
+            Command::new("statements").about(
+                "Shows what servers said of themselves (limits, leaving, rests), by the nodes' readiness addresses",
+            ),
             Command::new("show")
                 .about("Prints the configuration in force, or an earlier one")
                 .arg(
--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -11,9 +11,10 @@
 use plumgate::gateway::{LinkAge, RepeatKind, WorkEnd};
 
 use super::answer::drop_connection_headers;
+use super::guards::{RunRefusal, WorkGuard};
 use super::ports::{AnswerMeaning, AttemptFacts, WireFormat};
 use super::request::{AttemptEnd, AttemptOrder, RESTARTED, ServerAnswer};
-use super::shared::{GatewayShared, RunRefusal, WorkGuard};
+use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
 use crate::http::OutgoingRequest;
 use crate::link::{HttpLink, LinkError};
--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -19,10 +19,12 @@
 use super::checks::accept;
 use super::connection::{CallerStream, ConnectionUse, GuardedBody};
 use super::duties::DUTIES_PATH;
+use super::guards::ConnectionGuard;
 use super::ports::WireFormat;
 use super::run::RelayRun;
 use super::server_limits::LIMITS_PATH;
-use super::shared::{ConnectionGuard, GatewayShared};
+use super::server_notices::STATEMENTS_PATH;
+use super::shared::GatewayShared;
 use super::suspects::QUARANTINE_PATH;
 use crate::clock::{Clock, until};
 use crate::http::text_response;
@@ -110,6 +112,8 @@
             text_response(StatusCode::OK, shared.duties_page.load().to_string())
         } else if path == LIMITS_PATH {
             text_response(StatusCode::OK, shared.limits_page())
+        } else if path == STATEMENTS_PATH {
+            text_response(StatusCode::OK, shared.statements_page())
         } else if path.starts_with(QUARANTINE_PATH) {
             shared.serve_quarantine(request.method(), path)
         } else if shared.is_ready() {
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod duty_calls;
 mod exchange;
 mod following;
+mod guards;
 mod life;
 mod links;
 mod lives;
@@ -36,8 +37,10 @@
 mod verdicts;
 mod view;
 mod view_copies;
+mod view_servers;
 
 pub use duties::DUTIES_PATH;
 pub use node::{GatewayAddresses, GatewayHandle, GatewayNode};
 pub use options::{DutyOptions, GatewayBounds, GatewayOptions};
 pub use server_limits::LIMITS_PATH;
+pub use server_notices::STATEMENTS_PATH;
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -13,9 +13,9 @@
 };
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 
+use super::guards::WorkGuard;
 use super::ports::{AnswerFacts, RequestFacts, WireFormat};
 use super::server_limits::SendCause;
-use super::shared::WorkGuard;
 use crate::clock::Clock;
 use crate::link::HttpLink;
 
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -10,10 +10,11 @@
 use plumgate::retry::may_run_again;
 
 use super::attempt::{CONNECT_TIMEOUT, attempt};
+use super::guards::{RequestGuard, WorkGuard};
 use super::ports::WireFormat;
 use super::request::{AttemptEnd, AttemptOrder, RelayRequest};
 use super::server_limits::SendCause;
-use super::shared::{GatewayShared, RequestGuard, WorkGuard};
+use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
 use crate::log::LogLine;
 
--- a/crates/plumgate-node/src/gateway/server_notices.rs
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -1,5 +1,7 @@
 //! Servers that said that they leave or asked for a rest: what operators see of it.
 
+use std::fmt::Write;
+
 use plumgate::gateway::{
     AnswerTimes, LeaveEvent, LeaveStatement, NoticeChange, RestStatement, SendRefusal, ServerEntry,
     ServerStatement,
@@ -12,6 +14,8 @@
 use crate::clock::Clock;
 use crate::log::LogLine;
 
+/// The path under which operators find what servers said of themselves.
+pub const STATEMENTS_PATH: &str = "/statements";
 /// The notice of a server that leaves.
 const LEAVING: &str = "leaving";
 /// The notice of a server that asked for a rest.
@@ -169,6 +173,43 @@
         self.metrics.noticed_sends.get_or_create(&labels).inc();
     }
 
+    /// What servers said of themselves, a line each; those that said nothing are left out.
+    pub(crate) fn statements_page(&self) -> String {
+        let now = self.clock.boot_time();
+        let loads = self.loads();
+        let statements = self.statements();
+        let mut page = String::new();
+        for server in loads.entries() {
+            let rate = statements.limits.rate(server);
+            let leaving = statements.notices.leaving_since(server);
+            let rest = statements.notices.rest_left(server, now);
+            if rate.is_none() && leaving.is_none() && rest.is_none() {
+                continue;
+            }
+            // Writing to a string does not fail.
+            let _ = write!(
+                page,
+                "server={} life={:016x} pool={} row={}",
+                server.id,
+                server.life_key(),
+                server.pool,
+                format!("{:?}", server.state).to_lowercase(),
+            );
+            if let Some(rate) = rate {
+                let _ = write!(page, " rate={rate}");
+            }
+            if let Some(since) = leaving {
+                let known_for = now.saturating_sub(since);
+                let _ = write!(page, " leaving_ms={}", known_for.as_millis());
+            }
+            if let Some(rest) = rest {
+                let _ = write!(page, " rest_ms={}", rest.as_millis());
+            }
+            page.push('\n');
+        }
+        page
+    }
+
     /// Counts the servers that leave and those that rest.
     pub(crate) fn note_noticed(&self) {
         let now = self.clock.boot_time();
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -9,20 +9,16 @@
 use event_listener::Event;
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
-    AnswerTimes, BootTime, FreshnessLease, GatewayConfig, LinkAge, LoadTable, PlacementOptions,
-    QuarantineTable, RequestHold, RequestIdentity, RunFinding, RunTicket, SendMoment, SendPermit,
-    SendRefusal, ServerEntry, ServerPick, ServerStatement, ServerStatements, WindowBudget, WorkEnd,
-    WorkTicket,
+    FreshnessLease, GatewayConfig, LoadTable, PlacementOptions, QuarantineTable, ServerStatements,
+    WindowBudget,
 };
 use plumgate::ids::WorkspaceId;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::links::LinkPool;
-use super::lives::{ServerLife, ServerLives};
+use super::lives::ServerLives;
 use super::metrics::GatewayMetrics;
 use super::options::{GatewayBounds, GatewayOptions};
-use super::ports::WireFormat;
-use super::suspects::ask_server;
 use crate::clock::Clock;
 use crate::log::EventLog;
 use crate::shared::LifeView;
@@ -77,8 +73,8 @@
     /// The time of day that the nodes agree on, less the time since the VM started, in milliseconds.
     pub(crate) day_offset_ms: AtomicI64,
     rng: Mutex<fastrand::Rng>,
-    open_requests: AtomicU64,
-    open_connections: AtomicU64,
+    pub(super) open_requests: AtomicU64,
+    pub(super) open_connections: AtomicU64,
     /// When another node was last heard, in milliseconds since the VM started; 0 before.
     peer_heard_ms: AtomicU64,
 }
@@ -266,174 +262,3 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-/// Counts a caller's connection for as long as it lives.
-pub(crate) struct ConnectionGuard<C, W>(Arc<GatewayShared<C, W>>);
-
-impl<C, W> ConnectionGuard<C, W> {
-    /// A connection was opened.
-    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>) -> Self {
-        shared.open_connections.fetch_add(1, Ordering::SeqCst);
-        Self(shared)
-    }
-}
-
-impl<C, W> Drop for ConnectionGuard<C, W> {
-    fn drop(&mut self) {
-        self.0.open_connections.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
-/// Counts a request for as long as it lives.
-pub(crate) struct RequestGuard<C, W>(Arc<GatewayShared<C, W>>);
-
-impl<C, W> RequestGuard<C, W> {
-    /// A request came.
-    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>) -> Self {
-        shared.open_requests.fetch_add(1, Ordering::SeqCst);
-        shared.metrics.in_flight.inc();
-        Self(shared)
-    }
-}
-
-impl<C, W> Drop for RequestGuard<C, W> {
-    fn drop(&mut self) {
-        self.0.open_requests.fetch_sub(1, Ordering::SeqCst);
-        self.0.metrics.in_flight.dec();
-    }
-}
-
-/// Why a request is not sent after all.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RunRefusal {
-    /// It may end the server.
-    Held(RequestHold),
-    /// The server's own word is against it: it said something meanwhile, or a permit has lapsed.
-    Barred(SendRefusal),
-}
-
-/// One request at a server; however it ends, the server's load is given back.
-pub(crate) struct WorkGuard<C: Clock, W: WireFormat> {
-    shared: Arc<GatewayShared<C, W>>,
-    server: ServerEntry,
-    ticket: Option<WorkTicket>,
-    /// The run, once the request was sent.
-    run: Option<RunTicket>,
-    /// When the request was sent.
-    sent: BootTime,
-    /// The permit to send it, until it is used.
-    permit: Option<SendPermit>,
-    /// Whether the server leaves, and no other can take the request.
-    is_last_resort: bool,
-    end: WorkEnd,
-    /// The incarnation of the server that works on it.
-    life: Arc<ServerLife>,
-}
-
-impl<C: Clock, W: WireFormat> WorkGuard<C, W> {
-    /// A request goes to a server.
-    pub(crate) fn new(
-        shared: Arc<GatewayShared<C, W>>,
-        pick: &ServerPick,
-        ticket: WorkTicket,
-        permit: Option<SendPermit>,
-    ) -> Self {
-        let life = shared.lives.current(ticket.server());
-        Self {
-            shared,
-            server: pick.server.clone(),
-            is_last_resort: pick.is_last_resort,
-            ticket: Some(ticket),
-            run: None,
-            sent: BootTime::ZERO,
-            permit,
-            end: WorkEnd::Unjudged,
-            life,
-        }
-    }
-
-    /// The incarnation of the server that works on the request.
-    pub(crate) fn life(&self) -> Arc<ServerLife> {
-        self.life.clone()
-    }
-
-    /// The request is about to be sent, unless it is held back.
-    pub(crate) fn begin_run(
-        &mut self,
-        identity: RequestIdentity,
-        age: LinkAge,
-    ) -> Result<(), RunRefusal> {
-        let now = self.shared.clock.now();
-        self.sent = self.shared.clock.boot_time();
-        let send = SendMoment {
-            now: self.sent,
-            permit: self.permit.as_ref(),
-            is_last_resort: self.is_last_resort,
-        };
-        let checked = self.shared.statements().check(&self.server, send);
-        checked.map_err(RunRefusal::Barred)?;
-        let mut quarantine = self.shared.quarantine();
-        let run = quarantine.begin(identity, &self.server, age, now);
-        self.run = Some(run.map_err(RunRefusal::Held)?);
-        self.permit = None;
-        Ok(())
-    }
-
-    /// The server said something of itself in its answer.
-    pub(crate) fn note_statement(&self, statement: &ServerStatement) {
-        let times = AnswerTimes {
-            sent: self.sent,
-            seen: self.shared.clock.boot_time(),
-            seen_unix_ms: self.shared.clock.unix_ms(),
-        };
-        self.shared.note_limit(&self.server, statement, times);
-        self.shared.note_notices(&self.server, statement, times);
-    }
-
-    /// The server surely has the request: the head of its answer came.
-    pub(crate) fn note_reached(&mut self) {
-        if let Some(run) = &mut self.run {
-            run.note_reached();
-        }
-    }
-
-    /// The server began to answer.
-    pub(crate) fn first_answer(&mut self) {
-        if let Some(ticket) = &mut self.ticket {
-            let now = self.shared.clock.now();
-            self.shared.loads().first_answer(ticket, now);
-        }
-    }
-
-    /// What the end of the request says of the server.
-    pub(crate) fn judge(&mut self, end: WorkEnd) {
-        self.end = end;
-    }
-}
-
-impl<C: Clock, W: WireFormat> Drop for WorkGuard<C, W> {
-    fn drop(&mut self) {
-        let now = self.shared.clock.now();
-        if let Some(permit) = self.permit.take() {
-            self.shared.statements().limits.give_back(permit);
-        }
-        if let Some(ticket) = self.ticket.take() {
-            self.shared.loads().finish(ticket, self.end, now);
-        }
-        if let Some(run) = self.run.take() {
-            let identity = run.identity();
-            let finding = self.shared.quarantine().finish(run, self.end, now);
-            match finding {
-                RunFinding::Nothing => {}
-                RunFinding::AskServer => ask_server(&self.shared, &self.server),
-                RunFinding::ServerEnded(sign) => {
-                    self.shared.note_server_end(&[identity], &self.server, sign);
-                }
-            }
-        }
-        if self.end == WorkEnd::Refused {
-            self.shared.note_refused(&self.server);
-        }
-        self.shared.log_suspects();
-    }
-}
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -15,10 +15,10 @@
 };
 
 use super::answer::{StreamPiece, drop_length};
+use super::guards::WorkGuard;
 use super::ports::WireFormat;
 use super::request::{AttemptEnd, RESTARTED, ServerAnswer};
 use super::run::RelayRun;
-use super::shared::WorkGuard;
 use crate::body::AnswerCut;
 use crate::clock::{Clock, until};
 use crate::link::HttpLink;
