--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -4,7 +4,7 @@
 use std::net::UdpSocket;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -29,6 +29,9 @@
 /// Time between two reads of the register by a collector. All other nodes know it by then, as they talk
 /// to it, and it tells the others how many they are.
 const READ_PAUSE: Duration = Duration::from_secs(30);
+/// Time between two times that placement takes over all that servers said: it follows their words at once, and the
+/// clock that counts suspension by this.
+const STANDING_PAUSE: Duration = Duration::from_secs(1);
 /// Time over which the nodes write their rows again after the store came back old: 76 nodes then make some 40
 /// writes a second, a tenth of what a small store takes.
 const WRITE_AGAIN: Duration = Duration::from_secs(2);
@@ -50,6 +53,8 @@
     collector: RefCell<Option<NodeId>>,
     /// Whether the register has been read.
     has_register: Cell<bool>,
+    /// When placement is next told what follows from servers' words.
+    standings_due: Cell<Instant>,
 }
 
 impl<C: Clock, W: Send + Sync + 'static> PeerExchange<C, W> {
@@ -83,6 +88,7 @@
             duties,
             collector: RefCell::default(),
             has_register: Cell::new(false),
+            standings_due: Cell::new(shared.clock.now()),
             shared,
             view,
             socket,
@@ -236,7 +242,8 @@
                 let mut statements = self.shared.statements();
                 let knew_limits = !statements.limits.is_empty();
                 packets.extend(statements.talk(&exchange, self.mail_moment()));
-                if !statements.notices.is_empty() {
+                if moment.now >= self.standings_due.get() && !statements.notices.is_empty() {
+                    self.standings_due.set(moment.now + STANDING_PAUSE);
                     loads.set_standings(&statements.notices, moment.boot, moment.now);
                 }
                 let is_known = |life| loads.entries().any(|entry| entry.life_key() == life);
--- a/crates/plumgate/tests/gateway_copies.rs
+++ b/crates/plumgate/tests/gateway_copies.rs
@@ -7,8 +7,8 @@
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
     LimitSighting, LoadTable, PlacementOptions, PlacementRequest, PolicyPart, PolicySwitches,
-    PromptPart, PromptShape, RequestRate, ServerEntry, ServerLimits, ServerPick, ServerState,
-    StreamClass, WorkEnd,
+    PromptPart, PromptShape, RequestRate, ServerEntry, ServerLimits, ServerPick, ServerStanding,
+    ServerState, StreamClass, WorkEnd,
 };
 use plumgate::ids::{PoolId, ServerId};
 
@@ -198,3 +198,27 @@
     let elsewhere = bench.pick(&prompt, std::slice::from_ref(&keeper.id));
     assert_eq!(copy_from(&elsewhere), None);
 }
+
+/// A server that leaves or rests was copied from, for requests that others took.
+#[test]
+fn leaving_or_resting_server_is_not_copied_from() {
+    for standing in [
+        ServerStanding {
+            serves_for: Some(Duration::from_secs(1)),
+            ..ServerStanding::default()
+        },
+        ServerStanding {
+            rest_left: Some(Duration::from_secs(1)),
+            ..ServerStanding::default()
+        },
+    ] {
+        let mut bench = CopyBench::new(PolicySwitches::new());
+        let prompt = shape(1, 13_300);
+        let keeper = bench.serve(&prompt).server;
+        let elsewhere = bench.pick(&prompt, std::slice::from_ref(&keeper.id));
+        assert_eq!(copy_from(&elsewhere), Some(&keeper.id));
+        bench.table.set_standing(&keeper, standing, bench.now);
+        let elsewhere = bench.pick(&prompt, std::slice::from_ref(&keeper.id));
+        assert_ne!(copy_from(&elsewhere), Some(&keeper.id), "{standing:?}");
+    }
+}
