rate limits: a new collector does not take nodes for gone that never spoke to it

What is seen: in long schedules of cuts, one way deafness, restarts and suspensions two nodes of one data centre issued permits at once: 37 requests in 4 s where 25 are allowed ().

Cause, by a trace of the issuers: a node that collects behind a cut may issue with most of the fleet's votes if those nodes of its data centre that it does not hear are long gone, and took 15 s without a word for that. But nodes speak to their collector only: as long as it followed another one it heard none of them. Ruled out: votes counted at different moments, permits beside the next issuer's (both issuers stood for seconds).

Change: silence counts from when this node collects.

--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -190,7 +190,7 @@
 
     /// The other nodes as they are seen now.
     pub(crate) fn peer_view(&self) -> PeerView {
-        self.peers.view()
+        self.peers.view(self.collecting_since)
     }
 
     /// Sealed messages about limits that came since the last call.
--- a/crates/plumgate/src/gateway/exchange/peers.rs
+++ b/crates/plumgate/src/gateway/exchange/peers.rs
@@ -294,7 +294,7 @@
     }
 
     /// The other nodes as they are seen now.
-    pub(crate) fn view(&self) -> PeerView {
+    pub(crate) fn view(&self, collecting_since: Option<Instant>) -> PeerView {
         let place = |node: &NodeId| {
             let member = self.members.get(node)?;
             Some((node.clone(), member.entry.address))
@@ -309,7 +309,8 @@
             let entry = &member.entry;
             (entry.node.clone(), entry.address)
         });
-        let alive = self.own_centre().filter(|member| !self.is_gone(member));
+        let alive = self.own_centre();
+        let alive = alive.filter(|member| !self.is_gone(member, collecting_since));
         let mut others = self.own_centre();
         let own_rank = collector_rank(&self.own);
         PeerView {
@@ -325,10 +326,14 @@
         }
     }
 
-    /// Whether a node has been silent for so long that it counts as gone.
-    fn is_gone(&self, member: &MemberState) -> bool {
-        let silence = self.now.zip(member.heard_at);
-        silence.is_some_and(|(now, at)| now.saturating_duration_since(at) > GONE_AFTER)
+    /// Whether a node has been silent for so long that it counts as gone. Nodes speak to their collector: that this
+    /// one does not hear them means something from when on it collects.
+    fn is_gone(&self, member: &MemberState, collecting_since: Option<Instant>) -> bool {
+        let (Some(now), Some(heard), Some(since)) = (self.now, member.heard_at, collecting_since)
+        else {
+            return false;
+        };
+        now.saturating_duration_since(heard.max(since)) > GONE_AFTER
     }
 
     /// A collector counted the nodes of its data centre.
--- a/crates/plumgate/tests/server_limits_random.rs
+++ b/crates/plumgate/tests/server_limits_random.rs
@@ -10,6 +10,7 @@
 
 /// Schedules that are played; `PLUMGATE_SCHEDULES` names another number.
 const SCHEDULES: u64 = 40;
+const LONG_SCHEDULES: u64 = 8;
 /// Steps of a schedule.
 const STEPS: u32 = 12;
 /// The first seed; `PLUMGATE_SEED` names another one.
@@ -23,10 +24,32 @@
     text.and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-/// Plays one schedule; what breaks the limit, if anything does.
+/// Fleets that are drawn from, and how many steps a schedule has.
+#[derive(Clone, Copy, Debug)]
+struct ScheduleSet {
+    shapes: &'static [(usize, usize)],
+    steps: u32,
+}
+
+/// Short schedules over small fleets.
+const SHORT: ScheduleSet = ScheduleSet {
+    shapes: &SHAPES,
+    steps: STEPS,
+};
+/// Longer ones over fleets of other shapes.
+const LONG: ScheduleSet = ScheduleSet {
+    shapes: &[(1, 5), (3, 3), (5, 2), (6, 6)],
+    steps: 25,
+};
+
+/// Plays one short schedule; what breaks the limit, if anything does.
 fn play(seed: u64) -> Result<(), String> {
+    play_of(SHORT, seed)
+}
+
+fn play_of(set: ScheduleSet, seed: u64) -> Result<(), String> {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let (centres, nodes_each) = SHAPES[rng.usize(0..SHAPES.len())];
+    let (centres, nodes_each) = set.shapes[rng.usize(0..set.shapes.len())];
     let mut shape = FleetShape::new(centres, nodes_each, 5.0 + 100.0 * rng.f64());
     shape.seed = seed;
     shape.lost = 0.1 * rng.f64();
@@ -37,7 +60,7 @@
     fleet.set_limit(Some(RATES[rng.usize(0..RATES.len())]));
     fleet.run(Duration::from_secs(3));
     let mut steps = Vec::new();
-    for _ in 0..STEPS {
+    for _ in 0..set.steps {
         steps.push(strike(&mut fleet, &mut rng));
         fleet.run(Duration::from_millis(rng.u64(200..5_000)));
     }
@@ -105,10 +128,20 @@
 /// Faults that overlap made nodes together send more than a server had asked for.
 #[test]
 fn no_schedule_of_faults_breaks_a_limit() {
+    assert_none_breaks(SHORT, SCHEDULES);
+}
+
+/// The same with longer schedules and larger fleets.
+#[test]
+fn no_long_schedule_of_faults_breaks_a_limit() {
+    assert_none_breaks(LONG, LONG_SCHEDULES);
+}
+
+fn assert_none_breaks(set: ScheduleSet, count: u64) {
     let first = from_environment("PLUMGATE_SEED", FIRST_SEED);
-    let count = from_environment("PLUMGATE_SCHEDULES", SCHEDULES);
+    let count = from_environment("PLUMGATE_SCHEDULES", count);
     let broken: Vec<String> = (first..first + count)
-        .filter_map(|seed| play(seed).err())
+        .filter_map(|seed| play_of(set, seed).err())
         .collect();
     assert!(
         broken.is_empty(),
@@ -134,3 +167,19 @@
     assert_eq!(play(88), Ok(()));
     assert_eq!(play(192), Ok(()));
 }
+
+// A collector took nodes for gone that had never spoken to it, as they followed another one, and issued beside that.
+#[test]
+fn long_seeds_920493_910284_and_930206_with_a_collector_that_is_new() {
+    for seed in [920_493, 910_284, 930_206] {
+        assert_eq!(play_of(LONG, seed), Ok(()));
+    }
+}
+
+// Nodes that were not heard for 15 s before a cut count as gone behind it; limits that fall to nearly nothing.
+#[test]
+fn long_seeds_900223_910286_920048_and_930032() {
+    for seed in [900_223, 910_286, 920_048, 930_032] {
+        assert_eq!(play_of(LONG, seed), Ok(()));
+    }
+}
