--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -89,7 +89,7 @@
     collecting_since: Option<Instant>,
     /// What goes with the messages for the duties.
     duty_talk: DutyTalk,
-    /// Sealed messages about limits that came since they were taken last.
+    /// Sealed messages about what servers said of themselves that came since they were taken last.
     heard_mail: Vec<HeardMail>,
 }
 
@@ -193,12 +193,12 @@
         self.peers.view(self.collecting_since)
     }
 
-    /// Sealed messages about limits that came since the last call.
+    /// Sealed messages about what servers said of themselves that came since the last call.
     pub fn take_mail(&mut self) -> Vec<HeardMail> {
         std::mem::take(&mut self.heard_mail)
     }
 
-    /// Puts a sealed message about limits into a packet; none where nothing is sealed.
+    /// Puts a sealed message of that kind into a packet; none where nothing is sealed.
     pub(crate) fn mail_packet(
         &self,
         to: SocketAddr,
--- a/crates/plumgate/src/gateway/exchange/peer_view.rs
+++ b/crates/plumgate/src/gateway/exchange/peer_view.rs
@@ -32,7 +32,7 @@
     pub(crate) is_complete: bool,
 }
 
-/// A sealed message about limits, as it came.
+/// A sealed message about what servers said of themselves, as it came.
 #[derive(Clone, Debug)]
 pub struct HeardMail {
     /// The node that sent it.
