gateway: a node that starts asks the others which servers leave

What callers would see: a server that leaves, whose row is behind, gets a request from each node that starts again, until the others tell anew: up to half a minute.

By its log the restarted node had read the store by itself and asked no other node for a copy of the servers, which was all that made the others tell again; the next telling was due after a quarter of a minute.

Change: in the first three rounds in which a node hears collectors it asks them for all servers that leave; who is asked tells all again.

--- a/crates/plumgate/src/gateway/rate_limit/messages.rs
+++ b/crates/plumgate/src/gateway/rate_limit/messages.rs
@@ -86,6 +86,8 @@
     Ask(PermitAsk),
     Answer(PermitAnswer),
     Leaves(Vec<LeaveReport>),
+    /// Asks for all servers that leave, as the sender has just started.
+    LeavesWanted,
 }
 
 impl LimitReport {
--- a/crates/plumgate/src/gateway/rate_limit/talk.rs
+++ b/crates/plumgate/src/gateway/rate_limit/talk.rs
@@ -33,6 +33,8 @@
     pub refused: u64,
     /// Servers that leave, as other nodes told.
     pub(crate) leaves: Vec<LeaveReport>,
+    /// Whether a node asked for those that leave.
+    pub(crate) wants_leaves: bool,
 }
 
 /// The time on both clocks that messages need.
@@ -96,6 +98,7 @@
                 }
                 StatementMessage::Ask(ask) => packets.extend(self.hear_ask(exchange, ask, moment)),
                 StatementMessage::Leaves(leaves) => outcome.leaves.extend(leaves),
+                StatementMessage::LeavesWanted => outcome.wants_leaves = true,
                 StatementMessage::Answer(answer) => {
                     outcome.is_answer |= self.hear_answer(&answer, moment.boot);
                 }
--- a/crates/plumgate/src/gateway/statements/table.rs
+++ b/crates/plumgate/src/gateway/statements/table.rs
@@ -8,6 +8,9 @@
 use crate::gateway::rate_limit::{BootTime, SendPermit, ServerLimits};
 use crate::gateway::servers::ServerEntry;
 
+/// Rounds in which a node that started asks for what others know, so that one message arrives.
+const ASK_ROUNDS: u32 = 3;
+
 /// When an answer was made and read.
 #[derive(Clone, Copy, Debug)]
 pub struct AnswerTimes {
@@ -59,6 +62,8 @@
     pub limits: ServerLimits,
     /// Which of them leave, and which rest.
     pub notices: NoticeBook,
+    /// Rounds in which this node still asks others for servers that leave.
+    pub(super) asks_left: u32,
 }
 
 impl ServerStatements {
@@ -69,6 +74,7 @@
         Self {
             limits: ServerLimits::new(has_peers, seed),
             notices: NoticeBook::new(drain_time),
+            asks_left: ASK_ROUNDS,
         }
     }
 
--- a/crates/plumgate/src/gateway/statements/telling.rs
+++ b/crates/plumgate/src/gateway/statements/telling.rs
@@ -52,6 +52,7 @@
     /// One round: what this node tells the others.
     pub fn talk(&mut self, exchange: &LoadExchange, moment: MailMoment) -> Vec<ExchangePacket> {
         let mut packets = self.limits.talk(exchange, moment);
+        packets.extend(self.ask_others(exchange, moment));
         let collects = exchange.is_collector();
         let most = REPORTS_MOST * MESSAGES_MOST;
         let reports = self.notices.tell(most, collects, moment.boot);
@@ -67,6 +68,23 @@
         packets
     }
 
+    /// What a node that has just started asks of the first nodes that it hears: the store's rows don't say what
+    /// servers said to nodes.
+    fn ask_others(&mut self, exchange: &LoadExchange, moment: MailMoment) -> Vec<ExchangePacket> {
+        if self.asks_left == 0 {
+            return Vec::new();
+        }
+        let message = || StatementMessage::LeavesWanted;
+        let to = audience(&exchange.peer_view()).into_iter();
+        let packets: Vec<ExchangePacket> = to
+            .filter_map(|to| self.limits.post(exchange, to, message(), moment))
+            .collect();
+        if !packets.is_empty() {
+            self.asks_left -= 1;
+        }
+        packets
+    }
+
     /// Takes in messages, and gives those that answer them or pass them on.
     pub fn hear(
         &mut self,
@@ -75,6 +93,9 @@
     ) -> (Vec<ExchangePacket>, MailOutcome, Vec<LeaveEvent>) {
         let mail = exchange.take_mail();
         let (packets, mut outcome) = self.limits.hear(exchange, mail, moment);
+        if outcome.wants_leaves {
+            self.notices.tell_again(moment.boot);
+        }
         let collects = exchange.is_collector();
         let reports = std::mem::take(&mut outcome.leaves);
         let events = reports.iter().filter_map(|report| {
--- a/crates/plumgate/tests/limit_fleet/mod.rs
+++ b/crates/plumgate/tests/limit_fleet/mod.rs
@@ -214,6 +214,13 @@
             .is_some()
     }
 
+    /// Whether a node knows that the server leaves.
+    pub(crate) fn knows_leaving(&self, index: usize) -> bool {
+        let node = &self.nodes[index];
+        let notices = &node.statements.notices;
+        notices.leaving_since(&self.server).is_some()
+    }
+
     /// The nodes that issue permits.
     pub(crate) fn issuers(&self) -> Vec<usize> {
         let now = self.now;
--- a/crates/plumgate/tests/server_notices_random.rs
+++ b/crates/plumgate/tests/server_notices_random.rs
@@ -147,3 +147,23 @@
         assert!(last <= KNOWN_WITHIN, "seed {seed}: {last:?}");
     }
 }
+
+/// A node that started again and read the store by itself was told only when the others told anew, up to half a minute
+/// later.
+#[test]
+fn node_that_started_again_asks_the_others() {
+    for seed in 1..=10 {
+        let mut shape = FleetShape::new(3, 2, 12.0);
+        shape.seed = seed;
+        let mut fleet = LimitFleet::new(shape);
+        fleet.run(Duration::from_secs(3));
+        fleet.words.is_leaving = true;
+        // The others have told it by then, and tell it next after a quarter of a minute.
+        fleet.run(Duration::from_secs(10));
+        for index in 0..6 {
+            fleet.restart(index, Duration::from_millis(300));
+            fleet.run(Duration::from_millis(1_800));
+            assert!(fleet.knows_leaving(index), "seed {seed}, node {index}");
+        }
+    }
+}
