limits: small limits of workspaces are issued as permits, bursts are equal shares

A node computed its share from demand that the others did not know yet, so that each took 9.0 a second with a burst of 27; and a smallest burst of three requests a node adds up, however small the share. Evidence: the reports of all peers were fresh in the test, so no fallback was at work; the share of a first request is 0.1/64 + 0.9 of the limit by the formula. With the first cause fixed alone three of ten remain at each node. Change: bursts are equal shares of three seconds of the limit; a node's own demand counts at most twice what it has reported. A limit whose equal burst is below three requests is not split: the live node that rendezvous hashing prefers issues permits (a token bucket for the fleet), a second one stands in with half of the limit after 0.1 s without a response, then each node issues its equal share. Permits live for 1 s, so that three seconds of the limit and the permits under way stay within the four seconds that the target allows. Requests wait for the response and are refused with the issuer's pause. The count of denials and its pause are shared with the permits of servers' limits. Ruled out: refusing at nodes whose share is below one request; tenants with room would be refused everywhere. Same cause elsewhere: requests in flight of a workspace, one a node at the least: 64 where 20 are allowed.

--- a/crates/plumgate-node/src/control.rs
+++ b/crates/plumgate-node/src/control.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod gossip;
+mod permits;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -17,6 +18,7 @@
 use plumgate::route::{LeavingSource, LoadReport};
 use plumgate::wire::{ReplayGuard, TextPatch};
 
+use self::permits::PermitRequests;
 use crate::clock::Clock;
 use crate::lifecycle::NodeLifecycle;
 use crate::log::LogLine;
@@ -74,6 +76,7 @@
     platform_leaving: BTreeSet<ServerId>,
     last_preempt_requests: HashMap<PoolId, Instant>,
     awaiting_digest: BTreeSet<String>,
+    permit_requests: PermitRequests,
 }
 
 impl<C: Clock> ControlLoop<C> {
@@ -104,6 +107,7 @@
             platform_leaving: BTreeSet::new(),
             last_preempt_requests: HashMap::new(),
             awaiting_digest: BTreeSet::new(),
+            permit_requests: PermitRequests::default(),
         }
     }
 
@@ -158,13 +162,21 @@
             ControlEvent::RequestPeerPreemption(pool, rank) => {
                 self.request_peer_preemption(&pool, rank)
             }
+            ControlEvent::RequestPermits(workspace, count) => {
+                self.request_permits(workspace, count)
+            }
             ControlEvent::Stop => self.lifecycle.stop(&self.shared),
         }
     }
 
     fn tick(&mut self) {
         let now = self.shared.clock.now();
-        for event in self.members.tick(now) {
+        let events = self.members.tick(now);
+        if !events.is_empty() {
+            // Other nodes may issue the permits of some workspaces now.
+            self.shared.dispatcher().record_issuer_change(now);
+        }
+        for event in events {
             self.log_member_event(event);
         }
         self.lifecycle.tick(&self.shared);
@@ -182,6 +194,7 @@
             .orders
             .tick(&self.members, self.lifecycle.is_stopping());
         self.run_tasks(tasks);
+        self.retry_permit_requests();
         let actions = self.shared.dispatcher().tick(now);
         self.shared.apply_actions(actions);
         self.publish_members();
--- a/crates/plumgate-node/src/control/gossip.rs
+++ b/crates/plumgate-node/src/control/gossip.rs
@@ -133,6 +133,7 @@
             PeerMessage::PreemptRequest { pool, rank } => {
                 self.on_preempt_request(&envelope.sender, pool, rank)
             }
+            PeerMessage::Permits(message) => self.apply_permit_message(&envelope.sender, message),
         }
     }
 
--- a/crates/plumgate-node/src/metrics.rs
+++ b/crates/plumgate-node/src/metrics.rs
@@ -80,6 +80,8 @@
     pub(crate) peer_refused: Family<ReasonLabels, Counter>,
     /// Calls to the platform that got no usable answer.
     pub(crate) platform_failures: Counter,
+    /// Requests for permits of workspaces, by result.
+    pub(crate) permit_requests: Family<ReasonLabels, Counter>,
 }
 
 impl NodeMetrics {
@@ -101,6 +103,7 @@
             peer_bytes_received: Counter::default(),
             peer_refused: Family::default(),
             platform_failures: Counter::default(),
+            permit_requests: Family::default(),
             registry: Registry::default(),
         };
         metrics.register(&mut registry);
@@ -149,6 +152,11 @@
             "Platform calls without an answer",
             failures,
         );
+        registry.register(
+            "permit_requests",
+            "Requests for permits of workspaces",
+            self.permit_requests.clone(),
+        );
     }
 
     /// Counts a request that ended.
--- a/crates/plumgate-node/src/shared.rs
+++ b/crates/plumgate-node/src/shared.rs
@@ -15,7 +15,8 @@
 use plumgate::dispatch::{
     AttemptOutcome, DispatchAction, Dispatcher, RefusalReason, RequestTicket, StartOrder,
 };
-use plumgate::ids::{PoolId, RequestId, ServerId, TierRank};
+use plumgate::ids::{PoolId, RequestId, ServerId, TierRank, WorkspaceId};
+use plumgate::limits::PermitGrant;
 use plumgate::route::RouteChoice;
 
 use crate::clock::Clock;
@@ -25,6 +26,9 @@
 use crate::platform::PlatformClient;
 use crate::settings::NodeSettings;
 
+/// Pause before permits are requested again if the control thread can't take the request.
+const BUSY_PAUSE: Duration = Duration::from_millis(200);
+
 /// Decision of the dispatcher about one request.
 #[derive(Debug)]
 pub(crate) enum RequestDecision {
@@ -43,6 +47,8 @@
     PeerBytes(Vec<u8>),
     /// A request of this rank needs a slot in the pool, and only other nodes have requests to preempt.
     RequestPeerPreemption(PoolId, TierRank),
+    /// Requests of a workspace need this many permits.
+    RequestPermits(WorkspaceId, u32),
     /// The node is to stop gracefully.
     Stop,
 }
@@ -225,10 +231,32 @@
                         .control
                         .try_send(ControlEvent::RequestPeerPreemption(pool, rank));
                 }
+                DispatchAction::RequestPermits { workspace, count } => {
+                    self.request_permits(workspace, count);
+                }
             }
         }
     }
 
+    fn request_permits(&self, workspace: WorkspaceId, count: u32) {
+        let event = ControlEvent::RequestPermits(workspace.clone(), count);
+        if self.control.try_send(event).is_ok() {
+            return;
+        }
+        // The control thread is overloaded or has exited; the waiting requests would get no response.
+        LogLine::new("permits_unanswered")
+            .with("workspace", &workspace)
+            .with("reason", "busy")
+            .warn(&self.log);
+        let now = self.clock.now();
+        let grant = PermitGrant {
+            granted: 0,
+            pause: BUSY_PAUSE,
+        };
+        let actions = self.dispatcher().apply_permits(&workspace, grant, now, now);
+        self.apply_actions(actions);
+    }
+
     fn start(&self, order: StartOrder) {
         let StartOrder {
             ticket,
--- a/crates/plumgate-standin/tests/fleet/mod.rs
+++ b/crates/plumgate-standin/tests/fleet/mod.rs
@@ -175,6 +175,7 @@
     list_lag_ms: u64,
     checks_fencing: bool,
     strict_models: bool,
+    requests_per_second: u32,
     rules: String,
     variables: Vec<(&'static str, String)>,
 }
@@ -226,6 +227,7 @@
             list_lag_ms: 500,
             checks_fencing: true,
             strict_models: false,
+            requests_per_second: 500,
             rules: RULES.to_owned(),
             variables: Vec::new(),
         }
@@ -257,6 +259,12 @@
         self
     }
 
+    /// Sets the limit of each workspace.
+    pub(crate) fn with_requests_per_second(mut self, limit: u32) -> Self {
+        self.requests_per_second = limit;
+        self
+    }
+
     /// Replaces a text of the rules.
     pub(crate) fn with_rule(mut self, old: &str, new: &str) -> Self {
         assert!(self.rules.contains(old), "{old} is not in the rules");
@@ -509,7 +517,8 @@
         }
         for workspace in ["norte", "azuay"] {
             inventory.push_str(&format!(
-                "[workspaces.{workspace}]\ntier = \"doorstep\"\nconcurrency = 500\nrequests_per_second = 500\nkey_digests = [\"{}\"]\n",
+                "[workspaces.{workspace}]\ntier = \"doorstep\"\nconcurrency = 500\nrequests_per_second = {}\nkey_digests = [\"{}\"]\n",
+                self.plan.requests_per_second,
                 key_digest(&format!("key-{workspace}"))
             ));
         }
--- a/crates/plumgate/src/dispatch/dispatcher.rs
+++ b/crates/plumgate/src/dispatch/dispatcher.rs
@@ -2,12 +2,14 @@
 //! returns the actions to carry out.
 
 mod load;
+mod permits;
 mod preempt;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::permit_queue::PermitQueue;
 use super::queue::{PoolQueue, QueueHead, QueuePolicy};
 use super::service_time::ServiceTime;
 use super::ticket::{DispatchAction, RefusalReason, RequestTicket, StartOrder};
@@ -94,6 +96,7 @@
     config: Option<Arc<FleetConfig>>,
     routes: RouteTable,
     limits: WorkspaceLimits,
+    permits: PermitQueue,
     budget: RetryBudget,
     queues: BTreeMap<PoolId, PoolQueue>,
     pools_by_request: HashMap<RequestId, PoolId>,
@@ -113,6 +116,7 @@
             options,
             config: None,
             limits: WorkspaceLimits::new(),
+            permits: PermitQueue::default(),
             budget: RetryBudget::new(0.0),
             queues: BTreeMap::new(),
             pools_by_request: HashMap::new(),
@@ -168,6 +172,7 @@
             .queues
             .values_mut()
             .flat_map(PoolQueue::drain)
+            .chain(self.permits.drain())
             .collect();
         let refuse =
             |ticket: RequestTicket| self.refuse(&ticket, RefusalReason::Stopping, MIN_RETRY_AFTER);
@@ -176,9 +181,21 @@
 
     /// Admits, queues or refuses a new request and starts what can start.
     pub fn submit(&mut self, ticket: RequestTicket, now: Instant) -> Vec<DispatchAction> {
-        if let Some(refusal) = self.check_admission(&ticket, now) {
+        if let Some(refusal) = self.check_availability(&ticket, now) {
             return vec![refusal];
         }
+        match self.workspace_rate(&ticket.workspace) {
+            Some(limit) if self.limits.needs_permits(limit) => self.submit_for_permit(ticket, now),
+            Some(limit) => match self.limits.admit(&ticket.workspace, limit, now) {
+                Ok(()) => self.accept(ticket, now),
+                Err(pause) => vec![self.refuse(&ticket, RefusalReason::RateLimit, pause)],
+            },
+            None => self.accept(ticket, now),
+        }
+    }
+
+    /// Queues a request that its workspace's limits admit and starts what can start.
+    fn accept(&mut self, ticket: RequestTicket, now: Instant) -> Vec<DispatchAction> {
         self.budget.deposit();
         let mut actions = self.enqueue(ticket.clone(), now);
         actions.extend(self.dispatch(&ticket.pool, now));
@@ -198,25 +215,20 @@
         }
     }
 
-    fn check_admission(&mut self, ticket: &RequestTicket, now: Instant) -> Option<DispatchAction> {
+    fn check_availability(&self, ticket: &RequestTicket, now: Instant) -> Option<DispatchAction> {
         if self.stopping {
             return Some(self.refuse(ticket, RefusalReason::Stopping, MIN_RETRY_AFTER));
         }
         if !self.routes.has_servers(&ticket.pool, now) {
             return Some(self.refuse(ticket, RefusalReason::NoServer, Duration::from_secs(1)));
         }
-        let workspace = self
-            .config
-            .as_ref()?
-            .inventory
-            .workspaces
-            .get(&ticket.workspace)?;
-        let admitted = self
-            .limits
-            .admit(&ticket.workspace, workspace.requests_per_second, now);
-        admitted
-            .err()
-            .map(|pause| self.refuse(ticket, RefusalReason::RateLimit, pause))
+        None
+    }
+
+    /// Returns a workspace's limit in requests per second; `None` for an unknown workspace.
+    fn workspace_rate(&self, workspace: &WorkspaceId) -> Option<u32> {
+        let workspaces = &self.config.as_ref()?.inventory.workspaces;
+        Some(workspaces.get(workspace)?.requests_per_second)
     }
 
     /// Adds a request to its queue, or refuses it.
@@ -428,7 +440,9 @@
 
     /// Removes a waiting request whose caller disconnected, and returns it.
     pub fn withdraw(&mut self, request: &RequestId) -> Option<RequestTicket> {
-        let pool = self.pools_by_request.remove(request)?;
+        let Some(pool) = self.pools_by_request.remove(request) else {
+            return self.permits.remove(request);
+        };
         self.queues.get_mut(&pool)?.remove(request)
     }
 
@@ -451,6 +465,7 @@
     /// Refuses requests that have waited too long and starts those that can start by now.
     pub fn tick(&mut self, now: Instant) -> Vec<DispatchAction> {
         self.limits.tick(now);
+        self.permits.remove_expired(now);
         let expired: Vec<RequestTicket> = self
             .queues
             .values_mut()
--- a/crates/plumgate/src/dispatch/dispatcher/load.rs
+++ b/crates/plumgate/src/dispatch/dispatcher/load.rs
@@ -61,7 +61,7 @@
 
     /// Returns whether no request waits or runs.
     pub fn is_idle(&self) -> bool {
-        self.running.is_empty() && self.waiting() == 0
+        self.running.is_empty() && self.waiting() == 0 && self.permits.len() == 0
     }
 
     pub(super) fn waiting(&self) -> usize {
--- a/crates/plumgate/src/dispatch/mod.rs
+++ b/crates/plumgate/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Queueing, admission, preemption and dispatch of requests to backend servers.
 
 mod dispatcher;
+mod permit_queue;
 mod queue;
 mod service_time;
 mod ticket;
--- a/crates/plumgate/src/dispatch/ticket.rs
+++ b/crates/plumgate/src/dispatch/ticket.rs
@@ -114,6 +114,14 @@
         /// Rank of the waiting request; only requests of lower tiers are preempted.
         rank: TierRank,
     },
+    /// Request permits of a workspace from its issuer; the response goes to
+    /// [`Dispatcher::apply_permits`](super::Dispatcher::apply_permits).
+    RequestPermits {
+        /// Workspace whose requests wait.
+        workspace: WorkspaceId,
+        /// Number of permits.
+        count: u32,
+    },
 }
 
 /// Numbers of waiting and running requests, for operators and other nodes.
--- a/crates/plumgate/src/gateway/rate_limit/issuer.rs
+++ b/crates/plumgate/src/gateway/rate_limit/issuer.rs
@@ -10,6 +10,7 @@
 use super::observation::BootTime;
 use super::statement::RequestRate;
 use super::votes::PERMIT_LIFETIME;
+use crate::denial_count::DenialCount;
 use crate::gateway::exchange::messages::ServerKey;
 use crate::gateway::work::URGENCY_LEVELS;
 use crate::token_bucket::TokenBucket;
@@ -33,13 +34,6 @@
 const URGENT_RESERVATION: Duration = Duration::from_secs(1);
 /// One of this many permits is issued regardless of urgency.
 const UNRESERVED_EVERY: u32 = 10;
-/// Time constant by which the count of denials decays.
-const DENIAL_WINDOW: Duration = Duration::from_secs(1);
-/// Denied requests per issued permit: enough that a request arrives whenever a permit is available.
-const DENIALS_PER_PERMIT: f64 = 4.0;
-/// Bounds of the pause that a denial imposes on a node before it requests again.
-const MIN_PAUSE: Duration = Duration::from_millis(20);
-const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Pause in the response of a node that must not issue permits.
 const NOT_ELECTED_PAUSE: Duration = Duration::from_millis(200);
 /// Time for which the bucket of a server is retained after the last request for its permits.
@@ -50,9 +44,7 @@
 struct IssuedLimit {
     bucket: TokenBucket<BootTime>,
     last_requested_at: BootTime,
-    /// Number of requests denied in the last second, with exponential decay.
-    denials: f64,
-    counted_at: BootTime,
+    denials: DenialCount<BootTime>,
     /// When a request of each urgency was last denied.
     denied_at: [Option<BootTime>; URGENCY_LEVELS],
     /// Number of permits issued since the last one that was issued regardless of urgency.
@@ -118,8 +110,7 @@
         Self {
             bucket: TokenBucket::new(0.0, since),
             last_requested_at: since,
-            denials: 0.0,
-            counted_at: since,
+            denials: DenialCount::new(since),
             denied_at: [None; URGENCY_LEVELS],
             since_unreserved: 0,
         }
@@ -140,18 +131,13 @@
             return PermitDecision::Granted;
         }
         self.denied_at[urgency] = Some(now);
-        self.count_denial(now);
-        let pause = self.pause(permits_per_second);
+        self.denials.record(now);
+        let next = self.bucket.wait(permits_per_second);
+        let pause = self.denials.pause(next, permits_per_second);
         let pause_ms = u32::try_from(pause.as_millis()).unwrap_or(u32::MAX);
         PermitDecision::Denied { pause_ms }
     }
 
-    fn count_denial(&mut self, now: BootTime) {
-        let age = now.saturating_sub(self.counted_at).as_secs_f64();
-        self.denials = self.denials * (-age / DENIAL_WINDOW.as_secs_f64()).exp() + 1.0;
-        self.counted_at = now;
-    }
-
     fn is_unreserved(&self) -> bool {
         self.since_unreserved + 1 >= UNRESERVED_EVERY
     }
@@ -168,14 +154,6 @@
             1.0
         }
     }
-
-    /// Returns how long a denied node should wait; the time grows with the number of denied requests.
-    fn pause(&self, permits_per_second: f64) -> Duration {
-        let backlog = self.denials / (DENIALS_PER_PERMIT * permits_per_second);
-        let next = self.bucket.wait(permits_per_second);
-        next.max(Duration::from_secs_f64(backlog))
-            .clamp(MIN_PAUSE, MAX_PAUSE)
-    }
 }
 
 /// Returns the number of permits per second that are issued for a server with this limit.
--- a/crates/plumgate/src/lib.rs
+++ b/crates/plumgate/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod claim;
 pub mod config;
 pub mod config_follower;
+pub(crate) mod denial_count;
 pub mod dispatch;
 pub mod duty;
 pub mod errors;
--- /dev/null
+++ b/crates/plumgate/src/limits/mod.rs
@@ -0,0 +1,16 @@
+//! Workspace limits, which hold for all nodes together.
+//!
+//! A limit is either split over the nodes, each of which enforces its share without a request to another
+//! node, or issued as permits. A limit is split while every node's equal share allows a useful burst. A limit
+//! that is too small for the number of nodes is held by one node, the issuer, which grants permits to the
+//! others: many small bursts would add up to far more than the limit.
+//!
+//! Shares follow the demand that nodes report to each other; a node that is disconnected from its peers takes
+//! an equal share among all nodes that it knew. While shares change, nodes may together exceed the limit, by at
+//! most the limit itself, until the demand of the others is known.
+
+mod permit_issuer;
+mod workspace_limits;
+
+pub use permit_issuer::{PERMIT_LIFETIME, PermitGrant};
+pub use workspace_limits::WorkspaceLimits;
--- a/crates/plumgate/src/limits.rs
+++ b/crates/plumgate/src/limits/workspace_limits.rs
@@ -1,13 +1,9 @@
-//! Workspace limits, split over the nodes by demand.
-//!
-//! Each node enforces its share of a limit without a request to another node. Shares follow the demand
-//! that nodes report to each other; a node that is disconnected from its peers takes an equal share among
-//! all nodes that it knew. While shares change, nodes may together exceed the limit, by at most the limit
-//! itself, until the demand of the others is known.
+//! Shares of workspace limits as one node enforces them.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use super::permit_issuer::{PERMIT_LIFETIME, PermitGrant, PermitIssuer};
 use crate::ids::{NodeId, WorkspaceId};
 use crate::token_bucket::TokenBucket;
 
@@ -17,9 +13,14 @@
 const DEMAND_WINDOW: Duration = Duration::from_secs(5);
 /// Burst of a workspace, in seconds of its rate. Arrivals are uneven, and more so on one node of many: a
 /// shorter burst refuses workspaces that stay well below their limit.
-const BURST_SECONDS: f64 = 3.0;
-/// Smallest burst in requests that a workspace has on any node, however small its share.
+pub(super) const BURST_SECONDS: f64 = 3.0;
+/// Smallest burst in requests of a node's equal share; a limit whose shares are smaller is issued as permits.
 const MIN_BURST: f64 = 3.0;
+/// Time for which a node's own new demand does not raise its share: until then the other nodes do not know it
+/// and have not lowered theirs.
+const REPORT_DELAY: Duration = Duration::from_secs(1);
+/// Maximum number of permits that a node requests beyond those that it needs at once.
+const MAX_SPARE_PERMITS: f64 = 16.0;
 /// Fraction of a limit that is split equally, so that a node with new demand can admit requests
 /// immediately.
 const EQUAL_FRACTION: f64 = 0.1;
@@ -31,6 +32,15 @@
     bucket: TokenBucket<Instant>,
     demand: f64,
     demand_at: Instant,
+    /// Demand at the last two samples, the older one first.
+    samples: [DemandSample; 2],
+}
+
+/// Demand at one time, in requests per second.
+#[derive(Clone, Copy, Debug)]
+struct DemandSample {
+    demand: f64,
+    at: Instant,
 }
 
 impl WorkspaceUsage {
@@ -41,7 +51,31 @@
             bucket: TokenBucket::new(f64::INFINITY, now),
             demand: 0.0,
             demand_at: now,
+            samples: [DemandSample {
+                demand: 0.0,
+                at: now,
+            }; 2],
+        }
+    }
+
+    /// Returns the demand by which this node's share is computed: at most twice what the other nodes know, so
+    /// that all shares together exceed the limit by at most the limit itself.
+    fn shared_demand(&self, now: Instant) -> f64 {
+        self.demand(now).min(2.0 * self.samples[0].demand)
+    }
+
+    fn count_demand(&mut self, now: Instant) {
+        let before = self.demand(now);
+        if now.saturating_duration_since(self.samples[1].at) >= REPORT_DELAY {
+            let sample = DemandSample {
+                demand: before,
+                at: now,
+            };
+            let is_recent = now.saturating_duration_since(self.samples[1].at) < 2 * REPORT_DELAY;
+            self.samples = [if is_recent { self.samples[1] } else { sample }, sample];
         }
+        self.demand = before + 1.0 / DEMAND_WINDOW.as_secs_f64();
+        self.demand_at = now;
     }
 
     /// Returns the demand in requests per second, decayed to `now`.
@@ -63,6 +97,7 @@
 pub struct WorkspaceLimits {
     usages: BTreeMap<WorkspaceId, WorkspaceUsage>,
     peers: BTreeMap<NodeId, PeerDemand>,
+    issuer: PermitIssuer,
     nodes: usize,
     lifetime: Duration,
 }
@@ -117,8 +152,9 @@
     ) -> Result<(), Duration> {
         self.count_demand(workspace, now);
         let rate = self.share(workspace, limit, now);
+        // The burst does not follow the demand: unlike a rate, a burst is used before the others know of it.
+        let depth = self.equal_burst(limit);
         let usage = self.usage_mut(workspace, now);
-        let depth = (rate * BURST_SECONDS).max(MIN_BURST);
         usage.bucket.refill(rate, depth, now);
         if usage.bucket.take(1.0) {
             return Ok(());
@@ -126,6 +162,44 @@
         Err(usage.bucket.wait(rate))
     }
 
+    /// Returns whether a limit is too small to be split over the nodes, so that its requests need permits.
+    pub fn needs_permits(&self, limit: u32) -> bool {
+        self.nodes > 1 && self.equal_burst(limit) < MIN_BURST
+    }
+
+    /// Counts a request that needs a permit towards this node's demand.
+    pub fn count_request(&mut self, workspace: &WorkspaceId, now: Instant) {
+        self.count_demand(workspace, now);
+    }
+
+    /// Returns how many permits to request if `waiting` requests need one: as many more as this node's demand
+    /// uses within their lifetime.
+    pub fn permits_to_request(&self, workspace: &WorkspaceId, waiting: u32, now: Instant) -> u32 {
+        let usage = self.usages.get(workspace);
+        let demand = usage.map_or(0.0, |usage| usage.demand(now));
+        let spare = (demand * PERMIT_LIFETIME.as_secs_f64()).min(MAX_SPARE_PERMITS);
+        waiting + spare as u32
+    }
+
+    /// Grants up to `count` permits to this node or another one. `share` is the part of the limit that this
+    /// node issues.
+    pub fn issue_permits(
+        &mut self,
+        workspace: &WorkspaceId,
+        limit: u32,
+        share: f64,
+        count: u32,
+        now: Instant,
+    ) -> PermitGrant {
+        let rate = f64::from(limit) * share;
+        self.issuer.issue(workspace, rate, count, now)
+    }
+
+    /// Records that the set of live nodes has changed, and with it the issuers of some limits.
+    pub fn record_issuer_change(&mut self, now: Instant) {
+        self.issuer.record_change(now);
+    }
+
     /// Returns whether the workspace may have one more request in flight on this node.
     pub fn has_capacity(&self, workspace: &WorkspaceId, limit: u32, now: Instant) -> bool {
         let in_flight = self
@@ -153,6 +227,14 @@
         let fresh: Vec<&PeerDemand> = self.fresh_peers(now).collect();
         let reporting = fresh.len() + 1;
         let equal = limit / self.nodes as f64;
+        let own = self
+            .usages
+            .get(workspace)
+            .map_or(0.0, |usage| usage.shared_demand(now));
+        // The others do not know this node's demand yet.
+        if own <= 0.0 {
+            return equal;
+        }
         // The demand of a peer without a current report is unknown: only an equal share is safe.
         if reporting < self.nodes {
             return equal;
@@ -162,19 +244,13 @@
             .filter_map(|peer| peer.demand.get(workspace))
             .map(|demand| f64::from(*demand))
             .sum();
-        let own = self
-            .usages
-            .get(workspace)
-            .map_or(0.0, |usage| usage.demand(now));
         let total = own + others;
-        if total <= 0.0 {
-            return equal;
-        }
         EQUAL_FRACTION * equal + (1.0 - EQUAL_FRACTION) * limit * own / total
     }
 
-    /// Removes demand reports that have expired.
+    /// Removes demand reports and buckets that have expired.
     pub fn tick(&mut self, now: Instant) {
+        self.issuer.remove_expired(now);
         let lifetime = self.lifetime;
         self.peers
             .retain(|_, peer| now.saturating_duration_since(peer.received_at) < lifetime);
@@ -187,10 +263,18 @@
             .filter(move |peer| now.saturating_duration_since(peer.received_at) < lifetime)
     }
 
+    /// Returns the burst of a node's equal share of a limit, in requests.
+    fn equal_burst(&self, limit: u32) -> f64 {
+        let burst = f64::from(limit) * BURST_SECONDS / self.nodes as f64;
+        if self.nodes == 1 {
+            burst.max(MIN_BURST)
+        } else {
+            burst
+        }
+    }
+
     fn count_demand(&mut self, workspace: &WorkspaceId, now: Instant) {
-        let usage = self.usage_mut(workspace, now);
-        usage.demand = usage.demand(now) + 1.0 / DEMAND_WINDOW.as_secs_f64();
-        usage.demand_at = now;
+        self.usage_mut(workspace, now).count_demand(now);
     }
 
     fn usage_mut(&mut self, workspace: &WorkspaceId, now: Instant) -> &mut WorkspaceUsage {
--- a/crates/plumgate/src/membership.rs
+++ b/crates/plumgate/src/membership.rs
@@ -4,6 +4,7 @@
 //! interval grows with the number of nodes, so that the bytes that a node receives stay bounded while
 //! the fleet grows.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -393,6 +394,13 @@
         better < count
     }
 
+    /// Returns the live nodes, this one included, in the order of preference for a role.
+    pub fn ranked(&self, role: &str) -> Vec<&NodeDigest> {
+        let mut nodes: Vec<&NodeDigest> = self.live().chain([&self.own]).collect();
+        nodes.sort_by_cached_key(|digest| Reverse(rendezvous_weight(role, &digest.node)));
+        nodes
+    }
+
     /// Returns the live node that is preferred for a role; it may be this one.
     pub fn preferred(&self, role: &str) -> &NodeDigest {
         let all = self.live().chain([&self.own]);
--- a/crates/plumgate/src/wire.rs
+++ b/crates/plumgate/src/wire.rs
@@ -80,6 +80,65 @@
         /// Rank of the waiting request; only requests of lower tiers are preempted.
         rank: TierRank,
     },
+    /// Request for permits of a workspace, or the response.
+    Permits(PermitMessage),
+}
+
+/// Message about the permits of a workspace whose limit is too small to be split over the nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitMessage {
+    /// Request for permits.
+    Request {
+        /// Number that the response repeats.
+        id: u64,
+        /// The workspace.
+        workspace: String,
+        /// Number of permits.
+        count: u32,
+        /// Role in which the receiver is asked.
+        role: IssuerRole,
+    },
+    /// Response to a request.
+    Response {
+        /// Number of the request.
+        id: u64,
+        /// The workspace.
+        workspace: String,
+        /// Number of permits granted.
+        granted: u32,
+        /// Milliseconds after which the receiver may request more; 0 if all were granted.
+        pause_ms: u32,
+    },
+}
+
+/// Role in which a node issues permits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum IssuerRole {
+    /// It is the issuer.
+    Preferred,
+    /// It stands in for an issuer that does not respond.
+    Standby,
+    /// It issues its own share, since no other node responds.
+    Own,
+}
+
+impl IssuerRole {
+    /// Returns the role to ask for next if there was no response.
+    pub fn next(self) -> Self {
+        match self {
+            Self::Preferred => Self::Standby,
+            Self::Standby | Self::Own => Self::Own,
+        }
+    }
+
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Preferred => "preferred",
+            Self::Standby => "standby",
+            Self::Own => "own",
+        }
+    }
 }
 
 /// State that a node reports about itself; relayed by others.
--- a/crates/plumgate/tests/limits.rs
+++ b/crates/plumgate/tests/limits.rs
@@ -156,3 +156,25 @@
     let allowed = 4 * limit as usize;
     assert!(admitted <= allowed, "{admitted} at once, {allowed} allowed");
 }
+
+/// Guards against one request in flight at each of many nodes, however small the limit.
+#[test]
+fn nodes_together_run_no_more_than_a_workspaces_concurrency() {
+    let limit = 10;
+    let mut node_limits = node_limits(64);
+    let now = Instant::now();
+    exchange(&mut node_limits, now);
+    let mut in_flight = 0;
+    for limits in &mut node_limits {
+        if limits.has_capacity(&workspace(), limit, now) {
+            limits.start(&workspace(), now);
+            in_flight += 1;
+        }
+    }
+    // The limit, and as much again while shares are adjusted.
+    let allowed = 2 * limit;
+    assert!(
+        in_flight <= allowed,
+        "{in_flight} in flight, {allowed} allowed"
+    );
+}
