--- a/crates/plumgate-node/src/gateway/options.rs
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -5,6 +5,7 @@
 
 use plumgate::gateway::{NodeCapacity, PlacementPolicy, PolicySwitches};
 use plumgate::ids::{DataCentreId, NodeId};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Limits and time spans that the fleet's operators set.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -165,6 +166,12 @@
         self
     }
 
+    /// Returns a seed that differs between nodes with the same [`Self::seed`]: equal random pauses would make them
+    /// call the store at the same moments.
+    pub(crate) fn node_seed(&self) -> u64 {
+        self.seed ^ xxh3_64(self.node.as_bytes())
+    }
+
     /// Sets the seed of the random number generator.
     pub fn with_seed(mut self, seed: u64) -> Self {
         self.seed = seed;
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -13,7 +13,6 @@
     WindowBudget,
 };
 use plumgate::ids::WorkspaceId;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::incarnations::ServerIncarnations;
 use super::links::LinkPool;
@@ -92,7 +91,7 @@
             None => budget.with_nodes(ASSUMED_NODES),
         };
         // The random ids of rounds must differ between nodes.
-        let limits_seed = options.seed ^ xxh3_64(options.node.as_bytes()) ^ clock.unix_ms();
+        let limits_seed = options.node_seed() ^ clock.unix_ms();
         let placement = PlacementOptions::new(options.data_centre.clone())
             .with_policy(options.policy)
             .with_switches(options.switches)
@@ -127,7 +126,7 @@
             permits_answered: Event::new(),
             usage: Mutex::default(),
             unix_offset_ms: AtomicI64::new(0),
-            rng: Mutex::new(fastrand::Rng::with_seed(options.seed)),
+            rng: Mutex::new(fastrand::Rng::with_seed(options.node_seed())),
             open_requests: AtomicU64::new(0),
             open_connections: AtomicU64::new(0),
             last_peer_message_ms: AtomicU64::new(0),
