rate limits: a limit that no recent answer confirms is used slowly

Cause: a limit stayed in force until another answer came, however old the last one was. No node of the data centre could issue permits for at least 12 s, so that no answer showed that the limit had fallen; the next issuer began at the old rate. Evidence: the trace of all sends: each holds a permit of one issuer, the first four to five for 40 and 20 a second, the rest for the new limit. Change: a limit that no answer has confirmed for 3 s, the time that a server gives the nodes, gives 0.8 permits a second at most, and a bucket that keeps a window within five requests whatever the server would state now. Test: in limit_decisions a server now answers the requests that it gets (it never did, in 60 s); checks and bounds are as they were.

--- a/crates/plumgate/src/gateway/rate_limit/issuer.rs
+++ b/crates/plumgate/src/gateway/rate_limit/issuer.rs
@@ -25,6 +25,9 @@
 /// Minimum number of permits per second, even if the server's limit is lower: only answers to requests show
 /// that the limit has ended.
 const PROBE_RATE: f64 = 0.25;
+/// Maximum number of permits per second while no recent answer confirms the limit: within a window they stay below
+/// the bound of any limit.
+const UNCONFIRMED_RATE: f64 = 0.8;
 /// Maximum number of permits that may accumulate, since permit requests arrive unevenly.
 const MAX_DEPTH: f64 = 4.0;
 /// Minimum number of permits by which a window stays below its bound.
@@ -45,21 +48,38 @@
     pub(crate) rate: RequestRate,
     /// From 0 to 1; the shares of all issuers of a server add up to 1 at most.
     pub(crate) share: f64,
+    /// Whether a recent answer names the limit. An older one may have fallen meanwhile.
+    pub(crate) is_confirmed: bool,
 }
 
 impl IssuedRate {
     /// Returns the number of permits per second.
     fn per_second(self) -> f64 {
-        full_rate(self.rate) * self.share
+        self.rate_of_all() * self.share
     }
 
     /// Returns how many permits may accumulate so that no window can exceed its bound.
     fn bucket_depth(self) -> f64 {
-        let allowed = self.rate.per_second() * WINDOW.as_secs_f64() + WINDOW_EXTRA;
-        let issued = full_rate(self.rate) * (WINDOW + PERMIT_LIFETIME).as_secs_f64();
+        let certain = if self.is_confirmed {
+            self.rate.per_second()
+        } else {
+            0.0
+        };
+        let allowed = certain * WINDOW.as_secs_f64() + WINDOW_EXTRA;
+        let issued = self.rate_of_all() * (WINDOW + PERMIT_LIFETIME).as_secs_f64();
         let depth = (allowed - WINDOW_MARGIN - issued).clamp(1.0, MAX_DEPTH);
         (depth * self.share).max(1.0)
     }
+
+    /// Returns the number of permits per second that all issuers of the server issue together.
+    fn rate_of_all(self) -> f64 {
+        let rate = (self.rate.per_second() * ISSUED_SHARE).max(PROBE_RATE);
+        if self.is_confirmed {
+            rate
+        } else {
+            rate.min(UNCONFIRMED_RATE)
+        }
+    }
 }
 
 /// Bucket and denials of one server.
@@ -179,11 +199,6 @@
     }
 }
 
-/// Returns the number of permits per second that all issuers of a server with this limit issue together.
-fn full_rate(rate: RequestRate) -> f64 {
-    (rate.per_second() * ISSUED_SHARE).max(PROBE_RATE)
-}
-
 /// Returns the decision of a node that must not issue permits.
 pub(crate) fn not_elected() -> PermitDecision {
     let pause_ms = u32::try_from(NOT_ELECTED_PAUSE.as_millis()).unwrap_or(u32::MAX);
--- a/crates/plumgate/src/gateway/rate_limit/observation.rs
+++ b/crates/plumgate/src/gateway/rate_limit/observation.rs
@@ -66,6 +66,8 @@
     first_named: BootTime,
     /// When an answer that names a limit was last received.
     last_named: BootTime,
+    /// When an answer that names the known limit was last received.
+    confirmed_at: BootTime,
 }
 
 impl ObservedLimit {
@@ -75,9 +77,15 @@
             known: observation,
             first_named,
             last_named: observation.seen,
+            confirmed_at: observation.seen,
         }
     }
 
+    /// Returns when an answer that names the known limit was last received.
+    pub(crate) fn confirmed_at(&self) -> BootTime {
+        self.confirmed_at
+    }
+
     /// Returns the limit in force.
     pub(crate) fn rate(&self) -> Option<RequestRate> {
         self.known.rate
@@ -109,6 +117,9 @@
     /// known answer was received. Of two answers that may have been written in either order, the one with the
     /// stricter limit applies.
     pub(crate) fn apply(&mut self, observation: LimitObservation) -> Option<LimitChange> {
+        if observation.rate == self.known.rate {
+            self.confirmed_at = self.confirmed_at.max(observation.seen);
+        }
         let is_newer = observation.sent >= self.known.seen;
         let is_older = observation.seen <= self.known.sent;
         let is_stricter = strictness(observation.rate) < strictness(self.known.rate);
@@ -117,6 +128,7 @@
         }
         let before = self.known.rate;
         self.known = observation;
+        self.confirmed_at = self.confirmed_at.max(observation.seen);
         if observation.rate.is_some() {
             self.last_named = observation.seen;
         }
--- a/crates/plumgate/src/gateway/rate_limit/server_limits.rs
+++ b/crates/plumgate/src/gateway/rate_limit/server_limits.rs
@@ -20,6 +20,9 @@
 /// Pause before the next permit request when the issuer and this node disagree on whether a server is limited.
 const DISAGREEMENT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time for which an answer confirms a limit: the time that a server gives the nodes to apply another one.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
+
 /// Whether a request may be sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PermitStatus {
@@ -285,7 +288,12 @@
         } else {
             1.0
         };
-        let limit = IssuedRate { rate, share };
+        let is_confirmed = now.saturating_sub(limit.confirmed_at()) < CONFIRMATION_TIME;
+        let limit = IssuedRate {
+            rate,
+            share,
+            is_confirmed,
+        };
         self.issuer.decide(key, limit, urgency, since, now)
     }
 
--- a/crates/plumgate/tests/limit_decisions.rs
+++ b/crates/plumgate/tests/limit_decisions.rs
@@ -32,6 +32,12 @@
         let urgency = if step % 2 == 0 { 1 } else { 4 };
         if let PermitStatus::Granted(_) = limits.request_permit(&server, urgency, now) {
             sent[usize::from(urgency == 4)] += 1;
+            let answer = LimitObservation {
+                sent: now,
+                seen: now,
+                ..observation
+            };
+            limits.record_answer(&server, answer);
         }
     }
     let [urgent, others] = sent;
