retry budget: half of it is kept while a pool sheds load

When one server shed later, the retry of the request that it refused could not be paid. Evidence: the node's log (route, attempt_failed, retry with budget_left -2.8). Ruled out: sends to a server known to shed (no earlier refusal within its pause), a stale share of the budget, a check that lacks a case. Change: while more than half of the last arrivals at a pool are refused, retries after a refusal leave half of the budget. What the fleet may spend is unchanged: arrivals that a server rejects count in the users' rule.

--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -17,7 +17,7 @@
 use super::metrics::ReasonLabels;
 use super::ports::{AnswerMetadata, WireFormat};
 use super::request::{AttemptOutcome, RESTARTED, ServerAnswer};
-use super::run::{MAX_SERVERS_TRIED, RelayRun};
+use super::run::{MAX_SERVERS_TRIED, RelayRun, RetryCause};
 use super::stream::StreamRelay;
 use crate::caller_error::CallerError;
 use crate::clock::{Clock, until};
@@ -274,7 +274,7 @@
         self.on_refusal(arrived);
         self.count_failure(reason);
         let tries = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
-        if tries < MAX_SERVERS_TRIED && self.spend_retry(reason) {
+        if tries < MAX_SERVERS_TRIED && self.spend_retry(RetryCause::Refused, reason) {
             return NextStep::Retry;
         }
         let left = self.time_left();
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -53,6 +53,15 @@
     _guard: RequestGuard<C, W>,
 }
 
+/// Why a request is sent to another server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RetryCause {
+    /// No server has run it in this attempt.
+    Refused,
+    /// A server may have run it, and its answer is lost.
+    InDoubt,
+}
+
 impl<C: Clock, W: WireFormat> RelayRun<C, W> {
     /// Creates the state of a request that was just accepted, and adds its share to the retry budget.
     pub(crate) fn new(shared: Arc<GatewayShared<C, W>>, request: RelayRequest) -> Self {
@@ -179,6 +188,9 @@
         if is_sent {
             self.apply(AttemptEvent::FirstByte);
             self.arrivals += 1;
+            let is_refused = matches!(outcome, AttemptOutcome::NotRun { .. });
+            let mut budget = self.shared.budget();
+            budget.record_arrival(&self.request.pool, is_refused);
         }
         if !matches!(outcome, AttemptOutcome::NotRun { .. }) {
             self.runs += 1;
@@ -211,18 +223,20 @@
             && tries < MAX_SERVERS_TRIED
             && self.time_left() > MIN_ATTEMPT_TIME
             && !matches!(self.quarantine_verdict(), RequestVerdict::Block(_))
-            && self.spend_retry(reason)
+            && self.spend_retry(RetryCause::InDoubt, reason)
     }
 
-    /// Takes a retry from the budget; free as long as no server has received the request. Returns whether the
-    /// retry is allowed.
-    pub(crate) fn spend_retry(&self, reason: &'static str) -> bool {
+    /// Takes a retry from the budget; free as long as no server has received the request. Returns whether the retry is allowed.
+    pub(crate) fn spend_retry(&mut self, cause: RetryCause, reason: &'static str) -> bool {
         if self.arrivals == 0 {
             return true;
         }
         let now = self.shared.clock.now();
         let mut budget = self.shared.budget();
-        let is_allowed = budget.try_withdraw(&self.request.pool, now);
+        let is_allowed = match cause {
+            RetryCause::Refused => budget.try_withdraw_after_refusal(&self.request.pool, now),
+            RetryCause::InDoubt => budget.try_withdraw(&self.request.pool, now),
+        };
         let left = budget.left(&self.request.pool, now);
         drop(budget);
         let counter = if is_allowed {
--- a/crates/plumgate/src/gateway/admission/budget.rs
+++ b/crates/plumgate/src/gateway/admission/budget.rs
@@ -10,6 +10,12 @@
 /// Share of the ratio that is spent. Requests arrive at the pool later than they are counted here, so the
 /// pool's own window may contain a few fewer of them.
 const RATIO_SHARE: f64 = 0.8;
+/// Weight of the newest arrival in the share of arrivals that a pool refuses.
+const REFUSED_WEIGHT: f64 = 0.125;
+/// Share of refused arrivals above which a pool counts as shedding load.
+const SHEDDING_SHARE: f64 = 0.5;
+/// Share of the budget that is not spent on refusals by a pool that sheds load.
+const RESERVED_SHARE: f64 = 0.5;
 
 /// Requests and retries counted in one part of the window.
 #[derive(Clone, Copy, Debug)]
@@ -19,8 +25,19 @@
     retries: u32,
 }
 
+/// State of one pool.
+#[derive(Clone, Debug, Default)]
+struct PoolWindow {
+    parts: VecDeque<WindowPart>,
+    /// Share of the last arrivals that the pool's servers refused, with exponential decay.
+    refused_share: f64,
+}
+
 /// Budget of retries to each pool over a sliding window.
 ///
+/// While most servers of a pool shed load, retries are refused as well. Spent without a bound they would leave
+/// nothing for as long as the window, in which a request that a single server refuses could not go to another one.
+///
 /// All nodes together may send `ratio` times the requests plus `extra`. A node's own requests add their
 /// ratio here; `extra` is divided by the number of nodes that may be alive, so that the shares add up
 /// without messages between the nodes.
@@ -31,7 +48,7 @@
     extra: f64,
     /// Number of nodes that share `extra`; `None` where it is not known.
     nodes: Option<u32>,
-    pools: HashMap<PoolId, VecDeque<WindowPart>>,
+    pools: HashMap<PoolId, PoolWindow>,
 }
 
 impl WindowBudget {
@@ -79,23 +96,47 @@
         true
     }
 
+    /// Withdraws one retry of a request that a server refused, like [`Self::try_withdraw`]; keeps a reserve while
+    /// the pool sheds load.
+    pub fn try_withdraw_after_refusal(&mut self, pool: &PoolId, now: Instant) -> bool {
+        let is_reserved = self.is_shedding(pool)
+            && self.left(pool, now) < 1.0 + RESERVED_SHARE * self.allowed(pool, now);
+        !is_reserved && self.try_withdraw(pool, now)
+    }
+
+    /// Records that a request arrived at a server of the pool, and whether the server refused it.
+    pub fn record_arrival(&mut self, pool: &PoolId, is_refused: bool) {
+        let window = self.pools.entry(pool.clone()).or_default();
+        let refused = if is_refused { 1.0 } else { 0.0 };
+        window.refused_share += REFUSED_WEIGHT * (refused - window.refused_share);
+    }
+
+    fn is_shedding(&self, pool: &PoolId) -> bool {
+        let window = self.pools.get(pool);
+        window.is_some_and(|window| window.refused_share > SHEDDING_SHARE)
+    }
+
     /// Returns how many retries may still be sent.
     pub fn left(&mut self, pool: &PoolId, now: Instant) -> f64 {
+        let allowed = self.allowed(pool, now);
+        let retries: u32 = self.pools[pool].parts.iter().map(|part| part.retries).sum();
+        allowed - f64::from(retries)
+    }
+
+    /// Returns how many retries the requests of the window allow.
+    fn allowed(&mut self, pool: &PoolId, now: Instant) -> f64 {
         let share = self.nodes.map_or(0.0, |nodes| 1.0 / f64::from(nodes));
-        let allowed_extra = self.extra * share;
-        let ratio = self.ratio * RATIO_SHARE;
         self.part(pool, now);
-        let parts = &self.pools[pool];
+        let parts = &self.pools[pool].parts;
         let requests: u32 = parts.iter().map(|part| part.requests).sum();
-        let retries: u32 = parts.iter().map(|part| part.retries).sum();
-        f64::from(requests) * ratio + allowed_extra - f64::from(retries)
+        f64::from(requests) * self.ratio * RATIO_SHARE + self.extra * share
     }
 
     fn part(&mut self, pool: &PoolId, now: Instant) -> &mut WindowPart {
         let width = self.window / WINDOW_PARTS;
         // One part more than the window: a part counts until its latest request is out of the window.
         let oldest = self.window + width;
-        let parts = self.pools.entry(pool.clone()).or_default();
+        let parts = &mut self.pools.entry(pool.clone()).or_default().parts;
         while parts
             .front()
             .is_some_and(|part| now.saturating_duration_since(part.started) > oldest)
--- a/crates/plumgate/tests/gateway_budget.rs
+++ b/crates/plumgate/tests/gateway_budget.rs
@@ -103,3 +103,47 @@
         })
     }
 }
+
+/// Guards against a pool that sheds load for seconds and takes all retries of the window: a request that a single
+/// server refuses afterwards could not go to another one.
+#[test]
+fn pool_that_sheds_load_leaves_retries_for_later_refusals() {
+    let start = Instant::now();
+    let mut budget = WindowBudget::new(WINDOW, 0.2, 52.0).with_nodes(6);
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    for millis in (0..5_000).step_by(50) {
+        budget.deposit(&pool(), at(millis));
+        budget.record_arrival(&pool(), false);
+    }
+    for millis in (5_000..9_000).step_by(50) {
+        budget.deposit(&pool(), at(millis));
+        budget.record_arrival(&pool(), true);
+        while budget.try_withdraw_after_refusal(&pool(), at(millis)) {
+            budget.record_arrival(&pool(), true);
+        }
+    }
+    for millis in (9_000..15_000).step_by(100) {
+        budget.deposit(&pool(), at(millis));
+        let is_refused = millis >= 10_000 && millis % 1_000 == 0;
+        budget.record_arrival(&pool(), is_refused);
+        if is_refused {
+            assert!(
+                budget.try_withdraw_after_refusal(&pool(), at(millis)),
+                "no retry at {millis} ms"
+            );
+            budget.record_arrival(&pool(), false);
+        }
+    }
+}
+
+/// Guards against a reserve that is kept from requests whose retries succeed.
+#[test]
+fn pool_with_some_full_servers_spends_its_whole_budget() {
+    let now = Instant::now();
+    let mut budget = WindowBudget::new(WINDOW, 0.2, 80.0).with_nodes(8);
+    let spent = (0..100).filter(|number| {
+        budget.record_arrival(&pool(), number % 3 == 0);
+        budget.try_withdraw_after_refusal(&pool(), now)
+    });
+    assert_eq!(spent.count(), 10);
+}
