retry budget: a paid retry that reaches no server pays for the next one

Callers saw: fewer requests got another try than the budget allows. Cause: each server that was tried took a retry, also one that refused the connection. The users' rule counts arrivals. Change: a retry is paid once until a server has received the request.

--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -38,6 +38,8 @@
     pub(crate) attempt_started_at: Option<Instant>,
     /// Number of attempts that reached a server.
     pub(crate) arrivals: u32,
+    /// Whether a retry was taken from the budget that no server has received yet.
+    has_paid_retry: bool,
     /// Number of attempts that may have run.
     pub(crate) runs: u32,
     /// Time from the arrival of the request until the first byte of the answer was sent to the caller.
@@ -75,6 +77,7 @@
             tried: Vec::new(),
             attempt_started_at: None,
             arrivals: 0,
+            has_paid_retry: false,
             runs: 0,
             first_byte: None,
             longest_pause: Duration::ZERO,
@@ -188,6 +191,7 @@
         if is_sent {
             self.apply(AttemptEvent::FirstByte);
             self.arrivals += 1;
+            self.has_paid_retry = false;
             let is_refused = matches!(outcome, AttemptOutcome::NotRun { .. });
             let mut budget = self.shared.budget();
             budget.record_arrival(&self.request.pool, is_refused);
@@ -226,9 +230,10 @@
             && self.spend_retry(RetryCause::InDoubt, reason)
     }
 
-    /// Takes a retry from the budget; free as long as no server has received the request. Returns whether the retry is allowed.
+    /// Takes a retry from the budget; free as long as no server has received the request or the retry that was
+    /// paid before. Returns whether the retry is allowed.
     pub(crate) fn spend_retry(&mut self, cause: RetryCause, reason: &'static str) -> bool {
-        if self.arrivals == 0 {
+        if self.arrivals == 0 || self.has_paid_retry {
             return true;
         }
         let now = self.shared.clock.now();
@@ -237,6 +242,7 @@
             RetryCause::Refused => budget.try_withdraw_after_refusal(&self.request.pool, now),
             RetryCause::InDoubt => budget.try_withdraw(&self.request.pool, now),
         };
+        self.has_paid_retry = is_allowed;
         let left = budget.left(&self.request.pool, now);
         drop(budget);
         let counter = if is_allowed {
