placement: the pause after a refusal as full grows while a server keeps refusing

Cause: a server that sheds load was tried again 150 ms after each refusal by each node, for 3.1 s, while 13 others of the pool had room. Change: the pause doubles by each refusal in a row, up to 1.2 s; an answer starts it over. Where all servers of a pool pause, they are tried all the same, as before.

--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -45,8 +45,13 @@
 /// Time after its last answer for which a server counts as answering: one that hangs accepts no more work,
 /// and would appear to be the least loaded one.
 const RECENT_ANSWER: Duration = Duration::from_secs(1);
-/// Pause after a server reported that it is full, during which this node sends it nothing.
+/// Pause after a server reported that it is full, during which this node sends it nothing; doubled by each such
+/// report in a row, as each costs a retry.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// Longest such pause.
+const MAX_FULL_PAUSE: Duration = Duration::from_millis(1_200);
+/// Number of reports in a row after which the pause is no longer doubled.
+const MAX_FULL_REPORTS: u32 = 4;
 /// Pause after a server could not be reached, during which this node sends it nothing. Each of the next
 /// requests would lose the time of a failing connection.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(400);
@@ -69,6 +74,8 @@
     pub(crate) answered_at: Option<Instant>,
     /// End of the pause after it reported that it is full.
     full_until: Option<Instant>,
+    /// Number of reports that it is full since its last answer.
+    full_reports: u32,
     /// End of the pause after it could not be reached.
     unreachable_until: Option<Instant>,
     /// Id of its incarnation.
@@ -129,6 +136,7 @@
             failures_at: now,
             answered_at: None,
             full_until: None,
+            full_reports: 0,
             unreachable_until: None,
             limit: None,
             deferred_until: Vec::new(),
@@ -321,6 +329,7 @@
     /// Records that it answers this node.
     pub(crate) fn record_answer(&mut self, now: Instant) {
         self.answered_at = Some(now);
+        self.full_reports = 0;
     }
 
     /// Returns whether it answered this node recently.
@@ -344,7 +353,9 @@
                 1.0
             }
             WorkOutcome::Full => {
-                self.full_until = Some(now + FULL_PAUSE);
+                let pause = FULL_PAUSE * (1 << self.full_reports);
+                self.full_until = Some(now + pause.min(MAX_FULL_PAUSE));
+                self.full_reports = (self.full_reports + 1).min(MAX_FULL_REPORTS);
                 return;
             }
             WorkOutcome::Restarted | WorkOutcome::Unsent | WorkOutcome::Inconclusive => return,
