node: a request that starts as its caller disconnects lets the next one start at once

Change: the actions are applied, as for every other end of a request. Not shown by a test of its own: the moment between two locks can't be reached from outside.

--- a/crates/plumgate-node/src/shared.rs
+++ b/crates/plumgate-node/src/shared.rs
@@ -291,10 +291,8 @@
         let waiter = self.waiters().get(request).cloned();
         let delivered = waiter.is_some_and(|waiter| waiter.try_send(decision).is_ok());
         if !delivered {
-            // The caller disconnected at the same time: its slot must be released.
-            let _ = self
-                .dispatcher()
-                .finish(request, AttemptOutcome::Abandoned, self.clock.now());
+            // The caller disconnected at the same time: its slot is released and may start the next request.
+            self.finish(request, AttemptOutcome::Abandoned);
         }
     }
 
