limits: small limits of requests in flight are leased as slots

Callers saw: a workspace with a concurrency of 10 ran 64 requests through 64 nodes (20 allowed while shares change); on four real nodes with a concurrency of two, eight requests of half a second took 0.53 s, four and more at once. Cause: the same as of the burst: each node lets one request in flight, however small its share. Change: a limit smaller than the number of nodes is leased in slots by the issuer of the workspace's permits. A node asks for what it runs and has waiting, renews its lease each 0.5 s, gives slots back at once, and reports what it may still use until the response is there; who wants more than its part loses slots as its requests end. On the way: a slot was used between its return and the response (11 of 10); the node now gives it up when it asks.

--- a/crates/plumgate-node/src/control.rs
+++ b/crates/plumgate-node/src/control.rs
@@ -18,7 +18,7 @@
 use plumgate::route::{LeavingSource, LoadReport};
 use plumgate::wire::{ReplayGuard, TextPatch};
 
-use self::permits::PermitRequests;
+use self::permits::{IssuerDemand, PermitRequests};
 use crate::clock::Clock;
 use crate::lifecycle::NodeLifecycle;
 use crate::log::LogLine;
@@ -163,7 +163,10 @@
                 self.request_peer_preemption(&pool, rank)
             }
             ControlEvent::RequestPermits(workspace, count) => {
-                self.request_permits(workspace, count)
+                self.request_of_issuer(workspace, IssuerDemand::Permits(count))
+            }
+            ControlEvent::RequestSlots(workspace, demand) => {
+                self.request_of_issuer(workspace, IssuerDemand::Slots(demand))
             }
             ControlEvent::Stop => self.lifecycle.stop(&self.shared),
         }
--- a/crates/plumgate-node/src/control/permits.rs
+++ b/crates/plumgate-node/src/control/permits.rs
@@ -1,5 +1,5 @@
-//! Permits of workspaces whose limit is too small to be split over the nodes: requests them from the issuer
-//! and responds to the requests of peers.
+//! Permits and slots of workspaces whose limit is too small to be split over the nodes: requests them from the
+//! issuer and responds to the requests of peers.
 //!
 //! The issuer of a workspace is the live node that rendezvous hashing prefers. If it does not respond, the
 //! next node stands in with a part of the limit, and finally this node issues its own share.
@@ -7,8 +7,8 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use plumgate::ids::WorkspaceId;
-use plumgate::limits::{PERMIT_LIFETIME, PermitGrant};
+use plumgate::ids::{NodeId, WorkspaceId};
+use plumgate::limits::{PERMIT_LIFETIME, PermitGrant, SlotDemand};
 use plumgate::wire::{IssuerRole, PeerMessage, PermitMessage};
 
 use super::ControlLoop;
@@ -21,63 +21,140 @@
 /// Part of a limit that the stand-in issues, since the issuer may still serve others.
 const STANDBY_SHARE: f64 = 0.5;
 
-/// A request for permits that has no response yet.
+/// What is requested of an issuer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) enum LimitKind {
+    /// Permits to admit requests.
+    Permits,
+    /// Slots for requests in flight.
+    Slots,
+}
+
+impl LimitKind {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Permits => "permits",
+            Self::Slots => "slots",
+        }
+    }
+}
+
+/// What a node asks of an issuer.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum IssuerDemand {
+    /// This many permits.
+    Permits(u32),
+    /// Slots.
+    Slots(SlotDemand),
+}
+
+impl IssuerDemand {
+    fn kind(self) -> LimitKind {
+        match self {
+            Self::Permits(_) => LimitKind::Permits,
+            Self::Slots(_) => LimitKind::Slots,
+        }
+    }
+
+    /// Returns the number of permits or slots that are wanted.
+    fn count(self) -> u32 {
+        match self {
+            Self::Permits(count) => count,
+            Self::Slots(demand) => demand.wanted,
+        }
+    }
+}
+
+/// A request to an issuer that has no response yet.
 #[derive(Debug)]
-pub(super) struct PendingPermits {
+struct PendingRequest {
     id: u64,
-    count: u32,
+    demand: IssuerDemand,
     role: IssuerRole,
     requested_at: Instant,
     /// When the next issuer is asked.
     due: Instant,
 }
 
-/// Pending requests of this node, by workspace.
+/// Pending requests of this node.
 #[derive(Debug, Default)]
 pub(super) struct PermitRequests {
-    pending: HashMap<WorkspaceId, PendingPermits>,
+    pending: HashMap<(WorkspaceId, LimitKind), PendingRequest>,
     last_id: u64,
 }
 
+/// Response of an issuer.
+#[derive(Clone, Copy, Debug)]
+enum IssuerResponse {
+    Permits(PermitGrant),
+    Slots(u32),
+}
+
 impl<C: Clock> ControlLoop<C> {
-    /// Requests permits from the issuer of a workspace.
-    pub(super) fn request_permits(&mut self, workspace: WorkspaceId, count: u32) {
-        self.request_permits_of(workspace, count, IssuerRole::Preferred);
+    /// Requests permits or slots from the issuer of a workspace.
+    pub(super) fn request_of_issuer(&mut self, workspace: WorkspaceId, demand: IssuerDemand) {
+        self.request_of_role(workspace, demand, IssuerRole::Preferred);
     }
 
-    fn request_permits_of(&mut self, workspace: WorkspaceId, count: u32, role: IssuerRole) {
+    fn request_of_role(&mut self, workspace: WorkspaceId, demand: IssuerDemand, role: IssuerRole) {
         let now = self.shared.clock.now();
         self.permit_requests.last_id += 1;
         let id = self.permit_requests.last_id;
-        let pending = PendingPermits {
+        let request = PendingRequest {
             id,
-            count,
+            demand,
             role,
             requested_at: now,
             due: now + RESPONSE_TIMEOUT,
         };
-        self.permit_requests
-            .pending
-            .insert(workspace.clone(), pending);
-        let issuer = self.issuer_address(&workspace, role);
-        let Some(address) = issuer else {
-            let share = self.issued_share(role);
-            let grant = self
-                .shared
-                .dispatcher()
-                .issue_permits(&workspace, share, count, now);
-            self.apply_grant(&workspace, id, grant, "own");
+        let key = (workspace.clone(), demand.kind());
+        self.permit_requests.pending.insert(key, request);
+        let Some(address) = self.issuer_address(&workspace, role) else {
+            let own = NodeId::from(self.members.own().node.as_str());
+            let response = self.issue(&workspace, &own, demand, role);
+            self.apply_response(&workspace, id, response, "own");
             return;
         };
-        let message = PermitMessage::Request {
-            id,
-            workspace: workspace.to_string(),
-            count,
-            role,
+        let workspace = workspace.to_string();
+        let message = match demand {
+            IssuerDemand::Permits(count) => PermitMessage::Request {
+                id,
+                workspace,
+                count,
+                role,
+            },
+            IssuerDemand::Slots(SlotDemand { in_use, wanted }) => PermitMessage::SlotRequest {
+                id,
+                workspace,
+                in_use,
+                wanted,
+                role,
+            },
         };
         self.send(&[address], PeerMessage::Permits(message));
     }
 
+    /// Issues permits or slots to a node, as the issuer.
+    fn issue(
+        &self,
+        workspace: &WorkspaceId,
+        node: &NodeId,
+        demand: IssuerDemand,
+        role: IssuerRole,
+    ) -> IssuerResponse {
+        let share = self.issued_share(role);
+        let now = self.shared.clock.now();
+        let mut dispatcher = self.shared.dispatcher();
+        match demand {
+            IssuerDemand::Permits(count) => {
+                IssuerResponse::Permits(dispatcher.issue_permits(workspace, share, count, now))
+            }
+            IssuerDemand::Slots(demand) => {
+                IssuerResponse::Slots(dispatcher.issue_slots(workspace, node, share, demand, now))
+            }
+        }
+    }
+
     /// Returns the address of an issuer; `None` if this node is the issuer.
     fn issuer_address(&self, workspace: &WorkspaceId, role: IssuerRole) -> Option<String> {
         let position = match role {
@@ -105,7 +182,7 @@
         }
     }
 
-    /// Handles a message of a peer about permits.
+    /// Handles a message of a peer about permits or slots.
     pub(super) fn apply_permit_message(&mut self, sender: &str, message: PermitMessage) {
         match message {
             PermitMessage::Request {
@@ -113,21 +190,16 @@
                 workspace,
                 count,
                 role,
+            } => self.respond(sender, id, workspace, IssuerDemand::Permits(count), role),
+            PermitMessage::SlotRequest {
+                id,
+                workspace,
+                in_use,
+                wanted,
+                role,
             } => {
-                let grant = self.shared.dispatcher().issue_permits(
-                    &workspace.as_str().into(),
-                    self.issued_share(role),
-                    count,
-                    self.shared.clock.now(),
-                );
-                let response = PermitMessage::Response {
-                    id,
-                    workspace,
-                    granted: grant.granted,
-                    pause_ms: u32::try_from(grant.pause.as_millis()).unwrap_or(u32::MAX),
-                };
-                let address = self.members.peer(sender).map(|peer| peer.address.clone());
-                self.send(address.as_slice(), PeerMessage::Permits(response));
+                let demand = IssuerDemand::Slots(SlotDemand { in_use, wanted });
+                self.respond(sender, id, workspace, demand, role);
             }
             PermitMessage::Response {
                 id,
@@ -139,60 +211,116 @@
                     granted,
                     pause: Duration::from_millis(pause_ms.into()),
                 };
-                self.apply_grant(&workspace.as_str().into(), id, grant, sender);
+                let response = IssuerResponse::Permits(grant);
+                self.apply_response(&workspace.as_str().into(), id, response, sender);
+            }
+            PermitMessage::SlotResponse {
+                id,
+                workspace,
+                slots,
+            } => {
+                let response = IssuerResponse::Slots(slots);
+                self.apply_response(&workspace.as_str().into(), id, response, sender);
             }
         }
     }
 
+    fn respond(
+        &mut self,
+        sender: &str,
+        id: u64,
+        workspace: String,
+        demand: IssuerDemand,
+        role: IssuerRole,
+    ) {
+        let requested = workspace.as_str().into();
+        let response = self.issue(&requested, &sender.into(), demand, role);
+        let message = match response {
+            IssuerResponse::Permits(grant) => PermitMessage::Response {
+                id,
+                workspace,
+                granted: grant.granted,
+                pause_ms: u32::try_from(grant.pause.as_millis()).unwrap_or(u32::MAX),
+            },
+            IssuerResponse::Slots(slots) => PermitMessage::SlotResponse {
+                id,
+                workspace,
+                slots,
+            },
+        };
+        let address = self.members.peer(sender).map(|peer| peer.address.clone());
+        self.send(address.as_slice(), PeerMessage::Permits(message));
+    }
+
     /// Applies a response; one to an earlier request is ignored.
-    fn apply_grant(&mut self, workspace: &WorkspaceId, id: u64, grant: PermitGrant, issuer: &str) {
+    fn apply_response(
+        &mut self,
+        workspace: &WorkspaceId,
+        id: u64,
+        response: IssuerResponse,
+        issuer: &str,
+    ) {
+        let kind = match response {
+            IssuerResponse::Permits(_) => LimitKind::Permits,
+            IssuerResponse::Slots(_) => LimitKind::Slots,
+        };
+        let key = (workspace.clone(), kind);
         let pending = &mut self.permit_requests.pending;
-        if pending
-            .get(workspace)
-            .is_none_or(|request| request.id != id)
-        {
+        if pending.get(&key).is_none_or(|request| request.id != id) {
             return;
         }
-        let Some(request) = pending.remove(workspace) else {
+        let Some(request) = pending.remove(&key) else {
             return;
         };
-        let result = if grant.pause.is_zero() {
+        let granted = match response {
+            IssuerResponse::Permits(grant) => grant.granted,
+            IssuerResponse::Slots(slots) => slots,
+        };
+        let result = if granted >= request.demand.count() {
             "granted"
         } else {
             "denied"
         };
         self.count_permit_request(result);
         LogLine::new("permits")
+            .with("kind", kind.as_str())
             .with("workspace", workspace)
             .with("issuer", issuer)
             .with("role", request.role.as_str())
-            .with("requested", request.count)
-            .with("granted", grant.granted)
-            .with("pause_ms", grant.pause.as_millis())
+            .with("requested", request.demand.count())
+            .with("granted", granted)
             .debug(&self.shared.log);
         let now = self.shared.clock.now();
-        let expires_at = request.requested_at + PERMIT_LIFETIME;
-        let actions = self
-            .shared
-            .dispatcher()
-            .apply_permits(workspace, grant, expires_at, now);
+        let requested_at = request.requested_at;
+        let mut dispatcher = self.shared.dispatcher();
+        let actions = match response {
+            IssuerResponse::Permits(grant) => {
+                dispatcher.apply_permits(workspace, grant, requested_at + PERMIT_LIFETIME, now)
+            }
+            IssuerResponse::Slots(slots) => {
+                let wanted = request.demand.count();
+                dispatcher.apply_slots(workspace, wanted, slots, requested_at, now)
+            }
+        };
+        drop(dispatcher);
         self.shared.apply_actions(actions);
     }
 
-    /// Asks the next issuer for the permits whose issuer has not responded.
+    /// Asks the next issuer where one has not responded.
     pub(super) fn retry_permit_requests(&mut self) {
         let now = self.shared.clock.now();
         let pending = &mut self.permit_requests.pending;
-        let overdue: Vec<(WorkspaceId, PendingPermits)> = pending
+        let overdue: Vec<_> = pending
             .extract_if(|_, request| request.due <= now)
             .collect();
-        for (workspace, request) in overdue {
+        for ((workspace, kind), request) in overdue {
             self.count_permit_request("unanswered");
             LogLine::new("permits_unanswered")
+                .with("kind", kind.as_str())
                 .with("workspace", &workspace)
                 .with("role", request.role.as_str())
                 .warn(&self.shared.log);
-            self.request_permits_of(workspace, request.count, request.role.next());
+            self.request_of_role(workspace, request.demand, request.role.next());
         }
     }
 
--- a/crates/plumgate-node/src/shared.rs
+++ b/crates/plumgate-node/src/shared.rs
@@ -16,7 +16,7 @@
     AttemptOutcome, DispatchAction, Dispatcher, RefusalReason, RequestTicket, StartOrder,
 };
 use plumgate::ids::{PoolId, RequestId, ServerId, TierRank, WorkspaceId};
-use plumgate::limits::PermitGrant;
+use plumgate::limits::{PermitGrant, SlotDemand};
 use plumgate::route::RouteChoice;
 
 use crate::clock::Clock;
@@ -49,6 +49,8 @@
     RequestPeerPreemption(PoolId, TierRank),
     /// Requests of a workspace need this many permits.
     RequestPermits(WorkspaceId, u32),
+    /// Requests of a workspace need these slots.
+    RequestSlots(WorkspaceId, SlotDemand),
     /// The node is to stop gracefully.
     Stop,
 }
@@ -234,20 +236,40 @@
                 DispatchAction::RequestPermits { workspace, count } => {
                     self.request_permits(workspace, count);
                 }
+                DispatchAction::RequestSlots { workspace, demand } => {
+                    self.request_slots(workspace, demand);
+                }
             }
         }
     }
 
-    fn request_permits(&self, workspace: WorkspaceId, count: u32) {
-        let event = ControlEvent::RequestPermits(workspace.clone(), count);
+    fn request_slots(&self, workspace: WorkspaceId, demand: SlotDemand) {
+        let event = ControlEvent::RequestSlots(workspace.clone(), demand);
         if self.control.try_send(event).is_ok() {
             return;
         }
-        // The control thread is overloaded or has exited; the waiting requests would get no response.
+        self.log_unsent_request(&workspace);
+        let now = self.clock.now();
+        let actions = self
+            .dispatcher()
+            .apply_slots(&workspace, demand.wanted, 0, now, now);
+        self.apply_actions(actions);
+    }
+
+    /// Logs that the control thread is overloaded or has exited: waiting requests would get no response.
+    fn log_unsent_request(&self, workspace: &WorkspaceId) {
         LogLine::new("permits_unanswered")
-            .with("workspace", &workspace)
+            .with("workspace", workspace)
             .with("reason", "busy")
             .warn(&self.log);
+    }
+
+    fn request_permits(&self, workspace: WorkspaceId, count: u32) {
+        let event = ControlEvent::RequestPermits(workspace.clone(), count);
+        if self.control.try_send(event).is_ok() {
+            return;
+        }
+        self.log_unsent_request(&workspace);
         let now = self.clock.now();
         let grant = PermitGrant {
             granted: 0,
--- a/crates/plumgate-standin/tests/fleet/mod.rs
+++ b/crates/plumgate-standin/tests/fleet/mod.rs
@@ -176,6 +176,7 @@
     checks_fencing: bool,
     strict_models: bool,
     requests_per_second: u32,
+    concurrency: u32,
     rules: String,
     variables: Vec<(&'static str, String)>,
 }
@@ -228,6 +229,7 @@
             checks_fencing: true,
             strict_models: false,
             requests_per_second: 500,
+            concurrency: 500,
             rules: RULES.to_owned(),
             variables: Vec::new(),
         }
@@ -259,12 +261,18 @@
         self
     }
 
-    /// Sets the limit of each workspace.
+    /// Sets the limit of each workspace in requests per second.
     pub(crate) fn with_requests_per_second(mut self, limit: u32) -> Self {
         self.requests_per_second = limit;
         self
     }
 
+    /// Sets the limit of each workspace in requests in flight.
+    pub(crate) fn with_concurrency(mut self, limit: u32) -> Self {
+        self.concurrency = limit;
+        self
+    }
+
     /// Replaces a text of the rules.
     pub(crate) fn with_rule(mut self, old: &str, new: &str) -> Self {
         assert!(self.rules.contains(old), "{old} is not in the rules");
@@ -517,7 +525,8 @@
         }
         for workspace in ["norte", "azuay"] {
             inventory.push_str(&format!(
-                "[workspaces.{workspace}]\ntier = \"doorstep\"\nconcurrency = 500\nrequests_per_second = {}\nkey_digests = [\"{}\"]\n",
+                "[workspaces.{workspace}]\ntier = \"doorstep\"\nconcurrency = {}\nrequests_per_second = {}\nkey_digests = [\"{}\"]\n",
+                self.plan.concurrency,
                 self.plan.requests_per_second,
                 key_digest(&format!("key-{workspace}"))
             ));
--- a/crates/plumgate-standin/tests/workspace_limits.rs
+++ b/crates/plumgate-standin/tests/workspace_limits.rs
@@ -3,17 +3,26 @@
 mod fleet;
 
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fleet::{Fleet, FleetPlan, model_call, spawn_call};
 
 /// Limit of the workspace in requests per second: too small to be split over four nodes.
 const LIMIT: u32 = 3;
 
+/// Limit of the workspace in requests in flight: too small to be split over four nodes.
+const CONCURRENCY: u32 = 2;
+
 /// Sends `count` requests to each of the given nodes at once, and returns the numbers of answered and of refused
 /// requests.
 fn send_burst(fleet: &Fleet, nodes: &[usize], count: usize) -> (usize, usize) {
-    let call = || model_call("norte", "caption", "burst", 1, false);
+    send_requests(fleet, nodes, count, 1)
+}
+
+/// Sends `count` requests for this many tokens to each of the given nodes at once, and returns the numbers of
+/// answered and of refused requests.
+fn send_requests(fleet: &Fleet, nodes: &[usize], count: usize, tokens: u32) -> (usize, usize) {
+    let call = || model_call("norte", "caption", "burst", tokens, false);
     let callers = nodes.iter().map(|node| fleet.nodes[*node].callers);
     let waiting: Vec<_> = callers
         .flat_map(|callers| (0..count).map(move |_| spawn_call(callers, call())))
@@ -27,12 +36,15 @@
     (count_of(200), count_of(429))
 }
 
-fn limited_fleet() -> Fleet {
+/// Returns the plan of a fleet whose engines take 10 ms for a token.
+fn fleet_plan() -> FleetPlan {
     FleetPlan::new()
         .with_nodes(&["dc-a", "dc-a", "dc-b", "dc-b"])
-        .with_engines(2, 64, 1)
-        .with_requests_per_second(LIMIT)
-        .start()
+        .with_engines(2, 64, 10)
+}
+
+fn limited_fleet() -> Fleet {
+    fleet_plan().with_requests_per_second(LIMIT).start()
 }
 
 /// Guards against a burst at each node, and against refusing a whole burst that the limit allows.
@@ -52,7 +64,8 @@
 /// Guards against refusals of a workspace below its limit while its issuer does not respond.
 #[test]
 fn callers_below_the_limit_are_served_while_any_node_is_suspended() {
-    let fleet = limited_fleet();
+    let plan = fleet_plan().with_requests_per_second(LIMIT);
+    let fleet = plan.with_concurrency(CONCURRENCY).start();
     sleep(Duration::from_secs(4));
     for suspended in 0..4 {
         fleet.nodes[suspended].process.suspend();
@@ -66,3 +79,16 @@
         sleep(Duration::from_millis(700));
     }
 }
+
+/// Guards against one request in flight at each node, whatever the limit, and against slots that stay unused.
+#[test]
+fn nodes_run_no_more_requests_of_a_workspace_than_its_concurrency() {
+    let fleet = fleet_plan().with_concurrency(CONCURRENCY).start();
+    let start = Instant::now();
+    // Eight requests of half a second each, two at a time.
+    let (answered, _) = send_requests(&fleet, &[0, 1, 2, 3], 2, 50);
+    let took = start.elapsed();
+    assert_eq!(answered, 8);
+    assert!(took >= Duration::from_millis(1_900), "{took:?}");
+    assert!(took <= Duration::from_millis(6_000), "{took:?}");
+}
--- a/crates/plumgate/src/dispatch/dispatcher.rs
+++ b/crates/plumgate/src/dispatch/dispatcher.rs
@@ -4,8 +4,9 @@
 mod load;
 mod permits;
 mod preempt;
+mod slots;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -97,6 +98,8 @@
     routes: RouteTable,
     limits: WorkspaceLimits,
     permits: PermitQueue,
+    /// Workspaces whose waiting requests lack slots.
+    lacking_slots: BTreeSet<WorkspaceId>,
     budget: RetryBudget,
     queues: BTreeMap<PoolId, PoolQueue>,
     pools_by_request: HashMap<RequestId, PoolId>,
@@ -117,6 +120,7 @@
             config: None,
             limits: WorkspaceLimits::new(),
             permits: PermitQueue::default(),
+            lacking_slots: BTreeSet::new(),
             budget: RetryBudget::new(0.0),
             queues: BTreeMap::new(),
             pools_by_request: HashMap::new(),
@@ -305,6 +309,7 @@
             };
             actions.push(self.start(ticket, choice, head.by_floor, now));
         }
+        actions.extend(self.request_lacking_slots(now));
         actions
     }
 
@@ -332,6 +337,9 @@
                 .get(&head.workspace)
                 .map_or(0, |workspace| workspace.concurrency);
             if !self.limits.has_capacity(&head.workspace, limit, now) {
+                if self.limits.needs_slots(limit) {
+                    self.lacking_slots.insert(head.workspace);
+                }
                 continue;
             }
             let effective_rank = if head.by_floor {
@@ -409,7 +417,9 @@
             }
             AttemptOutcome::Refused { leaving: false } | AttemptOutcome::Abandoned => {}
         }
-        self.dispatch(&running.ticket.pool, now)
+        let mut actions = self.dispatch(&running.ticket.pool, now);
+        actions.extend(self.return_slots(&running.ticket.workspace, now));
+        actions
     }
 
     /// Returns a request to its queue after an attempt that may be repeated.
@@ -476,6 +486,7 @@
             self.pools_by_request.remove(&ticket.id);
             actions.push(self.refuse_with_wait(&ticket, RefusalReason::Expired));
         }
+        actions.extend(self.renew_slots(now));
         actions.extend(self.dispatch_all(now));
         actions
     }
--- a/crates/plumgate/src/dispatch/queue.rs
+++ b/crates/plumgate/src/dispatch/queue.rs
@@ -72,6 +72,15 @@
             .map_or(0, |queues| queues.values().map(BTreeMap::len).sum())
     }
 
+    /// Returns the number of waiting requests of a workspace.
+    pub(crate) fn len_of_workspace(&self, workspace: &WorkspaceId) -> usize {
+        let queues = self.ranks.values();
+        queues
+            .filter_map(|queues| queues.get(workspace))
+            .map(BTreeMap::len)
+            .sum()
+    }
+
     /// Returns the ranks that have waiting requests, highest tier first.
     pub(crate) fn ranks(&self) -> impl Iterator<Item = TierRank> + '_ {
         self.ranks.keys().copied()
--- a/crates/plumgate/src/dispatch/ticket.rs
+++ b/crates/plumgate/src/dispatch/ticket.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::{ClassId, PoolId, RequestId, ServerId, TierRank, WorkspaceId};
+use crate::limits::SlotDemand;
 use crate::route::RouteChoice;
 
 /// Properties of a request that queueing and routing depend on.
@@ -122,6 +123,14 @@
         /// Number of permits.
         count: u32,
     },
+    /// Request slots of a workspace from its issuer; the response goes to
+    /// [`Dispatcher::apply_slots`](super::Dispatcher::apply_slots).
+    RequestSlots {
+        /// Workspace whose requests run or wait.
+        workspace: WorkspaceId,
+        /// What this node asks for.
+        demand: SlotDemand,
+    },
 }
 
 /// Numbers of waiting and running requests, for operators and other nodes.
--- a/crates/plumgate/src/limits/workspace_limits.rs
+++ b/crates/plumgate/src/limits/workspace_limits.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::permit_issuer::{PERMIT_LIFETIME, PermitGrant, PermitIssuer};
+use super::slot_issuer::{SLOT_LIFETIME, SlotDemand, SlotIssuer};
 use crate::ids::{NodeId, WorkspaceId};
 use crate::token_bucket::TokenBucket;
 
@@ -25,10 +26,52 @@
 /// immediately.
 const EQUAL_FRACTION: f64 = 0.1;
 
+/// Interval after which slots are renewed, or requested again if fewer were leased than wanted.
+const SLOT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Slots that this node holds of one workspace.
+#[derive(Clone, Copy, Debug)]
+struct HeldSlots {
+    slots: u32,
+    until: Instant,
+    /// Whether a request for slots has no response yet.
+    is_requested: bool,
+    /// Whether the last response leased as many slots as were wanted.
+    is_satisfied: bool,
+    /// When the lease is due to be renewed.
+    renewal_at: Instant,
+}
+
+/// Why slots are requested.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SlotNeed {
+    /// The lease is to be renewed.
+    Renewal,
+    /// The node needs more slots, or fewer, than it holds.
+    Change,
+}
+
+impl HeldSlots {
+    fn new(now: Instant) -> Self {
+        Self {
+            slots: 0,
+            until: now,
+            is_requested: false,
+            is_satisfied: true,
+            renewal_at: now,
+        }
+    }
+
+    fn valid(&self, now: Instant) -> u32 {
+        if now < self.until { self.slots } else { 0 }
+    }
+}
+
 /// This node's use of one workspace's limits.
 #[derive(Clone, Debug)]
 struct WorkspaceUsage {
     in_flight: u32,
+    slots: HeldSlots,
     bucket: TokenBucket<Instant>,
     demand: f64,
     demand_at: Instant,
@@ -47,6 +90,7 @@
     fn new(now: Instant) -> Self {
         Self {
             in_flight: 0,
+            slots: HeldSlots::new(now),
             // Nothing has been used yet: the first refill reduces this to the allowed burst.
             bucket: TokenBucket::new(f64::INFINITY, now),
             demand: 0.0,
@@ -98,6 +142,7 @@
     usages: BTreeMap<WorkspaceId, WorkspaceUsage>,
     peers: BTreeMap<NodeId, PeerDemand>,
     issuer: PermitIssuer,
+    slot_issuer: SlotIssuer,
     nodes: usize,
     lifetime: Duration,
 }
@@ -202,14 +247,91 @@
 
     /// Returns whether the workspace may have one more request in flight on this node.
     pub fn has_capacity(&self, workspace: &WorkspaceId, limit: u32, now: Instant) -> bool {
-        let in_flight = self
-            .usages
-            .get(workspace)
-            .map_or(0, |usage| usage.in_flight);
+        let usage = self.usages.get(workspace);
+        let in_flight = usage.map_or(0, |usage| usage.in_flight);
+        if self.needs_slots(limit) {
+            return usage.is_some_and(|usage| in_flight < usage.slots.valid(now));
+        }
         let share = self.share(workspace, limit, now).ceil() as u32;
         in_flight < share.max(1)
     }
 
+    /// Returns whether a limit of requests in flight is too small to be split over the nodes, so that they need
+    /// slots.
+    pub fn needs_slots(&self, limit: u32) -> bool {
+        (limit as usize) < self.nodes
+    }
+
+    /// Returns the request for slots of a workspace that is due now if `waiting` requests need one.
+    pub(crate) fn slots_to_request(
+        &mut self,
+        workspace: &WorkspaceId,
+        waiting: u32,
+        need: SlotNeed,
+        now: Instant,
+    ) -> Option<SlotDemand> {
+        let usage = self.usage_mut(workspace, now);
+        let wanted = usage.in_flight + waiting;
+        let slots = &mut usage.slots;
+        let held = slots.valid(now);
+        let changes =
+            need == SlotNeed::Change && (wanted < held || wanted > held && slots.is_satisfied);
+        let is_due = changes || now >= slots.renewal_at;
+        if slots.is_requested || !is_due || wanted == 0 && held == 0 {
+            return None;
+        }
+        slots.is_requested = true;
+        // The issuer leases the others to other nodes before this node has the response.
+        slots.slots = held.min(wanted);
+        Some(SlotDemand {
+            in_use: usage.in_flight.max(slots.slots),
+            wanted,
+        })
+    }
+
+    /// Returns the workspaces of which this node holds slots or runs requests.
+    pub fn slot_users(&self, now: Instant) -> Vec<WorkspaceId> {
+        let users = self
+            .usages
+            .iter()
+            .filter(|(_, usage)| usage.in_flight > 0 || usage.slots.valid(now) > 0);
+        users.map(|(workspace, _)| workspace.clone()).collect()
+    }
+
+    /// Applies the response to a request for `wanted` slots that was made at `requested_at`.
+    pub fn apply_slots(
+        &mut self,
+        workspace: &WorkspaceId,
+        wanted: u32,
+        slots: u32,
+        requested_at: Instant,
+        now: Instant,
+    ) {
+        let usage = self.usage_mut(workspace, now);
+        usage.slots = HeldSlots {
+            slots,
+            until: requested_at + SLOT_LIFETIME,
+            is_requested: false,
+            is_satisfied: slots >= wanted,
+            renewal_at: now + SLOT_INTERVAL,
+        };
+    }
+
+    /// Leases slots to this node or another one. `share` is the part of the limit that this node issues.
+    pub fn issue_slots(
+        &mut self,
+        workspace: &WorkspaceId,
+        node: &NodeId,
+        limit: u32,
+        share: f64,
+        demand: SlotDemand,
+        now: Instant,
+    ) -> u32 {
+        // A node that nobody hears would otherwise never run a request.
+        let issued = (f64::from(limit) * share).max(1.0) as u32;
+        self.slot_issuer.lease(workspace, node, issued, demand, now)
+    }
+
     /// Counts a request that was sent to a server.
     pub fn start(&mut self, workspace: &WorkspaceId, now: Instant) {
         self.usage_mut(workspace, now).in_flight += 1;
@@ -251,6 +373,7 @@
     /// Removes demand reports and buckets that have expired.
     pub fn tick(&mut self, now: Instant) {
         self.issuer.remove_expired(now);
+        self.slot_issuer.remove_expired(now);
         let lifetime = self.lifetime;
         self.peers
             .retain(|_, peer| now.saturating_duration_since(peer.received_at) < lifetime);
--- a/crates/plumgate/src/wire.rs
+++ b/crates/plumgate/src/wire.rs
@@ -80,11 +80,11 @@
         /// Rank of the waiting request; only requests of lower tiers are preempted.
         rank: TierRank,
     },
-    /// Request for permits of a workspace, or the response.
+    /// Request for permits or slots of a workspace, or the response.
     Permits(PermitMessage),
 }
 
-/// Message about the permits of a workspace whose limit is too small to be split over the nodes.
+/// Message about the permits or slots of a workspace whose limit is too small to be split over the nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PermitMessage {
     /// Request for permits.
@@ -109,6 +109,28 @@
         /// Milliseconds after which the receiver may request more; 0 if all were granted.
         pause_ms: u32,
     },
+    /// Request for slots, or the return of those that are held.
+    SlotRequest {
+        /// Number that the response repeats.
+        id: u64,
+        /// The workspace.
+        workspace: String,
+        /// Number of slots that the sender uses, or may use until it has the response.
+        in_use: u32,
+        /// Number of slots that the sender wants in all.
+        wanted: u32,
+        /// Role in which the receiver is asked.
+        role: IssuerRole,
+    },
+    /// Response to a request for slots.
+    SlotResponse {
+        /// Number of the request.
+        id: u64,
+        /// The workspace.
+        workspace: String,
+        /// Number of slots that the receiver holds now.
+        slots: u32,
+    },
 }
 
 /// Role in which a node issues permits.
