limits: held slots and the use of a workspace in files of their own

Read as a newcomer: workspace_limits.rs had grown to 400 lines with three jobs. No change of behaviour but one: sums of what nodes ask for saturate, as they come from messages.

--- a/crates/plumgate/src/limits/mod.rs
+++ b/crates/plumgate/src/limits/mod.rs
@@ -10,11 +10,13 @@
 //! an equal share among all nodes that it knew. While shares change, nodes may together exceed the limit, by at
 //! most the limit itself, until the demand of the others is known.
 
+mod held_slots;
 mod permit_issuer;
 mod slot_issuer;
 mod workspace_limits;
+mod workspace_usage;
 
+pub(crate) use held_slots::SlotNeed;
 pub use permit_issuer::{PERMIT_LIFETIME, PermitGrant};
 pub use slot_issuer::{SLOT_LIFETIME, SlotDemand};
-pub(crate) use workspace_limits::SlotNeed;
 pub use workspace_limits::WorkspaceLimits;
--- a/crates/plumgate/src/limits/slot_issuer.rs
+++ b/crates/plumgate/src/limits/slot_issuer.rs
@@ -45,10 +45,11 @@
         let SlotDemand { in_use, wanted } = demand;
         let leases = self.leases.entry(workspace.clone()).or_default();
         leases.retain(|other, lease| other != node && now < lease.until);
-        let leased: u32 = leases.values().map(|lease| lease.slots).sum();
-        let wanted_by_others: u32 = leases.values().map(|lease| lease.wanted).sum();
-        let part =
-            f64::from(limit) * f64::from(wanted) / f64::from((wanted + wanted_by_others).max(1));
+        let leased = leases.values().map(|lease| lease.slots);
+        let leased = leased.fold(0, u32::saturating_add);
+        let wanted_by_others: f64 = leases.values().map(|lease| f64::from(lease.wanted)).sum();
+        let demand_of_all = (f64::from(wanted) + wanted_by_others).max(1.0);
+        let part = f64::from(limit) * f64::from(wanted) / demand_of_all;
         let slots = wanted
             .min(limit.saturating_sub(leased))
             .min(part.ceil() as u32);
--- a/crates/plumgate/src/limits/workspace_limits.rs
+++ b/crates/plumgate/src/limits/workspace_limits.rs
@@ -3,132 +3,25 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use super::held_slots::SlotNeed;
 use super::permit_issuer::{PERMIT_LIFETIME, PermitGrant, PermitIssuer};
-use super::slot_issuer::{SLOT_LIFETIME, SlotDemand, SlotIssuer};
+use super::slot_issuer::{SlotDemand, SlotIssuer};
+use super::workspace_usage::WorkspaceUsage;
 use crate::ids::{NodeId, WorkspaceId};
-use crate::token_bucket::TokenBucket;
 
 /// Shortest time for which a peer's demand report counts.
 const DEMAND_LIFETIME: Duration = Duration::from_secs(5);
-/// Time constant of the exponential average of demand.
-const DEMAND_WINDOW: Duration = Duration::from_secs(5);
 /// Burst of a workspace, in seconds of its rate. Arrivals are uneven, and more so on one node of many: a
 /// shorter burst refuses workspaces that stay well below their limit.
 pub(super) const BURST_SECONDS: f64 = 3.0;
 /// Smallest burst in requests of a node's equal share; a limit whose shares are smaller is issued as permits.
 const MIN_BURST: f64 = 3.0;
-/// Time for which a node's own new demand does not raise its share: until then the other nodes do not know it
-/// and have not lowered theirs.
-const REPORT_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of permits that a node requests beyond those that it needs at once.
 const MAX_SPARE_PERMITS: f64 = 16.0;
 /// Fraction of a limit that is split equally, so that a node with new demand can admit requests
 /// immediately.
 const EQUAL_FRACTION: f64 = 0.1;
 
-/// Interval after which slots are renewed, or requested again if fewer were leased than wanted.
-const SLOT_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Slots that this node holds of one workspace.
-#[derive(Clone, Copy, Debug)]
-struct HeldSlots {
-    slots: u32,
-    until: Instant,
-    /// Whether a request for slots has no response yet.
-    is_requested: bool,
-    /// Whether the last response leased as many slots as were wanted.
-    is_satisfied: bool,
-    /// When the lease is due to be renewed.
-    renewal_at: Instant,
-}
-
-/// Why slots are requested.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum SlotNeed {
-    /// The lease is to be renewed.
-    Renewal,
-    /// The node needs more slots, or fewer, than it holds.
-    Change,
-}
-
-impl HeldSlots {
-    fn new(now: Instant) -> Self {
-        Self {
-            slots: 0,
-            until: now,
-            is_requested: false,
-            is_satisfied: true,
-            renewal_at: now,
-        }
-    }
-
-    fn valid(&self, now: Instant) -> u32 {
-        if now < self.until { self.slots } else { 0 }
-    }
-}
-
-/// This node's use of one workspace's limits.
-#[derive(Clone, Debug)]
-struct WorkspaceUsage {
-    in_flight: u32,
-    slots: HeldSlots,
-    bucket: TokenBucket<Instant>,
-    demand: f64,
-    demand_at: Instant,
-    /// Demand at the last two samples, the older one first.
-    samples: [DemandSample; 2],
-}
-
-/// Demand at one time, in requests per second.
-#[derive(Clone, Copy, Debug)]
-struct DemandSample {
-    demand: f64,
-    at: Instant,
-}
-
-impl WorkspaceUsage {
-    fn new(now: Instant) -> Self {
-        Self {
-            in_flight: 0,
-            slots: HeldSlots::new(now),
-            // Nothing has been used yet: the first refill reduces this to the allowed burst.
-            bucket: TokenBucket::new(f64::INFINITY, now),
-            demand: 0.0,
-            demand_at: now,
-            samples: [DemandSample {
-                demand: 0.0,
-                at: now,
-            }; 2],
-        }
-    }
-
-    /// Returns the demand by which this node's share is computed: at most twice what the other nodes know, so
-    /// that all shares together exceed the limit by at most the limit itself.
-    fn shared_demand(&self, now: Instant) -> f64 {
-        self.demand(now).min(2.0 * self.samples[0].demand)
-    }
-
-    fn count_demand(&mut self, now: Instant) {
-        let before = self.demand(now);
-        if now.saturating_duration_since(self.samples[1].at) >= REPORT_DELAY {
-            let sample = DemandSample {
-                demand: before,
-                at: now,
-            };
-            let is_recent = now.saturating_duration_since(self.samples[1].at) < 2 * REPORT_DELAY;
-            self.samples = [if is_recent { self.samples[1] } else { sample }, sample];
-        }
-        self.demand = before + 1.0 / DEMAND_WINDOW.as_secs_f64();
-        self.demand_at = now;
-    }
-
-    /// Returns the demand in requests per second, decayed to `now`.
-    fn demand(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.demand_at);
-        self.demand * (-age.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp()
-    }
-}
-
 /// Demand report of one peer.
 #[derive(Clone, Debug)]
 struct PeerDemand {
@@ -223,7 +116,7 @@
         let usage = self.usages.get(workspace);
         let demand = usage.map_or(0.0, |usage| usage.demand(now));
         let spare = (demand * PERMIT_LIFETIME.as_secs_f64()).min(MAX_SPARE_PERMITS);
-        waiting + spare as u32
+        waiting.saturating_add(spare as u32)
     }
 
     /// Grants up to `count` permits to this node or another one. `share` is the part of the limit that this
@@ -271,22 +164,8 @@
         now: Instant,
     ) -> Option<SlotDemand> {
         let usage = self.usage_mut(workspace, now);
-        let wanted = usage.in_flight + waiting;
-        let slots = &mut usage.slots;
-        let held = slots.valid(now);
-        let changes =
-            need == SlotNeed::Change && (wanted < held || wanted > held && slots.is_satisfied);
-        let is_due = changes || now >= slots.renewal_at;
-        if slots.is_requested || !is_due || wanted == 0 && held == 0 {
-            return None;
-        }
-        slots.is_requested = true;
-        // The issuer leases the others to other nodes before this node has the response.
-        slots.slots = held.min(wanted);
-        Some(SlotDemand {
-            in_use: usage.in_flight.max(slots.slots),
-            wanted,
-        })
+        let in_flight = usage.in_flight;
+        usage.slots.request(in_flight, waiting, need, now)
     }
 
     /// Returns the workspaces of which this node holds slots or runs requests.
@@ -308,13 +187,7 @@
         now: Instant,
     ) {
         let usage = self.usage_mut(workspace, now);
-        usage.slots = HeldSlots {
-            slots,
-            until: requested_at + SLOT_LIFETIME,
-            is_requested: false,
-            is_satisfied: slots >= wanted,
-            renewal_at: now + SLOT_INTERVAL,
-        };
+        usage.slots.apply(wanted, slots, requested_at, now);
     }
 
     /// Leases slots to this node or another one. `share` is the part of the limit that this node issues.
