paths: new connections to servers are counted and logged by what this node reaches

Change: a line for the first new connection to a server that fails, and one for the next that is opened, with how many of the known servers fail and whether the node is ready; gauges failing_paths and ready, counter connections. Decisions are as before.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT};
 use hyper::{Request, Response, Version};
-use plumgate::gateway::{ConnectionKind, RepeatKind, WorkOutcome};
+use plumgate::gateway::{ConnectionKind, DirectResult, RepeatKind, WorkOutcome};
 
 use super::answer::remove_connection_headers;
 use super::guards::{RunRefusal, WorkGuard};
@@ -131,7 +131,14 @@
     }
     let deadline = (now + CONNECT_TIMEOUT).min(order.request.due);
     let opening = HttpLink::open(order.server.address);
-    match until(&shared.clock, deadline, opening).await {
+    let opened = until(&shared.clock, deadline, opening).await;
+    let result = match &opened {
+        Some(Ok(_)) => DirectResult::Opened,
+        Some(Err(_)) => DirectResult::Refused,
+        None => DirectResult::Silent,
+    };
+    shared.record_direct(order.server, result);
+    match opened {
         Some(Ok(link)) => Ok((link, ConnectionKind::New)),
         Some(Err(_)) => Err(ConnectFailure::Refused),
         None => Err(ConnectFailure::Silent),
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -147,6 +147,7 @@
             let age = i64::try_from(age).unwrap_or(i64::MAX);
             self.shared.metrics.key_age.set(age);
         }
+        self.shared.update_paths();
         self.probe_data_centres(now);
         self.lifecycle.borrow_mut().tick(&self.shared);
     }
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -96,6 +96,12 @@
     pub(crate) config_version: Gauge,
     /// Age of this node's knowledge of the API keys, in milliseconds.
     pub(crate) key_age: Gauge,
+    /// Known servers to which the last new connection of this node failed.
+    pub(crate) failing_paths: Gauge,
+    /// New connections to servers, by result.
+    pub(crate) connections: Family<ReasonLabels, Counter>,
+    /// 1 while the node reports itself as ready to the balancer, otherwise 0.
+    pub(crate) ready: Gauge,
     /// Known servers.
     pub(crate) servers: Gauge,
     /// Known nodes, this one included.
@@ -152,6 +158,9 @@
             retries_refused: Counter::default(),
             config_version: Gauge::default(),
             key_age: Gauge::default(),
+            failing_paths: Gauge::default(),
+            connections: Family::default(),
+            ready: Gauge::default(),
             servers: Gauge::default(),
             nodes: Gauge::default(),
             peer_refused: Counter::default(),
@@ -290,6 +299,21 @@
             "Reports and orders sent",
             self.duty_calls.clone(),
         );
+        registry.register(
+            "failing_paths",
+            "Servers to which the last new connection failed",
+            self.failing_paths.clone(),
+        );
+        registry.register(
+            "connections",
+            "New connections to servers",
+            self.connections.clone(),
+        );
+        registry.register(
+            "ready",
+            "Whether this node reports itself as ready",
+            self.ready.clone(),
+        );
         registry.register("servers", "Servers known", self.servers.clone());
         registry.register("nodes", "Nodes known", self.nodes.clone());
         registry.register(
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod run;
 mod server_limits;
 mod server_notices;
+mod server_paths;
 mod shared;
 mod snapshot_requests;
 mod snapshots;
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -9,8 +9,8 @@
 use event_listener::Event;
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
-    FreshnessLease, GatewayConfig, LoadTable, PlacementOptions, QuarantineTable, ServerStatements,
-    WindowBudget,
+    FreshnessLease, GatewayConfig, LoadTable, PathTable, PlacementOptions, QuarantineTable,
+    ServerStatements, WindowBudget,
 };
 use plumgate::ids::WorkspaceId;
 
@@ -68,6 +68,7 @@
     budget: Mutex<WindowBudget>,
     quarantine: Mutex<QuarantineTable>,
     statements: Mutex<ServerStatements>,
+    paths: Mutex<PathTable>,
     usage: Mutex<UsageTally>,
     /// Difference between the Unix time that the nodes agree on and the time since the VM started, in
     /// milliseconds.
@@ -124,6 +125,7 @@
             )),
             permits_requested: Event::new(),
             permits_answered: Event::new(),
+            paths: Mutex::default(),
             usage: Mutex::default(),
             unix_offset_ms: AtomicI64::new(0),
             rng: Mutex::new(fastrand::Rng::with_seed(options.node_seed())),
@@ -168,6 +170,11 @@
         lock(&self.statements)
     }
 
+    /// Returns this node's paths to the servers.
+    pub(crate) fn paths(&self) -> MutexGuard<'_, PathTable> {
+        lock(&self.paths)
+    }
+
     /// Returns this node's count of usage.
     pub(crate) fn usage(&self) -> MutexGuard<'_, UsageTally> {
         lock(&self.usage)
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod prompt;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod reachability;
 pub mod servers;
 pub mod statements;
 pub mod switches;
@@ -43,6 +44,7 @@
     PERMIT_RESEND_INTERVAL, PERMIT_TIMEOUT, PermitRequestId, PermitStatus, RateStatement,
     RequestRate, SendPermit, ServerLimits,
 };
+pub use reachability::{DirectResult, PathChange, PathTable};
 pub use servers::{IncarnationId, ServerEntry, ServerState, ServerTable};
 pub use statements::{
     AnswerTimes, LeaveEvent, LeaveStatement, NoticeChange, NoticeTable, RestNotice, RestStatement,
