--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -130,7 +130,7 @@
         return Ok((link, ConnectionKind::Reused { answered }));
     }
     let deadline = (now + CONNECT_TIMEOUT).min(order.request.due);
-    let opening = HttpLink::open(order.server.address);
+    let opening = HttpLink::open(shared.options.server_address(order.server.address));
     let opened = until(&shared.clock, deadline, opening).await;
     let result = match &opened {
         Some(Ok(_)) => DirectResult::Opened,
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -164,7 +164,7 @@
             let shared = self.shared.clone();
             let probing = async move {
                 let deadline = shared.clock.now() + CONNECT_TIMEOUT;
-                let opening = open_stream(server.address);
+                let opening = open_stream(shared.options.server_address(server.address));
                 let reached = until(&shared.clock, deadline, opening).await.is_some();
                 LogLine::new("centre_probe")
                     .with("data_centre", &server.data_centre)
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -42,6 +42,6 @@
 
 pub use duties::DUTIES_PATH;
 pub use node::{GatewayAddresses, GatewayHandle, GatewayNode};
-pub use options::{DutyOptions, GatewayBounds, GatewayOptions};
+pub use options::{DutyOptions, GatewayBounds, GatewayOptions, HostTranslation};
 pub use server_limits::LIMITS_PATH;
 pub use server_notices::STATEMENTS_PATH;
--- a/crates/plumgate-node/src/gateway/options.rs
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -1,6 +1,6 @@
 //! Options of a gateway node.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use plumgate::gateway::{NodeCapacity, PlacementPolicy, PolicySwitches};
@@ -71,6 +71,25 @@
     }
 }
 
+/// Host at which this node reaches the servers of another host, as behind address translation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostTranslation {
+    /// Host in the servers' entries.
+    pub from: IpAddr,
+    /// Host that this node connects to instead, at the same port.
+    pub to: IpAddr,
+}
+
+impl HostTranslation {
+    /// Returns the address to connect to for an address in a server's entry.
+    pub(crate) fn apply(&self, address: SocketAddr) -> SocketAddr {
+        if address.ip() != self.from {
+            return address;
+        }
+        SocketAddr::new(self.to, address.port())
+    }
+}
+
 /// Options of a gateway node.
 #[derive(Clone, Debug)]
 pub struct GatewayOptions {
@@ -98,6 +117,8 @@
     pub switches: PolicySwitches,
     /// Duty API, which one node at a time calls; `None` where there is none.
     pub duties: Option<DutyOptions>,
+    /// Host at which this node reaches the servers of another host; `None` where their entries name the right one.
+    pub server_host: Option<HostTranslation>,
 }
 
 impl GatewayOptions {
@@ -121,6 +142,7 @@
             seed: 0,
             switches: PolicySwitches::new(),
             duties: None,
+            server_host: None,
         }
     }
 
@@ -136,6 +158,20 @@
         self
     }
 
+    /// Sets the host at which this node reaches the servers of another host.
+    pub fn with_server_host(mut self, translation: HostTranslation) -> Self {
+        self.server_host = Some(translation);
+        self
+    }
+
+    /// Returns the address to connect to for an address in a server's entry.
+    pub(crate) fn server_address(&self, address: SocketAddr) -> SocketAddr {
+        match &self.server_host {
+            Some(translation) => translation.apply(address),
+            None => address,
+        }
+    }
+
     /// Sets the address for metrics.
     pub fn with_metrics(mut self, listen: SocketAddr) -> Self {
         self.metrics_listen = Some(listen);
--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -29,7 +29,7 @@
     let (prober, server) = (shared.clone(), server.clone());
     let task = async move {
         let opened = prober.clock.now();
-        let connecting = open_stream(server.address);
+        let connecting = open_stream(prober.options.server_address(server.address));
         let connected = until(&prober.clock, opened + CONNECT_TIMEOUT, connecting).await;
         match &connected {
             Some(Ok(_)) => {
--- a/crates/plumgate-standin/src/link.rs
+++ b/crates/plumgate-standin/src/link.rs
@@ -11,13 +11,20 @@
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use socket2::{Domain, Socket, Type};
 
 /// Size of the forwarding buffer, in bytes.
 const CHUNK_BYTES: usize = 16 * 1024;
+/// Connections that fill the queue of a listener that accepts none.
+const QUEUED_CONNECTIONS: usize = 3;
 /// Flag that is set while new connections are closed right after they are accepted.
 const REFUSING: u64 = 1;
 /// Flag that is set once the link no longer listens.
 const CLOSED: u64 = 2;
+/// Flag that is set while the operating system refuses new connections.
+const UNBOUND: u64 = 4;
+/// Flag that is set while new connections get no response.
+const SATURATED: u64 = 8;
 
 /// Faults of a link, shared by the test and the forwarding thread.
 #[derive(Debug, Default)]
@@ -56,7 +63,7 @@
         };
         std::thread::spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
-            let accepting = accept(executor.clone(), listener, to, state);
+            let accepting = accept(executor.clone(), address, listener, to, state);
             future::block_on(executor.run(accepting));
         });
         Ok(link)
@@ -72,6 +79,19 @@
         self.state.flags.fetch_and(CLOSED, Ordering::SeqCst);
         self.state.cut_after.store(0, Ordering::SeqCst);
         self.state.delay_ms.store(0, Ordering::SeqCst);
+        self.state.changed.notify(usize::MAX);
+    }
+
+    /// Has the operating system refuse new connections until [`Self::restore`]; open ones live on.
+    pub fn refuse_new(&self) {
+        self.state.flags.fetch_or(UNBOUND, Ordering::SeqCst);
+        self.state.changed.notify(usize::MAX);
+    }
+
+    /// Leaves new connections without a response until [`Self::restore`]; open ones live on.
+    pub fn ignore_new(&self) {
+        self.state.flags.fetch_or(SATURATED, Ordering::SeqCst);
+        self.state.changed.notify(usize::MAX);
     }
 
     /// Discards the answers on open connections, but still forwards their requests; new connections work.
@@ -120,18 +140,49 @@
     }
 }
 
+/// Returns sockets that keep new connections to an address without a response: a listener whose queue is full.
+fn saturate(address: SocketAddr) -> io::Result<Vec<Socket>> {
+    let new_socket = || Socket::new(Domain::for_address(address), Type::STREAM, None);
+    let listener = new_socket()?;
+    listener.set_reuse_address(true)?;
+    listener.bind(&address.into())?;
+    listener.listen(0)?;
+    let mut sockets = vec![listener];
+    for _ in 0..QUEUED_CONNECTIONS {
+        let socket = new_socket()?;
+        socket.set_nonblocking(true)?;
+        // The connection is established, or stays pending, in the background.
+        let _ = socket.connect(&address.into());
+        sockets.push(socket);
+    }
+    Ok(sockets)
+}
+
 async fn accept(
     executor: Rc<LocalExecutor<'static>>,
+    address: SocketAddr,
     listener: Async<TcpListener>,
     to: SocketAddr,
     state: Arc<LinkState>,
 ) {
+    let mut bound = Some(listener);
     loop {
         let changed = state.changed.listen();
         let flags = state.flags.load(Ordering::SeqCst);
         if flags & CLOSED != 0 {
             break;
         }
+        if flags & (UNBOUND | SATURATED) != 0 {
+            bound = None;
+            let _sockets = (flags & SATURATED != 0).then(|| saturate(address));
+            changed.await;
+            continue;
+        }
+        let listener = match bound.take() {
+            Some(listener) => listener,
+            None => Async::<TcpListener>::bind(address).expect("the link's own address is free"),
+        };
+        let listener = bound.insert(listener);
         let accepting = async { Some(listener.accept().await) };
         let notified = async {
             changed.await;
@@ -147,7 +198,7 @@
         let forwarding = forward_connection(client, to, number, state.clone());
         executor.spawn(forwarding).detach();
     }
-    drop(listener);
+    drop(bound);
     let accepted = state.accepted.load(Ordering::SeqCst);
     state.cut_below.store(accepted, Ordering::SeqCst);
     state.changed.notify(usize::MAX);
