paths: a node that does not reach a server opens the connection through another node

What callers saw: at a node that had lost its links to the servers, while store, peers and callers still reached it, nearly all first tries ended with 503 (2 of 58 and 0 of 38 served, 389 of 391 and 449 of 451 at the others).

Cause: a failed connection was taken as the state of the server. The node tried up to four servers and refused, although each of its peers reached all of them. Class: a node takes its own view of the network for the state of the fleet.

Change: a direct connection that is refused or late is opened through another node, which forwards the bytes in both directions (a tunnel). The node where the caller is chooses the server, waits, retries, counts and judges what ran, as over a connection of its own, so that limits, budgets, deadlines and at most once hold without a second set of rules. Paths that another node reaches count as lost: connections to them go through a node of the same data centre, or of another if none there reaches the server, and a probe now and then finds out when the path is back. Two lost paths of a data centre, and none opened since, mean that the node is cut off from it. Requests for tunnels are sealed as the nodes' other messages are; a node opens only direct connections for another one, so that there is one hop. A server counts as refusing connections only if another node says so too. The switch `tunnels` turns it off.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -8,20 +8,18 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT};
 use hyper::{Request, Response, Version};
-use plumgate::gateway::{ConnectionKind, DirectResult, RepeatKind, WorkOutcome};
+use plumgate::gateway::{ConnectionKind, RepeatKind, WorkOutcome};
 
 use super::answer::remove_connection_headers;
 use super::guards::{RunRefusal, WorkGuard};
 use super::ports::{AnswerMeaning, AttemptMetadata, WireFormat};
 use super::request::{AttemptOrder, AttemptOutcome, RESTARTED, ServerAnswer};
+use super::server_connection::{ConnectFailure, open_server};
 use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
 use crate::http::OutgoingRequest;
 use crate::link::{HttpLink, LinkError};
 
-/// Maximum time for opening a new connection to a server. A lost first packet is sent again only after a second;
-/// another server answers sooner.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after the request's deadline for which the node still waits for the server's own answer.
 const ANSWER_GRACE: Duration = Duration::from_millis(80);
 
@@ -88,31 +86,6 @@
     }
 }
 
-/// Reason for which no connection was opened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ConnectFailure {
-    /// The server's machine refused the connection.
-    Refused,
-    /// No response arrived in time.
-    Silent,
-}
-
-impl ConnectFailure {
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Refused => "connect_refused",
-            Self::Silent => "connect_silent",
-        }
-    }
-
-    fn work_outcome(self) -> WorkOutcome {
-        match self {
-            Self::Refused => WorkOutcome::Refused,
-            Self::Silent => WorkOutcome::Unreachable,
-        }
-    }
-}
-
 async fn connect<C: Clock, W: WireFormat>(
     shared: &Arc<GatewayShared<C, W>>,
     order: &AttemptOrder<'_>,
@@ -129,20 +102,8 @@
         let answered = shared.loads().answered_at(&order.server.id);
         return Ok((link, ConnectionKind::Reused { answered }));
     }
-    let deadline = (now + CONNECT_TIMEOUT).min(order.request.due);
-    let opening = HttpLink::open(shared.options.server_address(order.server.address));
-    let opened = until(&shared.clock, deadline, opening).await;
-    let result = match &opened {
-        Some(Ok(_)) => DirectResult::Opened,
-        Some(Err(_)) => DirectResult::Refused,
-        None => DirectResult::Silent,
-    };
-    shared.record_direct(order.server, result);
-    match opened {
-        Some(Ok(link)) => Ok((link, ConnectionKind::New)),
-        Some(Err(_)) => Err(ConnectFailure::Refused),
-        None => Err(ConnectFailure::Silent),
-    }
+    let link = open_server(shared, order.server, order.request.due).await?;
+    Ok((link, ConnectionKind::New))
 }
 
 fn build_request<C: Clock, W: WireFormat>(
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -13,12 +13,13 @@
 use plumgate::gateway::NodeEntry;
 use plumgate::ids::DataCentreId;
 
-use super::attempt::CONNECT_TIMEOUT;
 use super::duties::DutyState;
 use super::exchange::PeerExchange;
 use super::lifecycle::GatewayLifecycle;
 use super::options::GatewayBounds;
+use super::peer_connections::accept_peers;
 use super::ports::{FleetSource, SourceTopic};
+use super::server_connection::{CONNECT_TIMEOUT, probe_path};
 use super::shared::GatewayShared;
 use super::snapshots::{CONCURRENT_SNAPSHOTS, serve_snapshots};
 use super::source_calls::{CallCause, CallTopic, record_source_call};
@@ -80,10 +81,13 @@
             let fetching = async move { control.fetch_snapshots(topic).await };
             executor.spawn(fetching).detach();
         }
-        if let Some(listener) = peer_listener.map(Rc::new) {
+        if let Some(listener) = peer_listener {
+            let (sender, connections) = async_channel::bounded(CONCURRENT_SNAPSHOTS);
+            let accepting = accept_peers(control.shared.clone(), listener, sender);
+            executor.spawn(accepting).detach();
             for _ in 0..CONCURRENT_SNAPSHOTS {
                 let (shared, view) = (control.shared.clone(), control.view.clone());
-                let serving = serve_snapshots(shared, view, listener.clone());
+                let serving = serve_snapshots(shared, view, connections.clone());
                 executor.spawn(serving).detach();
             }
         }
@@ -148,10 +152,24 @@
             self.shared.metrics.key_age.set(age);
         }
         self.shared.update_paths();
+        self.probe_lost_path(now);
         self.probe_data_centres(now);
         self.lifecycle.borrow_mut().tick(&self.shared);
     }
 
+    /// Opens a plain connection to a server that only other nodes reached, to detect when this node reaches it again.
+    fn probe_lost_path(&self, now: Instant) {
+        let Some(server) = self.shared.paths().take_due_probe(now) else {
+            return;
+        };
+        let Some(server) = self.shared.loads().entry(&server).cloned() else {
+            return;
+        };
+        let shared = self.shared.clone();
+        let probing = async move { probe_path(&shared, &server).await };
+        self.shared.executor.spawn(probing).detach();
+    }
+
     /// Opens plain connections to the data centres that seem unreachable, to detect when they can be reached
     /// again.
     fn probe_data_centres(&self, now: Instant) {
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -264,6 +264,7 @@
             self.shared.update_limit_metrics();
             self.shared.update_notice_metrics();
             self.update_collector();
+            self.update_tunnel_peers();
             self.update_node_count();
             self.send_all(packets).await;
         }
@@ -284,6 +285,13 @@
         }
     }
 
+    /// Updates the nodes that may be asked for tunnels.
+    fn update_tunnel_peers(&self) {
+        let exchange = self.exchange.borrow();
+        let nodes = exchange.other_nodes().cloned();
+        self.shared.tunnel_peers().set_nodes(nodes);
+    }
+
     async fn maintain_registration<S: FleetSource>(&self, mut source: S) {
         self.register(&mut source).await;
         self.shared.clock.sleep(FIRST_READ_DELAY).await;
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -98,6 +98,14 @@
     pub(crate) key_age: Gauge,
     /// Known servers to which the last new connection of this node failed.
     pub(crate) failing_paths: Gauge,
+    /// Servers that only other nodes reach.
+    pub(crate) lost_paths: Gauge,
+    /// Requests for tunnels to other nodes, by result.
+    pub(crate) tunnel_requests: Family<ReasonLabels, Counter>,
+    /// Answers to requests of other nodes for tunnels.
+    pub(crate) tunnel_replies: Family<ReasonLabels, Counter>,
+    /// Tunnels that are open for other nodes.
+    pub(crate) open_tunnels: Gauge,
     /// New connections to servers, by result.
     pub(crate) connections: Family<ReasonLabels, Counter>,
     /// 1 while the node reports itself as ready to the balancer, otherwise 0.
@@ -159,6 +167,10 @@
             config_version: Gauge::default(),
             key_age: Gauge::default(),
             failing_paths: Gauge::default(),
+            lost_paths: Gauge::default(),
+            tunnel_requests: Family::default(),
+            tunnel_replies: Family::default(),
+            open_tunnels: Gauge::default(),
             connections: Family::default(),
             ready: Gauge::default(),
             servers: Gauge::default(),
@@ -304,6 +316,26 @@
             "Servers to which the last new connection failed",
             self.failing_paths.clone(),
         );
+        registry.register(
+            "lost_paths",
+            "Servers that only other nodes reach",
+            self.lost_paths.clone(),
+        );
+        registry.register(
+            "tunnel_requests",
+            "Requests to other nodes for connections to servers",
+            self.tunnel_requests.clone(),
+        );
+        registry.register(
+            "tunnel_replies",
+            "Answers to such requests of other nodes",
+            self.tunnel_replies.clone(),
+        );
+        registry.register(
+            "open_tunnels",
+            "Connections to servers that are open for other nodes",
+            self.open_tunnels.clone(),
+        );
         registry.register(
             "connections",
             "New connections to servers",
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -354,7 +354,8 @@
         let Some(server) = self.tried.last() else {
             return;
         };
-        let Some(keep_alive) = metadata.keep_alive else {
+        // A tunnel ends with its request, so that none is in use when this node reaches the server again.
+        let Some(keep_alive) = metadata.keep_alive.filter(|_| !link.is_tunnel()) else {
             return;
         };
         let until = self.shared.clock.now() + keep_alive.saturating_sub(IDLE_CLOSE_MARGIN);
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -9,10 +9,11 @@
 use plumgate::ids::ServerId;
 use plumgate::retry::may_run_again;
 
-use super::attempt::{CONNECT_TIMEOUT, attempt};
+use super::attempt::attempt;
 use super::guards::{RequestGuard, WorkGuard};
 use super::ports::WireFormat;
 use super::request::{AttemptOrder, AttemptOutcome, RelayRequest};
+use super::server_connection::CONNECT_TIMEOUT;
 use super::server_limits::SendCause;
 use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -10,7 +10,7 @@
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
     FreshnessLease, GatewayConfig, LoadTable, PathTable, PlacementOptions, QuarantineTable,
-    ServerStatements, WindowBudget,
+    ServerStatements, TunnelGate, TunnelPeers, WindowBudget,
 };
 use plumgate::ids::WorkspaceId;
 
@@ -69,6 +69,8 @@
     quarantine: Mutex<QuarantineTable>,
     statements: Mutex<ServerStatements>,
     paths: Mutex<PathTable>,
+    tunnel_peers: Mutex<TunnelPeers>,
+    tunnel_gate: Mutex<TunnelGate>,
     usage: Mutex<UsageTally>,
     /// Difference between the Unix time that the nodes agree on and the time since the VM started, in
     /// milliseconds.
@@ -76,6 +78,8 @@
     rng: Mutex<fastrand::Rng>,
     pub(super) open_requests: AtomicU64,
     pub(super) open_connections: AtomicU64,
+    /// Number of tunnels that this node keeps open for other nodes.
+    pub(super) open_tunnels: AtomicU64,
     /// Time of the last message of another node, in milliseconds since the VM started; 0 before the first
     /// one.
     last_peer_message_ms: AtomicU64,
@@ -126,6 +130,12 @@
             permits_requested: Event::new(),
             permits_answered: Event::new(),
             paths: Mutex::default(),
+            tunnel_peers: Mutex::new(TunnelPeers::new(
+                options.data_centre.clone(),
+                options.node_seed(),
+            )),
+            tunnel_gate: Mutex::default(),
+            open_tunnels: AtomicU64::new(0),
             usage: Mutex::default(),
             unix_offset_ms: AtomicI64::new(0),
             rng: Mutex::new(fastrand::Rng::with_seed(options.node_seed())),
@@ -175,6 +185,16 @@
         lock(&self.paths)
     }
 
+    /// Returns the other nodes as possible ends of tunnels.
+    pub(crate) fn tunnel_peers(&self) -> MutexGuard<'_, TunnelPeers> {
+        lock(&self.tunnel_peers)
+    }
+
+    /// Returns the gate that seals and checks requests for tunnels.
+    pub(crate) fn tunnel_gate(&self) -> MutexGuard<'_, TunnelGate> {
+        lock(&self.tunnel_gate)
+    }
+
     /// Returns this node's count of usage.
     pub(crate) fn usage(&self) -> MutexGuard<'_, UsageTally> {
         lock(&self.usage)
@@ -209,6 +229,11 @@
         lock(&self.rng).f64()
     }
 
+    /// Returns a random number.
+    pub(crate) fn random_number(&self) -> u64 {
+        lock(&self.rng).u64(..)
+    }
+
     /// Returns whether known keys may be trusted now.
     pub(crate) fn allows_keys(&self) -> bool {
         self.lease().allows_keys(self.clock.boot_time())
--- a/crates/plumgate-node/src/gateway/snapshots.rs
+++ b/crates/plumgate-node/src/gateway/snapshots.rs
@@ -6,11 +6,12 @@
 //! node whose calls the store refuses can keep serving.
 
 use std::convert::Infallible;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::Receiver;
 use async_io::Async;
 use displaydoc::Display;
 use http_body_util::Full;
@@ -23,7 +24,6 @@
 use serde::de::DeserializeOwned;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use super::caller::pause_accepting;
 use super::shared::GatewayShared;
 use super::view::FleetView;
 use crate::body::AnswerBody;
@@ -59,20 +59,14 @@
     Outdated,
 }
 
-/// Serves snapshots to other nodes, one after another. Several such tasks run concurrently.
+/// Serves snapshots to other nodes over accepted connections, one after another. Several such tasks run
+/// concurrently.
 pub(crate) async fn serve_snapshots<C: Clock, W: Send + Sync + 'static>(
     shared: Arc<GatewayShared<C, W>>,
     view: Rc<FleetView<C, W>>,
-    listener: Rc<Async<TcpListener>>,
+    connections: Receiver<Async<TcpStream>>,
 ) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                pause_accepting(&shared, &error).await;
-                continue;
-            }
-        };
+    while let Ok(stream) = connections.recv().await {
         let service = service_fn(|request: Request<_>| {
             let response = snapshot_response(&view, request.uri().path());
             async move { Ok::<_, Infallible>(response) }
--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -7,8 +7,8 @@
 use hyper::{Method, Response, StatusCode};
 use plumgate::gateway::{CrashSign, RequestIdentity, ServerEntry, SuspectEvent, SuspectState};
 
-use super::attempt::CONNECT_TIMEOUT;
 use super::metrics::ReasonLabels;
+use super::server_connection::CONNECT_TIMEOUT;
 use super::shared::GatewayShared;
 use crate::body::AnswerBody;
 use crate::clock::{Clock, until};
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -263,6 +263,7 @@
         self.sync_state().set_config(config.version);
         self.shared.quarantine().set_config(&config);
         self.shared.statements().set_config(&config);
+        self.shared.tunnel_gate().set_config(&config);
         self.shared.config.store(Some(config));
         true
     }
--- a/crates/plumgate-node/src/http.rs
+++ b/crates/plumgate-node/src/http.rs
@@ -39,6 +39,12 @@
 /// not even a reset, and without keepalive probes a read would wait forever.
 pub(crate) async fn open_stream(address: SocketAddr) -> io::Result<Async<TcpStream>> {
     let stream = Async::<TcpStream>::connect(address).await?;
+    set_liveness_options(&stream)?;
+    Ok(stream)
+}
+
+/// Makes a stream fail when its peer becomes unreachable.
+pub(crate) fn set_liveness_options(stream: &Async<TcpStream>) -> io::Result<()> {
     let socket = SockRef::from(stream.get_ref());
     socket.set_tcp_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
@@ -46,8 +52,7 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(MAX_UNACKNOWLEDGED_TIME))?;
-    Ok(stream)
+    socket.set_tcp_user_timeout(Some(MAX_UNACKNOWLEDGED_TIME))
 }
 
 /// Opens a TCP stream for calls that must not arrive later than `max_delay` after they were abandoned.
--- a/crates/plumgate-node/src/lib.rs
+++ b/crates/plumgate-node/src/lib.rs
@@ -36,6 +36,7 @@
 mod peers;
 mod relay;
 mod shared;
+mod tunnel_stream;
 
 pub use clock::{Clock, PausedClock, SystemClock};
 pub use errors::{Error, Result};
--- a/crates/plumgate-node/src/link.rs
+++ b/crates/plumgate-node/src/link.rs
@@ -1,12 +1,15 @@
 //! HTTP/1 client connections that are driven by the task that uses them, without a task of their own.
 
+use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use async_io::Async;
 use bytes::Bytes;
 use displaydoc::Display;
-use futures_lite::future;
+use futures_lite::{AsyncRead, AsyncWrite, future};
 use http_body_util::{BodyExt, Full};
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
@@ -14,6 +17,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::http::{OutgoingRequest, open_call_stream, open_stream};
+use crate::tunnel_stream::TunnelStream;
 
 /// Size of the read buffer in bytes: holds a small answer completely, or many stream events.
 const READ_BUFFER: usize = 16 * 1024;
@@ -29,38 +33,101 @@
 
 impl std::error::Error for LinkError {}
 
+/// Byte stream of a connection.
+enum LinkStream {
+    /// Directly to the peer.
+    Direct(Async<TcpStream>),
+    /// Through another node.
+    Tunnel(TunnelStream),
+}
+
+impl AsyncRead for LinkStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_read(context, buffer),
+            Self::Tunnel(stream) => Pin::new(stream).poll_read(context, buffer),
+        }
+    }
+}
+
+impl AsyncWrite for LinkStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_write(context, buffer),
+            Self::Tunnel(stream) => Pin::new(stream).poll_write(context, buffer),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_flush(context),
+            Self::Tunnel(stream) => Pin::new(stream).poll_flush(context),
+        }
+    }
+
+    fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Direct(stream) => Pin::new(stream).poll_close(context),
+            Self::Tunnel(stream) => Pin::new(stream).poll_close(context),
+        }
+    }
+}
+
+/// Driver of a connection.
+type LinkDriver = Connection<FuturesIo<LinkStream>, Full<Bytes>>;
+
 /// HTTP/1 connection for one request at a time.
 ///
 /// Its methods also drive the connection. Dropping it closes the connection at once, which signals to the
 /// server that the caller has disconnected.
 pub struct HttpLink {
     sender: SendRequest<Full<Bytes>>,
-    driver: Option<Connection<FuturesIo<Async<TcpStream>>, Full<Bytes>>>,
+    driver: Option<LinkDriver>,
+    is_tunnel: bool,
 }
 
 impl HttpLink {
     /// Connects to an address.
-    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        Self::handshake(open_stream(address).await?).await
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = open_stream(address).await?;
+        Self::handshake(LinkStream::Direct(stream)).await
     }
 
     /// Connects to an address for calls that must not arrive later than `max_delay` after they were abandoned.
-    pub async fn open_with_max_delay(
-        address: SocketAddr,
-        max_delay: Duration,
-    ) -> std::io::Result<Self> {
-        Self::handshake(open_call_stream(address, max_delay).await?).await
+    pub async fn open_with_max_delay(address: SocketAddr, max_delay: Duration) -> io::Result<Self> {
+        let stream = open_call_stream(address, max_delay).await?;
+        Self::handshake(LinkStream::Direct(stream)).await
+    }
+
+    /// Uses a tunnel through another node as a connection.
+    pub(crate) async fn over_tunnel(stream: TunnelStream) -> io::Result<Self> {
+        Self::handshake(LinkStream::Tunnel(stream)).await
+    }
+
+    /// Returns whether the connection leads through another node.
+    pub(crate) fn is_tunnel(&self) -> bool {
+        self.is_tunnel
     }
 
-    async fn handshake(stream: Async<TcpStream>) -> std::io::Result<Self> {
+    async fn handshake(stream: LinkStream) -> io::Result<Self> {
+        let is_tunnel = matches!(stream, LinkStream::Tunnel(_));
         let (sender, driver) = Builder::new()
             .max_buf_size(READ_BUFFER)
             .handshake(FuturesIo::new(stream))
             .await
-            .map_err(std::io::Error::other)?;
+            .map_err(io::Error::other)?;
         Ok(Self {
             sender,
             driver: Some(driver),
+            is_tunnel,
         })
     }
 
@@ -95,7 +162,7 @@
 }
 
 /// Drives a connection; never completes, so it runs for as long as the future that it races against.
-async fn drive<T>(driver: &mut Option<Connection<FuturesIo<Async<TcpStream>>, Full<Bytes>>>) -> T {
+async fn drive<T>(driver: &mut Option<LinkDriver>) -> T {
     if let Some(connection) = driver {
         // A failure of the connection is reported by the request on it.
         let _ = connection.await;
--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -121,6 +121,11 @@
         self.peers.set_nodes(entries);
     }
 
+    /// Returns the entries of the other known nodes.
+    pub fn other_nodes(&self) -> impl Iterator<Item = &NodeEntry> {
+        self.peers.entries()
+    }
+
     /// Returns the number of known nodes, this one included.
     pub fn node_count(&self) -> usize {
         self.peers.count()
--- a/crates/plumgate/src/gateway/exchange/peers.rs
+++ b/crates/plumgate/src/gateway/exchange/peers.rs
@@ -185,6 +185,11 @@
         }
     }
 
+    /// Returns the entries of the other nodes.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &NodeEntry> {
+        self.peers.values().map(|peer| &peer.entry)
+    }
+
     /// Returns the state of another node.
     pub(crate) fn peer_mut(&mut self, node: &NodeId) -> Option<&mut PeerState> {
         self.peers.get_mut(node)
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -44,7 +44,10 @@
     PERMIT_RESEND_INTERVAL, PERMIT_TIMEOUT, PermitRequestId, PermitStatus, RateStatement,
     RequestRate, SendPermit, ServerLimits,
 };
-pub use reachability::{DirectResult, PathChange, PathTable};
+pub use reachability::{
+    DirectResult, MAX_TUNNEL_REQUEST_BYTES, PathChange, PathDoubt, PathLoss, PathPlan, PathTable,
+    ServerRef, TunnelGate, TunnelPeers, TunnelRefusal, TunnelReply, TunnelResult,
+};
 pub use servers::{IncarnationId, ServerEntry, ServerState, ServerTable};
 pub use statements::{
     AnswerTimes, LeaveEvent, LeaveStatement, NoticeChange, NoticeTable, RestNotice, RestStatement,
--- a/crates/plumgate/src/gateway/switches.rs
+++ b/crates/plumgate/src/gateway/switches.rs
@@ -48,12 +48,14 @@
     PartCopies,
     /// The number of servers is scaled; without it the current servers stay.
     Scaling,
+    /// A server that this node does not reach is reached through another node.
+    Tunnels,
     /// The number of servers follows the load; without it the operator's number is used, with reclaimable servers.
     ScaleByLoad,
 }
 
 /// All mechanisms with their names in settings.
-const PARTS: [(PolicyPart, &str); 20] = [
+const PARTS: [(PolicyPart, &str); 21] = [
     (PolicyPart::Exchange, "exchange"),
     (PolicyPart::Affinity, "homes"),
     (PolicyPart::SecondPreferred, "second-home"),
@@ -74,6 +76,7 @@
     (PolicyPart::PartCopies, "part-copies"),
     (PolicyPart::Scaling, "scaling"),
     (PolicyPart::ScaleByLoad, "scale-by-load"),
+    (PolicyPart::Tunnels, "tunnels"),
 ];
 
 impl PolicyPart {
