quarantine: a node that has lost its path to a server does not take the server for crashed

What callers would see: a request that a cut node was relaying when its connections were reset is blocked at all nodes for ten minutes. Seen by reading; the test had 12 crashes recorded after three cuts of one node, while all servers ran.

Cause: after a break the node probes the server with a connection of its own, and a refusal counts as a crash, which is sent to all nodes.

Change: the probe asks another node when the direct connection is refused. Only a server that refuses both counts as crashed.

Test: cut_node::cut_node_does_not_take_servers_for_crashed, red before (server_ends 12).

--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -8,17 +8,18 @@
 use plumgate::gateway::{CrashSign, RequestIdentity, ServerEntry, SuspectEvent, SuspectState};
 
 use super::metrics::ReasonLabels;
-use super::server_connection::CONNECT_TIMEOUT;
+use super::server_connection::{CONNECT_TIMEOUT, ConnectFailure, open_server};
 use super::shared::GatewayShared;
 use crate::body::AnswerBody;
-use crate::clock::{Clock, until};
-use crate::http::{open_stream, text_response};
+use crate::clock::Clock;
+use crate::http::text_response;
 use crate::log::LogLine;
 
 /// Path of the operators' page on quarantined requests.
 pub(crate) const QUARANTINE_PATH: &str = "/quarantine";
 
-/// Probes a server with a bare connection after a connection to it broke in the middle of an answer.
+/// Probes a server with a bare connection after a connection to it broke in the middle of an answer. A node that has
+/// lost its own path asks another one before it takes the server for crashed.
 ///
 /// The server's store entry shows a crash only seconds later; until then the request would be sent to the next
 /// server.
@@ -29,15 +30,16 @@
     let (prober, server) = (shared.clone(), server.clone());
     let task = async move {
         let opened = prober.clock.now();
-        let connecting = open_stream(prober.options.server_address(server.address));
-        let connected = until(&prober.clock, opened + CONNECT_TIMEOUT, connecting).await;
+        let connected = open_server(&prober, &server, opened + CONNECT_TIMEOUT).await;
         match &connected {
-            Some(Ok(_)) => {
+            Ok(_) => {
                 let now = prober.clock.now();
                 prober.quarantine().on_server_reached(&server, opened, now);
             }
-            Some(Err(_)) => prober.on_connection_refused(&server),
-            None => prober.quarantine().on_probe_unanswered(&server),
+            Err(ConnectFailure::Refused) => prober.on_connection_refused(&server),
+            Err(ConnectFailure::Silent | ConnectFailure::Paused) => {
+                prober.quarantine().on_probe_unanswered(&server);
+            }
         }
         prober.server_probed.notify(usize::MAX);
         prober.log_suspects();
