attempts: a retry opens a new connection

What callers would see: 504 for a request that may be repeated at a cut node whose idle connections died in silence. The retry took the idle connection of the next server, which had died with the first.

Change: only first tries use idle connections.

Test: cut_node::requests_on_idle_connections_that_died_in_silence_are_served, red before (504 for the first request); now one of 12 requests is slow (563 ms).

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
 use super::ports::{AnswerMeaning, AttemptMetadata, WireFormat};
 use super::request::{AttemptOrder, AttemptOutcome, RESTARTED, ServerAnswer};
 use super::server_connection::{ConnectFailure, open_server};
+use super::server_limits::SendCause;
 use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
 use crate::http::OutgoingRequest;
@@ -94,8 +95,9 @@
     // ran. A request that may run only once therefore gets a new connection.
     let now = shared.clock.now();
     // So does a request that an earlier server was running when it crashed: a new connection proves that the next
-    // server was up.
+    // server was up. And so does a retry: idle connections may have died together.
     if order.request.route.kind == RepeatKind::Idempotent
+        && order.cause == SendCause::FirstTry
         && !shared.quarantine().has_evidence(order.request.identity)
         && let Some(link) = shared.links.take(&order.server.id, now).await
     {
