--- a/crates/plumgate-node/src/gateway/options.rs
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -1,6 +1,7 @@
 //! Options of a gateway node.
 
 use std::net::{IpAddr, SocketAddr};
+use std::str::FromStr;
 use std::time::Duration;
 
 use plumgate::gateway::{NodeCapacity, PlacementPolicy, PolicySwitches};
@@ -80,6 +81,21 @@
     pub to: IpAddr,
 }
 
+impl FromStr for HostTranslation {
+    type Err = String;
+
+    /// Parses `FROM=TO`, two IP addresses.
+    fn from_str(text: &str) -> Result<Self, String> {
+        let parts = text.split_once('=').and_then(|(from, to)| {
+            Some(Self {
+                from: from.parse().ok()?,
+                to: to.parse().ok()?,
+            })
+        });
+        parts.ok_or_else(|| format!("\"{text}\" is not FROM=TO, two IP addresses"))
+    }
+}
+
 impl HostTranslation {
     /// Returns the address to connect to for an address in a server's entry.
     pub(crate) fn apply(&self, address: SocketAddr) -> SocketAddr {
--- a/crates/plumgated/src/gateway.rs
+++ b/crates/plumgated/src/gateway.rs
@@ -12,7 +12,7 @@
 use futures_lite::{StreamExt, future};
 use plumgate::gateway::{PlacementPolicy, PolicyPart, PolicySwitches};
 use plumgate_node::SystemClock;
-use plumgate_node::gateway::{GatewayHandle, GatewayNode};
+use plumgate_node::gateway::{GatewayHandle, GatewayNode, HostTranslation};
 use plumgate_node::log::{EventLog, LogLine, stdout_log};
 use plumgate_platform::{PlatformSettings, PlatformWire, StoreSource, read_settings};
 use spdlog::LevelFilter;
@@ -58,6 +58,11 @@
         .action(ArgAction::Append)
         .value_parser(value_parser!(PolicyPart))
         .help("Parts of the policy to switch off, for measuring their effect");
+    let server_host = Arg::new("server-host")
+        .long("server-host")
+        .env("PLUMGATE_SERVER_HOST")
+        .value_parser(value_parser!(HostTranslation))
+        .help("Host at which this VM reaches the servers of another host, FROM=TO");
     let log_level = Arg::new("gateway-log-level")
         .long("log-level")
         .env("PLUMGATE_LOG_LEVEL")
@@ -66,7 +71,14 @@
         .help("Lowest level of the events to log");
     Command::new("gateway")
         .about("Runs a gateway node on the users' platform")
-        .args([settings, metrics_port, policy, without, log_level])
+        .args([
+            settings,
+            metrics_port,
+            policy,
+            without,
+            server_host,
+            log_level,
+        ])
 }
 
 /// Runs a gateway node until it has stopped.
@@ -125,6 +137,9 @@
         .with_policy(policy)
         .with_switches(switches)
         .with_seed(seed.into());
+    if let Some(translation) = matches.get_one::<HostTranslation>("server-host") {
+        options = options.with_server_host(*translation);
+    }
     if let Some(port) = matches.get_one::<u16>("metrics-port") {
         let ip: IpAddr = options.ready_listen.ip();
         options = options.with_metrics(SocketAddr::new(ip, *port));
