sockets: TCP_USER_TIMEOUT no longer ends the keep-alive probes before their count

What callers would see: streams and answers that break when a sound server is silent for little more than a second.

Cause: connections to servers and the store set TCP_USER_TIMEOUT to 2 s. With it the kernel gives up at the first probe after that time, whatever their count: the constants say 1 s idle and two probes, 3 s in all, and a server that was silent from 1.0 to 2.0 s after its last byte lost its connections.

Change: 3 s for both, as idle time and probes add up.

--- a/crates/plumgate-node/src/http.rs
+++ b/crates/plumgate-node/src/http.rs
@@ -27,11 +27,12 @@
 pub(crate) type OpenConnection = SendRequest<Full<Bytes>>;
 
 /// Idle time after which TCP keepalive probes a connection, and the interval between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keepalive probes after which a connection counts as broken.
-const KEEPALIVE_PROBES: u32 = 2;
-/// Time that written bytes may stay unacknowledged before a connection counts as broken.
-const MAX_UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(2);
+pub const KEEPALIVE_PROBES: u32 = 2;
+/// Time that written bytes may stay unacknowledged before a connection counts as broken. The kernel applies it to
+/// keepalive probes too, in place of their number.
+pub const MAX_UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(3);
 
 /// Opens a TCP stream that fails when the peer becomes unreachable.
 ///
@@ -39,20 +40,26 @@
 /// not even a reset, and without keepalive probes a read would wait forever.
 pub(crate) async fn open_stream(address: SocketAddr) -> io::Result<Async<TcpStream>> {
     let stream = Async::<TcpStream>::connect(address).await?;
-    set_liveness_options(&stream)?;
+    set_liveness_options(stream.get_ref())?;
     Ok(stream)
 }
 
-/// Makes a stream fail when its peer becomes unreachable.
-pub(crate) fn set_liveness_options(stream: &Async<TcpStream>) -> io::Result<()> {
-    let socket = SockRef::from(stream.get_ref());
+/// Makes a stream fail when its peer becomes unreachable, or does not read for [`MAX_UNACKNOWLEDGED_TIME`].
+pub fn set_liveness_options(stream: &TcpStream) -> io::Result<()> {
+    set_keepalive_options(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(MAX_UNACKNOWLEDGED_TIME))
+}
+
+/// Makes a stream fail when its peer becomes unreachable while nothing is sent. The peer may read as slowly as it
+/// likes.
+pub fn set_keepalive_options(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(MAX_UNACKNOWLEDGED_TIME))
+    socket.set_tcp_keepalive(&keepalive)
 }
 
 /// Opens a TCP stream for calls that must not arrive later than `max_delay` after they were abandoned.
