tunnels: a caller that reads slowly does not break its answer

What callers would see: an answer through another node that breaks off if the caller takes nothing for 3 s. Found by reading the pages' line on TCP_USER_TIMEOUT: it also ends connections whose peer answers probes, but has a full window.

Change: the connection to the requesting node has keep-alive probes without a user timeout; a write to it that does not proceed for 30 s, longer than requests last, ends the tunnel.

--- a/crates/plumgate-node/src/gateway/tunnels.rs
+++ b/crates/plumgate-node/src/gateway/tunnels.rs
@@ -18,7 +18,7 @@
 use super::server_connection::ConnectFailure;
 use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
-use crate::http::{open_stream, set_liveness_options};
+use crate::http::{open_stream, set_keepalive_options};
 use crate::link::HttpLink;
 use crate::log::LogLine;
 use crate::tunnel_stream::{TunnelStream, forward_to_origin, forward_to_server};
@@ -177,7 +177,7 @@
     }
     let mut request = vec![0; length];
     origin.read_exact(&mut request).await?;
-    set_liveness_options(origin)?;
+    set_keepalive_options(origin.get_ref())?;
     Ok(request)
 }
 
@@ -230,7 +230,10 @@
 ) {
     let up = forward_to_server(origin, server);
     let down = async {
-        if forward_to_origin(server, origin).await.is_err() {
+        if forward_to_origin(&shared.clock, server, origin)
+            .await
+            .is_err()
+        {
             return;
         }
         let deadline = shared.clock.now() + CLOSE_TIMEOUT;
--- a/crates/plumgate-node/src/tunnel_stream.rs
+++ b/crates/plumgate-node/src/tunnel_stream.rs
@@ -7,15 +7,21 @@
 use std::net::{Shutdown, TcpStream};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use async_io::Async;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
+use crate::clock::{Clock, until};
+
 /// Size of the buffer of one direction, in bytes; also the longest frame.
 const BUFFER_BYTES: usize = 8 * 1024;
 /// Size of a frame's length, in bytes.
 const LENGTH_BYTES: usize = 2;
 
+/// Time for which the requesting node may take no bytes: longer than its requests last, so that it has failed then.
+const MAX_STALL: Duration = Duration::from_secs(30);
+
 /// Stream to a server, at the node that requested the tunnel.
 #[derive(Debug)]
 pub(crate) struct TunnelStream {
@@ -112,7 +118,8 @@
 }
 
 /// Forwards what the server sends, in frames. A connection that breaks is not marked as ended.
-pub(crate) async fn forward_to_origin(
+pub(crate) async fn forward_to_origin<C: Clock>(
+    clock: &C,
     mut server: &Async<TcpStream>,
     mut origin: &Async<TcpStream>,
 ) -> io::Result<()> {
@@ -121,7 +128,9 @@
         let count = server.read(&mut buffer[LENGTH_BYTES..]).await?;
         let length = u16::try_from(count).map_err(io::Error::other)?;
         buffer[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
-        origin.write_all(&buffer[..LENGTH_BYTES + count]).await?;
+        let writing = origin.write_all(&buffer[..LENGTH_BYTES + count]);
+        let written = until(clock, clock.now() + MAX_STALL, writing).await;
+        written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
         if count == 0 {
             return origin.get_ref().shutdown(Shutdown::Write);
         }
