placement: a server whose entry alone is missing gets no requests

At 9.6 s, 45 nodes learnt from their collector that the entry of i-c007efd743 was gone, and dropped it; 29 nodes, which the store had refused, kept it as unconfirmed for 1.8 s (state=doubted, then lapsed), as entries may have expired in an outage. There was none: the store served the others.

Change: the fleet's state decides. Entries expire together in an outage; while less than half of a pool's servers are unconfirmed, these get no requests.

Test: unconfirmed_servers.rs, the first red before.

--- a/crates/plumgate/src/gateway/placement/candidates.rs
+++ b/crates/plumgate/src/gateway/placement/candidates.rs
@@ -15,9 +15,11 @@
     /// Returns the servers that may receive the request. Servers that look unhealthy or unreachable are
     /// returned only where there is no other, and leaving servers only where no other accepts work.
     pub(super) fn candidates(&self, request: &PlacementRequest<'_>, now: Instant) -> Vec<ServerId> {
+        let are_doubted = self.are_unconfirmed_doubted(request.pool);
         let available: Vec<&ServerLoad> = self
             .of_pool(request)
             .filter(|load| load.accepts_work() && load.deferral(request.urgency, now).is_none())
+            .filter(|load| !are_doubted || !load.is_unconfirmed())
             .collect();
         let has_available = !available.is_empty();
         let mut usable: Vec<&ServerLoad> = available;
@@ -41,6 +43,19 @@
         healthy
     }
 
+    /// Returns whether unconfirmed servers of a pool get no requests. Entries expire together in an outage of the
+    /// store; if those of a minority are missing, these servers have probably left.
+    fn are_unconfirmed_doubted(&self, pool: &PoolId) -> bool {
+        let (mut unconfirmed, mut all) = (0_usize, 0_usize);
+        for load in self.servers.values() {
+            if load.entry.pool == *pool {
+                unconfirmed += usize::from(load.is_unconfirmed());
+                all += 1;
+            }
+        }
+        unconfirmed > 0 && unconfirmed * 2 < all
+    }
+
     fn of_pool(&self, request: &PlacementRequest<'_>) -> impl Iterator<Item = &ServerLoad> {
         let loads = self.servers.values();
         loads.filter(|load| load.entry.pool == *request.pool)
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -93,7 +93,11 @@
             ServerChange::Removed(id) => {
                 self.servers.remove(id);
             }
-            ServerChange::Unconfirmed(_) => {}
+            ServerChange::Unconfirmed(id) => {
+                if let Some(load) = self.servers.get_mut(id) {
+                    load.set_unconfirmed();
+                }
+            }
         }
     }
 
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -92,6 +92,8 @@
     deferred_until: Vec<(u8, Instant)>,
     /// Its room, if it stated that it is brittle.
     room: Option<ServerRoom>,
+    /// Whether its entry is missing, perhaps because of an outage of the store.
+    is_unconfirmed: bool,
     parts: HashMap<u64, Instant>,
     part_order: VecDeque<u64>,
 }
@@ -144,6 +146,7 @@
             limit: None,
             deferred_until: Vec::new(),
             room: None,
+            is_unconfirmed: false,
             parts: HashMap::new(),
             part_order: VecDeque::new(),
         }
@@ -153,6 +156,17 @@
     pub(crate) fn set_entry(&mut self, entry: &ServerEntry) {
         self.incarnation = entry.incarnation_id();
         self.entry = entry.clone();
+        self.is_unconfirmed = false;
+    }
+
+    /// Records that its entry is missing, perhaps because of an outage of the store.
+    pub(crate) fn set_unconfirmed(&mut self) {
+        self.is_unconfirmed = true;
+    }
+
+    /// Returns whether its entry is missing, perhaps because of an outage of the store.
+    pub(crate) fn is_unconfirmed(&self) -> bool {
+        self.is_unconfirmed
     }
 
     /// Returns the id of its incarnation.
