tunnels: a node that stops waits for the tunnels that it opened for others

What callers would see: answers through a node that is stopped break off when the balancer's lag is over, although its grace is not.

Change: a node with open tunnels is not idle.

--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -280,9 +280,11 @@
         self.lifecycle.load().ready && self.allows_ready()
     }
 
-    /// Returns whether neither requests nor connections are open.
+    /// Returns whether neither requests, connections nor tunnels of other nodes are open.
     pub(crate) fn is_idle(&self) -> bool {
-        self.open_requests() == 0 && self.open_connections.load(Ordering::SeqCst) == 0
+        self.open_requests() == 0
+            && self.open_connections.load(Ordering::SeqCst) == 0
+            && self.open_tunnels.load(Ordering::SeqCst) == 0
     }
 
     /// Returns the number of requests in flight.
