gateway: log how each server's answer was framed, how it ended and what was left of it

Change: request and attempt_failed lines carry framing, body_end and left_over; answer_ends counts them. ServerBody reads a body together with its connection and names the end; what counts as complete is as before.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -8,12 +8,13 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT};
 use hyper::{Request, Response, Version};
-use plumgate::gateway::{ConnectionKind, RepeatKind, WorkOutcome};
+use plumgate::gateway::{AnswerFraming, BodyEnd, ConnectionKind, RepeatKind, WorkOutcome};
 
 use super::answer::remove_connection_headers;
 use super::guards::{RunRefusal, WorkGuard};
 use super::ports::{AnswerMeaning, AttemptMetadata, WireFormat};
 use super::request::{AttemptOrder, AttemptOutcome, RESTARTED, ServerAnswer};
+use super::server_body::{BodyInput, ServerBody};
 use super::server_connection::{ConnectFailure, open_server};
 use super::server_limits::SendCause;
 use super::shared::GatewayShared;
@@ -148,7 +149,7 @@
     link: HttpLink,
     mut work: WorkGuard<C, W>,
 ) -> AttemptOutcome<C, W> {
-    let (head, body) = response.into_parts();
+    let (head, body) = ServerBody::new(response, link);
     let (id, server) = (&order.request.id, &order.server.id);
     let metadata = shared
         .wire
@@ -163,7 +164,6 @@
             AttemptOutcome::Answer(Box::new(ServerAnswer {
                 head,
                 body,
-                link,
                 work,
                 metadata,
             }))
@@ -197,8 +197,8 @@
 /// Reason for which a body could not be read to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReadFailure {
-    /// The connection broke.
-    ConnectionLost,
+    /// The answer broke off.
+    BrokenOff(BodyEnd),
     /// The body exceeds the maximum size.
     TooLarge,
 }
@@ -207,7 +207,7 @@
     /// Returns the name used in logs and metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
-            Self::ConnectionLost => "cut",
+            Self::BrokenOff(_) => "cut",
             Self::TooLarge => "too_large",
         }
     }
@@ -215,7 +215,7 @@
     /// Returns the outcome of the request as evidence about the server.
     pub(crate) fn work_outcome(self) -> WorkOutcome {
         match self {
-            Self::ConnectionLost => WorkOutcome::Broken,
+            Self::BrokenOff(_) => WorkOutcome::Broken,
             Self::TooLarge => WorkOutcome::Failed,
         }
     }
@@ -223,19 +223,29 @@
 
 /// Reads a body of at most `max_bytes` to its end.
 pub(crate) async fn collect_body(
-    link: &mut HttpLink,
-    body: &mut Incoming,
+    body: &mut ServerBody,
     max_bytes: usize,
-) -> Result<Bytes, ReadFailure> {
+) -> Result<(Bytes, BodyEnd), ReadFailure> {
     let mut buffer = bytes::BytesMut::new();
-    while let Some(frame) = link.frame(body).await {
-        let frame = frame.map_err(|_| ReadFailure::ConnectionLost)?;
-        if let Ok(data) = frame.into_data() {
-            buffer.extend_from_slice(&data);
+    loop {
+        match body.next().await {
+            BodyInput::Bytes(bytes) => buffer.extend_from_slice(&bytes),
+            BodyInput::End(end) if is_complete(body.framing(), end) => {
+                return Ok((buffer.freeze(), end));
+            }
+            BodyInput::End(end) => return Err(ReadFailure::BrokenOff(end)),
         }
         if buffer.len() > max_bytes {
             return Err(ReadFailure::TooLarge);
         }
     }
-    Ok(buffer.freeze())
+}
+
+/// Returns whether an answer is complete.
+pub(crate) fn is_complete(framing: AnswerFraming, end: BodyEnd) -> bool {
+    match end {
+        BodyEnd::Marked => true,
+        BodyEnd::Closed => framing == AnswerFraming::Connection,
+        BodyEnd::Reset | BodyEnd::Silent | BodyEnd::Restarted => false,
+    }
 }
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -49,6 +49,17 @@
     pub(crate) source: &'static str,
 }
 
+/// Labels of the end of a server's answer.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct AnswerEndLabels {
+    /// Way in which the end of the body is marked.
+    pub(crate) framing: &'static str,
+    /// Way in which the bytes ended.
+    pub(crate) end: &'static str,
+    /// `some` if bytes follow the last complete event, otherwise `none`.
+    pub(crate) left_over: &'static str,
+}
+
 /// Labels of a call to the source.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct SourceCallLabels {
@@ -82,6 +93,8 @@
     pub(crate) requests: Family<OutcomeLabels, Counter>,
     /// Failed attempts, whether another followed or the request failed.
     pub(crate) failed_attempts: Family<ReasonLabels, Counter>,
+    /// Answers of servers that ended.
+    pub(crate) answer_ends: Family<AnswerEndLabels, Counter>,
     /// Time from a request's arrival to the first byte of the answer.
     pub(crate) first_byte: Family<PriorityLabels, Histogram>,
     /// Pauses between two chunks of a stream.
@@ -161,6 +174,7 @@
             duty_calls: Family::default(),
             requests: Family::default(),
             failed_attempts: Family::default(),
+            answer_ends: Family::default(),
             first_byte: Family::new_with_constructor(times),
             pauses: Family::new_with_constructor(times),
             in_flight: Gauge::default(),
@@ -206,6 +220,11 @@
             "Attempts that failed",
             self.failed_attempts.clone(),
         );
+        registry.register(
+            "answer_ends",
+            "Answers of servers that ended",
+            self.answer_ends.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Arrival to first byte",
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod relay_report;
 mod request;
 mod run;
+mod server_body;
 mod server_connection;
 mod server_limits;
 mod server_notices;
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -8,12 +8,12 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
-    AdmissionDecision, AdmissionPolicy, BlockedRequest, QueuePrediction, RepeatKind,
+    AdmissionDecision, AdmissionPolicy, BlockedRequest, BodyEnd, QueuePrediction, RepeatKind,
     RequestVerdict, SendPermit, SendRefusal, ServerPick, WorkOutcome,
 };
 
 use super::answer::{GatewayBody, StreamChunk, full_body, own_answer, relayed_head, stream_body};
-use super::attempt::collect_body;
+use super::attempt::{ReadFailure, collect_body};
 use super::metrics::ReasonLabels;
 use super::ports::{AnswerMetadata, WireFormat};
 use super::request::{AttemptOutcome, RESTARTED, ServerAnswer};
@@ -224,17 +224,28 @@
         self.record_run_start(self.ran_for().unwrap_or_default());
         answer.work.record_first_byte();
         let deadline = self.request.due + BODY_GRACE;
-        let reading = collect_body(&mut answer.link, &mut answer.body, MAX_FULL_BODY_BYTES);
+        let framing = answer.body.framing();
+        let reading = collect_body(&mut answer.body, MAX_FULL_BODY_BYTES);
         let incarnation = answer.work.incarnation();
         let body = match until(&self.shared.clock, deadline, incarnation.run(reading)).await {
-            None => return NextStep::Fail(self.time_out()),
+            None => {
+                self.record_answer_end(framing, BodyEnd::Silent, 0);
+                return NextStep::Fail(self.time_out());
+            }
             Some(None) => {
+                self.record_answer_end(framing, BodyEnd::Restarted, 0);
                 answer.work.set_outcome(WorkOutcome::Restarted);
                 drop(answer);
                 return self.after_in_doubt(RESTARTED);
             }
-            Some(Some(Ok(body))) => body,
+            Some(Some(Ok((body, end)))) => {
+                self.record_answer_end(framing, end, 0);
+                body
+            }
             Some(Some(Err(failure))) => {
+                if let ReadFailure::BrokenOff(end) = failure {
+                    self.record_answer_end(framing, end, 0);
+                }
                 answer.work.set_outcome(failure.work_outcome());
                 drop(answer);
                 self.wait_for_probe().await;
@@ -255,7 +266,7 @@
         self.apply(AttemptEvent::Finished);
         // A connection to an incarnation that has ended can't be reused.
         if !incarnation.has_ended() {
-            self.return_link(&answer.metadata, answer.link);
+            self.return_link(&answer.metadata, answer.body.into_link());
         }
         self.observe_first_byte();
         self.report(RunOutcome::Answered, "server", status);
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -4,9 +4,9 @@
 
 use hyper::StatusCode;
 use plumgate::RunOutcome;
-use plumgate::gateway::ServerPick;
+use plumgate::gateway::{AnswerEnd, AnswerFraming, BodyEnd, ServerPick};
 
-use super::metrics::{OutcomeLabels, ReasonLabels};
+use super::metrics::{AnswerEndLabels, OutcomeLabels, ReasonLabels};
 use super::ports::WireFormat;
 use super::run::RelayRun;
 use crate::clock::Clock;
@@ -42,9 +42,31 @@
             .with("reason", reason)
             .with_some("ran_ms", self.ran_for().map(|ran| ran.as_millis()))
             .with("state", self.run.state())
+            .with_answer_end(self.answer_end)
             .info(&self.shared.log);
     }
 
+    /// Records how the current server's answer ended; `left_over` bytes follow its last complete event.
+    pub(crate) fn record_answer_end(
+        &mut self,
+        framing: AnswerFraming,
+        end: BodyEnd,
+        left_over: usize,
+    ) {
+        let labels = AnswerEndLabels {
+            framing: framing.as_str(),
+            end: end.as_str(),
+            left_over: if left_over > 0 { "some" } else { "none" },
+        };
+        let ends = &self.shared.metrics.answer_ends;
+        ends.get_or_create(&labels).inc();
+        self.answer_end = Some(AnswerEnd {
+            framing,
+            end,
+            left_over,
+        });
+    }
+
     /// Logs the choice of a server.
     pub(crate) fn log_route(&self, pick: &ServerPick, now: Instant) {
         let waited = now.saturating_duration_since(self.request.arrived);
@@ -109,10 +131,23 @@
             .with_some("first_ms", self.first_byte.map(|took| took.as_millis()))
             .with("pause_ms", self.longest_pause.as_millis())
             .with("ms", took.as_millis())
+            .with_answer_end(self.answer_end)
             .info(&self.shared.log);
     }
 }
 
+impl LogLine {
+    /// Appends how a server's answer ended, if it did.
+    fn with_answer_end(self, end: Option<AnswerEnd>) -> Self {
+        let Some(end) = end else {
+            return self;
+        };
+        self.with("framing", end.framing.as_str())
+            .with("body_end", end.end.as_str())
+            .with("left_over", end.left_over)
+    }
+}
+
 impl<C: Clock, W> Drop for RelayRun<C, W> {
     /// Reports a request whose caller closed the connection before the end; its connections to servers close
     /// with it.
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::http::response;
 use plumgate::gateway::{
@@ -15,9 +14,9 @@
 
 use super::guards::WorkGuard;
 use super::ports::{AnswerMetadata, RequestMetadata, WireFormat};
+use super::server_body::ServerBody;
 use super::server_limits::SendCause;
 use crate::clock::Clock;
-use crate::link::HttpLink;
 
 /// Reason logged for a request whose server restarted.
 pub(crate) const RESTARTED: &str = "server_restarted";
@@ -77,10 +76,8 @@
 pub(crate) struct ServerAnswer<C: Clock, W: WireFormat> {
     /// Head of the answer.
     pub(crate) head: response::Parts,
-    /// Body, not yet read.
-    pub(crate) body: Incoming,
-    /// Connection that carries the answer.
-    pub(crate) link: HttpLink,
+    /// Body, not yet read, and the connection that carries it.
+    pub(crate) body: ServerBody,
     /// Guard that counts the request as load of the server.
     pub(crate) work: WorkGuard<C, W>,
     /// Values read from the head.
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -5,7 +5,9 @@
 
 use plumgate::RunOutcome;
 use plumgate::attempt::{AttemptEvent, AttemptRun};
-use plumgate::gateway::{RequestVerdict, SendPermit, SendRefusal, ServerEntry, ServerPick};
+use plumgate::gateway::{
+    AnswerEnd, RequestVerdict, SendPermit, SendRefusal, ServerEntry, ServerPick,
+};
 use plumgate::ids::ServerId;
 use plumgate::retry::may_run_again;
 
@@ -45,6 +47,8 @@
     pub(crate) runs: u32,
     /// Time from the arrival of the request until the first byte of the answer was sent to the caller.
     pub(crate) first_byte: Option<Duration>,
+    /// End of the last answer.
+    pub(crate) answer_end: Option<AnswerEnd>,
     /// Longest pause between two events of the answer.
     pub(crate) longest_pause: Duration,
     /// Whether the request was recorded as demand of its pool.
@@ -81,6 +85,7 @@
             has_paid_retry: false,
             runs: 0,
             first_byte: None,
+            answer_end: None,
             longest_pause: Duration::ZERO,
             is_demand_recorded: false,
             is_run_recorded: false,
@@ -170,6 +175,7 @@
             "the chart allows a dispatch here: {dispatched:?}"
         );
         self.tried.push(server.clone());
+        self.answer_end = None;
         self.attempt_started_at = Some(self.shared.clock.now());
     }
 
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -6,22 +6,23 @@
 use futures_core::Stream;
 use futures_lite::{future, stream};
 use hyper::StatusCode;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::http::response;
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
-    EventSplitter, RepeatKind, RequestVerdict, SendPermit, ServerPick, WorkOutcome,
+    BodyEnd, EventSplitter, RepeatKind, RequestVerdict, SendPermit, ServerPick, WorkOutcome,
 };
 
 use super::answer::{StreamChunk, remove_content_length};
+use super::attempt::is_complete;
 use super::guards::WorkGuard;
 use super::ports::WireFormat;
 use super::request::{AttemptOutcome, RESTARTED, ServerAnswer};
 use super::run::RelayRun;
+use super::server_body::{BodyInput, ServerBody};
 use crate::body::AnswerTruncated;
 use crate::clock::{Clock, until};
-use crate::link::HttpLink;
 use crate::log::LogLine;
 
 /// Time after the request's deadline for which the server may still end the stream itself.
@@ -51,8 +52,7 @@
 
 /// Connection to the server that sends the stream.
 struct StreamSource<C: Clock, W: WireFormat> {
-    link: HttpLink,
-    body: Incoming,
+    body: ServerBody,
     work: WorkGuard<C, W>,
 }
 
@@ -60,7 +60,6 @@
     /// Splits an answer into its head and the source of its body.
     fn new(answer: ServerAnswer<C, W>) -> (response::Parts, Self) {
         let source = Self {
-            link: answer.link,
             body: answer.body,
             work: answer.work,
         };
@@ -162,18 +161,19 @@
             return StreamInput::Failed("lost");
         };
         let incarnation = source.work.incarnation();
-        let frame = incarnation.run(source.link.frame(&mut source.body));
-        match until(&clock, due.min(silent_at), frame).await {
-            Some(None) => StreamInput::Failed(RESTARTED),
-            Some(Some(Some(Ok(frame)))) => match frame.into_data() {
-                Ok(bytes) => StreamInput::Bytes(bytes),
-                Err(_) => StreamInput::Bytes(Bytes::new()),
-            },
-            Some(Some(Some(Err(_)))) => StreamInput::Failed("cut"),
-            Some(Some(None)) => StreamInput::End,
-            None if clock.now() >= due => StreamInput::TimedOut,
-            None => StreamInput::Failed(SILENT),
-        }
+        let framing = source.body.framing();
+        let input = incarnation.run(source.body.next());
+        let (end, input) = match until(&clock, due.min(silent_at), input).await {
+            Some(Some(BodyInput::Bytes(bytes))) => return StreamInput::Bytes(bytes),
+            Some(Some(BodyInput::End(end))) if is_complete(framing, end) => (end, StreamInput::End),
+            Some(Some(BodyInput::End(end))) => (end, StreamInput::Failed("cut")),
+            Some(None) => (BodyEnd::Restarted, StreamInput::Failed(RESTARTED)),
+            None if clock.now() >= due => (BodyEnd::Silent, StreamInput::TimedOut),
+            None => (BodyEnd::Silent, StreamInput::Failed(SILENT)),
+        };
+        let left_over = self.splitter.partial().len();
+        self.run.record_answer_end(framing, end, left_over);
+        input
     }
 
     /// Returns when a silent server counts as failed: only if another server can continue the stream.
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! admitted. Network I/O is left to adapters.
 
 pub mod admission;
+pub mod answer_end;
 pub mod config;
 pub mod events;
 pub mod exchange;
@@ -23,6 +24,7 @@
 pub use admission::{
     AdmissionDecision, AdmissionPolicy, FreshnessLease, QueuePrediction, WindowBudget,
 };
+pub use answer_end::{AnswerEnd, AnswerFraming, BodyEnd};
 pub use config::{
     CallerLimits, GatewayConfig, GatewayRoute, KeyOwner, PoolSplit, RepeatKind, RouteMatch,
     StreamClass,
