--- a/crates/plumgate-standin/src/link.rs
+++ b/crates/plumgate-standin/src/link.rs
@@ -11,7 +11,7 @@
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// Size of the forwarding buffer, in bytes.
 const CHUNK_BYTES: usize = 16 * 1024;
@@ -107,7 +107,7 @@
         self.state.delay_ms.store(millis, Ordering::SeqCst);
     }
 
-    /// Cuts all connections and closes new ones at once.
+    /// Resets all connections and closes new ones at once.
     pub fn cut(&self) {
         self.state.flags.fetch_or(REFUSING, Ordering::SeqCst);
         self.drop_connections();
@@ -120,7 +120,7 @@
         self.state.changed.notify(usize::MAX);
     }
 
-    /// Cuts open connections; new ones work.
+    /// Resets open connections; new ones work.
     pub fn drop_connections(&self) {
         let accepted = self.state.accepted.load(Ordering::SeqCst);
         self.state.cut_below.store(accepted, Ordering::SeqCst);
@@ -219,34 +219,40 @@
     let _ = server.get_ref().set_nodelay(true);
     let up = forward(&client, &server, number, &state, true);
     let down = forward(&server, &client, number, &state, false);
-    let both = future::zip(up, down);
     let cut = async {
         loop {
             let changed = state.changed.listen();
             if number < state.cut_below.load(Ordering::SeqCst) {
-                return;
+                return Err(io::ErrorKind::ConnectionReset.into());
             }
             changed.await;
         }
     };
-    let forwarding = async {
-        both.await;
-    };
-    future::or(cut, forwarding).await;
+    let forwarding = async { future::try_zip(up, down).await.map(|_| ()) };
+    if future::or(cut, forwarding).await.is_err() {
+        // An orderly close would look like the end of an answer that has no other end.
+        for stream in [&client, &server] {
+            let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
+        }
+    }
 }
 
-/// Forwards one direction of a connection until it ends or is cut. The data of a silenced connection is read and
-/// discarded.
+/// Forwards one direction of a connection until it is closed in order; an error if it breaks. The data of a silenced
+/// connection is read and discarded.
 async fn forward(
     mut from: &Async<TcpStream>,
     mut to: &Async<TcpStream>,
     number: u64,
     state: &LinkState,
     is_request: bool,
-) {
+) -> io::Result<()> {
     let mut chunk = vec![0; CHUNK_BYTES];
     let mut forwarded = 0;
-    while let Ok(mut count @ 1..) = from.read(&mut chunk).await {
+    loop {
+        let mut count = from.read(&mut chunk).await?;
+        if count == 0 {
+            break;
+        }
         let loses_answer = !is_request && number < state.answers_lost_below.load(Ordering::SeqCst);
         if loses_answer || number < state.silent_below.load(Ordering::SeqCst) {
             continue;
@@ -260,14 +266,12 @@
         if reaches_limit {
             count = (limit - forwarded) as usize;
         }
-        if to.write_all(&chunk[..count]).await.is_err() {
-            break;
-        }
+        to.write_all(&chunk[..count]).await?;
         forwarded += count as u64;
         if reaches_limit {
             let _ = from.get_ref().shutdown(std::net::Shutdown::Both);
             break;
         }
     }
-    let _ = to.get_ref().shutdown(std::net::Shutdown::Write);
+    to.get_ref().shutdown(std::net::Shutdown::Write)
 }
