gateway: an answer is complete only if framing, content and end say so

Cause: the close of a connection was taken for the end of an answer without length or chunks, and what the splitter had left was sent along as its last bytes. The class: the end of the bytes is taken for the end of the message. Change: AnswerEnd decides without I/O from the framing, the kind of end and the content; the relays of streams and of whole answers ask it. A stream that ends inside an event, before its first one, or inside a line end has broken off: it is resumed where the route allows it, and otherwise aborted after its last event. JSON without framing must be a whole value. The splitter tells blank lines, comments and a byte order mark from the beginning of an event, for all line ends. A connection that was its answer's end is not kept.

--- a/crates/plumgate-node/src/gateway/answer.rs
+++ b/crates/plumgate-node/src/gateway/answer.rs
@@ -8,10 +8,12 @@
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING,
-    UPGRADE,
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::http::response;
+use plumgate::gateway::{AnswerFraming, ContentEnd};
+use serde::de::IgnoredAny;
 
 use super::ports::WireFormat;
 use crate::body::{AnswerBody, AnswerTruncated};
@@ -23,6 +25,9 @@
 /// Non-standard header for connections to proxies.
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
+/// Media type of JSON.
+const JSON: &str = "application/json";
+
 /// Chunk of a relayed stream.
 pub(crate) type StreamChunk = Result<Frame<Bytes>, AnswerTruncated>;
 
@@ -89,6 +94,24 @@
     headers.remove(CONTENT_LENGTH);
 }
 
+/// Returns what the content of an answer that is not a stream says about its end. Only read where the framing does
+/// not mark the end.
+pub(crate) fn content_end(headers: &HeaderMap, framing: AnswerFraming, body: &[u8]) -> ContentEnd {
+    if framing != AnswerFraming::Connection || media_type(headers) != Some(JSON) {
+        return ContentEnd::Unmarked;
+    }
+    match serde_json::from_slice::<IgnoredAny>(body) {
+        Ok(_) => ContentEnd::Whole,
+        Err(_) => ContentEnd::Part,
+    }
+}
+
+/// Returns the media type of a body, without parameters.
+fn media_type(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    value.split(';').next().map(str::trim)
+}
+
 /// Announces to the caller that the connection closes after this response.
 pub(crate) fn announce_close<B>(response: &mut Response<B>) {
     let close = HeaderValue::from_static("close");
--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT};
 use hyper::{Request, Response, Version};
-use plumgate::gateway::{AnswerFraming, BodyEnd, ConnectionKind, RepeatKind, WorkOutcome};
+use plumgate::gateway::{BodyEnd, ConnectionKind, RepeatKind, WorkOutcome};
 
 use super::answer::remove_connection_headers;
 use super::guards::{RunRefusal, WorkGuard};
@@ -194,58 +194,23 @@
     }
 }
 
-/// Reason for which a body could not be read to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ReadFailure {
-    /// The answer broke off.
-    BrokenOff(BodyEnd),
-    /// The body exceeds the maximum size.
-    TooLarge,
-}
-
-impl ReadFailure {
-    /// Returns the name used in logs and metrics.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Self::BrokenOff(_) => "cut",
-            Self::TooLarge => "too_large",
-        }
-    }
-
-    /// Returns the outcome of the request as evidence about the server.
-    pub(crate) fn work_outcome(self) -> WorkOutcome {
-        match self {
-            Self::BrokenOff(_) => WorkOutcome::Broken,
-            Self::TooLarge => WorkOutcome::Failed,
-        }
-    }
-}
+/// A body exceeds its maximum size.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyTooLarge;
 
-/// Reads a body of at most `max_bytes` to its end.
+/// Reads a body of at most `max_bytes` until its bytes end.
 pub(crate) async fn collect_body(
     body: &mut ServerBody,
     max_bytes: usize,
-) -> Result<(Bytes, BodyEnd), ReadFailure> {
+) -> Result<(Bytes, BodyEnd), BodyTooLarge> {
     let mut buffer = bytes::BytesMut::new();
     loop {
         match body.next().await {
             BodyInput::Bytes(bytes) => buffer.extend_from_slice(&bytes),
-            BodyInput::End(end) if is_complete(body.framing(), end) => {
-                return Ok((buffer.freeze(), end));
-            }
-            BodyInput::End(end) => return Err(ReadFailure::BrokenOff(end)),
+            BodyInput::End(end) => return Ok((buffer.freeze(), end)),
         }
         if buffer.len() > max_bytes {
-            return Err(ReadFailure::TooLarge);
+            return Err(BodyTooLarge);
         }
     }
 }
-
-/// Returns whether an answer is complete.
-pub(crate) fn is_complete(framing: AnswerFraming, end: BodyEnd) -> bool {
-    match end {
-        BodyEnd::Marked => true,
-        BodyEnd::Closed => framing == AnswerFraming::Connection,
-        BodyEnd::Reset | BodyEnd::Silent | BodyEnd::Restarted => false,
-    }
-}
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -56,8 +56,10 @@
     pub(crate) framing: &'static str,
     /// Way in which the bytes ended.
     pub(crate) end: &'static str,
-    /// `some` if bytes follow the last complete event, otherwise `none`.
-    pub(crate) left_over: &'static str,
+    /// What the content says about its end.
+    pub(crate) content: &'static str,
+    /// Whether the answer is complete.
+    pub(crate) verdict: &'static str,
 }
 
 /// Labels of a call to the source.
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -8,15 +8,18 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
-    AdmissionDecision, AdmissionPolicy, BlockedRequest, BodyEnd, QueuePrediction, RepeatKind,
-    RequestVerdict, SendPermit, SendRefusal, ServerPick, WorkOutcome,
+    AdmissionDecision, AdmissionPolicy, AnswerEnd, AnswerFraming, AnswerVerdict, BlockedRequest,
+    BodyEnd, QueuePrediction, RepeatKind, RequestVerdict, SendPermit, SendRefusal, ServerPick,
+    WorkOutcome,
 };
 
-use super::answer::{GatewayBody, StreamChunk, full_body, own_answer, relayed_head, stream_body};
-use super::attempt::{ReadFailure, collect_body};
+use super::answer::{
+    GatewayBody, StreamChunk, content_end, full_body, own_answer, relayed_head, stream_body,
+};
+use super::attempt::{BodyTooLarge, collect_body};
 use super::metrics::ReasonLabels;
 use super::ports::{AnswerMetadata, WireFormat};
-use super::request::{AttemptOutcome, RESTARTED, ServerAnswer};
+use super::request::{AttemptOutcome, BROKEN_OFF, RESTARTED, ServerAnswer};
 use super::run::{MAX_SERVERS_TRIED, RelayRun, RetryCause};
 use super::stream::StreamRelay;
 use crate::caller_error::CallerError;
@@ -48,6 +51,9 @@
 /// Margin by which an idle connection is discarded before the server would close it.
 const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Reason logged for an answer that is too large to be read before it is relayed.
+const TOO_LARGE: &str = "too_large";
+
 /// Next step of a request after an attempt.
 enum NextStep {
     /// Choose a server again.
@@ -227,31 +233,25 @@
         let framing = answer.body.framing();
         let reading = collect_body(&mut answer.body, MAX_FULL_BODY_BYTES);
         let incarnation = answer.work.incarnation();
-        let body = match until(&self.shared.clock, deadline, incarnation.run(reading)).await {
-            None => {
-                self.record_answer_end(framing, BodyEnd::Silent, 0);
-                return NextStep::Fail(self.time_out());
-            }
-            Some(None) => {
-                self.record_answer_end(framing, BodyEnd::Restarted, 0);
-                answer.work.set_outcome(WorkOutcome::Restarted);
+        let read = until(&self.shared.clock, deadline, incarnation.run(reading)).await;
+        let (body, end) = match read {
+            None => (Bytes::new(), BodyEnd::Silent),
+            Some(None) => (Bytes::new(), BodyEnd::Restarted),
+            Some(Some(Ok(read))) => read,
+            Some(Some(Err(BodyTooLarge))) => {
+                answer.work.set_outcome(WorkOutcome::Failed);
                 drop(answer);
-                return self.after_in_doubt(RESTARTED);
-            }
-            Some(Some(Ok((body, end)))) => {
-                self.record_answer_end(framing, end, 0);
-                body
-            }
-            Some(Some(Err(failure))) => {
-                if let ReadFailure::BrokenOff(end) = failure {
-                    self.record_answer_end(framing, end, 0);
-                }
-                answer.work.set_outcome(failure.work_outcome());
-                drop(answer);
-                self.wait_for_probe().await;
-                return self.after_in_doubt(failure.as_str());
+                return self.after_in_doubt(TOO_LARGE);
             }
         };
+        let end = AnswerEnd {
+            framing,
+            end,
+            content: content_end(&answer.head.headers, framing, &body),
+        };
+        if self.judge_answer(end, 0) == AnswerVerdict::BrokenOff {
+            return self.after_broken_answer(answer, end.end).await;
+        }
         let status = answer.head.status;
         if status.is_server_error() {
             answer.work.set_outcome(WorkOutcome::Failed);
@@ -264,8 +264,8 @@
             answer.work.set_outcome(WorkOutcome::Answered);
         }
         self.apply(AttemptEvent::Finished);
-        // A connection to an incarnation that has ended can't be reused.
-        if !incarnation.has_ended() {
+        // A connection to an incarnation that has ended can't be reused, nor one whose end was the answer's end.
+        if !incarnation.has_ended() && framing != AnswerFraming::Connection {
             self.return_link(&answer.metadata, answer.body.into_link());
         }
         self.observe_first_byte();
@@ -273,6 +273,28 @@
         NextStep::Respond(relayed_head(answer.head, body))
     }
 
+    /// Handles a request whose answer broke off.
+    async fn after_broken_answer(
+        &mut self,
+        mut answer: ServerAnswer<C, W>,
+        end: BodyEnd,
+    ) -> NextStep {
+        match end {
+            BodyEnd::Silent => NextStep::Fail(self.time_out()),
+            BodyEnd::Restarted => {
+                answer.work.set_outcome(WorkOutcome::Restarted);
+                drop(answer);
+                self.after_in_doubt(RESTARTED)
+            }
+            BodyEnd::Marked | BodyEnd::Closed | BodyEnd::Reset => {
+                answer.work.set_outcome(WorkOutcome::Broken);
+                drop(answer);
+                self.wait_for_probe().await;
+                self.after_in_doubt(BROKEN_OFF)
+            }
+        }
+    }
+
     /// Handles a request that was not sent because the server's statements now forbid it. Another attempt takes
     /// nothing from the retry budget, as this server did not receive the request.
     fn after_disallowed(&mut self, pick: &ServerPick, refusal: SendRefusal) -> NextStep {
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -4,7 +4,7 @@
 
 use hyper::StatusCode;
 use plumgate::RunOutcome;
-use plumgate::gateway::{AnswerEnd, AnswerFraming, BodyEnd, ServerPick};
+use plumgate::gateway::{AnswerEnd, AnswerVerdict, ServerPick, ServerSign};
 
 use super::metrics::{AnswerEndLabels, OutcomeLabels, ReasonLabels};
 use super::ports::WireFormat;
@@ -46,25 +46,20 @@
             .info(&self.shared.log);
     }
 
-    /// Records how the current server's answer ended; `left_over` bytes follow its last complete event.
-    pub(crate) fn record_answer_end(
-        &mut self,
-        framing: AnswerFraming,
-        end: BodyEnd,
-        left_over: usize,
-    ) {
+    /// Decides whether the current server's answer is complete, and records how it ended; `left_over` bytes follow
+    /// its last complete event.
+    pub(crate) fn judge_answer(&mut self, end: AnswerEnd, left_over: usize) -> AnswerVerdict {
+        let verdict = end.verdict(ServerSign::None);
         let labels = AnswerEndLabels {
-            framing: framing.as_str(),
-            end: end.as_str(),
-            left_over: if left_over > 0 { "some" } else { "none" },
+            framing: end.framing.as_str(),
+            end: end.end.as_str(),
+            content: end.content.as_str(),
+            verdict: verdict.as_str(),
         };
         let ends = &self.shared.metrics.answer_ends;
         ends.get_or_create(&labels).inc();
-        self.answer_end = Some(AnswerEnd {
-            framing,
-            end,
-            left_over,
-        });
+        self.answer_end = Some((end, left_over));
+        verdict
     }
 
     /// Logs the choice of a server.
@@ -138,13 +133,14 @@
 
 impl LogLine {
     /// Appends how a server's answer ended, if it did.
-    fn with_answer_end(self, end: Option<AnswerEnd>) -> Self {
-        let Some(end) = end else {
+    fn with_answer_end(self, end: Option<(AnswerEnd, usize)>) -> Self {
+        let Some((end, left_over)) = end else {
             return self;
         };
         self.with("framing", end.framing.as_str())
             .with("body_end", end.end.as_str())
-            .with("left_over", end.left_over)
+            .with("content_end", end.content.as_str())
+            .with("left_over", left_over)
     }
 }
 
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -18,6 +18,8 @@
 use super::server_limits::SendCause;
 use crate::clock::Clock;
 
+/// Reason logged for a request whose answer broke off.
+pub(crate) const BROKEN_OFF: &str = "cut";
 /// Reason logged for a request whose server restarted.
 pub(crate) const RESTARTED: &str = "server_restarted";
 
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -47,8 +47,8 @@
     pub(crate) runs: u32,
     /// Time from the arrival of the request until the first byte of the answer was sent to the caller.
     pub(crate) first_byte: Option<Duration>,
-    /// End of the last answer.
-    pub(crate) answer_end: Option<AnswerEnd>,
+    /// End of the last answer, and the bytes after its last complete event.
+    pub(crate) answer_end: Option<(AnswerEnd, usize)>,
     /// Longest pause between two events of the answer.
     pub(crate) longest_pause: Duration,
     /// Whether the request was recorded as demand of its pool.
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -11,14 +11,14 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
-    BodyEnd, EventSplitter, RepeatKind, RequestVerdict, SendPermit, ServerPick, WorkOutcome,
+    AnswerEnd, AnswerVerdict, BodyEnd, EventSplitter, RepeatKind, RequestVerdict, SendPermit,
+    ServerPick, WorkOutcome,
 };
 
 use super::answer::{StreamChunk, remove_content_length};
-use super::attempt::is_complete;
 use super::guards::WorkGuard;
 use super::ports::WireFormat;
-use super::request::{AttemptOutcome, RESTARTED, ServerAnswer};
+use super::request::{AttemptOutcome, BROKEN_OFF, RESTARTED, ServerAnswer};
 use super::run::RelayRun;
 use super::server_body::{BodyInput, ServerBody};
 use crate::body::AnswerTruncated;
@@ -163,17 +163,23 @@
         let incarnation = source.work.incarnation();
         let framing = source.body.framing();
         let input = incarnation.run(source.body.next());
-        let (end, input) = match until(&clock, due.min(silent_at), input).await {
+        let (end, failure) = match until(&clock, due.min(silent_at), input).await {
             Some(Some(BodyInput::Bytes(bytes))) => return StreamInput::Bytes(bytes),
-            Some(Some(BodyInput::End(end))) if is_complete(framing, end) => (end, StreamInput::End),
-            Some(Some(BodyInput::End(end))) => (end, StreamInput::Failed("cut")),
+            Some(Some(BodyInput::End(end))) => (end, StreamInput::Failed(BROKEN_OFF)),
             Some(None) => (BodyEnd::Restarted, StreamInput::Failed(RESTARTED)),
             None if clock.now() >= due => (BodyEnd::Silent, StreamInput::TimedOut),
             None => (BodyEnd::Silent, StreamInput::Failed(SILENT)),
         };
+        let end = AnswerEnd {
+            framing,
+            end,
+            content: self.splitter.content_end(),
+        };
         let left_over = self.splitter.partial().len();
-        self.run.record_answer_end(framing, end, left_over);
-        input
+        match self.run.judge_answer(end, left_over) {
+            AnswerVerdict::Complete => StreamInput::End,
+            AnswerVerdict::BrokenOff | AnswerVerdict::Undecided => failure,
+        }
     }
 
     /// Returns when a silent server counts as failed: only if another server can continue the stream.
@@ -249,7 +255,7 @@
         // The connection closes before another server starts: a server that was only silent then aborts the run,
         // so that no two servers run the request at once.
         self.source = None;
-        self.splitter.drop_partial();
+        self.splitter.begin_source();
         if self.run.request.route.kind != RepeatKind::ResumableStream {
             return false;
         }
--- a/crates/plumgate/src/gateway/answer_end.rs
+++ b/crates/plumgate/src/gateway/answer_end.rs
@@ -1,4 +1,7 @@
-//! How the answer of a backend server ended.
+//! How the answer of a backend server ended, and whether it is complete.
+//!
+//! The end of the bytes is not the end of the message: an answer is complete only if its framing, or its content and
+//! what is known of its server, say so.
 
 /// Way in which the end of an answer's body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +53,73 @@
     }
 }
 
+/// What the content of an answer says about its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ContentEnd {
+    /// Nothing: its format marks no end.
+    Unmarked,
+    /// It is a whole value of a format that marks its end.
+    Whole,
+    /// It is a part of such a value.
+    Part,
+    /// It has no event yet.
+    BeforeEvent,
+    /// It ends after an event.
+    AfterEvent,
+    /// It ends inside a line that belongs to no event, or inside the line end of an event.
+    InsideLine,
+    /// It ends inside an event.
+    InsideEvent,
+}
+
+impl ContentEnd {
+    /// Returns the name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unmarked => "unmarked",
+            Self::Whole => "whole",
+            Self::Part => "part",
+            Self::BeforeEvent => "before_event",
+            Self::AfterEvent => "after_event",
+            Self::InsideLine => "inside_line",
+            Self::InsideEvent => "inside_event",
+        }
+    }
+}
+
+/// What else is known of a server whose answer has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerSign {
+    /// It is not known yet whether the server failed.
+    Awaited,
+    /// Nothing says that the server failed.
+    None,
+    /// The server failed at that moment.
+    Failed,
+}
+
+/// Whether an answer is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerVerdict {
+    /// It is complete.
+    Complete,
+    /// It broke off.
+    BrokenOff,
+    /// It can't be told yet; [`ServerSign`] decides.
+    Undecided,
+}
+
+impl AnswerVerdict {
+    /// Returns the name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::BrokenOff => "broken_off",
+            Self::Undecided => "undecided",
+        }
+    }
+}
+
 /// End of an answer, as the node observed it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerEnd {
@@ -57,6 +127,43 @@
     pub framing: AnswerFraming,
     /// Way in which the bytes ended.
     pub end: BodyEnd,
-    /// Bytes after the last complete event of a stream.
-    pub left_over: usize,
+    /// What the content says about its end.
+    pub content: ContentEnd,
+}
+
+impl AnswerEnd {
+    /// Decides whether the answer is complete.
+    pub fn verdict(&self, sign: ServerSign) -> AnswerVerdict {
+        match (self.end, self.framing) {
+            (BodyEnd::Marked, _) => self.marked_verdict(),
+            (BodyEnd::Closed, AnswerFraming::Connection) => self.closed_verdict(sign),
+            (BodyEnd::Closed | BodyEnd::Reset | BodyEnd::Silent | BodyEnd::Restarted, _) => {
+                AnswerVerdict::BrokenOff
+            }
+        }
+    }
+
+    /// Decides on an answer whose framing says that it is complete.
+    fn marked_verdict(&self) -> AnswerVerdict {
+        match self.content {
+            ContentEnd::InsideEvent => AnswerVerdict::BrokenOff,
+            _ => AnswerVerdict::Complete,
+        }
+    }
+
+    /// Decides on an answer that ended with its connection.
+    fn closed_verdict(&self, sign: ServerSign) -> AnswerVerdict {
+        match self.content {
+            ContentEnd::Whole => AnswerVerdict::Complete,
+            ContentEnd::Unmarked | ContentEnd::AfterEvent => match sign {
+                ServerSign::Awaited => AnswerVerdict::Undecided,
+                ServerSign::None => AnswerVerdict::Complete,
+                ServerSign::Failed => AnswerVerdict::BrokenOff,
+            },
+            ContentEnd::Part
+            | ContentEnd::BeforeEvent
+            | ContentEnd::InsideLine
+            | ContentEnd::InsideEvent => AnswerVerdict::BrokenOff,
+        }
+    }
 }
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -24,7 +24,7 @@
 pub use admission::{
     AdmissionDecision, AdmissionPolicy, FreshnessLease, QueuePrediction, WindowBudget,
 };
-pub use answer_end::{AnswerEnd, AnswerFraming, BodyEnd};
+pub use answer_end::{AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, ContentEnd, ServerSign};
 pub use config::{
     CallerLimits, GatewayConfig, GatewayRoute, KeyOwner, PoolSplit, RepeatKind, RouteMatch,
     StreamClass,
--- a/crates/plumgate/tests/gateway_events.rs
+++ b/crates/plumgate/tests/gateway_events.rs
@@ -26,7 +26,7 @@
 fn partial_event_is_dropped_before_another_server_continues() {
     let mut splitter = EventSplitter::new(None);
     let first = splitter.push(format!("{}id: 2\ndata: pie", event(1)).as_bytes());
-    splitter.drop_partial();
+    splitter.begin_source();
     let second = splitter.push(event(2).as_bytes());
     let all: Vec<u8> = first.into_iter().chain(second).flatten().collect();
     assert_eq!(all, format!("{}{}", event(1), event(2)).into_bytes());
@@ -66,3 +66,32 @@
         out == text.as_bytes() && splitter.partial().is_empty() && splitter.last_id() == Some(5)
     }
 }
+
+/// Guards against events that are held back until the end, from a server whose line end is a carriage return alone.
+#[test]
+fn events_with_any_line_end_are_forwarded_at_once() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let mut splitter = EventSplitter::new(None);
+        for number in 1..=3 {
+            let event = event(number).replace('\n', line_end);
+            let sent = splitter.push(event.as_bytes());
+            assert_eq!(sent.as_deref(), Some(event.as_bytes()), "{line_end:?}");
+            assert_eq!(splitter.last_id(), Some(number), "{line_end:?}");
+        }
+    }
+}
+
+/// Guards against a first event that is not recognized behind a byte order mark, and against one inside a stream.
+#[test]
+fn byte_order_mark_is_kept_at_the_start_only() {
+    let marked = |number| format!("\u{feff}{}", event(number));
+    let mut splitter = EventSplitter::new(None);
+    let text = marked(1);
+    let (first, rest) = text.as_bytes().split_at(2);
+    assert_eq!(splitter.push(first), None);
+    assert_eq!(splitter.push(rest).as_deref(), Some(text.as_bytes()));
+    splitter.begin_source();
+    let second = splitter.push(marked(2).as_bytes());
+    assert_eq!(second.as_deref(), Some(event(2).as_bytes()));
+    assert_eq!(splitter.last_id(), Some(2));
+}
