gateway: answers of other formats on streaming routes are judged by their framing

Cause: the route alone decided that an answer consists of events. Change: the content type decides. JSON is read whole like other answers; further formats are sent as they arrive and are not continued elsewhere; an answer without a content type is what its route says.

--- a/crates/plumgate-node/src/gateway/answer.rs
+++ b/crates/plumgate-node/src/gateway/answer.rs
@@ -97,7 +97,7 @@
 /// Returns what the content of an answer that is not a stream says about its end. Only read where the framing does
 /// not mark the end.
 pub(crate) fn content_end(headers: &HeaderMap, framing: AnswerFraming, body: &[u8]) -> ContentEnd {
-    if framing != AnswerFraming::Connection || media_type(headers) != Some(JSON) {
+    if framing != AnswerFraming::Connection || !is_json(headers) {
         return ContentEnd::Unmarked;
     }
     match serde_json::from_slice::<IgnoredAny>(body) {
@@ -106,8 +106,13 @@
     }
 }
 
+/// Returns whether the body is a JSON value.
+pub(crate) fn is_json(headers: &HeaderMap) -> bool {
+    media_type(headers).is_some_and(|media_type| media_type.eq_ignore_ascii_case(JSON))
+}
+
 /// Returns the media type of a body, without parameters.
-fn media_type(headers: &HeaderMap) -> Option<&str> {
+pub(crate) fn media_type(headers: &HeaderMap) -> Option<&str> {
     let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
     value.split(';').next().map(str::trim)
 }
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod snapshots;
 mod source_calls;
 mod stream;
+mod stream_content;
 mod suspects;
 mod tunnels;
 mod verdicts;
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -14,7 +14,8 @@
 };
 
 use super::answer::{
-    GatewayBody, StreamChunk, content_end, full_body, own_answer, relayed_head, stream_body,
+    GatewayBody, StreamChunk, content_end, full_body, is_json, own_answer, relayed_head,
+    stream_body,
 };
 use super::attempt::{BodyTooLarge, collect_body};
 use super::metrics::ReasonLabels;
@@ -220,7 +221,10 @@
     }
 
     fn begins_stream(&self, answer: &ServerAnswer<C, W>) -> bool {
-        self.request.route.kind.is_stream() && answer.head.status.is_success()
+        // A JSON value, such as the description of an error, is no stream.
+        self.request.route.kind.is_stream()
+            && answer.head.status.is_success()
+            && !is_json(&answer.head.headers)
     }
 
     /// Reads an answer to its end before it is relayed, so that a request whose answer breaks off can be retried
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -11,8 +11,8 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
-    AnswerEnd, AnswerVerdict, BodyEnd, EventSplitter, RepeatKind, RequestVerdict, SendPermit,
-    ServerPick, WorkOutcome,
+    AnswerEnd, AnswerVerdict, BodyEnd, RepeatKind, RequestVerdict, SendPermit, ServerPick,
+    WorkOutcome,
 };
 
 use super::answer::{StreamChunk, remove_content_length};
@@ -21,6 +21,7 @@
 use super::request::{AttemptOutcome, BROKEN_OFF, RESTARTED, ServerAnswer};
 use super::run::RelayRun;
 use super::server_body::{BodyInput, ServerBody};
+use super::stream_content::{StreamContent, is_event_stream};
 use crate::body::AnswerTruncated;
 use crate::clock::{Clock, until};
 use crate::log::LogLine;
@@ -43,7 +44,7 @@
     run: RelayRun<C, W>,
     /// Server that sends the stream; none while another one is chosen.
     source: Option<StreamSource<C, W>>,
-    splitter: EventSplitter,
+    content: StreamContent,
     last_chunk: Option<Instant>,
     /// Time at which the first event of a run was received, until the run is recorded.
     first_chunk: Option<Instant>,
@@ -95,11 +96,11 @@
         }
         let (mut head, source) = StreamSource::new(answer);
         remove_content_length(&mut head.headers);
-        let splitter = EventSplitter::new(run.request.metadata.resume_after);
+        let content = StreamContent::new(&head.headers, run.request.metadata.resume_after);
         let relay = Self {
             run,
             source: Some(source),
-            splitter,
+            content,
             last_chunk: None,
             first_chunk: None,
             is_finished: false,
@@ -122,11 +123,11 @@
         loop {
             match self.next_input().await {
                 StreamInput::Bytes(bytes) => {
-                    if let Some(events) = self.splitter.push(&bytes) {
+                    if let Some(bytes) = self.content.push(bytes) {
                         self.on_chunk();
-                        return Some(Ok(Frame::data(events)));
+                        return Some(Ok(Frame::data(bytes)));
                     }
-                    if self.splitter.is_overlong() {
+                    if self.content.is_overlong() {
                         return self.abort("overlong_event").await;
                     }
                 }
@@ -173,9 +174,9 @@
         let end = AnswerEnd {
             framing,
             end,
-            content: self.splitter.content_end(),
+            content: self.content.end(),
         };
-        let left_over = self.splitter.partial().len();
+        let left_over = self.content.partial().len();
         match self.run.judge_answer(end, left_over) {
             AnswerVerdict::Complete => StreamInput::End,
             AnswerVerdict::BrokenOff | AnswerVerdict::Undecided => failure,
@@ -231,7 +232,7 @@
         self.run.apply(AttemptEvent::Finished);
         self.run
             .report(RunOutcome::Answered, "server", StatusCode::OK);
-        let rest = Bytes::copy_from_slice(self.splitter.partial());
+        let rest = Bytes::copy_from_slice(self.content.partial());
         (!rest.is_empty()).then(|| Ok(Frame::data(rest)))
     }
 
@@ -255,7 +256,10 @@
         // The connection closes before another server starts: a server that was only silent then aborts the run,
         // so that no two servers run the request at once.
         self.source = None;
-        self.splitter.begin_source();
+        let Some(events) = self.content.events() else {
+            return false;
+        };
+        events.begin_source();
         if self.run.request.route.kind != RepeatKind::ResumableStream {
             return false;
         }
@@ -302,7 +306,7 @@
         pick: &ServerPick,
         permit: Option<SendPermit>,
     ) -> Option<ResumeOutcome> {
-        let resume_after = self.splitter.last_id();
+        let resume_after = self.content.events().and_then(|events| events.last_id());
         LogLine::new("resume")
             .with("request", &self.run.request.id)
             .with("server", &pick.server.id)
@@ -314,7 +318,10 @@
             .send_attempt(pick, permit, head_deadline, resume_after)
             .await;
         match outcome {
-            AttemptOutcome::Answer(answer) if answer.head.status == StatusCode::OK => {
+            AttemptOutcome::Answer(answer)
+                if answer.head.status == StatusCode::OK
+                    && is_event_stream(&answer.head.headers) =>
+            {
                 self.run.apply(AttemptEvent::HeadReceived);
                 // The caller has received the head of the first answer already.
                 let (_, source) = StreamSource::new(*answer);
