callers: a truncated answer is a reset to callers of HTTP/1.0, and its last bytes are sent first

Callers saw: over HTTP/1.0 a stream that broke off ended with an orderly close and looked complete. A slow caller lost bytes that had been relayed before the break. Cause: an answer to such a caller ends with its connection, and the node dropped that connection in order. An error of a body makes the HTTP connection discard what it still buffers; one pause before it sent that only if the kernel had room.

--- a/crates/plumgate-node/src/body.rs
+++ b/crates/plumgate-node/src/body.rs
@@ -28,8 +28,6 @@
     Full(Option<Bytes>),
     /// Chunks received through a channel.
     Streamed(Pin<Box<Receiver<AnswerChunk>>>),
-    /// All chunks were sent, and the answer is truncated after them.
-    Truncated,
 }
 
 impl AnswerBody {
@@ -54,17 +52,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerTruncated>>> {
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Streamed(chunks) => match chunks.as_mut().poll_next(context) {
-                Poll::Ready(Some(Err(AnswerTruncated))) => {
-                    // An error drops the connection together with its unwritten bytes, among them the
-                    // event that gives the reason. Yielding once lets hyper write them first.
-                    *self = Self::Truncated;
-                    context.waker().wake_by_ref();
-                    Poll::Pending
-                }
-                polled => polled.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
-            },
-            Self::Truncated => Poll::Ready(Some(Err(AnswerTruncated))),
+            Self::Streamed(chunks) => {
+                let polled = chunks.as_mut().poll_next(context);
+                polled.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+            }
         }
     }
 
@@ -75,7 +66,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Streamed(_) | Self::Truncated => SizeHint::default(),
+            Self::Streamed(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -26,6 +26,7 @@
 use super::server_notices::STATEMENTS_PATH;
 use super::shared::GatewayShared;
 use super::suspects::QUARANTINE_PATH;
+use crate::caller_stream::{AnswerDelivery, DeliveryBody, DeliveryStream};
 use crate::clock::{Clock, until};
 use crate::http::text_response;
 use crate::log::LogLine;
@@ -139,11 +140,15 @@
     let _ = stream.get_ref().set_nodelay(true);
     let _guard = ConnectionGuard::new(shared.clone());
     let activity = Arc::new(ConnectionActivity::new(shared.clock.now()));
+    let delivery = Arc::new(AnswerDelivery::default());
+    let stream = Arc::new(stream);
     let limits = limits(&shared);
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         let shared = shared.clone();
         let activity = activity.clone();
+        let delivery = delivery.clone();
         async move {
+            delivery.begin_answer(request.version());
             let guard = activity.begin_answer(shared.clock.clone());
             let mut response = serve(&shared, request).await;
             // A node that is leaving accepts no further request on a connection and announces that. So does a node
@@ -152,30 +157,41 @@
             if !shared.is_ready() {
                 announce_close(&mut response);
             }
-            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
+            Ok::<_, Infallible>(response.map(|body| {
+                let body = DeliveryBody::new(body, delivery);
+                GuardedBody::new(body, guard)
+            }))
         }
     });
-    let stream = CallerStream::new(stream, activity.clone(), shared.clock.clone());
+    let delivery_stream = DeliveryStream::new(stream.clone(), delivery.clone());
+    let caller_stream = CallerStream::new(delivery_stream, activity.clone(), shared.clock.clone());
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.max(MIN_READ_BUFFER))
         .max_headers(MAX_HEADERS)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(caller_stream), service);
     let mut connection = std::pin::pin!(connection);
     let served = async {
         // An error of a caller's connection concerns only the caller.
         let _ = connection.as_mut().await;
         CloseReason::Served
     };
-    let reason = future::or(served, wait_for_close(&shared, &activity)).await;
-    if reason != CloseReason::Leaving {
-        // No request is being answered: the connection can be dropped.
-        return;
+    let expired = async {
+        delivery.flush_expired(&shared.clock).await;
+        CloseReason::Expired
+    };
+    let closing = future::or(expired, wait_for_close(&shared, &activity));
+    let reason = future::or(served, closing).await;
+    if reason == CloseReason::Leaving {
+        // The request in flight is answered in full; then the connection closes.
+        connection.as_mut().graceful_shutdown();
+        let served = async {
+            let _ = connection.as_mut().await;
+        };
+        future::or(served, delivery.flush_expired(&shared.clock)).await;
     }
-    // The request in flight is answered in full; then the connection closes.
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    delivery.reset_if_truncated(&shared.clock, &stream).await;
 }
 
 /// Reason for which a connection closes.
@@ -183,7 +199,8 @@
 enum CloseReason {
     /// The connection was closed by the caller, after an answer, or by an error.
     Served,
-    /// The connection was idle, or received the head of a request, for too long.
+    /// The connection was idle, received the head of a request, or did not take the rest of a truncated answer, for
+    /// too long.
     Expired,
     /// The node is leaving.
     Leaving,
--- a/crates/plumgate-node/src/gateway/connection.rs
+++ b/crates/plumgate-node/src/gateway/connection.rs
@@ -2,18 +2,17 @@
 //! request, for too long.
 
 use std::io;
-use std::net::TcpStream;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use async_io::Async;
 use event_listener::{Event, EventListener};
 use futures_lite::{AsyncRead, AsyncWrite};
 use hyper::body::{Body, Frame, SizeHint};
 use plumgate::gateway::CallerLimits;
 
+use crate::caller_stream::DeliveryStream;
 use crate::clock::Clock;
 
 /// Time for which a connection stays open beyond the idle limit that callers know, so that a request sent at the
@@ -135,18 +134,14 @@
 
 /// Stream of a caller that records when bytes are received.
 pub(crate) struct CallerStream<C> {
-    stream: Async<TcpStream>,
+    stream: DeliveryStream,
     activity: Arc<ConnectionActivity>,
     clock: C,
 }
 
 impl<C: Clock> CallerStream<C> {
     /// Creates a stream that records received bytes in `activity`.
-    pub(crate) fn new(
-        stream: Async<TcpStream>,
-        activity: Arc<ConnectionActivity>,
-        clock: C,
-    ) -> Self {
+    pub(crate) fn new(stream: DeliveryStream, activity: Arc<ConnectionActivity>, clock: C) -> Self {
         Self {
             stream,
             activity,
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_core::Stream;
-use futures_lite::{future, stream};
+use futures_lite::stream;
 use hyper::StatusCode;
 use hyper::body::Frame;
 use hyper::http::response;
@@ -128,7 +128,7 @@
                         return Some(Ok(Frame::data(bytes)));
                     }
                     if self.content.is_overlong() {
-                        return self.abort("overlong_event").await;
+                        return self.abort("overlong_event");
                     }
                 }
                 StreamInput::End => return self.finish(),
@@ -139,10 +139,10 @@
                         _ => WorkOutcome::Broken,
                     });
                     if !self.resume(reason).await {
-                        return self.abort(reason).await;
+                        return self.abort(reason);
                     }
                 }
-                StreamInput::TimedOut => return self.abort("timeout").await,
+                StreamInput::TimedOut => return self.abort("timeout"),
             }
         }
     }
@@ -237,13 +237,10 @@
     }
 
     /// Ends the stream with an error, so that it does not look complete.
-    async fn abort(&mut self, reason: &'static str) -> Option<StreamChunk> {
+    fn abort(&mut self, reason: &'static str) -> Option<StreamChunk> {
         self.is_finished = true;
         self.record_run(Duration::ZERO);
         self.run.report(RunOutcome::Unknown, reason, StatusCode::OK);
-        // Earlier chunks are written first: an error closes the connection and discards
-        // unwritten data.
-        future::yield_now().await;
         Some(Err(AnswerTruncated))
     }
 
--- a/crates/plumgate-node/src/lib.rs
+++ b/crates/plumgate-node/src/lib.rs
@@ -23,6 +23,7 @@
 mod call;
 mod caller_error;
 mod caller_sink;
+mod caller_stream;
 mod callers;
 mod claims;
 mod connection_pool;
--- a/crates/plumgate-node/src/node.rs
+++ b/crates/plumgate-node/src/node.rs
@@ -21,6 +21,7 @@
 
 use crate::admin::serve_operator;
 use crate::body::AnswerBody;
+use crate::caller_stream::{AnswerDelivery, DeliveryBody, DeliveryStream};
 use crate::callers::serve_caller;
 use crate::clock::Clock;
 use crate::control::ControlLoop;
@@ -231,29 +232,55 @@
     // Nagle's algorithm would delay the small writes of a stream.
     let _ = stream.get_ref().set_nodelay(true);
     let _open = shared.open_connection();
-    let service = service_fn(|request| {
+    let delivery = Arc::new(AnswerDelivery::default());
+    let stream = Arc::new(stream);
+    let service = service_fn(|request: Request<Incoming>| {
+        delivery.begin_answer(request.version());
         let answer = serve(shared.clone(), request);
-        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        let delivery = delivery.clone();
+        async move {
+            let response = answer.await;
+            Ok::<_, std::convert::Infallible>(
+                response.map(|body| DeliveryBody::new(body, delivery)),
+            )
+        }
     });
+    let delivery_stream = DeliveryStream::new(stream.clone(), delivery.clone());
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(shared.settings.header_timeout)
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEADERS)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(delivery_stream), service);
     let mut connection = std::pin::pin!(connection);
     let closing = shared.closing.listen();
+    let mut is_served = false;
     if !shared.lifecycle.load().closing {
         let closed = async {
             closing.await;
-            None
+            false
         };
-        let served = async { Some(connection.as_mut().await) };
-        if future::or(served, closed).await.is_some() {
-            return;
-        }
+        let served = serve_until_flushed(&shared, connection.as_mut(), &delivery);
+        is_served = future::or(served, closed).await;
+    }
+    if !is_served {
+        // The request in flight is answered completely before the connection closes.
+        connection.as_mut().graceful_shutdown();
+        serve_until_flushed(&shared, connection.as_mut(), &delivery).await;
     }
-    // The request in flight is answered completely before the connection closes.
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    delivery.reset_if_truncated(&shared.clock, &stream).await;
+}
+
+/// Serves a connection until it ends, or its caller does not take the rest of a truncated answer. Returns true.
+async fn serve_until_flushed<C: Clock, T>(
+    shared: &NodeShared<C>,
+    connection: impl Future<Output = T>,
+    delivery: &AnswerDelivery,
+) -> bool {
+    let served = async {
+        // An error of a caller's connection concerns only the caller.
+        let _ = connection.await;
+    };
+    future::or(served, delivery.flush_expired(&shared.clock)).await;
+    true
 }
