node: whole answers of the product's own interface are judged like those of the gateway

Callers saw: half a JSON answer with status 200, from a server that states no length and closes its connection early. Cause: the same as for streams: the close was the end. Streams of this interface carry their own end mark and were not affected. Change: relay_buffered asks AnswerEnd; a broken answer is fetched again from the run. Reading the framing is shared. The callers of tests, soak and load tool take an answer without length and chunks for incomplete: a node marks the end of each answer, and a check that takes a missing end for an end can't fail.

--- a/crates/plumgate-node/src/attempt.rs
+++ b/crates/plumgate-node/src/attempt.rs
@@ -16,9 +16,11 @@
 use hyper::header::CONTENT_TYPE;
 use plumgate::attempt::{AttemptEvent, AttemptRun};
 use plumgate::config::ServerKind;
+use plumgate::gateway::{AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, ServerSign};
 use serde::Deserialize;
 
 use crate::answer::{AnswerPart, AnswerSink, BufferedAnswer};
+use crate::answer_framing::{content_end, read_framing};
 use crate::clock::Clock;
 use crate::http::OpenConnection;
 use crate::shared::{NodeShared, RequestDecision};
@@ -294,6 +296,7 @@
         sink: &mut impl AnswerSink,
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
+        let framing = read_framing(&head.headers, &body);
         let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
         let mut reading = std::pin::pin!(reading);
         let mut checks = 0;
@@ -317,6 +320,18 @@
                 other => return self.interrupted_result(other),
             }
         };
+        let end = AnswerEnd {
+            framing,
+            end: match framing {
+                AnswerFraming::Length | AnswerFraming::Chunks => BodyEnd::Marked,
+                AnswerFraming::Connection => BodyEnd::Closed,
+            },
+            content: content_end(&head.headers, framing, &body),
+        };
+        if end.verdict(ServerSign::None) == AnswerVerdict::BrokenOff {
+            self.apply(AttemptEvent::ConnectionLost);
+            return self.recover(false, sink).await;
+        }
         let tokens = count_tokens(&body);
         let content_type = head.headers.get(CONTENT_TYPE).cloned();
         let answer = BufferedAnswer {
--- a/crates/plumgate-node/src/gateway/answer.rs
+++ b/crates/plumgate-node/src/gateway/answer.rs
@@ -8,12 +8,10 @@
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING,
+    UPGRADE,
 };
 use hyper::http::response;
-use plumgate::gateway::{AnswerFraming, ContentEnd};
-use serde::de::IgnoredAny;
 
 use super::ports::WireFormat;
 use crate::body::{AnswerBody, AnswerTruncated};
@@ -25,9 +23,6 @@
 /// Non-standard header for connections to proxies.
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
-/// Media type of JSON.
-const JSON: &str = "application/json";
-
 /// Chunk of a relayed stream.
 pub(crate) type StreamChunk = Result<Frame<Bytes>, AnswerTruncated>;
 
@@ -94,29 +89,6 @@
     headers.remove(CONTENT_LENGTH);
 }
 
-/// Returns what the content of an answer that is not a stream says about its end. Only read where the framing does
-/// not mark the end.
-pub(crate) fn content_end(headers: &HeaderMap, framing: AnswerFraming, body: &[u8]) -> ContentEnd {
-    if framing != AnswerFraming::Connection || !is_json(headers) {
-        return ContentEnd::Unmarked;
-    }
-    match serde_json::from_slice::<IgnoredAny>(body) {
-        Ok(_) => ContentEnd::Whole,
-        Err(_) => ContentEnd::Part,
-    }
-}
-
-/// Returns whether the body is a JSON value.
-pub(crate) fn is_json(headers: &HeaderMap) -> bool {
-    media_type(headers).is_some_and(|media_type| media_type.eq_ignore_ascii_case(JSON))
-}
-
-/// Returns the media type of a body, without parameters.
-pub(crate) fn media_type(headers: &HeaderMap) -> Option<&str> {
-    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
-    value.split(';').next().map(str::trim)
-}
-
 /// Announces to the caller that the connection closes after this response.
 pub(crate) fn announce_close<B>(response: &mut Response<B>) {
     let close = HeaderValue::from_static("close");
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -13,16 +13,14 @@
     WorkOutcome,
 };
 
-use super::answer::{
-    GatewayBody, StreamChunk, content_end, full_body, is_json, own_answer, relayed_head,
-    stream_body,
-};
+use super::answer::{GatewayBody, StreamChunk, full_body, own_answer, relayed_head, stream_body};
 use super::attempt::{BodyTooLarge, collect_body};
 use super::metrics::ReasonLabels;
 use super::ports::{AnswerMetadata, WireFormat};
 use super::request::{AttemptOutcome, BROKEN_OFF, RESTARTED, ServerAnswer};
 use super::run::{MAX_SERVERS_TRIED, RelayRun, RetryCause};
 use super::stream::StreamRelay;
+use crate::answer_framing::{content_end, is_json};
 use crate::caller_error::CallerError;
 use crate::clock::{Clock, until};
 use crate::link::HttpLink;
--- a/crates/plumgate-node/src/gateway/server_body.rs
+++ b/crates/plumgate-node/src/gateway/server_body.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, TRANSFER_ENCODING};
+use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use plumgate::gateway::{AnswerFraming, BodyEnd};
 
+use crate::answer_framing::read_framing;
 use crate::link::HttpLink;
 
 /// Body of a server's answer.
@@ -64,21 +64,6 @@
     }
 }
 
-/// Reads how the end of a body is marked. A response that has no body counts as one of length 0.
-fn read_framing(headers: &HeaderMap, body: &Incoming) -> AnswerFraming {
-    if body.size_hint().exact().is_some() {
-        return AnswerFraming::Length;
-    }
-    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-    let last = codings
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.rsplit(',').next());
-    match last {
-        Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => AnswerFraming::Chunks,
-        _ => AnswerFraming::Connection,
-    }
-}
-
 /// Returns whether the peer closed the connection in order, before the end of the body.
 fn is_early_close(error: &hyper::Error) -> bool {
     let mut source = error.source();
--- a/crates/plumgate-node/src/gateway/stream_content.rs
+++ b/crates/plumgate-node/src/gateway/stream_content.rs
@@ -4,7 +4,7 @@
 use hyper::HeaderMap;
 use plumgate::gateway::{ContentEnd, EventSplitter};
 
-use super::answer::media_type;
+use crate::answer_framing::media_type;
 
 /// Media type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
--- a/crates/plumgate-node/src/lib.rs
+++ b/crates/plumgate-node/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod answer_framing;
 pub mod clock;
 pub mod errors;
 pub mod gateway;
--- a/crates/plumgate-standin/src/engine/options.rs
+++ b/crates/plumgate-standin/src/engine/options.rs
@@ -86,6 +86,8 @@
     pub cut_before_head: u32,
     /// Number of streams that are cut after `after_tokens`; their runs continue.
     pub cut_streams: u32,
+    /// Number of answers without streams that are sent without a length, and of which the second half is missing.
+    pub half_answers: u32,
     /// Number of streams that stay open and send nothing more after `after_tokens`; their runs continue.
     pub silent_streams: u32,
     /// Number of runs that are lost after `after_tokens`, as in a crash that loses their state.
--- a/crates/plumgate-standin/src/engine/stream.rs
+++ b/crates/plumgate-standin/src/engine/stream.rs
@@ -6,10 +6,12 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use plumgate_node::Clock;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::{MAX_BUFFERED_CHUNKS, NextEvent, StandinEngine, StreamFault, completion_body, token};
-use crate::http::{ConnectionCut, StandinBody, StandinResponse, cut, respond_json};
+use crate::http::{
+    ConnectionCut, StandinBody, StandinResponse, cut, respond_json, respond_unframed,
+};
 
 impl<C: Clock> StandinEngine<C> {
     /// Returns the answer of a run; a stream begins after event number `from`.
@@ -41,6 +43,9 @@
                 }
                 let content: String = (1..=total).map(|number| token(&digest, number)).collect();
                 let body = completion_body(id, &content, total);
+                if self.consume_fault(|faults| &mut faults.half_answers) {
+                    return Ok(half_answer(&body));
+                }
                 return Ok(respond_json(StatusCode::OK, &body));
             }
             changed.await;
@@ -159,3 +164,13 @@
         run.done.then_some(NextEvent::End)
     }
 }
+
+/// Builds a JSON answer without a length, of which the second half is missing.
+fn half_answer(body: &Value) -> StandinResponse {
+    let mut text = body.to_string();
+    text.truncate(text.len() / 2);
+    let mut response = respond_unframed(StatusCode::OK, text.into());
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
--- a/crates/plumgate-standin/src/http.rs
+++ b/crates/plumgate-standin/src/http.rs
@@ -17,7 +17,9 @@
 use hyper::client::conn::http1::handshake;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Version};
+use plumgate::gateway::AnswerFraming;
+use plumgate_node::answer_framing::read_framing;
 use smol_hyper::rt::FuturesIo;
 
 /// Error of a handler or body that makes the server cut the connection.
@@ -81,6 +83,17 @@
     response
 }
 
+/// Builds a response without a length, which ends with its connection.
+pub fn respond_unframed(status: StatusCode, body: Bytes) -> StandinResponse {
+    let (sender, receiver) = async_channel::bounded(1);
+    // The channel has room for the only chunk.
+    let _ = sender.try_send(Ok(body));
+    let mut response = Response::new(StandinBody::Streamed(Box::pin(receiver)));
+    *response.status_mut() = status;
+    *response.version_mut() = Version::HTTP_10;
+    response
+}
+
 /// Builds a complete JSON response.
 pub fn respond_json(status: StatusCode, body: &serde_json::Value) -> StandinResponse {
     let mut response = respond(status, body.to_string());
@@ -261,7 +274,8 @@
             .map_err(io::Error::other)?;
         let (head, mut incoming) = response.into_parts();
         let mut body = Vec::new();
-        let mut complete = true;
+        // A node marks the end of each answer.
+        let mut complete = read_framing(&head.headers, &incoming) != AnswerFraming::Connection;
         while let Some(frame) = incoming.frame().await {
             let Ok(frame) = frame else {
                 complete = false;
--- a/crates/plumgate-standin/tests/own_answer.rs
+++ b/crates/plumgate-standin/tests/own_answer.rs
@@ -92,6 +92,15 @@
     assert_eq!(answer_content(&answer), expected_content("whole", 40));
 }
 
+/// Guards against half an answer that looks complete because it ends with its connection.
+#[test]
+fn half_answer_without_a_length_is_fetched_again() {
+    let fleet = FleetPlan::new().start();
+    fleet.set_faults(fleet.engines[0].direct, &json!({ "half_answers": 1 }));
+    let answer = fleet.call_node(0, &model_call("norte", "caption", "whole", 12, false));
+    assert_eq!(answer_content(&answer), expected_content("whole", 12));
+}
+
 // The only engine crashes during a stream. The caller has some tokens, and no other run can continue from them; it
 // must get an error and a truncated answer, never an end mark.
 #[test]
