plumgate: key-digest refuses an empty input

Callers saw: if the command before in a pipe failed, the digest of an empty key was printed with exit code 0. Change: exit code 2 and 'standard input has no key'.

--- a/crates/plumgate-cli/src/commands.rs
+++ b/crates/plumgate-cli/src/commands.rs
@@ -44,7 +44,11 @@
     let mut key = String::new();
     let read = std::io::stdin().read_line(&mut key);
     read.map_err(|error| Error::File("standard input".to_owned(), error))?;
-    print_line(key_digest(key.trim()));
+    let key = key.trim();
+    if key.is_empty() {
+        return Err(Error::NoKey);
+    }
+    print_line(key_digest(key));
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/plumgate-cli/src/errors.rs
+++ b/crates/plumgate-cli/src/errors.rs
@@ -29,6 +29,8 @@
     NoServer(String),
     /// version {0} is not in force in: {1}
     NotInForce(u64, String),
+    /// standard input has no key
+    NoKey,
     /// no node answers at the addresses given by --nodes
     NoNode,
 }
@@ -39,7 +41,7 @@
     /// Returns the exit code, as listed in the operators' documentation.
     pub(crate) fn exit_code(&self) -> ExitCode {
         let code = match self {
-            Self::Findings(_) | Self::File(..) | Self::NoServer(_) => 2,
+            Self::Findings(_) | Self::File(..) | Self::NoServer(_) | Self::NoKey => 2,
             Self::Conflict(..) => 3,
             Self::NotApplied | Self::NoNode => 4,
             Self::InDoubt(_) => 5,
