plumgated: a settings file counts once two reads agree

The settings file has no end mark; a read while it is written sees a shorter file, in which the last number is cut (graceS=1 of 12) and missing bounds take their defaults. Besides, the content that was compared and the content that was applied came from two reads, and changes between the start and the first look were not seen. Change: SettledText decides without I/O: a changed content is read again after 100 ms and applied once it is the same. The watch starts from the content that was applied at the start. The daemon was not seen to apply half a file: the cause was found by reading.

--- a/crates/plumgate/src/lib.rs
+++ b/crates/plumgate/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod outcome;
 pub mod retry;
 pub mod route;
+pub mod settled_text;
 pub mod store_version;
 pub(crate) mod token_bucket;
 pub mod wire;
--- a/crates/plumgated/src/gateway.rs
+++ b/crates/plumgated/src/gateway.rs
@@ -11,6 +11,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use futures_lite::{StreamExt, future};
 use plumgate::gateway::{PlacementPolicy, PolicyPart, PolicySwitches};
+use plumgate::settled_text::SettledText;
 use plumgate_node::SystemClock;
 use plumgate_node::gateway::{GatewayHandle, GatewayNode, HostTranslation};
 use plumgate_node::log::{EventLog, LogLine, stdout_log};
@@ -22,6 +23,8 @@
 
 /// Interval at which the settings file is checked for changes that no signal announced.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval between two reads of the settings file while its content changes.
+const SETTINGS_SETTLE_TIME: Duration = Duration::from_millis(100);
 /// Time for the log's thread to write the last lines before the process exits.
 const LOG_FLUSH_TIME: Duration = Duration::from_millis(50);
 
@@ -86,8 +89,8 @@
     let Some(path) = matches.get_one::<PathBuf>("settings") else {
         return ExitCode::from(EXIT_SETTINGS);
     };
-    let settings = match load_settings(path) {
-        Ok(settings) => settings,
+    let (settings, file) = match load_settings(path) {
+        Ok(loaded) => loaded,
         Err(error) => {
             eprintln!("plumgated: {error}");
             return ExitCode::from(EXIT_SETTINGS);
@@ -95,7 +98,7 @@
     };
     match start(settings, matches) {
         Ok((node, log)) => {
-            let watcher = watch_signals_and_settings(node.handle(), path.clone(), log);
+            let watcher = watch_signals_and_settings(node.handle(), path.clone(), file, log);
             let spawned = std::thread::Builder::new()
                 .name("signals".to_owned())
                 .spawn(move || async_io::block_on(watcher));
@@ -157,10 +160,17 @@
     found.map(|(_, value)| *value)
 }
 
-fn load_settings(path: &Path) -> Result<PlatformSettings, String> {
-    let text = std::fs::read_to_string(path)
+/// Reads the settings file and its content, which is in force from then on.
+fn load_settings(path: &Path) -> Result<(PlatformSettings, SettledText), String> {
+    let bytes = std::fs::read(path)
         .map_err(|error| format!("{} can't be read: {error}", path.display()))?;
-    read_settings(&text).map_err(|findings| findings.to_string())
+    let settings = parse_settings(&bytes)?;
+    Ok((settings, SettledText::new(bytes)))
+}
+
+fn parse_settings(bytes: &[u8]) -> Result<PlatformSettings, String> {
+    let text = std::str::from_utf8(bytes).map_err(|error| format!("not text: {error}"))?;
+    read_settings(text).map_err(|findings| findings.to_string())
 }
 
 /// Reason for which [`watch_signals_and_settings`] wakes up.
@@ -170,22 +180,32 @@
 }
 
 /// Stops the node on SIGTERM and SIGINT, and reloads its settings on SIGHUP or when the file has changed.
-async fn watch_signals_and_settings(handle: GatewayHandle, path: PathBuf, log: EventLog) {
+async fn watch_signals_and_settings(
+    handle: GatewayHandle,
+    path: PathBuf,
+    mut file: SettledText,
+    log: EventLog,
+) {
     let Ok(mut signals) = Signals::new([Signal::Term, Signal::Int, Signal::Hup]) else {
         LogLine::new("signals_unheard").warn(&log);
         return;
     };
-    let mut current = std::fs::read(&path).unwrap_or_default();
+    let mut is_requested = false;
     loop {
+        let interval = if file.is_pending() || is_requested {
+            SETTINGS_SETTLE_TIME
+        } else {
+            SETTINGS_POLL_INTERVAL
+        };
         let signal = async { WakeReason::Signal(signals.next().await) };
         let poll = async {
-            Timer::after(SETTINGS_POLL_INTERVAL).await;
+            Timer::after(interval).await;
             WakeReason::Poll
         };
         match future::or(signal, poll).await {
             WakeReason::Signal(Some(Ok(Signal::Hup))) => {
-                current = std::fs::read(&path).unwrap_or_default();
-                reload(&handle, &path, &log);
+                is_requested = true;
+                record_read(&mut file, &path, &log);
             }
             WakeReason::Signal(Some(Ok(signal))) => {
                 LogLine::new("signal")
@@ -196,19 +216,33 @@
             WakeReason::Signal(Some(Err(_))) => {}
             WakeReason::Signal(None) => return,
             WakeReason::Poll => {
-                let text = std::fs::read(&path).unwrap_or_default();
-                if text != current {
-                    current = text;
-                    reload(&handle, &path, &log);
+                let is_new = record_read(&mut file, &path, &log);
+                // A signal asks for a reload also where the content is the same.
+                if is_new || is_requested && !file.is_pending() {
+                    is_requested = false;
+                    reload(&handle, file.applied(), &log);
                 }
             }
         }
     }
 }
 
+/// Reads the settings file. Returns whether its content is new and complete.
+fn record_read(file: &mut SettledText, path: &Path, log: &EventLog) -> bool {
+    match std::fs::read(path) {
+        Ok(bytes) => file.record_read(bytes).is_some(),
+        Err(error) => {
+            LogLine::new("reload_refused")
+                .with("error", error)
+                .warn(log);
+            false
+        }
+    }
+}
+
 /// Reloads the settings; invalid settings are logged, and those in force stay.
-fn reload(handle: &GatewayHandle, path: &Path, log: &EventLog) {
-    match load_settings(path) {
+fn reload(handle: &GatewayHandle, bytes: &[u8], log: &EventLog) {
+    match parse_settings(bytes) {
         Ok(settings) => handle.reload(settings.options.bounds),
         Err(error) => LogLine::new("reload_refused")
             .with("error", error)
