--- a/crates/plumgate/tests/gateway_sync.rs
+++ b/crates/plumgate/tests/gateway_sync.rs
@@ -8,7 +8,7 @@
 
 use plumgate::gateway::{
     ExchangeMoment, LoadExchange, ServerEntry, ServerState, ServerTable, ServerUpdate, SourceTopic,
-    SyncRequest, SyncResponse, SyncState,
+    StateSnapshot, SyncRequest, SyncResponse, SyncState,
 };
 
 use entries::{node_entries, server_entry};
@@ -555,3 +555,18 @@
     bench.rounds(20);
     assert_eq!(bench.reads, 20, "one node, once per round");
 }
+
+/// Guards against a part of a snapshot that is taken for all of it.
+#[test]
+fn snapshot_that_is_cut_at_any_byte_is_refused() {
+    let entries: Vec<_> = (0..3)
+        .map(|number| server_entry(&format!("s{number}")))
+        .collect();
+    let snapshot = StateSnapshot::new(entries, ms(20));
+    let bytes = snapshot.encode().expect("a snapshot");
+    assert_eq!(StateSnapshot::decode(&bytes), Ok(snapshot));
+    for cut in 0..bytes.len() {
+        let decoded = StateSnapshot::<Vec<ServerEntry>>::decode(&bytes[..cut]);
+        assert!(decoded.is_err(), "cut at {cut}");
+    }
+}
