--- a/crates/plumgate-node/src/caller_stream.rs
+++ b/crates/plumgate-node/src/caller_stream.rs
@@ -7,7 +7,7 @@
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -21,8 +21,8 @@
 
 use crate::clock::Clock;
 
-/// Time for which a truncated answer waits for a caller that does not read.
-const MAX_FLUSH_TIME: Duration = Duration::from_secs(2);
+/// Time for which a truncated answer waits for a caller that reads nothing.
+const MAX_STALL: Duration = Duration::from_secs(2);
 /// Time between the last bytes and a reset, which discards what has not been received.
 const RESET_DELAY: Duration = Duration::from_millis(100);
 
@@ -33,6 +33,8 @@
     has_unsent: AtomicBool,
     /// Whether the current answer ends with its connection.
     ends_with_connection: AtomicBool,
+    /// Number of writes that the operating system has accepted.
+    writes: AtomicU64,
     is_truncated: AtomicBool,
     truncated: Event,
     sent: AtomicWaker,
@@ -56,6 +58,10 @@
         self.sent.wake();
     }
 
+    fn on_write(&self) {
+        self.writes.fetch_add(1, Ordering::Relaxed);
+    }
+
     fn on_truncation(&self) {
         self.is_truncated.store(true, Ordering::SeqCst);
         self.truncated.notify(usize::MAX);
@@ -71,13 +77,19 @@
         }
     }
 
-    /// Completes when a truncated answer has waited for its caller for too long.
+    /// Completes when the caller of a truncated answer has read nothing for too long.
     pub(crate) async fn flush_expired<C: Clock>(&self, clock: &C) {
         let truncated = self.truncated.listen();
         if !self.is_truncated.load(Ordering::SeqCst) {
             truncated.await;
         }
-        clock.sleep(MAX_FLUSH_TIME).await;
+        loop {
+            let writes = self.writes.load(Ordering::Relaxed);
+            clock.sleep(MAX_STALL).await;
+            if writes == self.writes.load(Ordering::Relaxed) {
+                return;
+            }
+        }
     }
 
     /// Resets a connection whose last answer was truncated, if a close would make the answer look complete.
@@ -122,7 +134,9 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut &*self.stream).poll_write(context, buffer)
+        let written = ready!(Pin::new(&mut &*self.stream).poll_write(context, buffer))?;
+        self.delivery.on_write();
+        Poll::Ready(Ok(written))
     }
 
     /// Is called by the HTTP connection once it has written all its bytes.
