gateway: an answer without framing that ends while other requests at its server break has broken off

Callers saw: streams without framing whose server crashed just after an event looked complete. Cause: nothing in such an answer marks its end. What else is at hand at no cost was not asked: the other requests of the node at that server, which fail in the same moment. Change: a server's incarnation counts requests in flight and keeps the time of their last failure (two atomics, no lock). The end of an answer that nothing marks waits up to 10 ms if others are in flight there, and counts as broken off if one of them failed within 10 ms. Alone at a server, or if all others end after an event too, it can't be told: the answer counts as complete. Answers with a length or chunks are not concerned.

--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -88,6 +88,7 @@
         permit: Option<SendPermit>,
     ) -> Self {
         let incarnation = shared.incarnations.current(ticket.server());
+        incarnation.begin_request();
         Self {
             shared,
             server: pick.server.clone(),
@@ -167,6 +168,11 @@
 impl<C: Clock, W: WireFormat> Drop for WorkGuard<C, W> {
     fn drop(&mut self) {
         let now = self.shared.clock.now();
+        self.incarnation.end_request();
+        if matches!(self.outcome, WorkOutcome::Broken | WorkOutcome::Refused) {
+            let boot_time = self.shared.clock.boot_time();
+            self.incarnation.record_failure(boot_time);
+        }
         if let Some(permit) = self.permit.take() {
             self.shared.statements().limits.return_permit(permit);
         }
--- a/crates/plumgate-node/src/gateway/incarnations.rs
+++ b/crates/plumgate-node/src/gateway/incarnations.rs
@@ -6,18 +6,26 @@
 //! are ended then, as requests that may have run.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use event_listener::Event;
 use futures_lite::future;
+use plumgate::gateway::{BootTime, FAILURE_WINDOW, FailureEvidence, ServerSign};
 use plumgate::ids::ServerId;
 
+use crate::clock::{Clock, until};
+
 /// Incarnation of a server.
 #[derive(Debug, Default)]
 pub(crate) struct ServerIncarnation {
     has_ended: AtomicBool,
     ended: Event,
+    /// Number of requests in flight.
+    in_flight: AtomicU64,
+    /// Time of the last failure of a request, in microseconds since the VM started; 0 before the first one.
+    last_failure_us: AtomicU64,
+    failed: Event,
 }
 
 impl ServerIncarnation {
@@ -37,6 +45,45 @@
         future::or(work, ended).await
     }
 
+    /// Counts a request that is about to be sent.
+    pub(crate) fn begin_request(&self) {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Counts a request that has ended.
+    pub(crate) fn end_request(&self) {
+        self.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    /// Records that a request failed as if the server had failed.
+    pub(crate) fn record_failure(&self, now: BootTime) {
+        let now = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
+        self.last_failure_us.store(now, Ordering::SeqCst);
+        self.failed.notify(usize::MAX);
+    }
+
+    /// Waits until it is known whether the server failed when one of its answers ended, which is now.
+    pub(crate) async fn failure_sign<C: Clock>(&self, clock: &C) -> ServerSign {
+        let ended_at = clock.boot_time();
+        let deadline = clock.now() + FAILURE_WINDOW;
+        loop {
+            let failed = self.failed.listen();
+            match self.evidence().sign(ended_at, clock.boot_time()) {
+                ServerSign::Awaited => {}
+                sign => return sign,
+            }
+            let _ = until(clock, deadline, failed).await;
+        }
+    }
+
+    fn evidence(&self) -> FailureEvidence {
+        let last_failure = self.last_failure_us.load(Ordering::SeqCst);
+        FailureEvidence {
+            last_failure: (last_failure != 0).then(|| BootTime::from_micros(last_failure)),
+            has_others: self.in_flight.load(Ordering::SeqCst) > 1,
+        }
+    }
+
     /// Returns whether the server has restarted since.
     pub(crate) fn has_ended(&self) -> bool {
         self.has_ended.load(Ordering::SeqCst)
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -251,7 +251,8 @@
             end,
             content: content_end(&answer.head.headers, framing, &body),
         };
-        if self.judge_answer(end, 0) == AnswerVerdict::BrokenOff {
+        let verdict = self.judge_answer(end, 0, &incarnation).await;
+        if verdict == AnswerVerdict::BrokenOff {
             return self.after_broken_answer(answer, end.end).await;
         }
         let status = answer.head.status;
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -6,6 +6,7 @@
 use plumgate::RunOutcome;
 use plumgate::gateway::{AnswerEnd, AnswerVerdict, ServerPick, ServerSign};
 
+use super::incarnations::ServerIncarnation;
 use super::metrics::{AnswerEndLabels, OutcomeLabels, ReasonLabels};
 use super::ports::WireFormat;
 use super::run::RelayRun;
@@ -48,8 +49,17 @@
 
     /// Decides whether the current server's answer is complete, and records how it ended; `left_over` bytes follow
     /// its last complete event.
-    pub(crate) fn judge_answer(&mut self, end: AnswerEnd, left_over: usize) -> AnswerVerdict {
-        let verdict = end.verdict(ServerSign::None);
+    pub(crate) async fn judge_answer(
+        &mut self,
+        end: AnswerEnd,
+        left_over: usize,
+        server: &ServerIncarnation,
+    ) -> AnswerVerdict {
+        let mut verdict = end.verdict(ServerSign::Awaited);
+        if verdict == AnswerVerdict::Undecided {
+            let sign = server.failure_sign(&self.shared.clock).await;
+            verdict = end.verdict(sign);
+        }
         let labels = AnswerEndLabels {
             framing: end.framing.as_str(),
             end: end.end.as_str(),
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -177,7 +177,7 @@
             content: self.content.end(),
         };
         let left_over = self.content.partial().len();
-        match self.run.judge_answer(end, left_over) {
+        match self.run.judge_answer(end, left_over, &incarnation).await {
             AnswerVerdict::Complete => StreamInput::End,
             AnswerVerdict::BrokenOff | AnswerVerdict::Undecided => failure,
         }
--- a/crates/plumgate/src/gateway/answer_end.rs
+++ b/crates/plumgate/src/gateway/answer_end.rs
@@ -3,6 +3,13 @@
 //! The end of the bytes is not the end of the message: an answer is complete only if its framing, or its content and
 //! what is known of its server, say so.
 
+use std::time::Duration;
+
+use super::rate_limit::BootTime;
+
+/// Longest time between the failures of two requests that one failure of their server causes.
+pub const FAILURE_WINDOW: Duration = Duration::from_millis(10);
+
 /// Way in which the end of an answer's body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerFraming {
@@ -98,6 +105,31 @@
     Failed,
 }
 
+/// Failures of a server's other requests, as far as a node knows them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FailureEvidence {
+    /// Time of the last one.
+    pub last_failure: Option<BootTime>,
+    /// Whether others are in flight, which would fail together with the server.
+    pub has_others: bool,
+}
+
+impl FailureEvidence {
+    /// Returns whether the server failed when one of its answers ended.
+    pub fn sign(&self, ended_at: BootTime, now: BootTime) -> ServerSign {
+        let failed_then = self
+            .last_failure
+            .is_some_and(|at| at.abs_diff(ended_at) <= FAILURE_WINDOW);
+        if failed_then {
+            ServerSign::Failed
+        } else if self.has_others && now.saturating_sub(ended_at) < FAILURE_WINDOW {
+            ServerSign::Awaited
+        } else {
+            ServerSign::None
+        }
+    }
+}
+
 /// Whether an answer is complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerVerdict {
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -24,7 +24,10 @@
 pub use admission::{
     AdmissionDecision, AdmissionPolicy, FreshnessLease, QueuePrediction, WindowBudget,
 };
-pub use answer_end::{AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, ContentEnd, ServerSign};
+pub use answer_end::{
+    AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, ContentEnd, FAILURE_WINDOW, FailureEvidence,
+    ServerSign,
+};
 pub use config::{
     CallerLimits, GatewayConfig, GatewayRoute, KeyOwner, PoolSplit, RepeatKind, RouteMatch,
     StreamClass,
--- a/crates/plumgate/tests/answer_end.rs
+++ b/crates/plumgate/tests/answer_end.rs
@@ -1,7 +1,10 @@
 //! Decision whether an answer is complete.
 
+use std::time::Duration;
+
 use plumgate::gateway::{
-    AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, ContentEnd, EventSplitter, ServerSign,
+    AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, ContentEnd, EventSplitter, FailureEvidence,
+    ServerSign,
 };
 use quickcheck::quickcheck;
 
@@ -77,6 +80,26 @@
     cases
 }
 
+/// Guards against sound answers that wait although nothing can be learned, and against a failure long before or after.
+#[test]
+fn failures_at_the_same_moment_are_a_sign() {
+    let ms = Duration::from_millis;
+    let sign = |last_failure: Option<u64>, has_others, now| {
+        let evidence = FailureEvidence {
+            last_failure: last_failure.map(ms),
+            has_others,
+        };
+        evidence.sign(ms(1_000), ms(now))
+    };
+    assert_eq!(sign(None, false, 1_000), ServerSign::None);
+    assert_eq!(sign(None, true, 1_000), ServerSign::Awaited);
+    assert_eq!(sign(None, true, 1_010), ServerSign::None);
+    assert_eq!(sign(Some(995), false, 1_000), ServerSign::Failed);
+    assert_eq!(sign(Some(1_008), true, 1_009), ServerSign::Failed);
+    assert_eq!(sign(Some(900), true, 1_000), ServerSign::Awaited);
+    assert_eq!(sign(Some(900), false, 1_000), ServerSign::None);
+}
+
 fn content_end(text: &str) -> ContentEnd {
     let mut splitter = EventSplitter::new(None);
     splitter.push(text.as_bytes());
