placement: whole places of brittle servers for each node

Cause: near the room of a brittle server each node drew for a share of less than one request; with 64 nodes chance sent more than the room, and with few nodes it left places unused and refused at low load. Change: the slots of a pool's brittle servers are dealt out as whole places in the order of the nodes' names; a node uses its own at any time and free ones of others as far as a fifth of the room stays free. Not played between processes yet.

--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -131,6 +131,11 @@
         self.peers.count()
     }
 
+    /// Returns the rank of this node among all known ones.
+    pub fn node_rank(&self) -> usize {
+        self.peers.rank()
+    }
+
     /// Returns whether this node is the collector of its data centre.
     pub fn is_collector(&self) -> bool {
         self.peers.collector().is_none()
--- a/crates/plumgate/src/gateway/exchange/peers.rs
+++ b/crates/plumgate/src/gateway/exchange/peers.rs
@@ -347,6 +347,11 @@
         self.peer_count(&self.own.data_centre) + 1
     }
 
+    /// Returns the rank of this node among all known nodes, by id.
+    pub(crate) fn rank(&self) -> usize {
+        self.peers.range(..self.own.node.clone()).count()
+    }
+
     /// Returns the number of known nodes of the fleet, this one included. Nodes that registered since this one
     /// read the register are known to their collectors, which report their number.
     pub(crate) fn count(&self) -> usize {
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -12,6 +12,7 @@
 use super::groups::{GroupShares, ServerGroups};
 use super::prefill_speed::PrefillSpeeds;
 use super::server_load::{CostPrediction, ServerLoad, TokenCosts};
+use super::server_room::PlaceShare;
 use crate::duty::{CapacityType, PoolLoad};
 use crate::gateway::config::StreamClass;
 use crate::gateway::exchange::LoadExchange;
@@ -126,12 +127,21 @@
                 .push(location.part);
         }
         let counts_peers = self.has(PolicyPart::Exchange);
-        let nodes = exchange.node_count();
+        let nodes = exchange.node_count().max(1);
+        let rank = exchange.node_rank().min(nodes - 1);
+        let mut slots_before: HashMap<PoolId, usize> = HashMap::new();
         for load in self.servers.values_mut() {
             if counts_peers {
                 load.peers = exchange.peer_work(&load.entry, now);
             }
-            load.begin_round(nodes, self.rng.f64());
+            let dealt = slots_before.entry(load.entry.pool.clone()).or_default();
+            let share = PlaceShare {
+                nodes,
+                rank,
+                slots_before: *dealt,
+            };
+            *dealt += load.entry.slots as usize;
+            load.begin_round(share, self.rng.f64());
             // Looked up by server: comparing each location with each server is too much work for a small VM.
             for part in parts.remove(&server_key(&load.entry)).unwrap_or_default() {
                 load.record_part(part, now);
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::choice::{PlacementOptions, PlacementRequest, SendDeferral};
-use super::server_room::ServerRoom;
+use super::server_room::{PlaceShare, ServerRoom};
 use crate::gateway::config::StreamClass;
 use crate::gateway::prompt::{MIN_TRACKED_TOKENS, PromptShape};
 use crate::gateway::rate_limit::RequestRate;
@@ -262,10 +262,10 @@
         }
     }
 
-    /// Starts a round of the exchange between this many nodes.
-    pub(crate) fn begin_round(&mut self, nodes: usize, draw: f64) {
+    /// Starts a round of the exchange.
+    pub(crate) fn begin_round(&mut self, share: PlaceShare, draw: f64) {
         if let Some(room) = &mut self.room {
-            room.begin_round(self.own.in_flight, nodes, draw);
+            room.begin_round(self.own.in_flight, share, draw);
         }
     }
 
--- a/crates/plumgate/src/gateway/placement/server_room.rs
+++ b/crates/plumgate/src/gateway/placement/server_room.rs
@@ -9,13 +9,33 @@
 const REDUCTION: f64 = 0.95;
 /// Share of the server's slots by which its known capacity grows each second without a rejection.
 const GROWTH_PER_SECOND: f64 = 0.05;
-/// Share of the known capacity in use from which on the nodes divide the rest.
-const DIVIDED_SHARE: f64 = 0.5;
-/// Time after a rejection, and after the server was first seen, for which the nodes divide the rest in any case.
-const DIVIDED_TIME: Duration = Duration::from_secs(3);
+/// Time after a rejection, and after the server was first seen, in which each node uses its own places only.
+const PRIVATE_TIME: Duration = Duration::from_millis(1_500);
+/// Share of the known capacity that stays free while nodes use places of others.
+const FREE_SHARE: f64 = 0.2;
 /// Rounds of the exchange until a node's requests are known to all others.
 const STALE_ROUNDS: f64 = 3.0;
 
+/// Position of a node among those that send to a server. All nodes derive their places from it without messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PlaceShare {
+    /// Number of nodes, this one included.
+    pub(crate) nodes: usize,
+    /// Rank of this node among them.
+    pub(crate) rank: usize,
+    /// Slots of the servers that come before this one: the places of all servers are dealt out as one sequence, so
+    /// that each node has as many.
+    pub(crate) slots_before: usize,
+}
+
+impl PlaceShare {
+    /// Returns how many places of a server of this capacity are this node's own.
+    fn places(&self, capacity: usize) -> usize {
+        let dealt = |end: usize| (end + self.nodes - 1 - self.rank) / self.nodes;
+        dealt(self.slots_before + capacity) - dealt(self.slots_before)
+    }
+}
+
 /// Room of one server.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerRoom {
@@ -24,12 +44,11 @@
     capacity: f64,
     capacity_at: Instant,
     rejected_at: Option<Instant>,
-    /// Until when the nodes divide the room in any case.
-    divided_until: Instant,
+    /// Until when this node uses its own places only.
+    private_until: Instant,
     /// This node's requests in flight as of the last round of the exchange.
     own_at_round: u32,
-    /// Number of nodes, this one included.
-    nodes: usize,
+    share: PlaceShare,
     /// Random number from 0 to 1 that changes each round: it decides whether this node gets a fractional share.
     draw: f64,
 }
@@ -43,17 +62,21 @@
             capacity: slots,
             capacity_at: now,
             rejected_at: None,
-            divided_until: now + DIVIDED_TIME,
+            private_until: now + PRIVATE_TIME,
             own_at_round: 0,
-            nodes: 1,
+            share: PlaceShare {
+                nodes: 1,
+                rank: 0,
+                slots_before: 0,
+            },
             draw: 0.5,
         }
     }
 
     /// Starts a round of the exchange.
-    pub(crate) fn begin_round(&mut self, own: u32, nodes: usize, draw: f64) {
+    pub(crate) fn begin_round(&mut self, own: u32, share: PlaceShare, draw: f64) {
         self.own_at_round = own;
-        self.nodes = nodes.max(1);
+        self.share = share;
         self.draw = draw;
     }
 
@@ -71,7 +94,7 @@
             self.capacity_at = now;
         }
         self.rejected_at = Some(now);
-        self.divided_until = now + DIVIDED_TIME;
+        self.private_until = now + PRIVATE_TIME;
     }
 
     fn is_closed(&self, now: Instant) -> bool {
@@ -85,14 +108,16 @@
             return false;
         }
         let capacity = self.capacity(now);
-        if f64::from(own + peers) + 1.0 > capacity.max(1.0) {
+        let places = self.share.places(capacity as usize);
+        if (own as usize) < places {
+            return true;
+        }
+        if now < self.private_until {
             return false;
         }
         let known = f64::from(self.own_at_round + peers);
-        if known < capacity * DIVIDED_SHARE && now >= self.divided_until {
-            return true;
-        }
-        let share = (capacity - known).max(0.0) / (self.nodes as f64 * STALE_ROUNDS);
+        let free = (capacity * (1.0 - FREE_SHARE) - known).max(0.0);
+        let share = free / (self.share.nodes as f64 * STALE_ROUNDS);
         let allowed = share.floor() + f64::from(u8::from(self.draw < share.fract()));
         f64::from(own.saturating_sub(self.own_at_round)) < allowed
     }
