placement: servers that have not answered yet count as brittle like the others of their pool

Cause: nodes that knew one server of a pool as brittle sent a burst to another one that had not answered them, which had to reject 7 requests within milliseconds and crashed. Only servers that came later counted as brittle until they answered. Change: each time that a server becomes known as brittle, so do those of its pool that have not answered this node.

--- a/crates/plumgate/src/gateway/placement/candidates.rs
+++ b/crates/plumgate/src/gateway/placement/candidates.rs
@@ -1,6 +1,7 @@
 //! Selection of the servers that may receive a request, by what they reported themselves and by what this
 //! node observed of them.
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use super::choice::{PlacementRequest, SendDeferral};
@@ -100,16 +101,29 @@
         if let Some(load) = self.servers.get_mut(server) {
             load.set_brittle(is_brittle, now);
         }
+        self.set_untried_brittle(now);
+    }
+
+    /// Counts servers that have not answered this node as brittle if another one of their pool is: the first burst
+    /// would find out too late.
+    fn set_untried_brittle(&mut self, now: Instant) {
+        let brittle = self.servers.values().filter(|load| load.is_brittle());
+        let pools: BTreeSet<PoolId> = brittle.map(|load| load.entry.pool.clone()).collect();
+        for load in self.servers.values_mut() {
+            if load.answered_at.is_none() && pools.contains(&load.entry.pool) {
+                load.set_brittle(true, now);
+            }
+        }
     }
 
     /// Sets which servers are brittle. `boot` and `now` are the same moment on the two clocks.
     pub fn set_all_brittle(&mut self, brittle: &BrittleTable, boot: BootTime, now: Instant) {
         for load in self.servers.values_mut() {
             let is_brittle = brittle.limit(load.incarnation(), boot).is_some();
-            // A new server counts as brittle like the others of its pool until it answers.
             let is_untried = load.answered_at.is_none() && load.is_brittle();
             load.set_brittle(is_brittle || is_untried, now);
         }
+        self.set_untried_brittle(now);
     }
 
     /// Records that other nodes' requests were rejected by brittle servers for want of room.
