tests: the engine that runs the request is killed, not whichever comes first

Cause: a race in the test. Both engines got a fault that exits their process after five tokens (25 ms), and the test took it off the second one 20 ms after the call began. The placement of the first attempt is a tie (260 ms each). When engine-2 came first and the call to its fault page came late, both engines exited: the log of the failed run has attempt 1 at engine-2 and attempt 2 at engine-1, each broken off, and the call to /faults ends with IncompleteMessage. When that call came in time, no engine crashed and the test checked nothing. The product answered truthfully in both cases. Change: the engine that generates tokens is killed, and the other one must have generated all 50. This is stricter: a crash and a second run occur in every run. The fault "crash" of the stand-in has no user any more and is removed.

--- a/crates/plumgate-standin/src/engine.rs
+++ b/crates/plumgate-standin/src/engine.rs
@@ -380,9 +380,9 @@
         self.clock.sleep(time.mul_f64(factor)).await;
     }
 
-    /// Generates one token; returns whether it was the last one. Exits the process if the `crash` fault applies.
+    /// Generates one token; returns whether it was the last one.
     fn produce_token(&self, id: &str) -> bool {
-        let crashes = {
+        {
             let mut state = self.state_mut();
             state.tokens += 1;
             let faults = state.faults.clone();
@@ -397,10 +397,6 @@
                 run.done = true;
                 state.faults.lose_runs -= 1;
             }
-            faults.crash && reached
-        };
-        if crashes {
-            std::process::exit(3);
         }
         self.changed.notify(usize::MAX);
         self.state().runs.get(id).is_none_or(|run| run.done)
--- a/crates/plumgate-standin/src/engine/options.rs
+++ b/crates/plumgate-standin/src/engine/options.rs
@@ -96,8 +96,6 @@
     pub wrong_ids: u32,
     /// Number of resumed streams that repeat events that were already sent.
     pub repeat_events: u32,
-    /// Whether the process exits when a run reaches `after_tokens`.
-    pub crash: bool,
     /// Number of tokens after which the faults of streams and runs take effect.
     pub after_tokens: u32,
     /// Factor on all generation times; 0 means 1.
--- a/crates/plumgate-standin/tests/own_answer.rs
+++ b/crates/plumgate-standin/tests/own_answer.rs
@@ -5,7 +5,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use fleet::{FleetPlan, answer_content, expected_content, model_call, outcome, spawn_call};
+use fleet::{Fleet, FleetPlan, answer_content, expected_content, model_call, outcome, spawn_call};
 use plumgate_standin::load::stream_content;
 use serde_json::json;
 
@@ -126,22 +126,26 @@
 // caption may run again, and its caller must get a complete answer from the other engine.
 #[test]
 fn non_streamed_answer_of_a_crashed_engine_comes_from_another() {
-    let fleet = FleetPlan::new()
-        .with_engines(2, 4, 5)
+    let mut fleet = FleetPlan::new()
+        .with_engines(2, 4, 30)
         .with_nodes(&["dc-a"])
         .start();
-    for engine in &fleet.engines {
-        fleet.set_faults(engine.direct, &json!({ "crash": true, "after_tokens": 5 }));
-    }
     let caller = spawn_call(
         fleet.nodes[0].callers,
         model_call("norte", "caption", "again", 50, false),
     );
-    sleep(Duration::from_millis(20));
-    let second = &fleet.engines[1];
-    fleet.set_faults(second.direct, &json!({}));
+    let tokens = |fleet: &Fleet, engine: usize| {
+        let counts = fleet.counts(fleet.engines[engine].direct);
+        counts["tokens"].as_u64().expect("a count")
+    };
+    fleet.wait_until("an engine generates", |fleet| {
+        tokens(fleet, 0) + tokens(fleet, 1) > 0
+    });
+    let busy = usize::from(tokens(&fleet, 1) > 0);
+    fleet.engines[busy].process.kill();
     let answer = caller.join().expect("no panic").expect("an answer");
     assert_eq!(answer_content(&answer), expected_content("again", 50));
+    assert_eq!(tokens(&fleet, 1 - busy), 50);
 }
 
 // An engine returns the head of another request's answer, as after a mix-up on a reused connection. No caller may
