placement: nodes lend each other idle places at brittle servers

Cause: each node has three places of its own. Those of others that are free were used by reported load only, which is 0.1 to 0.3 s old, and by shares that had to be so small (a fifth kept free, divided by all nodes and three rounds) that they came to a tenth of a place a round. Each use of a place that its owner may use as well ends in a rejection of the owner's next request. Change: a node whose requests wait for room asks three others, chosen at random, in each round; one with an idle place and no waiting requests lends it and doesn't use it meanwhile. Shares by reported load are gone. Messages go sealed, as a new kind of statement message: a node of an earlier build counts them as refused and lends nothing. Metrics lent_places, borrowed_places.

--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -8,7 +8,9 @@
 
 use async_executor::LocalExecutor;
 use async_io::Async;
-use plumgate::gateway::{ExchangeMoment, ExchangePacket, LoadExchange, MessageTime, NodeEntry};
+use plumgate::gateway::{
+    ExchangeMoment, ExchangePacket, LoadExchange, MessageTime, NodeEntry, PlaceMessage,
+};
 use plumgate::ids::NodeId;
 
 use super::duties::DutyState;
@@ -161,11 +163,12 @@
             let mut exchange = self.exchange.borrow_mut();
             let moment = self.message_time();
             let mut statements = self.shared.statements();
-            let (packets, outcome, reported) = statements.receive(&mut exchange, moment);
+            let (mut packets, outcome, reported) = statements.receive(&mut exchange, moment);
             drop(statements);
             self.record_refused(outcome.refused);
             self.shared.on_peer_leaves(&reported.leaves);
             self.shared.on_peer_rejections(&reported.rejections);
+            packets.extend(self.answer_place_messages(&exchange, &reported.places, moment));
             if outcome.is_permit_response {
                 self.shared.permits_answered.notify(usize::MAX);
             }
@@ -175,6 +178,29 @@
         self.send_all(packets).await;
     }
 
+    /// Handles messages about places at brittle servers, and returns the packets that answer them.
+    fn answer_place_messages(
+        &self,
+        exchange: &LoadExchange,
+        messages: &[(NodeId, PlaceMessage)],
+        time: MessageTime,
+    ) -> Vec<ExchangePacket> {
+        if messages.is_empty() {
+            return Vec::new();
+        }
+        let now = self.shared.clock.now();
+        let mut loads = self.shared.loads();
+        let answers = messages.iter().filter_map(|(from, message)| {
+            let answer = loads.receive_place_message(from, message, now)?;
+            Some((from.clone(), answer))
+        });
+        let answers: Vec<_> = answers.collect();
+        drop(loads);
+        self.shared
+            .statements()
+            .place_packets(exchange, answers, time)
+    }
+
     /// Counts and logs messages about limits that were forged, too old or malformed.
     fn record_refused(&self, count: u64) {
         self.shared.metrics.peer_refused.inc_by(count);
@@ -260,6 +286,11 @@
                     statements.brittle.remove_expired(moment.boot);
                     loads.set_all_brittle(&statements.brittle, moment.boot, moment.now);
                 }
+                let nodes = exchange.other_nodes().map(|entry| &entry.node);
+                let round = loads.run_place_round(nodes, moment.now);
+                self.shared.log_expired_loans(&round.expired);
+                let time = self.message_time();
+                packets.extend(statements.place_packets(&exchange, round.messages, time));
                 if had_limits {
                     loads.set_limits(&statements.limits);
                 }
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -163,6 +163,10 @@
     pub(crate) resting_servers: Gauge,
     /// Servers that fail if they reject too many requests.
     pub(crate) brittle_servers: Gauge,
+    /// Places at brittle servers that this node has lent to others.
+    pub(crate) lent_places: Gauge,
+    /// Places at brittle servers that this node has borrowed from others.
+    pub(crate) borrowed_places: Gauge,
 }
 
 impl GatewayMetrics {
@@ -210,6 +214,8 @@
             leaving_servers: Gauge::default(),
             resting_servers: Gauge::default(),
             brittle_servers: Gauge::default(),
+            lent_places: Gauge::default(),
+            borrowed_places: Gauge::default(),
         };
         metrics.registry = metrics.register(Registry::with_prefix("plumgate_gateway"));
         metrics
@@ -325,6 +331,16 @@
             "Servers that said that they fail if they reject too many requests",
             self.brittle_servers.clone(),
         );
+        registry.register(
+            "lent_places",
+            "Places at brittle servers that this node has lent to others",
+            self.lent_places.clone(),
+        );
+        registry.register(
+            "borrowed_places",
+            "Places at brittle servers that this node has borrowed from others",
+            self.borrowed_places.clone(),
+        );
         registry.register(
             "duty_number",
             "Generation number of the duties held here",
--- a/crates/plumgate-node/src/gateway/server_notices.rs
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -3,8 +3,8 @@
 use std::fmt::Write;
 
 use plumgate::gateway::{
-    AnswerTimes, BrittleStatement, IncarnationId, LeaveEvent, LeaveStatement, NoticeChange,
-    RestStatement, SendRefusal, ServerEntry, ServerStatement,
+    AnswerTimes, BrittleStatement, ExpiredLoan, IncarnationId, LeaveEvent, LeaveStatement,
+    NoticeChange, RestStatement, SendRefusal, ServerEntry, ServerStatement,
 };
 
 use super::metrics::{NoticeLabels, ReasonLabels};
@@ -151,6 +151,16 @@
         }
     }
 
+    /// Logs places at brittle servers that were lent to nodes which no longer report them.
+    pub(crate) fn log_expired_loans(&self, loans: &[ExpiredLoan]) {
+        for loan in loans {
+            LogLine::new("place_loan_expired")
+                .with("life", format!("{:016x}", loan.server))
+                .with("borrower", &loan.borrower)
+                .info(&self.log);
+        }
+    }
+
     fn record_malformed(&self, notice: &'static str, server: &ServerEntry) {
         let labels = NoticeLabels {
             notice,
@@ -275,7 +285,10 @@
         let resting = statements.notices.resting_count(now);
         let brittle = statements.brittle.count();
         drop(statements);
+        let (lent, borrowed) = self.loads().loan_counts();
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.lent_places.set(gauge(lent));
+        self.metrics.borrowed_places.set(gauge(borrowed));
         self.metrics.brittle_servers.set(gauge(brittle));
         self.metrics.leaving_servers.set(gauge(leaving));
         self.metrics.resting_servers.set(gauge(resting));
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -37,7 +37,10 @@
     ClockScope, DutyMessages, ExchangeMoment, ExchangePacket, LoadExchange, NodeCapacity,
     NodeEntry, PartLocation, PoolDemand, ReceivedClock, ReceivedStatement, ReceivedUsage,
 };
-pub use placement::{LoadTable, PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
+pub use placement::{
+    ExpiredLoan, LoadTable, PlaceMessage, PlaceRound, PlacementOptions, PlacementPolicy,
+    PlacementRequest, ServerPick,
+};
 pub use prompt::{PromptPart, PromptShape};
 pub use quarantine::{
     BLOCK_DURATION, BlockReason, BlockedRequest, ConnectionKind, CrashCount, CrashSign,
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -10,6 +10,7 @@
 use super::data_centres::DataCentreTable;
 use super::demand::DemandMeter;
 use super::groups::{GroupShares, ServerGroups};
+use super::place_loans::PlaceLoans;
 use super::prefill_speed::PrefillSpeeds;
 use super::server_load::{CostPrediction, ServerLoad, TokenCosts};
 use super::server_room::PlaceShare;
@@ -39,7 +40,7 @@
 #[derive(Debug)]
 pub struct LoadTable {
     pub(super) options: PlacementOptions,
-    rng: fastrand::Rng,
+    pub(super) rng: fastrand::Rng,
     pub(super) servers: BTreeMap<ServerId, ServerLoad>,
     data_centres: DataCentreTable,
     /// Prefill speed of each pool's servers.
@@ -50,6 +51,8 @@
     new_locations: Vec<PartLocation>,
     /// Demand from the requests of this node.
     demand: DemandMeter,
+    /// Places at brittle servers that are lent to other nodes and borrowed from them.
+    pub(super) loans: PlaceLoans,
 }
 
 impl LoadTable {
@@ -65,6 +68,7 @@
             shares: GroupShares::default(),
             new_locations: Vec::new(),
             demand: DemandMeter::default(),
+            loans: PlaceLoans::default(),
         }
     }
 
@@ -141,7 +145,7 @@
                 slots_before: *dealt,
             };
             *dealt += load.entry.slots as usize;
-            load.begin_round(share, self.rng.f64());
+            load.set_share(share);
             // Looked up by server: comparing each location with each server is too much work for a small VM.
             for part in parts.remove(&server_key(&load.entry)).unwrap_or_default() {
                 load.record_part(part, now);
@@ -245,6 +249,9 @@
     /// Chooses the server of a request, or returns `None` where no server accepts it.
     pub fn pick(&mut self, request: &PlacementRequest<'_>, now: Instant) -> Option<ServerPick> {
         let mut candidates = self.candidates(request, now);
+        if candidates.is_empty() {
+            self.record_missing_room(request, now);
+        }
         if request.is_isolated {
             candidates = self.recently_answering(candidates, now);
         }
--- a/crates/plumgate/src/gateway/placement/mod.rs
+++ b/crates/plumgate/src/gateway/placement/mod.rs
@@ -9,9 +9,13 @@
 mod demand;
 mod groups;
 mod load;
+mod place_exchange;
+mod place_loans;
 mod prefill_speed;
 mod server_load;
 mod server_room;
 
 pub use choice::{PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
 pub use load::LoadTable;
+pub use place_exchange::PlaceRound;
+pub use place_loans::{ExpiredLoan, PlaceMessage};
--- /dev/null
+++ b/crates/plumgate/src/gateway/placement/place_exchange.rs
@@ -0,0 +1,139 @@
+//! Exchange of places at brittle servers with the other nodes.
+
+use std::time::Instant;
+
+use super::choice::PlacementRequest;
+use super::load::LoadTable;
+use super::place_loans::{ExpiredLoan, LoanId, PlaceMessage};
+use crate::gateway::exchange::messages::pool_key;
+use crate::gateway::servers::IncarnationId;
+use crate::gateway::statements::SendRefusal;
+use crate::ids::NodeId;
+
+/// Number of nodes that are asked for a place in one round.
+const ASKED_NODES: usize = 3;
+
+/// What one round brings about.
+#[derive(Debug, Default)]
+pub struct PlaceRound {
+    /// Messages to other nodes.
+    pub messages: Vec<(NodeId, PlaceMessage)>,
+    /// Loans whose borrowers no longer reported them.
+    pub expired: Vec<ExpiredLoan>,
+}
+
+impl LoadTable {
+    /// Runs one round: gives back the places that are idle, and asks some of the given nodes for places where requests
+    /// wait for room.
+    pub fn run_place_round<'a>(
+        &mut self,
+        nodes: impl Iterator<Item = &'a NodeId>,
+        now: Instant,
+    ) -> PlaceRound {
+        let expired = self.loans.remove_expired(now);
+        self.give_back_idle(now);
+        let mut messages = self.loans.due_reports(now);
+        let wanted = self.loans.wanted_pools(now);
+        let nodes: Vec<&NodeId> = match wanted.is_empty() {
+            true => Vec::new(),
+            false => nodes.collect(),
+        };
+        for pool in wanted {
+            let pool = pool_key(&pool);
+            for node in self.rng.choose_multiple(nodes.iter(), ASKED_NODES) {
+                let loan = self.rng.u64(..);
+                let node = NodeId::clone(node);
+                self.loans.record_request(loan, node.clone(), now);
+                messages.push((node, PlaceMessage::Request { loan, pool }));
+            }
+        }
+        self.update_rooms();
+        PlaceRound { messages, expired }
+    }
+
+    /// Handles a message of another node, and returns the answer if there is one.
+    pub fn receive_place_message(
+        &mut self,
+        from: &NodeId,
+        message: &PlaceMessage,
+        now: Instant,
+    ) -> Option<PlaceMessage> {
+        let answer = match message {
+            PlaceMessage::Request { loan, pool } => self.lend_place(from, *loan, *pool, now),
+            PlaceMessage::Loan { loan, server } => {
+                self.loans.borrow(*loan, *server, from, now);
+                None
+            }
+            PlaceMessage::Report { kept, ended } => {
+                self.loans.apply_report(from, kept, ended, now);
+                None
+            }
+        };
+        self.update_rooms();
+        answer
+    }
+
+    /// Returns the numbers of places that are lent and borrowed.
+    pub fn loan_counts(&self) -> (usize, usize) {
+        self.loans.counts()
+    }
+
+    /// Records that a request found no server, if that is for want of room.
+    pub(super) fn record_missing_room(&mut self, request: &PlacementRequest<'_>, now: Instant) {
+        let deferral = self.deferral(request, now);
+        if deferral.is_some_and(|deferral| deferral.cause == SendRefusal::NoRoom) {
+            self.loans.record_want(request.pool, now);
+        }
+    }
+
+    /// Lends an idle place to another node, unless requests of this node wait for one.
+    fn lend_place(
+        &mut self,
+        borrower: &NodeId,
+        loan: LoanId,
+        pool: u32,
+        now: Instant,
+    ) -> Option<PlaceMessage> {
+        if let Some(server) = self.loans.lent_server(loan) {
+            return Some(PlaceMessage::Loan { loan, server });
+        }
+        let loads = self.servers.values();
+        let mut loads = loads.filter(|load| pool_key(&load.entry.pool) == pool);
+        let load = loads.find(|load| load.spare_places(now) > 0)?;
+        if self.loans.is_wanted(&load.entry.pool, now) {
+            return None;
+        }
+        let server = load.incarnation();
+        self.loans.lend(loan, server, borrower, now);
+        Some(PlaceMessage::Loan { loan, server })
+    }
+
+    /// Gives back borrowed places for which there are no requests.
+    fn give_back_idle(&mut self, now: Instant) {
+        for server in self.loans.borrowed_servers() {
+            let loads = self.servers.values();
+            let mut loads = loads.filter(|load| load.incarnation() == server);
+            let idle = match loads.next() {
+                Some(load) if self.loans.is_wanted(&load.entry.pool, now) => 0,
+                Some(load) => load.idle_places(now),
+                None => usize::MAX,
+            };
+            self.loans.give_back(server, idle);
+            self.update_room(server);
+        }
+    }
+
+    fn update_rooms(&mut self) {
+        for load in self.servers.values_mut() {
+            let server = load.incarnation();
+            load.set_loans(self.loans.lent_at(server), self.loans.borrowed_at(server));
+        }
+    }
+
+    fn update_room(&mut self, server: IncarnationId) {
+        let loads = self.servers.values_mut();
+        for load in loads.filter(|load| load.incarnation() == server) {
+            load.set_loans(self.loans.lent_at(server), self.loans.borrowed_at(server));
+        }
+    }
+}
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -229,8 +229,7 @@
             cause: SendRefusal::Resting,
         });
         let room = self.room.as_ref();
-        let room =
-            room.filter(|room| !room.has_room(self.own.in_flight, self.peers.in_flight, now));
+        let room = room.filter(|room| !room.has_room(self.own.in_flight, now));
         let no_room = room.map(|room| SendDeferral {
             until: room.reopens_at(now),
             cause: SendRefusal::NoRoom,
@@ -262,13 +261,32 @@
         }
     }
 
-    /// Starts a round of the exchange.
-    pub(crate) fn begin_round(&mut self, share: PlaceShare, draw: f64) {
+    /// Sets which places of its room are this node's own.
+    pub(crate) fn set_share(&mut self, share: PlaceShare) {
         if let Some(room) = &mut self.room {
-            room.begin_round(self.own.in_flight, share, draw);
+            room.set_share(share);
         }
     }
 
+    /// Sets how many places of its room are lent to other nodes and borrowed from them.
+    pub(crate) fn set_loans(&mut self, lent: usize, borrowed: usize) {
+        if let Some(room) = &mut self.room {
+            room.set_loans(lent, borrowed);
+        }
+    }
+
+    /// Returns how many places of its room this node may use but doesn't; no limit without a room.
+    pub(crate) fn idle_places(&self, now: Instant) -> usize {
+        let room = self.room.as_ref();
+        room.map_or(usize::MAX, |room| room.idle_places(self.own.in_flight, now))
+    }
+
+    /// Returns how many idle places this node may lend; none without a room.
+    pub(crate) fn spare_places(&self, now: Instant) -> usize {
+        let room = self.room.as_ref();
+        room.map_or(0, |room| room.spare_places(self.own.in_flight, now))
+    }
+
     /// Returns whether it rests at its own request.
     pub(crate) fn is_resting(&self, now: Instant) -> bool {
         self.resting_until.is_some_and(|until| now < until)
--- a/crates/plumgate/src/gateway/placement/server_room.rs
+++ b/crates/plumgate/src/gateway/placement/server_room.rs
@@ -9,12 +9,8 @@
 const REDUCTION: f64 = 0.95;
 /// Share of the server's slots by which its known capacity grows each second without a rejection.
 const GROWTH_PER_SECOND: f64 = 0.05;
-/// Time after a rejection, and after the server was first seen, in which each node uses its own places only.
-const PRIVATE_TIME: Duration = Duration::from_millis(1_500);
-/// Share of the known capacity that stays free while nodes use places of others.
-const FREE_SHARE: f64 = 0.2;
-/// Rounds of the exchange until a node's requests are known to all others.
-const STALE_ROUNDS: f64 = 3.0;
+/// Time after which a request that found no room tries again.
+const RETRY_TIME: Duration = Duration::from_millis(50);
 
 /// Position of a node among those that send to a server. All nodes derive their places from it without messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,13 +40,11 @@
     capacity: f64,
     capacity_at: Instant,
     rejected_at: Option<Instant>,
-    /// Until when this node uses its own places only.
-    private_until: Instant,
-    /// This node's requests in flight as of the last round of the exchange.
-    own_at_round: u32,
     share: PlaceShare,
-    /// Random number from 0 to 1 that changes each round: it decides whether this node gets a fractional share.
-    draw: f64,
+    /// Places of this node that others use.
+    lent: usize,
+    /// Places of others that this node uses.
+    borrowed: usize,
 }
 
 impl ServerRoom {
@@ -62,22 +56,25 @@
             capacity: slots,
             capacity_at: now,
             rejected_at: None,
-            private_until: now + PRIVATE_TIME,
-            own_at_round: 0,
             share: PlaceShare {
                 nodes: 1,
                 rank: 0,
                 slots_before: 0,
             },
-            draw: 0.5,
+            lent: 0,
+            borrowed: 0,
         }
     }
 
-    /// Starts a round of the exchange.
-    pub(crate) fn begin_round(&mut self, own: u32, share: PlaceShare, draw: f64) {
-        self.own_at_round = own;
+    /// Sets which places are this node's own.
+    pub(crate) fn set_share(&mut self, share: PlaceShare) {
         self.share = share;
-        self.draw = draw;
+    }
+
+    /// Sets how many places are lent to other nodes and borrowed from them.
+    pub(crate) fn set_loans(&mut self, lent: usize, borrowed: usize) {
+        self.lent = lent;
+        self.borrowed = borrowed;
     }
 
     fn capacity(&self, now: Instant) -> f64 {
@@ -94,7 +91,6 @@
             self.capacity_at = now;
         }
         self.rejected_at = Some(now);
-        self.private_until = now + PRIVATE_TIME;
     }
 
     fn is_closed(&self, now: Instant) -> bool {
@@ -102,30 +98,35 @@
             .is_some_and(|at| now.saturating_duration_since(at) < CLOSED_TIME)
     }
 
-    /// Returns whether this node may send another request, with this many of its own and of others in flight.
-    pub(crate) fn has_room(&self, own: u32, peers: u32, now: Instant) -> bool {
+    /// Returns how many places this node may use but doesn't, with this many requests in flight.
+    pub(crate) fn idle_places(&self, in_flight: u32, now: Instant) -> usize {
+        let usable = self.own_places(now) + self.borrowed;
+        usable.saturating_sub(in_flight as usize)
+    }
+
+    /// Returns how many idle places this node may lend.
+    pub(crate) fn spare_places(&self, in_flight: u32, now: Instant) -> usize {
         if self.is_closed(now) {
-            return false;
-        }
-        let capacity = self.capacity(now);
-        let places = self.share.places(capacity as usize);
-        if (own as usize) < places {
-            return true;
+            return 0;
         }
-        if now < self.private_until {
-            return false;
-        }
-        let known = f64::from(self.own_at_round + peers);
-        let free = (capacity * (1.0 - FREE_SHARE) - known).max(0.0);
-        let share = free / (self.share.nodes as f64 * STALE_ROUNDS);
-        let allowed = share.floor() + f64::from(u8::from(self.draw < share.fract()));
-        f64::from(own.saturating_sub(self.own_at_round)) < allowed
+        self.idle_places(in_flight, now).min(self.own_places(now))
+    }
+
+    /// Returns whether this node may send another request.
+    pub(crate) fn has_room(&self, in_flight: u32, now: Instant) -> bool {
+        !self.is_closed(now) && self.idle_places(in_flight, now) > 0
+    }
+
+    /// Returns the number of this node's places that it has not lent.
+    fn own_places(&self, now: Instant) -> usize {
+        let places = self.share.places(self.capacity(now) as usize);
+        places.saturating_sub(self.lent)
     }
 
     /// Returns when to ask again for room.
     pub(crate) fn reopens_at(&self, now: Instant) -> Instant {
         let closed = self.rejected_at.map(|at| at + CLOSED_TIME);
-        let soon = now + Duration::from_millis(50);
-        closed.map_or(soon, |until| until.max(soon))
+        let retry_at = now + RETRY_TIME;
+        closed.map_or(retry_at, |until| until.max(retry_at))
     }
 }
--- a/crates/plumgate/src/gateway/rate_limit/messages.rs
+++ b/crates/plumgate/src/gateway/rate_limit/messages.rs
@@ -8,6 +8,7 @@
 use super::observation::{BootTime, LimitObservation, ObservedLimit};
 use super::statement::RequestRate;
 use crate::gateway::exchange::messages::ServerKey;
+use crate::gateway::placement::PlaceMessage;
 use crate::gateway::statements::{BrittleReport, LeaveReport};
 
 /// Longest expected transit time of a message between two nodes.
@@ -90,6 +91,8 @@
     LeaveReportsRequest,
     /// Brittle servers, and their rejections.
     BrittleReports(Vec<BrittleReport>),
+    /// Places at brittle servers that nodes lend each other.
+    Place(PlaceMessage),
 }
 
 impl LimitReport {
--- a/crates/plumgate/src/gateway/rate_limit/messaging.rs
+++ b/crates/plumgate/src/gateway/rate_limit/messaging.rs
@@ -12,8 +12,9 @@
 use super::votes::VoterName;
 use crate::errors::{Error, Result};
 use crate::gateway::exchange::{ExchangePacket, LoadExchange, PeerAddress, ReceivedStatement};
+use crate::gateway::placement::PlaceMessage;
 use crate::gateway::statements::{BrittleReport, LeaveReport};
-use crate::ids::DataCentreId;
+use crate::ids::{DataCentreId, NodeId};
 
 /// Maximum number of reports per message, some 20 bytes each: a message is sealed twice and fits into one
 /// packet.
@@ -40,6 +41,8 @@
     pub(crate) wants_leave_reports: bool,
     /// Reports of other nodes on brittle servers.
     pub(crate) brittle_reports: Vec<BrittleReport>,
+    /// Messages about places at brittle servers, with their senders.
+    pub(crate) place_messages: Vec<(NodeId, PlaceMessage)>,
 }
 
 /// Current time by the two clocks that the exchange of messages needs.
@@ -110,6 +113,9 @@
                 StatementMessage::BrittleReports(reports) => {
                     outcome.brittle_reports.extend(reports)
                 }
+                StatementMessage::Place(message) => outcome
+                    .place_messages
+                    .push((received.node.clone(), message)),
                 StatementMessage::LeaveReportsRequest => outcome.wants_leave_reports = true,
                 StatementMessage::PermitResponse(response) => {
                     outcome.is_permit_response |= self.receive_response(&response, time.boot);
--- a/crates/plumgate/src/gateway/statements/leave_reports.rs
+++ b/crates/plumgate/src/gateway/statements/leave_reports.rs
@@ -7,8 +7,10 @@
 
 use super::server_statements::ServerStatements;
 use crate::gateway::exchange::{ExchangePacket, LoadExchange, PeerView};
+use crate::gateway::placement::PlaceMessage;
 use crate::gateway::rate_limit::{BootTime, MessageOutcome, MessageTime, StatementMessage};
 use crate::gateway::servers::IncarnationId;
+use crate::ids::NodeId;
 
 /// Maximum number of reports per message, some 15 bytes each: a message is sealed twice and fits into one
 /// packet.
@@ -56,6 +58,8 @@
     pub leaves: Vec<LeaveEvent>,
     /// Brittle servers that rejected a request for want of room.
     pub rejections: Vec<IncarnationId>,
+    /// Messages about places at brittle servers, with their senders.
+    pub places: Vec<(NodeId, PlaceMessage)>,
 }
 
 impl ServerStatements {
@@ -82,6 +86,22 @@
         packets
     }
 
+    /// Returns the packets of messages about places at brittle servers.
+    pub fn place_packets(
+        &self,
+        exchange: &LoadExchange,
+        messages: impl IntoIterator<Item = (NodeId, PlaceMessage)>,
+        time: MessageTime,
+    ) -> Vec<ExchangePacket> {
+        let packets = messages.into_iter().filter_map(|(node, message)| {
+            let mut nodes = exchange.other_nodes();
+            let to = nodes.find(|entry| entry.node == node)?.address;
+            let message = StatementMessage::Place(message);
+            self.limits.message_packet(exchange, to, message, time)
+        });
+        packets.collect()
+    }
+
     /// Returns the requests for reports that a node sends after its start to the first nodes that it knows.
     /// The store does not hold what servers announced to other nodes.
     fn request_reports(
@@ -130,7 +150,11 @@
             .iter()
             .filter(|report| self.brittle.apply_report(report, is_collector, time.boot));
         let rejections = rejections.map(|report| report.incarnation).collect();
-        let events = ReportedEvents { leaves, rejections };
+        let events = ReportedEvents {
+            leaves,
+            rejections,
+            places: std::mem::take(&mut outcome.place_messages),
+        };
         (packets, outcome, events)
     }
 }
--- a/crates/plumgate/tests/brittle_fleet/mod.rs
+++ b/crates/plumgate/tests/brittle_fleet/mod.rs
@@ -52,6 +52,8 @@
     pub(crate) seconds: f64,
     /// Whether the servers state that they are brittle.
     pub(crate) states: bool,
+    /// Share of the messages between nodes that are lost.
+    pub(crate) lost_messages: f64,
     pub(crate) seed: u64,
 }
 
@@ -267,10 +269,18 @@
                 .tick(node.table.own_work(), &mut node.sync, moment);
             let statements = node.statements.run_round(&node.exchange, time);
             let from = node.entry.address;
-            let all = own.into_iter().chain(statements);
+            let nodes = node.exchange.other_nodes().map(|entry| &entry.node);
+            let round = node.table.run_place_round(nodes, moment.now);
+            let places = node
+                .statements
+                .place_packets(&node.exchange, round.messages, time);
+            let all = own.into_iter().chain(statements).chain(places);
             packets.extend(all.map(|(to, bytes)| (to, from, bytes)));
         }
         while let Some((to, from, bytes)) = packets.pop() {
+            if self.plan.lost_messages > 0.0 && self.rng.f64() < self.plan.lost_messages {
+                continue;
+            }
             let node = &mut self.nodes[usize::from(to.port() - 1_000)];
             let received = node.exchange.receive(&bytes, from, &mut node.sync, moment);
             received.expect("a valid message");
@@ -278,8 +288,14 @@
             let table = &mut node.table;
             table.record_rejections(&reported.rejections, moment.now);
             table.set_all_brittle(&node.statements.brittle, moment.boot, moment.now);
+            let places = reported.places.iter().filter_map(|(from, message)| {
+                let answer = table.receive_place_message(from, message, moment.now)?;
+                Some((from.clone(), answer))
+            });
+            let places = node.statements.place_packets(&node.exchange, places, time);
             let from = node.entry.address;
-            packets.extend(answers.into_iter().map(|(to, bytes)| (to, from, bytes)));
+            let answers = answers.into_iter().chain(places);
+            packets.extend(answers.map(|(to, bytes)| (to, from, bytes)));
         }
     }
 
--- a/crates/plumgate/tests/brittle_servers.rs
+++ b/crates/plumgate/tests/brittle_servers.rs
@@ -19,6 +19,7 @@
         burst_load: 1.3,
         seconds: 20.0,
         states: true,
+        lost_messages: 0.0,
         seed,
     }
 }
@@ -90,6 +91,38 @@
     }
 }
 
+/// Guards against places that two nodes use because messages between them are lost.
+#[test]
+fn lost_messages_bring_no_server_down() {
+    for nodes in [8, 64] {
+        let plan = BrittlePlan {
+            lost_messages: 0.2,
+            ..plan(nodes, 5)
+        };
+        let result = run(plan);
+        assert!(result.falls <= tolerated_falls(&plan), "{result:?}");
+    }
+}
+
+/// Guards against places that nobody uses because messages between nodes are lost.
+#[test]
+fn few_lost_messages_leave_the_servers_used() {
+    for nodes in [8, 64] {
+        let plan = BrittlePlan {
+            lost_messages: 0.03,
+            ..plan(nodes, 5)
+        };
+        let result = run(plan);
+        let sound = run(BrittlePlan {
+            states: false,
+            rejection_limit: u32::MAX,
+            ..plan
+        });
+        let used = f64::from(result.served) / f64::from(sound.served);
+        assert!(used > 0.95, "{nodes} nodes: {used:.3}, {result:?}");
+    }
+}
+
 /// Guards against a check that would not notice: the same burst brings the servers down when nobody heeds them.
 #[test]
 fn unheeded_brittle_servers_fall() {
