placement: collectors tell nodes the ranks by which places at brittle servers are dealt out

Cause: the places of a server are dealt out by the rank of each node among those that it knows. A node that isn't a collector reads the register once, when it starts, and hears of later nodes only by their number. Nodes that started early count too few nodes before them: low ranks are taken twice or more, and half of the servers get too many requests. Change: a collector knows the nodes of its data centre by their messages and the sizes of the others by their collectors.

--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -133,7 +133,17 @@
 
     /// Returns the rank of this node among all known ones.
     pub fn node_rank(&self) -> usize {
-        self.peers.rank()
+        self.peers.rank(&self.peers.own().node)
+    }
+
+    /// Returns the ranks of the other nodes of this data centre.
+    pub(crate) fn member_ranks(&self) -> Vec<(NodeId, usize)> {
+        let members = self.peers.own_data_centre_peers();
+        let ranks = members.map(|peer| {
+            let node = &peer.entry.node;
+            (node.clone(), self.peers.rank(node))
+        });
+        ranks.collect()
     }
 
     /// Returns whether this node is the collector of its data centre.
--- a/crates/plumgate/src/gateway/exchange/peers.rs
+++ b/crates/plumgate/src/gateway/exchange/peers.rs
@@ -347,9 +347,17 @@
         self.peer_count(&self.own.data_centre) + 1
     }
 
-    /// Returns the rank of this node among all known nodes, by id.
-    pub(crate) fn rank(&self) -> usize {
-        self.peers.range(..self.own.node.clone()).count()
+    /// Returns the rank of a node of this node's data centre among all known nodes, by data centre and id.
+    pub(crate) fn rank(&self, node: &NodeId) -> usize {
+        let data_centres: BTreeSet<&DataCentreId> =
+            self.ranked.keys().chain(self.node_counts.keys()).collect();
+        let earlier = data_centres.range::<DataCentreId, _>(..&self.own.data_centre);
+        let earlier: usize = earlier
+            .map(|data_centre| self.foreign_count(data_centre))
+            .sum();
+        let members = self.own_data_centre_peers().map(|peer| &peer.entry.node);
+        let members = members.chain([&self.own.node]);
+        earlier + members.filter(|member| *member < node).count()
     }
 
     /// Returns the number of known nodes of the fleet, this one included. Nodes that registered since this one
@@ -364,18 +372,18 @@
             .into_iter()
             .filter(|data_centre| **data_centre != self.own.data_centre);
         let foreign: usize = foreign
-            .map(|data_centre| {
-                let reported = self
-                    .node_counts
-                    .get(data_centre)
-                    .copied()
-                    .unwrap_or_default();
-                reported.max(self.peer_count(data_centre))
-            })
+            .map(|data_centre| self.foreign_count(data_centre))
             .sum();
         foreign + self.data_centre_size()
     }
 
+    /// Returns the number of known nodes of another data centre.
+    fn foreign_count(&self, data_centre: &DataCentreId) -> usize {
+        let reported = self.node_counts.get(data_centre);
+        let reported = reported.copied().unwrap_or_default();
+        reported.max(self.peer_count(data_centre))
+    }
+
     fn peer_count(&self, data_centre: &DataCentreId) -> usize {
         self.ranked.get(data_centre).map_or(0, Vec::len)
     }
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -11,6 +11,7 @@
 use super::demand::DemandMeter;
 use super::groups::{GroupShares, ServerGroups};
 use super::place_loans::PlaceLoans;
+use super::place_ranks::PlaceRanks;
 use super::prefill_speed::PrefillSpeeds;
 use super::server_load::{CostPrediction, ServerLoad, TokenCosts};
 use super::server_room::PlaceShare;
@@ -53,6 +54,8 @@
     demand: DemandMeter,
     /// Places at brittle servers that are lent to other nodes and borrowed from them.
     pub(super) loans: PlaceLoans,
+    /// Ranks by which places at brittle servers are dealt out.
+    pub(super) ranks: PlaceRanks,
 }
 
 impl LoadTable {
@@ -69,6 +72,7 @@
             new_locations: Vec::new(),
             demand: DemandMeter::default(),
             loans: PlaceLoans::default(),
+            ranks: PlaceRanks::default(),
         }
     }
 
@@ -131,8 +135,10 @@
                 .push(location.part);
         }
         let counts_peers = self.has(PolicyPart::Exchange);
-        let nodes = exchange.node_count().max(1);
-        let rank = exchange.node_rank().min(nodes - 1);
+        let rank = self.ranks.own_rank(exchange, now);
+        if self.servers.values().any(ServerLoad::is_brittle) {
+            self.ranks.prepare(exchange, now);
+        }
         let mut slots_before: HashMap<PoolId, usize> = HashMap::new();
         for load in self.servers.values_mut() {
             if counts_peers {
@@ -140,7 +146,6 @@
             }
             let dealt = slots_before.entry(load.entry.pool.clone()).or_default();
             let share = PlaceShare {
-                nodes,
                 rank,
                 slots_before: *dealt,
             };
--- a/crates/plumgate/src/gateway/placement/mod.rs
+++ b/crates/plumgate/src/gateway/placement/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod place_exchange;
 mod place_loans;
+mod place_ranks;
 mod prefill_speed;
 mod server_load;
 mod server_room;
--- a/crates/plumgate/src/gateway/placement/place_exchange.rs
+++ b/crates/plumgate/src/gateway/placement/place_exchange.rs
@@ -33,6 +33,7 @@
         let expired = self.loans.remove_expired(now);
         self.give_back_idle(now);
         let mut messages = self.loans.due_reports(now);
+        messages.extend(self.ranks.take_messages());
         let wanted = self.loans.wanted_pools(now);
         let nodes: Vec<&NodeId> = match wanted.is_empty() {
             true => Vec::new(),
@@ -64,6 +65,10 @@
                 self.loans.borrow(*loan, *server, from, now);
                 None
             }
+            PlaceMessage::Rank { nodes, rank } => {
+                self.ranks.receive(from, *nodes, *rank, now);
+                None
+            }
             PlaceMessage::Report { kept, ended } => {
                 self.loans.apply_report(from, kept, ended, now);
                 None
--- a/crates/plumgate/src/gateway/placement/place_loans.rs
+++ b/crates/plumgate/src/gateway/placement/place_loans.rs
@@ -45,6 +45,13 @@
         /// The server where the place is.
         server: IncarnationId,
     },
+    /// Tells a node its rank, by which places are dealt out.
+    Rank {
+        /// Number of nodes.
+        nodes: u32,
+        /// Number of nodes before the receiver.
+        rank: u32,
+    },
     /// Reports on loans from the receiver.
     Report {
         /// Loans that the sender keeps.
--- a/crates/plumgate/src/gateway/placement/server_room.rs
+++ b/crates/plumgate/src/gateway/placement/server_room.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use super::place_ranks::NodeRank;
+
 /// Time after a rejection in which no request is sent to the server: until all nodes know it, and the load that they
 /// report includes what was sent before.
 const CLOSED_TIME: Duration = Duration::from_millis(200);
@@ -12,13 +14,11 @@
 /// Time after which a request that found no room tries again.
 const RETRY_TIME: Duration = Duration::from_millis(50);
 
-/// Position of a node among those that send to a server. All nodes derive their places from it without messages.
+/// What decides which places of a server are a node's own. All nodes derive their places from it without messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PlaceShare {
-    /// Number of nodes, this one included.
-    pub(crate) nodes: usize,
-    /// Rank of this node among them.
-    pub(crate) rank: usize,
+    /// Rank of the node.
+    pub(crate) rank: NodeRank,
     /// Slots of the servers that come before this one: the places of all servers are dealt out as one sequence, so
     /// that each node has as many.
     pub(crate) slots_before: usize,
@@ -27,7 +27,8 @@
 impl PlaceShare {
     /// Returns how many places of a server of this capacity are this node's own.
     fn places(&self, capacity: usize) -> usize {
-        let dealt = |end: usize| (end + self.nodes - 1 - self.rank) / self.nodes;
+        let NodeRank { nodes, rank } = self.rank;
+        let dealt = |end: usize| (end + nodes - 1 - rank) / nodes;
         dealt(self.slots_before + capacity) - dealt(self.slots_before)
     }
 }
@@ -57,8 +58,7 @@
             capacity_at: now,
             rejected_at: None,
             share: PlaceShare {
-                nodes: 1,
-                rank: 0,
+                rank: NodeRank { nodes: 1, rank: 0 },
                 slots_before: 0,
             },
             lent: 0,
--- a/crates/plumgate/tests/brittle_fleet/mod.rs
+++ b/crates/plumgate/tests/brittle_fleet/mod.rs
@@ -52,6 +52,8 @@
     pub(crate) seconds: f64,
     /// Whether the servers state that they are brittle.
     pub(crate) states: bool,
+    /// Whether the nodes started one after the other, so that each has read a register without the later ones.
+    pub(crate) joined_one_by_one: bool,
     /// Share of the messages between nodes that are lost.
     pub(crate) lost_messages: f64,
     pub(crate) seed: u64,
@@ -119,11 +121,15 @@
 impl BrittleFleet {
     pub(crate) fn new(plan: BrittlePlan) -> Self {
         let entries = node_entries(DATA_CENTRES, plan.nodes.div_ceil(DATA_CENTRES));
+        let mut joined = entries.clone();
+        fastrand::Rng::with_seed(plan.seed).shuffle(&mut joined);
         let nodes = entries.iter().map(|entry| {
             let index = u64::from(entry.address.port());
             let options = PlacementOptions::new(entry.data_centre.clone()).with_seed(index);
             let mut exchange = LoadExchange::new(entry.clone());
-            exchange.set_nodes(entries.clone());
+            let earlier = joined.split(|joined| joined.node == entry.node).next();
+            let register = earlier.filter(|_| plan.joined_one_by_one);
+            exchange.set_nodes(register.unwrap_or(&entries).to_vec());
             let mut statements = ServerStatements::new(true, index, Duration::from_secs(2));
             statements.set_config(&config());
             SimNode {
--- a/crates/plumgate/tests/brittle_servers.rs
+++ b/crates/plumgate/tests/brittle_servers.rs
@@ -19,6 +19,7 @@
         burst_load: 1.3,
         seconds: 20.0,
         states: true,
+        joined_one_by_one: false,
         lost_messages: 0.0,
         seed,
     }
@@ -33,6 +34,16 @@
     BrittleFleet::new(plan).run()
 }
 
+/// Returns what was served, as a share of what sound servers serve.
+fn used_share(plan: &BrittlePlan, result: &BrittleResult) -> f64 {
+    let sound = run(BrittlePlan {
+        states: false,
+        rejection_limit: u32::MAX,
+        ..*plan
+    });
+    f64::from(result.served) / f64::from(sound.served)
+}
+
 fn check_falls(nodes: usize, seeds: u64) {
     for seed in 0..seeds {
         let plan = plan(nodes, seed);
@@ -91,6 +102,21 @@
     }
 }
 
+/// Guards against places that two nodes use because neither knows the nodes that started later.
+#[test]
+fn nodes_that_started_one_by_one_bring_no_server_down() {
+    for seed in 0..2 {
+        let plan = BrittlePlan {
+            joined_one_by_one: true,
+            ..plan(64, seed)
+        };
+        let result = run(plan);
+        assert!(result.falls <= tolerated_falls(&plan), "{result:?}");
+        let used = used_share(&plan, &result);
+        assert!(used > 0.95, "seed {seed}: {used:.3}, {result:?}");
+    }
+}
+
 /// Guards against places that two nodes use because messages between them are lost.
 #[test]
 fn lost_messages_bring_no_server_down() {
@@ -113,12 +139,7 @@
             ..plan(nodes, 5)
         };
         let result = run(plan);
-        let sound = run(BrittlePlan {
-            states: false,
-            rejection_limit: u32::MAX,
-            ..plan
-        });
-        let used = f64::from(result.served) / f64::from(sound.served);
+        let used = used_share(&plan, &result);
         assert!(used > 0.95, "{nodes} nodes: {used:.3}, {result:?}");
     }
 }
--- a/crates/plumgate/tests/place_loans.rs
+++ b/crates/plumgate/tests/place_loans.rs
@@ -198,7 +198,9 @@
     let (mut lender, mut borrower) = nodes(now);
     borrower.begin(3, now);
     let round = borrower.run_round(&lender.id, now);
-    let (_, request) = &round.messages[0];
+    let messages = round.messages.iter().map(|(_, message)| message);
+    let mut requests = messages.filter(|message| matches!(message, PlaceMessage::Request { .. }));
+    let request = requests.next().expect("a request");
     let first = lender.receive(&borrower.id, request, now);
     let second = lender.receive(&borrower.id, request, now);
     assert_eq!(first, second);
