node: a follower calls a failing store for the configuration before it reads the servers

Change: the first call is for the configuration. The servers are read once it was answered, or after 0.4 s; if it fails, the node waits for its collector, as it did before for every later call. An entry is delayed by the time of one call to a store that answers.

--- a/crates/plumgate-node/src/gateway/following.rs
+++ b/crates/plumgate-node/src/gateway/following.rs
@@ -162,9 +162,12 @@
     /// While the store is unavailable, each node of a large fleet would retry both topics. One is enough to detect
     /// that it answers again.
     fn pause_before_query(&self, topic: SourceTopic) -> Option<Duration> {
-        let waits_for_collector = topic == SourceTopic::Servers
-            && self.view.sync_state().is_failing(SourceTopic::Config)
-            && self.view.relies_on_collector();
+        let is_unanswered = || {
+            let is_failing = self.view.sync_state().is_failing(SourceTopic::Config);
+            is_failing || self.view.awaits_first_probe()
+        };
+        let waits_for_collector =
+            topic == SourceTopic::Servers && self.view.relies_on_collector() && is_unanswered();
         self.view
             .fresh_for(topic)
             .or(waits_for_collector.then_some(TICK))
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -21,6 +21,10 @@
 /// Time after a failed call to the source within which missing entries are attributed to the outage. It covers
 /// the longest pause before the next call of each topic and the time of that call.
 const OUTAGE_WINDOW: Duration = Duration::from_millis(1_000);
+/// Time for which the outcome of the first call for the configuration is awaited before the servers are read.
+const FIRST_PROBE_TIME: Duration = Duration::from_millis(400);
+/// Time by which the moments at which the two topics are due differ at most: one answer of another node renews both.
+const DUE_SPREAD: Duration = Duration::from_millis(50);
 /// Time for which a server stays in use after its entry went missing in an outage. A running server has
 /// renewed its entry by then.
 pub(super) const UNCONFIRMED_GRACE_PERIOD: Duration = Duration::from_millis(1_800);
@@ -142,6 +146,20 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Returns whether this node becomes due to call the store for the configuration at this moment, and the outcome
+    /// of that call is not known yet.
+    pub(crate) fn awaits_first_probe(&self) -> bool {
+        let topic = SourceTopic::Config;
+        let is_collector = self.is_collector.get();
+        let sync_state = self.sync_state();
+        let Some(due_at) = sync_state.fresh_until(topic, is_collector) else {
+            return false;
+        };
+        let now = self.shared.clock.boot_time();
+        let is_due = now + DUE_SPREAD >= due_at && now < due_at + FIRST_PROBE_TIME;
+        is_due && sync_state.is_unprobed(topic)
+    }
+
     /// Waits until the store may have to be called, for `max_wait` at most.
     pub(crate) async fn wait_for_sync_change(&self, max_wait: Duration) {
         let changed = self.sync_changed.listen();
@@ -196,6 +214,8 @@
         self.sync_state().record_read(topic, requested_at);
         if topic == SourceTopic::Config {
             self.shared.lease().renew(requested_at);
+            // The servers may be read at once.
+            self.sync_changed.notify(usize::MAX);
         }
         has_new_config
     }
--- a/crates/plumgate/src/gateway/sync/state.rs
+++ b/crates/plumgate/src/gateway/sync/state.rs
@@ -169,6 +169,15 @@
         state.failed_at > state.known_at
     }
 
+    /// Returns whether this node has not called the store for a topic since it was last told its state by others.
+    pub fn is_unprobed(&self, topic: SourceTopic) -> bool {
+        let state = match topic {
+            SourceTopic::Config => &self.config,
+            SourceTopic::Servers => &self.servers,
+        };
+        state.known_at <= state.reported_at && state.failed_at <= state.reported_at
+    }
+
     /// Restarts the log after all servers were read as of a version of the store.
     ///
     /// Changes may have been missed before, also by the followers of this node. The new epoch makes them
--- a/crates/plumgate/tests/gateway_sync.rs
+++ b/crates/plumgate/tests/gateway_sync.rs
@@ -305,6 +305,24 @@
     assert!(!requester.is_failing(SourceTopic::Config));
 }
 
+// Guards against nodes that all call a failing store for both topics as soon as no other node reports its state.
+#[test]
+fn store_is_unprobed_until_a_call_of_this_node_ends() {
+    let mut first = watcher(10, ms(900));
+    let mut requester = watcher(10, ms(800));
+    let response = request_sync(&mut requester, &mut first, ms(1_000), ms(1_001));
+    requester.apply(response, true);
+    assert!(requester.is_unprobed(SourceTopic::Config));
+    requester.record_failure(SourceTopic::Config, ms(1_200));
+    assert!(!requester.is_unprobed(SourceTopic::Config));
+    first.record_read(SourceTopic::Config, ms(1_400));
+    let response = request_sync(&mut requester, &mut first, ms(1_500), ms(1_501));
+    requester.apply(response, true);
+    assert!(requester.is_unprobed(SourceTopic::Config));
+    requester.record_read(SourceTopic::Config, ms(1_700));
+    assert!(!requester.is_unprobed(SourceTopic::Config));
+}
+
 // Guards against a node that has read nothing itself and sends an empty list of servers to others.
 #[test]
 fn node_that_knows_no_servers_sends_no_snapshot() {
