tunnels: a node whose tunnels bring no answers is asked after all others

Callers saw: while their node is cut off from the servers and another node opens tunnels but forwards nothing (suspended since, or its link loses data), every request goes through that node and is lost: 12 of 12, 504 after 3 s or 502, although a third node could help.

Cause: the result of a request for a tunnel is recorded when it is opened; what came over it was not. An opened tunnel cleared each doubt about the node. Change: the answer, or its absence, is recorded for the node in between. Without an answer it is asked after all others for a second, doubled by each further one up to 16 s; an answer clears that. It is not paused, as the server may be the cause. event=tunnel_stalled.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -61,7 +61,11 @@
     let wait_until = order.head_deadline.min(order.request.due + ANSWER_GRACE);
     let incarnation = work.incarnation();
     let exchange = incarnation.run(link.exchange(request));
-    match until(&shared.clock, wait_until, exchange).await {
+    let result = until(&shared.clock, wait_until, exchange).await;
+    if let (Some(helper), Some(is_answered)) = (link.helper(), is_answered(&result)) {
+        shared.record_tunnel_use(order.server, helper, is_answered);
+    }
+    match result {
         Some(None) => {
             work.set_outcome(WorkOutcome::Restarted);
             AttemptOutcome::InDoubt(RESTARTED)
@@ -88,6 +92,16 @@
     }
 }
 
+/// Returns whether an answer came, or `None` if that says nothing about the connection: the server has restarted, or
+/// the request was not sent. `None` in `result` is a timeout, and then an end of the server's incarnation.
+fn is_answered<A>(result: &Option<Option<Result<A, LinkError>>>) -> Option<bool> {
+    match result {
+        Some(Some(Ok(_))) => Some(true),
+        None | Some(Some(Err(LinkError::Broken(_)))) => Some(false),
+        Some(None) | Some(Some(Err(LinkError::Unsent))) => None,
+    }
+}
+
 async fn connect<C: Clock, W: WireFormat>(
     shared: &Arc<GatewayShared<C, W>>,
     order: &AttemptOrder<'_>,
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -391,7 +391,7 @@
             return;
         };
         // A tunnel ends with its request, so that none is in use when this node reaches the server again.
-        let Some(keep_alive) = metadata.keep_alive.filter(|_| !link.is_tunnel()) else {
+        let Some(keep_alive) = metadata.keep_alive.filter(|_| link.helper().is_none()) else {
             return;
         };
         let until = self.shared.clock.now() + keep_alive.saturating_sub(IDLE_CLOSE_MARGIN);
--- a/crates/plumgate-node/src/gateway/tunnels.rs
+++ b/crates/plumgate-node/src/gateway/tunnels.rs
@@ -15,6 +15,8 @@
     TunnelRefusal, TunnelReply, TunnelResult,
 };
 
+use plumgate::ids::NodeId;
+
 use super::metrics::ReasonLabels;
 use super::server_connection::ConnectFailure;
 use super::shared::GatewayShared;
@@ -114,7 +116,8 @@
     };
     let refusal = match TunnelReply::from_byte(reply) {
         Some(TunnelReply::Opened) => {
-            let link = HttpLink::over_tunnel(TunnelStream::new(stream)).await;
+            let stream = TunnelStream::new(stream);
+            let link = HttpLink::over_tunnel(stream, peer.node.clone()).await;
             return match link {
                 Ok(link) => (TunnelResult::Opened, Some(link)),
                 Err(_) => (TunnelResult::Unanswered, None),
@@ -258,6 +261,24 @@
         }
     }
 
+    /// Records whether an answer came over a tunnel through another node.
+    pub(crate) fn record_tunnel_use(
+        &self,
+        server: &ServerEntry,
+        helper: &NodeId,
+        is_answered: bool,
+    ) {
+        let now = self.clock.now();
+        self.tunnel_peers()
+            .record_tunnel_use(helper, is_answered, now);
+        if !is_answered {
+            LogLine::new("tunnel_stalled")
+                .with("server", &server.id)
+                .with("by", helper)
+                .info(&self.log);
+        }
+    }
+
     /// Counts and logs a request for a tunnel that is not one of a node.
     fn record_refused_request(&self, error: impl Display) {
         self.metrics.peer_refused.inc();
--- a/crates/plumgate-node/src/link.rs
+++ b/crates/plumgate-node/src/link.rs
@@ -14,6 +14,7 @@
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use plumgate::ids::NodeId;
 use smol_hyper::rt::FuturesIo;
 
 use crate::http::{OutgoingRequest, open_call_stream, open_stream};
@@ -91,34 +92,34 @@
 pub struct HttpLink {
     sender: SendRequest<Full<Bytes>>,
     driver: Option<LinkDriver>,
-    is_tunnel: bool,
+    /// Node through which the connection leads, if it is a tunnel.
+    helper: Option<NodeId>,
 }
 
 impl HttpLink {
     /// Connects to an address.
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = open_stream(address).await?;
-        Self::handshake(LinkStream::Direct(stream)).await
+        Self::handshake(LinkStream::Direct(stream), None).await
     }
 
     /// Connects to an address for calls that must not arrive later than `max_delay` after they were abandoned.
     pub async fn open_with_max_delay(address: SocketAddr, max_delay: Duration) -> io::Result<Self> {
         let stream = open_call_stream(address, max_delay).await?;
-        Self::handshake(LinkStream::Direct(stream)).await
+        Self::handshake(LinkStream::Direct(stream), None).await
     }
 
     /// Uses a tunnel through another node as a connection.
-    pub(crate) async fn over_tunnel(stream: TunnelStream) -> io::Result<Self> {
-        Self::handshake(LinkStream::Tunnel(stream)).await
+    pub(crate) async fn over_tunnel(stream: TunnelStream, helper: NodeId) -> io::Result<Self> {
+        Self::handshake(LinkStream::Tunnel(stream), Some(helper)).await
     }
 
-    /// Returns whether the connection leads through another node.
-    pub(crate) fn is_tunnel(&self) -> bool {
-        self.is_tunnel
+    /// Returns the node through which the connection leads, if it is a tunnel.
+    pub(crate) fn helper(&self) -> Option<&NodeId> {
+        self.helper.as_ref()
     }
 
-    async fn handshake(stream: LinkStream) -> io::Result<Self> {
-        let is_tunnel = matches!(stream, LinkStream::Tunnel(_));
+    async fn handshake(stream: LinkStream, helper: Option<NodeId>) -> io::Result<Self> {
         let (sender, driver) = Builder::new()
             .max_buf_size(READ_BUFFER)
             .handshake(FuturesIo::new(stream))
@@ -127,7 +128,7 @@
         Ok(Self {
             sender,
             driver: Some(driver),
-            is_tunnel,
+            helper,
         })
     }
 
--- a/crates/plumgate/src/gateway/reachability/tunnel_peers.rs
+++ b/crates/plumgate/src/gateway/reachability/tunnel_peers.rs
@@ -61,11 +61,16 @@
     paused_until: Option<Instant>,
     /// Time until which it is asked after all others.
     doubtful_until: Option<Instant>,
+    /// Number of tunnels in a row through it over which no answer came.
+    stalls: u32,
+    /// Time until which it is asked after all others because of them.
+    stalled_until: Option<Instant>,
 }
 
 impl PeerState {
     fn is_doubtful(&self, now: Instant) -> bool {
-        self.doubtful_until.is_some_and(|until| now < until)
+        let doubts = [self.doubtful_until, self.stalled_until];
+        doubts.into_iter().flatten().any(|until| now < until)
     }
 
     fn is_paused(&self, now: Instant) -> bool {
@@ -102,6 +107,8 @@
                     failures: 0,
                     paused_until: None,
                     doubtful_until: None,
+                    stalls: 0,
+                    stalled_until: None,
                 },
             };
             self.peers.insert(state.entry.node.clone(), state);
@@ -129,6 +136,22 @@
         Some(peer.entry.clone())
     }
 
+    /// Records whether an answer came over a tunnel through a node. The node may be suspended since it opened the
+    /// tunnel, or its link may lose data; the server may as well be the cause, so that the node is only asked later
+    /// than others.
+    pub fn record_tunnel_use(&mut self, node: &NodeId, is_answered: bool, now: Instant) {
+        let Some(peer) = self.peers.get_mut(node) else {
+            return;
+        };
+        if is_answered {
+            peer.stalls = 0;
+            peer.stalled_until = None;
+            return;
+        }
+        peer.stalled_until = Some(now + DOUBT_TIME * (1 << peer.stalls));
+        peer.stalls = (peer.stalls + 1).min(MAX_FAILURES);
+    }
+
     /// Records what became of a request to a node.
     pub fn record(&mut self, node: &NodeId, result: TunnelResult, now: Instant) {
         let Some(peer) = self.peers.get_mut(node) else {
