quarantine: a refused connection counts as a crash only where some other server is reached

Callers saw: after all nodes had lost their links to all servers a few times (connections reset, new ones refused), a request that was under way each time is blocked at every node for ten minutes: 503, quarantined, though no server crashed.

Cause: a crash is inferred from a broken answer and a refused connection. A node that is cut off asks another one, which confirms the refusal; where that one is cut off too, each confirms the other. Four cuts made evidence of several crashed servers against requests that had done nothing. Change: before a refusal counts, the node opens a connection to one of three other servers, by itself or through another node. If none opens, the network refuses, and only the server's entry decides (event=server_end_doubted). Refusals of new requests are looked at only while runs at that server are in doubt, which saves the connections. With one server there is nothing to compare, and a refusal counts as before. Class: a sign that has two causes taken for one of them, as in docs/incidents/cut-off-node.md.

Not covered: servers of one data centre that refuse all nodes while others are reached.

--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -12,7 +12,7 @@
 use super::incarnations::ServerIncarnation;
 use super::ports::WireFormat;
 use super::shared::GatewayShared;
-use super::suspects::probe_server;
+use super::suspects::{check_refusal, probe_server};
 use crate::clock::Clock;
 
 /// Guard that counts a caller's connection as open until it is dropped.
@@ -191,7 +191,7 @@
             }
         }
         if self.outcome == WorkOutcome::Refused {
-            self.shared.on_connection_refused(&self.server);
+            check_refusal(&self.shared, &self.server);
         }
         self.shared.log_suspects();
     }
--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -17,6 +17,8 @@
 
 /// Path of the operators' page on quarantined requests.
 pub(crate) const QUARANTINE_PATH: &str = "/quarantine";
+/// Number of other servers of which one has to be reached before a refused connection counts as a crash.
+const OTHER_SERVERS: usize = 3;
 
 /// Probes a server with a bare connection after a connection to it broke in the middle of an answer. A node that has
 /// lost its own path asks another one before it takes the server for crashed.
@@ -36,7 +38,7 @@
                 let now = prober.clock.now();
                 prober.quarantine().on_server_reached(&server, opened, now);
             }
-            Err(ConnectFailure::Refused) => prober.on_connection_refused(&server),
+            Err(ConnectFailure::Refused) => on_connection_refused(&prober, &server).await,
             Err(ConnectFailure::Silent | ConnectFailure::Paused) => {
                 prober.quarantine().on_probe_unanswered(&server);
             }
@@ -47,7 +49,74 @@
     shared.executor.spawn(task).detach();
 }
 
+/// Handles a connection that a server's machine refused to this node and to another one. It is a sign of a crash only
+/// where some other server is reached: else the network refuses the connections.
+async fn on_connection_refused<C: Clock, W>(
+    shared: &Arc<GatewayShared<C, W>>,
+    server: &ServerEntry,
+) {
+    if !reaches_another(shared, server).await {
+        shared.quarantine().on_probe_unanswered(server);
+        LogLine::new("server_end_doubted")
+            .with("server", &server.id)
+            .with("reason", "no_server_reached")
+            .info(&shared.log);
+        return;
+    }
+    let now = shared.clock.now();
+    let crashed = shared
+        .quarantine()
+        .on_server_crashed(server, CrashSign::Refused, now);
+    shared.record_crashes(&crashed, server, CrashSign::Refused);
+}
+
+/// Returns whether a connection to one of a few other servers opens, or there is no other server.
+async fn reaches_another<C: Clock, W>(
+    shared: &Arc<GatewayShared<C, W>>,
+    server: &ServerEntry,
+) -> bool {
+    let others = shared.other_servers(server);
+    for other in &others {
+        let deadline = shared.clock.now() + CONNECT_TIMEOUT;
+        if open_server(shared, other, deadline).await.is_ok() {
+            return true;
+        }
+    }
+    others.is_empty()
+}
+
+/// Checks a refused connection to a server, if runs there are in doubt.
+pub(crate) fn check_refusal<C: Clock, W: Send + Sync + 'static>(
+    shared: &Arc<GatewayShared<C, W>>,
+    server: &ServerEntry,
+) {
+    if !shared.quarantine().has_in_doubt_runs(server) {
+        return;
+    }
+    let (checker, server) = (shared.clone(), server.clone());
+    let task = async move {
+        on_connection_refused(&checker, &server).await;
+        checker.server_probed.notify(usize::MAX);
+        checker.log_suspects();
+    };
+    shared.executor.spawn(task).detach();
+}
+
 impl<C: Clock, W> GatewayShared<C, W> {
+    /// Chooses a few other servers at random.
+    fn other_servers(&self, server: &ServerEntry) -> Vec<ServerEntry> {
+        let loads = self.loads();
+        let mut others: Vec<ServerEntry> = loads
+            .entries()
+            .filter(|entry| entry.id != server.id)
+            .cloned()
+            .collect();
+        drop(loads);
+        fastrand::Rng::with_seed(self.random_number()).shuffle(&mut others);
+        others.truncate(OTHER_SERVERS);
+        others
+    }
+
     /// Counts and logs a server that is believed to have crashed while it ran requests of this node.
     pub(crate) fn record_crashes(
         &self,
@@ -69,15 +138,6 @@
         }
     }
 
-    /// Handles a connection that a server's machine refused, which is a sign of a crash.
-    pub(crate) fn on_connection_refused(&self, server: &ServerEntry) {
-        let now = self.clock.now();
-        let crashed = self
-            .quarantine()
-            .on_server_crashed(server, CrashSign::Refused, now);
-        self.record_crashes(&crashed, server, CrashSign::Refused);
-    }
-
     /// Logs and counts changed verdicts on poison requests.
     pub(crate) fn log_suspects(&self) {
         let mut quarantine = self.quarantine();
--- a/crates/plumgate/src/gateway/quarantine/in_doubt.rs
+++ b/crates/plumgate/src/gateway/quarantine/in_doubt.rs
@@ -112,6 +112,11 @@
         })
     }
 
+    /// Returns whether runs at a server are in doubt.
+    pub(crate) fn has_runs(&self, server: ServerKey) -> bool {
+        self.runs.iter().any(|run| run.server == server)
+    }
+
     /// Handles a probe that got no response.
     pub(crate) fn on_probe_unanswered(&mut self, server: ServerKey) {
         self.probed.retain(|probed| probed.server != server);
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -280,6 +280,11 @@
         runs.iter().map(|run| run.identity).collect()
     }
 
+    /// Returns whether runs at a server are in doubt, so that a sign of its crash would count against their requests.
+    pub fn has_in_doubt_runs(&self, server: &ServerEntry) -> bool {
+        self.in_doubt.has_runs(server_key(server))
+    }
+
     /// Handles a probe that got no response; whether the server's entry lapses then decides.
     pub fn on_probe_unanswered(&mut self, server: &ServerEntry) {
         self.in_doubt.on_probe_unanswered(server_key(server));
