placement: a lender recalls a loan that it has taken back

Callers would see rejections by a brittle server: a borrower that is cut off from its lender for more than 1.5 s keeps the place for as long as it has requests for it, while the lender uses it again.

Change: a lender answers a report of loans that it doesn't know with a recall, and the borrower gives them up. Beside it, without a change of behaviour: a comment and the choice of other servers in the check of a refused connection.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -92,8 +92,8 @@
     }
 }
 
-/// Returns whether an answer came, or `None` if that says nothing about the connection: the server has restarted, or
-/// the request was not sent. `None` in `result` is a timeout, and then an end of the server's incarnation.
+/// Returns whether an answer came, or `None` if the result says nothing about the connection: the server has restarted,
+/// or the request was not sent. In `result`, the outer `None` is a timeout, the inner one the server's restart.
 fn is_answered<A>(result: &Option<Option<Result<A, LinkError>>>) -> Option<bool> {
     match result {
         Some(Some(Ok(_))) => Some(true),
--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -105,16 +105,11 @@
 impl<C: Clock, W> GatewayShared<C, W> {
     /// Chooses a few other servers at random.
     fn other_servers(&self, server: &ServerEntry) -> Vec<ServerEntry> {
+        let mut rng = fastrand::Rng::with_seed(self.random_number());
         let loads = self.loads();
-        let mut others: Vec<ServerEntry> = loads
-            .entries()
-            .filter(|entry| entry.id != server.id)
-            .cloned()
-            .collect();
-        drop(loads);
-        fastrand::Rng::with_seed(self.random_number()).shuffle(&mut others);
-        others.truncate(OTHER_SERVERS);
-        others
+        let others = loads.entries().filter(|entry| entry.id != server.id);
+        let chosen = rng.choose_multiple(others, OTHER_SERVERS);
+        chosen.into_iter().cloned().collect()
     }
 
     /// Counts and logs a server that is believed to have crashed while it ran requests of this node.
--- a/crates/plumgate-node/src/gateway/tunnels.rs
+++ b/crates/plumgate-node/src/gateway/tunnels.rs
@@ -14,7 +14,6 @@
     DirectResult, MAX_TUNNEL_REQUEST_BYTES, NodeEntry, PathDoubt, ServerEntry, ServerRef,
     TunnelRefusal, TunnelReply, TunnelResult,
 };
-
 use plumgate::ids::NodeId;
 
 use super::metrics::ReasonLabels;
--- a/crates/plumgate/src/gateway/placement/place_exchange.rs
+++ b/crates/plumgate/src/gateway/placement/place_exchange.rs
@@ -70,7 +70,11 @@
                 None
             }
             PlaceMessage::Report { kept, ended } => {
-                self.loans.apply_report(from, kept, ended, now);
+                let loans = self.loans.apply_report(from, kept, ended, now);
+                (!loans.is_empty()).then_some(PlaceMessage::Recall { loans })
+            }
+            PlaceMessage::Recall { loans } => {
+                self.loans.recall(loans, from);
                 None
             }
         };
--- a/crates/plumgate/src/gateway/placement/place_loans.rs
+++ b/crates/plumgate/src/gateway/placement/place_loans.rs
@@ -2,7 +2,8 @@
 //!
 //! A node whose requests wait for room asks a few other nodes, chosen at random. One that has an idle place of its
 //! own lends it and does not use it until the borrower reports that the loan has ended, or reports nothing for
-//! [`LOAN_LIFETIME`]. Messages may be lost: a lost loan is idle for that time, and is never used by two nodes.
+//! [`LOAN_LIFETIME`]. Messages may be lost: a lost loan is idle for that time. A borrower that was cut off for longer
+//! gives the place up as soon as it hears from the lender again.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -59,6 +60,11 @@
         /// Loans that have ended.
         ended: Vec<u64>,
     },
+    /// Tells a borrower which of its reported loans the lender does not know any more.
+    Recall {
+        /// Ids of the loans.
+        loans: Vec<u64>,
+    },
 }
 
 /// Loan that ended because its borrower no longer reported it.
@@ -204,18 +210,20 @@
         self.lent.get(&loan).map(|place| place.server)
     }
 
-    /// Applies a borrower's report.
+    /// Applies a borrower's report. Returns the loans that are not known any more.
     pub(crate) fn apply_report(
         &mut self,
         borrower: &NodeId,
         kept: &[LoanId],
         ended: &[LoanId],
         now: Instant,
-    ) {
+    ) -> Vec<LoanId> {
+        let mut unknown = Vec::new();
         for loan in kept {
             let place = self.lent.get_mut(loan);
-            if let Some(place) = place.filter(|place| place.borrower == *borrower) {
-                place.renewed_at = now;
+            match place.filter(|place| place.borrower == *borrower) {
+                Some(place) => place.renewed_at = now,
+                None => unknown.push(*loan),
             }
         }
         for loan in ended {
@@ -227,6 +235,13 @@
                 self.lent.remove(loan);
             }
         }
+        unknown
+    }
+
+    /// Gives up places that their lender uses again.
+    pub(crate) fn recall(&mut self, loans: &[LoanId], lender: &NodeId) {
+        self.borrowed
+            .retain(|loan, place| place.lender != *lender || !loans.contains(loan));
     }
 
     /// Removes old requests, and returns the loans that were not reported for too long.
--- a/crates/plumgate/tests/place_loans.rs
+++ b/crates/plumgate/tests/place_loans.rs
@@ -160,6 +160,26 @@
     assert_eq!(lender.begin(3, now + ROUND * 50), 1);
 }
 
+/// Guards against a place that two nodes use after its borrower was cut off from its lender for some time.
+#[test]
+fn expired_loan_is_recalled_from_its_borrower() {
+    let now = Instant::now();
+    let (mut lender, mut borrower) = nodes(now);
+    borrower.begin(3, now);
+    for loan in ask(&mut borrower, &mut lender, now) {
+        borrower.receive(&lender.id, &loan, now);
+    }
+    assert_eq!(borrower.table.loan_counts(), (0, 1));
+    let later = now + Duration::from_secs(2);
+    lender.run_round(&borrower.id, later);
+    let begun = borrower.begin(3, later);
+    for recall in ask(&mut borrower, &mut lender, later) {
+        borrower.receive(&lender.id, &recall, later);
+    }
+    assert_eq!(lender.begin(3, later) + begun, 2);
+    assert_eq!(borrower.begin(3, later), 0);
+}
+
 /// Guards against a borrower that uses a place after its lender has taken it back.
 #[test]
 fn late_loan_is_given_back() {
