--- a/crates/plumgate/tests/place_loans.rs
+++ b/crates/plumgate/tests/place_loans.rs
@@ -97,15 +97,20 @@
     answers.collect()
 }
 
+/// Runs a round of the borrower, and delivers the lender's answers.
+fn exchange(borrower: &mut PlaceNode, lender: &mut PlaceNode, now: Instant) {
+    for answer in ask(borrower, lender, now) {
+        borrower.receive(&lender.id, &answer, now);
+    }
+}
+
 /// Guards against a place that is used by two nodes.
 #[test]
 fn lent_place_is_used_by_the_borrower_only() {
     let now = Instant::now();
     let (mut lender, mut borrower) = nodes(now);
     assert_eq!(borrower.begin(3, now), 2);
-    for loan in ask(&mut borrower, &mut lender, now) {
-        borrower.receive(&lender.id, &loan, now);
-    }
+    exchange(&mut borrower, &mut lender, now);
     assert_eq!(borrower.begin(3, now), 1);
     assert_eq!(lender.begin(3, now), 1);
 }
@@ -116,9 +121,7 @@
     let now = Instant::now();
     let (mut lender, mut borrower) = nodes(now);
     borrower.begin(3, now);
-    for loan in ask(&mut borrower, &mut lender, now) {
-        borrower.receive(&lender.id, &loan, now);
-    }
+    exchange(&mut borrower, &mut lender, now);
     borrower.begin(3, now);
     borrower.end_all(now);
     let later = now + ROUND * 2;
@@ -148,9 +151,7 @@
     let now = Instant::now();
     let (mut lender, mut borrower) = nodes(now);
     borrower.begin(3, now);
-    for loan in ask(&mut borrower, &mut lender, now) {
-        borrower.receive(&lender.id, &loan, now);
-    }
+    exchange(&mut borrower, &mut lender, now);
     assert_eq!(borrower.begin(3, now), 1);
     for round in 1..50 {
         let at = now + ROUND * round;
@@ -166,16 +167,12 @@
     let now = Instant::now();
     let (mut lender, mut borrower) = nodes(now);
     borrower.begin(3, now);
-    for loan in ask(&mut borrower, &mut lender, now) {
-        borrower.receive(&lender.id, &loan, now);
-    }
+    exchange(&mut borrower, &mut lender, now);
     assert_eq!(borrower.table.loan_counts(), (0, 1));
     let later = now + Duration::from_secs(2);
     lender.run_round(&borrower.id, later);
     let begun = borrower.begin(3, later);
-    for recall in ask(&mut borrower, &mut lender, later) {
-        borrower.receive(&lender.id, &recall, later);
-    }
+    exchange(&mut borrower, &mut lender, later);
     assert_eq!(lender.begin(3, later) + begun, 2);
     assert_eq!(borrower.begin(3, later), 0);
 }
