--- a/crates/plumgate-node/src/gateway/ports.rs
+++ b/crates/plumgate-node/src/gateway/ports.rs
@@ -184,6 +184,30 @@
     pub output_hint: Option<u32>,
     /// Number of the event after which the caller wants to resume a stream.
     pub resume_after: Option<u64>,
+    /// Stream that the caller resumes.
+    pub resumed: ResumedStream,
+}
+
+/// Stream that a request resumes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum ResumedStream {
+    /// None: the request begins a stream.
+    #[default]
+    None,
+    /// The stream whose first event the caller's attempt with this id brought.
+    Named(String),
+    /// A stream that the request does not name, or not in a valid way.
+    Unnamed,
+}
+
+impl ResumedStream {
+    /// Returns the id of the attempt that began the stream, if the request names it.
+    pub fn attempt(&self) -> Option<&str> {
+        match self {
+            Self::Named(id) => Some(id),
+            Self::None | Self::Unnamed => None,
+        }
+    }
 }
 
 /// Values that an attempt sends to the server in addition to the caller's own request.
--- a/crates/plumgate-node/src/gateway/snapshots.rs
+++ b/crates/plumgate-node/src/gateway/snapshots.rs
@@ -19,9 +19,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use plumgate::gateway::{SourceTopic, StateSnapshot};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
+use plumgate::gateway::{SnapshotState, SourceTopic, StateSnapshot};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::shared::GatewayShared;
@@ -97,7 +95,7 @@
 }
 
 /// Requests the snapshot of a topic from another node.
-pub(crate) async fn fetch_snapshot<C: Clock, T: Serialize + DeserializeOwned>(
+pub(crate) async fn fetch_snapshot<C: Clock, T: SnapshotState>(
     clock: &C,
     address: SocketAddr,
     topic: SourceTopic,
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -307,6 +307,7 @@
         LogLine::new("resume")
             .with("request", &self.run.request.id)
             .with("server", &pick.server.id)
+            .with_some("version", pick.server.version.as_ref())
             .with_some("after_event", resume_after)
             .info(&self.run.shared.log);
         let head_deadline = self.run.request.due;
--- a/crates/plumgate-node/src/gateway/view_servers.rs
+++ b/crates/plumgate-node/src/gateway/view_servers.rs
@@ -155,6 +155,7 @@
                     .with("reborn", matches!(change, ServerChange::Restarted(_)))
                     .with("state", format!("{:?}", entry.state).to_lowercase())
                     .with("pool", &entry.pool)
+                    .with_some("version", entry.version.as_ref())
                     .with("address", entry.address)
                     .with("data_centre", &entry.data_centre),
                 ServerChange::Removed(id) => line.with("server", id).with("state", "gone"),
--- a/crates/plumgate-node/src/gateway/view_snapshots.rs
+++ b/crates/plumgate-node/src/gateway/view_snapshots.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use plumgate::StoreVersion;
-use plumgate::gateway::{ConfigSnapshot, ServersSnapshot, SourceTopic, StateSnapshot};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
+use plumgate::gateway::{
+    ConfigSnapshot, ServersSnapshot, SnapshotState, SourceTopic, StateSnapshot,
+};
 
 use super::snapshots::{SnapshotError, fetch_snapshot};
 use super::view::{FleetView, UNCONFIRMED_GRACE_PERIOD};
@@ -101,10 +101,7 @@
         self.encode(&snapshot)
     }
 
-    fn encode<T: Serialize + DeserializeOwned>(
-        &self,
-        snapshot: &StateSnapshot<T>,
-    ) -> Option<Vec<u8>> {
+    fn encode<T: SnapshotState>(&self, snapshot: &StateSnapshot<T>) -> Option<Vec<u8>> {
         let encoded = snapshot.encode();
         if let Err(error) = &encoded {
             LogLine::new("copy_not_encoded")
--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -20,7 +20,7 @@
 use super::peer_view::{PeerView, ReceivedStatement};
 use super::peers::{COLLECTOR_SILENCE, PeerTable};
 use super::reported_work::ReportedWork;
-use crate::errors::{Error, Result};
+use crate::errors::Result;
 use crate::gateway::servers::ServerEntry;
 use crate::gateway::sync::messages::SyncRequest;
 use crate::gateway::sync::{SyncOutcome, SyncState};
@@ -230,7 +230,7 @@
             return None;
         }
         let message = self.message(ExchangeBody::Statements(sealed));
-        let bytes = postcard::to_stdvec(&message).ok()?;
+        let bytes = message.encode().ok()?;
         Some((to, bytes))
     }
 
@@ -306,7 +306,7 @@
         let mut packets = Vec::new();
         for report in self.duty_messages.take_outgoing_usage() {
             let message = self.message(ExchangeBody::Usage(report));
-            let Ok(bytes) = postcard::to_stdvec(&message) else {
+            let Ok(bytes) = message.encode() else {
                 continue;
             };
             for node in recipients {
@@ -351,8 +351,7 @@
     ) -> Result<SyncOutcome> {
         let now = moment.now;
         self.peers.set_now(now);
-        let message: ExchangeMessage =
-            postcard::from_bytes(bytes).map_err(|_| Error::MalformedMessage)?;
+        let message = ExchangeMessage::decode(bytes)?;
         let node: NodeId = message.node.as_str().into();
         if node == self.peers.own().node {
             return Ok(SyncOutcome::default());
@@ -592,7 +591,7 @@
             messages[0].sync_request = sync_request;
             messages[0].sync_response =
                 received.map(|(request, received_at)| sync.respond(&request, received_at));
-            let encoded = messages.iter().filter_map(|m| postcard::to_stdvec(m).ok());
+            let encoded = messages.iter().filter_map(|message| message.encode().ok());
             packets.extend(encoded.map(|bytes| (peer.entry.address, bytes)));
         }
         packets
--- a/crates/plumgate/src/gateway/exchange/messages.rs
+++ b/crates/plumgate/src/gateway/exchange/messages.rs
@@ -5,8 +5,9 @@
 
 use super::nodes::NodeCapacity;
 use crate::duty::{ClockReport, UsageUpdate};
+use crate::errors::{Error, Result};
 use crate::gateway::servers::ServerEntry;
-use crate::gateway::sync::messages::{SyncRequest, SyncResponse};
+use crate::gateway::sync::messages::{ServerVersions, SyncRequest, SyncResponse};
 use crate::gateway::work::{ServerWork, URGENCY_LEVELS};
 
 /// Tokens per unit of [`WorkEntry::pending_prefill`].
@@ -111,6 +112,36 @@
     pub(crate) sync_response: Option<SyncResponse>,
 }
 
+impl ExchangeMessage {
+    /// Encodes the message, followed by the versions of the servers in it, which nodes of earlier builds ignore.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::MalformedMessage`] if the message can't be encoded.
+    pub(crate) fn encode(&self) -> Result<Vec<u8>> {
+        let bytes = postcard::to_stdvec(self).map_err(|_| Error::MalformedMessage)?;
+        let Some(response) = &self.sync_response else {
+            return Ok(bytes);
+        };
+        let versions = ServerVersions::new(response.entries());
+        versions.append_to(bytes)
+    }
+
+    /// Decodes a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::MalformedMessage`] if the message can't be decoded.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self> {
+        let decoded = postcard::take_from_bytes(bytes);
+        let (mut message, rest): (Self, &[u8]) = decoded.map_err(|_| Error::MalformedMessage)?;
+        if let Some(response) = &mut message.sync_response {
+            ServerVersions::decode(rest)?.apply_to(response.entries_mut())?;
+        }
+        Ok(message)
+    }
+}
+
 /// Returns the key of a server's incarnation.
 pub(crate) fn server_key(server: &ServerEntry) -> ServerKey {
     server.incarnation_key()
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -64,7 +64,7 @@
 };
 pub use switches::{PolicyPart, PolicySwitches};
 pub use sync::{
-    ConfigSnapshot, ServerUpdate, ServersSnapshot, ServersState, SourceTopic, StateSnapshot,
-    SyncOutcome, SyncRequest, SyncResponse, SyncState,
+    ConfigSnapshot, ServerUpdate, ServersSnapshot, ServersState, SnapshotState, SourceTopic,
+    StateSnapshot, SyncOutcome, SyncRequest, SyncResponse, SyncState,
 };
 pub use work::{ServerWork, WorkOutcome, WorkTicket};
--- a/crates/plumgate/src/gateway/servers.rs
+++ b/crates/plumgate/src/gateway/servers.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::duty::CapacityType;
-use crate::ids::{DataCentreId, PoolId, ServerId};
+use crate::ids::{DataCentreId, PoolId, ServerId, SoftwareVersion};
 
 /// State that a server reports of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,6 +48,10 @@
     pub kind: CapacityType,
     /// Number of times the server has written its entry; a newer entry has a higher number.
     pub writes: u64,
+    /// Version of its software; `None` if the entry came from a node that does not send it, or if it is empty.
+    /// Messages carry it beside the entry, as nodes of earlier builds read entries without it.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
 }
 
 impl ServerEntry {
@@ -130,8 +134,15 @@
     /// incarnation. If the table accepted it, requests and cached prompt parts that are lost would count again,
     /// and the requests that run at the new incarnation would be cut off. The start time distinguishes them, as it
     /// only increases from one incarnation to the next.
-    pub fn put(&mut self, entry: ServerEntry) -> Option<ServerChange> {
+    pub fn put(&mut self, mut entry: ServerEntry) -> Option<ServerChange> {
         let known = self.servers.get_mut(&entry.id);
+        if entry.version.is_none()
+            && let Some(known) = &known
+            && known.entry.start_time == entry.start_time
+            && known.entry.writes == entry.writes
+        {
+            entry.version.clone_from(&known.entry.version);
+        }
         if let Some(known) = known
             && known.expires_at.is_none()
             && known.entry.equals_except_writes(&entry)
--- a/crates/plumgate/src/gateway/sync/messages.rs
+++ b/crates/plumgate/src/gateway/sync/messages.rs
@@ -2,8 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::errors::{Error, Result};
 use crate::gateway::servers::ServerEntry;
-use crate::ids::{ConfigVersion, ServerId};
+use crate::ids::{ConfigVersion, ServerId, SoftwareVersion};
 use crate::store_version::StoreVersion;
 
 /// Position in the store's history of servers.
@@ -81,3 +82,74 @@
         self
     }
 }
+
+impl SyncResponse {
+    /// Returns the entries of servers in the response.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
+        let changes = match &self.servers {
+            Some(ServersDelta::Changes { changes, .. }) => changes.as_slice(),
+            _ => &[],
+        };
+        changes.iter().filter_map(|change| match change {
+            ServerUpdate::Entry(entry) => Some(entry),
+            ServerUpdate::Removed { .. } | ServerUpdate::Unusable(_) => None,
+        })
+    }
+
+    /// Returns the entries of servers in the response, mutable.
+    pub(crate) fn entries_mut(&mut self) -> impl Iterator<Item = &mut ServerEntry> {
+        let changes = match &mut self.servers {
+            Some(ServersDelta::Changes { changes, .. }) => changes.as_mut_slice(),
+            _ => &mut [],
+        };
+        changes.iter_mut().filter_map(|change| match change {
+            ServerUpdate::Entry(entry) => Some(entry),
+            ServerUpdate::Removed { .. } | ServerUpdate::Unusable(_) => None,
+        })
+    }
+}
+
+/// Software versions of the servers in a message, in the order of their entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ServerVersions(Vec<Option<SoftwareVersion>>);
+
+impl ServerVersions {
+    /// Collects the versions of some entries.
+    pub(crate) fn new<'a>(entries: impl Iterator<Item = &'a ServerEntry>) -> Self {
+        Self(entries.map(|entry| entry.version.clone()).collect())
+    }
+
+    /// Decodes what follows a message; nothing follows one of an earlier build.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        postcard::from_bytes(bytes).map_err(|_| Error::MalformedMessage)
+    }
+
+    /// Appends the versions to an encoded message; nothing if there are none.
+    pub(crate) fn append_to(&self, bytes: Vec<u8>) -> Result<Vec<u8>> {
+        if self.0.is_empty() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(self, bytes).map_err(|_| Error::MalformedMessage)
+    }
+
+    /// Sets the versions of the entries of the message.
+    pub(crate) fn apply_to<'a>(
+        self,
+        entries: impl Iterator<Item = &'a mut ServerEntry>,
+    ) -> Result<()> {
+        let entries: Vec<&mut ServerEntry> = entries.collect();
+        if self.0.is_empty() {
+            return Ok(());
+        }
+        if entries.len() != self.0.len() {
+            return Err(Error::MalformedMessage);
+        }
+        for (entry, version) in entries.into_iter().zip(self.0) {
+            entry.version = version;
+        }
+        Ok(())
+    }
+}
--- a/crates/plumgate/src/gateway/sync/mod.rs
+++ b/crates/plumgate/src/gateway/sync/mod.rs
@@ -9,5 +9,5 @@
 mod state;
 
 pub use messages::{ServerUpdate, SyncRequest, SyncResponse};
-pub use snapshots::{ConfigSnapshot, ServersSnapshot, ServersState, StateSnapshot};
+pub use snapshots::{ConfigSnapshot, ServersSnapshot, ServersState, SnapshotState, StateSnapshot};
 pub use state::{SourceTopic, SyncOutcome, SyncState};
--- a/crates/plumgate/src/gateway/sync/snapshots.rs
+++ b/crates/plumgate/src/gateway/sync/snapshots.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use super::messages::LogPosition;
+use super::messages::{LogPosition, ServerVersions};
 use crate::errors::{Error, Result};
 use crate::gateway::config::GatewayConfig;
 use crate::gateway::servers::ServerEntry;
@@ -85,14 +85,53 @@
     }
 }
 
-impl<T: Serialize + DeserializeOwned> StateSnapshot<T> {
+/// State that a snapshot may contain.
+pub trait SnapshotState: Serialize + DeserializeOwned {
+    /// Appends to the encoded snapshot what nodes of earlier builds ignore.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::MalformedMessage`] if it can't be encoded.
+    fn append_rest(&self, bytes: Vec<u8>) -> Result<Vec<u8>> {
+        Ok(bytes)
+    }
+
+    /// Reads what follows the encoded snapshot; empty in one of an earlier build.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::MalformedMessage`] if it can't be decoded.
+    fn read_rest(&mut self, _rest: &[u8]) -> Result<()> {
+        Ok(())
+    }
+}
+
+impl SnapshotState for Arc<GatewayConfig> {}
+
+impl SnapshotState for Vec<ServerEntry> {}
+
+impl SnapshotState for ServersState {
+    fn append_rest(&self, bytes: Vec<u8>) -> Result<Vec<u8>> {
+        ServerVersions::new(self.entries.iter()).append_to(bytes)
+    }
+
+    fn read_rest(&mut self, rest: &[u8]) -> Result<()> {
+        ServerVersions::decode(rest)?.apply_to(self.entries.iter_mut())
+    }
+}
+
+impl<T: SnapshotState> StateSnapshot<T> {
     /// Encodes the snapshot for sending.
     pub fn encode(&self) -> Result<Vec<u8>> {
-        postcard::to_stdvec(self).map_err(|_| Error::MalformedMessage)
+        let bytes = postcard::to_stdvec(self).map_err(|_| Error::MalformedMessage)?;
+        self.state.append_rest(bytes)
     }
 
     /// Decodes a snapshot that was received.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        postcard::from_bytes(bytes).map_err(|_| Error::MalformedMessage)
+        let decoded = postcard::take_from_bytes(bytes);
+        let (mut snapshot, rest): (Self, &[u8]) = decoded.map_err(|_| Error::MalformedMessage)?;
+        snapshot.state.read_rest(rest)?;
+        Ok(snapshot)
     }
 }
--- a/crates/plumgate/src/ids.rs
+++ b/crates/plumgate/src/ids.rs
@@ -14,6 +14,8 @@
 pub type TierId = Arc<str>;
 /// Name of a model or of a plain service: what a backend server serves.
 pub type PoolId = Arc<str>;
+/// Version of the software of a backend server, as the server names it. Versions have no order.
+pub type SoftwareVersion = Arc<str>;
 /// Name of one entry VM; a replacement VM gets another name.
 pub type NodeId = Arc<str>;
 /// Id of one caller's request, unique over all nodes.
--- a/crates/plumgate/tests/entries/mod.rs
+++ b/crates/plumgate/tests/entries/mod.rs
@@ -20,6 +20,7 @@
         cold_for: Duration::ZERO,
         kind: CapacityType::Lasting,
         writes: 1,
+        version: None,
     }
 }
 
--- a/crates/plumgate/tests/gateway_sync.rs
+++ b/crates/plumgate/tests/gateway_sync.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use plumgate::gateway::{
-    ExchangeMoment, LoadExchange, ServerEntry, ServerState, ServerTable, ServerUpdate, SourceTopic,
-    StateSnapshot, SyncRequest, SyncResponse, SyncState,
+    ExchangeMoment, LoadExchange, ServerEntry, ServerState, ServerTable, ServerUpdate,
+    ServersSnapshot, SourceTopic, StateSnapshot, SyncRequest, SyncResponse, SyncState,
 };
 
 use entries::{node_entries, server_entry};
@@ -588,3 +588,69 @@
         assert!(decoded.is_err(), "cut at {cut}");
     }
 }
+
+fn table_of_versions(versions: &[&str]) -> ServerTable {
+    let mut servers = ServerTable::new();
+    for version in versions {
+        servers.put(ServerEntry {
+            version: Some((*version).into()),
+            ..server_entry(version)
+        });
+    }
+    servers
+}
+
+/// Guards against a snapshot whose software versions are lost or shifted, so that a stream goes on at another one.
+#[test]
+fn snapshot_holds_each_servers_version_or_none() {
+    let servers = table_of_versions(&["v1", "v2"]);
+    let snapshot = watcher(20, ms(1_000)).servers_snapshot(&servers, ms(1_010));
+    let snapshot = snapshot.expect("it knows the servers");
+    let bytes = snapshot.encode().expect("a snapshot");
+    assert_eq!(ServersSnapshot::decode(&bytes), Ok(snapshot.clone()));
+    let cuts = (0..bytes.len()).filter_map(|cut| ServersSnapshot::decode(&bytes[..cut]).ok());
+    let cuts: Vec<ServersSnapshot> = cuts.collect();
+    assert_eq!(cuts.len(), 1, "as an earlier build sends it");
+    let (entries, _) = cuts[0].clone().into_state().into_servers();
+    assert!(entries.iter().all(|entry| entry.version.is_none()));
+    let (entries, _) = snapshot.into_state().into_servers();
+    assert_eq!(entries[1].version.as_deref(), Some("v2"));
+}
+
+/// Guards against a node that follows others and does not learn the software versions of servers.
+#[test]
+fn versions_of_changed_servers_reach_the_nodes_that_follow() {
+    let nodes = node_entries(1, 2);
+    let mut exchanges: Vec<LoadExchange> = nodes
+        .iter()
+        .map(|node| {
+            let mut exchange = LoadExchange::new(node.clone());
+            exchange.set_nodes(nodes.clone());
+            exchange
+        })
+        .collect();
+    let mut states = [watcher(10, ms(900)), watcher(10, ms(900))];
+    let start = Instant::now();
+    let update = ServerUpdate::Entry(ServerEntry {
+        version: Some("v2".into()),
+        ..server_entry("a")
+    });
+    let collector = usize::from(!exchanges[0].is_collector());
+    states[collector].extend_log(11, vec![update.clone()]);
+    let mut received = Vec::new();
+    for round in 1..5 {
+        let moment = ExchangeMoment {
+            now: start + ROUND * round,
+            boot: ms(1_000) + ROUND * round,
+        };
+        for from in 0..2 {
+            let packets = exchanges[from].tick(std::iter::empty(), &mut states[from], moment);
+            for (_, bytes) in packets {
+                let (to, address) = (1 - from, nodes[from].address);
+                let outcome = exchanges[to].receive(&bytes, address, &mut states[to], moment);
+                received.extend(outcome.expect("a message").changes);
+            }
+        }
+    }
+    assert_eq!(received, [update]);
+}
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -535,6 +535,7 @@
         cold_for: Duration::ZERO,
         kind: CapacityType::Lasting,
         writes: 1,
+        version: None,
     }
 }
 
