--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -38,10 +38,21 @@
 pub(crate) enum GatewaySignal {
     /// The process was asked to stop.
     Stop,
+    /// The node ends at once, as in a crash.
+    Abort,
     /// The operators' bounds were reloaded.
     Reload(GatewayBounds),
 }
 
+/// Way in which the lifecycle of a node ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LifecycleEnd {
+    /// By a graceful stop.
+    Stopped,
+    /// At once.
+    Aborted,
+}
+
 /// State of the control thread.
 pub(crate) struct GatewayControl<C, W> {
     pub(super) shared: Arc<GatewayShared<C, W>>,
@@ -101,8 +112,8 @@
         let own_entry = PeerExchange::new(control.shared.clone(), control.view.clone(), duties)
             .map(|exchange| exchange.spawn(&executor, source.clone()));
         let running = async {
-            control.run_lifecycle(signals).await;
-            if let Some(entry) = own_entry {
+            let end = control.run_lifecycle(signals).await;
+            if let Some(entry) = own_entry.filter(|_| end == LifecycleEnd::Stopped) {
                 control.leave(source, &entry).await;
             }
         };
@@ -123,7 +134,7 @@
     }
 
     /// Runs the lifecycle of the node until it ends.
-    async fn run_lifecycle(&self, signals: Receiver<GatewaySignal>) {
+    async fn run_lifecycle(&self, signals: Receiver<GatewaySignal>) -> LifecycleEnd {
         while !self.lifecycle.borrow().has_stopped() {
             let tick = async {
                 self.shared.clock.sleep(TICK).await;
@@ -137,10 +148,12 @@
             };
             match future::or(signal, tick).await {
                 Some(GatewaySignal::Stop) => self.lifecycle.borrow_mut().stop(&self.shared),
+                Some(GatewaySignal::Abort) => return LifecycleEnd::Aborted,
                 Some(GatewaySignal::Reload(bounds)) => self.reload(bounds),
                 None => self.tick(),
             }
         }
+        LifecycleEnd::Stopped
     }
 
     fn tick(&self) {
--- a/crates/plumgate-node/src/gateway/node.rs
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -34,6 +34,11 @@
         let _ = self.signals.try_send(GatewaySignal::Stop);
     }
 
+    /// Ends the node at once, without its graceful stop: other nodes and callers see a crash.
+    pub fn abort(&self) {
+        let _ = self.signals.try_send(GatewaySignal::Abort);
+    }
+
     /// Passes on the operators' bounds after a reload.
     pub fn reload(&self, bounds: GatewayBounds) {
         let _ = self.signals.try_send(GatewaySignal::Reload(bounds));
