gateway: continue a stream only at the software version that began it

Cause: the node that continues a broken stream chose the best server of the pool. Servers of one pool were taken to be interchangeable in what they had begun. Change: the first whole event that is passed on fixes the stream's origin, the pool and version of its server; servers of others are excluded before the best is chosen, and the entry is checked again right before the send, which also covers tunnels, isolated servers, permits and places. An entry that may be outdated, as its server may restart under its id, gives no origin; nor does one whose version changed within the time in which the node would have learnt of it. A run without an event binds nothing. With no server of the version left the stream breaks off at once. Sync responses say when they are partial, so that a node knows as of when its entries are complete.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -42,7 +42,7 @@
         }
     };
     // Another crash, or a statement of the server, may have become known while the connection was opened.
-    match work.begin_run(order.request.identity, connection) {
+    match work.begin_run(order.request.identity, order.origin, connection) {
         Ok(()) => {}
         Err(RunRefusal::Disallowed(refusal)) => {
             work.set_outcome(WorkOutcome::Unsent);
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -148,6 +148,7 @@
                 Ok(outcome) => {
                     self.shared.record_peer_message();
                     self.view.apply_sync(outcome, from);
+                    self.view.publish_age();
                     self.handle_messages().await;
                 }
                 Err(_) => {
--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -4,9 +4,9 @@
 use std::sync::atomic::Ordering;
 
 use plumgate::gateway::{
-    AnswerTimes, BlockedRequest, BootTime, ConnectionKind, RequestIdentity, RunFinding, RunTicket,
-    SendContext, SendPermit, SendRefusal, ServerEntry, ServerPick, ServerStatement, WorkOutcome,
-    WorkTicket,
+    AnswerTimes, BlockedRequest, BootTime, ConnectionKind, OriginState, RequestIdentity,
+    RunFinding, RunTicket, SendContext, SendPermit, SendRefusal, ServerEntry, ServerPick,
+    ServerStatement, WorkOutcome, WorkTicket,
 };
 
 use super::incarnations::ServerIncarnation;
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Returns the entry of the server, as of the choice.
+    pub(crate) fn server(&self) -> &ServerEntry {
+        &self.server
+    }
+
     /// Returns the incarnation of the server that handles the request.
     pub(crate) fn incarnation(&self) -> Arc<ServerIncarnation> {
         self.incarnation.clone()
@@ -112,6 +117,7 @@
     pub(crate) fn begin_run(
         &mut self,
         identity: RequestIdentity,
+        origin: OriginState,
         connection: ConnectionKind,
     ) -> Result<(), RunRefusal> {
         let now = self.shared.clock.now();
@@ -123,6 +129,9 @@
         };
         let checked = self.shared.statements().check(&self.server, send);
         checked.map_err(RunRefusal::Disallowed)?;
+        if !self.shared.allows_origin(&self.server, origin) {
+            return Err(RunRefusal::Disallowed(SendRefusal::OtherVersion));
+        }
         let mut quarantine = self.shared.quarantine();
         let run = quarantine.begin(identity, &self.server, connection, now);
         self.run = Some(run.map_err(RunRefusal::Blocked)?);
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod source_calls;
 mod stream;
 mod stream_content;
+mod stream_origins;
 mod suspects;
 mod tunnels;
 mod verdicts;
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -114,7 +114,7 @@
     /// after which the caller should retry.
     async fn wait_for_server(&mut self) -> Result<(), CallerError> {
         let now = self.shared.clock.now();
-        let placement = self.request.placement(&self.tried, false);
+        let placement = self.request.placement(&self.tried, false, self.origin);
         let Some(deferral) = self.shared.loads().deferral(&placement, now) else {
             return Ok(());
         };
@@ -146,7 +146,9 @@
             RequestVerdict::SendIsolated => true,
             RequestVerdict::Block(blocked) => return Err(self.blocked_error(blocked)),
         };
-        let placement = self.request.placement(&self.tried, is_isolated);
+        let placement = self
+            .request
+            .placement(&self.tried, is_isolated, self.origin);
         let pick = self.shared.loads().pick(&placement, now);
         let spread = self.shared.random_share();
         let Some(pick) = pick else {
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -8,7 +8,8 @@
 use hyper::http::request::Parts;
 use hyper::http::response;
 use plumgate::gateway::{
-    GatewayRoute, PlacementRequest, RequestIdentity, SendRefusal, ServerEntry, StreamClass,
+    GatewayRoute, OriginState, PlacementRequest, RequestIdentity, SendRefusal, ServerEntry,
+    StreamClass,
 };
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 
@@ -62,6 +63,7 @@
         &'a self,
         avoid: &'a [ServerId],
         is_isolated: bool,
+        origin: OriginState,
     ) -> PlacementRequest<'a> {
         PlacementRequest {
             pool: &self.pool,
@@ -70,6 +72,7 @@
             class: self.class,
             is_isolated,
             avoid,
+            origin: origin.required(),
         }
     }
 }
@@ -117,6 +120,8 @@
     pub(crate) head_deadline: Instant,
     /// Id of the event after which a stream is continued.
     pub(crate) resume_after: Option<u64>,
+    /// What is known of the origin of the stream.
+    pub(crate) origin: OriginState,
     /// Address of another server that caches parts of the prompt, from which they can be copied.
     pub(crate) copy_from: Option<SocketAddr>,
 }
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -6,7 +6,7 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::{AttemptEvent, AttemptRun};
 use plumgate::gateway::{
-    AnswerEnd, RequestVerdict, SendPermit, SendRefusal, ServerEntry, ServerPick,
+    AnswerEnd, OriginState, RequestVerdict, SendPermit, SendRefusal, ServerEntry, ServerPick,
 };
 use plumgate::ids::ServerId;
 use plumgate::retry::may_run_again;
@@ -35,6 +35,8 @@
     pub(crate) request: RelayRequest,
     /// State of the request in the state chart of attempts.
     pub(crate) run: AttemptRun,
+    /// What is known of the origin of the stream.
+    pub(crate) origin: OriginState,
     /// Servers that were tried, the current one last.
     pub(crate) tried: Vec<ServerId>,
     /// Time at which the current attempt started.
@@ -79,6 +81,7 @@
             shared,
             request,
             run: AttemptRun::new(),
+            origin: OriginState::Open,
             tried: Vec::new(),
             attempt_started_at: None,
             arrivals: 0,
@@ -103,7 +106,7 @@
         resume_after: Option<u64>,
     ) -> AttemptOutcome<C, W> {
         let now = self.shared.clock.now();
-        let placement = self.request.placement(&self.tried, false);
+        let placement = self.request.placement(&self.tried, false, self.origin);
         let ticket = self.shared.loads().start(pick, &placement, now);
         let work = WorkGuard::new(self.shared.clone(), pick, ticket, permit);
         self.begin_attempt(&pick.server.id);
@@ -113,6 +116,7 @@
             cause: self.send_cause(),
             head_deadline,
             resume_after,
+            origin: self.origin,
             copy_from: pick.copy_from.as_ref().map(|server| server.address),
         };
         let outcome = attempt(&self.shared, order, work).await;
@@ -237,6 +241,21 @@
             && self.spend_retry(RetryCause::InDoubt, reason)
     }
 
+    /// Returns whether some server may continue the stream: its origin is not in doubt, and servers of it are known.
+    pub(crate) fn can_continue(&self) -> bool {
+        let reason = match self.origin {
+            OriginState::Open => return true,
+            OriginState::Fixed(origin) if self.shared.loads().has_origin(origin) => return true,
+            OriginState::Fixed(_) => "version_gone",
+            OriginState::Unknown => "version_unknown",
+        };
+        LogLine::new("not_continued")
+            .with("request", &self.request.id)
+            .with("reason", reason)
+            .info(&self.shared.log);
+        false
+    }
+
     /// Takes a retry from the budget; free as long as no server has received the request or the retry that was
     /// paid before. Returns whether the retry is allowed.
     pub(crate) fn spend_retry(&mut self, cause: RetryCause, reason: &'static str) -> bool {
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -83,6 +83,9 @@
     /// Time of the last message of another node, in milliseconds since the VM started; 0 before the first
     /// one.
     last_peer_message_ms: AtomicU64,
+    /// Time as of which the entries of the servers are known, in milliseconds since the VM started; 0 before the
+    /// first read.
+    pub(super) servers_known_ms: AtomicU64,
 }
 
 impl<C: Clock, W> GatewayShared<C, W> {
@@ -142,6 +145,7 @@
             open_requests: AtomicU64::new(0),
             open_connections: AtomicU64::new(0),
             last_peer_message_ms: AtomicU64::new(0),
+            servers_known_ms: AtomicU64::new(0),
             options,
         }
     }
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -11,8 +11,8 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
-    AnswerEnd, AnswerVerdict, BodyEnd, RepeatKind, RequestVerdict, SendPermit, ServerPick,
-    WorkOutcome,
+    AnswerEnd, AnswerVerdict, BodyEnd, OriginState, RepeatKind, RequestVerdict, SendPermit,
+    ServerEntry, ServerPick, WorkOutcome,
 };
 
 use super::answer::{StreamChunk, remove_content_length};
@@ -44,6 +44,8 @@
     run: RelayRun<C, W>,
     /// Server that sends the stream; none while another one is chosen.
     source: Option<StreamSource<C, W>>,
+    /// Server that sent the first event, and when it arrived.
+    beginner: Option<(ServerEntry, Instant)>,
     content: StreamContent,
     last_chunk: Option<Instant>,
     /// Time at which the first event of a run was received, until the run is recorded.
@@ -100,6 +102,7 @@
         let relay = Self {
             run,
             source: Some(source),
+            beginner: None,
             content,
             last_chunk: None,
             first_chunk: None,
@@ -124,6 +127,7 @@
             match self.next_input().await {
                 StreamInput::Bytes(bytes) => {
                     if let Some(bytes) = self.content.push(bytes) {
+                        self.fix_origin();
                         self.on_chunk();
                         return Some(Ok(Frame::data(bytes)));
                     }
@@ -147,6 +151,39 @@
         }
     }
 
+    /// Binds the stream to the origin of its server when the first whole event is passed on.
+    fn fix_origin(&mut self) {
+        let has_events = self
+            .content
+            .events()
+            .is_some_and(|events| events.has_events());
+        if !has_events || self.run.origin != OriginState::Open {
+            return;
+        }
+        if let Some(source) = &self.source {
+            let server = source.work.server().clone();
+            self.run.origin = self.run.shared.origin_of_run(&server);
+            self.beginner = Some((server, self.run.shared.clock.now()));
+        }
+    }
+
+    /// Doubts the origin if the server that began the stream now has another version: that of the run is then known only
+    /// if the first event arrived so long ago that the change would have been known.
+    fn check_origin(&mut self) {
+        let Some((server, began_at)) = &self.beginner else {
+            return;
+        };
+        let shared = &self.run.shared;
+        let has_other_version = shared
+            .loads()
+            .entry(&server.id)
+            .is_some_and(|known| known.version != server.version);
+        let age = shared.clock.now().saturating_duration_since(*began_at);
+        if has_other_version && age <= shared.max_entry_age() {
+            self.run.origin = OriginState::Unknown;
+        }
+    }
+
     /// Sets the outcome of the run at the current server.
     fn set_outcome(&mut self, outcome: WorkOutcome) {
         if let Some(source) = &mut self.source {
@@ -260,6 +297,10 @@
         if self.run.request.route.kind != RepeatKind::ResumableStream {
             return false;
         }
+        self.check_origin();
+        if !self.run.can_continue() {
+            return false;
+        }
         self.run.wait_for_probe().await;
         while self.run.allow_run_again(reason) {
             match self.continue_stream().await {
@@ -288,7 +329,10 @@
         while !self.run.time_left().is_zero() {
             let now = self.run.shared.clock.now();
             let is_isolated = self.run.quarantine_verdict() == RequestVerdict::SendIsolated;
-            let placement = self.run.request.placement(&self.run.tried, is_isolated);
+            let placement =
+                self.run
+                    .request
+                    .placement(&self.run.tried, is_isolated, self.run.origin);
             let pick = self.run.shared.loads().pick(&placement, now)?;
             if let Ok(permit) = self.run.request_permit(&pick).await {
                 return Some((pick, permit));
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -168,6 +168,13 @@
         let _ = until(&self.shared.clock, deadline, changed).await;
     }
 
+    /// Publishes as of when the entries of the servers are known.
+    pub(crate) fn publish_age(&self) {
+        if let Some(known_at) = self.sync_state().servers_complete_at() {
+            self.shared.set_servers_known_at(known_at);
+        }
+    }
+
     /// Applies the outcome of another node's response.
     pub(crate) fn apply_sync(&self, outcome: SyncOutcome, from: SocketAddr) {
         if let Some(known_at) = outcome.config_known_at {
@@ -212,6 +219,7 @@
             }
         };
         self.sync_state().record_read(topic, requested_at);
+        self.publish_age();
         if topic == SourceTopic::Config {
             self.shared.lease().renew(requested_at);
             // The servers may be read at once.
--- a/crates/plumgate-node/src/gateway/view_snapshots.rs
+++ b/crates/plumgate-node/src/gateway/view_snapshots.rs
@@ -78,6 +78,7 @@
         for id in &unconfirmed {
             self.remove_server(id, Some(UNCONFIRMED_GRACE_PERIOD), "told");
         }
+        self.publish_age();
         Ok(())
     }
 
--- a/crates/plumgate/src/gateway/events.rs
+++ b/crates/plumgate/src/gateway/events.rs
@@ -233,6 +233,11 @@
         self.buffer.len() > MAX_EVENT_BYTES
     }
 
+    /// Returns whether the current source has sent a complete event.
+    pub fn has_events(&self) -> bool {
+        self.syntax.has_events
+    }
+
     /// Returns the number of the last complete event.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/crates/plumgate/src/gateway/exchange/messages.rs
+++ b/crates/plumgate/src/gateway/exchange/messages.rs
@@ -7,7 +7,7 @@
 use crate::duty::{ClockReport, UsageUpdate};
 use crate::errors::{Error, Result};
 use crate::gateway::servers::ServerEntry;
-use crate::gateway::sync::messages::{ServerVersions, SyncRequest, SyncResponse};
+use crate::gateway::sync::messages::{ResponseRest, SyncRequest, SyncResponse};
 use crate::gateway::work::{ServerWork, URGENCY_LEVELS};
 
 /// Tokens per unit of [`WorkEntry::pending_prefill`].
@@ -123,8 +123,7 @@
         let Some(response) = &self.sync_response else {
             return Ok(bytes);
         };
-        let versions = ServerVersions::new(response.entries());
-        versions.append_to(bytes)
+        ResponseRest::append(response, bytes)
     }
 
     /// Decodes a message.
@@ -136,7 +135,7 @@
         let decoded = postcard::take_from_bytes(bytes);
         let (mut message, rest): (Self, &[u8]) = decoded.map_err(|_| Error::MalformedMessage)?;
         if let Some(response) = &mut message.sync_response {
-            ServerVersions::decode(rest)?.apply_to(response.entries_mut())?;
+            ResponseRest::read(response, rest)?;
         }
         Ok(message)
     }
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod events;
 pub mod exchange;
 pub(crate) mod notice_keys;
+pub mod origins;
 pub mod placement;
 pub mod prompt;
 pub mod quarantine;
@@ -37,6 +38,7 @@
     ClockScope, DutyMessages, ExchangeMoment, ExchangePacket, LoadExchange, NodeCapacity,
     NodeEntry, PartLocation, PoolDemand, ReceivedClock, ReceivedStatement, ReceivedUsage,
 };
+pub use origins::{OriginState, StreamOrigin};
 pub use placement::{
     ExpiredLoan, LoadTable, PlaceMessage, PlaceRound, PlacementOptions, PlacementPolicy,
     PlacementRequest, ServerPick,
--- a/crates/plumgate/src/gateway/placement/candidates.rs
+++ b/crates/plumgate/src/gateway/placement/candidates.rs
@@ -7,6 +7,7 @@
 use super::choice::{PlacementRequest, SendDeferral};
 use super::load::LoadTable;
 use super::server_load::ServerLoad;
+use crate::gateway::origins::StreamOrigin;
 use crate::gateway::rate_limit::BootTime;
 use crate::gateway::servers::{IncarnationId, ServerEntry};
 use crate::gateway::statements::{BrittleTable, NoticeTable, ServerAvailability};
@@ -57,9 +58,21 @@
         unconfirmed > 0 && unconfirmed * 2 < all
     }
 
+    /// Returns the servers of the request's pool whose software may answer it.
     fn of_pool(&self, request: &PlacementRequest<'_>) -> impl Iterator<Item = &ServerLoad> {
         let loads = self.servers.values();
-        loads.filter(|load| load.entry.pool == *request.pool)
+        loads.filter(|load| {
+            let origin = request.origin;
+            load.entry.pool == *request.pool
+                && origin.is_none_or(|origin| origin.matches(&load.entry))
+        })
+    }
+
+    /// Returns whether servers are known that may continue a stream of an origin.
+    pub fn has_origin(&self, origin: StreamOrigin) -> bool {
+        self.servers
+            .values()
+            .any(|load| origin.matches(&load.entry))
     }
 
     /// Returns whether this node's own observations of a server allow new requests.
--- a/crates/plumgate/src/gateway/placement/choice.rs
+++ b/crates/plumgate/src/gateway/placement/choice.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::gateway::config::StreamClass;
+use crate::gateway::origins::StreamOrigin;
 use crate::gateway::prompt::PromptShape;
 use crate::gateway::servers::ServerEntry;
 use crate::gateway::statements::SendRefusal;
@@ -88,6 +89,8 @@
     pub is_isolated: bool,
     /// Servers that were tried already.
     pub avoid: &'a [ServerId],
+    /// Origin that the server must have, if the request continues a stream.
+    pub origin: Option<StreamOrigin>,
 }
 
 /// The chosen server and what is predicted of the request there.
--- a/crates/plumgate/src/gateway/statements/server_statements.rs
+++ b/crates/plumgate/src/gateway/statements/server_statements.rs
@@ -46,6 +46,8 @@
     Resting,
     /// The server is brittle and probably has no room.
     NoRoom,
+    /// The server's software is no longer known to be of the version that began the stream.
+    OtherVersion,
 }
 
 impl SendRefusal {
@@ -56,6 +58,7 @@
             Self::Leaving => "server_leaving",
             Self::Resting => "server_rest",
             Self::NoRoom => "server_no_room",
+            Self::OtherVersion => "server_version",
         }
     }
 }
--- a/crates/plumgate/src/gateway/sync/change_log.rs
+++ b/crates/plumgate/src/gateway/sync/change_log.rs
@@ -17,6 +17,8 @@
 pub(crate) enum LogDelta {
     /// The changes, and the position that they lead to.
     Changes(LogPosition, Vec<ServerUpdate>),
+    /// The first of the changes, and the position that they lead to.
+    FirstChanges(LogPosition, Vec<ServerUpdate>),
     /// The position is in another log, which may have missed changes.
     ResyncRequired,
     /// The log does not reach back to the position. The requester's own watch of the store does, and costs
@@ -77,12 +79,14 @@
         let mut version = position.version.max(newest);
         let mut changes: Vec<ServerUpdate> = Vec::new();
         let mut included = position.version;
+        let mut is_partial = false;
         for (batch_version, batch) in &self.batches {
             if *batch_version <= position.version {
                 continue;
             }
             if !changes.is_empty() && changes.len() + batch.len() > MAX_RESPONSE_CHANGES {
                 version = included;
+                is_partial = true;
                 break;
             }
             changes.extend(batch.iter().cloned());
@@ -92,6 +96,10 @@
             version,
             epoch: Some(self.epoch),
         };
-        LogDelta::Changes(reached, changes)
+        if is_partial {
+            LogDelta::FirstChanges(reached, changes)
+        } else {
+            LogDelta::Changes(reached, changes)
+        }
     }
 }
--- a/crates/plumgate/src/gateway/sync/messages.rs
+++ b/crates/plumgate/src/gateway/sync/messages.rs
@@ -73,6 +73,10 @@
     pub(crate) nonce: u32,
     pub(crate) config: Option<ConfigFreshness>,
     pub(crate) servers: Option<ServersDelta>,
+    /// Whether later changes of servers are known, which the next response contains. Sent behind the message, as nodes
+    /// of earlier builds read responses without it.
+    #[serde(skip)]
+    pub(crate) is_partial: bool,
 }
 
 impl SyncRequest {
@@ -109,6 +113,38 @@
     }
 }
 
+/// Part of a response that follows the message, where nodes of earlier builds ignore it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ResponseRest {
+    versions: ServerVersions,
+    is_partial: bool,
+}
+
+impl ResponseRest {
+    /// Appends what follows the message with a response; nothing if the response has no entries.
+    pub(crate) fn append(response: &SyncResponse, bytes: Vec<u8>) -> Result<Vec<u8>> {
+        let rest = Self {
+            versions: ServerVersions::new(response.entries()),
+            is_partial: response.is_partial,
+        };
+        if rest == Self::default() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&rest, bytes).map_err(|_| Error::MalformedMessage)
+    }
+
+    /// Reads what follows the message with a response; nothing in one of an earlier build.
+    pub(crate) fn read(response: &mut SyncResponse, bytes: &[u8]) -> Result<()> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        let rest = postcard::from_bytes(bytes);
+        let rest: Self = rest.map_err(|_| Error::MalformedMessage)?;
+        response.is_partial = rest.is_partial;
+        rest.versions.apply_to(response.entries_mut())
+    }
+}
+
 /// Software versions of the servers in a message, in the order of their entries.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ServerVersions(Vec<Option<SoftwareVersion>>);
--- a/crates/plumgate/src/gateway/sync/state.rs
+++ b/crates/plumgate/src/gateway/sync/state.rs
@@ -110,6 +110,8 @@
     config: TopicState,
     servers: TopicState,
     servers_version: Option<StoreVersion>,
+    /// When the known entries of the servers were last complete.
+    servers_complete_at: Option<Duration>,
     /// Whether a watch of the servers is running, which returns the same changes.
     is_watching: bool,
     /// Epoch of the log that this node follows.
@@ -130,6 +132,7 @@
             config: TopicState::default(),
             servers: TopicState::default(),
             servers_version: None,
+            servers_complete_at: None,
             is_watching: false,
             followed_epoch: None,
             log: ChangeLog::default(),
@@ -151,6 +154,18 @@
         let state = self.state(topic);
         state.known_at = state.known_at.max(Some(known_at));
         state.must_read = false;
+        if topic == SourceTopic::Servers {
+            self.record_complete(known_at);
+        }
+    }
+
+    fn record_complete(&mut self, known_at: Duration) {
+        self.servers_complete_at = self.servers_complete_at.max(Some(known_at));
+    }
+
+    /// Returns when the known entries of the servers were last complete: later changes may not have been received.
+    pub fn servers_complete_at(&self) -> Option<Duration> {
+        self.servers_complete_at
     }
 
     /// Records that the store did not answer a call for a topic that was made at `requested_at`.
@@ -283,27 +298,36 @@
             // Rounds up a fraction of a millisecond.
             age_ms: age_ms.saturating_add(1),
         });
-        let servers = request.servers.and_then(|position| {
-            let age_ms = age(&self.servers)?.saturating_add(1);
-            self.servers_delta(position, age_ms)
-        });
-        SyncResponse {
+        let mut response = SyncResponse {
             nonce: request.nonce,
             config,
-            servers,
+            servers: None,
+            is_partial: false,
+        };
+        if let (Some(position), Some(age_ms)) = (request.servers, age(&self.servers)) {
+            self.add_servers(&mut response, position, age_ms.saturating_add(1));
         }
+        response
     }
 
-    fn servers_delta(&self, position: LogPosition, age_ms: u32) -> Option<ServersDelta> {
-        match self.log.after(position, self.servers_version?) {
-            LogDelta::Changes(position, changes) => Some(ServersDelta::Changes {
-                age_ms,
-                position,
-                changes,
-            }),
-            LogDelta::ResyncRequired => Some(ServersDelta::ResyncRequired),
-            LogDelta::OutOfRange => Some(ServersDelta::OutOfRange),
-        }
+    /// Adds to a response what happened to the servers after a position.
+    fn add_servers(&self, response: &mut SyncResponse, position: LogPosition, age_ms: u32) {
+        let Some(version) = self.servers_version else {
+            return;
+        };
+        let delta = self.log.after(position, version);
+        response.is_partial = matches!(delta, LogDelta::FirstChanges(..));
+        response.servers = Some(match delta {
+            LogDelta::Changes(position, changes) | LogDelta::FirstChanges(position, changes) => {
+                ServersDelta::Changes {
+                    age_ms,
+                    position,
+                    changes,
+                }
+            }
+            LogDelta::ResyncRequired => ServersDelta::ResyncRequired,
+            LogDelta::OutOfRange => ServersDelta::OutOfRange,
+        });
     }
 
     /// Returns a snapshot of all servers; `None` if this node does not know them yet.
@@ -345,6 +369,7 @@
         self.followed_epoch = position.epoch;
         self.servers.must_read = false;
         record_response(&mut self.servers, known_at);
+        self.record_complete(known_at);
         true
     }
 
@@ -373,7 +398,7 @@
             }
         }
         if is_followed && let Some(servers) = response.servers {
-            self.apply_servers(servers, &sent, &mut outcome);
+            self.apply_servers(servers, response.is_partial, &sent, &mut outcome);
         }
         outcome
     }
@@ -381,6 +406,7 @@
     fn apply_servers(
         &mut self,
         delta: ServersDelta,
+        is_partial: bool,
         sent: &PendingRequest,
         outcome: &mut SyncOutcome,
     ) {
@@ -414,6 +440,9 @@
                     return;
                 }
                 record_response(&mut self.servers, known_at);
+                if !is_partial {
+                    self.record_complete(known_at);
+                }
                 self.servers_version = Some(position.version);
                 self.followed_epoch = position.epoch;
                 self.log.push(position.version, changes.clone());
--- a/crates/plumgate/tests/brittle_fleet/mod.rs
+++ b/crates/plumgate/tests/brittle_fleet/mod.rs
@@ -346,6 +346,7 @@
                 class: StreamClass::Interactive,
                 is_isolated: false,
                 avoid: &request.tried,
+                origin: None,
             };
             let table = &mut self.nodes[request.node].table;
             let Some(pick) = table.pick(&placement, now) else {
--- a/crates/plumgate/tests/gateway_copies.rs
+++ b/crates/plumgate/tests/gateway_copies.rs
@@ -90,6 +90,7 @@
         class: StreamClass::Batch,
         is_isolated: false,
         avoid,
+        origin: None,
     }
 }
 
--- a/crates/plumgate/tests/gateway_isolation.rs
+++ b/crates/plumgate/tests/gateway_isolation.rs
@@ -18,6 +18,7 @@
         class: StreamClass::Interactive,
         is_isolated,
         avoid,
+        origin: None,
     }
 }
 
--- a/crates/plumgate/tests/gateway_prefill_speed.rs
+++ b/crates/plumgate/tests/gateway_prefill_speed.rs
@@ -71,6 +71,7 @@
         class: StreamClass::Interactive,
         is_isolated: false,
         avoid: &[],
+        origin: None,
     }
 }
 
--- a/crates/plumgate/tests/limited_capacity.rs
+++ b/crates/plumgate/tests/limited_capacity.rs
@@ -40,6 +40,7 @@
         class: StreamClass::Batch,
         is_isolated: false,
         avoid: &[],
+        origin: None,
     };
     let pick = table.pick(&request, now).expect("a server");
     table.record_demand(&pool, &pick, now);
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -291,6 +291,7 @@
             class: self.plan.kinds[kind].class,
             is_isolated,
             avoid: &[],
+            origin: None,
         };
         let pick = self.nodes[index].table.pick(&request, at);
         let engine = engine_index(&pick.expect("a server").server.id);
@@ -323,6 +324,7 @@
             class: traffic.class,
             is_isolated: false,
             avoid: &pending.tried,
+            origin: None,
         };
         let node = &mut self.nodes[index];
         let Some(pick) = node.table.pick(&request, at) else {
--- a/crates/plumgate/tests/notices/mod.rs
+++ b/crates/plumgate/tests/notices/mod.rs
@@ -136,6 +136,7 @@
             class: StreamClass::Batch,
             is_isolated: false,
             avoid,
+            origin: None,
         }
     }
 
--- a/crates/plumgate/tests/place_loans.rs
+++ b/crates/plumgate/tests/place_loans.rs
@@ -34,6 +34,7 @@
             class: StreamClass::Interactive,
             is_isolated: false,
             avoid: &[],
+            origin: None,
         };
         for begun in 0..count {
             let Some(pick) = self.table.pick(&request, now) else {
--- a/crates/plumgate/tests/shedding_server.rs
+++ b/crates/plumgate/tests/shedding_server.rs
@@ -20,6 +20,7 @@
         class: StreamClass::Interactive,
         is_isolated: false,
         avoid: &[],
+        origin: None,
     }
 }
 
--- a/crates/plumgate/tests/unconfirmed_servers.rs
+++ b/crates/plumgate/tests/unconfirmed_servers.rs
@@ -32,6 +32,7 @@
         class: StreamClass::Interactive,
         is_isolated: false,
         avoid: &[],
+        origin: None,
     };
     let picks = (0..60).map(|number| {
         let now = now + Duration::from_millis(number);
