gateway: a caller's resumption goes on only at the version that began the stream

Cause: no node kept which version began a stream, and Resumes was not read. Change: the node that passes on the first event records the stream's origin under a digest of workspace and attempt. A resumption asks its own records, then other nodes; while a pool has or had more than one version, records are copied to three nodes chosen by rendezvous hashing, so that they survive the first node. A pool with one version tells the origin by itself, but only by a history of versions without a gap over the life of a stream and complete as of a moment after the request arrived. What nobody knows is refused as not run. A node that stops hands its records on; lookups, records and messages are bounded.

--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -251,11 +251,17 @@
     let (head, body) = request.into_parts();
     let metadata = shared.wire.read_request(&head);
     let id = metadata.id.clone().unwrap_or_default();
-    match accept(shared, head, body, metadata, arrived).await {
+    let resumed = metadata.resumed.clone();
+    let accepted = match accept(shared, head, body, metadata, arrived).await {
+        Ok(request) => shared.bind_origin(request).await,
+        Err(error) => Err(error),
+    };
+    match accepted {
         Ok(request) => RelayRun::new(shared.clone(), request).answer().await,
         Err(error) => {
             LogLine::new("rejected")
                 .with("request", &id)
+                .with_some("resumes", resumed.attempt())
                 .with("reason", error.kind)
                 .with("status", error.status.as_u16())
                 .with_some("key_age_ms", shared.key_age_ms())
--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -11,7 +11,8 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use plumgate::gateway::{
-    CallerLimits, GatewayConfig, GatewayRoute, IdentityHasher, KeyOwner, RequestHead, RouteMatch,
+    CallerLimits, GatewayConfig, GatewayRoute, IdentityHasher, KeyOwner, OriginState, RequestHead,
+    RouteMatch,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -86,6 +87,7 @@
         arrived,
         due,
         config: config.version,
+        origin: OriginState::Open,
         route,
     })
 }
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -1,7 +1,7 @@
 //! Messages between nodes about their load on the servers, as datagrams, and the register of nodes.
 
 use std::cell::{Cell, RefCell};
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,7 +9,8 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use plumgate::gateway::{
-    ExchangeMoment, ExchangePacket, LoadExchange, MessageTime, NodeEntry, PlaceMessage,
+    ExchangeMoment, ExchangePacket, LoadExchange, MessageTime, NodeEntry, OriginMessage,
+    PlaceMessage,
 };
 use plumgate::ids::NodeId;
 
@@ -39,6 +40,8 @@
 const REREGISTER_SPREAD: Duration = Duration::from_secs(2);
 /// Pause before a failed call to the register is retried.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Pause between two batches of messages about the origins of streams.
+const ORIGIN_PAUSE: Duration = Duration::from_millis(10);
 /// Allowance for nodes that started since the register was read, as a share of those in it.
 const UNSEEN_NODE_SHARE: f64 = 0.15;
 
@@ -121,6 +124,10 @@
         executor
             .spawn(async move { requester.request_permits().await })
             .detach();
+        let sender = exchange.clone();
+        executor
+            .spawn(async move { sender.send_origins().await })
+            .detach();
         let (verdict_writer, verdict_source) = (exchange.clone(), source.clone());
         executor
             .spawn(async move { verdict_writer.verdicts.run(verdict_source).await })
@@ -170,6 +177,7 @@
             self.shared.on_peer_leaves(&reported.leaves);
             self.shared.on_peer_rejections(&reported.rejections);
             packets.extend(self.answer_place_messages(&exchange, &reported.places, moment));
+            self.receive_origins(reported.origins);
             if outcome.is_permit_response {
                 self.shared.permits_answered.notify(usize::MAX);
             }
@@ -202,6 +210,71 @@
             .place_packets(exchange, answers, time)
     }
 
+    /// Handles messages about the origins of streams.
+    fn receive_origins(&self, messages: Vec<(SocketAddr, OriginMessage)>) {
+        if messages.is_empty() {
+            return;
+        }
+        let now = self.shared.clock.boot_time();
+        let mut origins = self.shared.origins();
+        for (from, message) in messages {
+            origins.receive(from, message, now);
+        }
+        if origins.has_messages(now) {
+            self.shared.origins_queued.notify(usize::MAX);
+        }
+        drop(origins);
+        self.shared.origins_changed.notify(usize::MAX);
+    }
+
+    /// Sends the messages about the origins of streams.
+    async fn send_origins(&self) {
+        loop {
+            let queued = self.shared.origins_queued.listen();
+            let packets = self.origin_packets();
+            if packets.is_empty() {
+                queued.await;
+                continue;
+            }
+            self.shared.origins_changed.notify(usize::MAX);
+            let sizes = packets.iter().map(|(_, bytes)| bytes.len() as u64);
+            let metrics = &self.shared.metrics;
+            metrics.origin_messages.inc_by(packets.len() as u64);
+            metrics.origin_bytes.inc_by(sizes.sum());
+            self.send_all(packets).await;
+            self.shared.clock.sleep(ORIGIN_PAUSE).await;
+        }
+    }
+
+    fn origin_packets(&self) -> Vec<ExchangePacket> {
+        let time = self.message_time();
+        let exchange = self.exchange.borrow();
+        let messages = {
+            let mut origins = self.shared.origins();
+            if !origins.has_messages(time.boot) {
+                return Vec::new();
+            }
+            let nodes: Vec<NodeEntry> = exchange.other_nodes().cloned().collect();
+            origins.take_messages(&self.own_entry, &nodes, time.boot)
+        };
+        let statements = self.shared.statements();
+        statements.origin_packets(&exchange, messages, time)
+    }
+
+    /// Runs one round of the origins of streams.
+    fn run_origin_round(&self, exchange: &LoadExchange) {
+        let now = self.shared.clock.boot_time();
+        let mut origins = self.shared.origins();
+        let nodes: Vec<NodeEntry> = exchange.other_nodes().cloned().collect();
+        origins.run_round(&nodes, now);
+        if origins.has_messages(now) {
+            self.shared.origins_queued.notify(usize::MAX);
+        }
+        let (records, _) = origins.counts();
+        let records = i64::try_from(records).unwrap_or(i64::MAX);
+        self.shared.metrics.stream_records.set(records);
+    }
+
     /// Counts and logs messages about limits that were forged, too old or malformed.
     fn record_refused(&self, count: u64) {
         self.shared.metrics.peer_refused.inc_by(count);
@@ -295,6 +368,7 @@
                 if had_limits {
                     loads.set_limits(&statements.limits);
                 }
+                self.run_origin_round(&exchange);
                 packets
             };
             self.shared.log_suspects();
--- a/crates/plumgate-node/src/gateway/lifecycle.rs
+++ b/crates/plumgate-node/src/gateway/lifecycle.rs
@@ -50,6 +50,9 @@
     /// still arrive would be cut off.
     pub(crate) fn stop<C: Clock, W>(&mut self, shared: &GatewayShared<C, W>) {
         self.stop_requested_at.get_or_insert(shared.clock.now());
+        // What this node alone knows of streams is sent to others before it ends.
+        shared.origins().stop();
+        shared.origins_queued.notify(usize::MAX);
         if self.run.state() != "announcing" && self.run.expects("stop") {
             self.enter("stop", shared);
         }
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -101,6 +101,14 @@
     pub(crate) first_byte: Family<PriorityLabels, Histogram>,
     /// Pauses between two chunks of a stream.
     pub(crate) pauses: Family<PriorityLabels, Histogram>,
+    /// Requests of callers that resume a stream, by how its origin became known or why they are refused.
+    pub(crate) resumptions: Family<ReasonLabels, Counter>,
+    /// Recorded origins of streams, those of other nodes included.
+    pub(crate) stream_records: Gauge,
+    /// Messages about the origins of streams that were sent to other nodes, and their bytes.
+    pub(crate) origin_messages: Counter,
+    /// Bytes of these messages.
+    pub(crate) origin_bytes: Counter,
     /// Requests in flight.
     pub(crate) in_flight: Gauge,
     /// Retries sent.
@@ -181,6 +189,10 @@
             requests: Family::default(),
             failed_attempts: Family::default(),
             answer_ends: Family::default(),
+            resumptions: Family::default(),
+            stream_records: Gauge::default(),
+            origin_messages: Counter::default(),
+            origin_bytes: Counter::default(),
             first_byte: Family::new_with_constructor(times),
             pauses: Family::new_with_constructor(times),
             in_flight: Gauge::default(),
@@ -233,6 +245,26 @@
             "Answers of servers that ended",
             self.answer_ends.clone(),
         );
+        registry.register(
+            "resumptions",
+            "Requests of callers that resume a stream, by how its origin became known or why they are refused",
+            self.resumptions.clone(),
+        );
+        registry.register(
+            "stream_records",
+            "Recorded origins of streams",
+            self.stream_records.clone(),
+        );
+        registry.register(
+            "origin_messages",
+            "Messages about the origins of streams sent to other nodes",
+            self.origin_messages.clone(),
+        );
+        registry.register(
+            "origin_bytes",
+            "Bytes of these messages",
+            self.origin_bytes.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Arrival to first byte",
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -55,6 +55,8 @@
     pub(crate) due: Instant,
     /// Version of the configuration that applies to the request.
     pub(crate) config: u64,
+    /// What is known of the origin of the stream that it resumes.
+    pub(crate) origin: OriginState,
 }
 
 impl RelayRequest {
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -7,6 +7,7 @@
 use plumgate::attempt::{AttemptEvent, AttemptRun};
 use plumgate::gateway::{
     AnswerEnd, OriginState, RequestVerdict, SendPermit, SendRefusal, ServerEntry, ServerPick,
+    StreamOrigin,
 };
 use plumgate::ids::ServerId;
 use plumgate::retry::may_run_again;
@@ -79,9 +80,9 @@
         shared.budget().deposit(&request.pool, now);
         Self {
             shared,
+            origin: request.origin,
             request,
             run: AttemptRun::new(),
-            origin: OriginState::Open,
             tried: Vec::new(),
             attempt_started_at: None,
             arrivals: 0,
@@ -245,7 +246,7 @@
     pub(crate) fn can_continue(&self) -> bool {
         let reason = match self.origin {
             OriginState::Open => return true,
-            OriginState::Fixed(origin) if self.shared.loads().has_origin(origin) => return true,
+            OriginState::Fixed(origin) if self.has_server_of(origin) => return true,
             OriginState::Fixed(_) => "version_gone",
             OriginState::Unknown => "version_unknown",
         };
@@ -256,6 +257,10 @@
         false
     }
 
+    fn has_server_of(&self, origin: StreamOrigin) -> bool {
+        self.shared.loads().server_of_origin(origin).is_some()
+    }
+
     /// Takes a retry from the budget; free as long as no server has received the request or the retry that was
     /// paid before. Returns whether the retry is allowed.
     pub(crate) fn spend_retry(&mut self, cause: RetryCause, reason: &'static str) -> bool {
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -10,7 +10,7 @@
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
     FreshnessLease, GatewayConfig, LoadTable, PathTable, PlacementOptions, QuarantineTable,
-    ServerStatements, TunnelGate, TunnelPeers, WindowBudget,
+    ServerStatements, StreamOrigins, TunnelGate, TunnelPeers, WindowBudget,
 };
 use plumgate::ids::WorkspaceId;
 
@@ -55,6 +55,10 @@
     pub(crate) permits_requested: Event,
     /// Event that is notified when requests for permits were answered.
     pub(crate) permits_answered: Event,
+    /// Event that is notified when messages about the origins of streams are to be sent.
+    pub(crate) origins_queued: Event,
+    /// Event that is notified when more may be known of the origins of streams.
+    pub(crate) origins_changed: Event,
     /// Event by which connections are notified that the state of the lifecycle changed.
     pub(crate) lifecycle_changed: Event,
     /// Idle connections to servers.
@@ -71,6 +75,7 @@
     paths: Mutex<PathTable>,
     tunnel_peers: Mutex<TunnelPeers>,
     tunnel_gate: Mutex<TunnelGate>,
+    origins: Mutex<StreamOrigins>,
     usage: Mutex<UsageTally>,
     /// Difference between the Unix time that the nodes agree on and the time since the VM started, in
     /// milliseconds.
@@ -138,6 +143,9 @@
                 options.node_seed(),
             )),
             tunnel_gate: Mutex::default(),
+            origins: Mutex::new(StreamOrigins::new(limits_seed)),
+            origins_queued: Event::new(),
+            origins_changed: Event::new(),
             open_tunnels: AtomicU64::new(0),
             usage: Mutex::default(),
             unix_offset_ms: AtomicI64::new(0),
@@ -199,6 +207,11 @@
         lock(&self.tunnel_gate)
     }
 
+    /// Returns the origins of streams.
+    pub(crate) fn origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        lock(&self.origins)
+    }
+
     /// Returns this node's count of usage.
     pub(crate) fn usage(&self) -> MutexGuard<'_, UsageTally> {
         lock(&self.usage)
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -162,8 +162,14 @@
         }
         if let Some(source) = &self.source {
             let server = source.work.server().clone();
-            self.run.origin = self.run.shared.origin_of_run(&server);
-            self.beginner = Some((server, self.run.shared.clock.now()));
+            let shared = &self.run.shared;
+            self.run.origin = shared.origin_of_run(&server);
+            if self.run.request.route.kind == RepeatKind::ResumableStream
+                && let OriginState::Fixed(origin) = self.run.origin
+            {
+                shared.record_origin(&self.run.request, &server, origin);
+            }
+            self.beginner = Some((server, shared.clock.now()));
         }
     }
 
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -8,7 +8,8 @@
 
 use event_listener::Event;
 use plumgate::gateway::{
-    GatewayConfig, PolicyPart, ServerTable, ServerUpdate, SourceTopic, SyncOutcome, SyncState,
+    GatewayConfig, PolicyPart, RepeatKind, ServerTable, ServerUpdate, SourceTopic, SyncOutcome,
+    SyncState,
 };
 use plumgate::{FindingList, StoreEra, StoreVersion};
 
@@ -105,6 +106,8 @@
         self.era.set(era);
         if !is_first {
             self.record_source_failure();
+            let boot_time = self.shared.clock.boot_time();
+            self.shared.origins().history().restart(boot_time);
             self.servers
                 .borrow_mut()
                 .on_store_restored(self.shared.clock.now());
@@ -219,6 +222,9 @@
             }
         };
         self.sync_state().record_read(topic, requested_at);
+        if topic == SourceTopic::Servers && is_full_read {
+            self.shared.origins().history().restart(requested_at);
+        }
         self.publish_age();
         if topic == SourceTopic::Config {
             self.shared.lease().renew(requested_at);
@@ -292,10 +298,23 @@
         self.shared.quarantine().set_config(&config);
         self.shared.statements().set_config(&config);
         self.shared.tunnel_gate().set_config(&config);
+        self.observe_routes(&config);
         self.shared.config.store(Some(config));
         true
     }
 
+    /// Records the pools of routes whose streams may be resumed.
+    fn observe_routes(&self, config: &GatewayConfig) {
+        let now = self.shared.clock.boot_time();
+        let mut origins = self.shared.origins();
+        let routes = config.routes();
+        for route in routes.filter(|route| route.kind == RepeatKind::ResumableStream) {
+            let pools = route.pools.iter().map(|split| split.pool.clone());
+            let name = format!("{}{}", route.host, route.prefix);
+            origins.history().observe_route(&name, pools.collect(), now);
+        }
+    }
+
     pub(super) fn log_findings(&self, topic: SourceTopic, findings: &FindingList) {
         for finding in findings.sorted() {
             LogLine::new("finding")
--- a/crates/plumgate-node/src/gateway/view_servers.rs
+++ b/crates/plumgate-node/src/gateway/view_servers.rs
@@ -129,6 +129,25 @@
         }
     }
 
+    /// Records the versions of servers, and doubts the origins of streams that began at a server whose version was known
+    /// too late.
+    fn observe_versions(&self, loads: &LoadTable, change: &ServerChange) {
+        let now = self.shared.clock.boot_time();
+        let mut origins = self.shared.origins();
+        match change {
+            ServerChange::Changed(entry) | ServerChange::Restarted(entry) => {
+                let previous = loads.entry(&entry.id);
+                if previous.is_some_and(|previous| previous.version != entry.version) {
+                    let since = now.saturating_sub(self.shared.max_entry_age());
+                    origins.doubt(&entry.id, since);
+                }
+                origins.history().observe(entry, now);
+            }
+            ServerChange::Removed(id) => origins.history().remove(id, now),
+            ServerChange::Unconfirmed(_) => {}
+        }
+    }
+
     /// Publishes changes of servers to the traffic thread.
     pub(super) fn publish(&self, changes: &[ServerChange], source: &str) {
         if changes.is_empty() {
@@ -138,6 +157,7 @@
         let mut loads = self.shared.loads();
         for change in changes {
             self.check_for_crash(&loads, change, now);
+            self.observe_versions(&loads, change);
             loads.apply(change, now);
             if let ServerChange::Changed(entry) | ServerChange::Restarted(entry) = change {
                 let boot_time = self.shared.clock.boot_time();
--- a/crates/plumgate-node/src/gateway/view_snapshots.rs
+++ b/crates/plumgate-node/src/gateway/view_snapshots.rs
@@ -66,6 +66,7 @@
         {
             return Err(SnapshotError::Outdated);
         }
+        let known_at = snapshot.known_at(requested_at);
         self.set_era(snapshot.state().era());
         let now = self.shared.clock.now();
         let (entries, unconfirmed) = snapshot.into_state().into_servers();
@@ -78,6 +79,9 @@
         for id in &unconfirmed {
             self.remove_server(id, Some(UNCONFIRMED_GRACE_PERIOD), "told");
         }
+        if let Some(known_at) = known_at {
+            self.shared.origins().history().restart(known_at);
+        }
         self.publish_age();
         Ok(())
     }
--- a/crates/plumgate/src/gateway/config.rs
+++ b/crates/plumgate/src/gateway/config.rs
@@ -299,6 +299,11 @@
         self.keys.values().map(|owner| &owner.workspace).collect()
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<GatewayRoute>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -38,7 +38,10 @@
     ClockScope, DutyMessages, ExchangeMoment, ExchangePacket, LoadExchange, NodeCapacity,
     NodeEntry, PartLocation, PoolDemand, ReceivedClock, ReceivedStatement, ReceivedUsage,
 };
-pub use origins::{OriginState, StreamOrigin};
+pub use origins::{
+    LookupId, LookupState, OriginFinding, OriginMessage, OriginPacket, OriginQuestion,
+    OriginSource, OriginState, STREAM_LIFETIME, StreamKey, StreamOrigin, StreamOrigins,
+};
 pub use placement::{
     ExpiredLoan, LoadTable, PlaceMessage, PlaceRound, PlacementOptions, PlacementPolicy,
     PlacementRequest, ServerPick,
--- a/crates/plumgate/src/gateway/origins/origin.rs
+++ b/crates/plumgate/src/gateway/origins/origin.rs
@@ -1,9 +1,13 @@
 //! Origin of a stream, and what a node knows of it.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::gateway::servers::ServerEntry;
+use crate::ids::WorkspaceId;
 
 /// Pool and software version of the server that began a stream, as a digest. Two are equal or not; they have no order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -44,3 +48,39 @@
         }
     }
 }
+
+/// Digest by which a stream is recorded: of the workspace and the id of the caller's attempt that began it. The ids
+/// come from callers, so that the digest has to withstand ids that are chosen to collide.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StreamKey([u8; 16]);
+
+impl StreamKey {
+    /// Returns the key of the stream that an attempt began.
+    pub fn new(workspace: Option<&WorkspaceId>, attempt: &str) -> Self {
+        let mut digest = Sha256::new();
+        if let Some(workspace) = workspace {
+            digest.update([1]);
+            digest.update((workspace.len() as u64).to_le_bytes());
+            digest.update(workspace.as_bytes());
+        }
+        digest.update([0]);
+        digest.update(attempt.as_bytes());
+        let digest: [u8; 32] = digest.finalize().into();
+        let mut key = [0; 16];
+        key.copy_from_slice(&digest[..16]);
+        Self(key)
+    }
+
+    /// Returns a number that is spread evenly over keys.
+    pub(crate) fn number(self) -> u64 {
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(bytes)
+    }
+}
+
+impl fmt::Display for StreamKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.number())
+    }
+}
--- a/crates/plumgate/src/gateway/placement/candidates.rs
+++ b/crates/plumgate/src/gateway/placement/candidates.rs
@@ -68,11 +68,9 @@
         })
     }
 
-    /// Returns whether servers are known that may continue a stream of an origin.
-    pub fn has_origin(&self, origin: StreamOrigin) -> bool {
-        self.servers
-            .values()
-            .any(|load| origin.matches(&load.entry))
+    /// Returns a server that may continue a stream of an origin, if one is known.
+    pub fn server_of_origin(&self, origin: StreamOrigin) -> Option<&ServerEntry> {
+        self.entries().find(|entry| origin.matches(entry))
     }
 
     /// Returns whether this node's own observations of a server allow new requests.
--- a/crates/plumgate/src/gateway/rate_limit/messages.rs
+++ b/crates/plumgate/src/gateway/rate_limit/messages.rs
@@ -8,6 +8,7 @@
 use super::observation::{BootTime, LimitObservation, ObservedLimit};
 use super::statement::RequestRate;
 use crate::gateway::exchange::messages::ServerKey;
+use crate::gateway::origins::OriginMessage;
 use crate::gateway::placement::PlaceMessage;
 use crate::gateway::statements::{BrittleReport, LeaveReport};
 
@@ -93,6 +94,8 @@
     BrittleReports(Vec<BrittleReport>),
     /// Places at brittle servers that nodes lend each other.
     Place(PlaceMessage),
+    /// Origins of streams.
+    Origin(OriginMessage),
 }
 
 impl LimitReport {
--- a/crates/plumgate/src/gateway/rate_limit/messaging.rs
+++ b/crates/plumgate/src/gateway/rate_limit/messaging.rs
@@ -12,6 +12,7 @@
 use super::votes::VoterName;
 use crate::errors::{Error, Result};
 use crate::gateway::exchange::{ExchangePacket, LoadExchange, PeerAddress, ReceivedStatement};
+use crate::gateway::origins::OriginMessage;
 use crate::gateway::placement::PlaceMessage;
 use crate::gateway::statements::{BrittleReport, LeaveReport};
 use crate::ids::{DataCentreId, NodeId};
@@ -43,6 +44,8 @@
     pub(crate) brittle_reports: Vec<BrittleReport>,
     /// Messages about places at brittle servers, with their senders.
     pub(crate) place_messages: Vec<(NodeId, PlaceMessage)>,
+    /// Messages about the origins of streams, with their senders.
+    pub(crate) origin_messages: Vec<(NodeId, OriginMessage)>,
 }
 
 /// Current time by the two clocks that the exchange of messages needs.
@@ -116,6 +119,9 @@
                 StatementMessage::Place(message) => outcome
                     .place_messages
                     .push((received.node.clone(), message)),
+                StatementMessage::Origin(message) => outcome
+                    .origin_messages
+                    .push((received.node.clone(), message)),
                 StatementMessage::LeaveReportsRequest => outcome.wants_leave_reports = true,
                 StatementMessage::PermitResponse(response) => {
                     outcome.is_permit_response |= self.receive_response(&response, time.boot);
--- a/crates/plumgate/src/gateway/statements/leave_reports.rs
+++ b/crates/plumgate/src/gateway/statements/leave_reports.rs
@@ -7,6 +7,7 @@
 
 use super::server_statements::ServerStatements;
 use crate::gateway::exchange::{ExchangePacket, LoadExchange, PeerView};
+use crate::gateway::origins::{OriginMessage, OriginPacket};
 use crate::gateway::placement::PlaceMessage;
 use crate::gateway::rate_limit::{BootTime, MessageOutcome, MessageTime, StatementMessage};
 use crate::gateway::servers::IncarnationId;
@@ -60,6 +61,8 @@
     pub rejections: Vec<IncarnationId>,
     /// Messages about places at brittle servers, with their senders.
     pub places: Vec<(NodeId, PlaceMessage)>,
+    /// Messages about the origins of streams, with the addresses of their senders.
+    pub origins: Vec<(SocketAddr, OriginMessage)>,
 }
 
 impl ServerStatements {
@@ -102,6 +105,20 @@
         packets.collect()
     }
 
+    /// Returns the packets of messages about the origins of streams.
+    pub fn origin_packets(
+        &self,
+        exchange: &LoadExchange,
+        messages: impl IntoIterator<Item = OriginPacket>,
+        time: MessageTime,
+    ) -> Vec<ExchangePacket> {
+        let packets = messages.into_iter().filter_map(|(to, message)| {
+            let message = StatementMessage::Origin(message);
+            self.limits.message_packet(exchange, to, message, time)
+        });
+        packets.collect()
+    }
+
     /// Returns the requests for reports that a node sends after its start to the first nodes that it knows.
     /// The store does not hold what servers announced to other nodes.
     fn request_reports(
@@ -154,11 +171,25 @@
             leaves,
             rejections,
             places: std::mem::take(&mut outcome.place_messages),
+            origins: with_addresses(std::mem::take(&mut outcome.origin_messages), exchange),
         };
         (packets, outcome, events)
     }
 }
 
+/// Replaces the senders of messages by their addresses. Messages of nodes that are no longer known are dropped.
+fn with_addresses(
+    messages: Vec<(NodeId, OriginMessage)>,
+    exchange: &LoadExchange,
+) -> Vec<(SocketAddr, OriginMessage)> {
+    let messages = messages.into_iter().filter_map(|(node, message)| {
+        let mut nodes = exchange.other_nodes();
+        let address = nodes.find(|entry| entry.node == node)?.address;
+        Some((address, message))
+    });
+    messages.collect()
+}
+
 /// Returns the recipients of a node's reports: its collector, or for a collector the nodes of its data centre
 /// and the collectors of the others.
 fn recipients(view: &PeerView) -> Vec<SocketAddr> {
