--- a/crates/plumgate-node/src/gateway/view_snapshots.rs
+++ b/crates/plumgate-node/src/gateway/view_snapshots.rs
@@ -4,7 +4,8 @@
 
 use plumgate::StoreVersion;
 use plumgate::gateway::{
-    ConfigSnapshot, ServersSnapshot, SnapshotState, SourceTopic, StateSnapshot,
+    BootTime, ConfigSnapshot, HistoryReport, ServersSnapshot, SnapshotState, SourceTopic,
+    StateSnapshot,
 };
 
 use super::snapshots::{SnapshotError, fetch_snapshot};
@@ -69,7 +70,9 @@
         let known_at = snapshot.known_at(requested_at);
         self.set_era(snapshot.state().era());
         let now = self.shared.clock.now();
-        let (entries, unconfirmed) = snapshot.into_state().into_servers();
+        let mut state = snapshot.into_state();
+        let history = state.take_history();
+        let (entries, unconfirmed) = state.into_servers();
         let grace_period = self.grace_period(now);
         let changes = self
             .servers
@@ -79,13 +82,27 @@
         for id in &unconfirmed {
             self.remove_server(id, Some(UNCONFIRMED_GRACE_PERIOD), "told");
         }
-        if let Some(known_at) = known_at {
-            self.shared.origins().history().restart(known_at);
-        }
+        self.continue_history(history.as_ref(), known_at, requested_at);
         self.publish_age();
         Ok(())
     }
 
+    /// Continues the history of versions after all servers were received from another node.
+    fn continue_history(
+        &self,
+        history: Option<&HistoryReport>,
+        known_at: Option<BootTime>,
+        requested_at: BootTime,
+    ) {
+        let now = self.shared.clock.boot_time();
+        let mut origins = self.shared.origins();
+        match (history, known_at) {
+            (Some(history), _) => origins.history().adopt(history, requested_at, now),
+            (None, Some(known_at)) => origins.history().restart(known_at),
+            (None, None) => origins.history().restart(now),
+        }
+    }
+
     /// Returns the configuration in force, encoded for other nodes; `None` if there is none.
     pub(crate) fn config_snapshot(&self) -> Option<Vec<u8>> {
         // The age is read first: a configuration that comes into force in between is newer than the age states,
@@ -103,7 +120,8 @@
         let snapshot = self
             .sync_state()
             .servers_snapshot(&self.servers.borrow(), now)?;
-        self.encode(&snapshot)
+        let history = self.shared.origins().history().report(now);
+        self.encode(&snapshot.with_history(history))
     }
 
     fn encode<T: SnapshotState>(&self, snapshot: &StateSnapshot<T>) -> Option<Vec<u8>> {
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -39,8 +39,9 @@
     NodeEntry, PartLocation, PoolDemand, ReceivedClock, ReceivedStatement, ReceivedUsage,
 };
 pub use origins::{
-    LookupId, LookupState, OriginFinding, OriginMessage, OriginPacket, OriginQuestion,
-    OriginSource, OriginState, STREAM_LIFETIME, StreamKey, StreamOrigin, StreamOrigins,
+    HistoryReport, LookupId, LookupState, OriginFinding, OriginMessage, OriginPacket,
+    OriginQuestion, OriginSource, OriginState, STREAM_LIFETIME, StreamKey, StreamOrigin,
+    StreamOrigins,
 };
 pub use placement::{
     ExpiredLoan, LoadTable, PlaceMessage, PlaceRound, PlacementOptions, PlacementPolicy,
--- a/crates/plumgate/src/gateway/origins/history.rs
+++ b/crates/plumgate/src/gateway/origins/history.rs
@@ -128,7 +128,7 @@
     }
 
     /// Returns the history for another node; `None` if there is none.
-    pub(crate) fn report(&self, now: BootTime) -> Option<HistoryReport> {
+    pub fn report(&self, now: BootTime) -> Option<HistoryReport> {
         let age =
             |at: BootTime| u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX);
         let present = self.present.values().map(|version| (version, 0));
@@ -188,6 +188,21 @@
         other_since < own_since
     }
 
+    /// Continues after a gap with all servers that another node sent with its history, which was requested at
+    /// `requested_at`.
+    pub fn adopt(&mut self, report: &HistoryReport, requested_at: BootTime, now: BootTime) {
+        let known_ago = Duration::from_millis(report.known_ms.into());
+        let before = (self.complete_since, self.known_at);
+        self.complete_since = Some(requested_at.saturating_sub(known_ago));
+        self.extend(report, requested_at, now);
+        // The own history before the gap counts if that of the other node covers the gap.
+        if let (Some(since), Some(known_at)) = before
+            && self.complete_since <= Some(known_at)
+        {
+            self.complete_since = self.complete_since.min(Some(since));
+        }
+    }
+
     /// Removes versions that left so long ago that no stream can have begun there.
     pub(crate) fn remove_expired(&mut self, now: BootTime) {
         self.departed
--- a/crates/plumgate/src/gateway/origins/mod.rs
+++ b/crates/plumgate/src/gateway/origins/mod.rs
@@ -13,6 +13,6 @@
 
 pub use history::{SingleVersion, VersionHistory};
 pub use lookup::{LookupId, LookupState, OriginFinding, OriginSource};
-pub use messages::{OriginMessage, OriginPacket};
+pub use messages::{HistoryReport, OriginMessage, OriginPacket};
 pub use origin::{OriginState, StreamKey, StreamOrigin};
 pub use stream_origins::{OriginQuestion, STREAM_LIFETIME, StreamOrigins};
--- a/crates/plumgate/src/gateway/origins/records.rs
+++ b/crates/plumgate/src/gateway/origins/records.rs
@@ -1,6 +1,7 @@
 //! Records of the origins of streams, bounded in number and time.
 
 use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::origin::{StreamKey, StreamOrigin};
@@ -18,8 +19,8 @@
 pub(crate) enum RecordSource {
     /// This node passed on the first event of the stream, which came from a server.
     Own(ServerId),
-    /// Another node sent it.
-    Held,
+    /// Another node sent it, which has this address.
+    Held(SocketAddr),
 }
 
 /// Record of the origin of a stream.
--- a/crates/plumgate/src/gateway/origins/stream_origins.rs
+++ b/crates/plumgate/src/gateway/origins/stream_origins.rs
@@ -174,7 +174,7 @@
         let record = self.records.get(key)?;
         let source = match record.source {
             RecordSource::Own(_) => OriginSource::Own,
-            RecordSource::Held => OriginSource::Held,
+            RecordSource::Held(_) => OriginSource::Held,
         };
         Some(match record.origin {
             Some(origin) => OriginFinding::Known(origin, source),
@@ -318,7 +318,7 @@
         match message {
             OriginMessage::Records(copies) => {
                 for copy in copies {
-                    self.receive_copy(&copy, now);
+                    self.receive_copy(from, copy, now);
                 }
             }
             OriginMessage::Query { lookup, key } => {
@@ -346,15 +346,34 @@
         }
     }
 
-    fn receive_copy(&mut self, copy: &RecordCopy, now: BootTime) {
+    /// Stores a copy. If it contradicts a known record, the nodes that made the two are told that both are in doubt.
+    fn receive_copy(&mut self, from: SocketAddr, copy: RecordCopy, now: BootTime) {
+        let known = self.records.get(copy.key);
+        let contradicted = known.filter(|known| known.origin != copy.origin).cloned();
         let age = Duration::from_millis(copy.age_ms.into());
         let record = OriginRecord {
             origin: copy.origin,
             pool: copy.pool,
             began_at: now.saturating_sub(age),
-            source: RecordSource::Held,
+            source: RecordSource::Held(from),
         };
-        self.records.insert(copy.key, record, now);
+        let is_changed = self.records.insert(copy.key, record, now);
+        let Some(contradicted) = contradicted.filter(|_| is_changed || copy.origin.is_some())
+        else {
+            return;
+        };
+        let doubt = RecordCopy {
+            origin: None,
+            ..copy
+        };
+        let other = match contradicted.source {
+            RecordSource::Held(address) => Some(address),
+            RecordSource::Own(_) => None,
+        };
+        let recipients = [Some(from).filter(|_| copy.origin.is_some()), other];
+        let told = recipients.into_iter().flatten();
+        self.replies
+            .extend(told.map(|to| (to, OriginMessage::Records(vec![doubt]))));
     }
 
     fn receive_reply(&mut self, from: SocketAddr, id: LookupId, reply: OriginReply) {
@@ -396,7 +415,7 @@
             shared.contains(&record.pool) && !self.shared_pools.contains(&record.pool)
         };
         let keys = self.records.iter().filter_map(|(key, record)| {
-            let is_own = record.source != RecordSource::Held;
+            let is_own = matches!(record.source, RecordSource::Own(_));
             (is_own && is_new(record)).then_some(key)
         });
         let keys: Vec<StreamKey> = keys.collect();
--- a/crates/plumgate/src/gateway/sync/messages.rs
+++ b/crates/plumgate/src/gateway/sync/messages.rs
@@ -155,22 +155,6 @@
         Self(entries.map(|entry| entry.version.clone()).collect())
     }
 
-    /// Decodes what follows a message; nothing follows one of an earlier build.
-    pub(crate) fn decode(bytes: &[u8]) -> Result<Self> {
-        if bytes.is_empty() {
-            return Ok(Self::default());
-        }
-        postcard::from_bytes(bytes).map_err(|_| Error::MalformedMessage)
-    }
-
-    /// Appends the versions to an encoded message; nothing if there are none.
-    pub(crate) fn append_to(&self, bytes: Vec<u8>) -> Result<Vec<u8>> {
-        if self.0.is_empty() {
-            return Ok(bytes);
-        }
-        postcard::to_extend(self, bytes).map_err(|_| Error::MalformedMessage)
-    }
-
     /// Sets the versions of the entries of the message.
     pub(crate) fn apply_to<'a>(
         self,
--- a/crates/plumgate/src/gateway/sync/snapshots.rs
+++ b/crates/plumgate/src/gateway/sync/snapshots.rs
@@ -13,6 +13,7 @@
 use super::messages::{LogPosition, ServerVersions};
 use crate::errors::{Error, Result};
 use crate::gateway::config::GatewayConfig;
+use crate::gateway::origins::HistoryReport;
 use crate::gateway::servers::ServerEntry;
 use crate::ids::ServerId;
 use crate::store_version::StoreEra;
@@ -41,6 +42,16 @@
     pub(crate) entries: Vec<ServerEntry>,
     /// Ids of those servers whose entries expired in an outage of the store, and which may have stopped.
     pub(crate) unconfirmed: Vec<ServerId>,
+    /// History of the pools' versions. Sent behind the snapshot, as nodes of earlier builds read it without.
+    #[serde(skip)]
+    pub(crate) history: Option<HistoryReport>,
+}
+
+/// Part of a snapshot of the servers that nodes of earlier builds ignore.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct ServersRest {
+    versions: ServerVersions,
+    history: Option<HistoryReport>,
 }
 
 impl ServersState {
@@ -49,12 +60,25 @@
         self.position.version.era
     }
 
+    /// Takes the history of the pools' versions, if the sender knows one.
+    pub fn take_history(&mut self) -> Option<HistoryReport> {
+        self.history.take()
+    }
+
     /// Returns the servers that are in use, and the ids of those that are unconfirmed.
     pub fn into_servers(self) -> (Vec<ServerEntry>, Vec<ServerId>) {
         (self.entries, self.unconfirmed)
     }
 }
 
+impl ServersSnapshot {
+    /// Adds the history of the pools' versions.
+    pub fn with_history(mut self, history: Option<HistoryReport>) -> Self {
+        self.state.history = history;
+        self
+    }
+}
+
 impl<T> StateSnapshot<T> {
     /// Creates a snapshot of a state that was last known to be the newest `age` ago.
     pub fn new(state: T, age: Duration) -> Self {
@@ -112,11 +136,21 @@
 
 impl SnapshotState for ServersState {
     fn append_rest(&self, bytes: Vec<u8>) -> Result<Vec<u8>> {
-        ServerVersions::new(self.entries.iter()).append_to(bytes)
+        let rest = ServersRest {
+            versions: ServerVersions::new(self.entries.iter()),
+            history: self.history.clone(),
+        };
+        postcard::to_extend(&rest, bytes).map_err(|_| Error::MalformedMessage)
     }
 
     fn read_rest(&mut self, rest: &[u8]) -> Result<()> {
-        ServerVersions::decode(rest)?.apply_to(self.entries.iter_mut())
+        if rest.is_empty() {
+            return Ok(());
+        }
+        let rest = postcard::from_bytes(rest);
+        let rest: ServersRest = rest.map_err(|_| Error::MalformedMessage)?;
+        self.history = rest.history;
+        rest.versions.apply_to(self.entries.iter_mut())
     }
 }
 
--- a/crates/plumgate/src/gateway/sync/state.rs
+++ b/crates/plumgate/src/gateway/sync/state.rs
@@ -341,6 +341,7 @@
             position: self.log.position(self.servers_version?)?,
             entries: servers.entries().cloned().collect(),
             unconfirmed: servers.unconfirmed().cloned().collect(),
+            history: None,
         };
         Some(ServersSnapshot::new(state, now.saturating_sub(known_at)))
     }
