--- a/crates/plumgate/src/gateway/origins/holders.rs
+++ b/crates/plumgate/src/gateway/origins/holders.rs
@@ -9,7 +9,7 @@
 use crate::gateway::exchange::NodeEntry;
 use crate::ids::DataCentreId;
 
-/// Number of copies of a record.
+/// Number of copies of a record in a large fleet.
 const COPIES: usize = 3;
 /// Number of copies in the data centre of the node that made the record.
 const OWN_COPIES: usize = 2;
@@ -18,8 +18,8 @@
 /// Number of other data centres in which nodes are asked: a record leads its copies to the first one that is not its
 /// own.
 const ASKED_FOREIGN: usize = 2;
-/// Number of other nodes up to which all of them are asked at once.
-const ASK_ALL_UP_TO: usize = 16;
+/// Number of other nodes up to which all of them hold a copy and are asked.
+const SMALL_FLEET: usize = 16;
 
 /// The other nodes of each data centre, the preferred holder of a record first.
 struct RankedNodes<'a> {
@@ -49,9 +49,12 @@
     }
 }
 
-/// Returns the nodes to which a record of this node is sent: up to two of its data centre, and the first of as many
-/// others as are needed for three copies.
+/// Returns the nodes to which a record of this node is sent: all others of a small fleet; of a large one up to two of
+/// its data centre, and the first of as many others as are needed for three copies.
 pub(crate) fn holders(key: StreamKey, own: &NodeEntry, nodes: &[NodeEntry]) -> Vec<SocketAddr> {
+    if nodes.len() <= SMALL_FLEET {
+        return others(own, nodes);
+    }
     let ranked = RankedNodes::new(key, own, nodes);
     let local = ranked.own.iter().take(OWN_COPIES);
     let foreign = ranked.foreign.iter().filter_map(|members| members.first());
@@ -65,9 +68,8 @@
     own: &NodeEntry,
     nodes: &[NodeEntry],
 ) -> (Vec<SocketAddr>, bool) {
-    let others = nodes.iter().filter(|node| node.node != own.node);
-    if nodes.len() <= ASK_ALL_UP_TO {
-        return (others.map(|node| node.address).collect(), true);
+    if nodes.len() <= SMALL_FLEET {
+        return (others(own, nodes), true);
     }
     let ranked = RankedNodes::new(key, own, nodes);
     let foreign = ranked.foreign.iter().take(ASKED_FOREIGN);
@@ -75,3 +77,9 @@
     let chosen = groups.flat_map(|members| members.iter().take(ASKED_EACH));
     (chosen.map(|node| node.address).collect(), false)
 }
+
+/// Returns the addresses of all other nodes.
+pub(crate) fn others(own: &NodeEntry, nodes: &[NodeEntry]) -> Vec<SocketAddr> {
+    let others = nodes.iter().filter(|node| node.node != own.node);
+    others.map(|node| node.address).collect()
+}
--- a/crates/plumgate/src/gateway/origins/stream_origins.rs
+++ b/crates/plumgate/src/gateway/origins/stream_origins.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::history::{SingleVersion, VersionHistory};
-use super::holders::{asked, holders};
+use super::holders::{asked, holders, others};
 use super::lookup::{
     AskPhase, LookupId, LookupState, OriginFinding, OriginLookup, OriginSource, REPEAT_AFTER,
     VIEW_TIMEOUT,
@@ -476,8 +476,7 @@
             lookup.is_repeated = true;
         }
         AskPhase::AllQueued => {
-            let others = nodes.iter().filter(|node| node.node != own.node);
-            lookup.awaited = others.map(|node| node.address).collect();
+            lookup.awaited = others(own, nodes).into_iter().collect();
             lookup.phase = AskPhase::All;
         }
         AskPhase::Holders | AskPhase::All | AskPhase::Ended => return Vec::new(),
