--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -151,26 +151,26 @@
         }
     }
 
-    /// Binds the stream to the origin of its server when the first whole event is passed on.
+    /// Binds a stream that may be resumed to the origin of its server when the first whole event is passed on.
     fn fix_origin(&mut self) {
+        let is_resumable = self.run.request.route.kind == RepeatKind::ResumableStream;
+        if !is_resumable || self.run.origin != OriginState::Open {
+            return;
+        }
         let has_events = self
             .content
             .events()
             .is_some_and(|events| events.has_events());
-        if !has_events || self.run.origin != OriginState::Open {
+        let Some(source) = self.source.as_ref().filter(|_| has_events) else {
             return;
+        };
+        let server = source.work.server().clone();
+        let shared = &self.run.shared;
+        self.run.origin = shared.origin_of_run(&server);
+        if let OriginState::Fixed(origin) = self.run.origin {
+            shared.record_origin(&self.run.request, &server, origin);
         }
-        if let Some(source) = &self.source {
-            let server = source.work.server().clone();
-            let shared = &self.run.shared;
-            self.run.origin = shared.origin_of_run(&server);
-            if self.run.request.route.kind == RepeatKind::ResumableStream
-                && let OriginState::Fixed(origin) = self.run.origin
-            {
-                shared.record_origin(&self.run.request, &server, origin);
-            }
-            self.beginner = Some((server, shared.clock.now()));
-        }
+        self.beginner = Some((server, shared.clock.now()));
     }
 
     /// Doubts the origin if the server that began the stream now has another version: that of the run is then known only
