origins: a node that does not know the others yet asks callers to come back

Cause: right after its start a node knows none or some of the others, and took a stream for unknown to all. Change: until the register of nodes is read, a lookup without a result is unreachable, not unknown.

--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -452,6 +452,7 @@
             Ok(register) => {
                 self.exchange.borrow_mut().set_nodes(register.nodes);
                 self.has_register.set(true);
+                self.shared.origins().set_nodes_known();
                 self.verdicts.apply(&register.verdicts);
                 true
             }
--- a/crates/plumgate/src/gateway/origins/stream_origins.rs
+++ b/crates/plumgate/src/gateway/origins/stream_origins.rs
@@ -67,6 +67,8 @@
     shared_pools: BTreeSet<u32>,
     /// Whether the node is stopping, and sends all records.
     is_stopping: bool,
+    /// Whether all registered nodes are known; others than the known ones may hold records until then.
+    knows_nodes: bool,
     history_request: Option<HistoryRequest>,
     history_due: BootTime,
     history_pause: Duration,
@@ -86,6 +88,7 @@
             replies: Vec::new(),
             shared_pools: BTreeSet::new(),
             is_stopping: false,
+            knows_nodes: false,
             history_request: None,
             history_due: BootTime::ZERO,
             history_pause: HISTORY_PAUSE,
@@ -100,6 +103,11 @@
         &mut self.history
     }
 
+    /// Records that all registered nodes are known.
+    pub fn set_nodes_known(&mut self) {
+        self.knows_nodes = true;
+    }
+
     /// Records that the first event of a stream was passed on, which came from a server.
     pub fn record(
         &mut self,
@@ -153,7 +161,7 @@
             is_repeated: false,
             has_asked_all: false,
             awaited: BTreeSet::new(),
-            has_silent: false,
+            has_silent: question.key.is_some() && !self.knows_nodes,
             finding,
         };
         if finding.is_none() && lookup.key.is_some() {
--- a/crates/plumgate/tests/origin_fleet/mod.rs
+++ b/crates/plumgate/tests/origin_fleet/mod.rs
@@ -315,6 +315,7 @@
         let now = self.now;
         let node = &mut self.nodes[node];
         node.origins = StreamOrigins::new(seed);
+        node.origins.set_nodes_known();
         for entry in view.values() {
             node.origins.history().observe(entry, now);
         }
--- a/crates/plumgate/tests/origin_lookups.rs
+++ b/crates/plumgate/tests/origin_lookups.rs
@@ -53,6 +53,7 @@
     }
     origins.history().restart(since);
     origins.history().set_known_at(since);
+    origins.set_nodes_known();
     origins
 }
 
@@ -338,6 +339,22 @@
     );
 }
 
+/// Guards against a node that has just started and takes a stream for unknown, as it does not know the nodes that know it.
+#[test]
+fn node_that_knows_no_others_yet_asks_its_caller_to_come_back() {
+    let mut origins = StreamOrigins::new(7);
+    origins.history().observe(&server("s0", "v1"), START);
+    let (own, _) = fleet();
+    let id = origins
+        .begin_lookup(&question("r"), START)
+        .expect("a lookup");
+    origins.take_messages(&own, &[], START);
+    assert_eq!(
+        origins.advance(id, START),
+        LookupState::Done(OriginFinding::Unreachable)
+    );
+}
+
 /// Guards against a flood of resumptions with invented ids, which would cost the other nodes as much as this one.
 #[test]
 fn invented_ids_cost_other_nodes_a_bounded_number_of_messages() {
