--- a/crates/plumgate/tests/brittle_fleet/mod.rs
+++ b/crates/plumgate/tests/brittle_fleet/mod.rs
@@ -66,6 +66,21 @@
     pub(crate) served: u32,
     pub(crate) refused: u32,
     pub(crate) rejected: u32,
+    /// Messages about places that nodes sent each other, their bytes, and the processor time that they took.
+    pub(crate) place_messages: u64,
+    pub(crate) place_bytes: u64,
+    pub(crate) place_time: Duration,
+}
+
+impl BrittleResult {
+    fn add_places(&mut self, packets: &[(SocketAddr, Vec<u8>)], started: Instant) {
+        self.place_messages += packets.len() as u64;
+        self.place_bytes += packets
+            .iter()
+            .map(|(_, bytes)| bytes.len() as u64)
+            .sum::<u64>();
+        self.place_time += started.elapsed();
+    }
 }
 
 struct SimNode {
@@ -275,11 +290,13 @@
                 .tick(node.table.own_work(), &mut node.sync, moment);
             let statements = node.statements.run_round(&node.exchange, time);
             let from = node.entry.address;
+            let started = Instant::now();
             let nodes = node.exchange.other_nodes().map(|entry| &entry.node);
             let round = node.table.run_place_round(nodes, moment.now);
             let places = node
                 .statements
                 .place_packets(&node.exchange, round.messages, time);
+            self.result.add_places(&places, started);
             let all = own.into_iter().chain(statements).chain(places);
             packets.extend(all.map(|(to, bytes)| (to, from, bytes)));
         }
@@ -294,11 +311,13 @@
             let table = &mut node.table;
             table.record_rejections(&reported.rejections, moment.now);
             table.set_all_brittle(&node.statements.brittle, moment.boot, moment.now);
+            let started = Instant::now();
             let places = reported.places.iter().filter_map(|(from, message)| {
                 let answer = table.receive_place_message(from, message, moment.now)?;
                 Some((from.clone(), answer))
             });
             let places = node.statements.place_packets(&node.exchange, places, time);
+            self.result.add_places(&places, started);
             let from = node.entry.address;
             let answers = answers.into_iter().chain(places);
             packets.extend(answers.map(|(to, bytes)| (to, from, bytes)));
