origins: lookups in a file of their own

Cause: read as a newcomer, stream_origins.rs had two jobs. Change: LookupTable holds the lookups in progress, whom they ask and how many there may be. Nothing else changed.

--- a/crates/plumgate/src/gateway/origins/mod.rs
+++ b/crates/plumgate/src/gateway/origins/mod.rs
@@ -6,6 +6,7 @@
 mod history;
 mod holders;
 mod lookup;
+mod lookups;
 mod messages;
 mod origin;
 mod records;
--- a/crates/plumgate/src/gateway/origins/stream_origins.rs
+++ b/crates/plumgate/src/gateway/origins/stream_origins.rs
@@ -1,15 +1,13 @@
 //! Origins of streams as one node knows them, and the messages by which nodes share them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::history::{SingleVersion, VersionHistory};
-use super::holders::{asked, holders, others};
-use super::lookup::{
-    AskPhase, LookupId, LookupState, OriginFinding, OriginLookup, OriginSource, REPEAT_AFTER,
-    VIEW_TIMEOUT,
-};
+use super::history::VersionHistory;
+use super::holders::holders;
+use super::lookup::{AskPhase, LookupId, LookupState, OriginFinding, OriginLookup, OriginSource};
+use super::lookups::LookupTable;
 use super::messages::{OriginMessage, OriginPacket, OriginReply, RecordCopy};
 use super::origin::{StreamKey, StreamOrigin};
 use super::records::{OriginRecord, OriginRecords, RecordSource};
@@ -18,18 +16,11 @@
 use crate::gateway::rate_limit::BootTime;
 use crate::gateway::servers::ServerEntry;
 use crate::ids::{PoolId, ServerId};
-use crate::token_bucket::TokenBucket;
 
 /// Longest time from the first event of a stream until its caller resumes it.
 pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
 /// Maximum number of records in a message, which is sealed twice and fits into one packet.
 const MAX_COPIES: usize = 20;
-/// Maximum number of lookups in progress.
-const MAX_LOOKUPS: usize = 512;
-/// Lookups a second that ask other nodes, and how many at once.
-const LOOKUP_RATE: (f64, f64) = (50.0, 200.0);
-/// Lookups a second that ask all other nodes of a large fleet, and how many at once.
-const ASK_ALL_RATE: (f64, f64) = (2.0, 10.0);
 /// First pause between requests for the history; it doubles each time.
 const HISTORY_PAUSE: Duration = Duration::from_secs(1);
 /// Longest pause between requests for the history.
@@ -58,7 +49,7 @@
 pub struct StreamOrigins {
     records: OriginRecords,
     history: VersionHistory,
-    lookups: HashMap<LookupId, OriginLookup>,
+    lookups: LookupTable,
     /// Records to send.
     unsent: BTreeSet<StreamKey>,
     /// Replies to send.
@@ -72,8 +63,6 @@
     history_request: Option<HistoryRequest>,
     history_due: BootTime,
     history_pause: Duration,
-    lookup_bucket: TokenBucket<BootTime>,
-    ask_all_bucket: TokenBucket<BootTime>,
     rng: fastrand::Rng,
 }
 
@@ -83,7 +72,7 @@
         Self {
             records: OriginRecords::default(),
             history: VersionHistory::default(),
-            lookups: HashMap::new(),
+            lookups: LookupTable::default(),
             unsent: BTreeSet::new(),
             replies: Vec::new(),
             shared_pools: BTreeSet::new(),
@@ -92,8 +81,6 @@
             history_request: None,
             history_due: BootTime::ZERO,
             history_pause: HISTORY_PAUSE,
-            lookup_bucket: TokenBucket::new(LOOKUP_RATE.1, BootTime::ZERO),
-            ask_all_bucket: TokenBucket::new(ASK_ALL_RATE.1, BootTime::ZERO),
             rng: fastrand::Rng::with_seed(seed),
         }
     }
@@ -148,11 +135,8 @@
 
     /// Begins a lookup for a request that arrived now; `None` if there are too many.
     pub fn begin_lookup(&mut self, question: &OriginQuestion, now: BootTime) -> Option<LookupId> {
-        if self.lookups.len() >= MAX_LOOKUPS {
-            return None;
-        }
         let finding = question.key.and_then(|key| self.own_finding(key));
-        let mut lookup = OriginLookup {
+        let lookup = OriginLookup {
             key: question.key,
             pool: question.pool.as_deref().map(pool_key),
             arrived: now,
@@ -164,17 +148,18 @@
             has_silent: question.key.is_some() && !self.knows_nodes,
             finding,
         };
-        if finding.is_none() && lookup.key.is_some() {
-            self.lookup_bucket.refill(LOOKUP_RATE.0, LOOKUP_RATE.1, now);
-            if self.lookup_bucket.take(1.0) {
-                lookup.phase = AskPhase::Queued;
-            } else {
-                lookup.has_silent = true;
-            }
-        }
         let id = self.rng.u64(..);
-        self.lookups.insert(id, lookup);
-        Some(id)
+        self.lookups.begin(id, lookup, now).then_some(id)
+    }
+
+    /// Advances a lookup. One that is done is removed.
+    pub fn advance(&mut self, id: LookupId, now: BootTime) -> LookupState {
+        self.lookups.advance(id, &self.history, now)
+    }
+
+    /// Removes a lookup whose caller has left.
+    pub fn cancel(&mut self, id: LookupId) {
+        self.lookups.cancel(id);
     }
 
     /// Returns what this node itself knows of a stream.
@@ -190,91 +175,9 @@
         })
     }
 
-    /// Advances a lookup. One that is done is removed.
-    pub fn advance(&mut self, id: LookupId, now: BootTime) -> LookupState {
-        let state = self.lookup_state(id, now);
-        if matches!(state, LookupState::Done(_)) {
-            self.lookups.remove(&id);
-        }
-        state
-    }
-
-    /// Removes a lookup whose caller has left.
-    pub fn cancel(&mut self, id: LookupId) {
-        self.lookups.remove(&id);
-    }
-
-    fn lookup_state(&mut self, id: LookupId, now: BootTime) -> LookupState {
-        let Some(lookup) = self.lookups.get_mut(&id) else {
-            return LookupState::Done(OriginFinding::Unreachable);
-        };
-        if let Some(finding) = lookup.finding {
-            return LookupState::Done(finding);
-        }
-        if lookup.phase_end().is_some_and(|end| now >= end) {
-            let is_unsent = matches!(lookup.phase, AskPhase::Queued | AskPhase::AllQueued);
-            lookup.has_silent |= !lookup.awaited.is_empty() || is_unsent;
-            lookup.awaited.clear();
-        }
-        let is_phase_over = matches!(lookup.phase, AskPhase::Holders | AskPhase::All)
-            && lookup.awaited.is_empty()
-            || lookup.phase_end().is_some_and(|end| now >= end);
-        if is_phase_over {
-            self.end_phase(id, now);
-        }
-        let Some(lookup) = self.lookups.get(&id) else {
-            return LookupState::Done(OriginFinding::Unreachable);
-        };
-        let single = lookup.pool.map_or(SingleVersion::Unknown, |pool| {
-            self.history.single_version(pool, lookup.arrived)
-        });
-        let view_end = lookup.arrived + VIEW_TIMEOUT;
-        match (single, lookup.phase_end()) {
-            (SingleVersion::Known(origin), _) => {
-                LookupState::Done(OriginFinding::Known(origin, OriginSource::SingleVersion))
-            }
-            (_, Some(end)) if lookup.is_repeated => LookupState::WaitsUntil(end),
-            (_, Some(end)) => LookupState::WaitsUntil(end.min(lookup.phase_since + REPEAT_AFTER)),
-            (SingleVersion::AwaitsView, None) if now < view_end => {
-                LookupState::WaitsUntil(view_end)
-            }
-            (SingleVersion::AwaitsView, None) => LookupState::Done(OriginFinding::Unreachable),
-            (SingleVersion::Unknown, None) if lookup.has_silent => {
-                LookupState::Done(OriginFinding::Unreachable)
-            }
-            (SingleVersion::Unknown, None) => LookupState::Done(OriginFinding::Unknown),
-        }
-    }
-
-    /// Ends the phase of a lookup: all other nodes are asked next, if that is left to do.
-    fn end_phase(&mut self, id: LookupId, now: BootTime) {
-        let Some(lookup) = self.lookups.get_mut(&id) else {
-            return;
-        };
-        let asks_all = lookup.phase == AskPhase::Holders && !lookup.has_asked_all;
-        lookup.phase = AskPhase::Ended;
-        if !asks_all {
-            return;
-        }
-        self.ask_all_bucket
-            .refill(ASK_ALL_RATE.0, ASK_ALL_RATE.1, now);
-        if self.ask_all_bucket.take(1.0) {
-            lookup.phase = AskPhase::AllQueued;
-            lookup.phase_since = now;
-            lookup.is_repeated = true;
-        } else {
-            lookup.has_silent = true;
-        }
-    }
-
     /// Returns whether there are messages to send.
     pub fn has_messages(&self, now: BootTime) -> bool {
-        let is_due = |lookup: &OriginLookup| match lookup.phase {
-            AskPhase::Queued | AskPhase::AllQueued => true,
-            AskPhase::Holders => !lookup.is_repeated && now >= lookup.phase_since + REPEAT_AFTER,
-            AskPhase::All | AskPhase::Ended => false,
-        };
-        !self.unsent.is_empty() || !self.replies.is_empty() || self.lookups.values().any(is_due)
+        !self.unsent.is_empty() || !self.replies.is_empty() || self.lookups.has_queries(now)
     }
 
     /// Returns the messages to send now, given this node and the other known ones.
@@ -286,9 +189,7 @@
     ) -> Vec<OriginPacket> {
         let mut packets = std::mem::take(&mut self.replies);
         packets.extend(self.record_packets(own, nodes, now));
-        for (id, lookup) in &mut self.lookups {
-            packets.extend(query_packets(*id, lookup, own, nodes, now));
-        }
+        packets.extend(self.lookups.take_queries(own, nodes, now));
         packets
     }
 
@@ -338,7 +239,9 @@
                 let reply = OriginMessage::Reply { lookup, reply };
                 self.replies.push((from, reply));
             }
-            OriginMessage::Reply { lookup, reply } => self.receive_reply(from, lookup, reply),
+            OriginMessage::Reply { lookup, reply } => {
+                self.lookups.receive_reply(from, lookup, reply);
+            }
             OriginMessage::HistoryRequest { id } => {
                 if let Some(report) = self.history.report(now) {
                     let answer = OriginMessage::History { id, report };
@@ -384,26 +287,6 @@
             .extend(told.map(|to| (to, OriginMessage::Records(vec![doubt]))));
     }
 
-    fn receive_reply(&mut self, from: SocketAddr, id: LookupId, reply: OriginReply) {
-        let Some(lookup) = self.lookups.get_mut(&id) else {
-            return;
-        };
-        lookup.awaited.remove(&from);
-        match reply {
-            OriginReply::Unknown => {}
-            OriginReply::InDoubt => lookup.finding = Some(OriginFinding::Unknown),
-            OriginReply::Known(origin) => {
-                let known = OriginFinding::Known(origin, OriginSource::Told);
-                match lookup.finding {
-                    None => lookup.finding = Some(known),
-                    Some(finding) if finding == known => {}
-                    // Two nodes know different origins.
-                    Some(_) => lookup.finding = Some(OriginFinding::Unknown),
-                }
-            }
-        }
-    }
-
     /// Runs one round: removes what has expired, shares the records of pools whose versions no longer tell the origin,
     /// and asks others for their history if the own one is too short.
     pub fn run_round(&mut self, nodes: &[NodeEntry], now: BootTime) {
@@ -460,36 +343,3 @@
         (self.records.len(), self.lookups.len())
     }
 }
-
-/// Returns the queries of a lookup that are due.
-fn query_packets(
-    id: LookupId,
-    lookup: &mut OriginLookup,
-    own: &NodeEntry,
-    nodes: &[NodeEntry],
-    now: BootTime,
-) -> Vec<OriginPacket> {
-    let Some(key) = lookup.key else {
-        return Vec::new();
-    };
-    match lookup.phase {
-        AskPhase::Queued => {
-            let (asked, is_all) = asked(key, own, nodes);
-            lookup.awaited = asked.into_iter().collect();
-            lookup.has_asked_all = is_all;
-            lookup.phase = AskPhase::Holders;
-            lookup.phase_since = now;
-        }
-        AskPhase::Holders if !lookup.is_repeated && now >= lookup.phase_since + REPEAT_AFTER => {
-            lookup.is_repeated = true;
-        }
-        AskPhase::AllQueued => {
-            lookup.awaited = others(own, nodes).into_iter().collect();
-            lookup.phase = AskPhase::All;
-        }
-        AskPhase::Holders | AskPhase::All | AskPhase::Ended => return Vec::new(),
-    }
-    let message = OriginMessage::Query { lookup: id, key };
-    let awaited = lookup.awaited.iter();
-    awaited.map(|address| (*address, message.clone())).collect()
-}
