gateway: log who closed a caller's connection first, and what was held then

Cause: from the id of a request without a complete answer it could not be told who closed which connection first: a connection to a caller ended without a line, and a request whose caller left while it was at a server was logged as not_run. No decision is changed.

--- a/crates/plumgate-node/src/caller_stream.rs
+++ b/crates/plumgate-node/src/caller_stream.rs
@@ -58,6 +58,16 @@
         self.sent.wake();
     }
 
+    /// Returns whether bytes of the answer were not yet passed to the operating system.
+    pub(crate) fn has_unsent(&self) -> bool {
+        self.has_unsent.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether the last answer was truncated.
+    pub(crate) fn is_truncated(&self) -> bool {
+        self.is_truncated.load(Ordering::SeqCst)
+    }
+
     fn on_write(&self) {
         self.writes.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -18,6 +18,7 @@
 use super::answer::{GatewayBody, StreamChunk, announce_close, own_answer};
 use super::checks::accept;
 use super::connection::{CallerStream, ConnectionActivity, GuardedBody};
+use super::connection_report::report_end;
 use super::duties::DUTIES_PATH;
 use super::guards::ConnectionGuard;
 use super::ports::WireFormat;
@@ -150,12 +151,13 @@
         async move {
             delivery.begin_answer(request.version());
             let guard = activity.begin_answer(shared.clock.clone());
-            let mut response = serve(&shared, request).await;
+            let mut response = serve(&shared, request, &activity).await;
             // A node that is leaving accepts no further request on a connection and announces that. So does a node
             // whose data is too stale: the balancer sends it no new connections, but open ones would remain, and
             // each request on them would be refused.
             if !shared.is_ready() {
                 announce_close(&mut response);
+                activity.record_announcement();
             }
             Ok::<_, Infallible>(response.map(|body| {
                 let body = DeliveryBody::new(body, delivery);
@@ -191,12 +193,13 @@
         };
         future::or(served, delivery.flush_expired(&shared.clock)).await;
     }
+    report_end(&shared, reason, &activity, &delivery, stream.get_ref());
     delivery.reset_if_truncated(&shared.clock, &stream).await;
 }
 
 /// Reason for which a connection closes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CloseReason {
+pub(crate) enum CloseReason {
     /// The connection was closed by the caller, after an answer, or by an error.
     Served,
     /// The connection was idle, received the head of a request, or did not take the rest of a truncated answer, for
@@ -246,11 +249,13 @@
 async fn serve<C: Clock, W: WireFormat>(
     shared: &Arc<GatewayShared<C, W>>,
     request: Request<Incoming>,
+    activity: &ConnectionActivity,
 ) -> Response<GatewayBody<impl Stream<Item = StreamChunk> + Send + use<C, W>>> {
     let arrived = shared.clock.now();
     let (head, body) = request.into_parts();
     let metadata = shared.wire.read_request(&head);
     let id = metadata.id.clone().unwrap_or_default();
+    activity.name_request(&id);
     let resumed = metadata.resumed.clone();
     let accepted = match accept(shared, head, body, metadata, arrived).await {
         Ok(request) => shared.bind_origin(request).await,
--- a/crates/plumgate-node/src/gateway/connection.rs
+++ b/crates/plumgate-node/src/gateway/connection.rs
@@ -1,5 +1,5 @@
 //! Activity of a caller's connection, so that it can be closed if it was idle, or received the head of one
-//! request, for too long.
+//! request, for too long, and so that its end can be explained.
 
 use std::io;
 use std::pin::Pin;
@@ -30,9 +30,45 @@
     Answering,
 }
 
+impl ActivityState {
+    /// Returns the name used in logs and metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Idle(_) => "idle",
+            Self::Head(_) => "head",
+            Self::Answering => "answering",
+        }
+    }
+}
+
+/// What a caller did to its side of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallerEnd {
+    /// The caller sends nothing more.
+    Closed,
+    /// The connection failed.
+    Reset,
+}
+
+/// Requests and bytes of a connection, for the log line about its end.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ConnectionRecord {
+    /// Number of requests whose heads were received.
+    pub(crate) requests: u64,
+    /// Id of the last request.
+    pub(crate) last_request: Option<String>,
+    /// Bytes received since the last answer ended.
+    pub(crate) received: usize,
+    /// What the caller did to its side, if that came before the node's end.
+    pub(crate) caller_end: Option<CallerEnd>,
+    /// Whether the last answer told the caller that the connection closes.
+    pub(crate) is_announced: bool,
+}
+
 /// Activity of a connection, shared by its stream, its answers and the task that closes it.
 pub(crate) struct ConnectionActivity {
     state: Mutex<ActivityState>,
+    record: Mutex<ConnectionRecord>,
     changed: Event,
 }
 
@@ -41,6 +77,7 @@
     pub(crate) fn new(now: Instant) -> Self {
         Self {
             state: Mutex::new(ActivityState::Idle(now)),
+            record: Mutex::default(),
             changed: Event::new(),
         }
     }
@@ -48,14 +85,41 @@
     /// Records that the head of a request was received; the guard is held until the complete answer was sent.
     pub(crate) fn begin_answer<C: Clock>(self: &Arc<Self>, clock: C) -> AnswerGuard<C> {
         *self.state() = ActivityState::Answering;
+        self.record().requests += 1;
         AnswerGuard {
             activity: self.clone(),
             clock,
         }
     }
 
+    /// Records the id of the request that is answered.
+    pub(crate) fn name_request(&self, id: &str) {
+        self.record().last_request = Some(id.to_owned());
+    }
+
+    /// Records that the answer tells the caller that the connection closes.
+    pub(crate) fn record_announcement(&self) {
+        self.record().is_announced = true;
+    }
+
+    /// Records what the caller did to its side of the connection, unless something was recorded before.
+    fn record_caller_end(&self, end: CallerEnd) {
+        self.record().caller_end.get_or_insert(end);
+    }
+
+    /// Returns what was recorded so far.
+    pub(crate) fn summary(&self) -> ConnectionRecord {
+        self.record().clone()
+    }
+
+    /// Returns the name of the state, for logs and metrics.
+    pub(crate) fn state_name(&self) -> &'static str {
+        self.state().as_str()
+    }
+
     /// Records that bytes were received.
-    fn on_bytes(&self, now: Instant) {
+    fn on_bytes(&self, count: usize, now: Instant) {
+        self.record().received += count;
         let mut state = self.state();
         if matches!(*state, ActivityState::Idle(_)) {
             *state = ActivityState::Head(now);
@@ -81,6 +145,10 @@
     fn state(&self) -> MutexGuard<'_, ActivityState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn record(&self) -> MutexGuard<'_, ConnectionRecord> {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Guard that marks a connection as answering until it is dropped.
@@ -92,6 +160,7 @@
 impl<C: Clock> Drop for AnswerGuard<C> {
     fn drop(&mut self) {
         *self.activity.state() = ActivityState::Idle(self.clock.now());
+        self.activity.record().received = 0;
         self.activity.changed.notify(usize::MAX);
     }
 }
@@ -157,8 +226,13 @@
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if matches!(polled, Poll::Ready(Ok(1..))) {
-            self.activity.on_bytes(self.clock.now());
+        match &polled {
+            Poll::Ready(Ok(0)) if !buffer.is_empty() => {
+                self.activity.record_caller_end(CallerEnd::Closed);
+            }
+            Poll::Ready(Ok(count)) => self.activity.on_bytes(*count, self.clock.now()),
+            Poll::Ready(Err(_)) => self.activity.record_caller_end(CallerEnd::Reset),
+            Poll::Pending => {}
         }
         polled
     }
@@ -170,7 +244,11 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let polled = Pin::new(&mut self.stream).poll_write(context, buffer);
+        if matches!(polled, Poll::Ready(Err(_))) {
+            self.activity.record_caller_end(CallerEnd::Reset);
+        }
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -42,6 +42,17 @@
     pub(crate) reason: &'static str,
 }
 
+/// Labels of connections of callers that ended while something of a request was held.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ConnectionEndLabels {
+    /// Side that closed first.
+    pub(crate) closed_by: &'static str,
+    /// Reason of the close.
+    pub(crate) reason: &'static str,
+    /// State of the connection.
+    pub(crate) state: &'static str,
+}
+
 /// Label of values of a pool.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct PoolLabels {
@@ -105,6 +116,8 @@
     pub(crate) requests: Family<OutcomeLabels, Counter>,
     /// Failed attempts, whether another followed or the request failed.
     pub(crate) failed_attempts: Family<ReasonLabels, Counter>,
+    /// Connections of callers that ended while something of a request was held.
+    pub(crate) connection_ends: Family<ConnectionEndLabels, Counter>,
     /// Answers of servers that ended.
     pub(crate) answer_ends: Family<AnswerEndLabels, Counter>,
     /// Time from a request's arrival to the first byte of the answer.
@@ -202,6 +215,7 @@
             duty_calls: Family::default(),
             requests: Family::default(),
             failed_attempts: Family::default(),
+            connection_ends: Family::default(),
             answer_ends: Family::default(),
             resumptions: Family::default(),
             stream_records: Gauge::default(),
@@ -256,6 +270,11 @@
             "Attempts that failed",
             self.failed_attempts.clone(),
         );
+        registry.register(
+            "connection_ends",
+            "Connections of callers that ended while something of a request was held",
+            self.connection_ends.clone(),
+        );
         registry.register(
             "answer_ends",
             "Answers of servers that ended",
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -41,6 +41,7 @@
             .with("attempt", self.tried.len())
             .with_some("server", self.tried.last())
             .with("reason", reason)
+            .with("closed_by", closed_by(reason))
             .with_some("ran_ms", self.ran_for().map(|ran| ran.as_millis()))
             .with("state", self.run.state())
             .with_answer_end(self.answer_end)
@@ -135,6 +136,15 @@
 }
 
 impl<C: Clock, W> RelayRun<C, W> {
+    /// Returns what is known of the request if it ends now: an attempt whose outcome is not known may run it.
+    fn outcome_now(&self) -> RunOutcome {
+        if self.is_attempting {
+            RunOutcome::Unknown
+        } else {
+            self.run.outcome()
+        }
+    }
+
     fn log_end(&mut self, outcome: RunOutcome, reason: &'static str, status: Option<StatusCode>) {
         self.is_reported = true;
         let now = self.shared.clock.now();
@@ -165,6 +175,15 @@
     }
 }
 
+/// Returns which side closed the connection to the server first, for a failed attempt with this reason.
+fn closed_by(reason: &str) -> &'static str {
+    match reason {
+        "broken" | "cut" | "closed_before_send" => "server",
+        "connect_refused" | "connect_silent" | "connect_paused" => "none",
+        _ => "node",
+    }
+}
+
 impl LogLine {
     /// Appends how a server's answer ended, if it did.
     fn with_answer_end(self, end: Option<(AnswerEnd, usize)>) -> Self {
@@ -183,7 +202,7 @@
     /// with it.
     fn drop(&mut self) {
         if !self.is_reported {
-            self.log_end(self.run.outcome(), "caller_gone", None);
+            self.log_end(self.outcome_now(), "caller_gone", None);
         }
     }
 }
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -43,6 +43,8 @@
     pub(crate) tried: Vec<ServerId>,
     /// Time at which the current attempt started.
     pub(crate) attempt_started_at: Option<Instant>,
+    /// Whether an attempt is being made whose outcome is not known.
+    pub(crate) is_attempting: bool,
     /// Number of attempts that reached a server.
     pub(crate) arrivals: u32,
     /// Retry that is paid and has not been sent.
@@ -86,6 +88,7 @@
             run: AttemptRun::new(),
             tried: Vec::new(),
             attempt_started_at: None,
+            is_attempting: false,
             arrivals: 0,
             payment: None,
             runs: 0,
@@ -121,7 +124,9 @@
             origin: self.origin,
             copy_from: pick.copy_from.as_ref().map(|server| server.address),
         };
+        self.is_attempting = true;
         let outcome = attempt(&self.shared, order, work, &mut self.payment).await;
+        self.is_attempting = false;
         self.record_attempt(&outcome);
         if matches!(outcome, AttemptOutcome::InDoubt(_)) {
             self.record_in_doubt_run(pick);
