gateway: read the rest of a rejected request, and close nothing that is held

What callers saw: beside a change of routes or keys, a request on a kept connection was rejected at its head (404, 401, 503); its body met a closed socket, and the reset took the rejection with it. Or the body counted as the beginning of a next head, and the kept connection closed three seconds later, under the next request. Cause: the end of a connection was decided by the node's side alone: the body was dropped unread, idle time counted from when an answer was handed over, limits applied as of now, and a stop closed at once. What arrives after the node's own end is read for up to a second. A task that panics no longer ends the traffic thread; its request gets 500.

--- a/crates/plumgate-node/src/caller_stream.rs
+++ b/crates/plumgate-node/src/caller_stream.rs
@@ -102,8 +102,13 @@
         }
     }
 
-    /// Resets a connection whose last answer was truncated, if a close would make the answer look complete.
-    pub(crate) async fn reset_if_truncated<C: Clock>(&self, clock: &C, stream: &Async<TcpStream>) {
+    /// Resets a connection whose last answer was truncated, if a close would make the answer look complete. Returns
+    /// whether it does.
+    pub(crate) async fn reset_if_truncated<C: Clock>(
+        &self,
+        clock: &C,
+        stream: &Async<TcpStream>,
+    ) -> bool {
         let needs_reset = self.is_truncated.load(Ordering::SeqCst)
             && self.ends_with_connection.load(Ordering::SeqCst);
         if needs_reset {
@@ -111,6 +116,7 @@
             // An error means that the connection has ended already.
             let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
         }
+        needs_reset
     }
 }
 
--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -2,22 +2,26 @@
 
 use std::convert::Infallible;
 use std::net::{TcpListener, TcpStream};
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Async;
 use futures_core::Stream;
-use futures_lite::future;
-use hyper::body::Incoming;
+use futures_lite::{FutureExt, future};
+use hyper::body::{Body, Incoming};
+use hyper::header::EXPECT;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use plumgate::gateway::CallerLimits;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::answer::{GatewayBody, StreamChunk, announce_close, own_answer};
 use super::checks::accept;
 use super::connection::{CallerStream, ConnectionActivity, GuardedBody};
+use super::connection_close::{
+    CloseReason, discard_body, discard_rest, is_last, is_too_long, limits, wait_for_close,
+};
 use super::connection_report::report_end;
 use super::duties::DUTIES_PATH;
 use super::guards::ConnectionGuard;
@@ -27,8 +31,9 @@
 use super::server_notices::STATEMENTS_PATH;
 use super::shared::GatewayShared;
 use super::suspects::QUARANTINE_PATH;
+use crate::caller_error::CallerError;
 use crate::caller_stream::{AnswerDelivery, DeliveryBody, DeliveryStream};
-use crate::clock::{Clock, until};
+use crate::clock::Clock;
 use crate::http::text_response;
 use crate::log::LogLine;
 
@@ -39,6 +44,9 @@
 /// Smallest size of the read buffer in bytes, however small the limit on heads is; hyper panics below 8 KiB.
 const MIN_READ_BUFFER: usize = 16 * 1024;
 
+/// Error type of an answer to a request whose task panicked.
+const INTERNAL_ERROR: &str = "internal_error";
+
 /// Accepts callers' connections until the node stops accepting requests.
 ///
 /// The listener closes once the balancer has had time to stop sending connections. A request accepted later would
@@ -56,7 +64,7 @@
         match future::or(closing, accepted).await {
             Some(Ok((stream, _))) => {
                 let serving = serve_connection(shared.clone(), stream);
-                shared.executor.spawn(serving).detach();
+                shared.spawn_guarded("caller_connection", serving);
             }
             Some(Err(error)) => pause_accepting(&shared, &error).await,
             None => return,
@@ -84,7 +92,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let serving = serve_probes(shared.clone(), stream);
-                shared.executor.spawn(serving).detach();
+                shared.spawn_guarded("probe_connection", serving);
             }
             Err(error) => pause_accepting(&shared, &error).await,
         }
@@ -140,124 +148,101 @@
     // Without Nagle's algorithm, as small chunks of a stream must not be delayed.
     let _ = stream.get_ref().set_nodelay(true);
     let _guard = ConnectionGuard::new(shared.clone());
-    let activity = Arc::new(ConnectionActivity::new(shared.clock.now()));
+    let limits = limits(&shared);
+    let activity = Arc::new(ConnectionActivity::new(limits, shared.clock.clone()));
     let delivery = Arc::new(AnswerDelivery::default());
     let stream = Arc::new(stream);
-    let limits = limits(&shared);
     let service = service_fn(|request: Request<Incoming>| {
         let shared = shared.clone();
         let activity = activity.clone();
         let delivery = delivery.clone();
         async move {
             delivery.begin_answer(request.version());
-            let guard = activity.begin_answer(shared.clock.clone());
-            let mut response = serve(&shared, request, &activity).await;
+            let hold = activity.begin_request(self::limits(&shared));
+            let mut response = serve_guarded(&shared, request, &activity).await;
             // A node that is leaving accepts no further request on a connection and announces that. So does a node
             // whose data is too stale: the balancer sends it no new connections, but open ones would remain, and
             // each request on them would be refused.
             if !shared.is_ready() {
                 announce_close(&mut response);
-                activity.record_announcement();
             }
+            activity.on_answer(is_last(&response));
             Ok::<_, Infallible>(response.map(|body| {
                 let body = DeliveryBody::new(body, delivery);
-                GuardedBody::new(body, guard)
+                GuardedBody::new(body, hold)
             }))
         }
     });
     let delivery_stream = DeliveryStream::new(stream.clone(), delivery.clone());
-    let caller_stream = CallerStream::new(delivery_stream, activity.clone(), shared.clock.clone());
-    let connection = http1::Builder::new()
-        .timer(SmolTimer::new())
-        .header_read_timeout(None)
-        .max_buf_size(limits.head_bytes.max(MIN_READ_BUFFER))
-        .max_headers(MAX_HEADERS)
-        .serve_connection(FuturesIo::new(caller_stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let served = async {
-        // An error of a caller's connection concerns only the caller.
-        let _ = connection.as_mut().await;
-        CloseReason::Served
-    };
-    let expired = async {
-        delivery.flush_expired(&shared.clock).await;
-        CloseReason::Expired
-    };
-    let closing = future::or(expired, wait_for_close(&shared, &activity));
-    let reason = future::or(served, closing).await;
-    if reason == CloseReason::Leaving {
-        // The request in flight is answered in full; then the connection closes.
-        connection.as_mut().graceful_shutdown();
+    let caller_stream = CallerStream::new(delivery_stream, activity.clone());
+    let reason = {
+        let connection = http1::Builder::new()
+            .timer(SmolTimer::new())
+            .header_read_timeout(None)
+            .max_buf_size(limits.head_bytes.max(MIN_READ_BUFFER))
+            .max_headers(MAX_HEADERS)
+            .serve_connection(FuturesIo::new(caller_stream), service);
         let served = async {
-            let _ = connection.as_mut().await;
+            // An error of a caller's connection concerns only the caller.
+            let _ = connection.await;
+            CloseReason::Served
         };
-        future::or(served, delivery.flush_expired(&shared.clock)).await;
-    }
+        let expired = async {
+            delivery.flush_expired(&shared.clock).await;
+            CloseReason::Expired
+        };
+        future::or(
+            served,
+            future::or(expired, wait_for_close(&shared, &activity)),
+        )
+        .await
+    };
     report_end(&shared, reason, &activity, &delivery, stream.get_ref());
-    delivery.reset_if_truncated(&shared.clock, &stream).await;
-}
-
-/// Reason for which a connection closes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CloseReason {
-    /// The connection was closed by the caller, after an answer, or by an error.
-    Served,
-    /// The connection was idle, received the head of a request, or did not take the rest of a truncated answer, for
-    /// too long.
-    Expired,
-    /// The node is leaving.
-    Leaving,
+    let is_reset = delivery.reset_if_truncated(&shared.clock, &stream).await;
+    let is_open = reason == CloseReason::Served && activity.summary().caller_end.is_none();
+    if is_open && !is_reset {
+        discard_rest(&shared.clock, &stream).await;
+    }
 }
 
-/// Completes when a connection should close: it was idle, or received the head of a request, for too long, or the
-/// node is leaving.
-async fn wait_for_close<C: Clock, W>(
-    shared: &GatewayShared<C, W>,
-    activity: &ConnectionActivity,
-) -> CloseReason {
-    loop {
-        let lifecycle_changed = shared.lifecycle_changed.listen();
-        let activity_changed = activity.listen();
-        if shared.lifecycle.load().closing {
-            return CloseReason::Leaving;
-        }
-        // The limits are read each time, as they may change while a connection is open.
-        let now = shared.clock.now();
-        let closes_at = activity.closes_at(limits(shared));
-        if closes_at.is_some_and(|at| now >= at) {
-            return CloseReason::Expired;
-        }
-        let changed = future::or(lifecycle_changed, activity_changed);
-        match closes_at {
-            Some(at) => {
-                let _ = until(&shared.clock, at, changed).await;
-            }
-            None => changed.await,
+/// Answers one request, also if that panics.
+async fn serve_guarded<C: Clock, W: WireFormat>(
+    shared: &Arc<GatewayShared<C, W>>,
+    request: Request<Incoming>,
+    activity: &Arc<ConnectionActivity<C>>,
+) -> Response<GatewayBody<impl Stream<Item = StreamChunk> + Send + use<C, W>>> {
+    let serving = serve(shared, request, activity);
+    match AssertUnwindSafe(serving).catch_unwind().await {
+        Ok(response) => response,
+        Err(_) => {
+            let id = activity.summary().last_request.unwrap_or_default();
+            LogLine::new("request_panicked")
+                .with("request", &id)
+                .warn(&shared.log);
+            let message = "the node failed; the request may have run";
+            let error = CallerError {
+                status: StatusCode::INTERNAL_SERVER_ERROR,
+                ..CallerError::unknown(INTERNAL_ERROR, message)
+            };
+            own_answer(&shared.wire, &id, &error)
         }
     }
 }
 
-fn limits<C, W>(shared: &GatewayShared<C, W>) -> CallerLimits {
-    shared
-        .config
-        .load()
-        .as_ref()
-        .map_or_else(CallerLimits::default, |config| config.limits)
-}
-
 /// Answers one request.
 async fn serve<C: Clock, W: WireFormat>(
     shared: &Arc<GatewayShared<C, W>>,
     request: Request<Incoming>,
-    activity: &ConnectionActivity,
+    activity: &Arc<ConnectionActivity<C>>,
 ) -> Response<GatewayBody<impl Stream<Item = StreamChunk> + Send + use<C, W>>> {
     let arrived = shared.clock.now();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let metadata = shared.wire.read_request(&head);
     let id = metadata.id.clone().unwrap_or_default();
     activity.name_request(&id);
     let resumed = metadata.resumed.clone();
-    let accepted = match accept(shared, head, body, metadata, arrived).await {
+    let awaits_continue = head.headers.contains_key(EXPECT);
+    let accepted = match accept(shared, head, &mut body, metadata, arrived).await {
         Ok(request) => shared.bind_origin(request).await,
         Err(error) => Err(error),
     };
@@ -272,7 +257,14 @@
                 .with_some("key_age_ms", shared.key_age_ms())
                 .with("config", config_version(shared))
                 .info(&shared.log);
-            own_answer(&shared.wire, &id, &error)
+            let mut response = own_answer(&shared.wire, &id, &error);
+            if awaits_continue || is_too_long(&body) {
+                announce_close(&mut response);
+            } else if !body.is_end_stream() {
+                let discarding = discard_body(shared.clock.clone(), body, activity.hold());
+                shared.spawn_guarded("discard_body", discarding);
+            }
+            response
         }
     }
 }
--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -31,7 +31,7 @@
 /// Time limit of a request whose headers state none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Checks a request, finds its route and workspace, and reads its body.
+/// Checks a request, finds its route and workspace, and reads its body. The body may not have been read if that fails.
 ///
 /// # Errors
 ///
@@ -40,7 +40,7 @@
 pub(crate) async fn accept<C: Clock, W: WireFormat>(
     shared: &GatewayShared<C, W>,
     head: Parts,
-    body: Incoming,
+    body: &mut Incoming,
     metadata: RequestMetadata,
     arrived: Instant,
 ) -> Result<RelayRequest, CallerError> {
@@ -175,7 +175,7 @@
 
 async fn read_body<C: Clock, W>(
     shared: &GatewayShared<C, W>,
-    body: Incoming,
+    body: &mut Incoming,
     limits: CallerLimits,
     due: Instant,
     hasher: &mut IdentityHasher,
--- a/crates/plumgate-node/src/gateway/connection.rs
+++ b/crates/plumgate-node/src/gateway/connection.rs
@@ -4,43 +4,17 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
 use event_listener::{Event, EventListener};
 use futures_lite::{AsyncRead, AsyncWrite};
 use hyper::body::{Body, Frame, SizeHint};
-use plumgate::gateway::CallerLimits;
+use plumgate::gateway::{CallerActivity, CallerLimits};
 
 use crate::caller_stream::DeliveryStream;
 use crate::clock::Clock;
 
-/// Time for which a connection stays open beyond the idle limit that callers know, so that a request sent at the
-/// limit does not cross the close.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
-
-/// Current activity of a connection.
-#[derive(Clone, Copy, Debug)]
-enum ActivityState {
-    /// Waiting for a request since this time.
-    Idle(Instant),
-    /// Receiving the head of a request since this time.
-    Head(Instant),
-    /// Answering a request.
-    Answering,
-}
-
-impl ActivityState {
-    /// Returns the name used in logs and metrics.
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Idle(_) => "idle",
-            Self::Head(_) => "head",
-            Self::Answering => "answering",
-        }
-    }
-}
-
 /// What a caller did to its side of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallerEnd {
@@ -66,29 +40,38 @@
 }
 
 /// Activity of a connection, shared by its stream, its answers and the task that closes it.
-pub(crate) struct ConnectionActivity {
-    state: Mutex<ActivityState>,
+pub(crate) struct ConnectionActivity<C> {
+    state: Mutex<CallerActivity>,
     record: Mutex<ConnectionRecord>,
     changed: Event,
+    clock: C,
 }
 
-impl ConnectionActivity {
+impl<C: Clock> ConnectionActivity<C> {
     /// Creates the activity of a connection that was just opened.
-    pub(crate) fn new(now: Instant) -> Self {
+    pub(crate) fn new(limits: CallerLimits, clock: C) -> Self {
         Self {
-            state: Mutex::new(ActivityState::Idle(now)),
+            state: Mutex::new(CallerActivity::new(limits, clock.now())),
             record: Mutex::default(),
             changed: Event::new(),
+            clock,
         }
     }
 
-    /// Records that the head of a request was received; the guard is held until the complete answer was sent.
-    pub(crate) fn begin_answer<C: Clock>(self: &Arc<Self>, clock: C) -> AnswerGuard<C> {
-        *self.state() = ActivityState::Answering;
+    /// Records that the head of a request was received; the guard is held until the answer ended.
+    pub(crate) fn begin_request(self: &Arc<Self>, limits: CallerLimits) -> ConnectionHold<C> {
+        self.state().begin_request(limits);
         self.record().requests += 1;
-        AnswerGuard {
+        ConnectionHold {
+            activity: self.clone(),
+        }
+    }
+
+    /// Keeps the connection open until the guard is dropped.
+    pub(crate) fn hold(self: &Arc<Self>) -> ConnectionHold<C> {
+        self.state().hold();
+        ConnectionHold {
             activity: self.clone(),
-            clock,
         }
     }
 
@@ -97,9 +80,11 @@
         self.record().last_request = Some(id.to_owned());
     }
 
-    /// Records that the answer tells the caller that the connection closes.
-    pub(crate) fn record_announcement(&self) {
-        self.record().is_announced = true;
+    /// Records that the head of an answer is passed on; `is_last` if it says that the connection closes.
+    pub(crate) fn on_answer(&self, is_last: bool) {
+        self.record().is_announced = is_last;
+        self.state().on_answer(is_last);
+        self.on_unsent();
     }
 
     /// Records what the caller did to its side of the connection, unless something was recorded before.
@@ -114,27 +99,34 @@
 
     /// Returns the name of the state, for logs and metrics.
     pub(crate) fn state_name(&self) -> &'static str {
-        self.state().as_str()
+        self.state().state_name()
     }
 
-    /// Records that bytes were received.
-    fn on_bytes(&self, count: usize, now: Instant) {
+    fn on_bytes(&self, count: usize) {
         self.record().received += count;
-        let mut state = self.state();
-        if matches!(*state, ActivityState::Idle(_)) {
-            *state = ActivityState::Head(now);
+        if self.state().on_bytes(self.clock.now()) {
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    fn on_unsent(&self) {
+        self.state().on_unsent(self.clock.now());
+    }
+
+    fn on_progress(&self) {
+        self.state().on_progress(self.clock.now());
+    }
+
+    fn on_sent(&self) {
+        if self.state().on_sent(self.clock.now()) {
             self.changed.notify(usize::MAX);
         }
     }
 
     /// Returns when the connection should close if its activity does not change; `None` while a request is
     /// answered.
-    pub(crate) fn closes_at(&self, limits: CallerLimits) -> Option<Instant> {
-        match *self.state() {
-            ActivityState::Idle(since) => Some(since + limits.idle_timeout + IDLE_MARGIN),
-            ActivityState::Head(since) => Some(since + limits.head_timeout),
-            ActivityState::Answering => None,
-        }
+    pub(crate) fn closes_at(&self, limits: CallerLimits, is_stopping: bool) -> Option<Instant> {
+        self.state().closes_at(limits, is_stopping)
     }
 
     /// Returns a listener that completes when the activity changes.
@@ -142,7 +134,7 @@
         self.changed.listen()
     }
 
-    fn state(&self) -> MutexGuard<'_, ActivityState> {
+    fn state(&self) -> MutexGuard<'_, CallerActivity> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -151,15 +143,14 @@
     }
 }
 
-/// Guard that marks a connection as answering until it is dropped.
-pub(crate) struct AnswerGuard<C: Clock> {
-    activity: Arc<ConnectionActivity>,
-    clock: C,
+/// Guard that keeps a connection open until it is dropped.
+pub(crate) struct ConnectionHold<C: Clock> {
+    activity: Arc<ConnectionActivity<C>>,
 }
 
-impl<C: Clock> Drop for AnswerGuard<C> {
+impl<C: Clock> Drop for ConnectionHold<C> {
     fn drop(&mut self) {
-        *self.activity.state() = ActivityState::Idle(self.clock.now());
+        self.activity.state().release(self.activity.clock.now());
         self.activity.record().received = 0;
         self.activity.changed.notify(usize::MAX);
     }
@@ -168,16 +159,13 @@
 /// Body of an answer, with a guard that is dropped with it.
 pub(crate) struct GuardedBody<B, C: Clock> {
     body: B,
-    _guard: AnswerGuard<C>,
+    hold: ConnectionHold<C>,
 }
 
 impl<B, C: Clock> GuardedBody<B, C> {
-    /// Creates a body that keeps its connection marked as answering.
-    pub(crate) fn new(body: B, guard: AnswerGuard<C>) -> Self {
-        Self {
-            body,
-            _guard: guard,
-        }
+    /// Creates a body that keeps its connection open.
+    pub(crate) fn new(body: B, hold: ConnectionHold<C>) -> Self {
+        Self { body, hold }
     }
 }
 
@@ -189,7 +177,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(polled, Poll::Ready(Some(Ok(_)))) {
+            self.hold.activity.on_unsent();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -201,25 +193,20 @@
     }
 }
 
-/// Stream of a caller that records when bytes are received.
+/// Stream of a caller that records when bytes are received and sent.
 pub(crate) struct CallerStream<C> {
     stream: DeliveryStream,
-    activity: Arc<ConnectionActivity>,
-    clock: C,
+    activity: Arc<ConnectionActivity<C>>,
 }
 
 impl<C: Clock> CallerStream<C> {
-    /// Creates a stream that records received bytes in `activity`.
-    pub(crate) fn new(stream: DeliveryStream, activity: Arc<ConnectionActivity>, clock: C) -> Self {
-        Self {
-            stream,
-            activity,
-            clock,
-        }
+    /// Creates a stream that records its bytes in `activity`.
+    pub(crate) fn new(stream: DeliveryStream, activity: Arc<ConnectionActivity<C>>) -> Self {
+        Self { stream, activity }
     }
 }
 
-impl<C: Clock + Unpin> AsyncRead for CallerStream<C> {
+impl<C: Clock> AsyncRead for CallerStream<C> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -230,7 +217,7 @@
             Poll::Ready(Ok(0)) if !buffer.is_empty() => {
                 self.activity.record_caller_end(CallerEnd::Closed);
             }
-            Poll::Ready(Ok(count)) => self.activity.on_bytes(*count, self.clock.now()),
+            Poll::Ready(Ok(count)) => self.activity.on_bytes(*count),
             Poll::Ready(Err(_)) => self.activity.record_caller_end(CallerEnd::Reset),
             Poll::Pending => {}
         }
@@ -238,21 +225,26 @@
     }
 }
 
-impl<C: Clock + Unpin> AsyncWrite for CallerStream<C> {
+impl<C: Clock> AsyncWrite for CallerStream<C> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write(context, buffer);
-        if matches!(polled, Poll::Ready(Err(_))) {
-            self.activity.record_caller_end(CallerEnd::Reset);
+        match &polled {
+            Poll::Ready(Ok(_)) => self.activity.on_progress(),
+            Poll::Ready(Err(_)) => self.activity.record_caller_end(CallerEnd::Reset),
+            Poll::Pending => {}
         }
         polled
     }
 
+    /// Is called by the HTTP connection once it has written all its bytes.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
+        self.activity.on_sent();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/connection_close.rs
@@ -0,0 +1,121 @@
+//! When a caller's connection closes, and what is read of it before that: a close with unread bytes resets the
+//! connection, and the caller could lose the answer.
+
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+use async_io::Async;
+use futures_lite::{AsyncReadExt, future};
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::{Body, Incoming};
+use hyper::header::CONNECTION;
+use plumgate::gateway::CallerLimits;
+
+use super::connection::{ConnectionActivity, ConnectionHold};
+use super::shared::GatewayShared;
+use crate::clock::{Clock, until};
+
+/// Maximum size of the rest of a rejected request that is read, in bytes.
+const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+/// Time for which the rest of a rejected request may make no progress.
+const MAX_DISCARD_STALL: Duration = Duration::from_secs(2);
+/// Time for which what a caller still sends is read after the node has closed its own side.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Size of the buffer for what is discarded, in bytes.
+const DISCARD_BUFFER: usize = 4 * 1024;
+
+/// Reason for which a connection closes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseReason {
+    /// The connection was closed by the caller, after an answer, or by an error.
+    Served,
+    /// The connection was idle, received the head of a request, or did not take the rest of an answer, for too long.
+    Expired,
+    /// The node is leaving.
+    Leaving,
+}
+
+/// Completes when a connection should close: it was idle, or received the head of a request, for too long, or the
+/// node is leaving.
+pub(crate) async fn wait_for_close<C: Clock, W>(
+    shared: &GatewayShared<C, W>,
+    activity: &ConnectionActivity<C>,
+) -> CloseReason {
+    loop {
+        let lifecycle_changed = shared.lifecycle_changed.listen();
+        let activity_changed = activity.listen();
+        let is_leaving = shared.lifecycle.load().closing;
+        // The limits are read each time, as they may change while a connection is open.
+        let now = shared.clock.now();
+        let closes_at = activity.closes_at(limits(shared), is_leaving);
+        if closes_at.is_some_and(|at| now >= at) {
+            return if is_leaving {
+                CloseReason::Leaving
+            } else {
+                CloseReason::Expired
+            };
+        }
+        let changed = future::or(lifecycle_changed, activity_changed);
+        match closes_at {
+            Some(at) => {
+                let _ = until(&shared.clock, at, changed).await;
+            }
+            None => changed.await,
+        }
+    }
+}
+
+/// Returns the limits in force on callers' connections.
+pub(crate) fn limits<C, W>(shared: &GatewayShared<C, W>) -> CallerLimits {
+    shared
+        .config
+        .load()
+        .as_ref()
+        .map_or_else(CallerLimits::default, |config| config.limits)
+}
+
+/// Returns whether an answer says that the connection closes.
+pub(crate) fn is_last<B>(response: &Response<B>) -> bool {
+    let connection = response.headers().get(CONNECTION);
+    connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+/// Returns whether more is to come of a rejected request than is read of it.
+pub(crate) fn is_too_long(body: &Incoming) -> bool {
+    usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX) > MAX_DISCARDED_BYTES
+}
+
+/// Reads the rest of a rejected request, so that its connection can be used for the next one.
+pub(crate) async fn discard_body<C: Clock>(clock: C, mut body: Incoming, _hold: ConnectionHold<C>) {
+    let mut left = MAX_DISCARDED_BYTES;
+    while let Some(Some(Ok(frame))) =
+        until(&clock, clock.now() + MAX_DISCARD_STALL, body.frame()).await
+    {
+        let length = frame.data_ref().map_or(0, |bytes| bytes.len());
+        match left.checked_sub(length) {
+            Some(rest) => left = rest,
+            None => return,
+        }
+    }
+}
+
+/// Closes the node's side of a connection, and reads what the caller still sends until it closes its own.
+pub(crate) async fn discard_rest<C: Clock>(clock: &C, stream: &Async<TcpStream>) {
+    // An error means that the connection has ended already.
+    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let reading = async {
+        let mut stream = stream;
+        let mut buffer = [0; DISCARD_BUFFER];
+        let mut left = MAX_DISCARDED_BYTES;
+        while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+            left = left.saturating_sub(count);
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    let _ = until(clock, clock.now() + LINGER_TIME, reading).await;
+}
--- a/crates/plumgate-node/src/gateway/connection_report.rs
+++ b/crates/plumgate-node/src/gateway/connection_report.rs
@@ -2,11 +2,12 @@
 
 use std::net::TcpStream;
 
-use super::caller::CloseReason;
 use super::connection::{CallerEnd, ConnectionActivity};
+use super::connection_close::CloseReason;
 use super::metrics::ConnectionEndLabels;
 use super::shared::GatewayShared;
 use crate::caller_stream::AnswerDelivery;
+use crate::clock::Clock;
 use crate::log::LogLine;
 
 /// Maximum number of unread bytes that are counted.
@@ -20,9 +21,9 @@
 }
 
 impl ConnectionEnd {
-    fn new(
+    fn new<C: Clock>(
         reason: CloseReason,
-        activity: &ConnectionActivity,
+        activity: &ConnectionActivity<C>,
         delivery: &AnswerDelivery,
         has_unread: bool,
     ) -> Self {
@@ -51,10 +52,10 @@
 }
 
 /// Logs and counts the end of a connection, unless it was idle and nothing was held.
-pub(crate) fn report_end<C, W>(
+pub(crate) fn report_end<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     reason: CloseReason,
-    activity: &ConnectionActivity,
+    activity: &ConnectionActivity<C>,
     delivery: &AnswerDelivery,
     stream: &TcpStream,
 ) {
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -181,7 +181,7 @@
         };
         let shared = self.shared.clone();
         let probing = async move { probe_path(&shared, &server).await };
-        self.shared.executor.spawn(probing).detach();
+        self.shared.spawn_guarded("probe", probing);
     }
 
     /// Opens plain connections to the data centres that seem unreachable, to detect when they can be reached
@@ -207,7 +207,7 @@
                     shared.loads().record_reached(&server);
                 }
             };
-            self.shared.executor.spawn(probing).detach();
+            self.shared.spawn_guarded("probe", probing);
         }
     }
 
--- a/crates/plumgate-node/src/gateway/peer_connections.rs
+++ b/crates/plumgate-node/src/gateway/peer_connections.rs
@@ -25,7 +25,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let serving = serve_peer(shared.clone(), stream, snapshots.clone());
-                shared.executor.spawn(serving).detach();
+                shared.spawn_guarded("peer_connection", serving);
             }
             Err(error) => pause_accepting(&shared, &error).await,
         }
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -198,11 +198,16 @@
 }
 
 impl<C: Clock, W> Drop for RelayRun<C, W> {
-    /// Reports a request whose caller closed the connection before the end; its connections to servers close
-    /// with it.
+    /// Reports a request whose caller closed the connection before the end, or whose task panicked; its connections
+    /// to servers close with it.
     fn drop(&mut self) {
+        let reason = if std::thread::panicking() {
+            "internal_error"
+        } else {
+            "caller_gone"
+        };
         if !self.is_reported {
-            self.log_end(self.outcome_now(), "caller_gone", None);
+            self.log_end(self.outcome_now(), reason, None);
         }
     }
 }
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -1,5 +1,6 @@
 //! State that the threads of a gateway node share.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_executor::Executor;
 use event_listener::Event;
+use futures_lite::FutureExt;
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
     FreshnessLease, GatewayConfig, LoadTable, PathTable, PlacementOptions, QuarantineTable,
@@ -19,7 +21,7 @@
 use super::metrics::GatewayMetrics;
 use super::options::{GatewayBounds, GatewayOptions};
 use crate::clock::Clock;
-use crate::log::EventLog;
+use crate::log::{EventLog, LogLine};
 use crate::shared::LifecycleView;
 
 /// Number of nodes among which the fleet's retries are divided if nodes don't exchange messages: more than a
@@ -159,6 +161,25 @@
         }
     }
 
+    /// Runs a task of the traffic thread. A panic ends only this task.
+    pub(crate) fn spawn_guarded(
+        self: &Arc<Self>,
+        name: &'static str,
+        task: impl Future<Output = ()> + Send + 'static,
+    ) where
+        W: Send + Sync + 'static,
+    {
+        let shared = self.clone();
+        let guarded = async move {
+            if AssertUnwindSafe(task).catch_unwind().await.is_err() {
+                LogLine::new("task_panicked")
+                    .with("task", name)
+                    .warn(&shared.log);
+            }
+        };
+        self.executor.spawn(guarded).detach();
+    }
+
     /// Replaces the operators' bounds. Requests in flight keep the bounds under which they started.
     pub(crate) fn set_bounds(&self, bounds: GatewayBounds) {
         self.budget()
--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -46,7 +46,7 @@
         prober.server_probed.notify(usize::MAX);
         prober.log_suspects();
     };
-    shared.executor.spawn(task).detach();
+    shared.spawn_guarded("server_check", task);
 }
 
 /// Handles a connection that a server's machine refused to this node and to another one. It is a sign of a crash only
@@ -99,7 +99,7 @@
         checker.server_probed.notify(usize::MAX);
         checker.log_suspects();
     };
-    shared.executor.spawn(task).detach();
+    shared.spawn_guarded("server_check", task);
 }
 
 impl<C: Clock, W> GatewayShared<C, W> {
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod answer_end;
+pub mod caller_activity;
 pub mod config;
 pub mod events;
 pub mod exchange;
@@ -16,6 +17,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod reachability;
+pub mod run_race;
 pub mod servers;
 pub mod statements;
 pub mod switches;
@@ -30,6 +32,7 @@
     AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, ContentEnd, FAILURE_WINDOW, FailureEvidence,
     ServerSign,
 };
+pub use caller_activity::CallerActivity;
 pub use config::{
     CallerLimits, GatewayConfig, GatewayRoute, KeyOwner, PoolSplit, RepeatKind, RouteMatch,
     StreamClass,
@@ -63,6 +66,7 @@
     DirectResult, MAX_TUNNEL_REQUEST_BYTES, PathChange, PathDoubt, PathLoss, PathPlan, PathTable,
     ServerRef, TunnelGate, TunnelPeers, TunnelRefusal, TunnelReply, TunnelResult,
 };
+pub use run_race::{RaceAction, RaceEvent, RunRace};
 pub use servers::{IncarnationId, ServerEntry, ServerState, ServerTable};
 pub use statements::{
     AnswerTimes, BrittleStatement, BrittleTable, LeaveEvent, LeaveStatement, NoticeChange,
