tests: first ports of neighbouring test processes lie apart

Cause: a test process begins at 12000 + its id, and probes a port some time before its daemon binds it. Two test files that start together have neighbouring ids, so that both probe the same ports in that time. Change: the id is multiplied by 599, which has no common factor with the 18000 ports. Measured: not by itself; no run of one file after the other had shown the collision.

--- a/crates/plumgate-standin/tests/fleet/mod.rs
+++ b/crates/plumgate-standin/tests/fleet/mod.rs
@@ -24,6 +24,8 @@
 const FIRST_PORT: u16 = 12_000;
 /// Number of ports that one test process may use.
 const PORT_RANGE: u16 = 18_000;
+/// Distance between the first ports of test processes with neighbouring ids, which may run beside each other.
+const PORT_STRIDE: u32 = 599;
 /// Maximum time to wait for a condition.
 const MAX_WAIT: Duration = Duration::from_secs(20);
 
@@ -42,7 +44,8 @@
     let _lock = fork_lock();
     loop {
         let number = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
-        let start = (std::process::id() % u32::from(PORT_RANGE)) as u16;
+        let first = std::process::id().wrapping_mul(PORT_STRIDE) % u32::from(PORT_RANGE);
+        let start = first as u16;
         let address =
             SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + (start + number) % PORT_RANGE));
         if TcpListener::bind(address).is_ok() {
