budget: a process keeps what its first requests earned once its first share counts

Callers saw: failures that were not retried though the pool had retries left, from nodes about two seconds after their start (12 retries for 168 requests, where 13.44 are asked). Cause: until its first share of the extra counts, a process may retry for half of the ratio over requests of the last window and a half; from then on for the whole ratio over the requests of each span. A span that began just before that moment has no share, so that all that was earned before it was lost, and nothing was left until the requests after it had earned a whole retry. Evidence: a process with one request each 15 to 90 ms, retrying whenever it may, falls behind half of the ratio right after its first share counts (gateway_budget, on given times, red before).

--- a/crates/plumgate/src/gateway/admission/budget.rs
+++ b/crates/plumgate/src/gateway/admission/budget.rs
@@ -237,16 +237,26 @@
 
     /// Returns how many retries may still be sent in the span that began at a time.
     fn left_since(&self, spans: &PoolSpans, since: BootTime) -> f64 {
-        let bounds = &self.bounds;
-        let ratio = bounds.ratio * RATIO_SHARE;
-        // With less than a whole retry in the share, requests before the span count for half of the ratio.
-        let earned = if self.shares.current() < WHOLE_RETRY {
-            let from = since.saturating_sub(bounds.window / 2);
-            ratio / 2.0 * f64::from(spans.requests_since(from))
-        } else {
-            ratio * f64::from(spans.requests_since(since))
-        };
-        earned + self.shares.smallest_since(since) - f64::from(spans.retries_since(since))
+        self.earned_since(spans, since) + self.shares.smallest_since(since)
+            - f64::from(spans.retries_since(since))
+    }
+
+    /// Returns how many retries the requests allow in the span that began at a time.
+    fn earned_since(&self, spans: &PoolSpans, since: BootTime) -> f64 {
+        let ratio = self.bounds.ratio * RATIO_SHARE;
+        let whole = ratio * f64::from(spans.requests_since(since));
+        // Requests before the span count for half of the ratio.
+        let earlier = since.saturating_sub(self.bounds.window / 2);
+        let half = ratio / 2.0 * f64::from(spans.requests_since(earlier));
+        if self.shares.current() < WHOLE_RETRY {
+            return half;
+        }
+        // The first share of a process counts in no span that began earlier. In these, what earlier requests add may
+        // take its place.
+        match self.shares.first_share_after(since) {
+            Some(share) => whole.max(half.min(whole + share)),
+            None => whole,
+        }
     }
 
     fn update_share(&mut self, now: BootTime) {
--- a/crates/plumgate/src/gateway/admission/share_history.rs
+++ b/crates/plumgate/src/gateway/admission/share_history.rs
@@ -22,6 +22,8 @@
     entries: VecDeque<ShareEntry>,
     /// Larger share that does not count yet.
     rising: Option<ShareEntry>,
+    /// When the first share began to count; `None` before that, and where earlier retries are not known.
+    first_counted: Option<BootTime>,
 }
 
 impl ShareHistory {
@@ -34,6 +36,7 @@
         Self {
             entries: VecDeque::from([entry]),
             rising: None,
+            first_counted: None,
         }
     }
 
@@ -56,6 +59,7 @@
     /// Discards the share of all spans that began before a time, as retries of that time are not known.
     pub(crate) fn forget_before(&mut self, at: BootTime) {
         let current = self.share_at(at);
+        self.first_counted = None;
         self.entries.retain(|entry| entry.since > at);
         self.entries.push_front(ShareEntry {
             since: at,
@@ -90,6 +94,12 @@
         shares.fold(self.share_at(at), f64::min)
     }
 
+    /// Returns the smallest share since the first one counts, if that is later than a time.
+    pub(crate) fn first_share_after(&self, at: BootTime) -> Option<f64> {
+        let first = self.first_counted.filter(|first| *first > at)?;
+        Some(self.smallest_since(first))
+    }
+
     /// Returns the times at which the share changed.
     pub(crate) fn changes(&self) -> impl Iterator<Item = BootTime> {
         self.entries.iter().map(|entry| entry.since)
@@ -103,6 +113,10 @@
     fn advance(&mut self, now: BootTime) {
         if let Some(rising) = self.rising.filter(|rising| rising.since <= now) {
             self.rising = None;
+            // Only a process that has just begun has held no share before.
+            if self.entries.len() == 1 && self.current() == 0.0 {
+                self.first_counted = Some(rising.since);
+            }
             self.push(rising);
         }
     }
--- a/crates/plumgate/tests/gateway_budget.rs
+++ b/crates/plumgate/tests/gateway_budget.rs
@@ -116,6 +116,29 @@
     assert!((6..=9).contains(&spent), "{spent} retries for 50 requests");
 }
 
+/// Guards against requests that earn nothing any more once the first share of a process counts.
+#[test]
+fn process_whose_first_share_counts_retries_for_its_earlier_requests() {
+    // Less than 0.95 of the ratio / 2, so that rounding does not matter.
+    let half_ratio = 0.0949;
+    for pause in [15, 20, 25, 40, 60, 90] {
+        for first in (0..1_000).step_by(50) {
+            let mut budget = WindowBudget::new(bounds(56.0), START).with_nodes(8, START);
+            let mut spent = 0;
+            for number in 1..=100 {
+                let now = START + Duration::from_millis(first + pause * number);
+                budget.deposit(&pool(), now);
+                spent += spend_all(&mut budget, now);
+                let earned = half_ratio * number as f64;
+                assert!(
+                    now >= START + WINDOW / 2 || spent as f64 >= earned.floor(),
+                    "{spent} retries for {number} requests, one each {pause} ms from {first} ms on"
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn retry_that_is_not_sent_is_paid_back() {
     let mut budget = settled(56.0, 8);
