quarantine: a connection that a hung server's machine accepts does not clear it

Cause: when the connection of a silent run broke before the entry of its server lapsed (by 61 ms there), the node opened another one. The machine of a hung server accepts it, and that was taken for a sign that the server runs: the run was dropped, and the lapse that followed counted only for runs still in flight. Evidence: the same order of events at one table (gateway_quarantine, red before: no crash was recorded). Change: after an accepted connection, a broken run of a second or more stays in doubt, as silent runs do; only a lapse of the entry within 4 s counts for it, and any answer of the server clears it. Shorter runs are dropped as before, so that servers that break connections are no evidence (broken_connections_of_live_servers..., unchanged). Measured: gateway_quarantine 31 of 31.

--- a/crates/plumgate/src/gateway/quarantine/in_doubt.rs
+++ b/crates/plumgate/src/gateway/quarantine/in_doubt.rs
@@ -10,6 +10,7 @@
 
 use super::evidence::CrashSign;
 use super::identity::RequestIdentity;
+use super::response_times::MAX_SILENCE;
 use crate::gateway::exchange::messages::ServerKey;
 
 /// Maximum number of runs that are remembered.
@@ -29,6 +30,24 @@
     pub(crate) server: ServerKey,
     pub(crate) began: Instant,
     pub(crate) ended: Instant,
+    /// Earliest time since when the server may have been hung; none for a run too short to show that.
+    pub(crate) silent_since: Option<Instant>,
+}
+
+/// Run in the queue.
+#[derive(Clone, Copy, Debug)]
+struct QueuedRun {
+    run: InDoubtRun,
+    /// Whether the server's machine accepted a connection after the run, so that only a lapse can show a crash.
+    is_machine_up: bool,
+}
+
+impl QueuedRun {
+    /// Returns whether a crash of its server explains the run.
+    fn is_explained_by(&self, sign: CrashSign, now: Instant) -> bool {
+        let since_end = now.saturating_duration_since(self.run.ended);
+        !self.is_machine_up || (sign == CrashSign::Lapsed && since_end <= MAX_SILENCE)
+    }
 }
 
 /// Server whose crash was inferred.
@@ -50,7 +69,7 @@
 /// In-doubt runs and crashed servers, to be matched with each other.
 #[derive(Debug, Default)]
 pub(crate) struct InDoubtQueue {
-    runs: VecDeque<InDoubtRun>,
+    runs: VecDeque<QueuedRun>,
     crashed: VecDeque<CrashedServer>,
     probed: VecDeque<ProbedServer>,
 }
@@ -69,7 +88,10 @@
         if self.runs.len() >= MAX_RUNS {
             self.evict_run(run.identity);
         }
-        self.runs.push_back(run);
+        self.runs.push_back(QueuedRun {
+            run,
+            is_machine_up: false,
+        });
         None
     }
 
@@ -79,12 +101,12 @@
         let of_workspace = self
             .runs
             .iter()
-            .filter(|run| run.identity.has_same_workspace(&newest));
+            .filter(|queued| queued.run.identity.has_same_workspace(&newest));
         let is_over_share = of_workspace.count() * 4 > MAX_RUNS;
         let oldest = self
             .runs
             .iter()
-            .position(|run| !is_over_share || run.identity.has_same_workspace(&newest));
+            .position(|queued| !is_over_share || queued.run.identity.has_same_workspace(&newest));
         if let Some(oldest) = oldest {
             self.runs.remove(oldest);
         }
@@ -105,7 +127,8 @@
     /// Returns whether a server on which the request ran is being probed.
     pub(crate) fn is_probing(&self, identity: RequestIdentity, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < PROBE_DURATION;
-        let mut runs = self.runs.iter().filter(|run| run.identity == identity);
+        let runs = self.runs.iter().map(|queued| queued.run);
+        let mut runs = runs.filter(|run| run.identity == identity);
         runs.any(|run| {
             let mut probed = self.probed.iter();
             probed.any(|probed| probed.server == run.server && is_recent(probed.at))
@@ -114,7 +137,7 @@
 
     /// Returns whether runs at a server are in doubt.
     pub(crate) fn has_runs(&self, server: ServerKey) -> bool {
-        self.runs.iter().any(|run| run.server == server)
+        self.runs.iter().any(|queued| queued.run.server == server)
     }
 
     /// Handles a probe that got no response.
@@ -135,7 +158,10 @@
             let at = now;
             push_bounded(&mut self.crashed, CrashedServer { server, sign, at });
         }
-        self.remove_runs(|run| run.server == server)
+        let runs = self.remove_runs(|run| run.server == server);
+        let explained = runs.into_iter();
+        let explained = explained.filter(|queued| queued.is_explained_by(sign, now));
+        explained.map(|queued| queued.run).collect()
     }
 
     /// Removes a server whose entry is listed again from the crashed ones.
@@ -146,29 +172,59 @@
     /// Handles a response of a server to something sent at `began`: runs that ended before were not interrupted
     /// by a crash. Removes and returns these runs.
     pub(crate) fn on_server_alive(&mut self, server: ServerKey, began: Instant) -> Vec<InDoubtRun> {
+        self.end_probe(server);
+        let runs = self.remove_runs(|run| run.server == server && run.ended <= began);
+        runs.into_iter().map(|queued| queued.run).collect()
+    }
+
+    /// Handles a connection that a server's machine accepted at `opened`. Runs that ended before were not interrupted
+    /// by a crash that closes connections; a hung server explains those that were silent for long enough, if its
+    /// entry lapses. Removes the others; returns all of them.
+    pub(crate) fn on_server_reached(
+        &mut self,
+        server: ServerKey,
+        opened: Instant,
+    ) -> Vec<InDoubtRun> {
+        self.end_probe(server);
+        let reached = self.remove_runs(|run| run.server == server && run.ended <= opened);
+        let silent = reached.iter().filter_map(|queued| {
+            let run = InDoubtRun {
+                began: queued.run.silent_since?,
+                ..queued.run
+            };
+            Some(QueuedRun {
+                run,
+                is_machine_up: true,
+            })
+        });
+        self.runs.extend(silent);
+        reached.into_iter().map(|queued| queued.run).collect()
+    }
+
+    /// Ends the probe of a server that is not known to have crashed any more.
+    fn end_probe(&mut self, server: ServerKey) {
         if !self.crashed.is_empty() {
             self.on_server_listed(server);
         }
         if !self.probed.is_empty() {
             self.on_probe_unanswered(server);
         }
+    }
+
+    fn remove_runs(&mut self, is_selected: impl Fn(&InDoubtRun) -> bool) -> Vec<QueuedRun> {
         if self.runs.is_empty() {
             return Vec::new();
         }
-        self.remove_runs(|run| run.server == server && run.ended <= began)
-    }
-
-    fn remove_runs(&mut self, is_selected: impl Fn(&InDoubtRun) -> bool) -> Vec<InDoubtRun> {
-        let (removed, remaining): (VecDeque<_>, _) = self.runs.drain(..).partition(is_selected);
+        let queued = self.runs.drain(..);
+        let (removed, remaining): (VecDeque<_>, _) =
+            queued.partition(|queued| is_selected(&queued.run));
         self.runs = remaining;
         removed.into()
     }
 
     fn expire(&mut self, now: Instant) {
         let is_old = |at: Instant| now.saturating_duration_since(at) > RETENTION;
-        while self.runs.front().is_some_and(|run| is_old(run.ended)) {
-            self.runs.pop_front();
-        }
+        self.runs.retain(|queued| !is_old(queued.run.ended));
         while self
             .crashed
             .front()
--- a/crates/plumgate/src/gateway/quarantine/in_flight.rs
+++ b/crates/plumgate/src/gateway/quarantine/in_flight.rs
@@ -10,7 +10,7 @@
 
 /// Minimum duration of a run that may have crashed its server. A shorter run was sent to a server that had
 /// already stopped responding.
-const MIN_RUN: Duration = Duration::from_secs(1);
+pub(crate) const MIN_RUN: Duration = Duration::from_secs(1);
 
 /// In-flight run.
 #[derive(Clone, Copy, Debug)]
@@ -65,6 +65,7 @@
                 server,
                 began: run.earliest_crash?,
                 ended: now,
+                silent_since: run.earliest_crash,
             })
         });
         in_doubt.collect()
--- a/crates/plumgate/src/gateway/quarantine/response_times.rs
+++ b/crates/plumgate/src/gateway/quarantine/response_times.rs
@@ -7,7 +7,7 @@
 
 /// Time for which a server may be silent before its entry lapses: three times the interval of its status
 /// reports, and a margin. A server that is still listed has not been silent for longer.
-const MAX_SILENCE: Duration = Duration::from_secs(4);
+pub(crate) const MAX_SILENCE: Duration = Duration::from_secs(4);
 
 /// Time of the last response of each server; dropped once the server's entry implies a time as recent.
 #[derive(Debug, Default)]
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -307,9 +307,14 @@
         self.in_doubt.on_server_listed(server_key(server));
     }
 
-    /// Handles a connection that was opened at `opened` and accepted by the server.
+    /// Handles a connection that was opened at `opened` and accepted by the server's machine, which a hung server's
+    /// machine does too.
     pub fn on_server_reached(&mut self, server: &ServerEntry, opened: Instant, now: Instant) {
-        self.on_server_alive(server_key(server), opened, now);
+        let server = server_key(server);
+        for run in self.in_doubt.on_server_reached(server, opened) {
+            self.clear_isolated_run(run.identity);
+        }
+        self.refute_crash(server, opened, now);
     }
 
     /// Handles a response of a server to something sent at `began`.
@@ -317,6 +322,11 @@
         for run in self.in_doubt.on_server_alive(server, began) {
             self.clear_isolated_run(run.identity);
         }
+        self.refute_crash(server, began, now);
+    }
+
+    /// Refutes the crash of a server that responded to something sent at `began`, if that shows that it runs on.
+    fn refute_crash(&mut self, server: ServerKey, began: Instant, now: Instant) {
         let Some(ended) = self.crash_times.get(&server).copied() else {
             return;
         };
--- a/crates/plumgate/src/gateway/quarantine/verdict.rs
+++ b/crates/plumgate/src/gateway/quarantine/verdict.rs
@@ -5,6 +5,7 @@
 use super::evidence::{CrashCount, CrashSign};
 use super::identity::RequestIdentity;
 use super::in_doubt::InDoubtRun;
+use super::in_flight::MIN_RUN;
 use super::rule::SuspectState;
 use crate::gateway::exchange::messages::ServerKey;
 use crate::gateway::work::WorkOutcome;
@@ -86,11 +87,13 @@
         } else {
             self.earliest_crash
         };
+        let is_long = now.saturating_duration_since(self.began) >= MIN_RUN;
         Some(InDoubtRun {
             identity: self.identity,
             server: self.server,
             began: earliest_crash?,
             ended: now,
+            silent_since: self.earliest_silent_crash.filter(|_| is_long),
         })
     }
 
--- a/crates/plumgate/tests/gateway_quarantine.rs
+++ b/crates/plumgate/tests/gateway_quarantine.rs
@@ -454,6 +454,54 @@
     assert!(table.is_empty());
 }
 
+// Guards against the silent crash of a server that is not recorded, as the connection breaks before the server's entry
+// lapses and the server's machine accepts the next one.
+#[test]
+fn hung_server_whose_connection_breaks_is_evidence_once_its_entry_lapses() {
+    let mut table = lone_table();
+    let request = identity("lab", "deadly");
+    let mut now = Instant::now();
+    for number in 0..3 {
+        let server = server_entry(&format!("s{number}"));
+        let ticket = table.begin(request, &server, ConnectionKind::New, now);
+        let broken = now + SECOND * 2;
+        let finding = table.finish(ticket.expect("sent"), WorkOutcome::Broken, broken);
+        assert_eq!(finding, RunFinding::ProbeServer);
+        table.on_server_reached(&server, broken, broken + STEP / 4);
+        let lapsed = broken + STEP / 2;
+        let crashes = table.on_server_crashed(&server, CrashSign::Lapsed, lapsed);
+        assert_eq!(crashes, [request]);
+        now = lapsed + SECOND * 3;
+    }
+    let verdict = table.verdict(request, now);
+    assert!(matches!(verdict, RequestVerdict::Block(_)));
+}
+
+// Guards against evidence of a server that answers after the connection broke, or whose entry lapses much later.
+#[test]
+fn long_run_that_breaks_at_a_live_server_is_no_evidence() {
+    for is_answering in [true, false] {
+        let mut table = lone_table();
+        let request = identity("lab", "popular");
+        let server = server_entry("s1");
+        let now = Instant::now();
+        let ticket = table.begin(request, &server, ConnectionKind::New, now);
+        let broken = now + SECOND * 2;
+        table.finish(ticket.expect("sent"), WorkOutcome::Broken, broken);
+        table.on_server_reached(&server, broken, broken + STEP / 4);
+        let mut lapsed = broken + SECOND * 5;
+        if is_answering {
+            let other = identity("lab", "another");
+            let ticket = table.begin(other, &server, ConnectionKind::New, broken + STEP);
+            let answered = broken + STEP * 2;
+            table.finish(ticket.expect("sent"), WorkOutcome::Answered, answered);
+            lapsed = broken + SECOND;
+        }
+        let crashes = table.on_server_crashed(&server, CrashSign::Lapsed, lapsed);
+        assert!(crashes.is_empty());
+    }
+}
+
 // A server is probed once when many runs fail at the same time.
 #[test]
 fn server_is_probed_once_for_all_broken_runs() {
