--- a/crates/plumgate-node/src/gateway/connection_report.rs
+++ b/crates/plumgate-node/src/gateway/connection_report.rs
@@ -62,12 +62,9 @@
     let unread = unread_bytes(stream);
     let record = activity.summary();
     let state = activity.state_name();
-    let is_clean = state == "idle"
-        && unread == 0
-        && record.received == 0
-        && !delivery.has_unsent()
-        && !delivery.is_truncated();
-    if is_clean {
+    let is_told = record.is_announced && reason == CloseReason::Served;
+    let is_idle = state == "idle" && unread == 0 && record.received == 0;
+    if (is_told || is_idle) && !delivery.has_unsent() && !delivery.is_truncated() {
         return;
     }
     let end = ConnectionEnd::new(reason, activity, delivery, unread > 0);
