--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -36,6 +37,7 @@
 ) -> AttemptEnd<C, W> {
     let outcome = match open(&shared, &order, &mut work).await {
         Ok(link) => {
+            order.is_sent.store(true, Ordering::SeqCst);
             if let Some(payment) = payment.take() {
                 payment.record_sent();
             }
@@ -94,6 +96,9 @@
         if result.is_none() && silent_at < wait_until {
             work.set_outcome(WorkOutcome::TimedOut);
             shared.links.clear(&order.server.id);
+            if let Some(helper) = &helper {
+                shared.record_tunnel_use(&order.server, helper, false);
+            }
             result = until(&shared.clock, wait_until, &mut exchange).await;
             work.set_outcome(WorkOutcome::Inconclusive);
         }
--- a/crates/plumgate-node/src/gateway/connection.rs
+++ b/crates/plumgate-node/src/gateway/connection.rs
@@ -178,7 +178,8 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(context);
-        if matches!(polled, Poll::Ready(Some(Ok(_)))) {
+        // The end of a body may be written, too.
+        if polled.is_ready() {
             self.hold.activity.on_unsent();
         }
         polled
--- a/crates/plumgate-node/src/gateway/connection_close.rs
+++ b/crates/plumgate-node/src/gateway/connection_close.rs
@@ -18,6 +18,8 @@
 
 /// Maximum size of the rest of a rejected request that is read, in bytes.
 const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+/// Time for which the rest of a rejected request is read.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(10);
 /// Time for which the rest of a rejected request may make no progress.
 const MAX_DISCARD_STALL: Duration = Duration::from_secs(2);
 /// Time for which what a caller still sends is read after the node has closed its own side.
@@ -89,8 +91,13 @@
 /// Reads the rest of a rejected request, so that its connection can be used for the next one.
 pub(crate) async fn discard_body<C: Clock>(clock: C, mut body: Incoming, _hold: ConnectionHold<C>) {
     let mut left = MAX_DISCARDED_BYTES;
-    while let Some(Some(Ok(frame))) =
-        until(&clock, clock.now() + MAX_DISCARD_STALL, body.frame()).await
+    let deadline = clock.now() + MAX_DISCARD_TIME;
+    while let Some(Some(Ok(frame))) = until(
+        &clock,
+        deadline.min(clock.now() + MAX_DISCARD_STALL),
+        body.frame(),
+    )
+    .await
     {
         let length = frame.data_ref().map_or(0, |bytes| bytes.len());
         match left.checked_sub(length) {
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -34,6 +34,8 @@
 const HEAD_TIMEOUT_TARGETS: f64 = 2.5;
 /// Largest share of the time left that one attempt of a repeatable request may take.
 const MAX_ATTEMPT_SHARE: f64 = 0.5;
+/// Pause between two checks of whether a request was sent, once its server would count as silent.
+const SEND_CHECK_PAUSE: Duration = Duration::from_millis(20);
 /// Time after its deadline for which a request still receives an answer that has begun, so that the server can
 /// end it itself.
 const BODY_GRACE: Duration = Duration::from_millis(80);
@@ -211,15 +213,17 @@
         self.log_route(pick, now);
         let silent_at = self.silent_at(now);
         let mut attempt = pin!(self.start_attempt(pick, permit, silent_at, None));
-        let waiting = async {
-            match silent_at {
-                Some(at) => until(&self.shared.clock, at, attempt.as_mut()).await,
-                None => Some(attempt.as_mut().await),
-            }
+        let Some(mut silent_at) = silent_at else {
+            let end = attempt.await;
+            return self.finish_attempt(pick, end);
         };
-        match waiting.await {
-            Some(end) => self.finish_attempt(pick, end),
-            None => self.race_for_head(pick, attempt).await,
+        loop {
+            match until(&self.shared.clock, silent_at, attempt.as_mut()).await {
+                Some(end) => return self.finish_attempt(pick, end),
+                None if self.is_sent() => return self.race_for_head(pick, attempt).await,
+                // A server to which the connection is still being opened is not silent.
+                None => silent_at = self.shared.clock.now() + SEND_CHECK_PAUSE,
+            }
         }
     }
 
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -137,6 +138,8 @@
     pub(crate) resume_after: Option<u64>,
     /// What is known of the origin of the stream.
     pub(crate) origin: OriginState,
+    /// Whether the request was sent.
+    pub(crate) is_sent: Arc<AtomicBool>,
     /// Address of another server that caches parts of the prompt, from which they can be copied.
     pub(crate) copy_from: Option<SocketAddr>,
 }
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -1,6 +1,7 @@
 //! State of a request that is relayed, and how the outcome of each attempt changes it.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use plumgate::RunOutcome;
@@ -45,6 +46,8 @@
     pub(crate) attempt_started_at: Option<Instant>,
     /// Whether an attempt is being made whose outcome is not known.
     pub(crate) is_attempting: bool,
+    /// Whether the request of the last attempt was sent.
+    is_sent: Arc<AtomicBool>,
     /// Number of attempts that reached a server.
     pub(crate) arrivals: u32,
     /// Retry that is paid and has not been sent.
@@ -89,6 +92,7 @@
             tried: Vec::new(),
             attempt_started_at: None,
             is_attempting: false,
+            is_sent: Arc::default(),
             arrivals: 0,
             payment: None,
             runs: 0,
@@ -122,8 +126,10 @@
             silent_at,
             resume_after,
             origin: self.origin,
+            is_sent: Arc::default(),
             copy_from: pick.copy_from.as_ref().map(|server| server.address),
         };
+        self.is_sent = order.is_sent.clone();
         self.is_attempting = true;
         attempt(self.shared.clone(), order, work, self.payment.take())
     }
@@ -143,6 +149,28 @@
         end.outcome
     }
 
+    /// Returns whether the request of the last attempt was sent.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.is_sent.load(Ordering::SeqCst)
+    }
+
+    /// Abandons the attempt that is being made. Returns whether there was one.
+    pub(crate) fn abandon_attempt(&mut self) -> bool {
+        let was_attempting = std::mem::take(&mut self.is_attempting);
+        if was_attempting && self.is_sent() {
+            self.arrivals += 1;
+            self.runs += 1;
+            let mut budget = self.shared.budget();
+            budget.record_arrival(&self.request.pool, false);
+        }
+        was_attempting
+    }
+
+    /// Returns the payment for a retry that is not sent now.
+    pub(crate) fn refund_retry(&mut self) {
+        self.payment = None;
+    }
+
     /// Obtains the permit to send the request to a server, if its limit requires one. Fails with the time for
     /// which requests to the server are deferred.
     pub(crate) async fn request_permit(
--- a/crates/plumgate-node/src/gateway/second_run.rs
+++ b/crates/plumgate-node/src/gateway/second_run.rs
@@ -19,6 +19,9 @@
 /// Pause after which another server is asked again, if none could be asked.
 pub(crate) const ASK_PAUSE: Duration = Duration::from_millis(600);
 
+/// Time for which another server is waited for while a third one may be asked.
+const ASK_PATIENCE: Duration = Duration::from_millis(1_200);
+
 /// Result of asking another server.
 pub(crate) enum SecondOutcome<C: Clock, W: WireFormat> {
     /// Its answer began.
@@ -68,10 +71,7 @@
 
     /// Goes on with the run at an earlier server, and abandons the attempt after it, if there is one.
     pub(crate) fn keep_first(&mut self, server: &ServerId, started_at: Option<Instant>) {
-        if std::mem::take(&mut self.is_attempting) {
-            // It may have been sent.
-            self.arrivals += 1;
-            self.runs += 1;
+        if self.abandon_attempt() {
             LogLine::new("second_abandoned")
                 .with("request", &self.request.id)
                 .with_some("server", self.tried.last())
@@ -94,6 +94,7 @@
         }
         loop {
             let Some((pick, permit)) = self.next_server().await else {
+                self.refund_retry();
                 return SecondOutcome::Denied;
             };
             if let Some(outcome) = self.ask(&pick, permit, resume_after).await {
@@ -132,7 +133,21 @@
             .with_some("version", pick.server.version.as_ref())
             .with_some("after_event", resume_after)
             .info(&self.shared.log);
-        let end = self.start_attempt(pick, permit, None, resume_after).await;
+        let attempt = self.start_attempt(pick, permit, None, resume_after);
+        let may_ask_third = self.runs + 1 < self.request.route.max_attempts;
+        let end = if may_ask_third {
+            let gives_up_at = self.shared.clock.now() + ASK_PATIENCE;
+            until(&self.shared.clock, gives_up_at, attempt).await
+        } else {
+            Some(attempt.await)
+        };
+        let Some(end) = end else {
+            self.record_silence();
+            self.abandon_attempt();
+            self.apply(AttemptEvent::FirstByte);
+            self.queue_again();
+            return Some(SecondOutcome::Failed);
+        };
         match self.finish_attempt(pick, end) {
             AttemptOutcome::Answer(answer) => Some(SecondOutcome::Answered(answer)),
             AttemptOutcome::Disallowed(refusal) => {
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -1,11 +1,12 @@
 //! Relay of an event stream to its caller, continued at another server if the stream breaks.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_core::Stream;
-use futures_lite::stream;
+use futures_lite::{FutureExt, stream};
 use hyper::StatusCode;
 use hyper::body::Frame;
 use hyper::http::response;
@@ -13,7 +14,7 @@
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
     AnswerEnd, AnswerVerdict, BodyEnd, OriginState, RaceAction, RaceEvent, RepeatKind, RunRace,
-    ServerEntry, WorkOutcome,
+    ServerEntry, ServerSign, WorkOutcome,
 };
 use plumgate::ids::ServerId;
 
@@ -130,7 +131,13 @@
     /// Returns the stream of complete events for the caller.
     pub(crate) fn chunks(self) -> impl Stream<Item = StreamChunk> + Send + use<C, W> {
         stream::unfold(self, |mut relay| async move {
-            let chunk = relay.next().await?;
+            let chunk = match AssertUnwindSafe(relay.next()).catch_unwind().await {
+                Ok(chunk) => chunk?,
+                Err(_) => {
+                    relay.is_finished = true;
+                    Err(AnswerTruncated)
+                }
+            };
             Some((chunk, relay))
         })
     }
@@ -228,13 +235,23 @@
         };
         let input = until(&clock, due.min(asks_at), source.next()).await;
         match input {
-            Some(SourceInput::Bytes(bytes)) => StreamInput::Bytes(bytes),
+            Some(SourceInput::Bytes(bytes)) => {
+                self.on_bytes();
+                StreamInput::Bytes(bytes)
+            }
             Some(SourceInput::End(end)) => self.judge(end).await,
             None if clock.now() >= due => self.judge(BodyEnd::Silent).await,
             None => StreamInput::Silent,
         }
     }
 
+    /// Records that the current server has sent something, though perhaps no whole event.
+    fn on_bytes(&mut self) {
+        if self.asks_at.is_some() {
+            self.asks_at = Some(self.run.shared.clock.now() + SILENCE_TIMEOUT);
+        }
+    }
+
     /// Decides what the end of the current server's answer means.
     async fn judge(&mut self, end: BodyEnd) -> StreamInput {
         let Some(source) = &self.source else {
@@ -280,15 +297,21 @@
         let outcome = match until(&clock, due, raced).await {
             Some(FirstOf::One(SourceInput::Bytes(bytes))) => {
                 drop(second);
+                self.on_bytes();
                 return self.keep_first(&server, started_at, StreamInput::Bytes(bytes));
             }
             Some(FirstOf::One(SourceInput::End(first_end))) => {
                 end = Some(first_end);
                 race.apply(RaceEvent::FirstFailed);
-                let is_failure = matches!(first_end, BodyEnd::Reset | BodyEnd::Restarted);
-                match is_failure {
-                    true => until(&clock, due, second.as_mut()).await,
-                    false => None,
+                let answer_end = AnswerEnd {
+                    framing: source.body.framing(),
+                    end: first_end,
+                    content: self.content.end(),
+                };
+                // What may be a whole answer needs no second server.
+                match answer_end.verdict(ServerSign::Awaited) {
+                    AnswerVerdict::BrokenOff => until(&clock, due, second.as_mut()).await,
+                    AnswerVerdict::Complete | AnswerVerdict::Undecided => None,
                 }
             }
             Some(FirstOf::Other(outcome)) => Some(outcome),
@@ -306,7 +329,11 @@
         };
         let action = race.apply(event);
         if let (RaceAction::TakeSecond, Some(answer)) = (action, answer) {
-            self.set_outcome(WorkOutcome::TimedOut);
+            self.set_outcome(match end {
+                None => WorkOutcome::TimedOut,
+                Some(BodyEnd::Restarted) => WorkOutcome::Restarted,
+                Some(_) => WorkOutcome::Broken,
+            });
             self.run.log_taken(&server, SILENT);
             self.take_source(*answer);
             return StreamInput::Silent;
