gateway: log the shared parts of a request's prompt

Change: route and attempt_failed lines have parts=, the digests of the parts that other requests may share. RunSuspects holds them beside the request's identity and goes as far as the quarantine's tickets, where parts have no effect yet.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -66,7 +66,7 @@
         }
     };
     // Another crash, or a statement of the server, may have become known while the connection was opened.
-    match work.begin_run(order.request.identity, order.origin, connection) {
+    match work.begin_run(&order.request.suspects, order.origin, connection) {
         Ok(()) => Ok(link),
         Err(RunRefusal::Disallowed(refusal)) => {
             work.set_outcome(WorkOutcome::Unsent);
@@ -150,7 +150,7 @@
     // server was up. And so does a retry: idle connections may have died together.
     if order.request.route.kind == RepeatKind::Idempotent
         && order.cause == SendCause::FirstTry
-        && !shared.quarantine().has_evidence(order.request.identity)
+        && !shared.quarantine().has_evidence(&order.request.suspects)
         && let Some(link) = shared.links.take(&order.server.id, now).await
     {
         let answered = shared.loads().answered_at(&order.server.id);
--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -12,7 +12,7 @@
 use hyper::http::uri::PathAndQuery;
 use plumgate::gateway::{
     CallerLimits, GatewayConfig, GatewayRoute, IdentityHasher, KeyOwner, OriginState, RequestHead,
-    RouteMatch,
+    RouteMatch, RunSuspects,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -80,7 +80,10 @@
         pool,
         workspace: workspace.map(|owner| owner.workspace.clone()),
         urgency,
-        identity: hasher.finish(),
+        suspects: match &metadata.prompt {
+            Some(prompt) => RunSuspects::new(hasher.finish()).with_prompt(prompt),
+            None => RunSuspects::new(hasher.finish()),
+        },
         head,
         body,
         metadata,
--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -4,9 +4,9 @@
 use std::sync::atomic::Ordering;
 
 use plumgate::gateway::{
-    AnswerTimes, BlockedRequest, BootTime, ConnectionKind, OriginState, RequestIdentity,
-    RunFinding, RunTicket, SendContext, SendPermit, SendRefusal, ServerEntry, ServerPick,
-    ServerStatement, WorkOutcome, WorkTicket,
+    AnswerTimes, BlockedRequest, BootTime, ConnectionKind, OriginState, RunFinding, RunSuspects,
+    RunTicket, SendContext, SendPermit, SendRefusal, ServerEntry, ServerPick, ServerStatement,
+    WorkOutcome, WorkTicket,
 };
 
 use super::incarnations::ServerIncarnation;
@@ -116,7 +116,7 @@
     /// blocks the request.
     pub(crate) fn begin_run(
         &mut self,
-        identity: RequestIdentity,
+        suspects: &RunSuspects,
         origin: OriginState,
         connection: ConnectionKind,
     ) -> Result<(), RunRefusal> {
@@ -133,7 +133,7 @@
             return Err(RunRefusal::Disallowed(SendRefusal::OtherVersion));
         }
         let mut quarantine = self.shared.quarantine();
-        let run = quarantine.begin(identity, &self.server, connection, now);
+        let run = quarantine.begin(suspects, &self.server, connection, now);
         self.run = Some(run.map_err(RunRefusal::Blocked)?);
         self.permit = None;
         Ok(())
@@ -189,7 +189,7 @@
             self.shared.loads().finish(ticket, self.outcome, now);
         }
         if let Some(run) = self.run.take() {
-            let identity = run.identity();
+            let identity = run.suspects().request();
             let finding = self.shared.quarantine().finish(run, self.outcome, now);
             match finding {
                 RunFinding::Nothing => {}
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -4,7 +4,9 @@
 
 use hyper::StatusCode;
 use plumgate::RunOutcome;
-use plumgate::gateway::{AnswerEnd, AnswerVerdict, BudgetState, ServerPick, ServerSign};
+use plumgate::gateway::{
+    AnswerEnd, AnswerVerdict, BudgetState, RunSuspects, ServerPick, ServerSign,
+};
 
 use super::incarnations::ServerIncarnation;
 use super::metrics::{AnswerEndLabels, OutcomeLabels, ReasonLabels};
@@ -37,7 +39,8 @@
         attempts.get_or_create(&labels).inc();
         LogLine::new("attempt_failed")
             .with("request", &self.request.id)
-            .with("digest", self.request.identity)
+            .with("digest", self.request.suspects.request())
+            .with_some("parts", part_digests(&self.request.suspects))
             .with("attempt", self.tried.len())
             .with_some("server", self.tried.last())
             .with("reason", reason)
@@ -98,7 +101,8 @@
         let waited = now.saturating_duration_since(self.request.arrived);
         let line = LogLine::new("route")
             .with("request", &self.request.id)
-            .with("digest", self.request.identity)
+            .with("digest", self.request.suspects.request())
+            .with_some("parts", part_digests(&self.request.suspects))
             .with("route", &self.request.route.name)
             .with("pool", &self.request.pool)
             .with_some("workspace", self.request.workspace.as_ref())
@@ -175,6 +179,12 @@
     }
 }
 
+/// Returns the digests of a prompt's shared parts, separated by commas; `None` if there are none.
+fn part_digests(suspects: &RunSuspects) -> Option<String> {
+    let digests: Vec<String> = suspects.parts().iter().map(ToString::to_string).collect();
+    (!digests.is_empty()).then(|| digests.join(","))
+}
+
 /// Returns which side closed the connection to the server first, for a failed attempt with this reason.
 fn closed_by(reason: &str) -> &'static str {
     match reason {
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -9,8 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::http::response;
 use plumgate::gateway::{
-    GatewayRoute, OriginState, PlacementRequest, RequestIdentity, SendRefusal, ServerEntry,
-    StreamClass,
+    GatewayRoute, OriginState, PlacementRequest, RunSuspects, SendRefusal, ServerEntry, StreamClass,
 };
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 
@@ -45,8 +44,8 @@
     pub(crate) class: StreamClass,
     /// Target latency by which the request is admitted or refused.
     pub(crate) refusal_target: Duration,
-    /// Identity by which repeats of the request are recognized, whatever their ids.
-    pub(crate) identity: RequestIdentity,
+    /// Identities by which repeats of the request and of the parts of its prompt are recognized.
+    pub(crate) suspects: RunSuspects,
     /// Head as received.
     pub(crate) head: Parts,
     /// Complete body.
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -335,7 +335,9 @@
     /// Returns what may be done with the request, given the crashes of servers that ran it.
     pub(crate) fn quarantine_verdict(&self) -> RequestVerdict {
         let now = self.shared.clock.now();
-        self.shared.quarantine().verdict(self.request.identity, now)
+        self.shared
+            .quarantine()
+            .verdict(&self.request.suspects, now)
     }
 
     /// Waits for the probe that shows whether the server just crashed, if others crashed while running the request
@@ -349,7 +351,7 @@
             let is_probing = self
                 .shared
                 .quarantine()
-                .is_probing(self.request.identity, now);
+                .is_probing(&self.request.suspects, now);
             if !is_probing || now >= deadline {
                 return;
             }
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -55,7 +55,7 @@
 pub use quarantine::{
     BLOCK_DURATION, BlockReason, BlockedRequest, ConnectionKind, CrashCount, CrashSign,
     IdentityHasher, QuarantineTable, ReleaseReason, RequestHead, RequestIdentity, RequestVerdict,
-    RunFinding, RunTicket, StoredVerdict, SuspectEvent, SuspectState, VerdictChange,
+    RunFinding, RunSuspects, RunTicket, StoredVerdict, SuspectEvent, SuspectState, VerdictChange,
 };
 pub use rate_limit::{
     BootTime, LimitChange, LimitEvent, LimitObservation, MessageOutcome, MessageTime,
--- a/crates/plumgate/src/gateway/quarantine/identity.rs
+++ b/crates/plumgate/src/gateway/quarantine/identity.rs
@@ -5,10 +5,13 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
+use crate::gateway::prompt::PromptPart;
 use crate::ids::WorkspaceId;
 
 /// Separates the parts of a head in the digest, so that different heads don't concatenate to the same bytes.
 const SEPARATOR: &[u8] = b"\n";
+/// Takes the place of the workspace in the identity of a prompt part; ids of workspaces contain no control characters.
+const PART_NAMESPACE: &[u8] = b"\0prompt part";
 
 /// Identity of a request by its content. The id of the attempt can't serve as identity, as it differs at each
 /// retry.
@@ -78,6 +81,20 @@
         self.workspace == other.workspace
     }
 
+    /// Returns the identity of a prompt part. It is the same for all workspaces, as a part that crashes servers does
+    /// so whoever sends it.
+    pub(crate) fn of_prompt_part(part: PromptPart) -> Self {
+        Self {
+            workspace: xxh3_64(PART_NAMESPACE),
+            content: u128::from(part.id),
+        }
+    }
+
+    /// Returns whether this is the identity of a prompt part rather than of a whole request.
+    pub fn is_prompt_part(&self) -> bool {
+        self.workspace == xxh3_64(PART_NAMESPACE)
+    }
+
     /// Returns the full identity in hexadecimal, which names the request's verdict in the store.
     pub(crate) fn name(&self) -> String {
         format!("{:016x}{:032x}", self.workspace, self.content)
--- a/crates/plumgate/src/gateway/quarantine/in_flight.rs
+++ b/crates/plumgate/src/gateway/quarantine/in_flight.rs
@@ -33,7 +33,7 @@
     pub(crate) fn insert(&mut self, ticket: &RunTicket) {
         let runs = self.runs.entry(ticket.server).or_default();
         runs.push(InFlightRun {
-            identity: ticket.identity,
+            identity: ticket.suspects.request(),
             began: ticket.began,
             earliest_crash: ticket.earliest_silent_crash,
         });
--- a/crates/plumgate/src/gateway/quarantine/mod.rs
+++ b/crates/plumgate/src/gateway/quarantine/mod.rs
@@ -15,6 +15,7 @@
 mod notice_exchange;
 mod response_times;
 mod rule;
+mod run_suspects;
 mod stored_verdicts;
 mod table;
 mod verdict;
@@ -22,6 +23,7 @@
 pub use evidence::{CrashCount, CrashSign};
 pub use identity::{IdentityHasher, RequestHead, RequestIdentity};
 pub use rule::{BLOCK_DURATION, SuspectState};
+pub use run_suspects::RunSuspects;
 pub use table::QuarantineTable;
 pub use verdict::{
     BlockReason, BlockedRequest, ConnectionKind, ReleaseReason, RequestVerdict, RunFinding,
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -11,6 +11,7 @@
 use super::notice::SEND_ROUNDS;
 use super::response_times::ResponseTimes;
 use super::rule::{BLOCK_DURATION, SuspectState, TURN_DURATION, has_turn};
+use super::run_suspects::RunSuspects;
 use super::verdict::{
     BlockReason, BlockedRequest, ConnectionKind, ReleaseReason, RequestVerdict, RunFinding,
     RunTicket, SuspectEvent, VerdictChange,
@@ -96,7 +97,8 @@
     }
 
     /// Returns what may be done with a request.
-    pub fn verdict(&self, identity: RequestIdentity, now: Instant) -> RequestVerdict {
+    pub fn verdict(&self, suspects: impl Into<RunSuspects>, now: Instant) -> RequestVerdict {
+        let identity = suspects.into().request();
         let Some(record) = self.records.get(&identity) else {
             return RequestVerdict::Send;
         };
@@ -145,12 +147,14 @@
     /// Fails if the request may not be sent now.
     pub fn begin(
         &mut self,
-        identity: RequestIdentity,
+        suspects: impl Into<RunSuspects>,
         server: &ServerEntry,
         connection: ConnectionKind,
         now: Instant,
     ) -> std::result::Result<RunTicket, BlockedRequest> {
-        match self.verdict(identity, now) {
+        let suspects = suspects.into();
+        let identity = suspects.request();
+        match self.verdict(&suspects, now) {
             RequestVerdict::Send => {}
             RequestVerdict::SendIsolated => {
                 if let Some(record) = self.records.get_mut(&identity) {
@@ -168,7 +172,7 @@
             ConnectionKind::Reused { answered } => (answered, answered),
         };
         let ticket = RunTicket {
-            identity,
+            suspects,
             server,
             began: now,
             earliest_crash,
@@ -180,8 +184,8 @@
 
     /// Ends a run and evaluates its outcome as evidence on the request and the server.
     pub fn finish(&mut self, ticket: RunTicket, outcome: WorkOutcome, now: Instant) -> RunFinding {
-        self.in_flight
-            .remove(ticket.server, ticket.identity, ticket.began);
+        let identity = ticket.suspects.request();
+        self.in_flight.remove(ticket.server, identity, ticket.began);
         let is_unexplained = matches!(
             outcome,
             WorkOutcome::Broken | WorkOutcome::TimedOut | WorkOutcome::Inconclusive
@@ -189,13 +193,13 @@
         if let Some(run) = ticket.in_doubt_run(outcome, now).filter(|_| is_unexplained) {
             return self.on_in_doubt_run(run, outcome, now);
         }
-        self.clear_isolated_run(ticket.identity);
+        self.clear_isolated_run(identity);
         match outcome {
             WorkOutcome::Answered => {
-                self.answers.record(ticket.identity, now);
+                self.answers.record(identity, now);
                 self.responses.record(ticket.server, now);
                 self.on_server_alive(ticket.server, ticket.began, now);
-                self.release(ticket.identity, ReleaseReason::Answered, now);
+                self.release(identity, ReleaseReason::Answered, now);
             }
             WorkOutcome::Failed | WorkOutcome::Full => {
                 self.responses.record(ticket.server, now);
@@ -292,14 +296,15 @@
 
     /// Returns whether there is evidence against a request. Such a request should use a new connection, as
     /// the outcome of its run is then more conclusive.
-    pub fn has_evidence(&self, identity: RequestIdentity) -> bool {
-        self.records.contains_key(&identity)
+    pub fn has_evidence(&self, suspects: impl Into<RunSuspects>) -> bool {
+        self.records.contains_key(&suspects.into().request())
     }
 
     /// Returns whether a probe is in progress that may add a crash to the evidence against a request, so that a
     /// retry should wait for it. Returns false for a request without evidence, which may be retried at once.
-    pub fn is_probing(&self, identity: RequestIdentity, now: Instant) -> bool {
-        self.has_evidence(identity) && self.in_doubt.is_probing(identity, now)
+    pub fn is_probing(&self, suspects: impl Into<RunSuspects>, now: Instant) -> bool {
+        let suspects = suspects.into();
+        self.has_evidence(&suspects) && self.in_doubt.is_probing(suspects.request(), now)
     }
 
     /// Handles a server whose entry is listed again.
--- a/crates/plumgate/src/gateway/quarantine/verdict.rs
+++ b/crates/plumgate/src/gateway/quarantine/verdict.rs
@@ -7,6 +7,7 @@
 use super::in_doubt::InDoubtRun;
 use super::in_flight::MIN_RUN;
 use super::rule::SuspectState;
+use super::run_suspects::RunSuspects;
 use crate::gateway::exchange::messages::ServerKey;
 use crate::gateway::work::WorkOutcome;
 
@@ -52,7 +53,7 @@
 /// Run of a request at a server; passed to `QuarantineTable::finish` when the run ends.
 #[derive(Clone, Debug)]
 pub struct RunTicket {
-    pub(crate) identity: RequestIdentity,
+    pub(crate) suspects: RunSuspects,
     pub(crate) server: ServerKey,
     /// When the request was sent.
     pub(crate) began: Instant,
@@ -89,7 +90,7 @@
         };
         let is_long = now.saturating_duration_since(self.began) >= MIN_RUN;
         Some(InDoubtRun {
-            identity: self.identity,
+            identity: self.suspects.request(),
             server: self.server,
             began: earliest_crash?,
             ended: now,
@@ -97,9 +98,9 @@
         })
     }
 
-    /// Returns the request's identity.
-    pub fn identity(&self) -> RequestIdentity {
-        self.identity
+    /// Returns what may be to blame if the server crashes.
+    pub fn suspects(&self) -> &RunSuspects {
+        &self.suspects
     }
 
     /// Records that the server received the request, as its answer has started.
