tests: one prompt part that crashes the servers that answer it, in requests that are all different

The class of fault, without a network: nodes that exchange notices, servers that come back, requests that share one part and no text.

--- a/crates/plumgate/tests/suspects/mod.rs
+++ b/crates/plumgate/tests/suspects/mod.rs
@@ -1,5 +1,6 @@
 //! Simulation of a fleet without a network: nodes that exchange notices and block requests, servers that crash
 //! because of poison requests, and the results of callers.
+#![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -7,8 +8,9 @@
 
 use plumgate::gateway::{
     BlockedRequest, CallerLimits, ConnectionKind, CrashSign, ExchangeMoment, GatewayConfig,
-    IdentityHasher, KeyOwner, LoadExchange, QuarantineTable, RequestHead, RequestIdentity,
-    RunFinding, RunTicket, ServerEntry, SuspectState, SyncState, WorkOutcome,
+    IdentityHasher, KeyOwner, LoadExchange, PromptPart, PromptShape, QuarantineTable, RequestHead,
+    RequestIdentity, RunFinding, RunSuspects, RunTicket, ServerEntry, SuspectState, SyncState,
+    WorkOutcome,
 };
 use plumgate::ids::WorkspaceId;
 
@@ -40,6 +42,21 @@
     hasher.finish()
 }
 
+/// Returns the suspects of a request whose prompt has these parts and one of its own.
+pub(crate) fn with_parts(request: RequestIdentity, parts: &[u64]) -> RunSuspects {
+    let own = [u64::MAX];
+    let parts = parts.iter().chain(&own);
+    let parts = parts.map(|id| PromptPart {
+        id: *id,
+        tokens: 200,
+    });
+    let prompt = PromptShape {
+        parts: parts.collect(),
+        max_output_tokens: 100,
+    };
+    RunSuspects::new(request).with_prompt(&prompt)
+}
+
 /// Returns a configuration with these API keys.
 pub(crate) fn config(version: u64, keys: &[&str]) -> GatewayConfig {
     let workspace = KeyOwner {
@@ -71,7 +88,7 @@
 struct SimRun {
     node: usize,
     server: usize,
-    identity: RequestIdentity,
+    suspects: RunSuspects,
     ticket: RunTicket,
     ends_at: Instant,
 }
@@ -91,7 +108,7 @@
     pub(crate) nodes: Vec<SimNode>,
     servers: Vec<SimServer>,
     runs: Vec<SimRun>,
-    /// Requests that crash servers.
+    /// Requests and prompt parts that crash servers.
     pub(crate) poison: BTreeSet<RequestIdentity>,
     /// Crashes caused by each poison request, in their order.
     pub(crate) crashes: Vec<(RequestIdentity, Instant)>,
@@ -188,30 +205,33 @@
     pub(crate) fn send(
         &mut self,
         node: usize,
-        identity: RequestIdentity,
+        suspects: impl Into<RunSuspects>,
     ) -> Option<BlockedRequest> {
+        let suspects = suspects.into();
         let alive: Vec<usize> = (0..self.servers.len())
             .filter(|index| self.servers[*index].crashed_at.is_none())
             .collect();
         let Some(server) = self.rng.choice(&alive).copied() else {
-            self.result(identity).unserved += 1;
+            self.result(suspects.request()).unserved += 1;
             return None;
         };
-        self.send_to(node, identity, server)
+        self.send_to(node, suspects, server)
     }
 
     /// Sends a request to a node, which sends it to the given server unless it blocks the request.
     pub(crate) fn send_to(
         &mut self,
         node: usize,
-        identity: RequestIdentity,
+        suspects: impl Into<RunSuspects>,
         server: usize,
     ) -> Option<BlockedRequest> {
+        let suspects = suspects.into();
+        let identity = suspects.request();
         let now = self.now;
         let entry = self.servers[server].entry.clone();
         let run = self.nodes[node]
             .table
-            .begin(identity, &entry, ConnectionKind::New, now);
+            .begin(&suspects, &entry, ConnectionKind::New, now);
         let ticket = match run {
             Ok(ticket) => ticket,
             Err(blocked) => {
@@ -219,11 +239,11 @@
                 return Some(blocked);
             }
         };
-        let is_poison = self.poison.contains(&identity);
-        if is_poison {
-            self.sent.push((identity, now));
+        let poison = self.poison_in(&suspects);
+        if let Some(poison) = poison {
+            self.sent.push((poison, now));
         }
-        let duration = if is_poison {
+        let duration = if poison.is_some() {
             POISON_RUN_TIME
         } else {
             NORMAL_RUN_TIME
@@ -231,13 +251,20 @@
         self.runs.push(SimRun {
             node,
             server,
-            identity,
+            suspects,
             ticket,
             ends_at: now + duration,
         });
         None
     }
 
+    /// Returns the suspect of a run that crashes servers, if any.
+    fn poison_in(&self, suspects: &RunSuspects) -> Option<RequestIdentity> {
+        let request = suspects.request();
+        let mut suspects = suspects.parts().iter().copied().chain([request]);
+        suspects.find(|suspect| self.poison.contains(suspect))
+    }
+
     /// Returns the results of a request's callers, which are empty at first.
     pub(crate) fn result(&mut self, identity: RequestIdentity) -> &mut SimResult {
         let index = self
@@ -259,13 +286,13 @@
         let mut crashed = Vec::new();
         for index in due {
             let run = &self.runs[index];
-            if self.poison.contains(&run.identity) {
-                self.crashes.push((run.identity, self.now));
+            if let Some(poison) = self.poison_in(&run.suspects) {
+                self.crashes.push((poison, self.now));
                 crashed.push(run.server);
                 continue;
             }
             let run = self.runs.swap_remove(index);
-            self.result(run.identity).answered += 1;
+            self.result(run.suspects.request()).answered += 1;
             let table = &mut self.nodes[run.node].table;
             table.finish(run.ticket, WorkOutcome::Answered, self.now);
         }
@@ -282,7 +309,7 @@
         self.runs = remaining;
         let entry = self.servers[server].entry.clone();
         for run in broken {
-            self.result(run.identity).broken += 1;
+            self.result(run.suspects.request()).broken += 1;
             let table = &mut self.nodes[run.node].table;
             let finding = table.finish(run.ticket, outcome, self.now);
             if finding == RunFinding::ProbeServer {
@@ -342,15 +369,25 @@
 
     /// Counts how often a request was sent later than `contact` after the crash of its third server.
     pub(crate) fn sent_after_third(&self, identity: RequestIdentity, contact: Duration) -> usize {
+        self.sent_after_crash(3, identity, contact)
+    }
+
+    /// Counts how often a request or prompt part was sent later than `contact` after it crashed `servers` servers.
+    pub(crate) fn sent_after_crash(
+        &self,
+        servers: usize,
+        identity: RequestIdentity,
+        contact: Duration,
+    ) -> usize {
         let crashes = self
             .crashes
             .iter()
             .filter(|(request, _)| *request == identity);
-        let Some((_, third)) = crashes.clone().nth(2) else {
+        let Some((_, last)) = crashes.clone().nth(servers - 1) else {
             return 0;
         };
         let sent = self.sent.iter().filter(|(request, _)| *request == identity);
-        sent.filter(|(_, at)| *at > *third + contact).count()
+        sent.filter(|(_, at)| *at > *last + contact).count()
     }
 }
 
