quarantine: send a missed refutation again to whoever still has the crash

Callers of one node were refused requests with a popular part for as long as its evidence lasted. Cause: a refutation is sent three times; a node that missed all three kept the crash and sent it on every second, while the nodes that knew better ignored it as known. Change: evidence that is refuted here is answered by one more round of the record.

--- a/crates/plumgate/src/gateway/quarantine/evidence.rs
+++ b/crates/plumgate/src/gateway/quarantine/evidence.rs
@@ -166,6 +166,12 @@
         self.crashes.iter().filter(|crash| !crash.is_refuted)
     }
 
+    /// Returns whether the crash of a server is known to be refuted.
+    pub(crate) fn is_refuted(&self, server: ServerKey) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.any(|crash| crash.server == server && crash.is_refuted)
+    }
+
     /// Returns the servers that crashed, without those whose crash is refuted.
     pub(crate) fn servers(&self) -> impl Iterator<Item = ServerKey> {
         self.unrefuted().map(|crash| crash.server)
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -448,6 +448,10 @@
             self.make_room(identity);
         }
         let record = self.records.entry(identity).or_default();
+        // A node that sends evidence which is refuted here has missed the refutation.
+        if !evidence.is_refuted && record.history.is_refuted(evidence.server) {
+            record.rounds_left = record.rounds_left.max(1);
+        }
         if !record.history.add(evidence) {
             return false;
         }
