quarantine: count a silent run when its server's entry lapses, not when it ends

A server that left without an announcement, with requests waiting there, was not counted as crashed for most of a second; until then the request could be sent on to the next one. Cause: since the run of a silent server is kept until another server has answered. Before, it ended at the silence and was in doubt; now it was a run in flight, of which only those of a second or more count. Change: the node tells the quarantine that a run is silent; the lapse counts such a run whatever its length. The new test without a network failed to compile before, as nothing said so.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -94,7 +94,7 @@
         let mut exchange = pin!(incarnation.run(link.exchange(request)));
         let mut result = until(&shared.clock, silent_at, &mut exchange).await;
         if result.is_none() && silent_at < wait_until {
-            work.set_outcome(WorkOutcome::TimedOut);
+            work.on_silence();
             shared.links.clear(&order.server.id);
             if let Some(helper) = &helper {
                 shared.record_tunnel_use(&order.server, helper, false);
--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -168,6 +168,14 @@
         }
     }
 
+    /// Records that the server has sent nothing for longer than it may, while the request waits on.
+    pub(crate) fn on_silence(&mut self) {
+        self.outcome = WorkOutcome::TimedOut;
+        if let Some(run) = &self.run {
+            self.shared.quarantine().on_silent_run(run);
+        }
+    }
+
     /// Sets the outcome of the request, as evidence about the server.
     pub(crate) fn set_outcome(&mut self, outcome: WorkOutcome) {
         self.outcome = outcome;
--- a/crates/plumgate/src/gateway/quarantine/in_flight.rs
+++ b/crates/plumgate/src/gateway/quarantine/in_flight.rs
@@ -19,6 +19,14 @@
     began: Instant,
     /// Earliest time at which the server may have crashed if no response arrives; none if unknown.
     earliest_crash: Option<Instant>,
+    /// Whether the server has sent nothing for longer than it may.
+    is_silent: bool,
+}
+
+impl InFlightRun {
+    fn is_of(&self, ticket: &RunTicket) -> bool {
+        self.suspects == ticket.suspects && self.began == ticket.began
+    }
 }
 
 /// In-flight runs by server. A server has at most as many as it has slots for this node, so a linear search
@@ -36,17 +44,24 @@
             suspects: ticket.suspects.clone(),
             began: ticket.began,
             earliest_crash: ticket.earliest_silent_crash,
+            is_silent: false,
         });
     }
 
+    /// Records that the server has sent nothing for longer than it may.
+    pub(crate) fn on_silent(&mut self, ticket: &RunTicket) {
+        let runs = self.runs.get_mut(&ticket.server).into_iter().flatten();
+        for run in runs.filter(|run| run.is_of(ticket)) {
+            run.is_silent = true;
+        }
+    }
+
     /// Removes a run that has ended.
     pub(crate) fn remove(&mut self, ticket: &RunTicket) {
         let Some(runs) = self.runs.get_mut(&ticket.server) else {
             return;
         };
-        let ended = runs
-            .iter()
-            .position(|run| run.suspects == ticket.suspects && run.began == ticket.began);
+        let ended = runs.iter().position(|run| run.is_of(ticket));
         if let Some(ended) = ended {
             runs.swap_remove(ended);
         }
@@ -58,8 +73,9 @@
     /// Returns the in-flight runs that may have crashed the server, as runs in doubt.
     pub(crate) fn runs_at(&self, server: ServerKey, now: Instant) -> Vec<InDoubtRun> {
         let runs = self.runs.get(&server).into_iter().flatten();
-        let long = runs.filter(|run| now.saturating_duration_since(run.began) >= MIN_RUN);
-        let in_doubt = long.filter_map(|run| {
+        let is_long = |run: &&InFlightRun| now.saturating_duration_since(run.began) >= MIN_RUN;
+        let suspected = runs.filter(|run| run.is_silent || is_long(run));
+        let in_doubt = suspected.filter_map(|run| {
             Some(InDoubtRun {
                 suspects: run.suspects.clone(),
                 server,
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -201,6 +201,11 @@
         Ok(ticket)
     }
 
+    /// Records that the server has sent nothing for longer than it may; the run goes on.
+    pub fn on_silent_run(&mut self, ticket: &RunTicket) {
+        self.in_flight.on_silent(ticket);
+    }
+
     /// Ends a run and evaluates its outcome as evidence on the request and the server.
     pub fn finish(&mut self, ticket: RunTicket, outcome: WorkOutcome, now: Instant) -> RunFinding {
         self.in_flight.remove(&ticket);
--- a/crates/plumgate/tests/gateway_quarantine.rs
+++ b/crates/plumgate/tests/gateway_quarantine.rs
@@ -923,3 +923,22 @@
         );
     }
 }
+
+// Guards against a crash that counts only once the run ends, where the node keeps the run of a silent server until
+// another server has answered. A run as short that may still be answered in time counts for nothing.
+#[test]
+fn silent_run_in_progress_counts_when_the_entry_lapses() {
+    for is_silent in [true, false] {
+        let mut table = lone_table();
+        let request = identity("lab", "a question");
+        let server = server_entry("s1");
+        let now = Instant::now();
+        let ticket = table.begin(request, &server, ConnectionKind::New, now);
+        let ticket = ticket.expect("sent");
+        if is_silent {
+            table.on_silent_run(&ticket);
+        }
+        let crashed = table.on_server_crashed(&server, CrashSign::Lapsed, now + STEP * 4);
+        assert_eq!(crashed.len(), usize::from(is_silent));
+    }
+}
