link: bound the bytes that a server may send before the head of its answer

A caller waited for 8 s, twice its limit, and the node read 1.9 GB: a server sent informational responses (103) without an end. Cause: the HTTP library reads any number of them within one poll, so that no timer of that thread runs either. Change: a connection fails once 128 KiB were read without a head.

--- a/crates/plumgate-node/src/link.rs
+++ b/crates/plumgate-node/src/link.rs
@@ -3,7 +3,9 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use async_io::Async;
@@ -23,6 +25,9 @@
 /// Size of the read buffer in bytes: holds a small answer completely, or many stream events.
 const READ_BUFFER: usize = 16 * 1024;
 
+/// Maximum number of bytes that are read before the head of a response is complete, informational responses included.
+const MAX_HEAD_BYTES: usize = 128 * 1024;
+
 /// Failure of a request on a connection.
 #[derive(Debug, Display)]
 pub enum LinkError {
@@ -82,8 +87,76 @@
     }
 }
 
+/// Number of bytes that may be read before the head of a response is complete; unlimited after it.
+#[derive(Clone, Debug)]
+struct HeadLimit(Arc<AtomicUsize>);
+
+impl HeadLimit {
+    const UNLIMITED: usize = usize::MAX;
+
+    /// Creates a limit that is not in force yet.
+    fn new() -> Self {
+        Self(Arc::new(AtomicUsize::new(Self::UNLIMITED)))
+    }
+
+    fn set(&self, bytes: usize) {
+        self.0.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Counts received bytes. Fails once there are too many without a head.
+    fn count(&self, bytes: usize) -> io::Result<()> {
+        let left = self.0.load(Ordering::Relaxed);
+        if left == Self::UNLIMITED {
+            return Ok(());
+        }
+        if bytes > left {
+            let message = "the head of the response is too long";
+            return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+        }
+        self.set(left - bytes);
+        Ok(())
+    }
+}
+
+/// Byte stream of a connection that bounds the heads of responses. A server may send informational responses without an
+/// end, all of which the HTTP library would read.
+struct BoundedStream {
+    stream: LinkStream,
+    limit: HeadLimit,
+}
+
+impl AsyncRead for BoundedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        self.limit.count(count)?;
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl AsyncWrite for BoundedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, buffer)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
+
 /// Driver of a connection.
-type LinkDriver = Connection<FuturesIo<LinkStream>, Full<Bytes>>;
+type LinkDriver = Connection<FuturesIo<BoundedStream>, Full<Bytes>>;
 
 /// HTTP/1 connection for one request at a time.
 ///
@@ -94,6 +167,7 @@
     driver: Option<LinkDriver>,
     /// Node through which the connection leads, if it is a tunnel.
     helper: Option<NodeId>,
+    head_limit: HeadLimit,
 }
 
 impl HttpLink {
@@ -120,6 +194,11 @@
     }
 
     async fn handshake(stream: LinkStream, helper: Option<NodeId>) -> io::Result<Self> {
+        let head_limit = HeadLimit::new();
+        let stream = BoundedStream {
+            stream,
+            limit: head_limit.clone(),
+        };
         let (sender, driver) = Builder::new()
             .max_buf_size(READ_BUFFER)
             .handshake(FuturesIo::new(stream))
@@ -129,6 +208,7 @@
             sender,
             driver: Some(driver),
             helper,
+            head_limit,
         })
     }
 
@@ -137,13 +217,14 @@
         &mut self,
         request: OutgoingRequest,
     ) -> Result<Response<Incoming>, LinkError> {
+        self.head_limit.set(MAX_HEAD_BYTES);
         let sending = self.sender.try_send_request(request);
-        future::or(sending, drive(&mut self.driver))
-            .await
-            .map_err(|mut error| match error.take_message() {
-                Some(_) => LinkError::Unsent,
-                None => LinkError::Broken(error.into_error()),
-            })
+        let sent = future::or(sending, drive(&mut self.driver)).await;
+        self.head_limit.set(HeadLimit::UNLIMITED);
+        sent.map_err(|mut error| match error.take_message() {
+            Some(_) => LinkError::Unsent,
+            None => LinkError::Broken(error.into_error()),
+        })
     }
 
     /// Waits for the next frame of a response body; `None` at its end.
