quarantine: name what a request is refused for, and whether it is a request or a prompt part

An operator could not get from a refused id to the part that is held back. Change: blocked lines with request, digest and of=part or of=request; the same in suspect lines and on the quarantine page.

--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -25,6 +25,7 @@
 use crate::caller_error::CallerError;
 use crate::clock::{Clock, until};
 use crate::link::HttpLink;
+use crate::log::LogLine;
 
 /// Maximum size of an answer that is read to its end before it is relayed; services without streams answer with
 /// less.
@@ -378,16 +379,22 @@
             .blocked_requests
             .get_or_create(&labels)
             .inc();
+        LogLine::new("blocked")
+            .with("request", &self.request.id)
+            .with("reason", reason)
+            .with("digest", blocked.suspect)
+            .with("of", blocked.suspect.kind())
+            .info(&self.shared.log);
         match self.run.outcome() {
             RunOutcome::NotRun => CallerError::not_run(
                 StatusCode::SERVICE_UNAVAILABLE,
                 reason,
-                "backend servers ended each time that this request ran; this time it was not run",
+                "backend servers ended each time that this request, or one with the same part of a prompt, ran; this time it was not run",
                 blocked.retry_after,
             ),
             RunOutcome::Unknown | RunOutcome::Answered => CallerError::unknown(
                 reason,
-                "backend servers ended under this request; it is not sent to another one",
+                "backend servers ended under this request, or one with the same part of a prompt; it is not sent to another one",
             ),
         }
     }
--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -162,6 +162,7 @@
         }
         let line = LogLine::new("suspect")
             .with("digest", event.identity)
+            .with("of", event.identity.kind())
             .with("state", event.state.as_str())
             .with_some("released", event.release.map(|release| release.as_str()))
             .with("servers", event.count.servers)
@@ -191,7 +192,10 @@
         let lines = quarantine.suspects().map(|(identity, state, count)| {
             let (servers, consecutive) = (count.servers, count.consecutive);
             let state = state.as_str();
-            format!("digest={identity} state={state} servers={servers} in_turn={consecutive}\n")
+            let kind = identity.kind();
+            format!(
+                "digest={identity} of={kind} state={state} servers={servers} in_turn={consecutive}\n"
+            )
         });
         lines.collect()
     }
--- a/crates/plumgate/src/gateway/quarantine/identity.rs
+++ b/crates/plumgate/src/gateway/quarantine/identity.rs
@@ -95,6 +95,15 @@
         self.workspace == xxh3_64(PART_NAMESPACE)
     }
 
+    /// Returns what it identifies, as named in logs and on the operators' page.
+    pub fn kind(&self) -> &'static str {
+        if self.is_prompt_part() {
+            "part"
+        } else {
+            "request"
+        }
+    }
+
     /// Returns the full identity in hexadecimal, which names the request's verdict in the store.
     pub(crate) fn name(&self) -> String {
         format!("{:016x}{:032x}", self.workspace, self.content)
--- a/crates/plumgate/src/gateway/quarantine/table.rs
+++ b/crates/plumgate/src/gateway/quarantine/table.rs
@@ -122,12 +122,13 @@
         };
         match restriction.state {
             SuspectState::Free => RequestVerdict::Send,
-            SuspectState::OneByOne => self.check_turn(&suspects, record, now),
+            SuspectState::OneByOne => self.check_turn(&suspects, restriction.identity, now),
             SuspectState::Blocked => {
                 let until = record.history.last_crash().map(|at| at + BLOCK_DURATION);
                 let remaining = until.map(|until| until.saturating_duration_since(now));
                 RequestVerdict::Block(BlockedRequest {
                     reason: BlockReason::Quarantined,
+                    suspect: restriction.identity,
                     retry_after: remaining.unwrap_or(BLOCK_DURATION),
                 })
             }
@@ -137,12 +138,13 @@
     fn check_turn(
         &self,
         suspects: &RunSuspects,
-        record: &SuspectRecord,
+        suspect: RequestIdentity,
         now: Instant,
     ) -> RequestVerdict {
         let block = |pause: Duration| {
             RequestVerdict::Block(BlockedRequest {
                 reason: BlockReason::AwaitsTurn,
+                suspect,
                 retry_after: pause,
             })
         };
@@ -153,11 +155,11 @@
         if isolated.any(|since| now.saturating_duration_since(since) < MAX_ISOLATED_RUN) {
             return block(TURN_DURATION);
         }
-        let position = record.position.or((!self.has_peers).then_some(0));
-        let since_crash = record
-            .history
-            .last_crash()
-            .map(|at| now.saturating_duration_since(at));
+        let record = self.records.get(&suspect);
+        let position = record.and_then(|record| record.position);
+        let position = position.or((!self.has_peers).then_some(0));
+        let last_crash = record.and_then(|record| record.history.last_crash());
+        let since_crash = last_crash.map(|at| now.saturating_duration_since(at));
         match position.zip(since_crash) {
             Some((position, since)) if has_turn(position, self.node_count, since) => {
                 RequestVerdict::SendIsolated
--- a/crates/plumgate/src/gateway/quarantine/verdict.rs
+++ b/crates/plumgate/src/gateway/quarantine/verdict.rs
@@ -35,6 +35,8 @@
 pub struct BlockedRequest {
     /// Reason of the refusal.
     pub reason: BlockReason,
+    /// Request or prompt part because of which it is refused.
+    pub suspect: RequestIdentity,
     /// Time after which a retry may succeed.
     pub retry_after: Duration,
 }
