--- a/crates/plumgate/tests/prompt_parts.rs
+++ b/crates/plumgate/tests/prompt_parts.rs
@@ -188,6 +188,69 @@
     }
 }
 
+// Guards against a burst at all nodes before any of them knows anything: the runs that it starts may crash servers, later
+// ones not.
+#[test]
+fn burst_of_forty_requests_with_the_part_is_the_last_one() {
+    for seed in 0..8 {
+        let mut traffic = PartTraffic::new(SuspectFleet::new(3, 3, 60), seed);
+        traffic.play(Duration::from_secs(2), false);
+        traffic.poison_rate = 0.8;
+        traffic.play(Duration::from_secs(1), true);
+        traffic.poison_rate = 0.2;
+        traffic.play(Duration::from_secs(20), true);
+        traffic.check_sends(&format!("seed {seed}"));
+        traffic.check_sound(&format!("seed {seed}"), 0.95);
+    }
+}
+
+// Guards against holding back a part that nobody was answered with yet, as a rack loses power under its first requests.
+#[test]
+fn rack_that_loses_power_holds_back_no_part() {
+    let mut traffic = PartTraffic::new(SuspectFleet::new(3, 2, 12), 1);
+    for server in 0..8 {
+        let request = traffic.new_request(&[FIRST_PART, 3]);
+        traffic.fleet.send_to(server % 6, &request, server);
+    }
+    for server in 0..8 {
+        traffic.fleet.crash_server(server, WorkOutcome::Broken);
+    }
+    traffic.fleet.advance(Duration::from_secs(1));
+    traffic.sound_parts = vec![vec![FIRST_PART, 3]];
+    traffic.play(Duration::from_secs(5), false);
+    traffic.check_sound("after the power loss", 1.0);
+}
+
+// Guards against a workspace that has a part of others held back by naming it in requests that crash servers by themselves.
+#[test]
+fn part_of_others_that_crashing_requests_name_is_sent() {
+    let mut traffic = PartTraffic::new(SuspectFleet::new(3, 2, 18), 1);
+    traffic.fleet.poison = [part(POISON_PART)].into();
+    traffic.poison_parts = vec![FIRST_PART, 7, POISON_PART];
+    traffic.sound_parts = vec![vec![7], vec![FIRST_PART, 7]];
+    traffic.sound_rate = 0.04;
+    traffic.play(Duration::from_secs(2), false);
+    traffic.play(Duration::from_secs(30), true);
+    traffic.check_sends("named by others");
+    traffic.check_sound("named by others", 0.9);
+}
+
+// Guards against evidence on parts that grows without bound, as each request names new ones.
+#[test]
+fn records_of_parts_are_bounded() {
+    let mut traffic = PartTraffic::new(SuspectFleet::new(1, 2, 40), 1);
+    traffic.poison_rate = 0.3;
+    for number in 0..400 {
+        traffic.poison_parts = (0..30).map(|part| 1_000 + number * 30 + part).collect();
+        traffic.poison_parts.push(POISON_PART);
+        traffic.play(CALL_PAUSE, true);
+    }
+    traffic.check_sends("new parts in each request");
+    for node in &traffic.fleet.nodes {
+        assert!(node.table.len() <= 1_024, "{} records", node.table.len());
+    }
+}
+
 /// A drawn day: fleet, prompts, callers and faults.
 struct RandomDay {
     traffic: PartTraffic,
