gateway: interfaces of the parts for heavy load: sums over all nodes, one admission decision, limits of engines

Cause: profiles of servers, memory of engines, shares of workspaces and promised returns all need counts that are added up over the nodes, and all of them meet in the decision whether a request is sent, waits or is refused. No decision changes yet. docs/HARD-LOAD.md is the specification of the parts.

--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -9,9 +9,9 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
-    AdmissionDecision, AdmissionPolicy, AnswerEnd, AnswerFraming, AnswerVerdict, BlockedRequest,
-    BodyEnd, QueuePrediction, RepeatKind, RequestVerdict, SendPermit, SendRefusal, ServerPick,
-    WorkOutcome,
+    AdmissionContext, AdmissionDecision, AdmissionPolicy, AnswerEnd, AnswerFraming, AnswerVerdict,
+    BlockedRequest, BodyEnd, QueuePrediction, RepeatKind, RequestVerdict, SendPermit, SendRefusal,
+    ServerPick, WorkOutcome,
 };
 
 use super::answer::{GatewayBody, StreamChunk, full_body, own_answer, relayed_head, stream_body};
@@ -185,12 +185,16 @@
             target_left: self.target_left(now),
             left,
         };
-        if self.tried.is_empty()
-            && self.request.metadata.prompt.is_some()
-            && let AdmissionDecision::Refuse { retry_after } =
-                self.admission().decide(&wait, spread)
-        {
-            return Err(self.unserved_error("overloaded", retry_after));
+        if self.tried.is_empty() && self.request.metadata.prompt.is_some() {
+            let context = AdmissionContext::default();
+            let decision = self.admission().decide(&wait, &context, spread);
+            if let AdmissionDecision::Refuse {
+                retry_after,
+                reason,
+            } = decision
+            {
+                return Err(self.unserved_error(reason.as_str(), retry_after));
+            }
         }
         Ok(Some(pick))
     }
--- a/crates/plumgate/src/gateway/admission/mod.rs
+++ b/crates/plumgate/src/gateway/admission/mod.rs
@@ -9,4 +9,7 @@
 
 pub use budget::{BudgetBounds, BudgetState, WindowBudget};
 pub use freshness::FreshnessLease;
-pub use policy::{AdmissionDecision, AdmissionPolicy, QueuePrediction};
+pub use policy::{
+    AdmissionContext, AdmissionDecision, AdmissionPolicy, AdmissionReason, MemoryFit,
+    QueuePrediction, ShareStanding,
+};
--- a/crates/plumgate/src/gateway/admission/policy.rs
+++ b/crates/plumgate/src/gateway/admission/policy.rs
@@ -27,13 +27,86 @@
 pub enum AdmissionDecision {
     /// Send it to the server.
     Send,
+    /// Keep it at this node and decide again after a pause.
+    Wait {
+        /// Time until the next decision.
+        pause: Duration,
+        /// Why it is not sent now.
+        reason: AdmissionReason,
+    },
     /// Refuse it; it was not run.
     Refuse {
         /// Delay after which the caller should retry.
         retry_after: Duration,
+        /// Why it is refused.
+        reason: AdmissionReason,
     },
 }
 
+/// Reason for which a request is not sent now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum AdmissionReason {
+    /// The queue of the best server is too long for the target.
+    Overloaded,
+    /// Its workspace has more than its share while room is short.
+    ShareExceeded,
+    /// No server has the memory for it now.
+    NoMemory,
+    /// It is larger than the memory of any server.
+    TooLarge,
+}
+
+impl AdmissionReason {
+    /// Returns the name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Overloaded => "overloaded",
+            Self::ShareExceeded => "share_exceeded",
+            Self::NoMemory => "no_memory",
+            Self::TooLarge => "too_large",
+        }
+    }
+}
+
+/// Work that a request's workspace was given, compared with its share.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ShareStanding {
+    /// Within its share, or shares don't matter as there is room.
+    #[default]
+    Within,
+    /// Beyond its share, within the burst allowance.
+    Burst,
+    /// Beyond both.
+    Exceeded,
+}
+
+/// Memory of the chosen server, compared with what a request needs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum MemoryFit {
+    /// The request fits, or the memory is not known.
+    #[default]
+    Fits,
+    /// The request is predicted to fit after this time.
+    FitsAfter(Duration),
+    /// The request is larger than the memory of any server of the pool.
+    Never,
+}
+
+/// What else the decision about a request depends on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AdmissionContext {
+    /// Standing of the request's workspace.
+    pub share: ShareStanding,
+    /// Whether the request fits into the memory of the chosen server.
+    pub memory: MemoryFit,
+    /// Whether its caller was told to come back at this time.
+    pub is_returning: bool,
+    /// Time for which the request has waited at this node.
+    pub waited: Duration,
+    /// Number of requests that wait at this node.
+    pub waiting: u32,
+}
+
 /// Predicted times of a request at the best server, and the time that it has left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QueuePrediction {
@@ -68,7 +141,12 @@
 
     /// Decides about a request. `spread`, from 0 to 1, is a random number that keeps refused callers from
     /// retrying all at once.
-    pub fn decide(&self, prediction: &QueuePrediction, spread: f64) -> AdmissionDecision {
+    pub fn decide(
+        &self,
+        prediction: &QueuePrediction,
+        _context: &AdmissionContext,
+        spread: f64,
+    ) -> AdmissionDecision {
         let max_queue = prediction.target_left.mul_f64(QUEUE_SHARE);
         let max_wait = prediction.left.mul_f64(START_SHARE);
         let refuses = self.switches.has(PolicyPart::Refusing);
@@ -77,6 +155,7 @@
         }
         AdmissionDecision::Refuse {
             retry_after: self.retry_delay(prediction.queue, prediction.left, spread),
+            reason: AdmissionReason::Overloaded,
         }
     }
 
--- a/crates/plumgate/src/gateway/config.rs
+++ b/crates/plumgate/src/gateway/config.rs
@@ -155,6 +155,15 @@
     pub path: &'a str,
 }
 
+/// Limits of the engines of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLimits {
+    /// Number of requests that an engine runs at once.
+    pub slots: u32,
+    /// Tokens that the memory of an engine holds, of running requests and of cached parts.
+    pub memory_tokens: u64,
+}
+
 /// Version of the gateway's configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatewayConfig {
@@ -176,6 +185,10 @@
     longest_targets: HashMap<PoolId, BTreeMap<u8, Duration>>,
     /// Bounds of the pools whose number of servers Plumgate controls.
     scaling: BTreeMap<PoolId, PoolScaling>,
+    /// Limits of the pools whose servers are engines. Sent behind the configuration, as nodes of earlier builds read it
+    /// without.
+    #[serde(skip)]
+    engines: BTreeMap<PoolId, EngineLimits>,
 }
 
 impl GatewayConfig {
@@ -294,6 +307,27 @@
         self.scaling.iter()
     }
 
+    /// Adds a pool whose servers are engines with known limits.
+    pub fn with_engine(mut self, pool: PoolId, limits: EngineLimits) -> Self {
+        self.engines.insert(pool, limits);
+        self
+    }
+
+    /// Returns the limits of a pool's engines, if they are known.
+    pub fn engine(&self, pool: &PoolId) -> Option<&EngineLimits> {
+        self.engines.get(pool)
+    }
+
+    /// Returns the limits of the engines of all pools.
+    pub(crate) fn engines(&self) -> &BTreeMap<PoolId, EngineLimits> {
+        &self.engines
+    }
+
+    /// Sets the limits of the engines of all pools.
+    pub(crate) fn set_engines(&mut self, engines: BTreeMap<PoolId, EngineLimits>) {
+        self.engines = engines;
+    }
+
     /// Returns the workspaces, each once.
     pub fn workspaces(&self) -> BTreeSet<&WorkspaceId> {
         self.keys.values().map(|owner| &owner.workspace).collect()
--- a/crates/plumgate/src/gateway/exchange/load_exchange.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange.rs
@@ -20,6 +20,7 @@
 use super::peer_view::{PeerView, ReceivedStatement};
 use super::peers::{COLLECTOR_SILENCE, PeerTable};
 use super::reported_work::ReportedWork;
+use super::sums::{SumReport, SumTable};
 use crate::errors::Result;
 use crate::gateway::servers::ServerEntry;
 use crate::gateway::sync::messages::SyncRequest;
@@ -93,6 +94,8 @@
     duty_messages: DutyMessages,
     /// Sealed messages about the statements of servers, received and not taken yet.
     received_statements: Vec<ReceivedStatement>,
+    /// Counts by key that are added up over all nodes.
+    sums: SumTable,
 }
 
 impl LoadExchange {
@@ -113,6 +116,7 @@
             collecting_since: None,
             duty_messages: DutyMessages::default(),
             received_statements: Vec::new(),
+            sums: SumTable::default(),
         }
     }
 
@@ -239,6 +243,11 @@
         &mut self.duty_messages
     }
 
+    /// Returns the counts by key that are added up over all nodes.
+    pub fn sums(&mut self) -> &mut SumTable {
+        &mut self.sums
+    }
+
     /// Returns whether this node should hold the fleet's duties: it is the collector of the data centre whose
     /// name sorts first among the reachable ones. The same node reads the store for the collectors, so that no
     /// other node needs the state of the whole fleet.
@@ -285,6 +294,8 @@
             return self.collect(sync, sync_request, now);
         };
         let mut packets = self.usage_packets(std::slice::from_ref(&collector));
+        let reports = self.sums.take_reports(None, now);
+        packets.extend(self.sum_packets(&reports.to_collector, std::slice::from_ref(&collector)));
         // Work that has ended must be reported once as zero, or it would count until it expires.
         let mut entries = self.own_reported.clone();
         for key in previous {
@@ -318,6 +329,23 @@
         packets
     }
 
+    /// Encodes reports of sums to some nodes.
+    fn sum_packets(&mut self, reports: &[SumReport], recipients: &[NodeId]) -> Vec<ExchangePacket> {
+        let mut packets = Vec::new();
+        for report in reports {
+            let message = self.message(ExchangeBody::Sums(report.clone()));
+            let Ok(bytes) = message.encode() else {
+                continue;
+            };
+            for node in recipients {
+                if let Some(peer) = self.peers.peer_mut(node) {
+                    packets.push((peer.entry.address, bytes.clone()));
+                }
+            }
+        }
+        packets
+    }
+
     /// Creates a message of this node that contains only a body.
     fn message(&self, body: ExchangeBody) -> ExchangeMessage {
         let own = self.peers.own();
@@ -412,6 +440,11 @@
                     });
                 }
             }
+            ExchangeBody::Sums(report) => {
+                let is_collector = self.collector.as_ref() == Some(&node);
+                self.sums
+                    .receive(&node, &data_centre, is_collector, report, now);
+            }
             ExchangeBody::DataCentre(entries) => {
                 self.duty_messages.receive_from_data_centre(
                     &data_centre,
@@ -526,6 +559,10 @@
         };
         let collectors: Vec<NodeId> = collectors.into_iter().collect();
         packets.extend(self.usage_packets(&collectors));
+        let data_centre = self.peers.own().data_centre.clone();
+        let reports = self.sums.take_reports(Some(&data_centre), now);
+        packets.extend(self.sum_packets(&reports.to_members, &nodes));
+        packets.extend(self.sum_packets(&reports.to_data_centres, &collectors));
         packets.extend(self.packets(
             &sum,
             ExchangeBody::DataCentre,
@@ -567,7 +604,10 @@
             .collect();
         for message in &mut messages {
             let count = match message.body {
-                ExchangeBody::Own(_) | ExchangeBody::Usage(_) | ExchangeBody::Statements(_) => 1,
+                ExchangeBody::Own(_)
+                | ExchangeBody::Usage(_)
+                | ExchangeBody::Statements(_)
+                | ExchangeBody::Sums(_) => 1,
                 ExchangeBody::DataCentre(_) => self.peers.data_centre_size(),
                 ExchangeBody::Total(_) => self.peers.count(),
             };
@@ -578,9 +618,10 @@
         messages[0].demand = match messages[0].body {
             ExchangeBody::Own(_) => self.duty_messages.own_demand().to_vec(),
             ExchangeBody::DataCentre(_) => self.duty_messages.data_centre_demand(now),
-            ExchangeBody::Total(_) | ExchangeBody::Usage(_) | ExchangeBody::Statements(_) => {
-                Vec::new()
-            }
+            ExchangeBody::Total(_)
+            | ExchangeBody::Usage(_)
+            | ExchangeBody::Statements(_)
+            | ExchangeBody::Sums(_) => Vec::new(),
         };
         let mut packets = Vec::with_capacity(recipients.len() * messages.len());
         for node in recipients {
--- a/crates/plumgate/src/gateway/exchange/messages.rs
+++ b/crates/plumgate/src/gateway/exchange/messages.rs
@@ -4,6 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::nodes::NodeCapacity;
+use super::sums::SumReport;
 use crate::duty::{ClockReport, UsageUpdate};
 use crate::errors::{Error, Result};
 use crate::gateway::servers::ServerEntry;
@@ -39,6 +40,8 @@
     Usage(UsageUpdate),
     /// A message about the statements of servers, sealed with one key or two.
     Statements(Vec<Vec<u8>>),
+    /// Rows of one topic that are added up over all nodes.
+    Sums(SumReport),
 }
 
 /// Demand that requests for one pool cause.
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -25,8 +25,8 @@
 pub mod work;
 
 pub use admission::{
-    AdmissionDecision, AdmissionPolicy, BudgetBounds, BudgetState, FreshnessLease, QueuePrediction,
-    WindowBudget,
+    AdmissionContext, AdmissionDecision, AdmissionPolicy, AdmissionReason, BudgetBounds,
+    BudgetState, FreshnessLease, MemoryFit, QueuePrediction, ShareStanding, WindowBudget,
 };
 pub use answer_end::{
     AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, ContentEnd, FAILURE_WINDOW, FailureEvidence,
@@ -34,13 +34,14 @@
 };
 pub use caller_activity::CallerActivity;
 pub use config::{
-    CallerLimits, GatewayConfig, GatewayRoute, KeyOwner, PoolSplit, RepeatKind, RouteMatch,
-    StreamClass,
+    CallerLimits, EngineLimits, GatewayConfig, GatewayRoute, KeyOwner, PoolSplit, RepeatKind,
+    RouteMatch, StreamClass,
 };
 pub use events::EventSplitter;
 pub use exchange::{
     ClockScope, DutyMessages, ExchangeMoment, ExchangePacket, LoadExchange, NodeCapacity,
-    NodeEntry, PartLocation, PoolDemand, ReceivedClock, ReceivedStatement, ReceivedUsage,
+    NodeEntry, PartLocation, PoolDemand, ReceivedClock, ReceivedStatement, ReceivedUsage, SumKey,
+    SumRow, SumTable, SumTopic,
 };
 pub use origins::{
     HistoryReport, LookupId, LookupState, OriginFinding, OriginMessage, OriginPacket,
--- a/crates/plumgate/src/gateway/switches.rs
+++ b/crates/plumgate/src/gateway/switches.rs
@@ -52,10 +52,20 @@
     Tunnels,
     /// The number of servers follows the load; without it the operator's number is used, with reclaimable servers.
     ScaleByLoad,
+    /// The speed of single servers is estimated where they differ from their pool.
+    ServerProfiles,
+    /// The memory of engines limits what is sent to them.
+    EngineMemory,
+    /// Workspaces beyond their share are refused first where room is short.
+    WorkspaceShares,
+    /// Requests wait at the node for room, and refused callers are given times at which there is some.
+    WaitQueue,
+    /// Idle connections are reused for streams that may be resumed.
+    StreamConnections,
 }
 
 /// All mechanisms with their names in settings.
-const PARTS: [(PolicyPart, &str); 21] = [
+const PARTS: [(PolicyPart, &str); 26] = [
     (PolicyPart::Exchange, "exchange"),
     (PolicyPart::Affinity, "homes"),
     (PolicyPart::SecondPreferred, "second-home"),
@@ -77,6 +87,11 @@
     (PolicyPart::Scaling, "scaling"),
     (PolicyPart::ScaleByLoad, "scale-by-load"),
     (PolicyPart::Tunnels, "tunnels"),
+    (PolicyPart::ServerProfiles, "server-profiles"),
+    (PolicyPart::EngineMemory, "engine-memory"),
+    (PolicyPart::WorkspaceShares, "workspace-shares"),
+    (PolicyPart::WaitQueue, "wait-queue"),
+    (PolicyPart::StreamConnections, "stream-connections"),
 ];
 
 impl PolicyPart {
--- a/crates/plumgate/src/gateway/sync/snapshots.rs
+++ b/crates/plumgate/src/gateway/sync/snapshots.rs
@@ -130,7 +130,23 @@
     }
 }
 
-impl SnapshotState for Arc<GatewayConfig> {}
+impl SnapshotState for Arc<GatewayConfig> {
+    fn append_rest(&self, bytes: Vec<u8>) -> Result<Vec<u8>> {
+        if self.engines().is_empty() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(self.engines(), bytes).map_err(|_| Error::MalformedMessage)
+    }
+
+    fn read_rest(&mut self, rest: &[u8]) -> Result<()> {
+        if rest.is_empty() {
+            return Ok(());
+        }
+        let engines = postcard::from_bytes(rest).map_err(|_| Error::MalformedMessage)?;
+        Arc::make_mut(self).set_engines(engines);
+        Ok(())
+    }
+}
 
 impl SnapshotState for Vec<ServerEntry> {}
 
--- a/crates/plumgate/tests/gateway_config.rs
+++ b/crates/plumgate/tests/gateway_config.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use plumgate::gateway::{
-    CallerLimits, ConfigSnapshot, FreshnessLease, GatewayConfig, GatewayRoute, KeyOwner, PoolSplit,
-    RepeatKind, RouteMatch, StreamClass,
+    CallerLimits, ConfigSnapshot, EngineLimits, FreshnessLease, GatewayConfig, GatewayRoute,
+    KeyOwner, PoolSplit, RepeatKind, RouteMatch, StreamClass,
 };
 use quickcheck::quickcheck;
 
@@ -220,7 +220,13 @@
         priority: Some(1),
     };
     let routes = vec![route("a", "a.example", "/x/"), route("b", "b.example", "/")];
-    let original = config(routes).with_workspace(&workspace, ["k1".to_owned()]);
+    let limits = EngineLimits {
+        slots: 16,
+        memory_tokens: 595_267,
+    };
+    let original = config(routes)
+        .with_workspace(&workspace, ["k1".to_owned()])
+        .with_engine("models".into(), limits);
     let bytes = ConfigSnapshot::new(Arc::new(original.clone()), Duration::ZERO).encode();
     let snapshot = ConfigSnapshot::decode(&bytes.expect("it is encoded")).expect("it is decoded");
     assert_eq!(**snapshot.state(), original);
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -11,9 +11,9 @@
 use plumgate::duty::CapacityType;
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
-    AdmissionDecision, AdmissionPolicy, ExchangeMoment, LoadExchange, LoadTable, NodeEntry,
-    PlacementOptions, PlacementPolicy, PolicySwitches, PromptShape, QueuePrediction, ServerEntry,
-    ServerState, ServerStatements, StreamClass, SyncState,
+    AdmissionContext, AdmissionDecision, AdmissionPolicy, ExchangeMoment, LoadExchange, LoadTable,
+    NodeEntry, PlacementOptions, PlacementPolicy, PolicySwitches, PromptShape, QueuePrediction,
+    ServerEntry, ServerState, ServerStatements, StreamClass, SyncState,
 };
 use plumgate::gateway::{PlacementRequest, PromptPart, WorkOutcome, WorkTicket};
 use plumgate::ids::ServerId;
@@ -341,8 +341,9 @@
             target_left: Duration::from_secs_f64(traffic.target),
             left: Duration::from_secs_f64(left),
         };
-        let decision = AdmissionPolicy::new().decide(&prediction, self.rng.f64());
-        if let AdmissionDecision::Refuse { retry_after } = decision
+        let context = AdmissionContext::default();
+        let decision = AdmissionPolicy::new().decide(&prediction, &context, self.rng.f64());
+        if let AdmissionDecision::Refuse { retry_after, .. } = decision
             && self.plan.has_admission
         {
             self.refuse(pending, retry_after, now);
