--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod rate_limit;
 pub mod reachability;
 pub mod run_race;
+pub mod server_choices;
 pub mod servers;
 pub mod statements;
 pub mod switches;
@@ -68,6 +69,7 @@
     ServerRef, TunnelGate, TunnelPeers, TunnelRefusal, TunnelReply, TunnelResult,
 };
 pub use run_race::{RaceAction, RaceEvent, RunRace};
+pub use server_choices::{ServerChoice, ServerChoices};
 pub use servers::{IncarnationId, ServerEntry, ServerState, ServerTable};
 pub use statements::{
     AnswerTimes, BrittleStatement, BrittleTable, LeaveEvent, LeaveStatement, NoticeChange,
