gateway: open no connections while the entries of a stream's servers are outdated

Cause: a node that is cut off from the store does not know whether servers have restarted with another version, and refuses to continue a stream there. It found this out after it had opened a connection, and chose the same server again at once. The same held for a caller's resumption (RelayRun::answer).

Change: whether a request may be sent is checked before a connection is opened, and once more before it is sent. While all servers that could continue the stream have outdated entries, none is chosen: the age is checked every 50 ms, nothing is paid from the retry budget, and the stream goes on when the entries are current again. A stream that has begun waits until its time limit and is then truncated; a resumption that has not run is refused after an eighth of the target latency (503 server_version, Retry-After 0.5). Log lines entries_awaited and choice_wait, counter choice_waits by reason.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -58,6 +58,10 @@
         reason,
         arrived: false,
     };
+    if let Err(refusal) = work.check(order.origin) {
+        work.set_outcome(WorkOutcome::Unsent);
+        return Err(AttemptOutcome::Disallowed(refusal));
+    }
     let (link, connection) = match connect(shared, order).await {
         Ok(opened) => opened,
         Err(failure) => {
--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -112,6 +112,20 @@
         self.incarnation.clone()
     }
 
+    /// Checks whether the request may be sent to the server now.
+    pub(crate) fn check(&self, origin: OriginState) -> Result<(), SendRefusal> {
+        let send = SendContext {
+            now: self.shared.clock.boot_time(),
+            permit: self.permit.as_ref(),
+            is_last_resort: self.is_last_resort,
+        };
+        self.shared.statements().check(&self.server, send)?;
+        if !self.shared.allows_origin(&self.server, origin) {
+            return Err(SendRefusal::OtherVersion);
+        }
+        Ok(())
+    }
+
     /// Records that the request is about to be sent. Fails if the server's statements forbid it or the quarantine
     /// blocks the request.
     pub(crate) fn begin_run(
@@ -122,16 +136,7 @@
     ) -> Result<(), RunRefusal> {
         let now = self.shared.clock.now();
         self.sent = self.shared.clock.boot_time();
-        let send = SendContext {
-            now: self.sent,
-            permit: self.permit.as_ref(),
-            is_last_resort: self.is_last_resort,
-        };
-        let checked = self.shared.statements().check(&self.server, send);
-        checked.map_err(RunRefusal::Disallowed)?;
-        if !self.shared.allows_origin(&self.server, origin) {
-            return Err(RunRefusal::Disallowed(SendRefusal::OtherVersion));
-        }
+        self.check(origin).map_err(RunRefusal::Disallowed)?;
         let mut quarantine = self.shared.quarantine();
         let run = quarantine.begin(suspects, &self.server, connection, now);
         self.run = Some(run.map_err(RunRefusal::Blocked)?);
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -192,6 +192,8 @@
     pub(crate) noticed_sends: Family<NoticeLabels, Counter>,
     /// Requests that were not sent because of a statement of their server.
     pub(crate) disallowed_sends: Family<ReasonLabels, Counter>,
+    /// Waits of requests before they may choose a server again, by reason.
+    pub(crate) choice_waits: Family<ReasonLabels, Counter>,
     /// Servers with a leave notice.
     pub(crate) leaving_servers: Gauge,
     /// Servers with a rest notice.
@@ -253,6 +255,7 @@
             notices: Family::default(),
             noticed_sends: Family::default(),
             disallowed_sends: Family::default(),
+            choice_waits: Family::default(),
             leaving_servers: Gauge::default(),
             resting_servers: Gauge::default(),
             brittle_servers: Gauge::default(),
@@ -388,6 +391,11 @@
             "Requests sent to servers that leave or rest",
             self.noticed_sends.clone(),
         );
+        registry.register(
+            "choice_waits",
+            "Waits of requests before they may choose a server again",
+            self.choice_waits.clone(),
+        );
         registry.register(
             "barred_sends",
             "Requests not sent as their server's own word was against it",
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use plumgate::gateway::{
     AdmissionContext, AdmissionDecision, AdmissionPolicy, AnswerEnd, AnswerFraming, AnswerVerdict,
     BlockedRequest, BodyEnd, QueuePrediction, RepeatKind, RequestVerdict, SendPermit, SendRefusal,
-    ServerPick, WorkOutcome,
+    ServerChoice, ServerPick, WorkOutcome,
 };
 
 use super::answer::{GatewayBody, StreamChunk, full_body, own_answer, relayed_head, stream_body};
@@ -21,6 +21,7 @@
 use super::request::{AttemptOutcome, BROKEN_OFF, RESTARTED, ServerAnswer};
 use super::run::{MAX_SERVERS_TRIED, RelayRun, RetryCause};
 use super::stream::StreamRelay;
+use super::stream_origins::UNREACHABLE_RETRY_DELAY;
 use crate::answer_framing::{content_end, is_json};
 use crate::caller_error::CallerError;
 use crate::clock::{Clock, until};
@@ -108,28 +109,49 @@
     /// Chooses the next server and obtains the permit that its limit requires; fails if no server can be used.
     async fn choose_server(&mut self) -> Result<(ServerPick, Option<SendPermit>), CallerError> {
         loop {
+            if !self.wait_for_origin(self.origin_wait_end()).await {
+                let reason = SendRefusal::OtherVersion.as_str();
+                return Err(self.unserved_error(reason, UNREACHABLE_RETRY_DELAY));
+            }
             let Some(pick) = self.pick()? else {
                 self.wait_for_server().await?;
                 continue;
             };
-            if let Ok(permit) = self.request_permit(&pick).await {
-                return Ok((pick, permit));
+            match self.request_permit(&pick).await {
+                Ok(permit) => return Ok((pick, permit)),
+                Err(_) => self.choices.record_refusal(SendRefusal::Limited),
             }
         }
     }
 
+    /// Returns until when the entries of servers are awaited. A request that has not run is refused soon, as its
+    /// caller's retry reaches another node.
+    fn origin_wait_end(&self) -> Instant {
+        match self.run.outcome() {
+            RunOutcome::NotRun => self.request.arrived + self.max_wait(),
+            RunOutcome::Unknown | RunOutcome::Answered => self.request.due,
+        }
+    }
+
+    /// Returns the longest time for which a request waits here from its arrival on.
+    fn max_wait(&self) -> Duration {
+        self.request.route.target.mul_f64(DEFERRAL_WAIT_SHARE)
+    }
+
     /// Waits for a server whose own statements defer requests, if the wait is short. Otherwise fails with the time
     /// after which the caller should retry.
     async fn wait_for_server(&mut self) -> Result<(), CallerError> {
         let now = self.shared.clock.now();
         let placement = self.request.placement(&self.tried, false, self.origin);
         let Some(deferral) = self.shared.loads().deferral(&placement, now) else {
+            if let Some(next_round) = self.choices.awaited_round() {
+                self.wait_for_round(next_round).await;
+            }
             return Ok(());
         };
         let deferred_for = deferral.until.saturating_duration_since(now);
         let waited = now.saturating_duration_since(self.request.arrived);
-        let max_wait = self.request.route.target.mul_f64(DEFERRAL_WAIT_SHARE);
-        if waited + deferred_for <= max_wait {
+        if waited + deferred_for <= self.max_wait() {
             // The most urgent request is the first to find the server available again.
             let urgency_delay = URGENCY_WAKE_STEP * u32::from(self.request.urgency);
             self.shared.clock.sleep(deferred_for + urgency_delay).await;
@@ -157,10 +179,11 @@
         let placement = self
             .request
             .placement(&self.tried, is_isolated, self.origin);
-        let pick = self.shared.loads().pick(&placement, now);
+        let choice = self.choices.pick(&mut self.shared.loads(), &placement, now);
         let spread = self.shared.random_share();
-        let Some(pick) = pick else {
-            if self.shared.loads().deferral(&placement, now).is_some() {
+        let ServerChoice::Server(pick) = choice else {
+            let is_waiting = matches!(choice, ServerChoice::Wait(_));
+            if is_waiting || self.shared.loads().deferral(&placement, now).is_some() {
                 return Ok(None);
             }
             let has_only_leaving = self
@@ -196,7 +219,7 @@
                 return Err(self.unserved_error(reason.as_str(), retry_after));
             }
         }
-        Ok(Some(pick))
+        Ok(Some(*pick))
     }
 
     fn admission(&self) -> AdmissionPolicy {
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -7,8 +7,8 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::{AttemptEvent, AttemptRun};
 use plumgate::gateway::{
-    AnswerEnd, OriginState, RequestVerdict, SendPermit, SendRefusal, ServerEntry, ServerPick,
-    StreamOrigin,
+    AnswerEnd, OriginState, RequestVerdict, SendPermit, SendRefusal, ServerChoices, ServerEntry,
+    ServerPick, StreamOrigin,
 };
 use plumgate::ids::ServerId;
 use plumgate::retry::may_run_again;
@@ -28,7 +28,7 @@
 /// reached.
 pub(crate) const MAX_SERVERS_TRIED: u32 = 4;
 /// Shortest time left for which another attempt is made.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
+pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
 
 /// One request that the node relays, with the state of its attempts.
 pub(crate) struct RelayRun<C: Clock, W> {
@@ -42,6 +42,8 @@
     pub(crate) origin: OriginState,
     /// Servers that were tried, the current one last.
     pub(crate) tried: Vec<ServerId>,
+    /// Choices of servers, used or not.
+    pub(crate) choices: ServerChoices,
     /// Time at which the current attempt started.
     pub(crate) attempt_started_at: Option<Instant>,
     /// Whether an attempt is being made whose outcome is not known.
@@ -90,6 +92,7 @@
             request: Arc::new(request),
             run: AttemptRun::new(),
             tried: Vec::new(),
+            choices: ServerChoices::new(),
             attempt_started_at: None,
             is_attempting: false,
             is_sent: Arc::default(),
@@ -257,10 +260,11 @@
     }
 
     /// Undoes an attempt that was not sent because the server's statements forbid it: the server may be chosen
-    /// again.
+    /// again in a later round.
     pub(crate) fn on_disallowed(&mut self, server: &ServerEntry, refusal: SendRefusal) {
         self.apply(AttemptEvent::ConnectFailed);
         self.tried.pop();
+        self.choices.record_refusal(refusal);
         self.shared
             .record_disallowed_send(&self.request, server, refusal);
     }
@@ -276,13 +280,17 @@
 
     /// Decides whether a request that may have run is sent to another server, and takes the retry from the budget.
     pub(crate) fn allow_run_again(&mut self, reason: &'static str) -> bool {
+        self.may_run_again() && self.spend_retry(RetryCause::InDoubt, reason)
+    }
+
+    /// Returns whether a request that may have run may be sent to another server, if its retry is paid.
+    pub(crate) fn may_run_again(&self) -> bool {
         let tries = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
         may_run_again(RunOutcome::Unknown, self.request.route.kind.is_repeatable())
             && self.runs < self.request.route.max_attempts
             && tries < MAX_SERVERS_TRIED
             && self.time_left() > MIN_ATTEMPT_TIME
             && !matches!(self.quarantine_verdict(), RequestVerdict::Block(_))
-            && self.spend_retry(RetryCause::InDoubt, reason)
     }
 
     /// Returns whether some server may continue the stream: its origin is not in doubt, and servers of it are known.
--- a/crates/plumgate-node/src/gateway/second_run.rs
+++ b/crates/plumgate-node/src/gateway/second_run.rs
@@ -7,12 +7,15 @@
 
 use futures_lite::future;
 use plumgate::attempt::AttemptEvent;
-use plumgate::gateway::{RaceAction, RaceEvent, RequestVerdict, RunRace, SendPermit, ServerPick};
+use plumgate::gateway::{
+    RaceAction, RaceEvent, RequestVerdict, RunRace, SendPermit, SendRefusal, ServerChoice,
+    ServerPick,
+};
 use plumgate::ids::ServerId;
 
 use super::ports::WireFormat;
 use super::request::{AttemptEnd, AttemptOutcome, SILENT, ServerAnswer};
-use super::run::RelayRun;
+use super::run::{MIN_ATTEMPT_TIME, RelayRun};
 use crate::clock::{Clock, until};
 use crate::log::LogLine;
 
@@ -89,36 +92,67 @@
         reason: &'static str,
         resume_after: Option<u64>,
     ) -> SecondOutcome<C, W> {
-        if !self.allow_run_again(reason) {
-            return SecondOutcome::Denied;
-        }
         loop {
-            let Some((pick, permit)) = self.next_server().await else {
-                self.refund_retry();
+            // Nothing is paid while the entries of the servers are awaited.
+            let end = self.request.due.checked_sub(MIN_ATTEMPT_TIME);
+            let is_allowed = self.may_run_again()
+                && self.wait_for_origin(end.unwrap_or(self.request.due)).await
+                && self.allow_run_again(reason);
+            if !is_allowed {
+                return SecondOutcome::Denied;
+            }
+            while let Some((pick, permit)) = self.next_server().await {
+                if let Some(outcome) = self.ask(&pick, permit, resume_after).await {
+                    return outcome;
+                }
+            }
+            self.refund_retry();
+            if !self.awaits_entries() {
                 return SecondOutcome::Denied;
-            };
-            if let Some(outcome) = self.ask(&pick, permit, resume_after).await {
-                return outcome;
             }
         }
     }
 
     /// Chooses the next server that may run the request, and obtains the permit that its limit requires.
-    async fn next_server(&self) -> Option<(ServerPick, Option<SendPermit>)> {
+    async fn next_server(&mut self) -> Option<(ServerPick, Option<SendPermit>)> {
         while !self.time_left().is_zero() {
             let now = self.shared.clock.now();
             let is_isolated = self.quarantine_verdict() == RequestVerdict::SendIsolated;
             let placement = self
                 .request
                 .placement(&self.tried, is_isolated, self.origin);
-            let pick = self.shared.loads().pick(&placement, now)?;
-            if let Ok(permit) = self.request_permit(&pick).await {
-                return Some((pick, permit));
+            let choice = self.choices.pick(&mut self.shared.loads(), &placement, now);
+            let pick = match choice {
+                ServerChoice::Server(pick) => pick,
+                ServerChoice::Wait(next_round) => {
+                    self.wait_for_round(next_round).await;
+                    continue;
+                }
+                ServerChoice::None => return None,
+            };
+            match self.request_permit(&pick).await {
+                Ok(permit) => return Some((*pick, permit)),
+                Err(_) => self.choices.record_refusal(SendRefusal::Limited),
             }
         }
         None
     }
 
+    /// Waits for the next round of choices, as no server that was chosen in this one may run the request now.
+    pub(crate) async fn wait_for_round(&self, next_round: Instant) {
+        let pause = next_round.saturating_duration_since(self.shared.clock.now());
+        let reason = self.choices.refusal().map_or("unused", SendRefusal::as_str);
+        self.shared.record_choice_wait(reason);
+        LogLine::new("choice_wait")
+            .with("request", &self.request.id)
+            .with("pool", &self.request.pool)
+            .with("reason", reason)
+            .with("round", self.choices.waits())
+            .with("wait_ms", pause.as_millis())
+            .info(&self.shared.log);
+        self.shared.clock.sleep(pause).await;
+    }
+
     /// Asks the given server; `None` if the request was not sent.
     async fn ask(
         &mut self,
--- a/crates/plumgate-node/src/gateway/stream_origins.rs
+++ b/crates/plumgate-node/src/gateway/stream_origins.rs
@@ -1,7 +1,7 @@
 //! What this node knows of the software versions of servers when a stream begins or goes on.
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
 use plumgate::gateway::{
@@ -11,8 +11,9 @@
 use plumgate::ids::PoolId;
 
 use super::metrics::ReasonLabels;
-use super::ports::ResumedStream;
+use super::ports::{ResumedStream, WireFormat};
 use super::request::RelayRequest;
+use super::run::RelayRun;
 use super::shared::GatewayShared;
 use crate::caller_error::CallerError;
 use crate::clock::{Clock, until};
@@ -24,7 +25,10 @@
 /// The same for a node that receives no messages of others: its own watch of the servers takes longer.
 const MAX_LONE_ENTRY_AGE: Duration = Duration::from_millis(6_500);
 /// Delay that a caller is asked for if nodes that may know the stream did not reply, or the view of the servers is late.
-const UNREACHABLE_RETRY_DELAY: Duration = Duration::from_millis(500);
+pub(crate) const UNREACHABLE_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Pause between two checks of whether outdated entries are current again; nodes receive them every 100 ms.
+const ENTRY_CHECK_PAUSE: Duration = Duration::from_millis(50);
 
 /// Lookup that ends when it is dropped, as its caller disconnects.
 struct LookupGuard<'a, C: Clock, W> {
@@ -65,9 +69,14 @@
             known.start_time == server.start_time && known.version == server.version
         });
         drop(loads);
+        is_unchanged && (server.start_time.is_none() || self.are_entries_current())
+    }
+
+    /// Returns whether the entries of the servers are new enough that servers which may restart under their ids count as
+    /// the known incarnations.
+    fn are_entries_current(&self) -> bool {
         let known_at = Duration::from_millis(self.servers_known_ms.load(Ordering::Relaxed));
-        let age = self.clock.boot_time().saturating_sub(known_at);
-        is_unchanged && (server.start_time.is_none() || age <= self.max_entry_age())
+        self.clock.boot_time().saturating_sub(known_at) <= self.max_entry_age()
     }
 
     /// Returns whether a server may continue a stream.
@@ -241,6 +250,58 @@
     }
 }
 
+impl<C: Clock, W: WireFormat> RelayRun<C, W> {
+    /// Returns whether the stream could go on if the entries of the servers were current: servers of its origin are
+    /// left, and all of them may have restarted with another version.
+    pub(crate) fn awaits_entries(&self) -> bool {
+        let OriginState::Fixed(origin) = self.origin else {
+            return false;
+        };
+        if self.shared.are_entries_current() {
+            return false;
+        }
+        let loads = self.shared.loads();
+        let mut left = loads
+            .entries()
+            .filter(|entry| origin.matches(entry) && !self.tried.contains(&entry.id))
+            .peekable();
+        left.peek().is_some() && left.all(|entry| entry.start_time.is_some())
+    }
+
+    /// Waits while the entries of all servers that could continue the stream are outdated. Returns whether that ended
+    /// before the given time.
+    pub(crate) async fn wait_for_origin(&self, end: Instant) -> bool {
+        if !self.awaits_entries() {
+            return true;
+        }
+        let clock = &self.shared.clock;
+        let began_at = clock.now();
+        let mut is_current = false;
+        while !is_current && clock.now() < end {
+            let left = end.saturating_duration_since(clock.now());
+            clock.sleep(ENTRY_CHECK_PAUSE.min(left)).await;
+            is_current = self.shared.are_entries_current();
+        }
+        let waited = clock.now().saturating_duration_since(began_at);
+        self.shared.record_choice_wait("entries_outdated");
+        LogLine::new("entries_awaited")
+            .with("request", &self.request.id)
+            .with("pool", &self.request.pool)
+            .with("current", is_current)
+            .with("waited_ms", waited.as_millis())
+            .info(&self.shared.log);
+        is_current
+    }
+}
+
+impl<C: Clock, W> GatewayShared<C, W> {
+    /// Counts a wait of a request before it may choose a server again.
+    pub(crate) fn record_choice_wait(&self, reason: &'static str) {
+        let labels = ReasonLabels { reason };
+        self.metrics.choice_waits.get_or_create(&labels).inc();
+    }
+}
+
 /// Returns the pools to which the request's route may lead.
 fn allowed_pools(request: &RelayRequest) -> impl Iterator<Item = &PoolId> {
     let splits = request.route.pools.iter();
