gateway: a lookup of a stream's origin waits until its queries are sent

Cause: once the queries of a lookup were due and until they were sent, the lookup was to be advanced at a time that had passed, so that the request's task advanced it again and again without time passing, for up to 160 ms.

Change: it is advanced 10 ms later at the earliest.

--- a/crates/plumgate/src/gateway/origins/lookup.rs
+++ b/crates/plumgate/src/gateway/origins/lookup.rs
@@ -10,6 +10,8 @@
 
 /// Time after which nodes that have not replied are asked once more.
 pub(crate) const REPEAT_AFTER: Duration = Duration::from_millis(80);
+/// Pause between two looks at a lookup whose queries are due and have not been sent yet.
+pub(crate) const UNSENT_PAUSE: Duration = Duration::from_millis(10);
 /// Time for the replies of the nodes that are asked first.
 pub(crate) const FIRST_TIMEOUT: Duration = Duration::from_millis(240);
 /// Time for the replies of all other nodes.
--- a/crates/plumgate/src/gateway/origins/lookups.rs
+++ b/crates/plumgate/src/gateway/origins/lookups.rs
@@ -7,7 +7,7 @@
 use super::holders::{asked, others};
 use super::lookup::{
     AskPhase, LookupId, LookupState, OriginFinding, OriginLookup, OriginSource, REPEAT_AFTER,
-    VIEW_TIMEOUT,
+    UNSENT_PAUSE, VIEW_TIMEOUT,
 };
 use super::messages::{OriginMessage, OriginPacket, OriginReply};
 use crate::gateway::exchange::NodeEntry;
@@ -178,7 +178,9 @@
         }
         (_, Some(end)) if lookup.is_repeated => return LookupState::WaitsUntil(end),
         (_, Some(end)) => {
-            return LookupState::WaitsUntil(end.min(lookup.phase_since + REPEAT_AFTER));
+            // The time of queries that are due is over: without a pause, the lookup would be advanced at once.
+            let repeats_at = (lookup.phase_since + REPEAT_AFTER).max(now + UNSENT_PAUSE);
+            return LookupState::WaitsUntil(end.min(repeats_at));
         }
         (SingleVersion::AwaitsView, None) if now < view_end => {
             return LookupState::WaitsUntil(view_end);
--- a/crates/plumgate/tests/origin_lookups.rs
+++ b/crates/plumgate/tests/origin_lookups.rs
@@ -401,3 +401,31 @@
         assert!(!keys[index + 1..].contains(key));
     }
 }
+
+/// Guards against a lookup that is advanced again and again without time passing, because its queries are due and the
+/// task that sends them does not run: where they share a thread, it never would.
+#[test]
+fn lookup_whose_queries_are_not_sent_waits() {
+    const MAX_STEPS: usize = 40;
+    let mut origins = settled_node(&["v1", "v2"]);
+    let id = origins.begin_lookup(&question("late"), START);
+    let (id, mut now) = (id.expect("a lookup"), START);
+    for step in 0.. {
+        assert!(step < MAX_STEPS, "{step} steps in {:?}", now - START);
+        match origins.advance(id, now) {
+            LookupState::WaitsUntil(at) => {
+                assert!(
+                    at > now,
+                    "a wait until {:?} at {:?}",
+                    at - START,
+                    now - START
+                );
+                now = at;
+            }
+            LookupState::Done(finding) => {
+                assert_eq!(finding, OriginFinding::Unreachable);
+                break;
+            }
+        }
+    }
+}
