gateway: profiles of individual servers, first version

Cause: all servers of a pool are predicted alike; a quarter at 0.55 of the speed gets the same share. Change: evidence from answers, sums over nodes, steps of speed in predictions, preferred servers, groups, scaling.

--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use plumgate::gateway::{
     AnswerTimes, BlockedRequest, BootTime, ConnectionKind, OriginState, RunFinding, RunSuspects,
@@ -173,6 +174,13 @@
         }
     }
 
+    /// Records a pause between two events of the server's answer.
+    pub(crate) fn record_pause(&mut self, pause: Duration) {
+        if let Some(ticket) = &mut self.ticket {
+            ticket.record_pause(pause);
+        }
+    }
+
     /// Records that the server has sent nothing for longer than it may, while the request waits on.
     pub(crate) fn on_silence(&mut self) {
         self.outcome = WorkOutcome::TimedOut;
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -204,6 +204,10 @@
     pub(crate) lent_places: Gauge,
     /// Places at brittle servers that this node has borrowed from others.
     pub(crate) borrowed_places: Gauge,
+    /// Servers that are slower than their pool.
+    pub(crate) slow_servers: Gauge,
+    /// Servers that are faster than their pool.
+    pub(crate) fast_servers: Gauge,
 }
 
 impl GatewayMetrics {
@@ -261,6 +265,8 @@
             brittle_servers: Gauge::default(),
             lent_places: Gauge::default(),
             borrowed_places: Gauge::default(),
+            slow_servers: Gauge::default(),
+            fast_servers: Gauge::default(),
         };
         metrics.registry = metrics.register(Registry::with_prefix("plumgate_gateway"));
         metrics
@@ -411,6 +417,16 @@
             "Servers that asked for a rest",
             self.resting_servers.clone(),
         );
+        registry.register(
+            "slow_servers",
+            "Servers that are slower than their pool",
+            self.slow_servers.clone(),
+        );
+        registry.register(
+            "fast_servers",
+            "Servers that are faster than their pool",
+            self.fast_servers.clone(),
+        );
         registry.register(
             "brittle_servers",
             "Servers that said that they fail if they reject too many requests",
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod server_limits;
 mod server_notices;
 mod server_paths;
+mod server_profiles;
 mod shared;
 mod snapshot_requests;
 mod snapshots;
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -389,6 +389,9 @@
                 let pause = now.saturating_duration_since(last);
                 self.record_run(pause);
                 self.run.observe_pause(pause);
+                if let Some(source) = &mut self.source {
+                    source.work.record_pause(pause);
+                }
             }
         }
         self.last_chunk = Some(now);
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -51,7 +51,7 @@
 };
 pub use placement::{
     ExpiredLoan, LoadTable, PlaceMessage, PlaceRound, PlacementOptions, PlacementPolicy,
-    PlacementRequest, ServerPick,
+    PlacementRequest, ProfileChange, ProfileCounts, ServerPick,
 };
 pub use prompt::{PromptPart, PromptShape};
 pub use quarantine::{
--- a/crates/plumgate/src/gateway/placement/cache_holder.rs
+++ b/crates/plumgate/src/gateway/placement/cache_holder.rs
@@ -15,16 +15,19 @@
 }
 
 impl CacheHolder {
-    /// Finds the server that lacks the fewest shared tokens of the prompt.
+    /// Finds the server that lacks the fewest shared tokens of the prompt, of several one that is not slow.
     pub(crate) fn find<'a>(
         servers: impl Iterator<Item = &'a ServerLoad>,
         prompt: &PromptShape,
         now: Instant,
     ) -> Self {
-        let holders = servers.map(|load| (load.uncached(prompt, now), &load.entry.id));
-        let best = holders.min_by_key(|(uncached, _)| *uncached);
+        let holders = servers.map(|load| {
+            let uncached = load.uncached(prompt, now);
+            (uncached, load.profile.is_slow(), &load.entry.id)
+        });
+        let best = holders.min_by_key(|(uncached, is_slow, _)| (*uncached, *is_slow));
         Self {
-            best: best.map(|(uncached, id)| (uncached, id.clone())),
+            best: best.map(|(uncached, _, id)| (uncached, id.clone())),
         }
     }
 
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -1,6 +1,7 @@
 //! Choice of the backend server of a request. Shared prompt parts are cached by few preferred servers, and a
 //! preferred server that is too busy is passed over for the next one.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,7 @@
 use super::place_loans::PlaceLoans;
 use super::place_ranks::PlaceRanks;
 use super::prefill_speed::PrefillSpeeds;
+use super::profiles::{ProfileChange, ProfileCounts, ProfileTable};
 use super::server_load::{CostPrediction, ServerLoad, TokenCosts};
 use super::server_room::PlaceShare;
 use crate::duty::{CapacityType, PoolLoad};
@@ -23,7 +25,7 @@
 use crate::gateway::rate_limit::ServerLimits;
 use crate::gateway::servers::{ServerChange, ServerEntry};
 use crate::gateway::switches::PolicyPart;
-use crate::gateway::work::{ServerWork, URGENCY_LEVELS, WorkOutcome, WorkTicket};
+use crate::gateway::work::{PauseSample, ServerWork, URGENCY_LEVELS, WorkOutcome, WorkTicket};
 use crate::ids::{DataCentreId, PoolId, ServerId};
 
 /// Number of servers of the group sampled for a request that has no preferred server. Short streams answered
@@ -37,6 +39,10 @@
 /// servers help.
 const INTERACTIVE_OVERFLOW_SECONDS: f64 = 0.15;
 
+/// Shared tokens from which on a prompt is long, so that a slow server is no preferred one: it would take some 0.2 s to
+/// prefill them.
+const MIN_LONG_TOKENS: u64 = 4_000;
+
 /// State of all servers as known to one node.
 #[derive(Debug)]
 pub struct LoadTable {
@@ -46,6 +52,8 @@
     data_centres: DataCentreTable,
     /// Prefill speed of each pool's servers.
     speeds: PrefillSpeeds,
+    /// What is known of the speed of individual servers.
+    profiles: ProfileTable,
     /// Share of each pool's servers that is reserved for interactive streams.
     shares: GroupShares,
     /// Parts that this node was the first to send to a server, not yet announced to other nodes.
@@ -68,6 +76,7 @@
             servers: BTreeMap::new(),
             data_centres: DataCentreTable::new(),
             speeds: PrefillSpeeds::default(),
+            profiles: ProfileTable::default(),
             shares: GroupShares::default(),
             new_locations: Vec::new(),
             demand: DemandMeter::default(),
@@ -134,6 +143,10 @@
                 .or_default()
                 .push(location.part);
         }
+        if self.has(PolicyPart::ServerProfiles) {
+            self.profiles
+                .exchange_with(&mut self.servers, exchange, now);
+        }
         let counts_peers = self.has(PolicyPart::Exchange);
         let rank = self.ranks.own_rank(exchange, now);
         if self.servers.values().any(ServerLoad::is_brittle) {
@@ -208,6 +221,8 @@
             .values()
             .filter(|load| load.entry.pool == *pool);
         let mean_tokens = self.demand.mean(pool);
+        let of_pool: Vec<&ServerLoad> = of_pool.collect();
+        load.server_speed *= self.mean_prefill_factor(&of_pool);
         for server in of_pool {
             let counts = load
                 .data_centres
@@ -230,6 +245,46 @@
         load
     }
 
+    /// Returns the mean prefill speed of the servers that accept work, relative to a typical one.
+    fn mean_prefill_factor(&self, servers: &[&ServerLoad]) -> f64 {
+        let accepting = servers.iter().filter(|load| load.accepts_work());
+        let factors = accepting.map(|load| self.profiles.prefill_factor(load));
+        let (sum, count) = factors.fold((0.0, 0.0), |(sum, count), factor| {
+            (sum + factor, count + 1.0)
+        });
+        if count > 0.0 { sum / count } else { 1.0 }
+    }
+
+    /// Returns those of a group and of all candidates that may be the preferred servers of a request: a long prompt gets
+    /// no slow server, if there are others.
+    fn preferable<'a>(
+        &self,
+        request: &PlacementRequest<'_>,
+        group: &'a [ServerId],
+        all: &'a [ServerId],
+    ) -> (Cow<'a, [ServerId]>, Cow<'a, [ServerId]>) {
+        let shared = request.prompt.map_or(&[][..], PromptShape::shared);
+        let shared_tokens: u64 = shared.iter().map(|part| u64::from(part.tokens)).sum();
+        let is_long = shared_tokens >= MIN_LONG_TOKENS;
+        if !is_long || !self.profiles.differ(request.pool) {
+            return (Cow::Borrowed(group), Cow::Borrowed(all));
+        }
+        (self.without_slow(group), self.without_slow(all))
+    }
+
+    /// Returns the servers that are not slow, or all where all are.
+    fn without_slow<'a>(&self, servers: &'a [ServerId]) -> Cow<'a, [ServerId]> {
+        let others = servers
+            .iter()
+            .filter(|id| !self.servers[*id].profile.is_slow());
+        let others: Vec<ServerId> = others.cloned().collect();
+        if others.is_empty() {
+            Cow::Borrowed(servers)
+        } else {
+            Cow::Owned(others)
+        }
+    }
+
     /// Returns the work that this node has in flight, without servers that have none.
     pub fn own_work(&self) -> impl Iterator<Item = (&ServerEntry, ServerWork)> {
         self.servers
@@ -264,7 +319,8 @@
         let groups = self.groups(request.pool);
         let members = groups.members(request.class, &candidates);
         let shared = request.prompt.filter(|_| self.has(PolicyPart::Affinity));
-        let preferred = PreferredServers::new(shared, &members, &candidates, self.options.switches);
+        let (first, others) = self.preferable(request, &members, &candidates);
+        let preferred = PreferredServers::new(shared, &first, &others, self.options.switches);
         let is_cached = self.has(PolicyPart::CacheWeights)
             && members.iter().any(|id| {
                 let load = &self.servers[id];
@@ -283,8 +339,9 @@
             let load = &self.servers[&id];
             let rank = preferred.rank(&id);
             let has_affinity = self.has(PolicyPart::Affinity);
+            let pace = self.profiles.pace(load, now);
             let tokens = TokenCosts {
-                speed,
+                speed: speed * pace.prefill,
                 prefill_weight: if has_affinity {
                     rank.prefill_weight(is_cached)
                 } else {
@@ -292,6 +349,7 @@
                 },
                 copy_weight: rank.copy_weight(),
                 cached_nowhere: cache_holder.cached_nowhere(),
+                pace,
             };
             let prediction = load.predict(request, &tokens, &self.options, now);
             let overflow = match (request.class, groups.class(&id)) {
@@ -373,7 +431,8 @@
         } else {
             1.0
         };
-        ServerGroups::new(of_pool.map(|load| load.entry.id.clone()), share)
+        let servers = of_pool.map(|load| (load.profile.is_slow(), load.entry.id.clone()));
+        ServerGroups::new(servers, share)
     }
 
     /// Applies the rate limits that servers named.
@@ -397,6 +456,9 @@
             prefill_tokens: pick.prefill_tokens,
             total_prefill_tokens: pick.ahead_tokens + pick.prefill_tokens,
             started: now,
+            has_prompt: request.prompt.is_some(),
+            first_byte: None,
+            pauses: PauseSample::default(),
         };
         if let Some(load) = ticket_load(&mut self.servers, &ticket) {
             load.own.in_flight += 1;
@@ -419,6 +481,7 @@
     /// Records that the answer began, which means that the server has prefilled the prompt.
     pub fn record_first_byte(&mut self, ticket: &mut WorkTicket, now: Instant) {
         let tokens = std::mem::take(&mut ticket.prefill_tokens);
+        ticket.first_byte.get_or_insert(now);
         let estimates_speed = self.has(PolicyPart::PrefillSpeed);
         let Some(load) = ticket_load(&mut self.servers, ticket) else {
             return;
@@ -428,16 +491,22 @@
             load.own.pending_prefill[ticket.urgency].saturating_sub(tokens);
         if estimates_speed && tokens > 0 {
             let took = now.saturating_duration_since(ticket.started);
-            self.speeds
-                .record(&load.entry.pool, ticket.total_prefill_tokens, took, now);
+            // The speed of a pool is that of its typical server.
+            let factor = self.profiles.prefill_factor(load);
+            let tokens = (ticket.total_prefill_tokens as f64 / factor) as u64;
+            self.speeds.record(&load.entry.pool, tokens, took, now);
         }
     }
 
     /// Records how a request ended.
     pub fn finish(&mut self, ticket: WorkTicket, outcome: WorkOutcome, now: Instant) {
+        let has_profiles = self.has(PolicyPart::ServerProfiles);
         let Some(load) = ticket_load(&mut self.servers, &ticket) else {
             return;
         };
+        if has_profiles {
+            self.profiles.record(load, &ticket, outcome, now);
+        }
         load.own.in_flight = load.own.in_flight.saturating_sub(1);
         let pending = &mut load.own.pending_prefill[ticket.urgency];
         *pending = pending.saturating_sub(ticket.prefill_tokens);
@@ -460,6 +529,16 @@
         }
     }
 
+    /// Returns the changes of server profiles since the last call.
+    pub fn take_profile_changes(&mut self) -> Vec<ProfileChange> {
+        self.profiles.take_changes()
+    }
+
+    /// Returns the numbers of servers that differ from their pools.
+    pub fn profile_counts(&self) -> ProfileCounts {
+        self.profiles.counts()
+    }
+
     /// Returns servers for probe connections, one in each data centre that seems cut off.
     pub fn probes(&mut self, now: Instant) -> Vec<ServerEntry> {
         let due = self.data_centres.due_probes(now);
--- a/crates/plumgate/src/gateway/placement/mod.rs
+++ b/crates/plumgate/src/gateway/placement/mod.rs
@@ -13,6 +13,7 @@
 mod place_loans;
 mod place_ranks;
 mod prefill_speed;
+mod profiles;
 mod server_load;
 mod server_room;
 
@@ -20,3 +21,4 @@
 pub use load::LoadTable;
 pub use place_exchange::PlaceRound;
 pub use place_loans::{ExpiredLoan, PlaceMessage};
+pub use profiles::{ProfileChange, ProfileCounts};
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::choice::{PlacementOptions, PlacementRequest, SendDeferral};
+use super::profiles::{ServerPace, ServerProfile};
 use super::server_room::{PlaceShare, ServerRoom};
 use crate::gateway::config::StreamClass;
 use crate::gateway::prompt::{MIN_TRACKED_TOKENS, PromptShape};
@@ -18,7 +19,7 @@
 /// grows with its members.
 const STEP_COST: f64 = 0.000_3;
 /// Service time, in seconds, of a request without a prompt.
-const DEFAULT_SERVICE_SECONDS: f64 = 0.03;
+pub(crate) const DEFAULT_SERVICE_SECONDS: f64 = 0.03;
 /// Cost, in seconds, of a server in another data centre, from the round trip between two of them.
 const DISTANCE_SECONDS: f64 = 0.002;
 /// Cost, in seconds, of a failure share of one: about the time that a second attempt takes.
@@ -34,7 +35,7 @@
 const SLOTS_FULL: f64 = 0.9;
 /// Time, in seconds, that a request waits for a slot where as many others wait as there are slots: about the
 /// time that a stream occupies one.
-const SLOT_SECONDS: f64 = 2.0;
+pub(crate) const SLOT_SECONDS: f64 = 2.0;
 /// Time of copying a shared token from another server, as a share of its prefill time: an engine prefills
 /// 13,300 tokens in 235 ms and copies them in 5 to 30 ms, behind other copies.
 const COPY_SHARE: f64 = 0.1;
@@ -96,6 +97,8 @@
     is_unconfirmed: bool,
     parts: HashMap<u64, Instant>,
     part_order: VecDeque<u64>,
+    /// Its speed relative to its pool.
+    pub(crate) profile: ServerProfile,
 }
 
 /// Costs of the shared tokens of a prompt at one server.
@@ -108,6 +111,8 @@
     pub(crate) copy_weight: f64,
     /// Shared tokens of the prompt that no server caches, so that they can't be copied.
     pub(crate) cached_nowhere: u64,
+    /// Its pace in everything else.
+    pub(crate) pace: ServerPace,
 }
 
 /// Predictions for a request at one server.
@@ -149,6 +154,7 @@
             is_unconfirmed: false,
             parts: HashMap::new(),
             part_order: VecDeque::new(),
+            profile: ServerProfile::default(),
         }
     }
 
@@ -310,7 +316,7 @@
         let in_flight = self.own.in_flight + self.peers.in_flight;
         let Some(prompt) = request.prompt else {
             let slots = f64::from(self.entry.slots.max(1));
-            let wait = f64::from(in_flight) / slots * DEFAULT_SERVICE_SECONDS;
+            let wait = f64::from(in_flight) / slots * tokens.pace.service_seconds;
             return CostPrediction {
                 cost: cost + wait,
                 queue: wait,
@@ -331,10 +337,11 @@
         let copied = uncached - uncopied;
         let prefill = uncopied + own_tokens + (copied as f64 * COPY_SHARE) as u64;
         let speed = tokens.speed;
-        let queue = ahead as f64 / speed + slot_wait(in_flight, self.entry.slots);
+        let queue =
+            ahead as f64 / speed + slot_wait(in_flight, self.entry.slots, tokens.pace.slot_seconds);
         let wait = queue + prefill as f64 / speed;
         let shared = uncopied as f64 * tokens.prefill_weight + copied as f64 * tokens.copy_weight;
-        cost += wait + shared / speed + f64::from(in_flight) * STEP_COST;
+        cost += wait + shared / speed + f64::from(in_flight) * STEP_COST / tokens.pace.decode;
         if request.class == StreamClass::Interactive {
             let behind = self.pending_prefill().saturating_sub(ahead);
             cost += behind as f64 / speed * PAUSE_WEIGHT;
@@ -442,8 +449,8 @@
 }
 
 /// Returns the seconds that a request is expected to wait for a slot.
-fn slot_wait(in_flight: u32, slots: u32) -> f64 {
+fn slot_wait(in_flight: u32, slots: u32, slot_seconds: f64) -> f64 {
     let slots = f64::from(slots.max(1));
     let over = f64::from(in_flight) - slots * SLOTS_FULL;
-    over.max(0.0) / slots * SLOT_SECONDS
+    over.max(0.0) / slots * slot_seconds
 }
--- a/crates/plumgate/src/gateway/work.rs
+++ b/crates/plumgate/src/gateway/work.rs
@@ -1,6 +1,6 @@
 //! Requests in flight at backend servers, and their outcomes.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::servers::StartTime;
 use crate::ids::ServerId;
@@ -49,6 +49,11 @@
     /// Prompt tokens that the server prefills before it begins to answer, those of earlier requests included.
     pub(crate) total_prefill_tokens: u64,
     pub(crate) started: Instant,
+    /// Whether the request has a prompt.
+    pub(crate) has_prompt: bool,
+    /// When the answer began.
+    pub(crate) first_byte: Option<Instant>,
+    pub(crate) pauses: PauseSample,
 }
 
 impl WorkTicket {
@@ -56,6 +61,49 @@
     pub fn server(&self) -> &ServerId {
         &self.server
     }
+
+    /// Records a pause between two events of the answer; of an answer whose beginning was received from another server,
+    /// none counts.
+    pub fn record_pause(&mut self, pause: Duration) {
+        if self.first_byte.is_some() {
+            self.pauses.record(pause);
+        }
+    }
+}
+
+/// Number of pauses that are kept of a stream.
+const MAX_PAUSES: usize = 16;
+/// Pause below which two events were received at once, so that it says nothing about the server.
+const MIN_PAUSE_MICROS: u32 = 1_000;
+
+/// First pauses between the events of a stream, in microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PauseSample {
+    micros: [u32; MAX_PAUSES],
+    count: usize,
+}
+
+impl PauseSample {
+    fn record(&mut self, pause: Duration) {
+        let micros = u32::try_from(pause.as_micros()).unwrap_or(u32::MAX);
+        if micros < MIN_PAUSE_MICROS || self.count == MAX_PAUSES {
+            return;
+        }
+        self.micros[self.count] = micros;
+        self.count += 1;
+    }
+
+    /// Returns the pause that a quarter of them don't exceed, if there are enough. It is hardly affected by prompts that
+    /// the server prefills between events.
+    pub(crate) fn lower_quartile(&self, min_count: usize) -> Option<Duration> {
+        if self.count < min_count.max(1) {
+            return None;
+        }
+        let mut sorted = self.micros;
+        let sorted = &mut sorted[..self.count];
+        sorted.sort_unstable();
+        Some(Duration::from_micros(sorted[(self.count - 1) / 4].into()))
+    }
 }
 
 /// Outcome of a request at a server, as evidence for or against the server.
--- a/crates/plumgate/tests/gateway_load.rs
+++ b/crates/plumgate/tests/gateway_load.rs
@@ -2,6 +2,8 @@
 
 mod load;
 
+use std::collections::BTreeMap;
+
 use load::engine::TOKENS_PER_SECOND;
 use load::{LoadPlan, LoadResult, LoadRun, RestHandling, ShedPlan, TrafficKind};
 use plumgate::gateway::{PlacementPolicy, PolicyPart, PolicySwitches, StreamClass};
@@ -63,6 +65,8 @@
         policy: PlacementPolicy::PredictedCost,
         switches: PolicySwitches::new(),
         prefill_speed: TOKENS_PER_SECOND,
+        slots: 64,
+        speeds: BTreeMap::new(),
         has_admission: true,
         has_exchange: true,
         callers_retry: false,
--- a/crates/plumgate/tests/load/engine.rs
+++ b/crates/plumgate/tests/load/engine.rs
@@ -5,8 +5,6 @@
 
 use plumgate::gateway::PromptShape;
 
-/// Requests that run at the same time.
-pub(crate) const SLOTS: usize = 64;
 /// Duration of a step without any request, in seconds.
 const STEP_SECONDS: f64 = 0.003_79;
 /// Seconds that each running request adds to a step.
@@ -55,6 +53,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ModelEngine {
     prefill_speed: f64,
+    /// Factor by which it is faster than usual, in steps as well as prefill.
+    pub(crate) speed: f64,
+    /// Requests that run at the same time.
+    slots: usize,
     waiting: Vec<EngineRequest>,
     running: Vec<RunningRequest>,
     cached: HashMap<u64, u64>,
@@ -66,9 +68,11 @@
 }
 
 impl ModelEngine {
-    pub(crate) fn new(prefill_speed: f64) -> Self {
+    pub(crate) fn new(prefill_speed: f64, speed: f64, slots: usize) -> Self {
         Self {
             prefill_speed,
+            speed,
+            slots,
             waiting: Vec::new(),
             running: Vec::new(),
             cached: HashMap::new(),
@@ -113,12 +117,12 @@
             chunk_left -= prefilled;
             seconds += prefilled as f64 / self.prefill_speed;
         }
-        self.busy_until = now + seconds;
+        self.busy_until = now + seconds / self.speed;
         self.generate()
     }
 
     fn admit(&mut self) {
-        while self.running.len() < SLOTS && !self.waiting.is_empty() {
+        while self.running.len() < self.slots && !self.waiting.is_empty() {
             let request = self.waiting.remove(0);
             let pending_prefill = self.start_prefill(&request);
             self.running.push(RunningRequest {
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -12,15 +12,15 @@
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
     AdmissionContext, AdmissionDecision, AdmissionPolicy, ExchangeMoment, LoadExchange, LoadTable,
-    NodeEntry, PlacementOptions, PlacementPolicy, PolicySwitches, PromptShape, QueuePrediction,
-    ServerEntry, ServerState, ServerStatements, StreamClass, SyncState,
+    NodeEntry, PlacementOptions, PlacementPolicy, PolicySwitches, ProfileChange, PromptShape,
+    QueuePrediction, ServerEntry, ServerState, ServerStatements, StreamClass, SyncState,
 };
 use plumgate::gateway::{PlacementRequest, PromptPart, WorkOutcome, WorkTicket};
 use plumgate::ids::ServerId;
 
 pub(crate) use shedding::{RestHandling, ShedPlan};
 
-use engine::{EngineEvent, EngineRequest, ModelEngine, SLOTS};
+use engine::{EngineEvent, EngineRequest, ModelEngine};
 
 /// Seconds between two rounds of the exchange.
 const ROUND: f64 = 0.2;
@@ -59,6 +59,10 @@
     pub(crate) switches: PolicySwitches,
     /// Prefill speed of the engines, in prompt tokens per second.
     pub(crate) prefill_speed: f64,
+    /// Requests that run at an engine at the same time.
+    pub(crate) slots: usize,
+    /// Speed of single engines relative to the others, which have 1.
+    pub(crate) speeds: BTreeMap<usize, f64>,
     /// Whether nodes refuse requests whose answers would be late.
     pub(crate) has_admission: bool,
     /// Whether nodes exchange load reports.
@@ -112,6 +116,10 @@
     /// engine had asked of it.
     pub(crate) shed: u64,
     pub(crate) during_rest: u64,
+    /// Bytes of the messages between nodes.
+    pub(crate) sent: usize,
+    /// Changes of server profiles at all nodes, each with its time in seconds.
+    pub(crate) changes: Vec<(f64, ProfileChange)>,
 }
 
 /// A caller's request that no engine has accepted yet.
@@ -174,7 +182,12 @@
             rng: fastrand::Rng::with_seed(plan.seed),
             start,
             nodes,
-            engines: vec![ModelEngine::new(plan.prefill_speed); plan.engines],
+            engines: (0..plan.engines)
+                .map(|index| {
+                    let speed = plan.speeds.get(&index).copied().unwrap_or(1.0);
+                    ModelEngine::new(plan.prefill_speed, speed, plan.slots)
+                })
+                .collect(),
             callers: Vec::new(),
             retries: Vec::new(),
             rests: BTreeMap::new(),
@@ -428,6 +441,9 @@
                 if caller.tokens % EVENT_TOKENS == 1 {
                     let pause = now - caller.last_event;
                     caller.is_late |= caller.tokens > 1 && pause > kind.pause;
+                    if let Some(ticket) = caller.ticket.as_mut().filter(|_| caller.tokens > 1) {
+                        ticket.record_pause(Duration::from_secs_f64(pause));
+                    }
                     caller.last_event = now;
                 }
             }
@@ -486,6 +502,10 @@
                 .tick(node.table.own_work(), &mut node.sync, moment);
             packets.extend(own.into_iter().map(|(to, bytes)| (to, node.address, bytes)));
         }
+        self.result.sent += packets
+            .iter()
+            .map(|(_, _, bytes)| bytes.len())
+            .sum::<usize>();
         for (to, from, bytes) in packets {
             let index = usize::from(to.port() - 1000);
             let node = &mut self.nodes[index];
@@ -494,6 +514,12 @@
         }
         for node in &mut self.nodes {
             node.table.exchange_with(&mut node.exchange, at);
+            self.result.changes.extend(
+                node.table
+                    .take_profile_changes()
+                    .into_iter()
+                    .map(|change| (now, change)),
+            );
         }
     }
 }
@@ -512,7 +538,7 @@
         .with_seed(plan.seed + index as u64);
     let mut table = LoadTable::new(options);
     for engine in 0..plan.engines {
-        let change = ServerChange::Changed(server(engine));
+        let change = ServerChange::Changed(server(engine, plan.slots));
         table.apply(&change, start);
     }
     let mut exchange = LoadExchange::new(entry(index));
@@ -526,14 +552,14 @@
     }
 }
 
-fn server(engine: usize) -> ServerEntry {
+fn server(engine: usize, slots: usize) -> ServerEntry {
     ServerEntry {
         id: format!("engine-{engine}").into(),
         start_time: None,
         pool: "models".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         data_centre: format!("hall-{}", engine % 3).into(),
-        slots: SLOTS as u32,
+        slots: slots as u32,
         state: ServerState::Ready,
         cold_for: Duration::ZERO,
         kind: CapacityType::Lasting,
