gateway: profiles tested over drawn loads; log lines and gauges; groups as before

Change: groups are divided as before; slowly decoded streams show within seconds that a pool differs; a slow decoder costs interactive streams more; a profile's evidence is reported until it is worth a quarter of an observation.

--- a/crates/plumgate-node/src/gateway/server_profiles.rs
+++ b/crates/plumgate-node/src/gateway/server_profiles.rs
@@ -1,11 +1,10 @@
 //! Log lines and metrics of the profiles of individual servers.
 
-use super::ports::WireFormat;
 use super::shared::GatewayShared;
 use crate::clock::Clock;
 use crate::log::LogLine;
 
-impl<C: Clock, W: WireFormat> GatewayShared<C, W> {
+impl<C: Clock, W> GatewayShared<C, W> {
     /// Logs the profiles that changed by a step, and updates the numbers of slow and fast servers.
     pub(crate) fn report_profiles(&self) {
         let mut loads = self.loads();
--- a/crates/plumgate/src/gateway/placement/groups.rs
+++ b/crates/plumgate/src/gateway/placement/groups.rs
@@ -68,17 +68,15 @@
 }
 
 impl ServerGroups {
-    /// Divides the servers, each given with whether it is slow, with this share of them for interactive streams. Slow
-    /// servers come first: the prompts of interactive streams are short, and a long prompt takes longest there.
-    pub(crate) fn new(servers: impl Iterator<Item = (bool, ServerId)>, share: f64) -> Self {
-        let mut servers: Vec<(bool, u64, ServerId)> = servers
-            .map(|(is_slow, id)| (!is_slow, xxh3_64(id.as_bytes()), id))
-            .collect();
+    /// Divides the servers, with this share of them for interactive streams.
+    pub(crate) fn new(servers: impl Iterator<Item = ServerId>, share: f64) -> Self {
+        let mut servers: Vec<(u64, ServerId)> =
+            servers.map(|id| (xxh3_64(id.as_bytes()), id)).collect();
         servers.sort();
         let count = (servers.len() as f64 * share).ceil() as usize;
         servers.truncate(count);
         Self {
-            interactive: servers.into_iter().map(|(_, _, id)| id).collect(),
+            interactive: servers.into_iter().map(|(_, id)| id).collect(),
         }
     }
 
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -431,8 +431,7 @@
         } else {
             1.0
         };
-        let servers = of_pool.map(|load| (load.profile.is_slow(), load.entry.id.clone()));
-        ServerGroups::new(servers, share)
+        ServerGroups::new(of_pool.map(|load| load.entry.id.clone()), share)
     }
 
     /// Applies the rate limits that servers named.
--- a/crates/plumgate/src/gateway/placement/profiles/server_profile.rs
+++ b/crates/plumgate/src/gateway/placement/profiles/server_profile.rs
@@ -30,6 +30,8 @@
 const SLOW_BOUNDS: (f64, f64) = (0.75, 0.9);
 /// Deviation from which on evidence is reported: an eighth.
 const MIN_REPORTED: f64 = 0.12;
+/// Observations of an aspect from which on it is reported: an observation counts for 30 s.
+const MIN_REPORTED_WEIGHT: f64 = 0.25;
 /// Units of a reported observation.
 const WEIGHT_UNITS: f64 = 16.0;
 /// Units of a reported log ratio.
@@ -137,7 +139,8 @@
     pub(crate) fn report(&self, key: SumKey, own: &RelativeEvidence) -> Option<SumRow> {
         let deviates = own.iter().any(|own| own.mean.abs() >= MIN_REPORTED);
         let is_believed = self.steps != [TYPICAL_STEP; SpeedAspect::COUNT];
-        if !deviates && !is_believed {
+        let is_old = own.iter().all(|own| own.weight < MIN_REPORTED_WEIGHT);
+        if is_old || !deviates && !is_believed {
             return None;
         }
         let mut values = Vec::with_capacity(2 * SpeedAspect::COUNT);
@@ -146,8 +149,7 @@
             values.push(weight as u32);
             values.push((weight * (own.mean + RATIO_OFFSET) * RATIO_UNITS).round() as u32);
         }
-        let is_empty = values.iter().all(|value| *value == 0);
-        (!is_empty).then_some(SumRow { key, values })
+        Some(SumRow { key, values })
     }
 
     /// Takes over the sum of the other nodes' evidence. What `nodes` nodes can't have observed is ignored.
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -31,6 +31,10 @@
 /// Share of the less urgent pending prefill of a server that counts against it for an interactive stream:
 /// those prompts are prefilled between its tokens and lengthen its pauses.
 const PAUSE_WEIGHT: f64 = 0.5;
+/// Cost, in seconds, of a server that decodes half as fast as a typical one, for an interactive stream: its pauses are
+/// twice as long. Chat answered in time at 2.2 times the usual load in `tests/profile_load.rs`: the same with and without
+/// it; long prompts 0.973 without, 0.980 with it.
+const SLOW_DECODE_SECONDS: f64 = 0.1;
 /// Share of a server's slots in use from which on a request is expected to wait for one.
 const SLOTS_FULL: f64 = 0.9;
 /// Time, in seconds, that a request waits for a slot where as many others wait as there are slots: about the
@@ -345,6 +349,8 @@
         if request.class == StreamClass::Interactive {
             let behind = self.pending_prefill().saturating_sub(ahead);
             cost += behind as f64 / speed * PAUSE_WEIGHT;
+            let slowness = (1.0 / tokens.pace.decode - 1.0).max(0.0);
+            cost += slowness * SLOW_DECODE_SECONDS;
         }
         CostPrediction {
             cost,
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -1,5 +1,6 @@
 //! Simulation of a fleet under load, without a network: nodes that place requests, engines that run them, and
 //! callers that leave when they have waited too long.
+#![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
 
 pub(crate) mod engine;
 pub(crate) mod shedding;
@@ -77,7 +78,7 @@
 }
 
 /// Results of the callers of one kind.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct KindResult {
     pub(crate) requests: u32,
     /// Complete answers with the first event within its target and no pause over its bound.
@@ -116,8 +117,6 @@
     /// engine had asked of it.
     pub(crate) shed: u64,
     pub(crate) during_rest: u64,
-    /// Bytes of the messages between nodes.
-    pub(crate) sent: usize,
     /// Changes of server profiles at all nodes, each with its time in seconds.
     pub(crate) changes: Vec<(f64, ProfileChange)>,
 }
@@ -502,10 +501,6 @@
                 .tick(node.table.own_work(), &mut node.sync, moment);
             packets.extend(own.into_iter().map(|(to, bytes)| (to, node.address, bytes)));
         }
-        self.result.sent += packets
-            .iter()
-            .map(|(_, _, bytes)| bytes.len())
-            .sum::<usize>();
         for (to, from, bytes) in packets {
             let index = usize::from(to.port() - 1000);
             let node = &mut self.nodes[index];
--- a/crates/plumgate/tests/profile_load.rs
+++ b/crates/plumgate/tests/profile_load.rs
@@ -74,79 +74,67 @@
     speeds.collect()
 }
 
-fn run(name: &str, plan: LoadPlan) -> LoadResult {
-    let result = LoadRun::new(plan).run();
-    let shares: Vec<String> = result
-        .kinds
-        .iter()
-        .map(|(kind, counts)| format!("{kind} {:.3}", counts.share()))
-        .collect();
-    let last = result.changes.iter().map(|(at, _)| *at);
-    println!(
-        "{name}: {shares:?}, {} bytes sent, {} changes, the last at {:.1} s",
-        result.sent,
-        result.changes.len(),
-        last.fold(0.0, f64::max)
-    );
-    result
+/// Results with the profiles of servers on and off.
+fn run_both(plan: LoadPlan) -> [LoadResult; 2] {
+    let switches = PolicySwitches::new().without(PolicyPart::ServerProfiles);
+    let without = LoadPlan {
+        switches,
+        ..plan.clone()
+    };
+    [plan, without].map(|plan| {
+        let result = LoadRun::new(plan).run();
+        for (kind, counts) in &result.kinds {
+            println!("{kind:8} in time {:.3} {counts:?}", counts.share());
+        }
+        let last = result.changes.iter().map(|(at, _)| *at).fold(0.0, f64::max);
+        println!("{} changes, last at {last:.1} s", result.changes.len());
+        result
+    })
 }
 
+/// Guards against late answers where a quarter of the engines is slow, and all are predicted alike; and against profiles
+/// that keep changing after the step of the load.
 #[test]
-fn trial() {
-    for (load, seed) in [(1.0, 1), (1.6, 2)] {
-        for speeds in [drawn_speeds(seed), BTreeMap::new()] {
-            let with = LoadPlan {
-                speeds,
-                ..plan(load, seed)
-            };
-            let without = PolicySwitches::new().without(PolicyPart::ServerProfiles);
-            let without = LoadPlan {
-                switches: without,
-                ..with.clone()
-            };
-            println!(
-                "load {load} {:?}",
-                with.speeds
-                    .iter()
-                    .filter(|(_, s)| **s < 1.0)
-                    .map(|(i, _)| *i)
-                    .collect::<Vec<_>>()
-            );
-            let result = run("with", with);
-            run("without", without);
-            for second in 0..42 {
-                let at = result
-                    .changes
-                    .iter()
-                    .filter(|(at, _)| *at as usize == second);
-                let n = at.count();
-                if n > 0 {
-                    print!("{second}:{n} ");
-                }
-            }
-            println!();
-            let mut last: BTreeMap<String, Vec<f64>> = BTreeMap::new();
-            let mut lastd: BTreeMap<String, Vec<f64>> = BTreeMap::new();
-            for (at, change) in &result.changes {
-                if *at > 20.0 {
-                    last.entry(change.server.to_string())
-                        .or_default()
-                        .push(change.prefill);
-                    lastd
-                        .entry(change.server.to_string())
-                        .or_default()
-                        .push(change.decode);
-                }
-            }
-            for (server, p) in last {
-                let d = &lastd[&server];
-                println!(
-                    "  {server} prefill {:.2} decode {:.2} n {}",
-                    p.iter().sum::<f64>() / p.len() as f64,
-                    d.iter().sum::<f64>() / d.len() as f64,
-                    p.len()
-                );
+fn more_callers_are_served_in_time_where_engines_differ() {
+    let mut sums: [BTreeMap<&str, f64>; 2] = Default::default();
+    for (load, seed) in [(1.0, 1), (1.6, 2), (2.2, 3)] {
+        println!("load {load}");
+        let results = run_both(LoadPlan {
+            speeds: drawn_speeds(seed),
+            ..plan(load, seed)
+        });
+        for (sums, result) in sums.iter_mut().zip(&results) {
+            for (kind, counts) in &result.kinds {
+                *sums.entry(kind).or_default() += counts.share() / 3.0;
             }
         }
+        let changes = &results[0].changes;
+        let between = |from, to| {
+            changes
+                .iter()
+                .filter(move |(at, _)| (from..to).contains(at))
+        };
+        let during_step = between(14.0, 22.0).count();
+        let afterwards = between(32.0, 40.0).count();
+        assert!(
+            afterwards * 4 < during_step,
+            "{during_step} changes in the step, {afterwards} later"
+        );
+    }
+    let [with, without] = sums;
+    println!("with {with:.3?}, without {without:.3?}");
+    assert!(with["summary"] > without["summary"] + 0.02);
+    assert!(with["chat"] >= without["chat"]);
+    assert!(with["history"] >= without["history"]);
+}
+
+/// Guards against other choices and predictions where the engines are alike, also in a burst.
+#[test]
+fn nothing_changes_where_engines_are_alike() {
+    for (load, seed) in [(1.0, 4), (2.2, 5)] {
+        let [with, without] = run_both(plan(load, seed));
+        assert_eq!(with.kinds, without.kinds);
+        assert_eq!(with.shared_prefill, without.shared_prefill);
+        assert!(with.changes.is_empty());
     }
 }
