gateway: fair shares of workspaces where capacity is short

Cause: neither admission nor placement knows what a workspace was given, so a workspace at 30 times its usual load takes the room of the others by its number of requests. Change: each node counts work by workspace, tier and pool (decay 5 s), exchanges it while capacity is short (SumTopic::WorkspaceUse), and holds workspaces at or beyond the max-min fair level to shorter queues (0.5 and 0.35 of the target instead of 0.7). Plain services refuse workspaces beyond their share. Switch workspace-shares; gauges, counter and a log line.

--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -342,6 +342,7 @@
                 if let Some(duties) = &self.duties {
                     duties.exchange_with(&mut exchange);
                 }
+                self.shared.run_share_round(exchange.sums(), moment);
                 let mut packets =
                     exchange.tick(loads.own_work(), &mut self.view.sync_state(), moment);
                 let mut statements = self.shared.statements();
--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -7,7 +7,7 @@
 use plumgate::gateway::{
     AnswerTimes, BlockedRequest, BootTime, ConnectionKind, OriginState, RunFinding, RunSuspects,
     RunTicket, SendContext, SendPermit, SendRefusal, ServerEntry, ServerPick, ServerStatement,
-    WorkOutcome, WorkTicket,
+    ShareTicket, WorkOutcome, WorkTicket,
 };
 
 use super::incarnations::ServerIncarnation;
@@ -71,6 +71,8 @@
     run: Option<RunTicket>,
     /// Time at which the request was sent.
     sent: BootTime,
+    /// Work that is counted for the request's workspace.
+    share: Option<ShareTicket>,
     /// Permit to send the request, until it is used.
     permit: Option<SendPermit>,
     /// Whether the server is leaving and no other can handle the request.
@@ -97,12 +99,19 @@
             ticket: Some(ticket),
             run: None,
             sent: BootTime::ZERO,
+            share: None,
             permit,
             outcome: WorkOutcome::Inconclusive,
             incarnation,
         }
     }
 
+    /// Sets the work that is counted for the request's workspace.
+    pub(crate) fn with_share(mut self, share: Option<ShareTicket>) -> Self {
+        self.share = share;
+        self
+    }
+
     /// Returns the entry of the server, as of the choice.
     pub(crate) fn server(&self) -> &ServerEntry {
         &self.server
@@ -172,6 +181,9 @@
             let now = self.shared.clock.now();
             self.shared.loads().record_first_byte(ticket, now);
         }
+        if let Some(share) = &mut self.share {
+            share.record_first_byte(self.shared.clock.boot_time());
+        }
     }
 
     /// Records a pause between two events of the server's answer.
@@ -209,6 +221,13 @@
         if let Some(ticket) = self.ticket.take() {
             self.shared.loads().finish(ticket, self.outcome, now);
         }
+        if let Some(share) = self.share.take() {
+            let boot_time = self.shared.clock.boot_time();
+            let was_sent = self.run.is_some();
+            self.shared
+                .shares()
+                .finish(share, was_sent, self.outcome, boot_time);
+        }
         if let Some(run) = self.run.take() {
             let identity = run.suspects().request();
             let finding = self.shared.quarantine().finish(run, self.outcome, now);
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -208,6 +208,16 @@
     pub(crate) slow_servers: Gauge,
     /// Servers that are faster than their pool.
     pub(crate) fast_servers: Gauge,
+    /// Workspaces that are beyond their share in a pool and tier.
+    pub(crate) limited_workspaces: Gauge,
+    /// Workspaces whose work is counted in a pool and tier.
+    pub(crate) tracked_workspaces: Gauge,
+    /// Workspaces that were too many to be reported to the other nodes one by one.
+    pub(crate) unlisted_workspaces: Gauge,
+    /// Requests refused because their workspace is beyond its share.
+    pub(crate) share_refusals: Counter,
+    /// Workspaces and API keys that were no longer counted for want of space.
+    pub(crate) shares_dropped: Counter,
 }
 
 impl GatewayMetrics {
@@ -267,6 +277,11 @@
             borrowed_places: Gauge::default(),
             slow_servers: Gauge::default(),
             fast_servers: Gauge::default(),
+            limited_workspaces: Gauge::default(),
+            tracked_workspaces: Gauge::default(),
+            unlisted_workspaces: Gauge::default(),
+            share_refusals: Counter::default(),
+            shares_dropped: Counter::default(),
         };
         metrics.registry = metrics.register(Registry::with_prefix("plumgate_gateway"));
         metrics
@@ -442,6 +457,31 @@
             "Places at brittle servers that this node has borrowed from others",
             self.borrowed_places.clone(),
         );
+        registry.register(
+            "limited_workspaces",
+            "Workspaces beyond their share in a pool and tier",
+            self.limited_workspaces.clone(),
+        );
+        registry.register(
+            "tracked_workspaces",
+            "Workspaces whose work is counted in a pool and tier",
+            self.tracked_workspaces.clone(),
+        );
+        registry.register(
+            "unlisted_workspaces",
+            "Workspaces too many to be reported one by one",
+            self.unlisted_workspaces.clone(),
+        );
+        registry.register(
+            "share_refusals",
+            "Requests refused as their workspace is beyond its share",
+            self.share_refusals.clone(),
+        );
+        registry.register(
+            "shares_dropped",
+            "Workspaces and keys no longer counted for want of space",
+            self.shares_dropped.clone(),
+        );
         registry.register(
             "duty_number",
             "Generation number of the duties held here",
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod server_paths;
 mod server_profiles;
 mod shared;
+mod shares;
 mod snapshot_requests;
 mod snapshots;
 mod source_calls;
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -208,14 +208,24 @@
             target_left: self.target_left(now),
             left,
         };
-        if self.tried.is_empty() && self.request.metadata.prompt.is_some() {
-            let context = AdmissionContext::default();
-            let decision = self.admission().decide(&wait, &context, spread);
+        if self.tried.is_empty() {
+            let share = self.assess_share(&wait);
+            let context = AdmissionContext {
+                share: share.standing,
+                urgent_share: share.urgent,
+                ..AdmissionContext::default()
+            };
+            let decision = if self.request.metadata.prompt.is_some() {
+                self.admission().decide(&wait, &context, spread)
+            } else {
+                self.admission().decide_plain(&wait, &context, spread)
+            };
             if let AdmissionDecision::Refuse {
                 retry_after,
                 reason,
             } = decision
             {
+                self.record_share_refusal(&share, &pick, reason);
                 return Err(self.unserved_error(reason.as_str(), retry_after));
             }
         }
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -120,7 +120,8 @@
         let now = self.shared.clock.now();
         let placement = self.request.placement(&self.tried, false, self.origin);
         let ticket = self.shared.loads().start(pick, &placement, now);
-        let work = WorkGuard::new(self.shared.clone(), pick, ticket, permit);
+        let work = WorkGuard::new(self.shared.clone(), pick, ticket, permit)
+            .with_share(self.begin_share(pick));
         self.begin_attempt(&pick.server.id);
         let order = AttemptOrder {
             request: self.request.clone(),
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -12,7 +12,7 @@
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
     FreshnessLease, GatewayConfig, LoadTable, PathTable, PlacementOptions, QuarantineTable,
-    ServerStatements, StreamOrigins, TunnelGate, TunnelPeers, WindowBudget,
+    ServerStatements, StreamOrigins, TunnelGate, TunnelPeers, WindowBudget, WorkspaceShares,
 };
 use plumgate::ids::WorkspaceId;
 
@@ -79,6 +79,7 @@
     tunnel_gate: Mutex<TunnelGate>,
     origins: Mutex<StreamOrigins>,
     usage: Mutex<UsageTally>,
+    shares: Mutex<WorkspaceShares>,
     /// Difference between the Unix time that the nodes agree on and the time since the VM started, in
     /// milliseconds.
     pub(crate) unix_offset_ms: AtomicI64,
@@ -151,6 +152,7 @@
             origins_changed: Event::new(),
             open_tunnels: AtomicU64::new(0),
             usage: Mutex::default(),
+            shares: Mutex::new(WorkspaceShares::new(options.switches)),
             unix_offset_ms: AtomicI64::new(0),
             rng: Mutex::new(fastrand::Rng::with_seed(options.node_seed())),
             open_requests: AtomicU64::new(0),
@@ -239,6 +241,11 @@
         lock(&self.usage)
     }
 
+    /// Returns the work that workspaces were given.
+    pub(crate) fn shares(&self) -> MutexGuard<'_, WorkspaceShares> {
+        lock(&self.shares)
+    }
+
     /// Counts a request of a workspace that started to run at a server `ago` before now.
     pub(crate) fn record_start(&self, workspace: Option<&WorkspaceId>, ago: Duration) {
         let (Some(workspace), Some(duties)) = (workspace, self.options.duties) else {
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -298,6 +298,8 @@
         self.shared.quarantine().set_config(&config);
         self.shared.statements().set_config(&config);
         self.shared.tunnel_gate().set_config(&config);
+        let workspaces = config.workspaces().len();
+        self.shared.shares().set_workspaces(workspaces);
         self.observe_routes(&config);
         self.shared.config.store(Some(config));
         true
--- a/crates/plumgate/src/gateway/admission/mod.rs
+++ b/crates/plumgate/src/gateway/admission/mod.rs
@@ -9,6 +9,7 @@
 
 pub use budget::{BudgetBounds, BudgetState, WindowBudget};
 pub use freshness::FreshnessLease;
+pub(crate) use policy::QueuePressure;
 pub use policy::{
     AdmissionContext, AdmissionDecision, AdmissionPolicy, AdmissionReason, MemoryFit,
     QueuePrediction, ShareStanding,
--- a/crates/plumgate/src/gateway/admission/policy.rs
+++ b/crates/plumgate/src/gateway/admission/policy.rs
@@ -11,6 +11,12 @@
 /// the target is for the prefill of the prompt. Long prompts answered in time in a simulated fleet of 20
 /// engines under a burst of 2.3 times: 0.38 without this limit, 0.73 with it (`tests/gateway_load.rs`).
 const QUEUE_SHARE: f64 = 0.7;
+/// The same share for a workspace at its fair share. What is left up to [`QUEUE_SHARE`] is for workspaces that demand
+/// less than theirs.
+const BURST_QUEUE_SHARE: f64 = 0.5;
+/// The same share for a workspace beyond its fair share and its burst allowance. It is not 0, so that no server is idle
+/// while requests are refused.
+const EXCEEDED_QUEUE_SHARE: f64 = 0.35;
 /// Share of the time left within which a server must be able to begin its answer. The rest is for the answer
 /// itself.
 const START_SHARE: f64 = 0.9;
@@ -69,7 +75,7 @@
 }
 
 /// Work that a request's workspace was given, compared with its share.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ShareStanding {
     /// Within its share, or shares don't matter as there is room.
     #[default]
@@ -80,6 +86,50 @@
     Exceeded,
 }
 
+impl ShareStanding {
+    /// Returns the share of a request's target that it may spend in a server's queue.
+    fn queue_share(self) -> f64 {
+        match self {
+            Self::Within => QUEUE_SHARE,
+            Self::Burst => BURST_QUEUE_SHARE,
+            Self::Exceeded => EXCEEDED_QUEUE_SHARE,
+        }
+    }
+
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Within => "within",
+            Self::Burst => "burst",
+            Self::Exceeded => "exceeded",
+        }
+    }
+}
+
+/// Whether a prediction shows that capacity is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum QueuePressure {
+    /// Every workspace is served.
+    Free,
+    /// A workspace beyond its share would be refused.
+    Delayed,
+    /// Every workspace would be refused.
+    Refused,
+}
+
+impl QueuePressure {
+    /// Returns what a prediction shows.
+    pub(crate) fn of(prediction: &QueuePrediction) -> Self {
+        if !prediction.is_served(ShareStanding::Within) {
+            Self::Refused
+        } else if !prediction.is_served(ShareStanding::Exceeded) {
+            Self::Delayed
+        } else {
+            Self::Free
+        }
+    }
+}
+
 /// Memory of the chosen server, compared with what a request needs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum MemoryFit {
@@ -97,6 +147,9 @@
 pub struct AdmissionContext {
     /// Standing of the request's workspace.
     pub share: ShareStanding,
+    /// Worst standing of a workspace in a more urgent tier of the pool: a request is not sent where that workspace's
+    /// requests would be refused.
+    pub urgent_share: ShareStanding,
     /// Whether the request fits into the memory of the chosen server.
     pub memory: MemoryFit,
     /// Whether its caller was told to come back at this time.
@@ -121,6 +174,13 @@
     pub left: Duration,
 }
 
+impl QueuePrediction {
+    fn is_served(&self, standing: ShareStanding) -> bool {
+        let max_queue = self.target_left.mul_f64(standing.queue_share());
+        self.queue <= max_queue && self.wait <= self.left.mul_f64(START_SHARE)
+    }
+}
+
 /// Rule by which requests are admitted or refused.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AdmissionPolicy {
@@ -144,18 +204,50 @@
     pub fn decide(
         &self,
         prediction: &QueuePrediction,
-        _context: &AdmissionContext,
+        context: &AdmissionContext,
+        spread: f64,
+    ) -> AdmissionDecision {
+        let standing = context.share.max(context.urgent_share);
+        if !self.switches.has(PolicyPart::Refusing) || prediction.is_served(standing) {
+            return AdmissionDecision::Send;
+        }
+        let is_overloaded = !prediction.is_served(ShareStanding::Within);
+        self.refuse(prediction, context, is_overloaded, spread)
+    }
+
+    /// Decides about a request without a prompt. Only a workspace beyond its share is refused: such requests are short,
+    /// and their servers reject what they can't take.
+    pub fn decide_plain(
+        &self,
+        prediction: &QueuePrediction,
+        context: &AdmissionContext,
         spread: f64,
     ) -> AdmissionDecision {
-        let max_queue = prediction.target_left.mul_f64(QUEUE_SHARE);
-        let max_wait = prediction.left.mul_f64(START_SHARE);
-        let refuses = self.switches.has(PolicyPart::Refusing);
-        if !refuses || prediction.queue <= max_queue && prediction.wait <= max_wait {
+        let is_exceeded = context.share.max(context.urgent_share) == ShareStanding::Exceeded;
+        let max_queue = prediction.target_left.mul_f64(EXCEEDED_QUEUE_SHARE);
+        let refuses = self.switches.has(PolicyPart::Refusing) && is_exceeded;
+        if !refuses || prediction.queue <= max_queue {
             return AdmissionDecision::Send;
         }
+        self.refuse(prediction, context, false, spread)
+    }
+
+    /// Refuses a request. `is_overloaded` says whether it would be refused whatever the shares.
+    fn refuse(
+        &self,
+        prediction: &QueuePrediction,
+        context: &AdmissionContext,
+        is_overloaded: bool,
+        spread: f64,
+    ) -> AdmissionDecision {
+        let reason = match context.share {
+            ShareStanding::Exceeded => AdmissionReason::ShareExceeded,
+            ShareStanding::Burst if !is_overloaded => AdmissionReason::ShareExceeded,
+            ShareStanding::Burst | ShareStanding::Within => AdmissionReason::Overloaded,
+        };
         AdmissionDecision::Refuse {
             retry_after: self.retry_delay(prediction.queue, prediction.left, spread),
-            reason: AdmissionReason::Overloaded,
+            reason,
         }
     }
 
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod run_race;
 pub mod server_choices;
 pub mod servers;
+pub mod shares;
 pub mod statements;
 pub mod switches;
 pub mod sync;
@@ -71,6 +72,7 @@
 pub use run_race::{RaceAction, RaceEvent, RunRace};
 pub use server_choices::{ServerChoice, ServerChoices};
 pub use servers::{IncarnationId, ServerEntry, ServerState, ServerTable};
+pub use shares::{ShareAssessment, ShareCounts, ShareHolder, ShareTicket, WorkspaceShares};
 pub use statements::{
     AnswerTimes, BrittleStatement, BrittleTable, LeaveEvent, LeaveStatement, NoticeChange,
     NoticeTable, RejectionLimit, ReportedEvents, RestNotice, RestStatement, SendContext,
