gateway: plain requests are refused for shares only where they would be late

Cause: a plain request after a queue of 0.35 of its target is still in time; a refused one is late when it returns. Change: bounds of 0.7 and 0.5 of the target at plain services (0.5 and 0.35 before). A log line when a node begins and ceases to limit workspaces.

--- a/crates/plumgate-node/src/gateway/shares.rs
+++ b/crates/plumgate-node/src/gateway/shares.rs
@@ -80,7 +80,14 @@
         let dropped = shares.take_dropped();
         drop(shares);
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
-        self.metrics.limited_workspaces.set(gauge(counts.limited));
+        let limited = gauge(counts.limited);
+        let limited_before = self.metrics.limited_workspaces.set(limited);
+        if (limited > 0) != (limited_before > 0) {
+            LogLine::new("shares")
+                .with("limited", limited)
+                .with("tracked", counts.tracked)
+                .info(&self.log);
+        }
         self.metrics.tracked_workspaces.set(gauge(counts.tracked));
         self.metrics.shares_dropped.inc_by(dropped);
         let unlisted = gauge(counts.unlisted);
--- a/crates/plumgate/src/gateway/admission/policy.rs
+++ b/crates/plumgate/src/gateway/admission/policy.rs
@@ -96,6 +96,16 @@
         }
     }
 
+    /// Returns the same share for a request without a prompt; `None` if it is sent however long the queue is. Such a
+    /// request is short: after a queue within today's bound for prompts it is still in time, and a refusal is not.
+    fn plain_queue_share(self) -> Option<f64> {
+        match self {
+            Self::Within => None,
+            Self::Burst => Some(QUEUE_SHARE),
+            Self::Exceeded => Some(BURST_QUEUE_SHARE),
+        }
+    }
+
     /// Returns the name used in logs.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -224,9 +234,10 @@
         spread: f64,
     ) -> AdmissionDecision {
         let standing = context.share.max(context.urgent_share);
-        let max_queue = prediction.target_left.mul_f64(standing.queue_share());
-        let refuses = self.switches.has(PolicyPart::Refusing) && standing != ShareStanding::Within;
-        if !refuses || prediction.queue <= max_queue {
+        let share = standing.plain_queue_share();
+        let max_queue = share.map(|share| prediction.target_left.mul_f64(share));
+        let is_refused = max_queue.is_some_and(|max_queue| prediction.queue > max_queue);
+        if !self.switches.has(PolicyPart::Refusing) || !is_refused {
             return AdmissionDecision::Send;
         }
         self.refuse(prediction, context, false, spread)
