gateway: the burst allowance of shares covers what chance alone brings

Cause: of 24 equal workspaces some were limited at any time, as 20 requests in 5 s vary by a quarter; refusals bought nothing there. Change: the allowance is two deviations of the use at the level; no room is kept where nearly all workspaces demand more than the level.

--- a/crates/plumgate/src/gateway/shares/share_group.rs
+++ b/crates/plumgate/src/gateway/shares/share_group.rs
@@ -11,9 +11,15 @@
 
 /// Use, as a share of the level, up to which a workspace is within its share although it demands more.
 const SECURE_USE: f64 = 0.8;
-/// Use, as a share of the level, up to which a workspace is within its burst allowance.
-const BURST_USE: f64 = 1.25;
-/// Excess of demand over the level, as a share of it, that rounding and late reports may cause.
+/// Least burst allowance, as a share of the level.
+const BURST_SHARE: f64 = 0.25;
+/// Burst allowance in standard deviations of the use of a workspace whose requests arrive at random. Of 24 equal
+/// workspaces with some 20 requests in 5 s each, one in three is beyond 1.25 times the mean at any time.
+const BURST_DEVIATIONS: f64 = 2.0;
+/// Demand of the workspaces within their share, as a share of the capacity, below which no room is kept for them: where
+/// nearly all workspaces demand more than the level, shorter queues would only refuse what could be served late.
+const MIN_NEEDED: f64 = 0.1;
+/// Multiple of the capacity that is divided, so that rounding and late reports don't count as a shortage.
 const DEMAND_TOLERANCE: f64 = 1.02;
 /// Time constant, in seconds, with which signs of a shortage lose their weight.
 const PRESSURE_DECAY: f64 = 2.0;
@@ -37,13 +43,17 @@
     pressure: DecayingCount,
     slot_seconds: DecayingCount,
     slot_requests: DecayingCount,
+    sent_seconds: DecayingCount,
+    sent_requests: DecayingCount,
     /// Work of all workspaces at the other nodes, and how many of these find capacity short.
     pub(crate) peers: WorkRates,
     pub(crate) short_peers: u32,
     /// Since when capacity is known to be short; `None` while it is not.
     short_since: Option<BootTime>,
     /// Level up to which workspaces are served first; `None` where none is limited.
-    pub(crate) level: Option<f64>,
+    pub(crate) level: Option<FairLevel>,
+    /// Whether room is kept for the workspaces within their share.
+    keeps_room: bool,
     /// Number of workspaces that are limited now, and the worst of their standings.
     pub(crate) limited: usize,
     pub(crate) worst: ShareStanding,
@@ -67,6 +77,18 @@
         self.slot_requests.add(1.0, MEAN_DECAY, now);
     }
 
+    /// Records the time that the prompt of a request takes.
+    pub(crate) fn record_prefill(&mut self, seconds: f64, now: BootTime) {
+        self.sent_seconds.add(seconds, MEAN_DECAY, now);
+        self.sent_requests.add(1.0, MEAN_DECAY, now);
+    }
+
+    /// Returns the mean work of a request.
+    fn mean_work(&self, now: BootTime) -> f64 {
+        let requests = self.sent_requests.at(MEAN_DECAY, now);
+        self.mean_slot(now) + self.sent_seconds.at(MEAN_DECAY, now) / requests.max(1e-9)
+    }
+
     /// Returns the mean time for which requests held their slots; 0 before the first one.
     pub(crate) fn mean_slot(&self, now: BootTime) -> f64 {
         let requests = self.slot_requests.at(MEAN_DECAY, now);
@@ -155,8 +177,15 @@
             demand: rates.demand,
             count: 1.0,
         });
-        // The tolerance keeps a rounding error from counting as a shortage.
-        self.level = fair_level(demands.chain(rest), capacity * DEMAND_TOLERANCE);
+        let rest_demand = rest.map_or(0.0, |rest| rest.demand * rest.count);
+        let level = fair_level(demands.chain(rest), capacity * DEMAND_TOLERANCE);
+        self.level = level.map(|level| FairLevel::new(level, self.mean_work(now)));
+        let within = listed.values().filter(|rates| {
+            self.level
+                .is_none_or(|level| level.standing(**rates) == ShareStanding::Within)
+        });
+        let needed: f64 = within.map(|rates| rates.demand).sum();
+        self.keeps_room = needed + rest_demand >= capacity * MIN_NEEDED;
         let standings = listed.values().map(|rates| self.standing(*rates));
         let limited: Vec<ShareStanding> = standings
             .filter(|standing| *standing != ShareStanding::Within)
@@ -167,20 +196,42 @@
 
     /// Returns the standing of a workspace.
     pub(crate) fn standing(&self, rates: WorkRates) -> ShareStanding {
-        standing(rates, self.level)
+        let standing = self.level.map(|level| level.standing(rates));
+        match standing.unwrap_or_default() {
+            ShareStanding::Burst if !self.keeps_room => ShareStanding::Within,
+            ShareStanding::Exceeded if !self.keeps_room => ShareStanding::Burst,
+            standing => standing,
+        }
     }
 }
 
-/// Compares work with the level up to which all are served first.
-pub(crate) fn standing(rates: WorkRates, level: Option<f64>) -> ShareStanding {
-    let Some(level) = level else {
-        return ShareStanding::Within;
-    };
-    if rates.demand <= level * DEMAND_TOLERANCE || rates.given <= level * SECURE_USE {
-        ShareStanding::Within
-    } else if rates.given <= level * BURST_USE {
-        ShareStanding::Burst
-    } else {
-        ShareStanding::Exceeded
+/// Level up to which all workspaces are served first, with the burst allowance.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct FairLevel {
+    pub(crate) level: f64,
+    allowance: f64,
+}
+
+impl FairLevel {
+    /// Creates the level of a group whose requests take this much work on average.
+    pub(crate) fn new(level: f64, mean_work: f64) -> Self {
+        // The decaying sum of randomly arriving work has about this deviation.
+        let deviation = (level * mean_work).sqrt();
+        Self {
+            level,
+            allowance: deviation * BURST_DEVIATIONS,
+        }
+    }
+
+    /// Compares work with the level.
+    pub(crate) fn standing(self, rates: WorkRates) -> ShareStanding {
+        let Self { level, allowance } = self;
+        if rates.demand <= level + allowance || rates.given <= level * SECURE_USE {
+            ShareStanding::Within
+        } else if rates.given <= level + allowance.max(level * BURST_SHARE) {
+            ShareStanding::Burst
+        } else {
+            ShareStanding::Exceeded
+        }
     }
 }
--- a/crates/plumgate/src/gateway/shares/share_table.rs
+++ b/crates/plumgate/src/gateway/shares/share_table.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::fair_level::{EqualDemands, fair_level};
-use super::share_group::{ShareGroup, standing};
+use super::share_group::{FairLevel, ShareGroup};
 use super::share_holder::{GroupKey, ShareHolder};
 use super::work_usage::{WorkRates, WorkUsage, remaining_work};
 use crate::gateway::admission::{QueuePrediction, QueuePressure, ShareStanding};
@@ -165,7 +165,7 @@
             },
             urgent: urgent.max().unwrap_or_default(),
             given: rates.given,
-            share: group.level,
+            share: group.level.map(|level| level.level),
             total_age: self.total_at.map(|at| now.saturating_sub(at)),
         }
     }
@@ -201,10 +201,9 @@
             running_since: prefill.is_none().then_some(now),
         };
         self.add_given(holder, ticket.prefill, now);
-        if let Some(group) = self.groups.get_mut(&holder.group())
-            && prefill.is_none()
-            && group.is_short_here(now)
-        {
+        let group = self.groups.entry(holder.group()).or_default();
+        group.record_prefill(ticket.prefill, now);
+        if prefill.is_none() && group.is_short_here(now) {
             let seconds = group.mean_slot(now) * QUEUED_DEMAND;
             group.usage.add_refused(seconds, now);
             self.update(holder, now, |usage| usage.add_refused(seconds, now));
@@ -349,7 +348,7 @@
         &self,
         holder: ShareHolder,
         workspace: WorkRates,
-        level: Option<f64>,
+        level: Option<FairLevel>,
         now: BootTime,
     ) -> bool {
         let row = holder.row;
@@ -360,7 +359,8 @@
         if rates.len() < 2 {
             return false;
         }
-        let due_share = level.unwrap_or(workspace.given) / workspace.given.max(1e-9);
+        let due = level.map_or(workspace.given, |level| level.level);
+        let due_share = due / workspace.given.max(1e-9);
         let given: f64 = rates.iter().map(|(_, rates)| rates.given).sum();
         let demands = rates.iter().map(|(_, rates)| EqualDemands {
             demand: rates.demand,
@@ -369,7 +369,7 @@
         let level = fair_level(demands, given * due_share.min(1.0));
         let own = rates.iter().find(|(key, _)| *key == holder.api_key);
         let own = own.map_or(WorkRates::default(), |(_, rates)| *rates);
-        standing(own, level) == ShareStanding::Within
+        level.is_none_or(|level| FairLevel::new(level, 0.0).standing(own) == ShareStanding::Within)
     }
 
     fn add_given(&mut self, holder: ShareHolder, seconds: f64, now: BootTime) {
