gateway: requests wait at the node for room, and refused callers are promised the time of their return

Cause: a request was sent or refused at once; refused callers returned at random times, beside new requests, and were refused again. Change: AdmissionPolicy::decide may let a request wait (an eighth of the target, 0.3 for callers that won't return), and sends returning ones at a longer queue. WaitQueue orders waiting requests and hands on the turn; ReturnPromises promises moments in this node's part of the room, reports them as sums and recognizes returns by their digest. One event=admission line where a request is not sent at once, counters and a gauge.

--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -343,6 +343,7 @@
                     duties.exchange_with(&mut exchange);
                 }
                 self.shared.run_share_round(exchange.sums(), moment);
+                self.shared.exchange_returns(&mut exchange, moment);
                 let mut packets =
                     exchange.tick(loads.own_work(), &mut self.view.sync_state(), moment);
                 let mut statements = self.shared.statements();
@@ -370,6 +371,7 @@
                 self.run_origin_round(&exchange);
                 packets
             };
+            self.shared.wake_waiting();
             self.shared.log_suspects();
             self.shared.update_limit_metrics();
             self.shared.update_notice_metrics();
--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -180,6 +180,7 @@
         if let Some(ticket) = &mut self.ticket {
             let now = self.shared.clock.now();
             self.shared.loads().record_first_byte(ticket, now);
+            self.shared.wake_waiting();
         }
         if let Some(share) = &mut self.share {
             share.record_first_byte(self.shared.clock.boot_time());
@@ -220,6 +221,7 @@
         }
         if let Some(ticket) = self.ticket.take() {
             self.shared.loads().finish(ticket, self.outcome, now);
+            self.shared.wake_waiting();
         }
         if let Some(share) = self.share.take() {
             let boot_time = self.shared.clock.boot_time();
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -218,6 +218,18 @@
     pub(crate) share_refusals: Counter,
     /// Workspaces and API keys that were no longer counted for want of space.
     pub(crate) shares_dropped: Counter,
+    /// Requests that wait here for room at a server.
+    pub(crate) waiting_requests: Gauge,
+    /// Requests that began to wait, by reason.
+    pub(crate) waits: Family<ReasonLabels, Counter>,
+    /// Requests whose wait ended, by what became of them.
+    pub(crate) wait_ends: Family<ReasonLabels, Counter>,
+    /// Refused callers that were promised a return, and those for whom no room was left (`no_room`).
+    pub(crate) promised_returns: Family<ReasonLabels, Counter>,
+    /// Requests recognized as promised returns, by whether they were sent or refused.
+    pub(crate) kept_returns: Family<ReasonLabels, Counter>,
+    /// Promises and reports of promises that were dropped as invalid or too many.
+    pub(crate) dropped_promises: Counter,
 }
 
 impl GatewayMetrics {
@@ -282,6 +294,12 @@
             unlisted_workspaces: Gauge::default(),
             share_refusals: Counter::default(),
             shares_dropped: Counter::default(),
+            waiting_requests: Gauge::default(),
+            waits: Family::default(),
+            wait_ends: Family::default(),
+            promised_returns: Family::default(),
+            kept_returns: Family::default(),
+            dropped_promises: Counter::default(),
         };
         metrics.registry = metrics.register(Registry::with_prefix("plumgate_gateway"));
         metrics
@@ -482,6 +500,36 @@
             "Workspaces and keys no longer counted for want of space",
             self.shares_dropped.clone(),
         );
+        registry.register(
+            "waiting_requests",
+            "Requests that wait here for room at a server",
+            self.waiting_requests.clone(),
+        );
+        registry.register(
+            "waits",
+            "Requests that began to wait for room",
+            self.waits.clone(),
+        );
+        registry.register(
+            "wait_ends",
+            "Requests whose wait for room ended",
+            self.wait_ends.clone(),
+        );
+        registry.register(
+            "promised_returns",
+            "Refused callers by whether a return was promised",
+            self.promised_returns.clone(),
+        );
+        registry.register(
+            "kept_returns",
+            "Promised returns by whether they were sent or refused",
+            self.kept_returns.clone(),
+        );
+        registry.register(
+            "dropped_promises",
+            "Promises and reports of promises that were dropped",
+            self.dropped_promises.clone(),
+        );
         registry.register(
             "duty_number",
             "Generation number of the duties held here",
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -51,6 +51,7 @@
 mod view;
 mod view_servers;
 mod view_snapshots;
+mod waiting;
 
 pub use duties::DUTIES_PATH;
 pub use node::{GatewayAddresses, GatewayHandle, GatewayNode};
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -22,6 +22,7 @@
 use super::run::{MAX_SERVERS_TRIED, RelayRun, RetryCause};
 use super::stream::StreamRelay;
 use super::stream_origins::UNREACHABLE_RETRY_DELAY;
+use super::waiting::{AdmissionMoment, WaitPause};
 use crate::answer_framing::{content_end, is_json};
 use crate::caller_error::CallerError;
 use crate::clock::{Clock, until};
@@ -58,6 +59,16 @@
 /// Reason logged for an answer that is too large to be read before it is relayed.
 const TOO_LARGE: &str = "too_large";
 
+/// Choice of a server for a request, and whether it is sent there now.
+enum AdmittedChoice {
+    /// The request is sent to this server.
+    Server(Box<ServerPick>),
+    /// All servers defer requests.
+    Deferred,
+    /// The request waits for room.
+    Wait(WaitPause),
+}
+
 /// Next step of a request after an attempt.
 enum NextStep {
     /// Choose a server again.
@@ -113,9 +124,16 @@
                 let reason = SendRefusal::OtherVersion.as_str();
                 return Err(self.unserved_error(reason, UNREACHABLE_RETRY_DELAY));
             }
-            let Some(pick) = self.pick()? else {
-                self.wait_for_server().await?;
-                continue;
+            let pick = match self.pick()? {
+                AdmittedChoice::Server(pick) => *pick,
+                AdmittedChoice::Deferred => {
+                    self.wait_for_server().await?;
+                    continue;
+                }
+                AdmittedChoice::Wait(pause) => {
+                    self.wait_for_room(pause).await;
+                    continue;
+                }
             };
             match self.request_permit(&pick).await {
                 Ok(permit) => return Ok((pick, permit)),
@@ -164,8 +182,9 @@
         Err(self.unserved_error(deferral.cause.as_str(), retry_after))
     }
 
-    /// Chooses the next server; `None` if all servers defer requests, an error if none can be used.
-    fn pick(&mut self) -> Result<Option<ServerPick>, CallerError> {
+    /// Chooses the next server, and decides whether the request is sent there now. Fails if no server can be used or
+    /// the request is refused.
+    fn pick(&mut self) -> Result<AdmittedChoice, CallerError> {
         let now = self.shared.clock.now();
         let left = self.request.due.saturating_duration_since(now);
         if left.is_zero() {
@@ -184,7 +203,7 @@
         let ServerChoice::Server(pick) = choice else {
             let is_waiting = matches!(choice, ServerChoice::Wait(_));
             if is_waiting || self.shared.loads().deferral(&placement, now).is_some() {
-                return Ok(None);
+                return Ok(AdmittedChoice::Deferred);
             }
             let has_only_leaving = self
                 .shared
@@ -202,37 +221,47 @@
             let mut loads = self.shared.loads();
             loads.record_demand(&self.request.pool, &pick, now);
         }
-        let wait = QueuePrediction {
+        let prediction = QueuePrediction {
             queue: pick.queue,
             wait: pick.wait,
             target_left: self.target_left(now),
             left,
         };
-        if self.tried.is_empty() {
-            let share = self.assess_share(&wait);
-            let context = AdmissionContext {
-                share: share.standing,
-                urgent_share: share.urgent,
-                ..AdmissionContext::default()
-            };
-            let decision = if self.request.metadata.prompt.is_some() {
-                self.admission().decide(&wait, &context, spread)
-            } else {
-                self.admission().decide_plain(&wait, &context, spread)
-            };
-            if let AdmissionDecision::Refuse {
+        if !self.tried.is_empty() {
+            return Ok(AdmittedChoice::Server(pick));
+        }
+        let share = self.assess_share(&prediction);
+        let context = AdmissionContext {
+            share: share.standing,
+            urgent_share: share.urgent,
+            ..AdmissionContext::default()
+        };
+        let decision = if self.request.metadata.prompt.is_some() {
+            let moment = AdmissionMoment { now, spread };
+            self.admit(&pick, &prediction, context, moment)
+        } else {
+            self.admission().decide_plain(&prediction, &context, spread)
+        };
+        match decision {
+            AdmissionDecision::Send => Ok(AdmittedChoice::Server(pick)),
+            AdmissionDecision::Wait {
+                pause, wait_left, ..
+            } => Ok(AdmittedChoice::Wait(WaitPause {
+                pause,
+                ends_at: now + wait_left,
+            })),
+            AdmissionDecision::Refuse {
                 retry_after,
                 reason,
-            } = decision
-            {
+            } => {
                 self.record_share_refusal(&share, &pick, reason);
-                return Err(self.unserved_error(reason.as_str(), retry_after));
+                Err(self.unserved_error(reason.as_str(), retry_after))
             }
         }
-        Ok(Some(*pick))
     }
 
-    fn admission(&self) -> AdmissionPolicy {
+    /// Returns the rule of admission.
+    pub(crate) fn admission(&self) -> AdmissionPolicy {
         AdmissionPolicy::new().with_switches(self.shared.options.switches)
     }
 
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -21,6 +21,7 @@
 use super::server_connection::CONNECT_TIMEOUT;
 use super::server_limits::SendCause;
 use super::shared::GatewayShared;
+use super::waiting::RoomWait;
 use crate::clock::{Clock, until};
 use crate::log::LogLine;
 
@@ -62,6 +63,8 @@
     pub(crate) answer_end: Option<(AnswerEnd, usize)>,
     /// Longest pause between two events of the answer.
     pub(crate) longest_pause: Duration,
+    /// State of the request's wait for room.
+    pub(crate) room_wait: RoomWait<C, W>,
     /// Whether the request was recorded as demand of its pool.
     pub(crate) is_demand_recorded: bool,
     /// Whether the start of a run was recorded.
@@ -102,6 +105,7 @@
             first_byte: None,
             answer_end: None,
             longest_pause: Duration::ZERO,
+            room_wait: RoomWait::new(),
             is_demand_recorded: false,
             is_run_recorded: false,
             is_reported: false,
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -20,6 +20,7 @@
 use super::links::LinkPool;
 use super::metrics::GatewayMetrics;
 use super::options::{GatewayBounds, GatewayOptions};
+use super::waiting::WaitState;
 use crate::clock::Clock;
 use crate::log::{EventLog, LogLine};
 use crate::shared::LifecycleView;
@@ -80,6 +81,7 @@
     origins: Mutex<StreamOrigins>,
     usage: Mutex<UsageTally>,
     shares: Mutex<WorkspaceShares>,
+    waiting: Mutex<WaitState>,
     /// Difference between the Unix time that the nodes agree on and the time since the VM started, in
     /// milliseconds.
     pub(crate) unix_offset_ms: AtomicI64,
@@ -153,6 +155,7 @@
             open_tunnels: AtomicU64::new(0),
             usage: Mutex::default(),
             shares: Mutex::new(WorkspaceShares::new(options.switches)),
+            waiting: Mutex::default(),
             unix_offset_ms: AtomicI64::new(0),
             rng: Mutex::new(fastrand::Rng::with_seed(options.node_seed())),
             open_requests: AtomicU64::new(0),
@@ -246,6 +249,11 @@
         lock(&self.shares)
     }
 
+    /// Returns the requests that wait for room, and the promised returns.
+    pub(crate) fn waiting(&self) -> MutexGuard<'_, WaitState> {
+        lock(&self.waiting)
+    }
+
     /// Counts a request of a workspace that started to run at a server `ago` before now.
     pub(crate) fn record_start(&self, workspace: Option<&WorkspaceId>, ago: Duration) {
         let (Some(workspace), Some(duties)) = (workspace, self.options.duties) else {
--- a/crates/plumgate/src/gateway/admission/mod.rs
+++ b/crates/plumgate/src/gateway/admission/mod.rs
@@ -14,3 +14,4 @@
     AdmissionContext, AdmissionDecision, AdmissionPolicy, AdmissionReason, MemoryFit,
     QueuePrediction, ShareStanding,
 };
+pub(crate) use policy::{MIN_PROMISE_DELAY, RETURN_QUEUE_SHARE, longest_retry_delay};
--- a/crates/plumgate/src/gateway/admission/policy.rs
+++ b/crates/plumgate/src/gateway/admission/policy.rs
@@ -27,6 +27,22 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(3);
 /// Maximum retry delay as a share of the time left: the rest is needed to serve the request.
 const RETRY_DELAY_SHARE: f64 = 0.3;
+/// Smallest part of the longest retry delay after which callers without a promise are asked to retry.
+const UNPROMISED_SHARE: f64 = 0.6;
+/// Minimum delay of a promised return: reports of promises take 100 to 500 ms to reach the other nodes.
+pub(crate) const MIN_PROMISE_DELAY: Duration = Duration::from_millis(400);
+/// Share of a returning request's target that it may spend in a server's queue. With 0.9, returns took so much room
+/// from new requests that 0.685 of the long prompts in a simulated burst were in time (8 nodes, four seeds); with
+/// 0.75 it was 0.696, and 0.700 without returns.
+pub(crate) const RETURN_QUEUE_SHARE: f64 = 0.75;
+/// Share of the target for which a request waits whose caller may return after a refusal.
+const WAIT_SHARE: f64 = 0.125;
+/// Share of the target for which a request waits whose caller won't return.
+const LAST_WAIT_SHARE: f64 = 0.3;
+/// Shortest pause before a waiting request is decided again without an event.
+const MIN_PAUSE: Duration = Duration::from_millis(20);
+/// Longest such pause, that of the rounds of load reports.
+const MAX_PAUSE: Duration = Duration::from_millis(100);
 
 /// Decision about a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,8 +51,10 @@
     Send,
     /// Keep it at this node and decide again after a pause.
     Wait {
-        /// Time until the next decision.
+        /// Time until the next decision, unless room comes free before.
         pause: Duration,
+        /// Time after which the request no longer waits.
+        wait_left: Duration,
         /// Why it is not sent now.
         reason: AdmissionReason,
     },
@@ -152,6 +170,17 @@
     Never,
 }
 
+impl MemoryFit {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Fits => "fits",
+            Self::FitsAfter(_) => "fits_after",
+            Self::Never => "never",
+        }
+    }
+}
+
 /// What else the decision about a request depends on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AdmissionContext {
@@ -168,6 +197,12 @@
     pub waited: Duration,
     /// Number of requests that wait at this node.
     pub waiting: u32,
+    /// Bytes of their bodies.
+    pub waiting_bytes: u64,
+    /// Whether the request waits or may begin to wait, given the bounds of the queue.
+    pub has_place: bool,
+    /// Whether a more urgent request waits for the same pool.
+    pub is_behind: bool,
 }
 
 /// Predicted times of a request at the best server, and the time that it has left.
@@ -189,6 +224,16 @@
         let max_queue = self.target_left.mul_f64(standing.queue_share());
         self.queue <= max_queue && self.wait <= self.left.mul_f64(START_SHARE)
     }
+
+    /// Returns the prediction with a longer queue.
+    fn with_queue(self, queue: Duration) -> Self {
+        let wait = self.wait + queue.saturating_sub(self.queue);
+        Self {
+            queue,
+            wait,
+            ..self
+        }
+    }
 }
 
 /// Rule by which requests are admitted or refused.
@@ -217,12 +262,30 @@
         context: &AdmissionContext,
         spread: f64,
     ) -> AdmissionDecision {
+        let refuse = |reason| AdmissionDecision::Refuse {
+            retry_after: self.refusal_delay(prediction, spread),
+            reason,
+        };
+        let (prediction, reason) = match context.memory {
+            MemoryFit::Never => return refuse(AdmissionReason::TooLarge),
+            MemoryFit::FitsAfter(after) if after > prediction.queue => {
+                (prediction.with_queue(after), AdmissionReason::NoMemory)
+            }
+            MemoryFit::Fits | MemoryFit::FitsAfter(_) => (*prediction, AdmissionReason::Overloaded),
+        };
         let standing = context.share.max(context.urgent_share);
         if !self.switches.has(PolicyPart::Refusing) || prediction.is_served(standing) {
             return AdmissionDecision::Send;
         }
         let is_overloaded = !prediction.is_served(ShareStanding::Within);
-        self.refuse(prediction, context, is_overloaded, spread)
+        let reason = share_reason(context, is_overloaded).unwrap_or(reason);
+        // A workspace beyond its share does not wait for room either, or it would take what comes free.
+        let is_beyond = !is_overloaded || reason == AdmissionReason::ShareExceeded;
+        if !self.switches.has(PolicyPart::WaitQueue) || is_beyond && !context.is_returning {
+            return refuse(reason);
+        }
+        self.decide_delayed(&prediction, context, reason)
+            .unwrap_or_else(|| refuse(reason))
     }
 
     /// Decides about a request without a prompt. Only a workspace at or beyond its share is refused: such requests are
@@ -240,37 +303,94 @@
         if !self.switches.has(PolicyPart::Refusing) || !is_refused {
             return AdmissionDecision::Send;
         }
-        self.refuse(prediction, context, false, spread)
+        AdmissionDecision::Refuse {
+            retry_after: self.retry_delay(prediction.queue, prediction.left, spread),
+            reason: share_reason(context, false).unwrap_or(AdmissionReason::Overloaded),
+        }
     }
 
-    /// Refuses a request. `is_overloaded` says whether it would be refused whatever the shares.
-    fn refuse(
+    /// Decides about a request for which the queue is too long now; `None` if it is refused.
+    fn decide_delayed(
         &self,
         prediction: &QueuePrediction,
         context: &AdmissionContext,
-        is_overloaded: bool,
-        spread: f64,
-    ) -> AdmissionDecision {
-        let reason = match context.share {
-            ShareStanding::Exceeded => AdmissionReason::ShareExceeded,
-            ShareStanding::Burst if !is_overloaded => AdmissionReason::ShareExceeded,
-            ShareStanding::Burst | ShareStanding::Within => AdmissionReason::Overloaded,
+        reason: AdmissionReason,
+    ) -> Option<AdmissionDecision> {
+        let begins_in_time = prediction.wait <= prediction.left.mul_f64(START_SHARE);
+        let is_in_time = begins_in_time && prediction.wait <= prediction.target_left;
+        // Measured against the target that is left, waiting requests would always lose to new ones.
+        let target = prediction.target_left + context.waited;
+        let share = if context.is_returning {
+            RETURN_QUEUE_SHARE
+        } else {
+            QUEUE_SHARE
         };
-        AdmissionDecision::Refuse {
-            retry_after: self.retry_delay(prediction.queue, prediction.left, spread),
-            reason,
+        let max_queue = target.mul_f64(share);
+        if is_in_time && !context.is_behind && prediction.queue <= max_queue {
+            return Some(AdmissionDecision::Send);
         }
+        let excess = prediction.queue.saturating_sub(max_queue);
+        let longest = longest_wait(target, prediction.left, context.is_returning);
+        let wait_left = longest.saturating_sub(context.waited);
+        if is_in_time && context.has_place && !wait_left.is_zero() && excess <= wait_left {
+            let pause = excess.clamp(MIN_PAUSE, MAX_PAUSE).min(wait_left);
+            return Some(AdmissionDecision::Wait {
+                pause,
+                wait_left,
+                reason,
+            });
+        }
+        let keeps_promise = context.is_returning && begins_in_time && !context.is_behind;
+        keeps_promise.then_some(AdmissionDecision::Send)
+    }
+
+    /// Returns the delay that a refused caller is told if no return is promised to it.
+    fn refusal_delay(&self, prediction: &QueuePrediction, spread: f64) -> Duration {
+        if !self.switches.has(PolicyPart::WaitQueue) {
+            return self.retry_delay(prediction.queue, prediction.left, spread);
+        }
+        let share = UNPROMISED_SHARE + (1.0 - UNPROMISED_SHARE) * self.spread(spread);
+        longest_retry_delay(prediction.left).mul_f64(share)
     }
 
     /// Returns the delay after which a caller should retry; `spread`, from 0 to 1, is as in [`Self::decide`].
     pub fn retry_delay(&self, wait: Duration, left: Duration, spread: f64) -> Duration {
-        let longest = left.mul_f64(RETRY_DELAY_SHARE).min(MAX_RETRY_DELAY);
-        let spread = if self.switches.has(PolicyPart::RetrySpread) {
+        let longest = longest_retry_delay(left);
+        let wanted = wait.mul_f64(0.5 + self.spread(spread));
+        wanted.max(MIN_RETRY_DELAY).min(longest)
+    }
+
+    fn spread(&self, spread: f64) -> f64 {
+        if self.switches.has(PolicyPart::RetrySpread) {
             spread
         } else {
             0.5
-        };
-        let wanted = wait.mul_f64(0.5 + spread).max(MIN_RETRY_DELAY);
-        wanted.min(longest)
+        }
     }
 }
+
+/// Returns the reason of a refusal that is due to the share of the request's workspace; `None` if it would be refused
+/// whatever the shares.
+fn share_reason(context: &AdmissionContext, is_overloaded: bool) -> Option<AdmissionReason> {
+    let is_due = match context.share {
+        ShareStanding::Exceeded => true,
+        ShareStanding::Burst => !is_overloaded,
+        ShareStanding::Within => false,
+    };
+    is_due.then_some(AdmissionReason::ShareExceeded)
+}
+
+/// Returns the longest delay after which a caller with this time left is asked to retry.
+pub(crate) fn longest_retry_delay(left: Duration) -> Duration {
+    left.mul_f64(RETRY_DELAY_SHARE).min(MAX_RETRY_DELAY)
+}
+
+/// Returns the longest time for which a request may wait at a node.
+pub(crate) fn longest_wait(target: Duration, left: Duration, is_returning: bool) -> Duration {
+    let may_return = !is_returning && longest_retry_delay(left) >= MIN_PROMISE_DELAY;
+    target.mul_f64(if may_return {
+        WAIT_SHARE
+    } else {
+        LAST_WAIT_SHARE
+    })
+}
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod statements;
 pub mod switches;
 pub mod sync;
+pub mod waiting;
 pub mod work;
 
 pub use admission::{
@@ -83,4 +84,8 @@
     ConfigSnapshot, ServerUpdate, ServersSnapshot, ServersState, SnapshotState, SourceTopic,
     StateSnapshot, SyncOutcome, SyncRequest, SyncResponse, SyncState,
 };
+pub use waiting::{
+    ClaimedPlace, PlaceBounds, PoolRoom, ReturnOffer, ReturnPromises, ReturnSource, WaitId,
+    WaitQueue, WaitRequest,
+};
 pub use work::{ServerWork, WorkOutcome, WorkTicket};
--- a/crates/plumgate/src/gateway/quarantine/identity.rs
+++ b/crates/plumgate/src/gateway/quarantine/identity.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
+use crate::gateway::exchange::SumKey;
 use crate::gateway::prompt::PromptPart;
 use crate::ids::WorkspaceId;
 
@@ -109,6 +110,14 @@
         format!("{:016x}{:032x}", self.workspace, self.content)
     }
 
+    /// Returns the digest by which nodes report the request to each other.
+    pub fn sum_key(&self) -> SumKey {
+        let mut bytes = [0; 24];
+        bytes[..8].copy_from_slice(&self.workspace.to_le_bytes());
+        bytes[8..].copy_from_slice(&self.content.to_le_bytes());
+        xxh3_64(&bytes) as SumKey
+    }
+
     /// Returns the seed by which nodes are ranked for the request.
     pub(crate) fn rank_seed(&self) -> u64 {
         self.content as u64
--- a/crates/plumgate/tests/gateway_load.rs
+++ b/crates/plumgate/tests/gateway_load.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use load::engine::TOKENS_PER_SECOND;
-use load::{LoadPlan, LoadResult, LoadRun, RestHandling, ShedPlan, TrafficKind};
+use load::{KindResult, LoadPlan, LoadResult, LoadRun, RestHandling, ShedPlan, TrafficKind};
 use plumgate::gateway::{PlacementPolicy, PolicyPart, PolicySwitches, StreamClass};
 
 /// Traffic of three kinds: long dossiers that share documents, checks, and short captions.
@@ -69,6 +69,7 @@
         speeds: BTreeMap::new(),
         has_admission: true,
         has_exchange: true,
+        has_waiting: false,
         callers_retry: false,
         samples: false,
         shedding: None,
@@ -204,6 +205,52 @@
     assert!(retrying.refused * 3 < retrying.retried * 2, "{retrying:?}");
 }
 
+/// Returns the mean results of dossiers in a burst over several seeds, and the longest wait.
+fn returns_in_burst(has_waiting: bool, nodes: usize) -> (KindResult, f64) {
+    let mut sum = KindResult::default();
+    for seed in 11..15 {
+        let plan = LoadPlan {
+            callers_retry: true,
+            has_waiting,
+            seed,
+            kinds: kinds(20.0, 2.7)
+                .into_iter()
+                .map(|kind| TrafficKind {
+                    burst: (kind.burst.0, kind.burst.0 + 4.0, kind.burst.2),
+                    ..kind
+                })
+                .collect(),
+            ..plan(20, nodes, 2.7)
+        };
+        let one = run("returns in a burst", plan).kinds["dossier"];
+        sum.requests += one.requests;
+        sum.in_time += one.in_time;
+        sum.late += one.late;
+        sum.refused += one.refused;
+        sum.promised += one.promised;
+        sum.recognized += one.recognized;
+        sum.longest_wait = sum.longest_wait.max(one.longest_wait);
+    }
+    println!("{nodes} nodes, waiting {has_waiting}: {sum:?}");
+    (sum, f64::from(sum.refused) / f64::from(sum.requests))
+}
+
+// Guards against refused callers that return at random and are refused again: in a burst of four seconds, fewer
+// callers are refused for good where nodes promise returns, and no fewer are answered in time. Sums over four seeds,
+// as one seed differs by up to 0.06 from the next.
+#[test]
+fn promised_returns_are_served_in_a_burst() {
+    for nodes in [8, 20] {
+        let (random, refused_random) = returns_in_burst(false, nodes);
+        let (promised, refused_promised) = returns_in_burst(true, nodes);
+        assert!(promised.recognized * 2 > promised.promised);
+        assert!(refused_promised < refused_random);
+        assert!(promised.served() >= random.served() - 0.01);
+        assert!(promised.share() >= random.share() - 0.01);
+        assert!(promised.longest_wait <= 0.3 * 1.5 + 0.1);
+    }
+}
+
 /// Returns traffic with shorter shared documents, in which most prompt tokens are not shared.
 fn game_kinds(engines: f64, burst: f64) -> Vec<TrafficKind> {
     let base = kinds(engines, burst);
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -13,8 +13,9 @@
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
     AdmissionContext, AdmissionDecision, AdmissionPolicy, ExchangeMoment, LoadExchange, LoadTable,
-    NodeEntry, PlacementOptions, PlacementPolicy, PolicySwitches, ProfileChange, PromptShape,
-    QueuePrediction, ServerEntry, ServerState, ServerStatements, StreamClass, SyncState,
+    NodeEntry, PlacementOptions, PlacementPolicy, PolicyPart, PolicySwitches, PoolRoom,
+    ProfileChange, PromptShape, QueuePrediction, ReturnOffer, ReturnPromises, ServerEntry,
+    ServerState, ServerStatements, StreamClass, SyncState,
 };
 use plumgate::gateway::{PlacementRequest, PromptPart, WorkOutcome, WorkTicket};
 use plumgate::ids::ServerId;
@@ -68,6 +69,8 @@
     pub(crate) has_admission: bool,
     /// Whether nodes exchange load reports.
     pub(crate) has_exchange: bool,
+    /// Whether requests wait for room at nodes, and refused callers are promised a return.
+    pub(crate) has_waiting: bool,
     /// Whether refused callers retry once, after the delay that they are given.
     pub(crate) callers_retry: bool,
     /// Whether a run samples how many others would run beside a request.
@@ -78,7 +81,7 @@
 }
 
 /// Results of the callers of one kind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct KindResult {
     pub(crate) requests: u32,
     /// Complete answers with the first event within its target and no pause over its bound.
@@ -90,6 +93,14 @@
     pub(crate) retried: u32,
     /// Requests whose callers left before the end of the answer.
     pub(crate) abandoned: u32,
+    /// Requests that waited at a node, and the longest wait in seconds.
+    pub(crate) waited: u32,
+    pub(crate) longest_wait: f64,
+    /// Refused callers that were promised a return, those that a node recognized, and those of them that
+    /// were refused again.
+    pub(crate) promised: u32,
+    pub(crate) recognized: u32,
+    pub(crate) refused_returns: u32,
 }
 
 impl KindResult {
@@ -132,6 +143,11 @@
     /// Time at which the request was last sent, in seconds.
     last_sent: f64,
     is_retry: bool,
+    /// Node at which it waits, and since when.
+    waits: Option<(usize, f64)>,
+    /// Whether its caller was promised a return, and whether a node recognized it.
+    is_promised: bool,
+    is_returning: bool,
     /// Engines that rejected it.
     tried: Vec<ServerId>,
 }
@@ -152,6 +168,7 @@
     table: LoadTable,
     statements: ServerStatements,
     exchange: LoadExchange,
+    promises: ReturnPromises,
     sync: SyncState,
     address: SocketAddr,
 }
@@ -271,6 +288,9 @@
             first_sent: now,
             last_sent: now,
             is_retry: false,
+            waits: None,
+            is_promised: false,
+            is_returning: false,
             tried: Vec::new(),
         };
         self.send(pending, now);
@@ -327,7 +347,11 @@
     fn send(&mut self, pending: PendingRequest, now: f64) {
         let traffic = self.plan.kinds[pending.kind].clone();
         let at = self.at(now);
-        let index = self.rng.usize(0..self.nodes.len());
+        let index = match pending.waits {
+            Some((node, _)) => node,
+            None => self.rng.usize(0..self.nodes.len()),
+        };
+        let mut pending = pending;
         let pool = "models".into();
         let request = PlacementRequest {
             pool: &pool,
@@ -347,19 +371,70 @@
             return;
         };
         let left = pending.first_sent + traffic.patience - now;
+        let waited = pending.waits.map_or(0.0, |(_, since)| now - since);
         let prediction = QueuePrediction {
             queue: pick.queue,
             wait: pick.wait,
-            target_left: Duration::from_secs_f64(traffic.target),
+            target_left: Duration::from_secs_f64((traffic.target - waited).max(0.0)),
             left: Duration::from_secs_f64(left),
         };
-        let context = AdmissionContext::default();
-        let decision = AdmissionPolicy::new().decide(&prediction, &context, self.rng.f64());
-        if let AdmissionDecision::Refuse { retry_after, .. } = decision
-            && self.plan.has_admission
+        let key = pending.prompt.parts.last().map_or(0, |part| part.id) as u32;
+        let boot = Duration::from_secs_f64(now);
+        if self.plan.has_waiting && pending.waits.is_none() {
+            pending.is_returning = node.promises.take_return(key, boot).is_some();
+            let result = self.result.kinds.entry(traffic.name).or_default();
+            result.recognized += u32::from(pending.is_returning);
+        }
+        let context = AdmissionContext {
+            is_returning: pending.is_returning,
+            waited: Duration::from_secs_f64(waited),
+            has_place: true,
+            ..AdmissionContext::default()
+        };
+        let mut switches = self.plan.switches;
+        if !self.plan.has_waiting {
+            switches = switches.without(PolicyPart::WaitQueue);
+        }
+        let policy = AdmissionPolicy::new().with_switches(switches);
+        let mut decision = policy.decide(&prediction, &context, self.rng.f64());
+        if let AdmissionDecision::Refuse { retry_after, .. } = &mut decision
+            && self.plan.has_waiting
         {
-            self.refuse(pending, retry_after, now);
-            return;
+            node.promises.record_refusal(&pool, boot);
+            let offer = ReturnOffer {
+                key,
+                pool: pool.clone(),
+                urgency: traffic.urgency,
+                queue: pick.queue,
+                target: Duration::from_secs_f64(traffic.target),
+                work: ReturnOffer::work_at(&pick),
+                room: PoolRoom::new(node.table.entries(), &pool),
+                left: prediction.left,
+            };
+            if !pending.is_retry
+                && let Some(delay) = node.promises.promise(&offer, boot, self.rng.f64())
+            {
+                pending.is_promised = true;
+                *retry_after = delay;
+            }
+        }
+        match decision {
+            AdmissionDecision::Refuse { retry_after, .. } if self.plan.has_admission => {
+                self.refuse(pending, retry_after, now);
+                return;
+            }
+            AdmissionDecision::Wait { pause, .. } if self.plan.has_admission => {
+                let result = self.result.kinds.entry(traffic.name).or_default();
+                if pending.waits.is_none() {
+                    result.waited += 1;
+                }
+                let longest = result.longest_wait.max(waited + pause.as_secs_f64());
+                result.longest_wait = longest;
+                pending.waits.get_or_insert((index, now));
+                self.retries.push((now + pause.as_secs_f64(), pending));
+                return;
+            }
+            _ => {}
         }
         let ticket = node.table.start(&pick, &request, at);
         let engine = engine_index(&pick.server.id);
@@ -398,12 +473,15 @@
         let result = self.result.kinds.entry(name).or_default();
         if pending.is_retry || !self.plan.callers_retry {
             result.refused += 1;
+            result.refused_returns += u32::from(pending.is_returning);
             return;
         }
         result.retried += 1;
+        result.promised += u32::from(pending.is_promised);
         let pending = PendingRequest {
             last_sent: now + retry_after.as_secs_f64(),
             is_retry: true,
+            waits: None,
             tried: Vec::new(),
             ..pending
         };
@@ -496,6 +574,10 @@
         };
         let mut packets = Vec::new();
         for node in &mut self.nodes {
+            if self.plan.has_waiting {
+                node.promises
+                    .exchange_with(&mut node.exchange, moment.boot, at);
+            }
             let own = node
                 .exchange
                 .tick(node.table.own_work(), &mut node.sync, moment);
@@ -542,6 +624,7 @@
         table,
         statements: ServerStatements::new(false, index as u64, Duration::from_secs(2)),
         exchange,
+        promises: ReturnPromises::new(),
         sync: SyncState::new(Duration::from_secs(5), index as u64),
         address: address(index),
     }
--- a/crates/plumgate/tests/profile_load.rs
+++ b/crates/plumgate/tests/profile_load.rs
@@ -59,6 +59,7 @@
         speeds: BTreeMap::new(),
         has_admission: true,
         has_exchange: true,
+        has_waiting: false,
         callers_retry: true,
         samples: false,
         shedding: None,
