gateway: count connections to servers by cause, and log attempt bounds

Cause: connections_total tells results only. That a loop opened 61,939 connections for resumptions was visible in the servers' logs, not here.

Change: server_connections by cause (first_try, retry, resume, second_server, path_probe, server_check, tunnel) and result (opened, refused, silent, reused, tunnelled, paused). Probes of data centres are counted, too. event=attempt_bound names the bound (runs or servers) that ends the tries of a request.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -157,10 +157,12 @@
         && !shared.quarantine().has_evidence(&order.request.suspects)
         && let Some(link) = shared.links.take(&order.server.id, now).await
     {
+        shared.record_connection(order.connection, "reused");
         let answered = shared.loads().answered_at(&order.server.id);
         return Ok((link, ConnectionKind::Reused { answered }));
     }
-    let link = open_server(shared, &order.server, order.request.due).await?;
+    let (cause, due) = (order.connection, order.request.due);
+    let link = open_server(shared, &order.server, cause, due).await?;
     Ok((link, ConnectionKind::New))
 }
 
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -10,9 +10,10 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::future;
-use plumgate::gateway::NodeEntry;
+use plumgate::gateway::{DirectResult, NodeEntry};
 use plumgate::ids::DataCentreId;
 
+use super::connection_cause::ConnectionCause;
 use super::duties::DutyState;
 use super::exchange::PeerExchange;
 use super::lifecycle::GatewayLifecycle;
@@ -197,7 +198,14 @@
             let probing = async move {
                 let deadline = shared.clock.now() + CONNECT_TIMEOUT;
                 let opening = open_stream(shared.options.server_address(server.address));
-                let reached = until(&shared.clock, deadline, opening).await.is_some();
+                let opened = until(&shared.clock, deadline, opening).await;
+                let reached = opened.is_some();
+                let result = match opened {
+                    Some(Ok(_)) => DirectResult::Opened,
+                    Some(Err(_)) => DirectResult::Refused,
+                    None => DirectResult::Silent,
+                };
+                shared.record_connection(ConnectionCause::PathProbe, result.as_str());
                 LogLine::new("centre_probe")
                     .with("data_centre", &server.data_centre)
                     .with("server", &server.id)
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -53,6 +53,15 @@
     pub(crate) state: &'static str,
 }
 
+/// Labels of connections to servers.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ServerConnectionLabels {
+    /// Why the connection is used.
+    pub(crate) cause: &'static str,
+    /// What became of it.
+    pub(crate) result: &'static str,
+}
+
 /// Label of values of a pool.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct PoolLabels {
@@ -158,6 +167,8 @@
     pub(crate) open_tunnels: Gauge,
     /// New connections to servers, by result.
     pub(crate) connections: Family<ReasonLabels, Counter>,
+    /// Connections to servers, by cause and result.
+    pub(crate) server_connections: Family<ServerConnectionLabels, Counter>,
     /// 1 while the node reports itself as ready to the balancer, otherwise 0.
     pub(crate) ready: Gauge,
     /// Known servers.
@@ -264,6 +275,7 @@
             tunnel_replies: Family::default(),
             open_tunnels: Gauge::default(),
             connections: Family::default(),
+            server_connections: Family::default(),
             ready: Gauge::default(),
             servers: Gauge::default(),
             nodes: Gauge::default(),
@@ -575,6 +587,11 @@
             "New connections to servers",
             self.connections.clone(),
         );
+        registry.register(
+            "server_connections",
+            "Connections to servers by cause, those that were reused or failed included",
+            self.server_connections.clone(),
+        );
         registry.register(
             "ready",
             "Whether this node reports itself as ready",
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod checks;
 mod connection;
+mod connection_cause;
 mod connection_close;
 mod connection_report;
 mod control;
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -19,7 +19,7 @@
 use super::metrics::ReasonLabels;
 use super::ports::{AnswerMetadata, WireFormat};
 use super::request::{AttemptOutcome, BROKEN_OFF, RESTARTED, ServerAnswer};
-use super::run::{MAX_SERVERS_TRIED, RelayRun, RetryCause};
+use super::run::{RelayRun, RetryCause};
 use super::stream::StreamRelay;
 use super::stream_origins::UNREACHABLE_RETRY_DELAY;
 use super::waiting::{AdmissionMoment, WaitPause};
@@ -279,7 +279,8 @@
         let now = self.shared.clock.now();
         self.log_route(pick, now);
         let silent_at = self.silent_at(now);
-        let mut attempt = pin!(self.start_attempt(pick, permit, silent_at, None));
+        let cause = self.connection_cause();
+        let mut attempt = pin!(self.start_attempt(pick, permit, silent_at, None, cause));
         let Some(mut silent_at) = silent_at else {
             let end = attempt.await;
             return self.finish_attempt(pick, end);
@@ -398,8 +399,9 @@
     fn after_refusal(&mut self, reason: &'static str, arrived: bool) -> NextStep {
         self.on_refusal(arrived);
         self.count_failure(reason);
-        let tries = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
-        if tries < MAX_SERVERS_TRIED && self.spend_retry(RetryCause::Refused, reason) {
+        if !self.has_servers_left() {
+            self.record_attempt_bound("servers");
+        } else if self.spend_retry(RetryCause::Refused, reason) {
             return NextStep::Retry;
         }
         let left = self.time_left();
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -13,6 +13,7 @@
 };
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 
+use super::connection_cause::ConnectionCause;
 use super::guards::WorkGuard;
 use super::ports::{AnswerMetadata, RequestMetadata, WireFormat};
 use super::retry_payment::RetryPayment;
@@ -131,6 +132,8 @@
     pub(crate) server: ServerEntry,
     /// Reason for which the node sends the request now.
     pub(crate) cause: SendCause,
+    /// Reason for which a connection is used, for the metrics.
+    pub(crate) connection: ConnectionCause,
     /// Time from which a server without an answer counts as silent.
     pub(crate) silent_at: Option<Instant>,
     /// Id of the event after which a stream is continued.
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -14,6 +14,7 @@
 use plumgate::retry::may_run_again;
 
 use super::attempt::attempt;
+use super::connection_cause::ConnectionCause;
 use super::guards::{RequestGuard, WorkGuard};
 use super::ports::WireFormat;
 use super::request::{AttemptEnd, AttemptOrder, AttemptOutcome, RelayRequest};
@@ -27,7 +28,7 @@
 
 /// Maximum number of servers that are tried for one request, including those that refused it or could not be
 /// reached.
-pub(crate) const MAX_SERVERS_TRIED: u32 = 4;
+const MAX_SERVERS_TRIED: u32 = 4;
 /// Shortest time left for which another attempt is made.
 pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
 
@@ -120,6 +121,7 @@
         permit: Option<SendPermit>,
         silent_at: Option<Instant>,
         resume_after: Option<u64>,
+        connection: ConnectionCause,
     ) -> impl Future<Output = AttemptEnd<C, W>> + Send + use<C, W> {
         let now = self.shared.clock.now();
         let placement = self.request.placement(&self.tried, false, self.origin);
@@ -131,6 +133,7 @@
             request: self.request.clone(),
             server: pick.server.clone(),
             cause: self.send_cause(),
+            connection,
             silent_at,
             resume_after,
             origin: self.origin,
@@ -204,6 +207,17 @@
         }
     }
 
+    /// Returns the reason for which the next connection is used. A server that could not be reached counts as tried.
+    pub(crate) fn connection_cause(&self) -> ConnectionCause {
+        if self.first_byte.is_some() {
+            ConnectionCause::Resume
+        } else if self.tried.is_empty() {
+            ConnectionCause::FirstTry
+        } else {
+            ConnectionCause::Retry
+        }
+    }
+
     /// Records a run whose answer was lost, if the server had probably started it: a service without prompts
     /// starts at once, an engine after the prefill of earlier requests and of this prompt.
     pub(crate) fn record_in_doubt_run(&mut self, pick: &ServerPick) {
@@ -290,14 +304,42 @@
 
     /// Returns whether a request that may have run may be sent to another server, if its retry is paid.
     pub(crate) fn may_run_again(&self) -> bool {
-        let tries = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
         may_run_again(RunOutcome::Unknown, self.request.route.kind.is_repeatable())
-            && self.runs < self.request.route.max_attempts
-            && tries < MAX_SERVERS_TRIED
+            && self.has_attempts_left()
             && self.time_left() > MIN_ATTEMPT_TIME
             && !matches!(self.quarantine_verdict(), RequestVerdict::Block(_))
     }
 
+    /// Returns whether the numbers of runs and of servers that were tried allow another attempt, and logs which one
+    /// does not.
+    fn has_attempts_left(&self) -> bool {
+        let bound = if self.runs >= self.request.route.max_attempts {
+            "runs"
+        } else if !self.has_servers_left() {
+            "servers"
+        } else {
+            return true;
+        };
+        self.record_attempt_bound(bound);
+        false
+    }
+
+    /// Returns whether another server may be tried.
+    pub(crate) fn has_servers_left(&self) -> bool {
+        let tries = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        tries < MAX_SERVERS_TRIED
+    }
+
+    /// Logs that a bound on attempts ends the tries of a request.
+    pub(crate) fn record_attempt_bound(&self, bound: &'static str) {
+        LogLine::new("attempt_bound")
+            .with("request", &self.request.id)
+            .with("bound", bound)
+            .with("servers", self.tried.len())
+            .with("runs", self.runs)
+            .info(&self.shared.log);
+    }
+
     /// Returns whether some server may continue the stream: its origin is not in doubt, and servers of it are known.
     pub(crate) fn can_continue(&self) -> bool {
         let reason = match self.origin {
--- a/crates/plumgate-node/src/gateway/second_run.rs
+++ b/crates/plumgate-node/src/gateway/second_run.rs
@@ -13,6 +13,7 @@
 };
 use plumgate::ids::ServerId;
 
+use super::connection_cause::ConnectionCause;
 use super::ports::WireFormat;
 use super::request::{AttemptEnd, AttemptOutcome, SILENT, ServerAnswer};
 use super::run::{MIN_ATTEMPT_TIME, RelayRun};
@@ -102,7 +103,7 @@
                 return SecondOutcome::Denied;
             }
             while let Some((pick, permit)) = self.next_server().await {
-                if let Some(outcome) = self.ask(&pick, permit, resume_after).await {
+                if let Some(outcome) = self.ask(&pick, permit, resume_after, reason).await {
                     return outcome;
                 }
             }
@@ -159,6 +160,7 @@
         pick: &ServerPick,
         permit: Option<SendPermit>,
         resume_after: Option<u64>,
+        reason: &'static str,
     ) -> Option<SecondOutcome<C, W>> {
         LogLine::new("resume")
             .with("request", &self.request.id)
@@ -167,7 +169,11 @@
             .with_some("version", pick.server.version.as_ref())
             .with_some("after_event", resume_after)
             .info(&self.shared.log);
-        let attempt = self.start_attempt(pick, permit, None, resume_after);
+        let connection = match reason {
+            SILENT => ConnectionCause::SecondServer,
+            _ => self.connection_cause(),
+        };
+        let attempt = self.start_attempt(pick, permit, None, resume_after, connection);
         let may_ask_third = self.runs + 1 < self.request.route.max_attempts;
         let end = if may_ask_third {
             let gives_up_at = self.shared.clock.now() + ASK_PATIENCE;
--- a/crates/plumgate-node/src/gateway/server_connection.rs
+++ b/crates/plumgate-node/src/gateway/server_connection.rs
@@ -8,6 +8,7 @@
 use futures_lite::future;
 use plumgate::gateway::{DirectResult, PathPlan, PolicyPart, ServerEntry, WorkOutcome};
 
+use super::connection_cause::ConnectionCause;
 use super::shared::GatewayShared;
 use super::tunnels::{TUNNEL_TIMEOUT, open_tunnel};
 use crate::clock::{Clock, until};
@@ -53,21 +54,38 @@
 pub(crate) async fn open_server<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     server: &ServerEntry,
+    cause: ConnectionCause,
+    deadline: Instant,
+) -> Result<HttpLink, ConnectFailure> {
+    let opened = open_planned(shared, server, cause, deadline).await;
+    match &opened {
+        Ok(link) if link.helper().is_some() => shared.record_connection(cause, "tunnelled"),
+        Err(ConnectFailure::Paused) => shared.record_connection(cause, "paused"),
+        Ok(_) | Err(ConnectFailure::Refused | ConnectFailure::Silent) => {}
+    }
+    opened
+}
+
+/// Opens a connection to a server in the way in which it was reached lately.
+async fn open_planned<C: Clock, W>(
+    shared: &GatewayShared<C, W>,
+    server: &ServerEntry,
+    cause: ConnectionCause,
     deadline: Instant,
 ) -> Result<HttpLink, ConnectFailure> {
     let now = shared.clock.now();
     let direct_deadline = deadline.min(now + CONNECT_TIMEOUT);
     if !shared.can_tunnel() {
-        return open_direct(shared, server, direct_deadline).await;
+        return open_direct(shared, server, cause, direct_deadline).await;
     }
     let tunnel_deadline = deadline.min(now + TUNNEL_TIMEOUT);
     let plan = shared.paths().plan(server, now);
     match plan {
-        PathPlan::Direct => open_either(shared, server, deadline).await,
+        PathPlan::Direct => open_either(shared, server, cause, deadline).await,
         PathPlan::Tunnel { allows_direct } => {
             let opened = open_tunnel(shared, server, tunnel_deadline).await;
             if opened.is_err() && allows_direct && shared.clock.now() < deadline {
-                return open_direct(shared, server, direct_deadline).await;
+                return open_direct(shared, server, cause, direct_deadline).await;
             }
             opened
         }
@@ -79,6 +97,7 @@
 async fn open_direct<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     server: &ServerEntry,
+    cause: ConnectionCause,
     deadline: Instant,
 ) -> Result<HttpLink, ConnectFailure> {
     let started_at = shared.clock.now();
@@ -93,7 +112,7 @@
         let took = shared.clock.now().saturating_duration_since(started_at);
         shared.paths().record_open_time(took);
     }
-    shared.record_direct(server, result);
+    shared.record_direct(server, result, cause);
     opened
 }
 
@@ -101,7 +120,7 @@
 pub(crate) async fn probe_path<C: Clock, W>(shared: &GatewayShared<C, W>, server: &ServerEntry) {
     let deadline = shared.clock.now() + CONNECT_TIMEOUT;
     // The result is recorded.
-    let _ = open_direct(shared, server, deadline).await;
+    let _ = open_direct(shared, server, ConnectionCause::PathProbe, deadline).await;
 }
 
 /// Opens a direct connection, and one through another node as soon as that fails or is late. The first one that is
@@ -109,12 +128,14 @@
 async fn open_either<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     server: &ServerEntry,
+    cause: ConnectionCause,
     deadline: Instant,
 ) -> Result<HttpLink, ConnectFailure> {
     let now = shared.clock.now();
     let mut direct = pin!(open_direct(
         shared,
         server,
+        cause,
         deadline.min(now + CONNECT_TIMEOUT)
     ));
     let late_at = now + shared.paths().late_after();
@@ -132,7 +153,7 @@
         let opened = open_tunnel(shared, server, deadline).await;
         if opened.is_ok() {
             // The direct connection is given up.
-            shared.record_direct(server, DirectResult::Silent);
+            shared.record_direct(server, DirectResult::Silent, cause);
             shared.record_tunnel(server, true);
         }
         opened
--- a/crates/plumgate-node/src/gateway/server_paths.rs
+++ b/crates/plumgate-node/src/gateway/server_paths.rs
@@ -2,6 +2,7 @@
 
 use plumgate::gateway::{DirectResult, PathChange, PathLoss, ServerEntry};
 
+use super::connection_cause::ConnectionCause;
 use super::metrics::ReasonLabels;
 use super::shared::GatewayShared;
 use crate::clock::Clock;
@@ -9,7 +10,13 @@
 
 impl<C: Clock, W> GatewayShared<C, W> {
     /// Records the result of a new connection from this node to a server.
-    pub(crate) fn record_direct(&self, server: &ServerEntry, result: DirectResult) {
+    pub(crate) fn record_direct(
+        &self,
+        server: &ServerEntry,
+        result: DirectResult,
+        cause: ConnectionCause,
+    ) {
+        self.record_connection(cause, result.as_str());
         let labels = ReasonLabels {
             reason: result.as_str(),
         };
--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -7,6 +7,7 @@
 use hyper::{Method, Response, StatusCode};
 use plumgate::gateway::{CrashSign, RequestIdentity, ServerEntry, SuspectEvent, SuspectState};
 
+use super::connection_cause::ConnectionCause;
 use super::metrics::ReasonLabels;
 use super::server_connection::{CONNECT_TIMEOUT, ConnectFailure, open_server};
 use super::shared::GatewayShared;
@@ -32,7 +33,13 @@
     let (prober, server) = (shared.clone(), server.clone());
     let task = async move {
         let opened = prober.clock.now();
-        let connected = open_server(&prober, &server, opened + CONNECT_TIMEOUT).await;
+        let connected = open_server(
+            &prober,
+            &server,
+            ConnectionCause::ServerCheck,
+            opened + CONNECT_TIMEOUT,
+        )
+        .await;
         match &connected {
             Ok(_) => {
                 let now = prober.clock.now();
@@ -78,7 +85,8 @@
     let others = shared.other_servers(server);
     for other in &others {
         let deadline = shared.clock.now() + CONNECT_TIMEOUT;
-        if open_server(shared, other, deadline).await.is_ok() {
+        let opened = open_server(shared, other, ConnectionCause::ServerCheck, deadline).await;
+        if opened.is_ok() {
             return true;
         }
     }
--- a/crates/plumgate-node/src/gateway/tunnels.rs
+++ b/crates/plumgate-node/src/gateway/tunnels.rs
@@ -16,6 +16,7 @@
 };
 use plumgate::ids::NodeId;
 
+use super::connection_cause::ConnectionCause;
 use super::metrics::ReasonLabels;
 use super::server_connection::ConnectFailure;
 use super::shared::GatewayShared;
@@ -216,7 +217,7 @@
         Some(Err(_)) => (DirectResult::Refused, Err(TunnelRefusal::ServerRefused)),
         None => (DirectResult::Silent, Err(TunnelRefusal::ServerSilent)),
     };
-    shared.record_direct(&server, result);
+    shared.record_direct(&server, result, ConnectionCause::Tunnel);
     opened
 }
 
