gateway: a wait is bounded by the target of the request's own route

Cause: urgent requests are refused by the longest target of less urgent routes, and waits were bounded by a share of that one; the specification bounds them by the target of the request. Change: AdmissionContext holds the route's target.

--- a/crates/plumgate-node/src/gateway/waiting.rs
+++ b/crates/plumgate-node/src/gateway/waiting.rs
@@ -244,6 +244,7 @@
         AdmissionContext {
             is_returning: request.is_returning,
             waited: self.room_wait.waited(now),
+            target: self.request.route.target,
             waiting: u32::try_from(waiting.queue.len()).unwrap_or(u32::MAX),
             waiting_bytes: waiting.queue.bytes(),
             has_place: match place {
@@ -389,6 +390,7 @@
             .with("queue_ms", prediction.queue.as_millis())
             .with("wait_ms", prediction.wait.as_millis())
             .with("target_left_ms", prediction.target_left.as_millis())
+            .with("target_ms", context.target.as_millis())
             .with("left_ms", prediction.left.as_millis())
             .with("share", context.share.as_str())
             .with("memory", context.memory.as_str())
--- a/crates/plumgate/src/gateway/admission/policy.rs
+++ b/crates/plumgate/src/gateway/admission/policy.rs
@@ -195,6 +195,9 @@
     pub is_returning: bool,
     /// Time for which the request has waited at this node.
     pub waited: Duration,
+    /// Target latency of its route, which bounds its wait. The target by which it is refused may be the longer one of a
+    /// less urgent route.
+    pub target: Duration,
     /// Number of requests that wait at this node.
     pub waiting: u32,
     /// Bytes of their bodies.
@@ -330,7 +333,7 @@
             return Some(AdmissionDecision::Send);
         }
         let excess = prediction.queue.saturating_sub(max_queue);
-        let longest = longest_wait(target, prediction.left, context.is_returning);
+        let longest = longest_wait(context.target, prediction.left, context.is_returning);
         let wait_left = longest.saturating_sub(context.waited);
         if is_in_time && context.has_place && !wait_left.is_zero() && excess <= wait_left {
             let pause = excess.clamp(MIN_PAUSE, MAX_PAUSE).min(wait_left);
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -388,6 +388,7 @@
         let context = AdmissionContext {
             is_returning: pending.is_returning,
             waited: Duration::from_secs_f64(waited),
+            target: Duration::from_secs_f64(traffic.target),
             has_place: true,
             ..AdmissionContext::default()
         };
--- a/crates/plumgate/tests/waiting.rs
+++ b/crates/plumgate/tests/waiting.rs
@@ -289,7 +289,9 @@
         target_left: Duration::from_millis(target),
         left: Duration::from_millis(rng.u64(1..12_000)),
     };
+    // A route's own target may be shorter than the one by which it is refused.
     let context = AdmissionContext {
+        target: Duration::from_millis(rng.u64(target / 2..=target)),
         is_returning: rng.bool(),
         has_place: rng.bool(),
         is_behind: rng.bool(),
@@ -309,7 +311,7 @@
     let mut waits = 0;
     for _ in 0..20_000 {
         let (mut prediction, mut context) = drawn_context(&mut rng);
-        let target = prediction.target_left;
+        let target = context.target;
         let usual = before.decide(&prediction, &AdmissionContext::default(), 0.5);
         let first = policy.decide(&prediction, &context, 0.5);
         if usual == AdmissionDecision::Send || context.is_behind && !context.has_place {
