docs, shares: the chance of a burst, and what shares cost, as computed and measured

Cause: the note said one in three for a probability of one in eight, and that refusals only replace late answers, which was not measured.

--- a/crates/plumgate/src/gateway/shares/share_group.rs
+++ b/crates/plumgate/src/gateway/shares/share_group.rs
@@ -14,7 +14,7 @@
 /// Least burst allowance, as a share of the level.
 const BURST_SHARE: f64 = 0.25;
 /// Burst allowance in standard deviations of the use of a workspace whose requests arrive at random. Of 24 equal
-/// workspaces with some 20 requests in 5 s each, one in three is beyond 1.25 times the mean at any time.
+/// workspaces with some 20 requests in 5 s each, one in eight is beyond 1.25 times the mean at any time.
 const BURST_DEVIATIONS: f64 = 2.0;
 /// Demand of the workspaces within their share, as a share of the capacity, below which no room is kept for them: where
 /// nearly all workspaces demand more than the level, shorter queues would only refuse what could be served late.
