gateway: memory of engines counts as capacity

Cause: nothing kept nodes from sending an engine more tokens than its KV cache holds. Change: each node counts what its requests hold at each incarnation (prompt, each shared part once, expected output by hint and learnt length), reports servers above half of their memory (SumTopic::ServerMemory), and predicts when a request fits. Less urgent requests don't delay urgent ones. Prompts larger than the memory are refused as too_large, 503, not run. Switch: engine-memory. The load model has engines with a memory and preemption.

Also here: the table that bounds bytes held for slow callers (gateway/read_ahead), not used by the node yet.

--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes about their load on the servers, as datagrams, and the register of nodes.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,10 +10,10 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use plumgate::gateway::{
-    ExchangeMoment, ExchangePacket, LoadExchange, MessageTime, NodeEntry, OriginMessage,
+    ExchangeMoment, ExchangePacket, LoadExchange, LoadTable, MessageTime, NodeEntry, OriginMessage,
     PlaceMessage,
 };
-use plumgate::ids::NodeId;
+use plumgate::ids::{NodeId, PoolId};
 
 use super::duties::DutyState;
 use super::ports::FleetSource;
@@ -35,6 +36,8 @@
 /// Time between two full updates of the servers' availability in placement. New statements of servers are
 /// applied at once; this update accounts for time in suspension, which the clock of placement does not count.
 const AVAILABILITY_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two reports of the memory of engines to operators.
+const MEMORY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time over which the nodes spread the writes of their rows after the store was restored from an old backup:
 /// 76 nodes then write about 40 rows a second, a tenth of what a small store can handle.
 const REREGISTER_SPREAD: Duration = Duration::from_secs(2);
@@ -58,6 +61,10 @@
     has_register: Cell<bool>,
     /// Time of the next full update of the servers' availability in placement.
     availability_due: Cell<Instant>,
+    /// Time of the next report of the memory of engines.
+    memory_due: Cell<Instant>,
+    /// Pools with servers whose memory is reported to the other nodes.
+    short_pools: RefCell<BTreeSet<PoolId>>,
 }
 
 impl<C: Clock, W: Send + Sync + 'static> PeerExchange<C, W> {
@@ -92,6 +99,8 @@
             collector: RefCell::default(),
             has_register: Cell::new(false),
             availability_due: Cell::new(shared.clock.now()),
+            memory_due: Cell::new(shared.clock.now()),
+            short_pools: RefCell::default(),
             shared,
             view,
             socket,
@@ -136,6 +145,32 @@
         own_entry
     }
 
+    /// Publishes the predicted memory use of each pool once a second, and logs when a pool begins or ceases to have
+    /// servers whose memory is largely in use.
+    fn report_memory(&self, loads: &LoadTable, now: Instant) {
+        if now < self.memory_due.get() {
+            return;
+        }
+        self.memory_due.set(now + MEMORY_INTERVAL);
+        let mut short_pools = self.short_pools.borrow_mut();
+        for memory in loads.memory_use(now) {
+            self.shared.metrics.set_memory_use(&memory);
+            let is_changed = if memory.reported_servers > 0 {
+                short_pools.insert(memory.pool.clone())
+            } else {
+                short_pools.remove(&memory.pool)
+            };
+            if is_changed {
+                LogLine::new("engine_memory")
+                    .with("pool", &memory.pool)
+                    .with("used_tokens", memory.used_tokens)
+                    .with("capacity_tokens", memory.capacity_tokens)
+                    .with("reported_servers", memory.reported_servers)
+                    .info(&self.shared.log);
+            }
+        }
+    }
+
     async fn receive(&self) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
@@ -332,6 +367,7 @@
                 let mut loads = self.shared.loads();
                 let mut exchange = self.exchange.borrow_mut();
                 loads.exchange_with(&mut exchange, moment.now);
+                self.report_memory(&loads, moment.now);
                 let unix_ms = self.shared.clock.unix_ms();
                 let mut quarantine = self.shared.quarantine();
                 let refused = quarantine.exchange_with(&mut exchange, moment.now, unix_ms);
--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -194,6 +194,13 @@
         }
     }
 
+    /// Records the number of events of the complete answer.
+    pub(crate) fn record_output(&mut self, events: u32) {
+        if let Some(ticket) = &mut self.ticket {
+            ticket.record_output(events);
+        }
+    }
+
     /// Records that the server has sent nothing for longer than it may, while the request waits on.
     pub(crate) fn on_silence(&mut self) {
         self.outcome = WorkOutcome::TimedOut;
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use plumgate::gateway::BudgetState;
+use plumgate::gateway::{BudgetState, PoolMemoryUse};
 use plumgate::ids::PoolId;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -189,6 +189,12 @@
     pub(crate) quarantined: Gauge,
     /// Servers with a rate limit.
     pub(crate) limited_servers: Gauge,
+    /// Requests refused while no server had the memory for them, by reason.
+    pub(crate) memory_refusals: Family<ReasonLabels, Counter>,
+    /// Tokens that requests are predicted to hold in the memory of a pool's engines.
+    pub(crate) memory_tokens: Family<PoolLabels, Gauge>,
+    /// Tokens that the memory of a pool's engines holds.
+    pub(crate) memory_capacity: Family<PoolLabels, Gauge>,
     /// Requests sent to servers with a rate limit, by reason to send.
     pub(crate) limited_sends: Family<ReasonLabels, Counter>,
     /// 1 while this node issues permits for servers with a rate limit, otherwise 0.
@@ -286,6 +292,9 @@
             blocked_requests: Family::default(),
             quarantined: Gauge::default(),
             limited_servers: Gauge::default(),
+            memory_refusals: Family::default(),
+            memory_tokens: Family::default(),
+            memory_capacity: Family::default(),
             limited_sends: Family::default(),
             limit_issuer: Gauge::default(),
             limit_deferrals: Counter::default(),
@@ -407,6 +416,21 @@
             "Different requests in quarantine",
             self.quarantined.clone(),
         );
+        registry.register(
+            "memory_refusals",
+            "Requests refused for the memory of engines",
+            self.memory_refusals.clone(),
+        );
+        registry.register(
+            "engine_memory_tokens",
+            "Tokens predicted to be held in the memory of engines",
+            self.memory_tokens.clone(),
+        );
+        registry.register(
+            "engine_memory_capacity_tokens",
+            "Tokens that the memory of engines holds",
+            self.memory_capacity.clone(),
+        );
         registry.register(
             "limited_servers",
             "Servers that named a limit",
@@ -612,6 +636,18 @@
         registry
     }
 
+    /// Sets the gauges of the memory of a pool's engines.
+    pub(crate) fn set_memory_use(&self, pool: &PoolMemoryUse) {
+        let labels = PoolLabels {
+            pool: pool.pool.to_string(),
+        };
+        let signed = |tokens| i64::try_from(tokens).unwrap_or(i64::MAX);
+        let used = self.memory_tokens.get_or_create(&labels);
+        used.set(signed(pool.used_tokens));
+        let capacity = self.memory_capacity.get_or_create(&labels);
+        capacity.set(signed(pool.capacity_tokens));
+    }
+
     /// Sets the gauges of the retries to a pool.
     pub(crate) fn set_budget(&self, pool: &PoolId, state: &BudgetState) {
         let labels = PoolLabels {
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -9,9 +9,9 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
-    AdmissionContext, AdmissionDecision, AdmissionPolicy, AnswerEnd, AnswerFraming, AnswerVerdict,
-    BlockedRequest, BodyEnd, QueuePrediction, RepeatKind, RequestVerdict, SendPermit, SendRefusal,
-    ServerChoice, ServerPick, WorkOutcome,
+    AdmissionContext, AdmissionDecision, AdmissionPolicy, AdmissionReason, AnswerEnd,
+    AnswerFraming, AnswerVerdict, BlockedRequest, BodyEnd, MemoryFit, QueuePrediction, RepeatKind,
+    RequestVerdict, SendPermit, SendRefusal, ServerChoice, ServerPick, WorkOutcome,
 };
 
 use super::answer::{GatewayBody, StreamChunk, full_body, own_answer, relayed_head, stream_body};
@@ -230,10 +230,12 @@
         if !self.tried.is_empty() {
             return Ok(AdmittedChoice::Server(pick));
         }
+        self.check_memory(&pick)?;
         let share = self.assess_share(&prediction);
         let context = AdmissionContext {
             share: share.standing,
             urgent_share: share.urgent,
+            memory: pick.memory,
             ..AdmissionContext::default()
         };
         let decision = if self.request.metadata.prompt.is_some() {
@@ -255,11 +257,53 @@
                 reason,
             } => {
                 self.record_share_refusal(&share, &pick, reason);
+                self.record_memory_refusal(&pick, reason);
                 Err(self.unserved_error(reason.as_str(), retry_after))
             }
         }
     }
 
+    /// Refuses a request that is larger than the memory of any server of its pool.
+    fn check_memory(&self, pick: &ServerPick) -> Result<(), CallerError> {
+        if pick.memory != MemoryFit::Never {
+            return Ok(());
+        }
+        self.record_memory_refusal(pick, AdmissionReason::TooLarge);
+        Err(CallerError::invalid(
+            StatusCode::SERVICE_UNAVAILABLE,
+            AdmissionReason::TooLarge.as_str(),
+            "the prompt is larger than the memory of any backend server; it was not run",
+        ))
+    }
+
+    /// Records that a request is refused for want of memory.
+    fn record_memory_refusal(&self, pick: &ServerPick, reason: AdmissionReason) {
+        if !matches!(
+            reason,
+            AdmissionReason::NoMemory | AdmissionReason::TooLarge
+        ) {
+            return;
+        }
+        let fits_after = match pick.memory {
+            MemoryFit::FitsAfter(after) => Some(after),
+            MemoryFit::Fits | MemoryFit::Never => None,
+        };
+        let reason = reason.as_str();
+        let labels = ReasonLabels { reason };
+        let metrics = &self.shared.metrics;
+        metrics.memory_refusals.get_or_create(&labels).inc();
+        let prompt = self.request.metadata.prompt.as_ref();
+        LogLine::new("memory_refused")
+            .with("request", &self.request.id)
+            .with("pool", &self.request.pool)
+            .with("server", &pick.server.id)
+            .with("reason", reason)
+            .with_some("fits_after_ms", fits_after.map(|after| after.as_millis()))
+            .with_some("prompt_tokens", prompt.map(|prompt| prompt.tokens()))
+            .with_some("output_hint", self.request.metadata.output_hint)
+            .info(&self.shared.log);
+    }
+
     /// Returns the rule of admission.
     pub(crate) fn admission(&self) -> AdmissionPolicy {
         AdmissionPolicy::new().with_switches(self.shared.options.switches)
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -79,6 +79,7 @@
             is_isolated,
             avoid,
             origin: origin.required(),
+            output_hint: self.metadata.output_hint,
         }
     }
 }
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -413,6 +413,7 @@
     fn finish(&mut self) -> Option<StreamChunk> {
         self.is_finished = true;
         self.record_run(Duration::ZERO);
+        self.record_output();
         self.set_outcome(WorkOutcome::Answered);
         self.run.apply(AttemptEvent::Finished);
         self.run
@@ -421,6 +422,18 @@
         (!rest.is_empty()).then(|| Ok(Frame::data(rest)))
     }
 
+    /// Records the number of events of the answer, from which the length of answers is learnt.
+    fn record_output(&mut self) {
+        let first = self.run.request.metadata.resume_after.unwrap_or(0);
+        let last = self.content.events().and_then(|events| events.last_id());
+        let events = last.map_or(0, |last| last.saturating_sub(first));
+        if let Some(source) = &mut self.source {
+            source
+                .work
+                .record_output(u32::try_from(events).unwrap_or(0));
+        }
+    }
+
     /// Ends the stream with an error, so that it does not look complete.
     fn abort(&mut self, reason: &'static str) -> Option<StreamChunk> {
         self.is_finished = true;
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -300,6 +300,7 @@
         self.shared.tunnel_gate().set_config(&config);
         let workspaces = config.workspaces().len();
         self.shared.shares().set_workspaces(workspaces);
+        self.shared.loads().set_engines(&config);
         self.observe_routes(&config);
         self.shared.config.store(Some(config));
         true
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod reachability;
+pub mod read_ahead;
 pub mod run_race;
 pub mod server_choices;
 pub mod servers;
@@ -53,7 +54,7 @@
 };
 pub use placement::{
     ExpiredLoan, LoadTable, PlaceMessage, PlaceRound, PlacementOptions, PlacementPolicy,
-    PlacementRequest, ProfileChange, ProfileCounts, ServerPick,
+    PlacementRequest, PoolMemoryUse, ProfileChange, ProfileCounts, ServerPick,
 };
 pub use prompt::{PromptPart, PromptShape};
 pub use quarantine::{
@@ -70,6 +71,7 @@
     DirectResult, MAX_TUNNEL_REQUEST_BYTES, PathChange, PathDoubt, PathLoss, PathPlan, PathTable,
     ServerRef, TunnelGate, TunnelPeers, TunnelRefusal, TunnelReply, TunnelResult,
 };
+pub use read_ahead::{ReadAheadBounds, ReadAheadTable, ReadAheadUse, StreamNumber};
 pub use run_race::{RaceAction, RaceEvent, RunRace};
 pub use server_choices::{ServerChoice, ServerChoices};
 pub use servers::{IncarnationId, ServerEntry, ServerState, ServerTable};
--- a/crates/plumgate/src/gateway/placement/choice.rs
+++ b/crates/plumgate/src/gateway/placement/choice.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::gateway::admission::MemoryFit;
 use crate::gateway::config::StreamClass;
 use crate::gateway::origins::StreamOrigin;
 use crate::gateway::prompt::PromptShape;
@@ -91,6 +92,8 @@
     pub avoid: &'a [ServerId],
     /// Origin that the server must have, if the request continues a stream.
     pub origin: Option<StreamOrigin>,
+    /// Output tokens that the caller expects.
+    pub output_hint: Option<u32>,
 }
 
 /// The chosen server and what is predicted of the request there.
@@ -114,6 +117,8 @@
     pub copy_from: Option<ServerEntry>,
     /// Affinity rank of the server for the prompt's shared parts, for the log.
     pub affinity: &'static str,
+    /// Whether the request fits into the memory of the server.
+    pub memory: MemoryFit,
     /// The second best server and its cost, for the log.
     pub runner_up: Option<(ServerId, Duration)>,
 }
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -10,6 +10,7 @@
 use super::choice::{PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
 use super::data_centres::DataCentreTable;
 use super::demand::DemandMeter;
+use super::engine_memory::{EngineMemory, MemoryReservation};
 use super::groups::{GroupShares, ServerGroups};
 use super::place_loans::PlaceLoans;
 use super::place_ranks::PlaceRanks;
@@ -64,6 +65,8 @@
     pub(super) loans: PlaceLoans,
     /// Ranks by which places at brittle servers are dealt out.
     pub(super) ranks: PlaceRanks,
+    /// Memory of the engines of each pool.
+    pub(super) memory: EngineMemory,
 }
 
 impl LoadTable {
@@ -82,6 +85,7 @@
             demand: DemandMeter::default(),
             loans: PlaceLoans::default(),
             ranks: PlaceRanks::default(),
+            memory: EngineMemory::default(),
         }
     }
 
@@ -169,6 +173,7 @@
                 load.record_part(part, now);
             }
         }
+        self.exchange_memory(exchange, now);
     }
 
     pub(super) fn has(&self, part: PolicyPart) -> bool {
@@ -351,7 +356,9 @@
                 cached_nowhere: cache_holder.cached_nowhere(),
                 pace,
             };
+            let memory = self.memory_forecast(request, load, now);
             let prediction = load.predict(request, &tokens, &self.options, now);
+            let prediction = prediction.with_memory(&memory);
             let overflow = match (request.class, groups.class(&id)) {
                 (StreamClass::Batch, StreamClass::Interactive) => BATCH_OVERFLOW_SECONDS,
                 (StreamClass::Interactive, StreamClass::Batch) => INTERACTIVE_OVERFLOW_SECONDS,
@@ -386,6 +393,7 @@
             ahead_tokens: prediction.ahead,
             copy_from: source.map(|id| self.servers[id].entry.clone()),
             affinity: preferred.rank(id).as_str(),
+            memory: self.memory_forecast(request, &self.servers[id], now).fit,
             runner_up,
         })
     }
@@ -448,7 +456,7 @@
         request: &PlacementRequest<'_>,
         now: Instant,
     ) -> WorkTicket {
-        let ticket = WorkTicket {
+        let mut ticket = WorkTicket {
             server: pick.server.id.clone(),
             start_time: pick.server.start_time,
             urgency: usize::from(request.urgency).min(URGENCY_LEVELS - 1),
@@ -458,8 +466,13 @@
             has_prompt: request.prompt.is_some(),
             first_byte: None,
             pauses: PauseSample::default(),
+            memory: MemoryReservation::default(),
+            output_events: 0,
         };
         if let Some(load) = ticket_load(&mut self.servers, &ticket) {
+            if let Some(demand) = request.memory_demand() {
+                ticket.memory = self.memory.reserve(&demand, &mut load.memory);
+            }
             load.own.in_flight += 1;
             load.own.pending_prefill[ticket.urgency] += ticket.prefill_tokens;
             let shared = request.prompt.map_or(&[][..], PromptShape::shared);
@@ -507,6 +520,9 @@
             self.profiles.record(load, &ticket, outcome, now);
         }
         load.own.in_flight = load.own.in_flight.saturating_sub(1);
+        let pool = &load.entry.pool;
+        self.memory
+            .release(pool, &ticket, outcome, &mut load.memory, now);
         let pending = &mut load.own.pending_prefill[ticket.urgency];
         *pending = pending.saturating_sub(ticket.prefill_tokens);
         load.record_outcome(outcome, now);
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::choice::{PlacementOptions, PlacementRequest, SendDeferral};
+use super::engine_memory::ServerMemory;
 use super::profiles::{ServerPace, ServerProfile};
 use super::server_room::{PlaceShare, ServerRoom};
 use crate::gateway::config::StreamClass;
@@ -99,10 +100,12 @@
     room: Option<ServerRoom>,
     /// Whether its entry is missing, perhaps because of an outage of the store.
     is_unconfirmed: bool,
-    parts: HashMap<u64, Instant>,
+    pub(super) parts: HashMap<u64, Instant>,
     part_order: VecDeque<u64>,
     /// Its speed relative to its pool.
     pub(crate) profile: ServerProfile,
+    /// Memory that requests hold there.
+    pub(super) memory: ServerMemory,
 }
 
 /// Costs of the shared tokens of a prompt at one server.
@@ -159,6 +162,7 @@
             parts: HashMap::new(),
             part_order: VecDeque::new(),
             profile: ServerProfile::default(),
+            memory: ServerMemory::default(),
         }
     }
 
--- a/crates/plumgate/src/gateway/work.rs
+++ b/crates/plumgate/src/gateway/work.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::placement::MemoryReservation;
 use super::servers::StartTime;
 use crate::ids::ServerId;
 
@@ -54,6 +55,10 @@
     /// When the answer began.
     pub(crate) first_byte: Option<Instant>,
     pub(crate) pauses: PauseSample,
+    /// Memory that it holds at the server.
+    pub(crate) memory: MemoryReservation,
+    /// Number of events of the answer, once it is complete.
+    pub(crate) output_events: u32,
 }
 
 impl WorkTicket {
@@ -69,6 +74,11 @@
             self.pauses.record(pause);
         }
     }
+
+    /// Records the number of events of the complete answer, from which the length of answers is learnt.
+    pub fn record_output(&mut self, events: u32) {
+        self.output_events = events;
+    }
 }
 
 /// Number of pauses that are kept of a stream.
--- a/crates/plumgate/tests/brittle_fleet/mod.rs
+++ b/crates/plumgate/tests/brittle_fleet/mod.rs
@@ -366,6 +366,7 @@
                 is_isolated: false,
                 avoid: &request.tried,
                 origin: None,
+                output_hint: None,
             };
             let table = &mut self.nodes[request.node].table;
             let Some(pick) = table.pick(&placement, now) else {
--- a/crates/plumgate/tests/gateway_copies.rs
+++ b/crates/plumgate/tests/gateway_copies.rs
@@ -91,6 +91,7 @@
         is_isolated: false,
         avoid,
         origin: None,
+        output_hint: None,
     }
 }
 
--- a/crates/plumgate/tests/gateway_isolation.rs
+++ b/crates/plumgate/tests/gateway_isolation.rs
@@ -19,6 +19,7 @@
         is_isolated,
         avoid,
         origin: None,
+        output_hint: None,
     }
 }
 
--- a/crates/plumgate/tests/gateway_load.rs
+++ b/crates/plumgate/tests/gateway_load.rs
@@ -72,6 +72,8 @@
         has_waiting: false,
         callers_retry: false,
         samples: false,
+        memory_tokens: None,
+        hint_factor: 0.0,
         shedding: None,
         seed: 11,
     }
--- a/crates/plumgate/tests/gateway_prefill_speed.rs
+++ b/crates/plumgate/tests/gateway_prefill_speed.rs
@@ -72,6 +72,7 @@
         is_isolated: false,
         avoid: &[],
         origin: None,
+        output_hint: None,
     }
 }
 
--- a/crates/plumgate/tests/limited_capacity.rs
+++ b/crates/plumgate/tests/limited_capacity.rs
@@ -41,6 +41,7 @@
         is_isolated: false,
         avoid: &[],
         origin: None,
+        output_hint: None,
     };
     let pick = table.pick(&request, now).expect("a server");
     table.record_demand(&pool, &pick, now);
--- a/crates/plumgate/tests/notices/mod.rs
+++ b/crates/plumgate/tests/notices/mod.rs
@@ -137,6 +137,7 @@
             is_isolated: false,
             avoid,
             origin: None,
+            output_hint: None,
         }
     }
 
--- a/crates/plumgate/tests/place_loans.rs
+++ b/crates/plumgate/tests/place_loans.rs
@@ -35,6 +35,7 @@
             is_isolated: false,
             avoid: &[],
             origin: None,
+            output_hint: None,
         };
         for begun in 0..count {
             let Some(pick) = self.table.pick(&request, now) else {
--- a/crates/plumgate/tests/profile_load.rs
+++ b/crates/plumgate/tests/profile_load.rs
@@ -62,6 +62,8 @@
         has_waiting: false,
         callers_retry: true,
         samples: false,
+        memory_tokens: None,
+        hint_factor: 0.0,
         shedding: None,
         seed,
     }
--- a/crates/plumgate/tests/server_profiles.rs
+++ b/crates/plumgate/tests/server_profiles.rs
@@ -191,6 +191,7 @@
         is_isolated: false,
         avoid,
         origin: None,
+        output_hint: None,
     }
 }
 
--- a/crates/plumgate/tests/shedding_server.rs
+++ b/crates/plumgate/tests/shedding_server.rs
@@ -21,6 +21,7 @@
         is_isolated: false,
         avoid: &[],
         origin: None,
+        output_hint: None,
     }
 }
 
--- a/crates/plumgate/tests/unconfirmed_servers.rs
+++ b/crates/plumgate/tests/unconfirmed_servers.rs
@@ -33,6 +33,7 @@
         is_isolated: false,
         avoid: &[],
         origin: None,
+        output_hint: None,
     };
     let picks = (0..60).map(|number| {
         let now = now + Duration::from_millis(number);
