gateway: answers are read ahead for slow callers, within bounds

Cause: an answer was read only as its caller took it, so that a server whose answer stayed unread for seconds aborted it. Change: while the HTTP connection of a caller doesn't ask for bytes, the task of that connection reads on into a buffer (gateway/read_ahead.rs of plumgate-node). The bounds by stream, workspace and in total are decided by ReadAheadTable: a stream and a workspace may hold a share of what is still free.

--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -26,6 +26,7 @@
 use super::duties::DUTIES_PATH;
 use super::guards::ConnectionGuard;
 use super::ports::WireFormat;
+use super::read_ahead::AnswerSlot;
 use super::run::RelayRun;
 use super::server_limits::LIMITS_PATH;
 use super::server_notices::STATEMENTS_PATH;
@@ -152,10 +153,12 @@
     let activity = Arc::new(ConnectionActivity::new(limits, shared.clock.clone()));
     let delivery = Arc::new(AnswerDelivery::default());
     let stream = Arc::new(stream);
+    let slot = Arc::new(AnswerSlot::new(shared.clone()));
     let service = service_fn(|request: Request<Incoming>| {
         let shared = shared.clone();
         let activity = activity.clone();
         let delivery = delivery.clone();
+        let slot = slot.clone();
         async move {
             delivery.begin_answer(request.version());
             let hold = activity.begin_request(self::limits(&shared));
@@ -167,7 +170,9 @@
                 announce_close(&mut response);
             }
             activity.on_answer(is_last(&response));
+            let owner = response.extensions_mut().remove();
             Ok::<_, Infallible>(response.map(|body| {
+                let body = slot.install(body, owner);
                 let body = DeliveryBody::new(body, delivery);
                 GuardedBody::new(body, hold)
             }))
@@ -191,9 +196,16 @@
             delivery.flush_expired(&shared.clock).await;
             CloseReason::Expired
         };
+        let stalled = async {
+            slot.read_ahead().await;
+            CloseReason::Expired
+        };
         future::or(
             served,
-            future::or(expired, wait_for_close(&shared, &activity)),
+            future::or(
+                stalled,
+                future::or(expired, wait_for_close(&shared, &activity)),
+            ),
         )
         .await
     };
--- a/crates/plumgate-node/src/gateway/metrics.rs
+++ b/crates/plumgate-node/src/gateway/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use plumgate::gateway::{BudgetState, PoolMemoryUse};
+use plumgate::gateway::{BudgetState, PoolMemoryUse, ReadAheadUse};
 use plumgate::ids::PoolId;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -189,6 +189,14 @@
     pub(crate) quarantined: Gauge,
     /// Servers with a rate limit.
     pub(crate) limited_servers: Gauge,
+    /// Bytes that are held for slow callers.
+    pub(crate) read_ahead_bytes: Gauge,
+    /// Streams whose callers don't keep up.
+    pub(crate) read_ahead_streams: Gauge,
+    /// Streams that are not read ahead any more until their callers read.
+    pub(crate) read_ahead_denied: Gauge,
+    /// Streams that were not read ahead any more at least once.
+    pub(crate) read_ahead_denials: Counter,
     /// Requests refused while no server had the memory for them, by reason.
     pub(crate) memory_refusals: Family<ReasonLabels, Counter>,
     /// Tokens that requests are predicted to hold in the memory of a pool's engines.
@@ -292,6 +300,10 @@
             blocked_requests: Family::default(),
             quarantined: Gauge::default(),
             limited_servers: Gauge::default(),
+            read_ahead_bytes: Gauge::default(),
+            read_ahead_streams: Gauge::default(),
+            read_ahead_denied: Gauge::default(),
+            read_ahead_denials: Counter::default(),
             memory_refusals: Family::default(),
             memory_tokens: Family::default(),
             memory_capacity: Family::default(),
@@ -416,6 +428,26 @@
             "Different requests in quarantine",
             self.quarantined.clone(),
         );
+        registry.register(
+            "read_ahead_bytes",
+            "Bytes held for slow callers",
+            self.read_ahead_bytes.clone(),
+        );
+        registry.register(
+            "read_ahead_streams",
+            "Streams whose callers don't keep up",
+            self.read_ahead_streams.clone(),
+        );
+        registry.register(
+            "read_ahead_denied",
+            "Streams that are not read ahead any more",
+            self.read_ahead_denied.clone(),
+        );
+        registry.register(
+            "read_ahead_denials",
+            "Streams that were not read ahead any more at least once",
+            self.read_ahead_denials.clone(),
+        );
         registry.register(
             "memory_refusals",
             "Requests refused for the memory of engines",
@@ -636,6 +668,14 @@
         registry
     }
 
+    /// Sets the gauges of what is held for slow callers.
+    pub(crate) fn set_read_ahead(&self, held: &ReadAheadUse) {
+        let signed = |count| i64::try_from(count).unwrap_or(i64::MAX);
+        self.read_ahead_bytes.set(signed(held.bytes));
+        self.read_ahead_streams.set(signed(held.streams));
+        self.read_ahead_denied.set(signed(held.denied_streams));
+    }
+
     /// Sets the gauges of the memory of a pool's engines.
     pub(crate) fn set_memory_use(&self, pool: &PoolMemoryUse) {
         let labels = PoolLabels {
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod node;
 mod options;
 mod peer_connections;
+mod read_ahead;
 mod relay;
 mod relay_report;
 mod request;
--- a/crates/plumgate-node/src/gateway/options.rs
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -113,6 +113,9 @@
     }
 }
 
+/// Bytes that may be held for slow callers where the memory of the VM is not known.
+const DEFAULT_READ_AHEAD_BYTES: usize = 16 * 1024 * 1024;
+
 /// Options of a gateway node.
 #[derive(Clone, Debug)]
 pub struct GatewayOptions {
@@ -142,6 +145,8 @@
     pub duties: Option<DutyOptions>,
     /// Host at which this node reaches the servers of another host; `None` where their entries name the right one.
     pub server_host: Option<HostTranslation>,
+    /// Bytes that may be held for callers that read slowly.
+    pub read_ahead_bytes: usize,
 }
 
 impl GatewayOptions {
@@ -166,6 +171,7 @@
             switches: PolicySwitches::new(),
             duties: None,
             server_host: None,
+            read_ahead_bytes: DEFAULT_READ_AHEAD_BYTES,
         }
     }
 
@@ -195,6 +201,12 @@
         }
     }
 
+    /// Sets how many bytes may be held for callers that read slowly.
+    pub fn with_read_ahead(mut self, bytes: usize) -> Self {
+        self.read_ahead_bytes = bytes;
+        self
+    }
+
     /// Sets the address for metrics.
     pub fn with_metrics(mut self, listen: SocketAddr) -> Self {
         self.metrics_listen = Some(listen);
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -18,6 +18,7 @@
 use super::attempt::{BodyTooLarge, collect_body};
 use super::metrics::ReasonLabels;
 use super::ports::{AnswerMetadata, WireFormat};
+use super::read_ahead::StreamOwner;
 use super::request::{AttemptOutcome, BROKEN_OFF, RESTARTED, ServerAnswer};
 use super::run::{RelayRun, RetryCause};
 use super::stream::StreamRelay;
@@ -91,7 +92,12 @@
             };
             let next = match self.try_server(&pick, permit).await {
                 AttemptOutcome::Answer(answer) if self.begins_stream(&answer) => {
-                    let (head, relay) = StreamRelay::begin(self, *answer);
+                    let owner = StreamOwner {
+                        request: self.request.id.clone(),
+                        workspace: self.request.workspace.clone(),
+                    };
+                    let (mut head, relay) = StreamRelay::begin(self, *answer);
+                    head.extensions.insert(owner);
                     return relayed_head(head, stream_body(relay.chunks()));
                 }
                 AttemptOutcome::Answer(answer) => self.relay_full_body(*answer).await,
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -13,6 +13,8 @@
 use plumgate::gateway::{
     FreshnessLease, GatewayConfig, LoadTable, PathTable, PlacementOptions, QuarantineTable,
     ServerStatements, StreamOrigins, TunnelGate, TunnelPeers, WindowBudget, WorkspaceShares,
+    ReadAheadBounds, ReadAheadTable, ServerStatements, StreamOrigins, TunnelGate, TunnelPeers,
+    WindowBudget,
 };
 use plumgate::ids::WorkspaceId;
 
@@ -74,6 +76,7 @@
     loads: Mutex<LoadTable>,
     budget: Mutex<WindowBudget>,
     quarantine: Mutex<QuarantineTable>,
+    read_ahead: Mutex<ReadAheadTable>,
     statements: Mutex<ServerStatements>,
     paths: Mutex<PathTable>,
     tunnel_peers: Mutex<TunnelPeers>,
@@ -135,6 +138,9 @@
             lease: Mutex::new(FreshnessLease::new(bounds.max_key_age)),
             loads: Mutex::new(LoadTable::new(placement)),
             budget: Mutex::new(budget),
+            read_ahead: Mutex::new(ReadAheadTable::new(ReadAheadBounds::new(
+                options.read_ahead_bytes,
+            ))),
             quarantine: Mutex::new(QuarantineTable::new(options.peer_listen.is_some())),
             statements: Mutex::new(ServerStatements::new(
                 options.peer_listen.is_some(),
@@ -214,6 +220,17 @@
         lock(&self.quarantine)
     }
 
+    /// Returns the bytes that are held for slow callers.
+    pub(crate) fn read_ahead(&self) -> MutexGuard<'_, ReadAheadTable> {
+        lock(&self.read_ahead)
+    }
+
+    /// Publishes what is held for slow callers.
+    pub(crate) fn publish_read_ahead(&self) {
+        let held = self.read_ahead().held();
+        self.metrics.set_read_ahead(&held);
+    }
+
     /// Returns the statements of servers about themselves.
     pub(crate) fn statements(&self) -> MutexGuard<'_, ServerStatements> {
         lock(&self.statements)
