--- a/crates/plumgate/src/gateway/switches.rs
+++ b/crates/plumgate/src/gateway/switches.rs
@@ -97,6 +97,15 @@
         PARTS.iter().map(|(part, _)| *part)
     }
 
+    /// Returns whether the mechanism is off unless an operator asks for it. These are not shown to serve callers better
+    /// on every deployment (`docs/design/hard-load.md`).
+    pub fn is_optional(self) -> bool {
+        matches!(
+            self,
+            Self::ServerProfiles | Self::EngineMemory | Self::WorkspaceShares | Self::WaitQueue
+        )
+    }
+
     /// Returns the name used in settings.
     pub fn as_str(self) -> &'static str {
         let row = PARTS.iter().find(|(part, _)| *part == self);
@@ -133,6 +142,18 @@
         Self::default()
     }
 
+    /// Creates switches with all mechanisms on but the optional ones.
+    pub fn without_optional() -> Self {
+        let optional = PolicyPart::all().filter(|part| part.is_optional());
+        optional.fold(Self::new(), Self::without)
+    }
+
+    /// Switches a mechanism on.
+    pub fn with(mut self, part: PolicyPart) -> Self {
+        self.off &= !(1 << part as u32);
+        self
+    }
+
     /// Switches a mechanism off.
     pub fn without(mut self, part: PolicyPart) -> Self {
         self.off |= 1 << part as u32;
--- a/crates/plumgate/tests/gateway_switches.rs
+++ b/crates/plumgate/tests/gateway_switches.rs
@@ -28,3 +28,18 @@
     }
     assert_eq!(PolicySwitches::new().off().count(), 0);
 }
+
+/// Guards against optional mechanisms that take effect where no operator asked for them.
+#[test]
+fn optional_mechanisms_are_off_until_they_are_switched_on() {
+    let switches = PolicySwitches::without_optional();
+    for part in PolicyPart::all() {
+        assert_eq!(switches.has(part), !part.is_optional());
+        assert!(switches.with(part).has(part));
+    }
+    let optional = PolicyPart::all().filter(|part| part.is_optional());
+    assert_eq!(
+        optional.fold(switches, PolicySwitches::with),
+        PolicySwitches::new()
+    );
+}
--- a/crates/plumgated/src/gateway.rs
+++ b/crates/plumgated/src/gateway.rs
@@ -54,6 +54,16 @@
         .default_value(POLICIES[0].0)
         .value_parser(PossibleValuesParser::new(POLICIES.map(|(name, _)| name)))
         .help("Policy for choosing servers; all but the first are baselines");
+    let with = Arg::new("with")
+        .long("with")
+        .env("PLUMGATE_WITH")
+        .value_delimiter(',')
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(PolicyPart))
+        .help(
+            "Optional parts of the policy to switch on: server-profiles, engine-memory, \
+             workspace-shares, wait-queue",
+        );
     let without = Arg::new("without")
         .long("without")
         .env("PLUMGATE_WITHOUT")
@@ -78,6 +88,7 @@
             settings,
             metrics_port,
             policy,
+            with,
             without,
             server_host,
             log_level,
@@ -128,13 +139,11 @@
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
         .subsec_nanos();
-    let without = matches.get_many::<PolicyPart>("without");
-    let switches = without
-        .into_iter()
-        .flatten()
-        .fold(PolicySwitches::new(), |switches, part| {
-            switches.without(*part)
-        });
+    let parts = |name| matches.get_many::<PolicyPart>(name).into_iter().flatten();
+    let switches = parts("with").fold(PolicySwitches::without_optional(), |switches, part| {
+        switches.with(*part)
+    });
+    let switches = parts("without").fold(switches, |switches, part| switches.without(*part));
     let mut options = settings
         .options
         .with_policy(policy)
