gateway: the decision about a chosen server is a function of its own

Cause: RelayRun::pick chose a server, recorded demand and decided the admission in a hundred lines. Change: admit_pick; no change of behaviour. Measured: platform tests relay 15, silent_servers 12, waiting 1, workspace_shares 1 passed.

--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -227,15 +227,25 @@
             let mut loads = self.shared.loads();
             loads.record_demand(&self.request.pool, &pick, now);
         }
+        if !self.tried.is_empty() {
+            return Ok(AdmittedChoice::Server(pick));
+        }
+        self.admit_pick(pick, AdmissionMoment { now, spread })
+    }
+
+    /// Decides whether a request that was sent nowhere yet is sent to the chosen server now. Fails if it is refused.
+    fn admit_pick(
+        &mut self,
+        pick: Box<ServerPick>,
+        moment: AdmissionMoment,
+    ) -> Result<AdmittedChoice, CallerError> {
+        let AdmissionMoment { now, spread } = moment;
         let prediction = QueuePrediction {
             queue: pick.queue,
             wait: pick.wait,
             target_left: self.target_left(now),
-            left,
+            left: self.request.due.saturating_duration_since(now),
         };
-        if !self.tried.is_empty() {
-            return Ok(AdmittedChoice::Server(pick));
-        }
         self.check_memory(&pick)?;
         let share = self.assess_share(&prediction);
         let context = AdmissionContext {
@@ -245,7 +255,6 @@
             ..AdmissionContext::default()
         };
         let decision = if self.request.metadata.prompt.is_some() {
-            let moment = AdmissionMoment { now, spread };
             self.admit(&pick, &prediction, context, moment)
         } else {
             self.admission().decide_plain(&prediction, &context, spread)
