gateway: the metrics are split by subject

Cause: gateway/metrics.rs declared 71 metrics with their labels, initial values and registration in 737 lines, and each metric stood in three places of the file. Change: a module per subject under gateway/metrics/, which declares and registers its metrics; labels that several subjects use are in labels.rs. The root lists what is public, registers the subjects in the previous order, and renders the page. Fields lose the prefix that the subject now states (read_ahead_bytes is read_ahead.bytes).

--- a/crates/plumgate-node/src/gateway/connection_cause.rs
+++ b/crates/plumgate-node/src/gateway/connection_cause.rs
@@ -43,6 +43,10 @@
     pub(crate) fn record_connection(&self, cause: ConnectionCause, result: &'static str) {
         let cause = cause.as_str();
         let labels = ServerConnectionLabels { cause, result };
-        self.metrics.server_connections.get_or_create(&labels).inc();
+        self.metrics
+            .paths
+            .server_connections
+            .get_or_create(&labels)
+            .inc();
     }
 }
--- a/crates/plumgate-node/src/gateway/connection_report.rs
+++ b/crates/plumgate-node/src/gateway/connection_report.rs
@@ -73,7 +73,7 @@
         reason: end.reason,
         state,
     };
-    let ends = &shared.metrics.connection_ends;
+    let ends = &shared.metrics.requests.connection_ends;
     ends.get_or_create(&labels).inc();
     LogLine::new("connection_end")
         .with_some("request", record.last_request)
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -164,7 +164,7 @@
         self.shared.links.sweep(now);
         if let Some(age) = self.shared.key_age_ms() {
             let age = i64::try_from(age).unwrap_or(i64::MAX);
-            self.shared.metrics.key_age.set(age);
+            self.shared.metrics.config.key_age.set(age);
         }
         self.shared.update_paths();
         self.probe_lost_path(now);
--- a/crates/plumgate-node/src/gateway/duties.rs
+++ b/crates/plumgate-node/src/gateway/duties.rs
@@ -271,16 +271,16 @@
                             self.coordinator.borrow().reporter().contents().passed,
                         )
                         .info(&self.shared.log);
-                    self.shared.metrics.duty_number.set(gauge(*number));
+                    self.shared.metrics.duties.number.set(gauge(*number));
                 }
                 HolderEvent::Renewed => {
-                    self.shared.metrics.duty_renewals.inc();
+                    self.shared.metrics.duties.renewals.inc();
                 }
                 HolderEvent::Lost { reason } => {
                     LogLine::new("duty_lost")
                         .with("reason", reason)
                         .warn(&self.shared.log);
-                    self.shared.metrics.duty_number.set(0);
+                    self.shared.metrics.duties.number.set(0);
                 }
             }
         }
--- a/crates/plumgate-node/src/gateway/exchange.rs
+++ b/crates/plumgate-node/src/gateway/exchange.rs
@@ -154,7 +154,7 @@
         self.memory_due.set(now + MEMORY_INTERVAL);
         let mut short_pools = self.short_pools.borrow_mut();
         for memory in loads.memory_use(now) {
-            self.shared.metrics.set_memory_use(&memory);
+            self.shared.metrics.memory.set_use(&memory);
             let is_changed = if memory.reported_servers > 0 {
                 short_pools.insert(memory.pool.clone())
             } else {
@@ -192,7 +192,7 @@
                     self.handle_messages().await;
                 }
                 Err(_) => {
-                    self.shared.metrics.peer_refused.inc();
+                    self.shared.metrics.fleet.peer_refused.inc();
                 }
             }
         }
@@ -272,8 +272,8 @@
             self.shared.origins_changed.notify(usize::MAX);
             let sizes = packets.iter().map(|(_, bytes)| bytes.len() as u64);
             let metrics = &self.shared.metrics;
-            metrics.origin_messages.inc_by(packets.len() as u64);
-            metrics.origin_bytes.inc_by(sizes.sum());
+            metrics.origins.messages.inc_by(packets.len() as u64);
+            metrics.origins.bytes.inc_by(sizes.sum());
             self.send_all(packets).await;
             self.shared.clock.sleep(ORIGIN_PAUSE).await;
         }
@@ -305,12 +305,12 @@
         }
         let (records, _) = origins.counts();
         let records = i64::try_from(records).unwrap_or(i64::MAX);
-        self.shared.metrics.stream_records.set(records);
+        self.shared.metrics.origins.records.set(records);
     }
 
     /// Counts and logs messages about limits that were forged, too old or malformed.
     fn record_refused(&self, count: u64) {
-        self.shared.metrics.peer_refused.inc_by(count);
+        self.shared.metrics.fleet.peer_refused.inc_by(count);
         if count > 0 {
             LogLine::new("peer_refused")
                 .with("topic", "limits")
@@ -321,7 +321,7 @@
 
     /// Counts and logs rows of sums over all nodes that were dropped because there were too many.
     fn record_dropped_rows(&self, count: u64) {
-        self.shared.metrics.sum_rows_dropped.inc_by(count);
+        self.shared.metrics.fleet.sum_rows_dropped.inc_by(count);
         if count > 0 {
             LogLine::new("sum_rows_dropped")
                 .with("count", count)
@@ -381,7 +381,7 @@
                 let unix_ms = self.shared.clock.unix_ms();
                 let mut quarantine = self.shared.quarantine();
                 let refused = quarantine.exchange_with(&mut exchange, moment.now, unix_ms);
-                self.shared.metrics.peer_refused.inc_by(refused);
+                self.shared.metrics.fleet.peer_refused.inc_by(refused);
                 let changes = quarantine.take_changes();
                 drop(quarantine);
                 self.verdicts.queue_changes(changes);
@@ -527,7 +527,7 @@
             return;
         }
         let gauge = i64::try_from(count).unwrap_or(i64::MAX);
-        if self.shared.metrics.nodes.set(gauge) != gauge {
+        if self.shared.metrics.fleet.nodes.set(gauge) != gauge {
             let nodes = u32::try_from(count).unwrap_or(u32::MAX);
             let now = self.shared.clock.boot_time();
             let mut budget = self.shared.budget();
--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -40,7 +40,7 @@
     /// Counts a request that was accepted.
     pub(crate) fn new(shared: Arc<GatewayShared<C, W>>) -> Self {
         shared.open_requests.fetch_add(1, Ordering::SeqCst);
-        shared.metrics.in_flight.inc();
+        shared.metrics.latency.in_flight.inc();
         Self(shared)
     }
 }
@@ -48,7 +48,7 @@
 impl<C, W> Drop for RequestGuard<C, W> {
     fn drop(&mut self) {
         self.0.open_requests.fetch_sub(1, Ordering::SeqCst);
-        self.0.metrics.in_flight.dec();
+        self.0.metrics.latency.in_flight.dec();
     }
 }
 
--- a/crates/plumgate-node/src/gateway/read_ahead.rs
+++ b/crates/plumgate-node/src/gateway/read_ahead.rs
@@ -179,7 +179,7 @@
 
     fn record_denial(&self, owner: &StreamOwner) {
         let held = self.shared.read_ahead().held();
-        self.shared.metrics.read_ahead_denials.inc();
+        self.shared.metrics.read_ahead.denials.inc();
         LogLine::new("read_ahead_denied")
             .with("request", &owner.request)
             .with_some("workspace", owner.workspace.as_ref())
--- a/crates/plumgate-node/src/gateway/relay.rs
+++ b/crates/plumgate-node/src/gateway/relay.rs
@@ -306,7 +306,7 @@
         let reason = reason.as_str();
         let labels = ReasonLabels { reason };
         let metrics = &self.shared.metrics;
-        metrics.memory_refusals.get_or_create(&labels).inc();
+        metrics.memory.refusals.get_or_create(&labels).inc();
         let prompt = self.request.metadata.prompt.as_ref();
         LogLine::new("memory_refused")
             .with("request", &self.request.id)
@@ -503,6 +503,7 @@
         let labels = ReasonLabels { reason };
         self.shared
             .metrics
+            .quarantine
             .blocked_requests
             .get_or_create(&labels)
             .inc();
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -22,20 +22,22 @@
         let took = now.saturating_duration_since(self.request.arrived);
         self.first_byte = Some(took);
         let metrics = &self.shared.metrics;
-        metrics.observe_first_byte(self.request.urgency, took);
+        metrics
+            .latency
+            .observe_first_byte(self.request.urgency, took);
     }
 
     /// Records that a further event is sent to the caller, `pause` after the previous one.
     pub(crate) fn observe_pause(&mut self, pause: Duration) {
         self.longest_pause = self.longest_pause.max(pause);
         let metrics = &self.shared.metrics;
-        metrics.observe_pause(self.request.urgency, pause);
+        metrics.latency.observe_pause(self.request.urgency, pause);
     }
 
     /// Counts and logs a failed attempt.
     pub(crate) fn count_failure(&self, reason: &'static str) {
         let labels = ReasonLabels { reason };
-        let attempts = &self.shared.metrics.failed_attempts;
+        let attempts = &self.shared.metrics.requests.failed_attempts;
         attempts.get_or_create(&labels).inc();
         LogLine::new("attempt_failed")
             .with("request", &self.request.id)
@@ -70,7 +72,7 @@
             content: end.content.as_str(),
             verdict: verdict.as_str(),
         };
-        let ends = &self.shared.metrics.answer_ends;
+        let ends = &self.shared.metrics.requests.answer_ends;
         ends.get_or_create(&labels).inc();
         self.answer_end = Some((end, left_over));
         verdict
@@ -79,7 +81,7 @@
     /// Logs whether a retry is allowed and what the node may spend, and sets the gauges of the pool's budget.
     pub(crate) fn log_retry(&self, reason: &'static str, is_paid: bool, state: &BudgetState) {
         let pool = &self.request.pool;
-        self.shared.metrics.set_budget(pool, state);
+        self.shared.metrics.retries.set_budget(pool, state);
         LogLine::new("retry")
             .with("request", &self.request.id)
             .with("pool", pool)
@@ -159,7 +161,7 @@
             outcome: outcome.as_str(),
             reason,
         };
-        let requests = &self.shared.metrics.requests;
+        let requests = &self.shared.metrics.requests.outcomes;
         requests.get_or_create(&labels).inc();
         LogLine::new("request")
             .with("request", &self.request.id)
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -374,9 +374,9 @@
         let state = budget.state(&self.request.pool, now);
         drop(budget);
         let counter = if is_allowed {
-            &self.shared.metrics.retries
+            &self.shared.metrics.retries.sent
         } else {
-            &self.shared.metrics.retries_refused
+            &self.shared.metrics.retries.refused
         };
         counter.inc();
         self.payment = is_allowed.then(|| {
--- a/crates/plumgate-node/src/gateway/server_limits.rs
+++ b/crates/plumgate-node/src/gateway/server_limits.rs
@@ -51,7 +51,7 @@
             RateStatement::Unlimited => None,
             RateStatement::Limited(rate) => Some(rate),
             RateStatement::Malformed => {
-                self.metrics.limits_malformed.inc();
+                self.metrics.rate_limit.malformed.inc();
                 LogLine::new("server_limit_malformed")
                     .with("server", &server.id)
                     .info(&self.log);
@@ -146,7 +146,7 @@
         let until = self.clock.now() + pause;
         self.loads()
             .defer_requests(&server.id, request.urgency, until);
-        self.metrics.limit_deferrals.inc();
+        self.metrics.rate_limit.deferrals.inc();
         LogLine::new("server_limit_hold")
             .with("request", &request.id)
             .with("server", &server.id)
@@ -182,9 +182,9 @@
         let issues = limits.issues(now);
         drop(statements);
         let count = i64::try_from(count).unwrap_or(i64::MAX);
-        self.metrics.limited_servers.set(count);
+        self.metrics.rate_limit.servers.set(count);
         let gauge_value = i64::from(issues);
-        if self.metrics.limit_issuer.set(gauge_value) != gauge_value {
+        if self.metrics.rate_limit.issuer.set(gauge_value) != gauge_value {
             LogLine::new("limit_issuer")
                 .with("here", issues)
                 .info(&self.log);
@@ -232,7 +232,7 @@
         let labels = ReasonLabels {
             reason: cause.as_str(),
         };
-        self.metrics.limited_sends.get_or_create(&labels).inc();
+        self.metrics.rate_limit.sends.get_or_create(&labels).inc();
         LogLine::new("limited_send")
             .with("request", request)
             .with("server", &server.id)
--- a/crates/plumgate-node/src/gateway/server_notices.rs
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -71,7 +71,11 @@
         let labels = ReasonLabels {
             reason: refusal.as_str(),
         };
-        self.metrics.disallowed_sends.get_or_create(&labels).inc();
+        self.metrics
+            .notices
+            .disallowed_sends
+            .get_or_create(&labels)
+            .inc();
         LogLine::new("barred_send")
             .with("request", &request.id)
             .with("server", &server.id)
@@ -94,7 +98,7 @@
             source: "peer",
         };
         for event in leaves {
-            self.metrics.notices.get_or_create(&labels).inc();
+            self.metrics.notices.received.get_or_create(&labels).inc();
             LogLine::new("server_notice")
                 .with("life", format!("{:016x}", event.incarnation))
                 .with("notice", LEAVING)
@@ -166,7 +170,7 @@
             notice,
             source: "malformed",
         };
-        self.metrics.notices.get_or_create(&labels).inc();
+        self.metrics.notices.received.get_or_create(&labels).inc();
         LogLine::new("server_notice_malformed")
             .with("server", &server.id)
             .with("notice", notice)
@@ -182,7 +186,7 @@
             notice,
             source: "answer",
         };
-        self.metrics.notices.get_or_create(&labels).inc();
+        self.metrics.notices.received.get_or_create(&labels).inc();
         let line = LogLine::new("server_notice")
             .with("server", &server.id)
             .with("life", format!("{:016x}", server.incarnation_id()))
@@ -237,7 +241,11 @@
             notice: if leaving.is_some() { LEAVING } else { RESTING },
             source: cause.as_str(),
         };
-        self.metrics.noticed_sends.get_or_create(&labels).inc();
+        self.metrics
+            .notices
+            .noticed_sends
+            .get_or_create(&labels)
+            .inc();
     }
 
     /// Renders the operators' page: one line per server that has a rate limit or a notice.
@@ -287,10 +295,10 @@
         drop(statements);
         let (lent, borrowed) = self.loads().loan_counts();
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
-        self.metrics.lent_places.set(gauge(lent));
-        self.metrics.borrowed_places.set(gauge(borrowed));
-        self.metrics.brittle_servers.set(gauge(brittle));
-        self.metrics.leaving_servers.set(gauge(leaving));
-        self.metrics.resting_servers.set(gauge(resting));
+        self.metrics.places.lent.set(gauge(lent));
+        self.metrics.places.borrowed.set(gauge(borrowed));
+        self.metrics.places.brittle_servers.set(gauge(brittle));
+        self.metrics.notices.leaving_servers.set(gauge(leaving));
+        self.metrics.notices.resting_servers.set(gauge(resting));
     }
 }
--- a/crates/plumgate-node/src/gateway/server_paths.rs
+++ b/crates/plumgate-node/src/gateway/server_paths.rs
@@ -20,7 +20,7 @@
         let labels = ReasonLabels {
             reason: result.as_str(),
         };
-        self.metrics.connections.get_or_create(&labels).inc();
+        self.metrics.paths.connections.get_or_create(&labels).inc();
         let now = self.clock.now();
         let mut paths = self.paths();
         let change = paths.record_direct(server, result, now);
@@ -38,7 +38,7 @@
         line.with("server", &server.id)
             .with("data_centre", &server.data_centre)
             .with("failing", failing)
-            .with("known", self.metrics.servers.get())
+            .with("known", self.metrics.fleet.servers.get())
             .with("ready", self.is_ready())
             .info(&self.log);
     }
@@ -57,7 +57,7 @@
             .with("server", &server.id)
             .with("data_centre", &server.data_centre)
             .with("lost", lost)
-            .with("known", self.metrics.servers.get())
+            .with("known", self.metrics.fleet.servers.get())
             .with("cut_off", loss.is_cut_off)
             .warn(&self.log);
         self.clear_links(server, loss);
@@ -84,8 +84,8 @@
         let failing = i64::try_from(paths.failing_count()).unwrap_or(i64::MAX);
         let lost = i64::try_from(paths.lost_count()).unwrap_or(i64::MAX);
         drop((paths, loads));
-        self.metrics.lost_paths.set(lost);
-        self.metrics.failing_paths.set(failing);
-        self.metrics.ready.set(i64::from(self.is_ready()));
+        self.metrics.paths.lost.set(lost);
+        self.metrics.paths.failing.set(failing);
+        self.metrics.fleet.ready.set(i64::from(self.is_ready()));
     }
 }
--- a/crates/plumgate-node/src/gateway/server_profiles.rs
+++ b/crates/plumgate-node/src/gateway/server_profiles.rs
@@ -21,7 +21,7 @@
                 .info(&self.log);
         }
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
-        self.metrics.slow_servers.set(gauge(counts.slow));
-        self.metrics.fast_servers.set(gauge(counts.fast));
+        self.metrics.profiles.slow_servers.set(gauge(counts.slow));
+        self.metrics.profiles.fast_servers.set(gauge(counts.fast));
     }
 }
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -227,7 +227,7 @@
     /// Publishes what is held for slow callers.
     pub(crate) fn publish_read_ahead(&self) {
         let held = self.read_ahead().held();
-        self.metrics.set_read_ahead(&held);
+        self.metrics.read_ahead.set_use(&held);
     }
 
     /// Returns the statements of servers about themselves.
--- a/crates/plumgate-node/src/gateway/shares.rs
+++ b/crates/plumgate-node/src/gateway/shares.rs
@@ -35,7 +35,7 @@
         if reason != AdmissionReason::ShareExceeded {
             return;
         }
-        self.shared.metrics.share_refusals.inc();
+        self.shared.metrics.shares.refusals.inc();
         let milliseconds = |seconds: f64| (seconds * 1e3).round();
         LogLine::new("share_exceeded")
             .with("request", &self.request.id)
@@ -81,17 +81,20 @@
         drop(shares);
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
         let limited = gauge(counts.limited);
-        let limited_before = self.metrics.limited_workspaces.set(limited);
+        let limited_before = self.metrics.shares.limited_workspaces.set(limited);
         if (limited > 0) != (limited_before > 0) {
             LogLine::new("shares")
                 .with("limited", limited)
                 .with("tracked", counts.tracked)
                 .info(&self.log);
         }
-        self.metrics.tracked_workspaces.set(gauge(counts.tracked));
-        self.metrics.shares_dropped.inc_by(dropped);
+        self.metrics
+            .shares
+            .tracked_workspaces
+            .set(gauge(counts.tracked));
+        self.metrics.shares.dropped.inc_by(dropped);
         let unlisted = gauge(counts.unlisted);
-        let unlisted_before = self.metrics.unlisted_workspaces.set(unlisted);
+        let unlisted_before = self.metrics.shares.unlisted_workspaces.set(unlisted);
         if dropped > 0 || (unlisted > 0) != (unlisted_before > 0) {
             LogLine::new("shares_dropped")
                 .with("untracked", dropped)
--- a/crates/plumgate-node/src/gateway/source_calls.rs
+++ b/crates/plumgate-node/src/gateway/source_calls.rs
@@ -75,7 +75,12 @@
         cause: cause.as_str(),
         result: if is_ok { "ok" } else { "failed" },
     };
-    shared.metrics.source_calls.get_or_create(&labels).inc();
+    shared
+        .metrics
+        .fleet
+        .source_calls
+        .get_or_create(&labels)
+        .inc();
     LogLine::new("source_call")
         .with("topic", labels.topic)
         .with("cause", labels.cause)
--- a/crates/plumgate-node/src/gateway/stream_origins.rs
+++ b/crates/plumgate-node/src/gateway/stream_origins.rs
@@ -231,7 +231,11 @@
             Err(error) => error.kind,
         };
         let labels = ReasonLabels { reason };
-        self.metrics.resumptions.get_or_create(&labels).inc();
+        self.metrics
+            .origins
+            .resumptions
+            .get_or_create(&labels)
+            .inc();
         let waited = self.clock.now().saturating_duration_since(request.arrived);
         LogLine::new("stream_origin")
             .with("request", &request.id)
@@ -298,7 +302,11 @@
     /// Counts a wait of a request before it may choose a server again.
     pub(crate) fn record_choice_wait(&self, reason: &'static str) {
         let labels = ReasonLabels { reason };
-        self.metrics.choice_waits.get_or_create(&labels).inc();
+        self.metrics
+            .notices
+            .choice_waits
+            .get_or_create(&labels)
+            .inc();
     }
 }
 
--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -131,7 +131,11 @@
             reason: sign.as_str(),
         };
         for identity in identities {
-            self.metrics.server_crashes.get_or_create(&labels).inc();
+            self.metrics
+                .quarantine
+                .server_crashes
+                .get_or_create(&labels)
+                .inc();
             LogLine::new("server_end")
                 .with("digest", identity)
                 .with("server", &server.id)
@@ -150,7 +154,7 @@
         }
         let blocked = i64::try_from(quarantine.blocked_count()).unwrap_or(i64::MAX);
         drop(quarantine);
-        self.metrics.quarantined.set(blocked);
+        self.metrics.quarantine.quarantined.set(blocked);
         for event in events {
             self.log_suspect(&event);
         }
@@ -162,7 +166,11 @@
             None => event.state.as_str(),
         };
         let labels = ReasonLabels { reason };
-        self.metrics.verdicts.get_or_create(&labels).inc();
+        self.metrics
+            .quarantine
+            .verdicts
+            .get_or_create(&labels)
+            .inc();
         let mut evidence = String::new();
         for (server, sign, age_ms) in &event.evidence {
             // Writing to a string does not fail.
--- a/crates/plumgate-node/src/gateway/tunnels.rs
+++ b/crates/plumgate-node/src/gateway/tunnels.rs
@@ -47,7 +47,7 @@
 impl<C, W> TunnelGuard<C, W> {
     fn new(shared: Arc<GatewayShared<C, W>>) -> Self {
         shared.open_tunnels.fetch_add(1, Ordering::SeqCst);
-        shared.metrics.open_tunnels.inc();
+        shared.metrics.paths.open_tunnels.inc();
         Self(shared)
     }
 }
@@ -55,7 +55,7 @@
 impl<C, W> Drop for TunnelGuard<C, W> {
     fn drop(&mut self) {
         self.0.open_tunnels.fetch_sub(1, Ordering::SeqCst);
-        self.0.metrics.open_tunnels.dec();
+        self.0.metrics.paths.open_tunnels.dec();
     }
 }
 
@@ -250,7 +250,11 @@
         let labels = ReasonLabels {
             reason: result.as_str(),
         };
-        self.metrics.tunnel_requests.get_or_create(&labels).inc();
+        self.metrics
+            .paths
+            .tunnel_requests
+            .get_or_create(&labels)
+            .inc();
         LogLine::new("tunnel")
             .with("server", &server.id)
             .with("by", &peer.node)
@@ -281,7 +285,7 @@
 
     /// Counts and logs a request for a tunnel that is not one of a node.
     fn record_refused_request(&self, error: impl Display) {
-        self.metrics.peer_refused.inc();
+        self.metrics.fleet.peer_refused.inc();
         LogLine::new("peer_refused")
             .with("topic", "tunnel")
             .with("error", error)
@@ -293,6 +297,10 @@
         let labels = ReasonLabels {
             reason: reply.as_str(),
         };
-        self.metrics.tunnel_replies.get_or_create(&labels).inc();
+        self.metrics
+            .paths
+            .tunnel_replies
+            .get_or_create(&labels)
+            .inc();
     }
 }
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -293,7 +293,7 @@
             .with("keys", config.key_count())
             .info(&self.shared.log);
         let version = i64::try_from(config.version).unwrap_or(i64::MAX);
-        self.shared.metrics.config_version.set(version);
+        self.shared.metrics.config.version.set(version);
         self.sync_state().set_config(config.version);
         self.shared.quarantine().set_config(&config);
         self.shared.statements().set_config(&config);
--- a/crates/plumgate-node/src/gateway/view_servers.rs
+++ b/crates/plumgate-node/src/gateway/view_servers.rs
@@ -195,6 +195,6 @@
             }
         }
         let count = i64::try_from(self.servers.borrow().len()).unwrap_or(i64::MAX);
-        self.shared.metrics.servers.set(count);
+        self.shared.metrics.fleet.servers.set(count);
     }
 }
--- a/crates/plumgate-node/src/gateway/waiting.rs
+++ b/crates/plumgate-node/src/gateway/waiting.rs
@@ -89,7 +89,7 @@
             next.notify(1);
         }
         let labels = ReasonLabels { reason: self.end };
-        let ends = &self.shared.metrics.wait_ends;
+        let ends = &self.shared.metrics.waiting.wait_ends;
         ends.get_or_create(&labels).inc();
     }
 }
@@ -119,7 +119,7 @@
         let dropped = promises.take_dropped();
         drop(waiting);
         if dropped > 0 {
-            self.metrics.dropped_promises.inc_by(dropped);
+            self.metrics.waiting.dropped_promises.inc_by(dropped);
             LogLine::new("promises_dropped")
                 .with("count", dropped)
                 .warn(&self.log);
@@ -128,7 +128,7 @@
 
     fn set_waiting_gauge(&self, waiting: &WaitState) {
         let count = i64::try_from(waiting.queue.len()).unwrap_or(i64::MAX);
-        self.metrics.waiting_requests.set(count);
+        self.metrics.waiting.requests.set(count);
     }
 }
 
@@ -179,7 +179,7 @@
         self.room_wait.end(end);
         if returning.is_some() {
             let labels = ReasonLabels { reason: end };
-            let kept = &self.shared.metrics.kept_returns;
+            let kept = &self.shared.metrics.waiting.kept_returns;
             kept.get_or_create(&labels).inc();
         }
         decision
@@ -289,7 +289,7 @@
                 let labels = ReasonLabels {
                     reason: reason.as_str(),
                 };
-                let waits = &self.shared.metrics.waits;
+                let waits = &self.shared.metrics.waiting.waits;
                 waits.get_or_create(&labels).inc();
                 self.room_wait.began.get_or_insert(now);
                 self.room_wait.place = Some(WaitPlace {
@@ -353,7 +353,7 @@
                 "no_room"
             },
         };
-        let returns = &self.shared.metrics.promised_returns;
+        let returns = &self.shared.metrics.waiting.promised_returns;
         returns.get_or_create(&labels).inc();
         promised
     }
