gateway: the relay loop is split by step

Cause: gateway/relay.rs held the loop over servers, the choice of a server, the admission, the relay of whole answers and the errors in 556 lines. Change: relay/ with a module each for server_choice, admission, full_answer, retry and errors; the root keeps the loop. relay_stream, after_attempt, without_server, decide and read_body are functions of their own. No change of behaviour.

--- /dev/null
+++ b/crates/plumgate-node/src/gateway/relay/full_answer.rs
@@ -0,0 +1,129 @@
+//! Relay of an answer that is read to its end before the caller receives it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use plumgate::RunOutcome;
+use plumgate::attempt::AttemptEvent;
+use plumgate::gateway::{AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, WorkOutcome};
+
+use super::NextStep;
+use crate::answer_framing::content_end;
+use crate::clock::{Clock, until};
+use crate::gateway::answer::relayed_head;
+use crate::gateway::attempt::{BodyTooLarge, collect_body};
+use crate::gateway::incarnations::ServerIncarnation;
+use crate::gateway::ports::{AnswerMetadata, WireFormat};
+use crate::gateway::request::{BROKEN_OFF, RESTARTED, ServerAnswer};
+use crate::gateway::run::RelayRun;
+use crate::link::HttpLink;
+
+/// Maximum size of an answer that is read to its end before it is relayed; services without streams answer with
+/// less.
+const MAX_FULL_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Time after its deadline for which a request still receives an answer that has begun, so that the server can
+/// end it itself.
+const BODY_GRACE: Duration = Duration::from_millis(80);
+/// Margin by which an idle connection is discarded before the server would close it.
+const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Reason logged for an answer that is too large to be read before it is relayed.
+const TOO_LARGE: &str = "too_large";
+
+impl<C: Clock, W: WireFormat> RelayRun<C, W> {
+    /// Reads an answer to its end before it is relayed, so that a request whose answer breaks off can be retried
+    /// or fails visibly.
+    pub(super) async fn relay_full_body(&mut self, mut answer: ServerAnswer<C, W>) -> NextStep {
+        self.apply(AttemptEvent::HeadReceived);
+        self.record_run_start(self.ran_for().unwrap_or_default());
+        answer.work.record_first_byte();
+        let framing = answer.body.framing();
+        let incarnation = answer.work.incarnation();
+        let (body, end) = match self.read_body(&mut answer, &incarnation).await {
+            Ok(read) => read,
+            Err(BodyTooLarge) => {
+                answer.work.set_outcome(WorkOutcome::Failed);
+                drop(answer);
+                return self.after_in_doubt(TOO_LARGE);
+            }
+        };
+        let end = AnswerEnd {
+            framing,
+            end,
+            content: content_end(&answer.head.headers, framing, &body),
+        };
+        let verdict = self.judge_answer(end, 0, &incarnation).await;
+        if verdict == AnswerVerdict::BrokenOff {
+            return self.after_broken_answer(answer, end.end).await;
+        }
+        let status = answer.head.status;
+        if status.is_server_error() {
+            answer.work.set_outcome(WorkOutcome::Failed);
+            if self.allow_run_again("server_error") {
+                self.apply(AttemptEvent::ConnectionLost);
+                self.apply(AttemptEvent::RunAgain);
+                return NextStep::Retry;
+            }
+        } else {
+            answer.work.set_outcome(WorkOutcome::Answered);
+        }
+        self.apply(AttemptEvent::Finished);
+        // A connection to an incarnation that has ended can't be reused, nor one whose end was the answer's end.
+        if !incarnation.has_ended() && framing != AnswerFraming::Connection {
+            self.return_link(&answer.metadata, answer.body.into_link());
+        }
+        self.observe_first_byte();
+        self.report(RunOutcome::Answered, "server", status);
+        NextStep::Respond(relayed_head(answer.head, body))
+    }
+
+    /// Reads the body of an answer until it ends, its server restarts, or the request's deadline has passed.
+    async fn read_body(
+        &self,
+        answer: &mut ServerAnswer<C, W>,
+        incarnation: &ServerIncarnation,
+    ) -> Result<(Bytes, BodyEnd), BodyTooLarge> {
+        let deadline = self.request.due + BODY_GRACE;
+        let reading = collect_body(&mut answer.body, MAX_FULL_BODY_BYTES);
+        match until(&self.shared.clock, deadline, incarnation.run(reading)).await {
+            None => Ok((Bytes::new(), BodyEnd::Silent)),
+            Some(None) => Ok((Bytes::new(), BodyEnd::Restarted)),
+            Some(Some(read)) => read,
+        }
+    }
+
+    /// Handles a request whose answer broke off.
+    async fn after_broken_answer(
+        &mut self,
+        mut answer: ServerAnswer<C, W>,
+        end: BodyEnd,
+    ) -> NextStep {
+        match end {
+            BodyEnd::Silent => NextStep::Fail(self.time_out()),
+            BodyEnd::Restarted => {
+                answer.work.set_outcome(WorkOutcome::Restarted);
+                drop(answer);
+                self.after_in_doubt(RESTARTED)
+            }
+            BodyEnd::Marked | BodyEnd::Closed | BodyEnd::Reset => {
+                answer.work.set_outcome(WorkOutcome::Broken);
+                drop(answer);
+                self.wait_for_probe().await;
+                self.after_in_doubt(BROKEN_OFF)
+            }
+        }
+    }
+
+    /// Keeps the connection for further requests if the server allows its reuse.
+    fn return_link(&self, metadata: &AnswerMetadata, link: HttpLink) {
+        let Some(server) = self.tried.last() else {
+            return;
+        };
+        // A tunnel ends with its request, so that none is in use when this node reaches the server again.
+        let Some(keep_alive) = metadata.keep_alive.filter(|_| link.helper().is_none()) else {
+            return;
+        };
+        let until = self.shared.clock.now() + keep_alive.saturating_sub(IDLE_CLOSE_MARGIN);
+        self.shared.links.put(server, link, until);
+    }
+}
