gateway: groups of servers with few slots follow the room that their batches have

Cause: the interactive group of a pool grows when 0.3 of its slots are in use, since a fuller batch lengthens the pauses of 64 streams. With 16 slots that is five streams: the group held 0.35 of the servers of the loan servicer, mostly idle, while batch streams were refused in bursts. Change: where all servers of a pool have at most 24 slots, the group grows at 0.7 and shrinks at 0.28. Pools with more slots are divided as before.

--- a/crates/plumgate/src/gateway/placement/groups.rs
+++ b/crates/plumgate/src/gateway/placement/groups.rs
@@ -20,11 +20,35 @@
 const SHARE_STEP: f64 = 0.04;
 /// Time between two changes: a stream lasts for a few seconds, and load is known with a delay.
 const ADAPT_INTERVAL: Duration = Duration::from_millis(500);
-/// Share of the interactive servers' slots in use above which the group grows: a fuller batch lengthens the
-/// pauses of all its streams.
-const BUSY_SLOTS: f64 = 0.3;
-/// Share of slots in use below which the group shrinks.
-const IDLE_SLOTS: f64 = 0.12;
+/// Maximum number of slots of a server with few slots.
+const MAX_FEW_SLOTS: u32 = 24;
+
+/// Shares of the interactive servers' slots in use at which their group grows and shrinks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct SlotThresholds {
+    /// Share above which the group grows.
+    busy: f64,
+    /// Share below which the group shrinks.
+    idle: f64,
+}
+
+/// Thresholds of servers with many slots: a fuller batch lengthens the pauses of all its streams.
+const MANY_SLOTS: SlotThresholds = SlotThresholds {
+    busy: 0.3,
+    idle: 0.12,
+};
+/// Thresholds of servers with few slots. Their batch is small even when it is full, so that pauses hardly grow with it;
+/// a group that grows at a third of 16 slots takes servers from batch streams that need them in a burst. Requests wait
+/// for a slot from 0.9 on.
+const FEW_SLOTS: SlotThresholds = SlotThresholds {
+    busy: 0.7,
+    idle: 0.28,
+};
+
+/// Returns whether servers with this number of slots have few.
+pub(crate) fn is_few_slots(slots: u32) -> bool {
+    slots <= MAX_FEW_SLOTS
+}
 
 /// Share of each pool's servers that is reserved for interactive streams.
 #[derive(Clone, Debug, Default)]
@@ -51,11 +75,12 @@
     }
 
     /// Raises the share of a pool whose interactive servers fill up, and lowers it where they are idle.
-    pub(crate) fn adapt(&mut self, pool: &PoolId, slot_use: f64) {
+    pub(crate) fn adapt(&mut self, pool: &PoolId, slot_use: f64, has_few_slots: bool) {
+        let thresholds = if has_few_slots { FEW_SLOTS } else { MANY_SLOTS };
         let share = self.shares.entry(pool.clone()).or_insert(INITIAL_SHARE);
-        if slot_use > BUSY_SLOTS {
+        if slot_use > thresholds.busy {
             *share = (*share + SHARE_STEP).min(SHARE_BOUNDS.1);
-        } else if slot_use < IDLE_SLOTS {
+        } else if slot_use < thresholds.idle {
             *share = (*share - SHARE_STEP).max(SHARE_BOUNDS.0);
         }
     }
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -11,7 +11,7 @@
 use super::data_centres::DataCentreTable;
 use super::demand::DemandMeter;
 use super::engine_memory::{EngineMemory, MemoryReservation};
-use super::groups::{GroupShares, ServerGroups};
+use super::groups::{GroupShares, ServerGroups, is_few_slots};
 use super::place_loans::PlaceLoans;
 use super::place_ranks::PlaceRanks;
 use super::prefill_speed::PrefillSpeeds;
@@ -192,10 +192,18 @@
             .collect();
         for pool in pools {
             let slot_use = self.interactive_slot_use(&pool);
-            self.shares.adapt(&pool, slot_use);
+            let has_few_slots = self.has(PolicyPart::GroupsBySlots) && self.has_few_slots(&pool);
+            self.shares.adapt(&pool, slot_use, has_few_slots);
         }
     }
 
+    /// Returns whether all servers of a pool have few slots.
+    pub(super) fn has_few_slots(&self, pool: &PoolId) -> bool {
+        let of_pool = self.servers.values().map(|load| &load.entry);
+        let mut of_pool = of_pool.filter(|entry| entry.pool == *pool);
+        of_pool.all(|entry| is_few_slots(entry.slots))
+    }
+
     /// Returns the share of slots in use at a pool's interactive servers.
     fn interactive_slot_use(&self, pool: &PoolId) -> f64 {
         let groups = self.groups(pool);
--- a/crates/plumgate/src/gateway/switches.rs
+++ b/crates/plumgate/src/gateway/switches.rs
@@ -22,6 +22,8 @@
     Groups,
     /// The share of servers for interactive streams follows their load.
     AdaptiveShare,
+    /// The share of servers for interactive streams depends on how many slots a server has.
+    GroupsBySlots,
     /// Requests without a preferred server are placed among a sample of a few servers.
     Sampling,
     /// Requests are refused if the queue ahead of them is too long.
@@ -63,13 +65,14 @@
 }
 
 /// All mechanisms with their names in settings.
-const PARTS: [(PolicyPart, &str); 25] = [
+const PARTS: [(PolicyPart, &str); 26] = [
     (PolicyPart::Exchange, "exchange"),
     (PolicyPart::Affinity, "homes"),
     (PolicyPart::SecondPreferred, "second-home"),
     (PolicyPart::CacheWeights, "reread-weights"),
     (PolicyPart::Groups, "groups"),
     (PolicyPart::AdaptiveShare, "adaptive-share"),
+    (PolicyPart::GroupsBySlots, "groups-by-slots"),
     (PolicyPart::Sampling, "sampling"),
     (PolicyPart::Refusing, "refusing"),
     (PolicyPart::RetrySpread, "return-spread"),
