plumgate-node: metric of the parts of the policy that are on

Cause: operators can't tell from outside which optional parts a gateway node runs with; only its "start" line names those that are off.

Change: gauge family policy_part{part}, 1 or 0 for each part, set once at the start of a node from its switches.

--- a/crates/plumgate-node/src/gateway/metrics/mod.rs
+++ b/crates/plumgate-node/src/gateway/metrics/mod.rs
@@ -12,6 +12,7 @@
 mod origins;
 mod paths;
 mod places;
+mod policy;
 mod profiles;
 mod quarantine;
 mod rate_limit;
@@ -42,6 +43,7 @@
 use origins::OriginMetrics;
 use paths::PathMetrics;
 use places::PlaceMetrics;
+use policy::PolicyMetrics;
 use profiles::ProfileMetrics;
 use quarantine::QuarantineMetrics;
 use rate_limit::RateLimitMetrics;
@@ -83,6 +85,8 @@
     pub(crate) shares: ShareMetrics,
     /// Requests that wait for room at a server, and returns promised to refused callers.
     pub(crate) waiting: WaitMetrics,
+    /// Parts of the policy that are on.
+    pub(crate) policy: PolicyMetrics,
     /// Lease of the duties.
     pub(crate) duties: DutyMetrics,
     /// Calls to the duty API.
@@ -116,6 +120,7 @@
         self.places.register(&mut registry);
         self.shares.register(&mut registry);
         self.waiting.register(&mut registry);
+        self.policy.register(&mut registry);
         self.duties.register(&mut registry);
         registry.register(
             "duty_calls",
--- a/crates/plumgate-node/src/gateway/node.rs
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -82,6 +82,7 @@
         };
         let shared = Arc::new(GatewayShared::new(options, clock, log, wire));
         log_start(&shared);
+        shared.metrics.policy.set_parts(shared.options.switches);
         let executor = shared.executor.clone();
         executor
             .spawn(accept_callers(shared.clone(), callers))
