plumgate-cli: `plumgate gateway` shows what the optional parts do

Cause: operators had to read and add up the metrics of every gateway node by hand to learn which part of the policy refuses callers.

Gauges are shown by node, counters as sums. Nodes whose page is missing, too large or not that of a gateway are named with the reason; lines that can't be read are counted by node, and the first five named. The parser of the text format is a module of its own. Pages of nodes can be fetched with a typed error (PageError).

--- a/crates/plumgate-cli/src/commands.rs
+++ b/crates/plumgate-cli/src/commands.rs
@@ -15,13 +15,19 @@
 use crate::apply::{ApplyBase, apply_files, check, conflict_error, set_drained};
 use crate::errors::{Error, Result};
 use crate::flags;
-use crate::nodes::{node_pages, statuses, versions_in_force, wait_in_force};
+use crate::gateway_report::GatewayReport;
+use crate::nodes::{
+    metrics_pages, node_pages, parse_addresses, statuses, versions_in_force, wait_in_force,
+};
 use crate::output::print_line;
 use crate::store::ConfigStore;
 
 /// Runs the command given on the command line.
 pub(crate) async fn run(matches: &ArgMatches) -> Result<ExitCode> {
-    let context = CommandContext { matches };
+    // Invalid addresses are reported before a command changes anything.
+    let nodes = matches.get_many::<String>("nodes").unwrap_or_default();
+    let nodes = parse_addresses(nodes)?;
+    let context = CommandContext { matches, nodes };
     match matches.subcommand() {
         Some(("check", sub)) => context.check(sub),
         Some(("diff", sub)) => context.diff(sub).await,
@@ -30,6 +36,7 @@
         Some(("duties", _)) => context.pages(DUTIES_PATH).await,
         Some(("limits", _)) => context.pages(LIMITS_PATH).await,
         Some(("statements", _)) => context.pages(STATEMENTS_PATH).await,
+        Some(("gateway", sub)) => context.gateway(sub).await,
         Some(("show", sub)) => context.show(sub).await,
         Some(("drain", sub)) => context.drain(sub, true).await,
         Some(("undrain", sub)) => context.drain(sub, false).await,
@@ -67,6 +74,8 @@
 /// Flags common to all commands.
 struct CommandContext<'a> {
     matches: &'a ArgMatches,
+    /// Addresses of nodes.
+    nodes: Vec<SocketAddr>,
 }
 
 impl CommandContext<'_> {
@@ -81,14 +90,6 @@
             .ok_or_else(missing)
     }
 
-    fn nodes(&self) -> Vec<SocketAddr> {
-        self.matches
-            .get_many::<SocketAddr>("nodes")
-            .unwrap_or_default()
-            .copied()
-            .collect()
-    }
-
     fn is_json(&self) -> bool {
         self.matches.get_flag("json")
     }
@@ -217,7 +218,7 @@
             .copied()
             .unwrap_or_default();
         let timeout = Duration::from_millis(timeout);
-        let elapsed = wait_in_force(&self.nodes(), version, &names, timeout).await?;
+        let elapsed = wait_in_force(&self.nodes, version, &names, timeout).await?;
         let json = json!({
             "version": version,
             "change": head.change,
@@ -234,7 +235,7 @@
     }
 
     async fn status(&self) -> Result<ExitCode> {
-        let statuses = statuses(&self.nodes()).await?;
+        let statuses = statuses(&self.nodes).await?;
         if self.is_json() {
             print_line(json!(statuses));
             return Ok(ExitCode::SUCCESS);
@@ -251,7 +252,7 @@
 
     /// Prints a text page of each node that answers, headed by the node's address.
     async fn pages(&self, path: &str) -> Result<ExitCode> {
-        let pages = node_pages(&self.nodes(), path).await?;
+        let pages = node_pages(&self.nodes, path).await?;
         if self.is_json() {
             print_line(json!(pages));
             return Ok(ExitCode::SUCCESS);
@@ -265,6 +266,19 @@
         Ok(ExitCode::SUCCESS)
     }
 
+    /// Prints what the optional parts of the policy do on gateway nodes.
+    async fn gateway(&self, matches: &ArgMatches) -> Result<ExitCode> {
+        let timeout = matches.get_one::<u64>("timeout-ms").copied();
+        let timeout = Duration::from_millis(timeout.unwrap_or_default());
+        let report = GatewayReport::new(&metrics_pages(&self.nodes, timeout).await);
+        self.print(&json!(report), &report.lines().join("\n"));
+        if report.has_nodes() {
+            Ok(ExitCode::SUCCESS)
+        } else {
+            Err(Error::NoNode)
+        }
+    }
+
     async fn show(&self, matches: &ArgMatches) -> Result<ExitCode> {
         let store = self.store()?;
         let head = match matches.get_one::<u64>("version") {
--- a/crates/plumgate-cli/src/flags.rs
+++ b/crates/plumgate-cli/src/flags.rs
@@ -42,6 +42,16 @@
             Command::new("statements").about(
                 "Shows what servers reported about themselves (limits, leaving, rests); --nodes takes readiness addresses",
             ),
+            Command::new("gateway").about(
+                "Shows what the optional parts of the policy do on gateway nodes; --nodes takes addresses of /metrics",
+            )
+            .arg(
+                Arg::new("timeout-ms")
+                    .long("timeout-ms")
+                    .default_value("1000")
+                    .value_parser(value_parser!(u64).range(1..=60_000))
+                    .help("Longest time to wait for a node's answer, in milliseconds"),
+            ),
             Command::new("show")
                 .about("Prints the configuration in force, or an earlier one")
                 .arg(
@@ -91,7 +101,6 @@
         .env("PLUMGATE_NODES")
         .global(true)
         .value_delimiter(',')
-        .value_parser(value_parser!(SocketAddr))
         .help("Operators' addresses of some nodes, separated by commas")
 }
 
--- a/crates/plumgate-cli/src/main.rs
+++ b/crates/plumgate-cli/src/main.rs
@@ -5,7 +5,9 @@
 mod apply;
 mod commands;
 mod errors;
+mod exposition;
 mod flags;
+mod gateway_report;
 mod nodes;
 mod output;
 mod store;
--- a/crates/plumgate-node/src/status.rs
+++ b/crates/plumgate-node/src/status.rs
@@ -1,13 +1,15 @@
 //! Status page of a node: its types, for nodes and operators' tools, and a client to read pages.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use async_io::Timer;
 use bytes::Bytes;
+use displaydoc::Display;
 use futures_lite::future;
-use http_body_util::Full;
+use http_body_util::{Full, LengthLimitError};
 use hyper::{Request, StatusCode, header};
 use plumgate::ids::{ConfigVersion, TierRank};
 use serde::{Deserialize, Serialize};
@@ -74,26 +76,79 @@
     pub leaving: Vec<String>,
 }
 
+/// Reason for which a page of a node could not be read.
+#[derive(Debug, Display)]
+pub enum PageError {
+    /// no complete answer within {0:?}
+    Timeout(Duration),
+    /// no answer: {0}
+    Connection(io::Error),
+    /// answered with status {0}
+    Status(u16),
+    /// the page is larger than {0} bytes
+    TooLarge(usize),
+    /// the page is not UTF-8 text
+    NotText,
+}
+
+impl std::error::Error for PageError {}
+
 /// Fetches the status page of a node from its operators' address; `None` on any failure.
 pub async fn fetch_status(address: SocketAddr) -> Option<NodeStatus> {
-    let body = fetch_body(address, "/status").await?;
+    let body = fetch_body(address, "/status", MAX_PAGE_BYTES, ANSWER_TIMEOUT);
+    let body = body.await.ok()?;
     serde_json::from_slice(&body).ok()
 }
 
 /// Fetches a text page of a node from its operators' address; `None` on any failure.
 pub async fn fetch_page(address: SocketAddr, path: &str) -> Option<String> {
-    let body = fetch_body(address, path).await?;
-    String::from_utf8(body.to_vec()).ok()
+    let page = fetch_page_within(address, path, MAX_PAGE_BYTES, ANSWER_TIMEOUT);
+    page.await.ok()
+}
+
+/// Fetches a text page of at most `max_bytes` bytes from one of a node's addresses; an error if it is not complete
+/// within `timeout`.
+pub async fn fetch_page_within(
+    address: SocketAddr,
+    path: &str,
+    max_bytes: usize,
+    timeout: Duration,
+) -> Result<String, PageError> {
+    let body = fetch_body(address, path, max_bytes, timeout).await?;
+    String::from_utf8(body.to_vec()).map_err(|_| PageError::NotText)
 }
 
-async fn fetch_body(address: SocketAddr, path: &str) -> Option<Bytes> {
+async fn fetch_body(
+    address: SocketAddr,
+    path: &str,
+    max_bytes: usize,
+    timeout: Duration,
+) -> Result<Bytes, PageError> {
     let request = Request::get(path).header(header::HOST, address.to_string());
-    let request = request.body(Full::new(Bytes::new())).ok()?;
-    let timeout = async {
-        Timer::after(ANSWER_TIMEOUT).await;
-        None
+    let request = request
+        .body(Full::new(Bytes::new()))
+        .map_err(|error| PageError::Connection(io::Error::other(error)))?;
+    let late = async {
+        Timer::after(timeout).await;
+        Err(PageError::Timeout(timeout))
+    };
+    let answer = async {
+        let answer = fetch_once(address, request, max_bytes).await;
+        answer.map_err(|error| page_error(error, max_bytes))
     };
-    let answer = async { fetch_once(address, request, MAX_PAGE_BYTES).await.ok() };
-    let (status, _, body) = future::or(answer, timeout).await?;
-    (status == StatusCode::OK).then_some(body)
+    let (status, _, body) = future::or(answer, late).await?;
+    if status == StatusCode::OK {
+        Ok(body)
+    } else {
+        Err(PageError::Status(status.as_u16()))
+    }
+}
+
+fn page_error(error: io::Error, max_bytes: usize) -> PageError {
+    let source = error.get_ref();
+    if source.is_some_and(|source| source.is::<LengthLimitError>()) {
+        PageError::TooLarge(max_bytes)
+    } else {
+        PageError::Connection(error)
+    }
 }
