plumgate-cli: golden tables of labelled gauges and of refusals by reason

Cause: the recorded page has no gauge with labels and one reason of refusal, so the golden tables did not cover nodes that lack a column, nor sums over labels that are left out.

Change: one page of the golden test has such samples added. The comment on the largest page names the size that was recorded.

Five single faults put into the command (an address counted twice, a page limit one byte higher, the last value in place of the sum, refusals of all outcomes, nodes read one after another) each fail one test.

--- a/crates/plumgate-cli/src/nodes.rs
+++ b/crates/plumgate-cli/src/nodes.rs
@@ -17,7 +17,7 @@
 
 /// Path of the metrics of gateway nodes.
 const METRICS_PATH: &str = "/metrics";
-/// Largest metrics page in bytes that is read; pages of gateway nodes have some 50 KiB.
+/// Largest metrics page in bytes that is read. The page recorded for the tests has 12 KiB.
 const MAX_METRICS_BYTES: usize = 1024 * 1024;
 /// Maximum number of nodes whose metrics are read at once.
 const MAX_PARALLEL_READS: usize = 64;
--- a/crates/plumgate-cli/tests/gateway.rs
+++ b/crates/plumgate-cli/tests/gateway.rs
@@ -11,6 +11,14 @@
 /// Page of a gateway node with all parts on, recorded after a burst of 120 callers (platform/tests/waiting.rs).
 const PAGE: &str = include_str!("pages/gateway.txt");
 
+/// Samples that the recorded page lacks: labelled gauges, and a refusal counted under two priorities.
+const MORE_SAMPLES: &str = r#"plumgate_gateway_engine_memory_tokens{pool="models"} 4100
+plumgate_gateway_engine_memory_capacity_tokens{pool="models"} 8192
+plumgate_gateway_memory_refusals_total{reason="no_memory"} 5
+plumgate_gateway_requests_total{kind="stream",priority="0",outcome="not_run",reason="no_memory"} 2
+plumgate_gateway_requests_total{kind="stream",priority="1",outcome="not_run",reason="no_memory"} 3
+# EOF"#;
+
 /// Starts a node that sends these bytes on each connection, and again and again if `repeats`.
 fn node(bytes: Vec<u8>, repeats: bool) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -73,6 +81,7 @@
 #[test]
 fn tables_of_recorded_pages_are_as_expected() {
     let off = PAGE.replace("{part=\"wait-queue\"} 1", "{part=\"wait-queue\"} 0");
+    let off = off.replace("# EOF", MORE_SAMPLES);
     let old: Vec<&str> = PAGE
         .lines()
         .filter(|line| !line.contains("policy_part"))
