--- a/crates/plumgate-standin/src/lib.rs
+++ b/crates/plumgate-standin/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod link;
 pub mod load;
 pub mod platform;
+pub mod reserved_port;
 pub mod service;
--- a/crates/plumgate-standin/src/link.rs
+++ b/crates/plumgate-standin/src/link.rs
@@ -13,6 +13,8 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use socket2::{Domain, SockRef, Socket, Type};
 
+use crate::reserved_port::ReservedPort;
+
 /// Size of the forwarding buffer, in bytes.
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Connections that fill the queue of a listener that accepts none.
@@ -54,8 +56,9 @@
 impl FaultyLink {
     /// Starts forwarding from one address to another on a separate thread.
     pub fn start(listen: SocketAddr, to: SocketAddr) -> io::Result<Self> {
-        let listener = Async::<TcpListener>::bind(listen)?;
-        let address = listener.get_ref().local_addr()?;
+        let port = ReservedPort::new(listen)?;
+        let listener = Async::new(port.listen()?)?;
+        let address = port.address();
         let state = Arc::new(LinkState::default());
         let link = Self {
             address,
@@ -63,7 +66,7 @@
         };
         std::thread::spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
-            let accepting = accept(executor.clone(), address, listener, to, state);
+            let accepting = accept(executor.clone(), port, listener, to, state);
             future::block_on(executor.run(accepting));
         });
         Ok(link)
@@ -160,7 +163,7 @@
 
 async fn accept(
     executor: Rc<LocalExecutor<'static>>,
-    address: SocketAddr,
+    port: ReservedPort,
     listener: Async<TcpListener>,
     to: SocketAddr,
     state: Arc<LinkState>,
@@ -174,13 +177,16 @@
         }
         if flags & (UNBOUND | SATURATED) != 0 {
             bound = None;
-            let _sockets = (flags & SATURATED != 0).then(|| saturate(address));
+            let _sockets = (flags & SATURATED != 0).then(|| saturate(port.address()));
             changed.await;
             continue;
         }
         let listener = match bound.take() {
             Some(listener) => listener,
-            None => Async::<TcpListener>::bind(address).expect("the link's own address is free"),
+            None => port
+                .listen()
+                .and_then(Async::new)
+                .expect("the link's own port"),
         };
         let listener = bound.insert(listener);
         let accepting = async { Some(listener.accept().await) };
--- a/crates/plumgate-standin/tests/fleet/mod.rs
+++ b/crates/plumgate-standin/tests/fleet/mod.rs
@@ -3,11 +3,9 @@
 
 use std::fs::File;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -17,41 +15,17 @@
 use plumgate_node::status::{NodeStatus, fetch_status};
 use plumgate_standin::http::{ClientAnswer, ClientCall, call};
 use plumgate_standin::link::FaultyLink;
+use plumgate_standin::reserved_port::ReservedPort;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
-/// First port that tests use; below the ephemeral port range of the system.
-const FIRST_PORT: u16 = 12_000;
-/// Number of ports that one test process may use.
-const PORT_RANGE: u16 = 18_000;
-/// Distance between the first ports of test processes with neighbouring ids, which may run beside each other.
-const PORT_STRIDE: u32 = 599;
 /// Maximum time to wait for a condition.
 const MAX_WAIT: Duration = Duration::from_secs(20);
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// Lock that is held while a port is probed and while a process is started: a forked child holds every socket of this
-/// process until it executes its program, and a port that is probed in that moment appears to be in use.
-static FORK_LOCK: Mutex<()> = Mutex::new(());
-
-fn fork_lock() -> MutexGuard<'static, ()> {
-    FORK_LOCK.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Returns a loopback address with a port that is free now and that no other test of this process uses.
+/// Returns a loopback address whose port is kept for processes of this test.
 pub(crate) fn free_address() -> SocketAddr {
-    let _lock = fork_lock();
-    loop {
-        let number = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
-        let first = std::process::id().wrapping_mul(PORT_STRIDE) % u32::from(PORT_RANGE);
-        let start = first as u16;
-        let address =
-            SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + (start + number) % PORT_RANGE));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+    let host = ephemeral_address().ip();
+    ReservedPort::fixed(host).expect("a port").keep()
 }
 
 /// Returns the loopback address with port 0, for which the system chooses a port when it is bound.
@@ -70,7 +44,6 @@
         let path = binary(program);
         let output = File::create(&log).expect("the log can be created");
         let errors = output.try_clone().expect("the log can be shared");
-        let _lock = fork_lock();
         let child = Command::new(path)
             .args(args)
             .envs(
@@ -568,10 +541,7 @@
             .env("PLUMGATE_NODES", nodes.join(","))
             .stdout(Stdio::piped())
             .stderr(Stdio::piped());
-        let child = {
-            let _lock = fork_lock();
-            command.spawn().expect("the tool was built by scripts/test")
-        };
+        let child = { command.spawn().expect("the tool was built by scripts/test") };
         child.wait_with_output().expect("the tool exits")
     }
 
