server profiles: the typical server is not drawn from the fast ones alone

Cause: a node compares a server with the mean of the servers that it has seen. Once profiles keep long prompts from slow servers, only fast ones are seen at prefill, and their profiles drift back towards typical (engine-3 of 1.2: 1.25 at 21 s, 1 at 33 s), at all nodes. Change: the typical deviation takes what is believed of the servers seen into account; where nothing is believed, it is as before.

--- a/crates/plumgate/src/gateway/placement/profiles/pool_profile.rs
+++ b/crates/plumgate/src/gateway/placement/profiles/pool_profile.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::evidence::{DecayingMean, MAX_DEVIATION, ServerEvidence, SpeedAspect, SpeedEvidence};
+use super::server_profile::LogRatios;
 
 /// Time constant of a pool's level of speed: bursts and waves of load last for some seconds, and slow down all servers.
 const LEVEL_DECAY: Duration = Duration::from_secs(5);
@@ -157,17 +158,29 @@
         (expected * HOLD_PRIOR + self.hold.mean() * weight) / (HOLD_PRIOR + weight)
     }
 
-    /// Sets the typical deviation of the servers from the level: their mean, each counted once.
-    pub(crate) fn set_typical(&mut self, servers: &[&ServerEvidence], now: Instant) {
+    /// Sets the typical deviation of the servers from the level. Each server comes with the log ratios that are believed
+    /// of it, by aspect.
+    ///
+    /// A node sees few of the servers, and slow ones the less as they are avoided: without what is believed of those
+    /// that it sees, the fast ones would soon be typical. Where nothing is believed, this is the mean deviation of the
+    /// servers seen, each counted once.
+    pub(crate) fn set_typical(&mut self, servers: &[(&ServerEvidence, LogRatios)], now: Instant) {
         for aspect in SpeedAspect::ALL {
-            let (mut weights, mut sum) = (0.0, 0.0);
-            for evidence in servers {
+            let (mut weights, mut unexplained, mut believed_sum) = (0.0, 0.0, 0.0);
+            for (evidence, believed) in servers {
+                let believed = believed[aspect as usize];
                 let evidence = evidence.get(aspect, now);
                 let weight = evidence.weight.min(1.0);
                 weights += weight;
-                sum += weight * evidence.mean;
+                unexplained += weight * (evidence.mean - believed);
+                believed_sum += believed;
             }
-            self.aspects[aspect as usize].typical = if weights > 0.0 { sum / weights } else { 0.0 };
+            let believed_mean = believed_sum / servers.len().max(1) as f64;
+            self.aspects[aspect as usize].typical = if weights > 0.0 {
+                unexplained / weights + believed_mean
+            } else {
+                0.0
+            };
         }
     }
 
--- a/crates/plumgate/src/gateway/placement/profiles/profile_table.rs
+++ b/crates/plumgate/src/gateway/placement/profiles/profile_table.rs
@@ -5,7 +5,7 @@
 
 use super::evidence::{AnswerSample, RoundGaps, ServerEvidence, SpeedAspect};
 use super::pool_profile::PoolProfile;
-use super::server_profile::{RelativeEvidence, ServerProfile};
+use super::server_profile::{LogRatios, RelativeEvidence, ServerProfile};
 use crate::gateway::exchange::messages::server_key;
 use crate::gateway::exchange::{LoadExchange, SumRow, SumTopic};
 use crate::gateway::placement::server_load::{DEFAULT_SERVICE_SECONDS, SLOT_SECONDS, ServerLoad};
@@ -194,11 +194,14 @@
         now: Instant,
     ) {
         let pool = self.pools.entry(pool.clone()).or_default();
-        let evidence: Vec<&ServerEvidence> = loads.iter().map(|load| &load.profile.own).collect();
+        let evidence: Vec<(&ServerEvidence, LogRatios)> = loads
+            .iter()
+            .map(|load| (&load.profile.own, load.profile.log_ratios()))
+            .collect();
         pool.set_typical(&evidence, now);
         let own: Vec<RelativeEvidence> = evidence
             .into_iter()
-            .map(|own| SpeedAspect::ALL.map(|aspect| pool.relative(own, aspect, now)))
+            .map(|(own, _)| SpeedAspect::ALL.map(|aspect| pool.relative(own, aspect, now)))
             .collect();
         let mut of_servers = Vec::new();
         for (load, own) in loads.iter().zip(&own) {
--- a/crates/plumgate/src/gateway/placement/profiles/server_profile.rs
+++ b/crates/plumgate/src/gateway/placement/profiles/server_profile.rs
@@ -62,6 +62,9 @@
     }
 }
 
+/// Logarithms of a server's speeds relative to its pool, by aspect.
+pub(crate) type LogRatios = [f64; SpeedAspect::COUNT];
+
 /// This node's evidence on a server relative to its pool, by aspect.
 pub(crate) type RelativeEvidence = [SpeedEvidence; SpeedAspect::COUNT];
 
@@ -71,6 +74,11 @@
         f64::from(self.steps[aspect as usize]) / STEPS
     }
 
+    /// Returns the logarithms of the speeds relative to a typical server of the pool.
+    pub(crate) fn log_ratios(&self) -> LogRatios {
+        SpeedAspect::ALL.map(|aspect| self.factor(aspect).ln())
+    }
+
     /// Returns whether all nodes together find it slow, so that it is no first choice for long prompts.
     pub(crate) fn is_slow(&self) -> bool {
         self.is_slow
--- a/crates/plumgate/tests/engine_memory.rs
+++ b/crates/plumgate/tests/engine_memory.rs
@@ -405,6 +405,8 @@
         memory_tokens: None,
         hint_factor,
         shedding: None,
+        slow_phases: None,
+        loss: 0.0,
         seed,
     }
 }
--- a/crates/plumgate/tests/gateway_load.rs
+++ b/crates/plumgate/tests/gateway_load.rs
@@ -75,6 +75,8 @@
         memory_tokens: None,
         hint_factor: 0.0,
         shedding: None,
+        slow_phases: None,
+        loss: 0.0,
         seed: 11,
     }
 }
--- a/crates/plumgate/tests/load/engine.rs
+++ b/crates/plumgate/tests/load/engine.rs
@@ -67,6 +67,10 @@
     pub(crate) busy_until: f64,
     /// Tokens of shared parts that were prefilled.
     pub(crate) shared_prefill: u64,
+    /// Shared parts that were prefilled, with their tokens.
+    pub(crate) prefilled_parts: HashMap<u64, u64>,
+    /// Time for which it ran steps, in seconds.
+    pub(crate) busy_seconds: f64,
     /// Tokens that running requests may hold.
     memory: u64,
     /// Requests that were preempted for want of memory.
@@ -85,6 +89,8 @@
             recency: VecDeque::new(),
             busy_until: 0.0,
             shared_prefill: 0,
+            prefilled_parts: HashMap::new(),
+            busy_seconds: 0.0,
             memory,
             preempted: 0,
         }
@@ -126,6 +132,7 @@
             seconds += prefilled as f64 / self.prefill_speed;
         }
         self.busy_until = now + seconds / self.speed;
+        self.busy_seconds += seconds / self.speed;
         self.generate()
     }
 
@@ -207,6 +214,7 @@
             if !is_cached {
                 pending_prefill += u64::from(part.tokens);
                 self.shared_prefill += u64::from(part.tokens);
+                self.prefilled_parts.insert(part.id, part.tokens.into());
             }
             self.cache_part(part.id, part.tokens.into());
         }
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod engine;
 pub(crate) mod shedding;
+pub(crate) mod slow_phases;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use plumgate::ids::ServerId;
 
 pub(crate) use shedding::{RestHandling, ShedPlan};
+pub(crate) use slow_phases::SlowPhases;
 
 use engine::{EngineEvent, EngineRequest, ModelEngine};
 
@@ -82,6 +84,10 @@
     pub(crate) hint_factor: f64,
     /// Engines that shed load for some time.
     pub(crate) shedding: Option<ShedPlan>,
+    /// Phases in which single engines are slow.
+    pub(crate) slow_phases: Option<SlowPhases>,
+    /// Share of the messages between nodes that are lost.
+    pub(crate) loss: f64,
     pub(crate) seed: u64,
 }
 
@@ -126,6 +132,10 @@
     pub(crate) kinds: BTreeMap<&'static str, KindResult>,
     /// Tokens of shared parts that were prefilled, the first time included.
     pub(crate) shared_prefill: u64,
+    /// Those of them that were prefilled before, at this engine or at another one.
+    pub(crate) repeated_prefill: u64,
+    /// Time for which the busiest engine ran steps, relative to the mean of the engines.
+    pub(crate) busiest: f64,
     /// How many other requests would run beside a request under usual and under isolated placement: the two
     /// sums over all samples, and the number of samples.
     pub(crate) co_running: (u64, u64, u64),
@@ -248,6 +258,16 @@
         }
         let prefilled = self.engines.iter().map(|engine| engine.shared_prefill);
         self.result.shared_prefill = prefilled.sum();
+        let parts = self
+            .engines
+            .iter()
+            .flat_map(|engine| &engine.prefilled_parts);
+        let parts: BTreeMap<&u64, &u64> = parts.collect();
+        let needed: u64 = parts.values().copied().sum();
+        self.result.repeated_prefill = self.result.shared_prefill - needed;
+        let busy = || self.engines.iter().map(|engine| engine.busy_seconds);
+        let mean = busy().sum::<f64>() / self.engines.len() as f64;
+        self.result.busiest = busy().fold(0.0, f64::max) / mean;
         let preempted = self.engines.iter().map(|engine| engine.preempted);
         self.result.preempted = preempted.sum();
         self.result
@@ -511,6 +531,7 @@
 
     fn step_engines(&mut self, now: f64) {
         for engine in 0..self.engines.len() {
+            self.set_phase(engine, now);
             while self.engines[engine].busy_until <= now && !self.engines[engine].is_idle() {
                 let from = self.engines[engine].busy_until.max(now - 0.002);
                 let events = self.engines[engine].step(from);
@@ -608,6 +629,9 @@
             packets.extend(own.into_iter().map(|(to, bytes)| (to, node.address, bytes)));
         }
         for (to, from, bytes) in packets {
+            if self.plan.loss > 0.0 && self.rng.f64() < self.plan.loss {
+                continue;
+            }
             let index = usize::from(to.port() - 1000);
             let node = &mut self.nodes[index];
             let result = node.exchange.receive(&bytes, from, &mut node.sync, moment);
--- a/crates/plumgate/tests/profile_load.rs
+++ b/crates/plumgate/tests/profile_load.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use load::engine::TOKENS_PER_SECOND;
-use load::{LoadPlan, LoadResult, LoadRun, TrafficKind};
+use load::{LoadPlan, LoadResult, LoadRun, SlowPhases, TrafficKind};
 use plumgate::gateway::{PlacementPolicy, PolicyPart, PolicySwitches, StreamClass};
 
 const ENGINES: usize = 35;
@@ -65,6 +65,8 @@
         memory_tokens: None,
         hint_factor: 0.0,
         shedding: None,
+        slow_phases: None,
+        loss: 0.0,
         seed,
     }
 }
@@ -147,3 +149,27 @@
         assert!(with.changes.is_empty());
     }
 }
+
+/// Guards against profiles that follow phases of 600 ms in which any engine may be slow by a factor of 2.5, as 15% of
+/// those of the servicer are at any time.
+#[test]
+fn slow_phases_of_600_ms_change_no_profile() {
+    for (load, seed) in [(1.0, 6), (2.2, 7)] {
+        let slow_phases = Some(SlowPhases {
+            share: 0.15,
+            factor: 0.4,
+            seconds: 0.6,
+        });
+        let plan = LoadPlan {
+            slow_phases,
+            ..plan(load, seed)
+        };
+        let changes = LoadRun::new(plan).run().changes;
+        println!(
+            "load {load}: {} changes, {:?}",
+            changes.len(),
+            changes.first()
+        );
+        assert!(changes.is_empty());
+    }
+}
