gateway: interactive servers with few slots are lent to batch streams only while these are short

Change: the wider thresholds hold while the batch servers of a pool have a mean queue of over 0.25 s.

--- a/crates/plumgate/src/gateway/placement/groups.rs
+++ b/crates/plumgate/src/gateway/placement/groups.rs
@@ -37,14 +37,18 @@
     busy: 0.3,
     idle: 0.12,
 };
-/// Thresholds of servers with few slots. Their batch is small even when it is full, so that pauses hardly grow with it;
-/// a group that grows at a third of 16 slots takes servers from batch streams that need them in a burst. Requests wait
-/// for a slot from 0.9 on.
+/// Thresholds of servers with few slots, while batch streams are short of servers. Their batch is small even when it is
+/// full, so that pauses hardly grow with it; at a third of 16 slots, the interactive group would hold servers that batch
+/// streams need in a burst. Requests wait for a slot from 0.9 on.
 const FEW_SLOTS: SlotThresholds = SlotThresholds {
     busy: 0.7,
     idle: 0.28,
 };
 
+/// Mean queue, in seconds, of a pool's batch servers from which on batch streams are short of servers. The busiest ones then
+/// have queues twice as long, and long prompts with a target of 2 s begin to be refused at 1.4 s.
+pub(crate) const SHORT_QUEUE_SECONDS: f64 = 0.25;
+
 /// Returns whether servers with this number of slots have few.
 pub(crate) fn is_few_slots(slots: u32) -> bool {
     slots <= MAX_FEW_SLOTS
@@ -87,9 +91,20 @@
         !is_early
     }
 
-    /// Raises the share of a pool whose interactive servers fill up, and lowers it where they are idle.
-    pub(crate) fn adapt(&mut self, pool: &PoolId, slot_use: f64, has_few_slots: bool) {
-        let thresholds = if has_few_slots { FEW_SLOTS } else { MANY_SLOTS };
+    /// Raises the share of a pool whose interactive servers fill up, and lowers it where they are idle. `is_short` is
+    /// whether its batch streams are short of servers, which matters only where these have few slots.
+    pub(crate) fn adapt(
+        &mut self,
+        pool: &PoolId,
+        slot_use: f64,
+        has_few_slots: bool,
+        is_short: bool,
+    ) {
+        let thresholds = if has_few_slots && is_short {
+            FEW_SLOTS
+        } else {
+            MANY_SLOTS
+        };
         let share = self.shares.entry(pool.clone()).or_insert(INITIAL_SHARE);
         let before = *share;
         if slot_use > thresholds.busy {
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -11,7 +11,7 @@
 use super::data_centres::DataCentreTable;
 use super::demand::DemandMeter;
 use super::engine_memory::{EngineMemory, MemoryReservation};
-use super::groups::{GroupChange, GroupShares, ServerGroups, is_few_slots};
+use super::groups::{GroupChange, GroupShares, SHORT_QUEUE_SECONDS, ServerGroups, is_few_slots};
 use super::place_loans::PlaceLoans;
 use super::place_ranks::PlaceRanks;
 use super::prefill_speed::PrefillSpeeds;
@@ -193,17 +193,31 @@
         for pool in pools {
             let slot_use = self.interactive_slot_use(&pool);
             let has_few_slots = self.has(PolicyPart::GroupsBySlots) && self.has_few_slots(&pool);
-            self.shares.adapt(&pool, slot_use, has_few_slots);
+            let is_short =
+                has_few_slots && self.batch_queue_seconds(&pool, now) > SHORT_QUEUE_SECONDS;
+            self.shares.adapt(&pool, slot_use, has_few_slots, is_short);
         }
     }
 
     /// Returns whether all servers of a pool have few slots.
-    pub(super) fn has_few_slots(&self, pool: &PoolId) -> bool {
+    fn has_few_slots(&self, pool: &PoolId) -> bool {
         let of_pool = self.servers.values().map(|load| &load.entry);
         let mut of_pool = of_pool.filter(|entry| entry.pool == *pool);
         of_pool.all(|entry| is_few_slots(entry.slots))
     }
 
+    /// Returns the mean time for which the prompts that wait at a pool's batch servers keep them busy.
+    fn batch_queue_seconds(&self, pool: &PoolId, now: Instant) -> f64 {
+        let groups = self.groups(pool);
+        let of_pool = self.servers.values();
+        let of_pool = of_pool.filter(|load| load.entry.pool == *pool && load.accepts_work());
+        let batch = of_pool.filter(|load| groups.class(&load.entry.id) == StreamClass::Batch);
+        let (tokens, count) = batch.fold((0, 0), |(tokens, count), load| {
+            (tokens + load.pending_prefill(), count + 1)
+        });
+        tokens as f64 / f64::from(count.max(1)) / self.speeds.speed(pool, now)
+    }
+
     /// Returns the share of slots in use at a pool's interactive servers.
     fn interactive_slot_use(&self, pool: &PoolId) -> f64 {
         let groups = self.groups(pool);
