gateway: the division of pools into groups has a file of its own; pools without prompts are left out

Change: load_groups.rs; a pool counts as one with few slots only if this node sends prompts to it. The load model records demand as a node does.

--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -2,7 +2,7 @@
 //! preferred server that is too busy is passed over for the next one.
 
 use std::borrow::Cow;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use super::affinity::PreferredServers;
@@ -11,7 +11,7 @@
 use super::data_centres::DataCentreTable;
 use super::demand::DemandMeter;
 use super::engine_memory::{EngineMemory, MemoryReservation};
-use super::groups::{GroupChange, GroupShares, ServerGroups, is_few_slots};
+use super::groups::GroupShares;
 use super::place_loans::PlaceLoans;
 use super::place_ranks::PlaceRanks;
 use super::prefill_speed::PrefillSpeeds;
@@ -52,15 +52,15 @@
     pub(super) servers: BTreeMap<ServerId, ServerLoad>,
     data_centres: DataCentreTable,
     /// Prefill speed of each pool's servers.
-    speeds: PrefillSpeeds,
+    pub(super) speeds: PrefillSpeeds,
     /// What is known of the speed of individual servers.
     profiles: ProfileTable,
     /// Share of each pool's servers that is reserved for interactive streams.
-    shares: GroupShares,
+    pub(super) shares: GroupShares,
     /// Parts that this node was the first to send to a server, not yet announced to other nodes.
     new_locations: Vec<PartLocation>,
     /// Demand from the requests of this node.
-    demand: DemandMeter,
+    pub(super) demand: DemandMeter,
     /// Places at brittle servers that are lent to other nodes and borrowed from them.
     pub(super) loans: PlaceLoans,
     /// Ranks by which places at brittle servers are dealt out.
@@ -180,54 +180,6 @@
         self.options.switches.has(part)
     }
 
-    /// Adjusts the shares of interactive streams to the slot use of their servers.
-    fn adapt_shares(&mut self, now: Instant) {
-        if !self.has(PolicyPart::AdaptiveShare) || !self.shares.is_due(now) {
-            return;
-        }
-        let pools: BTreeSet<PoolId> = self
-            .servers
-            .values()
-            .map(|load| load.entry.pool.clone())
-            .collect();
-        for pool in pools {
-            let slot_use = self.interactive_slot_use(&pool);
-            let has_few_slots = self.has(PolicyPart::GroupsBySlots) && self.has_few_slots(&pool);
-            let batch_queue = has_few_slots.then(|| self.batch_queue_seconds(&pool, now));
-            self.shares.adapt(&pool, slot_use, batch_queue, now);
-        }
-    }
-
-    /// Returns whether all servers of a pool have few slots.
-    fn has_few_slots(&self, pool: &PoolId) -> bool {
-        let of_pool = self.servers.values().map(|load| &load.entry);
-        let mut of_pool = of_pool.filter(|entry| entry.pool == *pool);
-        of_pool.all(|entry| is_few_slots(entry.slots))
-    }
-
-    /// Returns the mean time for which the prompts that wait at a pool's batch servers keep them busy.
-    fn batch_queue_seconds(&self, pool: &PoolId, now: Instant) -> f64 {
-        let groups = self.groups(pool);
-        let of_pool = self.servers.values();
-        let of_pool = of_pool.filter(|load| load.entry.pool == *pool && load.accepts_work());
-        let batch = of_pool.filter(|load| groups.class(&load.entry.id) == StreamClass::Batch);
-        let (tokens, count) = batch.fold((0, 0), |(tokens, count), load| {
-            (tokens + load.pending_prefill(), count + 1)
-        });
-        tokens as f64 / f64::from(count.max(1)) / self.speeds.speed(pool, now)
-    }
-
-    /// Returns the share of slots in use at a pool's interactive servers.
-    fn interactive_slot_use(&self, pool: &PoolId) -> f64 {
-        let groups = self.groups(pool);
-        let loads = groups.interactive.iter().map(|id| &self.servers[id]);
-        let (used, slots) = loads.fold((0, 0), |(used, slots), load| {
-            let in_flight = load.own.in_flight + load.peers.in_flight;
-            (used + in_flight, slots + load.entry.slots)
-        });
-        f64::from(used) / f64::from(slots.max(1))
-    }
-
     /// Records the demand of a request for which a server was chosen, whether the request is then sent or
     /// refused.
     pub fn record_demand(&mut self, pool: &PoolId, pick: &ServerPick, now: Instant) {
@@ -450,19 +402,6 @@
         sample
     }
 
-    fn groups(&self, pool: &PoolId) -> ServerGroups {
-        let of_pool = self
-            .servers
-            .values()
-            .filter(|load| load.entry.pool == *pool && load.accepts_work());
-        let share = if self.has(PolicyPart::Groups) {
-            self.shares.share(pool)
-        } else {
-            1.0
-        };
-        ServerGroups::new(of_pool.map(|load| load.entry.id.clone()), share)
-    }
-
     /// Applies the rate limits that servers named.
     pub fn set_limits(&mut self, limits: &ServerLimits) {
         for load in self.servers.values_mut() {
@@ -568,11 +507,6 @@
         }
     }
 
-    /// Returns the changes of the groups of servers since the last call.
-    pub fn take_group_changes(&mut self) -> impl Iterator<Item = GroupChange> {
-        self.shares.take_changes()
-    }
-
     /// Returns the changes of server profiles since the last call.
     pub fn take_profile_changes(&mut self) -> Vec<ProfileChange> {
         self.profiles.take_changes()
--- a/crates/plumgate/src/gateway/placement/mod.rs
+++ b/crates/plumgate/src/gateway/placement/mod.rs
@@ -10,6 +10,7 @@
 mod engine_memory;
 mod groups;
 mod load;
+mod load_groups;
 mod memory_exchange;
 mod place_exchange;
 mod place_loans;
--- a/crates/plumgate/tests/few_slots.rs
+++ b/crates/plumgate/tests/few_slots.rs
@@ -135,6 +135,7 @@
             output_hint: None,
         };
         let pick = table.pick(&request, now).expect("a server");
+        table.record_demand(&pool, &pick, now);
         table.start(&pick, &request, now);
         chosen.push(pick.server.id);
         now += Duration::from_millis(200);
--- a/crates/plumgate/tests/load/mod.rs
+++ b/crates/plumgate/tests/load/mod.rs
@@ -410,6 +410,7 @@
             self.wait_for_engine(pending, deferred_for, now);
             return;
         };
+        node.table.record_demand(request.pool, &pick, at);
         let left = pending.first_sent + traffic.patience - now;
         let waited = pending.waits.map_or(0.0, |(_, since)| now - since);
         let prediction = QueuePrediction {
