--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -101,6 +101,11 @@
 
 /// Reads a body with a length. Returns it and the bytes behind it.
 pub fn read_body(stream: &mut TcpStream, head: &Head) -> Option<(Vec<u8>, Vec<u8>)> {
+    read_body_slowly(stream, head, Duration::ZERO)
+}
+
+/// Reads a body with a length, and pauses after each read of up to 64 KiB.
+pub fn read_body_slowly(stream: &mut TcpStream, head: &Head, pause: Duration) -> Option<(Vec<u8>, Vec<u8>)> {
     let length = head.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0usize);
     let mut body = head.rest.clone();
     while body.len() < length {
@@ -109,6 +114,9 @@
             Ok(0) | Err(_) => return None,
             Ok(count) => body.extend_from_slice(&bytes[..count]),
         }
+        if !pause.is_zero() {
+            thread::sleep(pause);
+        }
     }
     let rest = body.split_off(length);
     Some((body, rest))
@@ -495,6 +503,10 @@
     /// Runs, by the id of the consumer's attempt: the number that began.
     pub runs: Arc<Mutex<BTreeMap<String, u32>>>,
     pub is_up: Arc<AtomicBool>,
+    /// Pause in milliseconds after each read of up to 64 KiB of a body.
+    pub read_pause_ms: Arc<AtomicU64>,
+    /// Attempts whose heads have arrived.
+    pub arrived: Arc<Mutex<Vec<String>>>,
     sequence: Arc<AtomicU64>,
 }
 
@@ -508,6 +520,8 @@
             record: record.clone(),
             runs: Arc::default(),
             is_up: Arc::new(AtomicBool::new(true)),
+            read_pause_ms: Arc::default(),
+            arrived: Arc::default(),
             sequence: Arc::default(),
         };
         let serving = server.clone();
@@ -542,7 +556,11 @@
         let _ = stream.set_nodelay(true);
         let mut rest = Vec::new();
         while let Some(head) = read_head(&mut stream, std::mem::take(&mut rest)) {
-            let Some((body, behind)) = read_body(&mut stream, &head) else { return };
+            if let Some(id) = head.get("x-attempt-id") {
+                self.arrived.lock().unwrap().push(id.to_owned());
+            }
+            let pause = Duration::from_millis(self.read_pause_ms.load(Ordering::SeqCst));
+            let Some((body, behind)) = read_body_slowly(&mut stream, &head, pause) else { return };
             rest = behind;
             if self.answer(&mut stream, &head, &body).is_err() {
                 return;
