--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -287,7 +287,7 @@
     value: Option<String>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
     version: u64,
     rows: BTreeMap<(String, String, String), (String, u64)>,
@@ -317,8 +317,14 @@
     state: Arc<(Mutex<Rows>, Condvar)>,
     pub address: SocketAddr,
     start: Instant,
+    /// Number of times that the store came back from a copy.
+    era: Arc<AtomicU64>,
+    is_away: Arc<AtomicBool>,
 }
 
+/// Copy of a store.
+pub struct StoreCopy(Rows);
+
 impl Store {
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -326,6 +332,8 @@
             state: Arc::default(),
             address: listener.local_addr().unwrap(),
             start: Instant::now(),
+            era: Arc::default(),
+            is_away: Arc::default(),
         };
         let serving = store.clone();
         thread::spawn(move || {
@@ -337,6 +345,21 @@
         store
     }
 
+    /// Returns a copy of all rows.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.0.lock().unwrap().clone())
+    }
+
+    /// Is away for a moment and comes back from a copy, as in a drill.
+    pub fn restore(&self, copy: StoreCopy, away: Duration) {
+        self.is_away.store(true, Ordering::SeqCst);
+        self.state.1.notify_all();
+        thread::sleep(away);
+        *self.state.0.lock().unwrap() = copy.0;
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.is_away.store(false, Ordering::SeqCst);
+    }
+
     /// Writes a row as the operator or a server does. Returns its version.
     pub fn put(&self, table: &str, key: &str, json: &str) -> u64 {
         let mut rows = self.state.0.lock().unwrap();
@@ -361,9 +384,14 @@
             rest = behind;
             // What the sheets give as the time of an answer.
             thread::sleep(Duration::from_millis(4));
+            let era = self.era.load(Ordering::SeqCst);
             let (status, text) = self.answer(&head, &body);
+            let is_gone = self.is_away.load(Ordering::SeqCst) || era != self.era.load(Ordering::SeqCst);
+            if is_gone {
+                return;
+            }
             let answer = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
+                "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
                 text.len()
             );
             if stream.write_all(answer.as_bytes()).is_err() {
@@ -418,7 +446,7 @@
                 .map(|change| row_text(&change.table, &change.part, &change.key, change.value.as_ref(), change.version))
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
-            if !texts.is_empty() || left.is_zero() {
+            if !texts.is_empty() || left.is_zero() || self.is_away.load(Ordering::SeqCst) {
                 return (200, rows_text(&texts, false, rows.version, self.now_ms()));
             }
             rows = self.state.1.wait_timeout(rows, left).unwrap().0;
@@ -694,8 +722,18 @@
     pub memory_mb: u32,
 }
 
+/// Returns a port that is free for TCP and UDP, below those that the system gives to outgoing connections, so that none
+/// of these takes it before its process has started.
 pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().unwrap().port()
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let start = u64::from(std::process::id()) * 97;
+    loop {
+        let port = 12_000 + ((start + NEXT.fetch_add(1, Ordering::SeqCst)) % 18_000) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && std::net::UdpSocket::bind(address).is_ok() {
+            return port;
+        }
+    }
 }
 
 impl NodePlan {
