--- a/review/standin/kept_channels.rs
+++ b/review/standin/kept_channels.rs
@@ -16,8 +16,9 @@
 const PLAIN_PACE: Pace = Pace { events: 0, first: Duration::from_millis(30), pause: Duration::ZERO };
 /// Streams of 24 events in 1.7 s, the first one after the time that a long prompt takes.
 const STREAM_PACE: Pace = Pace { events: 24, first: Duration::from_millis(800), pause: Duration::from_millis(40) };
-/// Requests a second of all consumers, as on the sheet (24.4 + 16.8 + 25.9 + 16.8 + 6.7), without those of `KEEPERS`.
-const PER_SECOND: f64 = 81.0;
+/// Requests a second on new channels, as many as the sheet has (24.4 + 16.8 + 25.9 + 16.8 + 6.7). With those of the
+/// keepers it is a tenth more, within the swing of 0.15 that the site file has.
+const PER_SECOND: f64 = 90.6;
 /// Consumers that send one stream after another on one channel: some 9 requests a second.
 const KEEPERS: usize = 16;
 /// Time for which consumers come after the machines were lost; a channel may be idle for `idleTimeoutMs`, 15 s.
