review: cases 1 and 3 record each request

Cause: the records of these two cases had sums and the requests that were cut, not all that was sent, answered and run.

--- a/review/standin/foreign_rows.rs
+++ b/review/standin/foreign_rows.rs
@@ -26,8 +26,7 @@
 fn play(case: &Case) -> Result<bool, String> {
     let store = Store::start();
     store.put("op", "config", &config(7, &[KEY]));
-    let quiet = Record::create(&case.folder.join("servers.txt"));
-    let servers: Vec<Server> = (1..=3).map(|number| Server::start(&format!("i-{number}"), PACE, &quiet)).collect();
+    let servers: Vec<Server> = (1..=3).map(|number| Server::start(&format!("i-{number}"), PACE, &case.record)).collect();
     for server in &servers {
         server.register(&store, "portal", "hall-a", 6);
     }
@@ -79,6 +78,7 @@
                 reason = String::from_utf8_lossy(&answer.body).into_owned();
             }
         }
+        case.record.write(format!("request {number} {phase} to {}: {status}", plans[number % plans.len()].name));
         *by_status.entry(status).or_insert(0usize) += 1;
         thread::sleep((begin + SPACING * (number as u32 + 1)).saturating_duration_since(Instant::now()));
     }
--- a/review/standin/kept_channels.rs
+++ b/review/standin/kept_channels.rs
@@ -120,10 +120,17 @@
     let is_cut = |outcome: &&Outcome| outcome.node == 0 && !outcome.answer.is_complete && arrived.contains(&outcome.id);
     let cut = outcomes.iter().filter(is_cut).count();
     let lost = outcomes.iter().filter(is_cut).filter(|outcome| outcome.is_kept && outcome.answer.status == 0).count();
-    for outcome in outcomes.iter().filter(is_cut) {
+    let passed_on: std::collections::BTreeSet<&String> = arrived.iter().collect();
+    for outcome in outcomes.iter() {
         case.record.write(format!(
-            "request {} (kept channel: {}) was passed on and got {} with {} events, complete: false",
-            outcome.id, outcome.is_kept, outcome.answer.status, outcome.answer.events
+            "request {} to machine {} (kept channel: {}; passed on to a server: {}) got {} with {} events, complete: {}",
+            outcome.id,
+            outcome.node + 1,
+            outcome.is_kept,
+            passed_on.contains(&outcome.id),
+            outcome.answer.status,
+            outcome.answer.events,
+            outcome.answer.is_complete
         ));
     }
     case.record.write(format!("sent {}, answered whole {whole}; passed on and cut {cut}, of these on a kept channel and without any answer {lost}", outcomes.len()));
