gateway: check the server before an answer without framing counts as complete

Cause: the kernel closes the connections of a killed process in order. After an event nothing marked the end, and the only other sign was another request of the node that failed within 10 ms. Change: 10 ms after such an end the node opens a connection to the server, through another node if need be. Refused: the answer is broken off. Reached: complete. Silent: complete, as it says nothing of the process. Answers with framing, and JSON, are not checked. connection_without_framing_is_not_used_again counts connections at the server: one for each answer before, now one more for each check (6 of 3 answers); a reused connection still makes it fail.

--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 mod run;
 mod second_run;
 mod server_body;
+mod server_check;
 mod server_connection;
 mod server_limits;
 mod server_notices;
--- a/crates/plumgate-node/src/gateway/relay/full_answer.rs
+++ b/crates/plumgate-node/src/gateway/relay/full_answer.rs
@@ -52,7 +52,8 @@
             end,
             content: content_end(&answer.head.headers, framing, &body),
         };
-        let verdict = self.judge_answer(end, 0, &incarnation).await;
+        let server = answer.work.server().clone();
+        let verdict = self.judge_answer(end, 0, &server, &incarnation).await;
         if verdict == AnswerVerdict::BrokenOff {
             return self.after_broken_answer(answer, end.end).await;
         }
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -5,7 +5,8 @@
 use hyper::StatusCode;
 use plumgate::RunOutcome;
 use plumgate::gateway::{
-    AnswerEnd, AnswerVerdict, BudgetState, RunSuspects, ServerPick, ServerSign,
+    AnswerEnd, AnswerVerdict, BudgetState, RunSuspects, ServerCheck, ServerEntry, ServerPick,
+    ServerSign,
 };
 
 use super::incarnations::ServerIncarnation;
@@ -59,12 +60,14 @@
         &mut self,
         end: AnswerEnd,
         left_over: usize,
-        server: &ServerIncarnation,
+        server: &ServerEntry,
+        incarnation: &ServerIncarnation,
     ) -> AnswerVerdict {
         let mut verdict = end.verdict(ServerSign::Awaited);
         if verdict == AnswerVerdict::Undecided {
-            let sign = server.failure_sign(&self.shared.clock).await;
+            let (sign, check) = self.shared.sign_of_end(server, incarnation).await;
             verdict = end.verdict(sign);
+            self.log_end_check(server, check, verdict);
         }
         let labels = AnswerEndLabels {
             framing: end.framing.as_str(),
@@ -78,6 +81,21 @@
         verdict
     }
 
+    /// Logs how it was decided whether an answer without framing is complete.
+    fn log_end_check(
+        &self,
+        server: &ServerEntry,
+        check: Option<ServerCheck>,
+        verdict: AnswerVerdict,
+    ) {
+        LogLine::new("answer_end_check")
+            .with("request", &self.request.id)
+            .with("server", &server.id)
+            .with("check", check.map_or("others_failed", ServerCheck::as_str))
+            .with("verdict", verdict.as_str())
+            .info(&self.shared.log);
+    }
+
     /// Logs whether a retry is allowed and what the node may spend, and sets the gauges of the pool's budget.
     pub(crate) fn log_retry(&self, reason: &'static str, is_paid: bool, state: &BudgetState) {
         let pool = &self.request.pool;
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -257,14 +257,16 @@
         let Some(source) = &self.source else {
             return StreamInput::Failed("lost");
         };
-        let incarnation = source.work.incarnation();
+        let (server, incarnation) = (source.work.server().clone(), source.work.incarnation());
         let answer_end = AnswerEnd {
             framing: source.body.framing(),
             end,
             content: self.content.end(),
         };
         let left_over = self.content.partial().len();
-        let judged = self.run.judge_answer(answer_end, left_over, &incarnation);
+        let judged = self
+            .run
+            .judge_answer(answer_end, left_over, &server, &incarnation);
         match (judged.await, end) {
             (AnswerVerdict::Complete, _) => StreamInput::End,
             (_, BodyEnd::Silent) => StreamInput::TimedOut,
--- a/crates/plumgate/src/gateway/answer_end.rs
+++ b/crates/plumgate/src/gateway/answer_end.rs
@@ -105,6 +105,37 @@
     Failed,
 }
 
+impl From<ServerCheck> for ServerSign {
+    fn from(check: ServerCheck) -> Self {
+        match check {
+            ServerCheck::Reached | ServerCheck::Silent => Self::None,
+            ServerCheck::Refused => Self::Failed,
+        }
+    }
+}
+
+/// Result of a new connection to a server, opened after one of its answers has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerCheck {
+    /// The server accepts connections.
+    Reached,
+    /// Nothing accepts connections at its address.
+    Refused,
+    /// No response arrived in time, which says nothing about the process.
+    Silent,
+}
+
+impl ServerCheck {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Reached => "reached",
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Failures of a server's other requests, as far as a node knows them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FailureEvidence {
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -34,7 +34,7 @@
 };
 pub use answer_end::{
     AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, ContentEnd, FAILURE_WINDOW, FailureEvidence,
-    ServerSign,
+    ServerCheck, ServerSign,
 };
 pub use caller_activity::CallerActivity;
 pub use config::{
--- a/crates/plumgate/tests/answer_end.rs
+++ b/crates/plumgate/tests/answer_end.rs
@@ -4,7 +4,7 @@
 
 use plumgate::gateway::{
     AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, ContentEnd, EventSplitter, FailureEvidence,
-    ServerSign,
+    ServerCheck, ServerSign,
 };
 use quickcheck::quickcheck;
 
@@ -175,3 +175,11 @@
         })
     }
 }
+
+/// Guards against a server that accepts no connections any more, whose last answer looks complete.
+#[test]
+fn only_a_refused_connection_is_a_sign() {
+    assert_eq!(ServerSign::from(ServerCheck::Refused), ServerSign::Failed);
+    assert_eq!(ServerSign::from(ServerCheck::Reached), ServerSign::None);
+    assert_eq!(ServerSign::from(ServerCheck::Silent), ServerSign::None);
+}
