relay: an answer's length is that of the body that is relayed

What callers saw: of an answer with a length beside chunks (Content-Length: 0 and Transfer-Encoding: chunked) a 200 with the server's seal and an empty body, framed as whole; a 5 cut the body and left its rest where the next answer is due (MIXED). Cause: such an answer is read by its chunks, as RFC 9112, 6.3 says, but was relayed with the server's Content-Length. The HTTP library trusts a length that is set. A 304 with a length ends the caller's connection in a debug build: same cause. Evidence: broken_heads::answer_with_a_length_beside_chunks_is_relayed_whole, before: release build: 200, complete, "", where "answer of" was due (stated 0); debug build: no answer, the library's assertion ends the connection. Why it works: the length of an answer that was read to its end is that of the bytes read, and the library writes it. Only HEAD keeps the server's: it has no body.

--- a/crates/plumgate-node/src/gateway/relay/full_answer.rs
+++ b/crates/plumgate-node/src/gateway/relay/full_answer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::Method;
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, WorkOutcome};
@@ -10,7 +11,7 @@
 use super::NextStep;
 use crate::answer_framing::content_end;
 use crate::clock::{Clock, until};
-use crate::gateway::answer::relayed_head;
+use crate::gateway::answer::{relayed_head, remove_content_length};
 use crate::gateway::attempt::{BodyTooLarge, collect_body};
 use crate::gateway::incarnations::ServerIncarnation;
 use crate::gateway::ports::{AnswerMetadata, WireFormat};
@@ -75,7 +76,12 @@
         }
         self.observe_first_byte();
         self.report(RunOutcome::Answered, "server", status);
-        NextStep::Respond(relayed_head(answer.head, body))
+        let mut head = answer.head;
+        // A stated length need not be that of the body: chunks take precedence over it, and a 304 has no body.
+        if self.request.head.method != Method::HEAD {
+            remove_content_length(&mut head.headers);
+        }
+        NextStep::Respond(relayed_head(head, body))
     }
 
     /// Reads the body of an answer until it ends, its server restarts, or the request's deadline has passed.
