status: a page whose end nothing marks is an error

What operators saw: a page of a node that is answered without a length or chunks and cut anywhere is taken for whole, also an empty one. Cause: the end of the connection counted as the end of the page. With a length or chunks no cut was accepted. Why it works: nodes mark the ends of their pages, so an unmarked one was not sent by a node, or was changed on the way.

--- a/crates/plumgate-node/src/answer_framing.rs
+++ b/crates/plumgate-node/src/answer_framing.rs
@@ -2,7 +2,7 @@
 
 use hyper::HeaderMap;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use plumgate::gateway::{AnswerFraming, ContentEnd};
 use serde::de::IgnoredAny;
 
@@ -14,12 +14,22 @@
     if body.size_hint().exact().is_some() {
         return AnswerFraming::Length;
     }
+    match header_framing(headers) {
+        AnswerFraming::Chunks => AnswerFraming::Chunks,
+        AnswerFraming::Length | AnswerFraming::Connection => AnswerFraming::Connection,
+    }
+}
+
+/// Reads how the end of a body that a response must have is marked.
+pub(crate) fn header_framing(headers: &HeaderMap) -> AnswerFraming {
     let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
     let last = codings
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.rsplit(',').next());
     match last {
         Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => AnswerFraming::Chunks,
+        // Chunks take precedence over a length.
+        None if headers.contains_key(CONTENT_LENGTH) => AnswerFraming::Length,
         _ => AnswerFraming::Connection,
     }
 }
--- a/crates/plumgate-node/src/status.rs
+++ b/crates/plumgate-node/src/status.rs
@@ -11,9 +11,11 @@
 use futures_lite::future;
 use http_body_util::{Full, LengthLimitError};
 use hyper::{Request, StatusCode, header};
+use plumgate::gateway::AnswerFraming;
 use plumgate::ids::{ConfigVersion, TierRank};
 use serde::{Deserialize, Serialize};
 
+use crate::answer_framing::header_framing;
 use crate::http::fetch_once;
 
 /// Timeout for a node's answer.
@@ -89,6 +91,8 @@
     TooLarge(usize),
     /// the page is not UTF-8 text
     NotText,
+    /// nothing marks the end of the page, which may be cut
+    Unmarked,
 }
 
 impl std::error::Error for PageError {}
@@ -136,12 +140,14 @@
         let answer = fetch_once(address, request, max_bytes).await;
         answer.map_err(|error| page_error(error, max_bytes))
     };
-    let (status, _, body) = future::or(answer, late).await?;
-    if status == StatusCode::OK {
-        Ok(body)
-    } else {
-        Err(PageError::Status(status.as_u16()))
+    let (status, headers, body) = future::or(answer, late).await?;
+    if status != StatusCode::OK {
+        return Err(PageError::Status(status.as_u16()));
+    }
+    if header_framing(&headers) == AnswerFraming::Connection {
+        return Err(PageError::Unmarked);
     }
+    Ok(body)
 }
 
 fn page_error(error: io::Error, max_bytes: usize) -> PageError {
