--- a/crates/plumgate-node/src/gateway/relay/full_answer.rs
+++ b/crates/plumgate-node/src/gateway/relay/full_answer.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use hyper::Method;
+use hyper::header::CONTENT_LENGTH;
+use hyper::http::response::Parts;
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{AnswerEnd, AnswerFraming, AnswerVerdict, BodyEnd, WorkOutcome};
@@ -18,6 +20,7 @@
 use crate::gateway::request::{BROKEN_OFF, RESTARTED, ServerAnswer};
 use crate::gateway::run::RelayRun;
 use crate::link::HttpLink;
+use crate::log::LogLine;
 
 /// Maximum size of an answer that is read to its end before it is relayed; services without streams answer with
 /// less.
@@ -79,11 +82,28 @@
         let mut head = answer.head;
         // A stated length need not be that of the body: chunks take precedence over it, and a 304 has no body.
         if self.request.head.method != Method::HEAD {
+            self.log_stated_length(&head, body.len());
             remove_content_length(&mut head.headers);
         }
         NextStep::Respond(relayed_head(head, body))
     }
 
+    /// Logs a stated length that is not that of the body.
+    fn log_stated_length(&self, head: &Parts, received: usize) {
+        let stated = head.headers.get(CONTENT_LENGTH);
+        let stated = stated.map(|value| String::from_utf8_lossy(value.as_bytes()));
+        let Some(stated) = stated.filter(|stated| *stated != received.to_string()) else {
+            return;
+        };
+        LogLine::new("other_length")
+            .with("request", &self.request.id)
+            .with_some("server", self.tried.last())
+            .with("status", head.status.as_u16())
+            .with("stated_bytes", stated)
+            .with("received_bytes", received)
+            .info(&self.shared.log);
+    }
+
     /// Reads the body of an answer until it ends, its server restarts, or the request's deadline has passed.
     async fn read_body(
         &self,
