tunnels: name the request at every node that carries its bytes

A request for a tunnel carries the requesting node and the request's id, after the fields that the previous build decodes; that build ignores them, and its own requests are still understood (both directions tested on bytes, the old ones recorded with the previous build). The node that opens the tunnel logs tunnel_opened, tunnel_at_stop (while it stops) and tunnel_ended with the bytes of each direction, the duration and a reason; metric tunnel_ends by reason. A node that ends logs the tunnels that it cuts as node_stopped. event=tunnel and tunnel_stalled of the requesting node name the request.

No decision changes: the same nodes are asked, and tunnels end as before.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use plumgate::gateway::{BodyEnd, ConnectionKind, RepeatKind, WorkOutcome};
 
 use super::answer::remove_connection_headers;
+use super::connection_cause::ConnectionPurpose;
 use super::guards::{RunRefusal, WorkGuard};
 use super::ports::{AnswerMeaning, AttemptMetadata, WireFormat};
 use super::request::{AttemptEnd, AttemptOrder, AttemptOutcome, RESTARTED, ServerAnswer};
@@ -101,7 +102,7 @@
             work.on_silence();
             shared.links.clear(&order.server.id);
             if let Some(helper) = &helper {
-                shared.record_tunnel_use(&order.server, helper, false);
+                shared.record_tunnel_use(order, helper, false);
             }
             result = until(&shared.clock, wait_until, &mut exchange).await;
             work.set_outcome(WorkOutcome::Inconclusive);
@@ -109,7 +110,7 @@
         result
     };
     if let (Some(helper), Some(is_answered)) = (&helper, is_answered(&result)) {
-        shared.record_tunnel_use(&order.server, helper, is_answered);
+        shared.record_tunnel_use(order, helper, is_answered);
     }
     match result.take() {
         Some(None) => {
@@ -161,8 +162,8 @@
         let answered = shared.loads().answered_at(&order.server.id);
         return Ok((link, ConnectionKind::Reused { answered }));
     }
-    let (cause, due) = (order.connection, order.request.due);
-    let link = open_server(shared, &order.server, cause, due).await?;
+    let purpose = ConnectionPurpose::new(order.connection, &order.request.id);
+    let link = open_server(shared, &order.server, purpose, order.request.due).await?;
     Ok((link, ConnectionKind::New))
 }
 
--- a/crates/plumgate-node/src/gateway/connection_cause.rs
+++ b/crates/plumgate-node/src/gateway/connection_cause.rs
@@ -22,6 +22,33 @@
     Tunnel,
 }
 
+/// What a connection to a server is used for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionPurpose<'a> {
+    /// Why it is opened.
+    pub(crate) cause: ConnectionCause,
+    /// Id of the request that it is for; `None` for a probe or check.
+    pub(crate) request: Option<&'a str>,
+}
+
+impl<'a> ConnectionPurpose<'a> {
+    /// Creates the purpose of a connection for a request.
+    pub(crate) fn new(cause: ConnectionCause, request: &'a str) -> Self {
+        Self {
+            cause,
+            request: Some(request),
+        }
+    }
+
+    /// Creates the purpose of a connection without a request.
+    pub(crate) fn check(cause: ConnectionCause) -> Self {
+        Self {
+            cause,
+            request: None,
+        }
+    }
+}
+
 impl ConnectionCause {
     /// Returns the name used in metrics.
     fn as_str(self) -> &'static str {
--- a/crates/plumgate-node/src/gateway/lifecycle.rs
+++ b/crates/plumgate-node/src/gateway/lifecycle.rs
@@ -81,6 +81,9 @@
     fn enter<C: Clock, W>(&mut self, event: &str, shared: &GatewayShared<C, W>) {
         self.entered_at = Some(shared.clock.now());
         let view = enter_state(&mut self.run, event, shared.open_requests(), &shared.log);
+        if event != "configured" {
+            shared.report_carried(self.run.is_ended());
+        }
         shared.lifecycle.store(Arc::new(view));
         shared.lifecycle_changed.notify(usize::MAX);
     }
--- a/crates/plumgate-node/src/gateway/metrics/paths.rs
+++ b/crates/plumgate-node/src/gateway/metrics/paths.rs
@@ -28,6 +28,8 @@
     pub(crate) tunnel_requests: Family<ReasonLabels, Counter>,
     /// Answers to requests of other nodes for tunnels.
     pub(crate) tunnel_replies: Family<ReasonLabels, Counter>,
+    /// Tunnels for other nodes that ended, by reason.
+    pub(crate) tunnel_ends: Family<ReasonLabels, Counter>,
     /// Tunnels that are open for other nodes.
     pub(crate) open_tunnels: Gauge,
     /// New connections to servers, by result.
@@ -59,6 +61,11 @@
             "Answers to such requests of other nodes",
             self.tunnel_replies.clone(),
         );
+        registry.register(
+            "tunnel_ends",
+            "Connections for other nodes that ended, by reason",
+            self.tunnel_ends.clone(),
+        );
         registry.register(
             "open_tunnels",
             "Connections to servers that are open for other nodes",
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod attempt;
 mod caller;
+mod carried_tunnels;
 mod checks;
 mod connection;
 mod connection_cause;
--- a/crates/plumgate-node/src/gateway/server_check.rs
+++ b/crates/plumgate-node/src/gateway/server_check.rs
@@ -4,7 +4,7 @@
 
 use plumgate::gateway::{FAILURE_WINDOW, ServerCheck, ServerEntry, ServerSign};
 
-use super::connection_cause::ConnectionCause;
+use super::connection_cause::{ConnectionCause, ConnectionPurpose};
 use super::incarnations::ServerIncarnation;
 use super::server_connection::{CONNECT_TIMEOUT, ConnectFailure, open_server};
 use super::shared::GatewayShared;
@@ -38,7 +38,8 @@
     /// Opens a connection to a server, through another node if need be, and closes it.
     async fn check_server(&self, server: &ServerEntry) -> ServerCheck {
         let deadline = self.clock.now() + CONNECT_TIMEOUT;
-        let opened = open_server(self, server, ConnectionCause::ServerCheck, deadline).await;
+        let purpose = ConnectionPurpose::check(ConnectionCause::ServerCheck);
+        let opened = open_server(self, server, purpose, deadline).await;
         match opened {
             Ok(_) => ServerCheck::Reached,
             Err(ConnectFailure::Refused | ConnectFailure::Paused) => ServerCheck::Refused,
--- a/crates/plumgate-node/src/gateway/server_connection.rs
+++ b/crates/plumgate-node/src/gateway/server_connection.rs
@@ -8,7 +8,7 @@
 use futures_lite::future;
 use plumgate::gateway::{DirectResult, PathPlan, PolicyPart, ServerEntry, WorkOutcome};
 
-use super::connection_cause::ConnectionCause;
+use super::connection_cause::{ConnectionCause, ConnectionPurpose};
 use super::shared::GatewayShared;
 use super::tunnels::{TUNNEL_TIMEOUT, open_tunnel};
 use crate::clock::{Clock, until};
@@ -54,13 +54,13 @@
 pub(crate) async fn open_server<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     server: &ServerEntry,
-    cause: ConnectionCause,
+    purpose: ConnectionPurpose<'_>,
     deadline: Instant,
 ) -> Result<HttpLink, ConnectFailure> {
-    let opened = open_planned(shared, server, cause, deadline).await;
+    let opened = open_planned(shared, server, purpose, deadline).await;
     match &opened {
-        Ok(link) if link.helper().is_some() => shared.record_connection(cause, "tunnelled"),
-        Err(ConnectFailure::Paused) => shared.record_connection(cause, "paused"),
+        Ok(link) if link.helper().is_some() => shared.record_connection(purpose.cause, "tunnelled"),
+        Err(ConnectFailure::Paused) => shared.record_connection(purpose.cause, "paused"),
         Ok(_) | Err(ConnectFailure::Refused | ConnectFailure::Silent) => {}
     }
     opened
@@ -70,22 +70,22 @@
 async fn open_planned<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     server: &ServerEntry,
-    cause: ConnectionCause,
+    purpose: ConnectionPurpose<'_>,
     deadline: Instant,
 ) -> Result<HttpLink, ConnectFailure> {
     let now = shared.clock.now();
     let direct_deadline = deadline.min(now + CONNECT_TIMEOUT);
     if !shared.can_tunnel() {
-        return open_direct(shared, server, cause, direct_deadline).await;
+        return open_direct(shared, server, purpose, direct_deadline).await;
     }
     let tunnel_deadline = deadline.min(now + TUNNEL_TIMEOUT);
     let plan = shared.paths().plan(server, now);
     match plan {
-        PathPlan::Direct => open_either(shared, server, cause, deadline).await,
+        PathPlan::Direct => open_either(shared, server, purpose, deadline).await,
         PathPlan::Tunnel { allows_direct } => {
-            let opened = open_tunnel(shared, server, tunnel_deadline).await;
+            let opened = open_tunnel(shared, server, purpose, tunnel_deadline).await;
             if opened.is_err() && allows_direct && shared.clock.now() < deadline {
-                return open_direct(shared, server, cause, direct_deadline).await;
+                return open_direct(shared, server, purpose, direct_deadline).await;
             }
             opened
         }
@@ -97,7 +97,7 @@
 async fn open_direct<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     server: &ServerEntry,
-    cause: ConnectionCause,
+    purpose: ConnectionPurpose<'_>,
     deadline: Instant,
 ) -> Result<HttpLink, ConnectFailure> {
     let started_at = shared.clock.now();
@@ -112,15 +112,16 @@
         let took = shared.clock.now().saturating_duration_since(started_at);
         shared.paths().record_open_time(took);
     }
-    shared.record_direct(server, result, cause);
+    shared.record_direct(server, result, purpose.cause);
     opened
 }
 
 /// Opens a direct connection to a server and closes it, to learn whether this node reaches the server.
 pub(crate) async fn probe_path<C: Clock, W>(shared: &GatewayShared<C, W>, server: &ServerEntry) {
     let deadline = shared.clock.now() + CONNECT_TIMEOUT;
+    let purpose = ConnectionPurpose::check(ConnectionCause::PathProbe);
     // The result is recorded.
-    let _ = open_direct(shared, server, ConnectionCause::PathProbe, deadline).await;
+    let _ = open_direct(shared, server, purpose, deadline).await;
 }
 
 /// Opens a direct connection, and one through another node as soon as that fails or is late. The first one that is
@@ -128,14 +129,14 @@
 async fn open_either<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     server: &ServerEntry,
-    cause: ConnectionCause,
+    purpose: ConnectionPurpose<'_>,
     deadline: Instant,
 ) -> Result<HttpLink, ConnectFailure> {
     let now = shared.clock.now();
     let mut direct = pin!(open_direct(
         shared,
         server,
-        cause,
+        purpose,
         deadline.min(now + CONNECT_TIMEOUT)
     ));
     let late_at = now + shared.paths().late_after();
@@ -143,17 +144,17 @@
         Some(Ok(link)) => return Ok(link),
         Some(Err(failure)) => {
             let deadline = deadline.min(shared.clock.now() + TUNNEL_TIMEOUT);
-            let opened = open_tunnel(shared, server, deadline).await;
+            let opened = open_tunnel(shared, server, purpose, deadline).await;
             return opened.map_err(|confirmed| failure.confirmed_by(confirmed));
         }
         None => {}
     }
     let tunnel = async {
         let deadline = deadline.min(shared.clock.now() + TUNNEL_TIMEOUT);
-        let opened = open_tunnel(shared, server, deadline).await;
+        let opened = open_tunnel(shared, server, purpose, deadline).await;
         if opened.is_ok() {
             // The direct connection is given up.
-            shared.record_direct(server, DirectResult::Silent, cause);
+            shared.record_direct(server, DirectResult::Silent, purpose.cause);
             shared.record_tunnel(server, true);
         }
         opened
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -17,6 +17,7 @@
 };
 use plumgate::ids::WorkspaceId;
 
+use super::carried_tunnels::CarriedTunnels;
 use super::incarnations::ServerIncarnations;
 use super::links::LinkPool;
 use super::metrics::GatewayMetrics;
@@ -80,6 +81,7 @@
     paths: Mutex<PathTable>,
     tunnel_peers: Mutex<TunnelPeers>,
     tunnel_gate: Mutex<TunnelGate>,
+    carried_tunnels: Mutex<CarriedTunnels>,
     origins: Mutex<StreamOrigins>,
     usage: Mutex<UsageTally>,
     shares: Mutex<WorkspaceShares>,
@@ -154,6 +156,7 @@
                 options.node_seed(),
             )),
             tunnel_gate: Mutex::default(),
+            carried_tunnels: Mutex::default(),
             origins: Mutex::new(StreamOrigins::new(limits_seed)),
             origins_queued: Event::new(),
             origins_changed: Event::new(),
@@ -245,6 +248,11 @@
         lock(&self.tunnel_peers)
     }
 
+    /// Returns the tunnels that this node keeps open for others.
+    pub(crate) fn carried_tunnels(&self) -> MutexGuard<'_, CarriedTunnels> {
+        lock(&self.carried_tunnels)
+    }
+
     /// Returns the gate that seals and checks requests for tunnels.
     pub(crate) fn tunnel_gate(&self) -> MutexGuard<'_, TunnelGate> {
         lock(&self.tunnel_gate)
--- a/crates/plumgate-node/src/gateway/suspects.rs
+++ b/crates/plumgate-node/src/gateway/suspects.rs
@@ -7,7 +7,7 @@
 use hyper::{Method, Response, StatusCode};
 use plumgate::gateway::{CrashSign, RequestIdentity, ServerEntry, SuspectEvent, SuspectState};
 
-use super::connection_cause::ConnectionCause;
+use super::connection_cause::{ConnectionCause, ConnectionPurpose};
 use super::metrics::ReasonLabels;
 use super::server_connection::{CONNECT_TIMEOUT, ConnectFailure, open_server};
 use super::shared::GatewayShared;
@@ -36,7 +36,7 @@
         let connected = open_server(
             &prober,
             &server,
-            ConnectionCause::ServerCheck,
+            ConnectionPurpose::check(ConnectionCause::ServerCheck),
             opened + CONNECT_TIMEOUT,
         )
         .await;
@@ -85,7 +85,13 @@
     let others = shared.other_servers(server);
     for other in &others {
         let deadline = shared.clock.now() + CONNECT_TIMEOUT;
-        let opened = open_server(shared, other, ConnectionCause::ServerCheck, deadline).await;
+        let opened = open_server(
+            shared,
+            other,
+            ConnectionPurpose::check(ConnectionCause::ServerCheck),
+            deadline,
+        )
+        .await;
         if opened.is_ok() {
             return true;
         }
--- a/crates/plumgate-node/src/gateway/tunnels.rs
+++ b/crates/plumgate-node/src/gateway/tunnels.rs
@@ -5,26 +5,28 @@
 use std::io;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use plumgate::gateway::{
     DirectResult, MAX_TUNNEL_REQUEST_BYTES, NodeEntry, PathDoubt, ServerEntry, ServerRef,
-    TunnelRefusal, TunnelReply, TunnelResult,
+    TunnelOrder, TunnelRefusal, TunnelReply, TunnelResult, TunnelUser,
 };
 use plumgate::ids::NodeId;
 
-use super::connection_cause::ConnectionCause;
+use super::carried_tunnels::CarriedTunnel;
+use super::connection_cause::{ConnectionCause, ConnectionPurpose};
 use super::metrics::ReasonLabels;
+use super::request::AttemptOrder;
 use super::server_connection::ConnectFailure;
 use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
 use crate::http::{open_stream, set_keepalive_options};
 use crate::link::HttpLink;
 use crate::log::LogLine;
-use crate::tunnel_stream::{TunnelStream, forward_to_origin, forward_to_server};
+use crate::tunnel_stream::{ForwardEnd, TunnelStream, forward_to_origin, forward_to_server};
 
 /// First byte of a request for a tunnel; HTTP requests begin with a letter.
 pub(crate) const TUNNEL_MAGIC: u8 = 0xb7;
@@ -63,6 +65,7 @@
 pub(crate) async fn open_tunnel<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     server: &ServerEntry,
+    purpose: ConnectionPurpose<'_>,
     deadline: Instant,
 ) -> Result<HttpLink, ConnectFailure> {
     let mut tried = Vec::new();
@@ -72,8 +75,8 @@
         let Some(peer) = shared.tunnel_peers().choose(&tried, now) else {
             break;
         };
-        let (result, opened) = ask_peer(shared, server, &peer, deadline).await;
-        shared.record_tunnel_request(server, &peer, result);
+        let (result, opened) = ask_peer(shared, server, purpose, &peer, deadline).await;
+        shared.record_tunnel_request(server, purpose, &peer, result);
         if let Some(link) = opened {
             return Ok(link);
         }
@@ -93,13 +96,15 @@
 async fn ask_peer<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     server: &ServerEntry,
+    purpose: ConnectionPurpose<'_>,
     peer: &NodeEntry,
     deadline: Instant,
 ) -> (TunnelResult, Option<HttpLink>) {
     let (nonce, unix_ms) = (shared.random_number(), shared.clock.unix_ms());
+    let user = TunnelUser::new(&shared.options.node, purpose.request);
     let request = shared
         .tunnel_gate()
-        .seal(ServerRef::new(server), nonce, unix_ms);
+        .seal(ServerRef::new(server), user, nonce, unix_ms);
     let Some(request) = request else {
         return (TunnelResult::Unanswered, None);
     };
@@ -164,10 +169,14 @@
     };
     shared.record_tunnel_reply(reply);
     if origin.write_all(&[reply.to_byte()]).await.is_err() {
+        if let Ok((_, tunnel)) = &opened {
+            shared.finish_carrying(tunnel, ForwardEnd::OriginBroke);
+        }
         return;
     }
-    if let Ok(server) = opened {
-        forward(&shared, &origin, &server).await;
+    if let Ok((server, tunnel)) = opened {
+        let end = forward(&shared, &origin, &server, &tunnel).await;
+        shared.finish_carrying(&tunnel, end);
     }
     drop(guard);
 }
@@ -189,9 +198,12 @@
 async fn open_for_peer<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     request: &[u8],
-) -> Result<Async<TcpStream>, TunnelRefusal> {
+) -> Result<(Async<TcpStream>, Arc<CarriedTunnel>), TunnelRefusal> {
     let opened = shared.tunnel_gate().open(request, shared.clock.unix_ms());
-    let wanted = opened.map_err(|error| {
+    let TunnelOrder {
+        server: wanted,
+        user,
+    } = opened.map_err(|error| {
         shared.record_refused_request(error);
         TunnelRefusal::Invalid
     })?;
@@ -218,7 +230,7 @@
         None => (DirectResult::Silent, Err(TunnelRefusal::ServerSilent)),
     };
     shared.record_direct(&server, result, ConnectionCause::Tunnel);
-    opened
+    Ok((opened?, shared.begin_carrying(&server, user)))
 }
 
 /// Forwards both directions until the server's stream has ended or the requesting node closes its connection,
@@ -227,24 +239,35 @@
     shared: &GatewayShared<C, W>,
     origin: &Async<TcpStream>,
     server: &Async<TcpStream>,
-) {
-    let up = forward_to_server(origin, server);
+    tunnel: &CarriedTunnel,
+) -> ForwardEnd {
+    let has_ended = AtomicBool::new(false);
+    let up = forward_to_server(origin, server, &tunnel.counts);
     let down = async {
-        if forward_to_origin(&shared.clock, server, origin)
-            .await
-            .is_err()
-        {
-            return;
+        let end = forward_to_origin(&shared.clock, server, origin, &tunnel.counts).await;
+        if end == ForwardEnd::ServerEnded {
+            has_ended.store(true, Ordering::Relaxed);
+            let deadline = shared.clock.now() + CLOSE_TIMEOUT;
+            until(&shared.clock, deadline, future::pending::<()>()).await;
         }
-        let deadline = shared.clock.now() + CLOSE_TIMEOUT;
-        until(&shared.clock, deadline, future::pending::<()>()).await;
+        end
     };
-    future::or(up, down).await;
+    let end = future::or(up, down).await;
+    if has_ended.load(Ordering::Relaxed) {
+        return ForwardEnd::ServerEnded;
+    }
+    end
 }
 
 impl<C: Clock, W> GatewayShared<C, W> {
     /// Counts and logs a request for a tunnel, and its answer.
-    fn record_tunnel_request(&self, server: &ServerEntry, peer: &NodeEntry, result: TunnelResult) {
+    fn record_tunnel_request(
+        &self,
+        server: &ServerEntry,
+        purpose: ConnectionPurpose<'_>,
+        peer: &NodeEntry,
+        result: TunnelResult,
+    ) {
         let now = self.clock.now();
         self.tunnel_peers().record(&peer.node, result, now);
         let labels = ReasonLabels {
@@ -256,6 +279,7 @@
             .get_or_create(&labels)
             .inc();
         LogLine::new("tunnel")
+            .with_some("request", purpose.request)
             .with("server", &server.id)
             .with("by", &peer.node)
             .with("result", result.as_str())
@@ -268,7 +292,7 @@
     /// Records whether an answer came over a tunnel through another node.
     pub(crate) fn record_tunnel_use(
         &self,
-        server: &ServerEntry,
+        order: &AttemptOrder,
         helper: &NodeId,
         is_answered: bool,
     ) {
@@ -277,7 +301,8 @@
             .record_tunnel_use(helper, is_answered, now);
         if !is_answered {
             LogLine::new("tunnel_stalled")
-                .with("server", &server.id)
+                .with("request", &order.request.id)
+                .with("server", &order.server.id)
                 .with("by", helper)
                 .info(&self.log);
         }
--- a/crates/plumgate-node/src/tunnel_stream.rs
+++ b/crates/plumgate-node/src/tunnel_stream.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -104,16 +105,72 @@
     }
 }
 
+/// Way in which the forwarding of a tunnel ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ForwardEnd {
+    /// The server ended its stream, all of which was forwarded.
+    ServerEnded,
+    /// The connection to the server broke.
+    ServerBroke,
+    /// The requesting node closed the connection.
+    OriginClosed,
+    /// The connection to the requesting node broke.
+    OriginBroke,
+    /// The requesting node took no bytes for too long.
+    Stalled,
+}
+
+impl ForwardEnd {
+    /// Returns the name used in logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::ServerEnded => "server_ended",
+            Self::ServerBroke => "server_broke",
+            Self::OriginClosed => "origin_closed",
+            Self::OriginBroke => "origin_broke",
+            Self::Stalled => "stalled",
+        }
+    }
+}
+
+/// Bytes that were forwarded through a tunnel.
+#[derive(Debug, Default)]
+pub(crate) struct ByteCounts {
+    to_server: AtomicU64,
+    to_origin: AtomicU64,
+}
+
+impl ByteCounts {
+    /// Returns the number of bytes that were forwarded to the server.
+    pub(crate) fn to_server(&self) -> u64 {
+        self.to_server.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of the server's bytes that were forwarded to the requesting node.
+    pub(crate) fn to_origin(&self) -> u64 {
+        self.to_origin.load(Ordering::Relaxed)
+    }
+}
+
 /// Forwards what the requesting node sends until that node closes the connection.
 pub(crate) async fn forward_to_server(
     mut origin: &Async<TcpStream>,
     mut server: &Async<TcpStream>,
-) {
+    counts: &ByteCounts,
+) -> ForwardEnd {
     let mut buffer = vec![0; BUFFER_BYTES];
     let mut accepts = true;
-    while let Ok(count @ 1..) = origin.read(&mut buffer).await {
-        // A server that takes no more may still send its answer.
-        accepts = accepts && server.write_all(&buffer[..count]).await.is_ok();
+    loop {
+        match origin.read(&mut buffer).await {
+            Ok(0) => return ForwardEnd::OriginClosed,
+            Ok(count) => {
+                // A server that takes no more may still send its answer.
+                accepts = accepts && server.write_all(&buffer[..count]).await.is_ok();
+                let forwarded = if accepts { count as u64 } else { 0 };
+                counts.to_server.fetch_add(forwarded, Ordering::Relaxed);
+            }
+            Err(_) => return ForwardEnd::OriginBroke,
+        }
     }
 }
 
@@ -122,17 +179,29 @@
     clock: &C,
     mut server: &Async<TcpStream>,
     mut origin: &Async<TcpStream>,
-) -> io::Result<()> {
+    counts: &ByteCounts,
+) -> ForwardEnd {
     let mut buffer = vec![0; LENGTH_BYTES + BUFFER_BYTES];
     loop {
-        let count = server.read(&mut buffer[LENGTH_BYTES..]).await?;
-        let length = u16::try_from(count).map_err(io::Error::other)?;
+        let Ok(count) = server.read(&mut buffer[LENGTH_BYTES..]).await else {
+            return ForwardEnd::ServerBroke;
+        };
+        let length = u16::try_from(count).expect("the buffer is shorter than the longest frame");
         buffer[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
         let writing = origin.write_all(&buffer[..LENGTH_BYTES + count]);
-        let written = until(clock, clock.now() + MAX_STALL, writing).await;
-        written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
+        match until(clock, clock.now() + MAX_STALL, writing).await {
+            Some(Ok(())) => {}
+            Some(Err(_)) => return ForwardEnd::OriginBroke,
+            None => return ForwardEnd::Stalled,
+        }
+        counts
+            .to_origin
+            .fetch_add(u64::from(length), Ordering::Relaxed);
         if count == 0 {
-            return origin.get_ref().shutdown(Shutdown::Write);
+            return match origin.get_ref().shutdown(Shutdown::Write) {
+                Ok(()) => ForwardEnd::ServerEnded,
+                Err(_) => ForwardEnd::OriginBroke,
+            };
         }
     }
 }
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -69,7 +69,8 @@
 };
 pub use reachability::{
     DirectResult, MAX_TUNNEL_REQUEST_BYTES, PathChange, PathDoubt, PathLoss, PathPlan, PathTable,
-    ServerRef, TunnelGate, TunnelPeers, TunnelRefusal, TunnelReply, TunnelResult,
+    ServerRef, TunnelGate, TunnelOrder, TunnelPeers, TunnelRefusal, TunnelReply, TunnelResult,
+    TunnelUser,
 };
 pub use read_ahead::{ReadAheadBounds, ReadAheadTable, ReadAheadUse, StreamNumber};
 pub use run_race::{RaceAction, RaceEvent, RunRace};
--- a/crates/plumgate/src/gateway/reachability/mod.rs
+++ b/crates/plumgate/src/gateway/reachability/mod.rs
@@ -8,6 +8,7 @@
 
 pub use path_table::{DirectResult, PathChange, PathDoubt, PathLoss, PathPlan, PathTable};
 pub use tunnel_messages::{
-    MAX_TUNNEL_REQUEST_BYTES, ServerRef, TunnelGate, TunnelRefusal, TunnelReply,
+    MAX_TUNNEL_REQUEST_BYTES, ServerRef, TunnelGate, TunnelOrder, TunnelRefusal, TunnelReply,
+    TunnelUser,
 };
 pub use tunnel_peers::{TunnelPeers, TunnelResult};
--- a/crates/plumgate/src/gateway/reachability/tunnel_messages.rs
+++ b/crates/plumgate/src/gateway/reachability/tunnel_messages.rs
@@ -9,12 +9,15 @@
 use crate::gateway::config::GatewayConfig;
 use crate::gateway::notice_keys::NoticeKeys;
 use crate::gateway::servers::{IncarnationId, ServerEntry};
+use crate::ids::NodeId;
 use crate::wire::MAX_CLOCK_DIFFERENCE_MS;
 
 /// Maximum size of an encoded request in bytes.
 pub const MAX_TUNNEL_REQUEST_BYTES: usize = 1_024;
 /// Maximum number of recent requests that are remembered to detect repeated ones.
 const MAX_REMEMBERED: usize = 16_384;
+/// Maximum length of the ids of a tunnel's user in bytes; longer ones are cut.
+const MAX_ID_BYTES: usize = 128;
 
 /// Reference to one incarnation of a server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -99,7 +102,39 @@
     }
 }
 
-/// Content of a request.
+/// Node and request that use a tunnel.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TunnelUser {
+    /// Node that requested the tunnel.
+    pub node: String,
+    /// Id of the request whose bytes it carries; `None` for a check of the server.
+    pub request: Option<String>,
+}
+
+impl TunnelUser {
+    /// Returns the user for the tunnel of a request, or of a check without one.
+    pub fn new(node: &NodeId, request: Option<&str>) -> Self {
+        Self {
+            node: shortened(node.as_ref()),
+            request: request.map(shortened),
+        }
+    }
+}
+
+fn shortened(id: &str) -> String {
+    id[..id.floor_char_boundary(MAX_ID_BYTES)].to_owned()
+}
+
+/// Request for a tunnel that was checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TunnelOrder {
+    /// Server to connect to.
+    pub server: ServerRef,
+    /// User of the tunnel; `None` if it was requested by a node of an older build.
+    pub user: Option<TunnelUser>,
+}
+
+/// Content of a request as older builds send it. They ignore what follows.
 #[derive(Debug, Serialize, Deserialize)]
 struct TunnelRequest {
     server: ServerRef,
@@ -107,6 +142,13 @@
     nonce: u64,
 }
 
+/// Content of a request with its user.
+#[derive(Debug, Serialize, Deserialize)]
+struct NamedRequest {
+    request: TunnelRequest,
+    user: TunnelUser,
+}
+
 /// Seals requests for tunnels, and checks those of other nodes.
 #[derive(Debug, Default)]
 pub struct TunnelGate {
@@ -128,32 +170,53 @@
     }
 
     /// Encodes a request; `None` before a configuration is in force. `nonce` is a random number.
-    pub fn seal(&self, server: ServerRef, nonce: u64, unix_ms: u64) -> Option<Vec<u8>> {
-        let sealed = self.keys.seal(TunnelRequest { server, nonce }, unix_ms);
+    pub fn seal(
+        &self,
+        server: ServerRef,
+        user: TunnelUser,
+        nonce: u64,
+        unix_ms: u64,
+    ) -> Option<Vec<u8>> {
+        let request = TunnelRequest { server, nonce };
+        let sealed = self.keys.seal(NamedRequest { request, user }, unix_ms);
         let encoded = postcard::to_stdvec(&sealed).ok()?;
         let fits = !sealed.is_empty() && encoded.len() <= MAX_TUNNEL_REQUEST_BYTES;
         fits.then_some(encoded)
     }
 
-    /// Checks a request and returns the server that it names.
+    /// Checks a request and returns what it asks for.
     ///
     /// # Errors
     ///
     /// Returns [`Error::MalformedMessage`] if it can't be decoded, [`Error::ForgedMessage`] if no key matches,
     /// [`Error::StaleMessage`] if it is too old, and [`Error::ReplayedMessage`] if it was received before.
-    pub fn open(&mut self, encoded: &[u8], unix_ms: u64) -> Result<ServerRef> {
+    pub fn open(&mut self, encoded: &[u8], unix_ms: u64) -> Result<TunnelOrder> {
         let sealed: Vec<Vec<u8>> =
             postcard::from_bytes(encoded).map_err(|_| Error::MalformedMessage)?;
         let mut opened = Err(Error::ForgedMessage);
         for sealed in &sealed {
-            opened = self.keys.open::<TunnelRequest>(sealed, unix_ms);
+            opened = self.open_one(sealed, unix_ms);
             if opened.is_ok() {
                 break;
             }
         }
-        let request = opened?;
+        let (request, user) = opened?;
         self.remember(request.nonce, unix_ms)?;
-        Ok(request.server)
+        Ok(TunnelOrder {
+            server: request.server,
+            user,
+        })
+    }
+
+    fn open_one(&self, sealed: &[u8], unix_ms: u64) -> Result<(TunnelRequest, Option<TunnelUser>)> {
+        match self.keys.open::<NamedRequest>(sealed, unix_ms) {
+            Ok(named) => Ok((named.request, Some(named.user))),
+            Err(Error::MalformedMessage) => {
+                let request = self.keys.open::<TunnelRequest>(sealed, unix_ms)?;
+                Ok((request, None))
+            }
+            Err(error) => Err(error),
+        }
     }
 
     /// Remembers a request for as long as it would be accepted.
--- a/crates/plumgate/tests/reachability.rs
+++ b/crates/plumgate/tests/reachability.rs
@@ -10,9 +10,10 @@
 use plumgate::Error;
 use plumgate::gateway::{
     CallerLimits, DirectResult, GatewayConfig, KeyOwner, MAX_TUNNEL_REQUEST_BYTES, PathPlan,
-    PathTable, ServerEntry, ServerRef, TunnelGate, TunnelReply,
+    PathTable, ServerEntry, ServerRef, TunnelGate, TunnelOrder, TunnelReply, TunnelUser,
 };
 use quickcheck::quickcheck;
+use serde::Deserialize;
 
 /// Time between two requests of a node.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
@@ -278,7 +279,19 @@
 
 fn sealed(gate: &TunnelGate, nonce: u64) -> Vec<u8> {
     let server = ServerRef::new(&server_entry("s1"));
-    gate.seal(server, nonce, UNIX_MS).expect("a request")
+    gate.seal(server, user(), nonce, UNIX_MS)
+        .expect("a request")
+}
+
+fn user() -> TunnelUser {
+    TunnelUser::new(&"node-1".into(), Some("request-1"))
+}
+
+fn order() -> TunnelOrder {
+    TunnelOrder {
+        server: ServerRef::new(&server_entry("s1")),
+        user: Some(user()),
+    }
 }
 
 /// Guards against requests for tunnels that a caller forges, repeats or keeps for later.
@@ -288,7 +301,7 @@
     let request = sealed(&gate, 1);
     assert!(request.len() <= MAX_TUNNEL_REQUEST_BYTES);
     let opened = gate.open(&request, UNIX_MS + 1_000);
-    assert_eq!(opened, Ok(ServerRef::new(&server_entry("s1"))));
+    assert_eq!(opened, Ok(order()));
     let repeated = gate.open(&request, UNIX_MS + 1_000);
     assert_eq!(repeated, Err(Error::ReplayedMessage));
     let old = gate.open(&sealed(&gate, 2), UNIX_MS + 31_000);
@@ -310,8 +323,7 @@
         let mut changed = request.clone();
         changed[position] ^= 1;
         let opened = gate().open(&changed, UNIX_MS);
-        let whole = ServerRef::new(&server_entry("s1"));
-        assert!(opened.is_err() || opened == Ok(whole), "byte {position}");
+        assert!(opened.is_err() || opened == Ok(order()), "byte {position}");
     }
 }
 
@@ -325,3 +337,31 @@
         }
     }
 }
+
+/// Request with nonce 7, as the build without users of tunnels sealed it.
+const OLD_REQUEST: [u8; 38] = [
+    0x01, 0x24, 0x80, 0xd8, 0xc1, 0xa2, 0x8c, 0x34, 0x02, 0x73, 0x31, 0xd1, 0xe1, 0xa4, 0xaa, 0xf4,
+    0xc7, 0xd7, 0x93, 0x9a, 0x01, 0x07, 0x05, 0x1a, 0x87, 0x1e, 0x5f, 0x77, 0x08, 0xf8, 0x5a, 0xa9,
+    0xf4, 0xbc, 0x4e, 0x4e, 0xd9, 0xaa,
+];
+
+/// Guards against tunnels that a node of the previous build asks for and gets no more.
+#[test]
+fn tunnel_request_of_the_previous_build_is_understood() {
+    let opened = gate().open(&OLD_REQUEST, UNIX_MS);
+    let server = ServerRef::new(&server_entry("s1"));
+    assert_eq!(opened, Ok(TunnelOrder { server, user: None }));
+}
+
+/// Content of a request as the previous build decodes it, with its time.
+#[derive(Debug, PartialEq, Deserialize)]
+struct OldContent(u64, ServerRef, u64);
+
+/// Guards against requests that nodes of the previous build refuse as malformed.
+#[test]
+fn tunnel_request_is_understood_by_the_previous_build() {
+    let sealed: Vec<Vec<u8>> = postcard::from_bytes(&sealed(&gate(), 7)).expect("a message");
+    let content: OldContent = postcard::from_bytes(&sealed[0]).expect("a request");
+    let server = ServerRef::new(&server_entry("s1"));
+    assert_eq!(content, OldContent(UNIX_MS, server, 7));
+}
