tunnels: close what a node carries when the node ends

A node that ended within a process that lives on (the tests' nodes, and any program that embeds one) left the connections of its tunnels open: the requesting node saw a silent server until the time limit of the request, where the end of a process closes them.

The connections now belong to the list of open tunnels, and are shut down when the lifecycle ends, gracefully or not. The end mark is not sent, so that a cut answer does not look complete.

--- a/crates/plumgate-node/src/gateway/carried_tunnels.rs
+++ b/crates/plumgate-node/src/gateway/carried_tunnels.rs
@@ -1,9 +1,11 @@
 //! Tunnels that this node keeps open for other nodes: which requests they carry, and how each ended.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::net::{Shutdown, TcpStream};
+use std::sync::{Arc, Weak};
 use std::time::Instant;
 
+use async_io::Async;
 use plumgate::gateway::{ServerEntry, TunnelUser};
 use plumgate::ids::ServerId;
 
@@ -21,11 +23,23 @@
     user: Option<TunnelUser>,
     server: ServerId,
     opened_at: Instant,
+    /// Connection to the node that requested it.
+    pub(crate) origin: Async<TcpStream>,
+    /// Connection to the server.
+    pub(crate) server_stream: Async<TcpStream>,
     /// Bytes forwarded so far.
     pub(crate) counts: ByteCounts,
 }
 
 impl CarriedTunnel {
+    /// Closes both connections.
+    fn close(&self) {
+        for stream in [&self.origin, &self.server_stream] {
+            // A connection that has broken needs no close.
+            let _ = stream.get_ref().shutdown(Shutdown::Both);
+        }
+    }
+
     fn log_line(&self, event: &'static str, now: Instant) -> LogLine {
         let open_for = now.saturating_duration_since(self.opened_at);
         let node = self.user.as_ref().map(|user| &user.node);
@@ -43,7 +57,7 @@
 /// Tunnels that are open for other nodes.
 #[derive(Debug, Default)]
 pub(crate) struct CarriedTunnels {
-    tunnels: BTreeMap<u64, Arc<CarriedTunnel>>,
+    tunnels: BTreeMap<u64, Weak<CarriedTunnel>>,
     next_number: u64,
 }
 
@@ -52,31 +66,41 @@
         &mut self,
         server: &ServerEntry,
         user: Option<TunnelUser>,
+        streams: (Async<TcpStream>, Async<TcpStream>),
         now: Instant,
     ) -> Arc<CarriedTunnel> {
         let number = self.next_number;
         self.next_number += 1;
+        let (origin, server_stream) = streams;
         let tunnel = Arc::new(CarriedTunnel {
             number,
             user,
             server: server.id.clone(),
             opened_at: now,
+            origin,
+            server_stream,
             counts: ByteCounts::default(),
         });
-        self.tunnels.insert(number, tunnel.clone());
+        self.tunnels.insert(number, Arc::downgrade(&tunnel));
         tunnel
     }
+
+    /// Returns the tunnels that are open.
+    fn open(&self) -> Vec<Arc<CarriedTunnel>> {
+        self.tunnels.values().filter_map(Weak::upgrade).collect()
+    }
 }
 
 impl<C: Clock, W> GatewayShared<C, W> {
-    /// Records that a tunnel was opened for another node.
+    /// Records that a tunnel was opened for another node. `streams` are the connections to that node and to the server.
     pub(crate) fn begin_carrying(
         &self,
         server: &ServerEntry,
         user: Option<TunnelUser>,
+        streams: (Async<TcpStream>, Async<TcpStream>),
     ) -> Arc<CarriedTunnel> {
         let now = self.clock.now();
-        let tunnel = self.carried_tunnels().add(server, user, now);
+        let tunnel = self.carried_tunnels().add(server, user, streams, now);
         tunnel.log_line("tunnel_opened", now).info(&self.log);
         tunnel
     }
@@ -89,20 +113,24 @@
         }
     }
 
-    /// Logs the tunnels that are open as the node begins to stop, and those that are cut as it ends.
-    pub(crate) fn report_carried(&self, is_ended: bool) {
+    /// Logs the tunnels that are open while the node stops.
+    pub(crate) fn report_carried(&self) {
         let now = self.clock.now();
-        if is_ended {
-            let cut = std::mem::take(&mut self.carried_tunnels().tunnels);
-            cut.values()
-                .for_each(|tunnel| self.record_end(tunnel, "node_stopped"));
-            return;
-        }
-        for tunnel in self.carried_tunnels().tunnels.values() {
+        for tunnel in self.carried_tunnels().open() {
             tunnel.log_line("tunnel_at_stop", now).info(&self.log);
         }
     }
 
+    /// Closes the tunnels that are open as the node ends.
+    pub(crate) fn close_carried(&self) {
+        let open = self.carried_tunnels().open();
+        self.carried_tunnels().tunnels.clear();
+        for tunnel in open {
+            tunnel.close();
+            self.record_end(&tunnel, "node_stopped");
+        }
+    }
+
     fn record_end(&self, tunnel: &CarriedTunnel, reason: &'static str) {
         let labels = ReasonLabels { reason };
         self.metrics.paths.tunnel_ends.get_or_create(&labels).inc();
--- a/crates/plumgate-node/src/gateway/control.rs
+++ b/crates/plumgate-node/src/gateway/control.rs
@@ -114,6 +114,7 @@
             .map(|exchange| exchange.spawn(&executor, source.clone()));
         let running = async {
             let end = control.run_lifecycle(signals).await;
+            control.shared.close_carried();
             if let Some(entry) = own_entry.filter(|_| end == LifecycleEnd::Stopped) {
                 control.leave(source, &entry).await;
             }
--- a/crates/plumgate-node/src/gateway/lifecycle.rs
+++ b/crates/plumgate-node/src/gateway/lifecycle.rs
@@ -82,7 +82,7 @@
         self.entered_at = Some(shared.clock.now());
         let view = enter_state(&mut self.run, event, shared.open_requests(), &shared.log);
         if event != "configured" {
-            shared.report_carried(self.run.is_ended());
+            shared.report_carried();
         }
         shared.lifecycle.store(Arc::new(view));
         shared.lifecycle_changed.notify(usize::MAX);
--- a/crates/plumgate-node/src/gateway/tunnels.rs
+++ b/crates/plumgate-node/src/gateway/tunnels.rs
@@ -163,19 +163,18 @@
     };
     let guard = TunnelGuard::new(shared.clone());
     let opened = open_for_peer(&shared, &request).await;
-    let reply = match &opened {
-        Ok(_) => TunnelReply::Opened,
-        Err(refusal) => TunnelReply::Refused(*refusal),
+    let (reply, opened) = match opened {
+        Ok(opened) => (TunnelReply::Opened, Some(opened)),
+        Err(refusal) => (TunnelReply::Refused(refusal), None),
     };
     shared.record_tunnel_reply(reply);
-    if origin.write_all(&[reply.to_byte()]).await.is_err() {
-        if let Ok((_, tunnel)) = &opened {
-            shared.finish_carrying(tunnel, ForwardEnd::OriginBroke);
-        }
-        return;
-    }
-    if let Ok((server, tunnel)) = opened {
-        let end = forward(&shared, &origin, &server, &tunnel).await;
+    let replied = origin.write_all(&[reply.to_byte()]).await;
+    if let Some((server, user, stream)) = opened {
+        let tunnel = shared.begin_carrying(&server, user, (origin, stream));
+        let end = match replied {
+            Ok(()) => forward(&shared, &tunnel).await,
+            Err(_) => ForwardEnd::OriginBroke,
+        };
         shared.finish_carrying(&tunnel, end);
     }
     drop(guard);
@@ -198,7 +197,7 @@
 async fn open_for_peer<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     request: &[u8],
-) -> Result<(Async<TcpStream>, Arc<CarriedTunnel>), TunnelRefusal> {
+) -> Result<(ServerEntry, Option<TunnelUser>, Async<TcpStream>), TunnelRefusal> {
     let opened = shared.tunnel_gate().open(request, shared.clock.unix_ms());
     let TunnelOrder {
         server: wanted,
@@ -230,17 +229,13 @@
         None => (DirectResult::Silent, Err(TunnelRefusal::ServerSilent)),
     };
     shared.record_direct(&server, result, ConnectionCause::Tunnel);
-    Ok((opened?, shared.begin_carrying(&server, user)))
+    Ok((server, user, opened?))
 }
 
 /// Forwards both directions until the server's stream has ended or the requesting node closes its connection,
 /// which closes the one to the server.
-async fn forward<C: Clock, W>(
-    shared: &GatewayShared<C, W>,
-    origin: &Async<TcpStream>,
-    server: &Async<TcpStream>,
-    tunnel: &CarriedTunnel,
-) -> ForwardEnd {
+async fn forward<C: Clock, W>(shared: &GatewayShared<C, W>, tunnel: &CarriedTunnel) -> ForwardEnd {
+    let (origin, server) = (&tunnel.origin, &tunnel.server_stream);
     let has_ended = AtomicBool::new(false);
     let up = forward_to_server(origin, server, &tunnel.counts);
     let down = async {
