tunnels: a cut on the way to a server is no failure of the server

Callers saw a stream that may be resumed break off in its middle, though its server, the node that took it and other nodes were sound: the node in between had ended.

Cause: the requesting node could not tell the end of the node in between from the end of the server. The server counted as tried and failed, and was not used again; where no other one could continue the stream, it was cut. The class: a fault of the path that is counted as one of the server.

What ends without a mark was cut on its way: reason=path_lost, no evidence against the server, and the server may be chosen again. Runs, budget and origin bind as before; requests that may run once end visibly. Between this build and the previous one a break counts as before (replies 1, no mark).

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -16,7 +16,9 @@
 use super::connection_cause::ConnectionPurpose;
 use super::guards::{RunRefusal, WorkGuard};
 use super::ports::{AnswerMeaning, AttemptMetadata, WireFormat};
-use super::request::{AttemptEnd, AttemptOrder, AttemptOutcome, RESTARTED, ServerAnswer};
+use super::request::{
+    AttemptEnd, AttemptOrder, AttemptOutcome, PATH_LOST, RESTARTED, ServerAnswer,
+};
 use super::retry_payment::RetryPayment;
 use super::server_body::{BodyInput, ServerBody};
 use super::server_connection::{ConnectFailure, open_server};
@@ -125,6 +127,10 @@
                 arrived: false,
             }
         }
+        Some(Some(Err(LinkError::Broken(_)))) if link.has_lost_path() => {
+            work.set_outcome(WorkOutcome::Inconclusive);
+            AttemptOutcome::InDoubt(PATH_LOST)
+        }
         Some(Some(Err(LinkError::Broken(_)))) => {
             work.set_outcome(WorkOutcome::Broken);
             shared.links.clear(&order.server.id);
--- a/crates/plumgate-node/src/gateway/carried_tunnels.rs
+++ b/crates/plumgate-node/src/gateway/carried_tunnels.rs
@@ -32,6 +32,11 @@
 }
 
 impl CarriedTunnel {
+    /// Returns whether the node that requested it understands the mark of a broken connection.
+    pub(crate) fn marks_breaks(&self) -> bool {
+        self.user.is_some()
+    }
+
     /// Closes both connections.
     fn close(&self) {
         for stream in [&self.origin, &self.server_stream] {
--- a/crates/plumgate-node/src/gateway/relay/full_answer.rs
+++ b/crates/plumgate-node/src/gateway/relay/full_answer.rs
@@ -17,7 +17,7 @@
 use crate::gateway::attempt::{BodyTooLarge, collect_body};
 use crate::gateway::incarnations::ServerIncarnation;
 use crate::gateway::ports::{AnswerMetadata, WireFormat};
-use crate::gateway::request::{BROKEN_OFF, RESTARTED, ServerAnswer};
+use crate::gateway::request::{BROKEN_OFF, PATH_LOST, RESTARTED, ServerAnswer};
 use crate::gateway::run::RelayRun;
 use crate::link::HttpLink;
 use crate::log::LogLine;
@@ -132,6 +132,11 @@
                 drop(answer);
                 self.after_in_doubt(RESTARTED)
             }
+            BodyEnd::Marked | BodyEnd::Closed | BodyEnd::Reset if answer.body.has_lost_path() => {
+                drop(answer);
+                self.on_path_lost();
+                self.after_in_doubt(PATH_LOST)
+            }
             BodyEnd::Marked | BodyEnd::Closed | BodyEnd::Reset => {
                 answer.work.set_outcome(WorkOutcome::Broken);
                 drop(answer);
--- a/crates/plumgate-node/src/gateway/relay/server_choice.rs
+++ b/crates/plumgate-node/src/gateway/relay/server_choice.rs
@@ -10,7 +10,7 @@
 use crate::caller_error::CallerError;
 use crate::clock::Clock;
 use crate::gateway::ports::WireFormat;
-use crate::gateway::run::RelayRun;
+use crate::gateway::run::{RelayRun, avoided};
 use crate::gateway::stream_origins::UNREACHABLE_RETRY_DELAY;
 use crate::gateway::waiting::{AdmissionMoment, WaitPause};
 
@@ -80,7 +80,7 @@
     /// after which the caller should retry.
     async fn wait_for_server(&mut self) -> Result<(), CallerError> {
         let now = self.shared.clock.now();
-        let placement = self.request.placement(&self.tried, false, self.origin);
+        let placement = self.request.placement(self.avoided(), false, self.origin);
         let Some(deferral) = self.shared.loads().deferral(&placement, now) else {
             if let Some(next_round) = self.choices.awaited_round() {
                 self.wait_for_round(next_round).await;
@@ -115,9 +115,8 @@
             RequestVerdict::SendIsolated => true,
             RequestVerdict::Block(blocked) => return Err(self.blocked_error(blocked)),
         };
-        let placement = self
-            .request
-            .placement(&self.tried, is_isolated, self.origin);
+        let avoided = avoided(&self.tried, self.path_lost_at);
+        let placement = self.request.placement(avoided, is_isolated, self.origin);
         let choice = self.choices.pick(&mut self.shared.loads(), &placement, now);
         let spread = self.shared.random_share();
         let ServerChoice::Server(pick) = choice else {
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -23,6 +23,8 @@
 
 /// Reason logged for a request whose answer broke off.
 pub(crate) const BROKEN_OFF: &str = "cut";
+/// Reason logged for a request whose connection was cut at the node that opened it for this one.
+pub(crate) const PATH_LOST: &str = "path_lost";
 /// Reason logged for a server that sent nothing for too long.
 pub(crate) const SILENT: &str = "silent";
 /// Reason logged for a request whose server restarted.
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -17,7 +17,7 @@
 use super::connection_cause::ConnectionCause;
 use super::guards::{RequestGuard, WorkGuard};
 use super::ports::WireFormat;
-use super::request::{AttemptEnd, AttemptOrder, AttemptOutcome, RelayRequest};
+use super::request::{AttemptEnd, AttemptOrder, AttemptOutcome, PATH_LOST, RelayRequest};
 use super::retry_payment::RetryPayment;
 use super::server_connection::CONNECT_TIMEOUT;
 use super::server_limits::SendCause;
@@ -44,6 +44,8 @@
     pub(crate) origin: OriginState,
     /// Servers that were tried, the current one last.
     pub(crate) tried: Vec<ServerId>,
+    /// Number of servers that were tried when the path to the last of them was lost.
+    pub(crate) path_lost_at: Option<usize>,
     /// Choices of servers, used or not.
     pub(crate) choices: ServerChoices,
     /// Time at which the current attempt started.
@@ -75,6 +77,14 @@
     _guard: RequestGuard<C, W>,
 }
 
+/// Returns the tried servers that the next attempt avoids: all but the last one if only the path to it was lost.
+pub(crate) fn avoided(tried: &[ServerId], path_lost_at: Option<usize>) -> &[ServerId] {
+    match tried.split_last() {
+        Some((_, earlier)) if path_lost_at == Some(tried.len()) => earlier,
+        _ => tried,
+    }
+}
+
 /// Why a request is sent to another server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RetryCause {
@@ -96,6 +106,7 @@
             request: Arc::new(request),
             run: AttemptRun::new(),
             tried: Vec::new(),
+            path_lost_at: None,
             choices: ServerChoices::new(),
             attempt_started_at: None,
             is_attempting: false,
@@ -124,7 +135,7 @@
         connection: ConnectionCause,
     ) -> impl Future<Output = AttemptEnd<C, W>> + Send + use<C, W> {
         let now = self.shared.clock.now();
-        let placement = self.request.placement(&self.tried, false, self.origin);
+        let placement = self.request.placement(self.avoided(), false, self.origin);
         let ticket = self.shared.loads().start(pick, &placement, now);
         let work = WorkGuard::new(self.shared.clone(), pick, ticket, permit)
             .with_share(self.begin_share(pick));
@@ -154,12 +165,25 @@
         self.is_attempting = false;
         self.payment = end.payment;
         self.record_attempt(&end.outcome);
-        if matches!(end.outcome, AttemptOutcome::InDoubt(_)) {
+        if let AttemptOutcome::InDoubt(reason) = end.outcome {
             self.record_in_doubt_run(pick);
+            if reason == PATH_LOST {
+                self.on_path_lost();
+            }
         }
         end.outcome
     }
 
+    /// Records that the connection of the last attempt was cut on the way, which says nothing about the server.
+    pub(crate) fn on_path_lost(&mut self) {
+        self.path_lost_at = Some(self.tried.len());
+    }
+
+    /// Returns the servers that the next attempt avoids.
+    pub(crate) fn avoided(&self) -> &[ServerId] {
+        avoided(&self.tried, self.path_lost_at)
+    }
+
     /// Returns whether the request of the last attempt was sent.
     pub(crate) fn is_sent(&self) -> bool {
         self.is_sent.load(Ordering::SeqCst)
--- a/crates/plumgate-node/src/gateway/second_run.rs
+++ b/crates/plumgate-node/src/gateway/second_run.rs
@@ -16,7 +16,7 @@
 use super::connection_cause::ConnectionCause;
 use super::ports::WireFormat;
 use super::request::{AttemptEnd, AttemptOutcome, SILENT, ServerAnswer};
-use super::run::{MIN_ATTEMPT_TIME, RelayRun};
+use super::run::{MIN_ATTEMPT_TIME, RelayRun, avoided};
 use crate::clock::{Clock, until};
 use crate::log::LogLine;
 
@@ -119,9 +119,8 @@
         while !self.time_left().is_zero() {
             let now = self.shared.clock.now();
             let is_isolated = self.quarantine_verdict() == RequestVerdict::SendIsolated;
-            let placement = self
-                .request
-                .placement(&self.tried, is_isolated, self.origin);
+            let avoided = avoided(&self.tried, self.path_lost_at);
+            let placement = self.request.placement(avoided, is_isolated, self.origin);
             let choice = self.choices.pick(&mut self.shared.loads(), &placement, now);
             let pick = match choice {
                 ServerChoice::Server(pick) => pick,
--- a/crates/plumgate-node/src/gateway/server_body.rs
+++ b/crates/plumgate-node/src/gateway/server_body.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Returns whether the connection was cut between this node and the one that opened it for this node.
+    pub(crate) fn has_lost_path(&self) -> bool {
+        self.link.has_lost_path()
+    }
+
     /// Returns the connection.
     pub(crate) fn into_link(self) -> HttpLink {
         self.link
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -21,7 +21,7 @@
 use super::answer::{StreamChunk, remove_content_length};
 use super::guards::WorkGuard;
 use super::ports::WireFormat;
-use super::request::{BROKEN_OFF, RESTARTED, SILENT, ServerAnswer};
+use super::request::{BROKEN_OFF, PATH_LOST, RESTARTED, SILENT, ServerAnswer};
 use super::run::RelayRun;
 use super::second_run::{ASK_PAUSE, FirstOf, SecondOutcome, first_of};
 use super::server_body::{BodyInput, ServerBody};
@@ -166,6 +166,7 @@
                 StreamInput::Failed(reason) => {
                     self.set_outcome(match reason {
                         RESTARTED => WorkOutcome::Restarted,
+                        PATH_LOST => WorkOutcome::Inconclusive,
                         _ => WorkOutcome::Broken,
                     });
                     if !self.resume(reason).await {
@@ -263,6 +264,7 @@
             end,
             content: self.content.end(),
         };
+        let has_lost_path = source.body.has_lost_path();
         let left_over = self.content.partial().len();
         let judged = self
             .run
@@ -271,6 +273,7 @@
             (AnswerVerdict::Complete, _) => StreamInput::End,
             (_, BodyEnd::Silent) => StreamInput::TimedOut,
             (_, BodyEnd::Restarted) => StreamInput::Failed(RESTARTED),
+            _ if has_lost_path => StreamInput::Failed(PATH_LOST),
             _ => StreamInput::Failed(BROKEN_OFF),
         }
     }
@@ -450,6 +453,9 @@
         self.run.queue_again();
         self.run.count_failure(reason);
         self.source = None;
+        if reason == PATH_LOST {
+            self.run.on_path_lost();
+        }
         let Some(events) = self.content.events() else {
             return false;
         };
--- a/crates/plumgate-node/src/gateway/stream_origins.rs
+++ b/crates/plumgate-node/src/gateway/stream_origins.rs
@@ -267,7 +267,7 @@
         let loads = self.shared.loads();
         let mut left = loads
             .entries()
-            .filter(|entry| origin.matches(entry) && !self.tried.contains(&entry.id))
+            .filter(|entry| origin.matches(entry) && !self.avoided().contains(&entry.id))
             .peekable();
         left.peek().is_some() && left.all(|entry| entry.start_time.is_some())
     }
--- a/crates/plumgate-node/src/gateway/tunnels.rs
+++ b/crates/plumgate-node/src/gateway/tunnels.rs
@@ -4,8 +4,8 @@
 use std::fmt::Display;
 use std::io;
 use std::net::TcpStream;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use async_io::Async;
@@ -120,8 +120,9 @@
         return (TunnelResult::Unanswered, None);
     };
     let refusal = match TunnelReply::from_byte(reply) {
-        Some(TunnelReply::Opened) => {
-            let stream = TunnelStream::new(stream);
+        Some(opened @ (TunnelReply::Opened | TunnelReply::OpenedMarked)) => {
+            let marks_breaks = opened == TunnelReply::OpenedMarked;
+            let stream = TunnelStream::new(stream, marks_breaks);
             let link = HttpLink::over_tunnel(stream, peer.node.clone()).await;
             return match link {
                 Ok(link) => (TunnelResult::Opened, Some(link)),
@@ -164,6 +165,7 @@
     let guard = TunnelGuard::new(shared.clone());
     let opened = open_for_peer(&shared, &request).await;
     let (reply, opened) = match opened {
+        Ok(opened) if opened.1.is_some() => (TunnelReply::OpenedMarked, Some(opened)),
         Ok(opened) => (TunnelReply::Opened, Some(opened)),
         Err(refusal) => (TunnelReply::Refused(refusal), None),
     };
@@ -236,22 +238,22 @@
 /// which closes the one to the server.
 async fn forward<C: Clock, W>(shared: &GatewayShared<C, W>, tunnel: &CarriedTunnel) -> ForwardEnd {
     let (origin, server) = (&tunnel.origin, &tunnel.server_stream);
-    let has_ended = AtomicBool::new(false);
+    let server_end = OnceLock::new();
     let up = forward_to_server(origin, server, &tunnel.counts);
     let down = async {
-        let end = forward_to_origin(&shared.clock, server, origin, &tunnel.counts).await;
-        if end == ForwardEnd::ServerEnded {
-            has_ended.store(true, Ordering::Relaxed);
+        let marks_breaks = tunnel.marks_breaks();
+        let forwarding =
+            forward_to_origin(&shared.clock, server, origin, marks_breaks, &tunnel.counts);
+        let end = forwarding.await;
+        if matches!(end, ForwardEnd::ServerEnded | ForwardEnd::ServerBroke) {
+            let _ = server_end.set(end);
             let deadline = shared.clock.now() + CLOSE_TIMEOUT;
             until(&shared.clock, deadline, future::pending::<()>()).await;
         }
         end
     };
     let end = future::or(up, down).await;
-    if has_ended.load(Ordering::Relaxed) {
-        return ForwardEnd::ServerEnded;
-    }
-    end
+    server_end.into_inner().unwrap_or(end)
 }
 
 impl<C: Clock, W> GatewayShared<C, W> {
--- a/crates/plumgate-node/src/link.rs
+++ b/crates/plumgate-node/src/link.rs
@@ -20,7 +20,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::http::{OutgoingRequest, open_call_stream, open_stream};
-use crate::tunnel_stream::TunnelStream;
+use crate::tunnel_stream::{PathLossFlag, TunnelStream};
 
 /// Size of the read buffer in bytes: holds a small answer completely, or many stream events.
 const READ_BUFFER: usize = 16 * 1024;
@@ -167,6 +167,7 @@
     driver: Option<LinkDriver>,
     /// Node through which the connection leads, if it is a tunnel.
     helper: Option<NodeId>,
+    path_loss: PathLossFlag,
     head_limit: HeadLimit,
 }
 
@@ -185,7 +186,9 @@
 
     /// Uses a tunnel through another node as a connection.
     pub(crate) async fn over_tunnel(stream: TunnelStream, helper: NodeId) -> io::Result<Self> {
-        Self::handshake(LinkStream::Tunnel(stream), Some(helper)).await
+        let path_loss = stream.path_loss();
+        let link = Self::handshake(LinkStream::Tunnel(stream), Some(helper)).await?;
+        Ok(Self { path_loss, ..link })
     }
 
     /// Returns the node through which the connection leads, if it is a tunnel.
@@ -193,6 +196,11 @@
         self.helper.as_ref()
     }
 
+    /// Returns whether the connection was cut between this node and the one that opened it for this node.
+    pub(crate) fn has_lost_path(&self) -> bool {
+        self.path_loss.is_set()
+    }
+
     async fn handshake(stream: LinkStream, helper: Option<NodeId>) -> io::Result<Self> {
         let head_limit = HeadLimit::new();
         let stream = BoundedStream {
@@ -208,6 +216,7 @@
             sender,
             driver: Some(driver),
             helper,
+            path_loss: PathLossFlag::default(),
             head_limit,
         })
     }
--- a/crates/plumgate-node/src/tunnel_stream.rs
+++ b/crates/plumgate-node/src/tunnel_stream.rs
@@ -1,12 +1,14 @@
 //! Byte stream to a server through another node.
 //!
 //! What the server sends arrives in frames, each a length of two bytes and as many bytes; a length of 0 ends the
-//! stream. An answer that ends with its connection would otherwise look complete when the other node fails.
+//! stream. An answer that ends with its connection would otherwise look complete when the other node fails. A length of
+//! [`BREAK_MARK`] says that the connection to the server broke; a stream that ends without a mark was cut on its way.
 
 use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -20,9 +22,27 @@
 /// Size of a frame's length, in bytes.
 const LENGTH_BYTES: usize = 2;
 
+/// Length that marks a broken connection to the server. No frame is as long.
+const BREAK_MARK: u16 = u16::MAX;
+
 /// Time for which the requesting node may take no bytes: longer than its requests last, so that it has failed then.
 const MAX_STALL: Duration = Duration::from_secs(30);
 
+/// Whether a tunnel was cut on its way, while the server's part of it may be sound.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PathLossFlag(Arc<AtomicBool>);
+
+impl PathLossFlag {
+    fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the tunnel was cut.
+    pub(crate) fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Stream to a server, at the node that requested the tunnel.
 #[derive(Debug)]
 pub(crate) struct TunnelStream {
@@ -33,17 +53,47 @@
     /// Bytes of the current frame that are still to be received.
     frame_left: usize,
     is_ended: bool,
+    /// Whether the other node marks that the connection to the server broke.
+    marks_breaks: bool,
+    path_loss: PathLossFlag,
 }
 
 impl TunnelStream {
     /// Creates the stream of a tunnel that the other node has opened.
-    pub(crate) fn new(stream: Async<TcpStream>) -> Self {
+    pub(crate) fn new(stream: Async<TcpStream>, marks_breaks: bool) -> Self {
         Self {
             stream,
             length: [0; LENGTH_BYTES],
             length_received: 0,
             frame_left: 0,
             is_ended: false,
+            marks_breaks,
+            path_loss: PathLossFlag::default(),
+        }
+    }
+
+    /// Returns the flag that is set if the tunnel is cut on its way.
+    pub(crate) fn path_loss(&self) -> PathLossFlag {
+        self.path_loss.clone()
+    }
+
+    /// Receives bytes; fails at the end of the connection, which comes only after a mark.
+    fn poll_receive(
+        stream: &mut Async<TcpStream>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let received = ready!(Pin::new(stream).poll_read(context, buffer));
+        Poll::Ready(match received {
+            Ok(0) => Err(io::ErrorKind::ConnectionReset.into()),
+            received => received,
+        })
+    }
+
+    /// Records that the connection to the other node failed without a mark.
+    fn on_failure(&self) {
+        if self.marks_breaks {
+            self.path_loss.set();
         }
     }
 
@@ -51,11 +101,11 @@
     fn poll_length(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         while self.length_received < LENGTH_BYTES {
             let missing = &mut self.length[self.length_received..];
-            let received = ready!(Pin::new(&mut self.stream).poll_read(context, missing))?;
-            if received == 0 {
-                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
-            }
-            self.length_received += received;
+            let received = ready!(Self::poll_receive(&mut self.stream, context, missing));
+            self.length_received += received.inspect_err(|_| self.on_failure())?;
+        }
+        if self.marks_breaks && u16::from_be_bytes(self.length) == BREAK_MARK {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
         self.length_received = 0;
         self.frame_left = usize::from(u16::from_be_bytes(self.length));
@@ -77,11 +127,9 @@
             return Poll::Ready(Ok(0));
         }
         let wanted = buffer.len().min(self.frame_left);
-        let stream = Pin::new(&mut self.stream);
-        let received = ready!(stream.poll_read(context, &mut buffer[..wanted]))?;
-        if received == 0 {
-            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
-        }
+        let part = &mut buffer[..wanted];
+        let received = ready!(Self::poll_receive(&mut self.stream, context, part));
+        let received = received.inspect_err(|_| self.on_failure())?;
         self.frame_left -= received;
         Poll::Ready(Ok(received))
     }
@@ -174,16 +222,25 @@
     }
 }
 
-/// Forwards what the server sends, in frames. A connection that breaks is not marked as ended.
+/// Forwards what the server sends, in frames. A connection that breaks is not marked as ended, and with `marks_breaks`
+/// marked as broken.
 pub(crate) async fn forward_to_origin<C: Clock>(
     clock: &C,
     mut server: &Async<TcpStream>,
     mut origin: &Async<TcpStream>,
+    marks_breaks: bool,
     counts: &ByteCounts,
 ) -> ForwardEnd {
     let mut buffer = vec![0; LENGTH_BYTES + BUFFER_BYTES];
     loop {
         let Ok(count) = server.read(&mut buffer[LENGTH_BYTES..]).await else {
+            if marks_breaks {
+                let mark = BREAK_MARK.to_be_bytes();
+                let writing = origin.write_all(&mark);
+                // A node that does not take the mark sees the end of the connection.
+                until(clock, clock.now() + MAX_STALL, writing).await;
+            }
+            let _ = origin.get_ref().shutdown(Shutdown::Write);
             return ForwardEnd::ServerBroke;
         };
         let length = u16::try_from(count).expect("the buffer is shorter than the longest frame");
--- a/crates/plumgate/src/gateway/reachability/tunnel_messages.rs
+++ b/crates/plumgate/src/gateway/reachability/tunnel_messages.rs
@@ -43,6 +43,8 @@
 pub enum TunnelReply {
     /// The connection to the server is open.
     Opened,
+    /// The same; if the connection to the server breaks, that is marked.
+    OpenedMarked,
     /// It is not.
     Refused(TunnelRefusal),
 }
@@ -65,7 +67,7 @@
 }
 
 /// The answers with their bytes. None is the first byte of an HTTP answer, which an older build would send.
-const REPLIES: [(TunnelReply, u8); 7] = [
+const REPLIES: [(TunnelReply, u8); 8] = [
     (TunnelReply::Opened, 1),
     (TunnelReply::Refused(TunnelRefusal::ServerRefused), 2),
     (TunnelReply::Refused(TunnelRefusal::ServerSilent), 3),
@@ -73,13 +75,14 @@
     (TunnelReply::Refused(TunnelRefusal::CutOff), 5),
     (TunnelReply::Refused(TunnelRefusal::Busy), 6),
     (TunnelReply::Refused(TunnelRefusal::Invalid), 7),
+    (TunnelReply::OpenedMarked, 8),
 ];
 
 impl TunnelReply {
     /// Returns the name used in metrics.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Opened => "opened",
+            Self::Opened | Self::OpenedMarked => "opened",
             Self::Refused(TunnelRefusal::ServerRefused) => "server_refused",
             Self::Refused(TunnelRefusal::ServerSilent) => "server_silent",
             Self::Refused(TunnelRefusal::UnknownServer) => "unknown_server",
