gateway: logs name the requests that the end of a process cuts off

Change: `request_cut` for each request that is open when the process ends; `after_stop_ms` and `grace_left_ms` on `request`, `rejected`, `request_cut` and `node` lines; open connections and tunnels on `node` lines; `signal` lines are numbered and SIGHUP has one. No change of logic.

--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -268,6 +268,7 @@
                 .with("status", error.status.as_u16())
                 .with_some("key_age_ms", shared.key_age_ms())
                 .with("config", config_version(shared))
+                .with_stop_age(shared.stop_age(arrived))
                 .info(&shared.log);
             let mut response = own_answer(&shared.wire, &id, &error);
             if awaits_continue || is_too_long(&body) {
--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -11,7 +11,9 @@
 };
 
 use super::incarnations::ServerIncarnation;
+use super::open_requests::RequestNumber;
 use super::ports::WireFormat;
+use super::request::RelayRequest;
 use super::shared::GatewayShared;
 use super::suspects::{check_refusal, probe_server};
 use crate::clock::Clock;
@@ -34,21 +36,24 @@
 }
 
 /// Guard that counts a request as open until it is dropped.
-pub(crate) struct RequestGuard<C, W>(Arc<GatewayShared<C, W>>);
+pub(crate) struct RequestGuard<C, W> {
+    shared: Arc<GatewayShared<C, W>>,
+    number: RequestNumber,
+}
 
 impl<C, W> RequestGuard<C, W> {
     /// Counts a request that was accepted.
-    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>) -> Self {
-        shared.open_requests.fetch_add(1, Ordering::SeqCst);
+    pub(crate) fn new(shared: Arc<GatewayShared<C, W>>, request: &RelayRequest) -> Self {
+        let number = shared.requests().insert(request);
         shared.metrics.latency.in_flight.inc();
-        Self(shared)
+        Self { shared, number }
     }
 }
 
 impl<C, W> Drop for RequestGuard<C, W> {
     fn drop(&mut self) {
-        self.0.open_requests.fetch_sub(1, Ordering::SeqCst);
-        self.0.metrics.latency.in_flight.dec();
+        self.shared.requests().remove(self.number);
+        self.shared.metrics.latency.in_flight.dec();
     }
 }
 
--- a/crates/plumgate-node/src/gateway/lifecycle.rs
+++ b/crates/plumgate-node/src/gateway/lifecycle.rs
@@ -1,13 +1,14 @@
 //! Lifecycle of a gateway node, as defined by `charts/node.toml`: start, readiness, graceful stop.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use plumgate::chart::{ChartRun, NODE_CHART, StateChart};
 
 use super::shared::GatewayShared;
 use crate::clock::Clock;
-use crate::lifecycle::enter_state;
+use crate::lifecycle::{enter_state, state_line};
 
 /// Time for which the balancer still sends new connections after the node reports itself as not ready: two
 /// checks, one second apart, and the time that one takes.
@@ -19,7 +20,6 @@
 pub(crate) struct GatewayLifecycle {
     run: ChartRun,
     entered_at: Option<Instant>,
-    stop_requested_at: Option<Instant>,
 }
 
 impl GatewayLifecycle {
@@ -30,7 +30,6 @@
         Self {
             run: ChartRun::new(Arc::new(chart)),
             entered_at: None,
-            stop_requested_at: None,
         }
     }
 
@@ -49,7 +48,8 @@
     /// Handles a request to stop. A repeated request does not shorten the wait for the balancer: callers that
     /// still arrive would be cut off.
     pub(crate) fn stop<C: Clock, W>(&mut self, shared: &GatewayShared<C, W>) {
-        self.stop_requested_at.get_or_insert(shared.clock.now());
+        let now = shared.clock.now();
+        shared.stop_requested_at.get_or_init(|| now);
         // What this node alone knows of streams is sent to others before it ends.
         shared.origins().stop();
         shared.origins_queued.notify(usize::MAX);
@@ -65,9 +65,9 @@
             return;
         };
         let elapsed = now.saturating_duration_since(entered_at);
-        let stopping_for = self
-            .stop_requested_at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let requested_at = shared.stop_requested_at.get();
+        let stopping_for =
+            requested_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(*at));
         let grace = shared.bounds.load().grace;
         if self.run.state() == "announcing" && elapsed >= BALANCER_LAG {
             self.enter("balancer_lag_over", shared);
@@ -79,8 +79,18 @@
     }
 
     fn enter<C: Clock, W>(&mut self, event: &str, shared: &GatewayShared<C, W>) {
-        self.entered_at = Some(shared.clock.now());
-        let view = enter_state(&mut self.run, event, shared.open_requests(), &shared.log);
+        let now = shared.clock.now();
+        self.entered_at = Some(now);
+        let view = enter_state(&mut self.run, event);
+        state_line(&view, event)
+            .with("open_requests", shared.open_requests())
+            .with(
+                "open_connections",
+                shared.open_connections.load(Ordering::SeqCst),
+            )
+            .with("open_tunnels", shared.open_tunnels.load(Ordering::SeqCst))
+            .with_stop_age(shared.stop_age(now))
+            .info(&shared.log);
         if event != "configured" {
             shared.report_carried();
         }
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod links;
 mod metrics;
 mod node;
+mod open_requests;
 mod options;
 mod peer_connections;
 mod read_ahead;
--- a/crates/plumgate-node/src/gateway/node.rs
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -100,6 +100,7 @@
         let control = move || {
             let control = GatewayControl::new(shared.clone());
             control.run(source, signal_receiver, peer_listener);
+            shared.log_cut_requests();
             LogLine::new("stop")
                 .with("node", &shared.options.node)
                 .with("open_requests", shared.open_requests())
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -194,6 +194,7 @@
             .with_some("first_ms", self.first_byte.map(|took| took.as_millis()))
             .with("pause_ms", self.longest_pause.as_millis())
             .with("ms", took.as_millis())
+            .with_stop_age(self.shared.stop_age(self.request.arrived))
             .with_answer_end(self.answer_end)
             .info(&self.shared.log);
     }
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -97,7 +97,7 @@
 impl<C: Clock, W: WireFormat> RelayRun<C, W> {
     /// Creates the state of a request that was just accepted, and adds its share to the retry budget.
     pub(crate) fn new(shared: Arc<GatewayShared<C, W>>, request: RelayRequest) -> Self {
-        let guard = RequestGuard::new(shared.clone());
+        let guard = RequestGuard::new(shared.clone(), &request);
         let now = shared.clock.boot_time();
         shared.budget().deposit(&request.pool, now);
         Self {
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -2,8 +2,8 @@
 
 use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use async_executor::Executor;
@@ -21,6 +21,7 @@
 use super::incarnations::ServerIncarnations;
 use super::links::LinkPool;
 use super::metrics::GatewayMetrics;
+use super::open_requests::OpenRequests;
 use super::options::{GatewayBounds, GatewayOptions};
 use super::waiting::WaitState;
 use crate::clock::Clock;
@@ -50,6 +51,8 @@
     pub(crate) config: ArcSwapOption<GatewayConfig>,
     /// State of the node's lifecycle.
     pub(crate) lifecycle: ArcSwap<LifecycleView>,
+    /// Time at which the node was first asked to stop.
+    pub(crate) stop_requested_at: OnceLock<Instant>,
     /// Page on the state of the duties, for operators.
     pub(crate) duties_page: ArcSwap<String>,
     /// Operators' bounds, as last read.
@@ -90,7 +93,7 @@
     /// milliseconds.
     pub(crate) unix_offset_ms: AtomicI64,
     rng: Mutex<fastrand::Rng>,
-    pub(super) open_requests: AtomicU64,
+    pub(super) open_requests: Mutex<OpenRequests>,
     pub(super) open_connections: AtomicU64,
     /// Number of tunnels that this node keeps open for other nodes.
     pub(super) open_tunnels: AtomicU64,
@@ -131,6 +134,7 @@
             }),
             duties_page: ArcSwap::from_pointee(String::new()),
             bounds: ArcSwap::from_pointee(bounds),
+            stop_requested_at: OnceLock::new(),
             server_probed: Event::new(),
             lifecycle_changed: Event::new(),
             links: LinkPool::default(),
@@ -166,7 +170,7 @@
             waiting: Mutex::default(),
             unix_offset_ms: AtomicI64::new(0),
             rng: Mutex::new(fastrand::Rng::with_seed(options.node_seed())),
-            open_requests: AtomicU64::new(0),
+            open_requests: Mutex::default(),
             open_connections: AtomicU64::new(0),
             last_peer_message_ms: AtomicU64::new(0),
             servers_known_ms: AtomicU64::new(0),
@@ -365,9 +369,34 @@
             && self.open_tunnels.load(Ordering::SeqCst) == 0
     }
 
-    /// Returns the number of requests in flight.
-    pub(crate) fn open_requests(&self) -> u64 {
-        self.open_requests.load(Ordering::SeqCst)
+    /// Returns how long before `at` the node was asked to stop, and what was left of the grace then; `None` before that.
+    pub(crate) fn stop_age(&self, at: Instant) -> Option<StopAge> {
+        let age = at.checked_duration_since(*self.stop_requested_at.get()?)?;
+        let grace = self.bounds.load().grace;
+        Some(StopAge {
+            age,
+            left: grace.saturating_sub(age),
+        })
+    }
+}
+
+/// Time since a node was asked to stop, and what is left of its grace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StopAge {
+    /// Time since the first request to stop.
+    pub(crate) age: Duration,
+    /// Rest of the grace.
+    pub(crate) left: Duration,
+}
+
+impl LogLine {
+    /// Appends the time since the node was asked to stop, if it was.
+    pub(crate) fn with_stop_age(self, age: Option<StopAge>) -> Self {
+        let Some(age) = age else {
+            return self;
+        };
+        self.with("after_stop_ms", age.age.as_millis())
+            .with("grace_left_ms", age.left.as_millis())
     }
 }
 
--- a/crates/plumgate-node/src/lifecycle.rs
+++ b/crates/plumgate-node/src/lifecycle.rs
@@ -6,7 +6,7 @@
 use plumgate::chart::{ChartRun, StateChart};
 
 use crate::clock::Clock;
-use crate::log::{EventLog, LogLine};
+use crate::log::LogLine;
 use crate::settings::NodeSettings;
 use crate::shared::{LifecycleView, NodeShared};
 
@@ -68,7 +68,10 @@
     /// and notifies the connections.
     fn enter<C: Clock>(&mut self, event: &str, shared: &NodeShared<C>) {
         self.entered_at = Some(shared.clock.now());
-        let view = enter_state(&mut self.run, event, shared.open_requests(), &shared.log);
+        let view = enter_state(&mut self.run, event);
+        state_line(&view, event)
+            .with("open_requests", shared.open_requests())
+            .info(&shared.log);
         let closing = view.closing;
         shared.lifecycle.store(Arc::new(view));
         if closing {
@@ -89,24 +92,21 @@
     }
 }
 
-/// Applies an event to the lifecycle chart, logs the new state, and returns the view to be published.
-pub(crate) fn enter_state(
-    run: &mut ChartRun,
-    event: &str,
-    open_requests: u64,
-    log: &EventLog,
-) -> LifecycleView {
+/// Starts the log line about a state that was entered after an event.
+pub(crate) fn state_line(view: &LifecycleView, event: &str) -> LogLine {
+    LogLine::new("node")
+        .with("state", &view.state)
+        .with("after", event)
+}
+
+/// Applies an event to the lifecycle chart, and returns the view of the new state to be published.
+pub(crate) fn enter_state(run: &mut ChartRun, event: &str) -> LifecycleView {
     let applied = run.apply(event);
     debug_assert!(
         applied.is_ok(),
         "the node chart does not allow this event: {applied:?}"
     );
     let state = run.state();
-    LogLine::new("node")
-        .with("state", state)
-        .with("after", event)
-        .with("open_requests", open_requests)
-        .info(log);
     LifecycleView {
         state: state.to_owned(),
         ready: state == "ready",
--- a/crates/plumgated/src/gateway.rs
+++ b/crates/plumgated/src/gateway.rs
@@ -200,6 +200,7 @@
         return;
     };
     let mut is_requested = false;
+    let (mut stops, mut reloads) = (0, 0);
     loop {
         let interval = if file.is_pending() || is_requested {
             SETTINGS_SETTLE_TIME
@@ -213,13 +214,14 @@
         };
         match future::or(signal, poll).await {
             WakeReason::Signal(Some(Ok(Signal::Hup))) => {
+                reloads += 1;
+                log_signal(Signal::Hup, reloads, &log);
                 is_requested = true;
                 record_read(&mut file, &path, &log);
             }
             WakeReason::Signal(Some(Ok(signal))) => {
-                LogLine::new("signal")
-                    .with("signal", format!("{signal:?}"))
-                    .info(&log);
+                stops += 1;
+                log_signal(signal, stops, &log);
                 handle.stop();
             }
             WakeReason::Signal(Some(Err(_))) => {}
@@ -236,6 +238,14 @@
     }
 }
 
+/// Logs a signal; `number` counts the signals that ask for the same.
+fn log_signal(signal: Signal, number: u32, log: &EventLog) {
+    LogLine::new("signal")
+        .with("signal", format!("{signal:?}"))
+        .with("number", number)
+        .info(log);
+}
+
 /// Reads the settings file. Returns whether its content is new and complete.
 fn record_read(file: &mut SettledText, path: &Path, log: &EventLog) -> bool {
     match std::fs::read(path) {
