--- a/crates/plumgate/tests/charts.rs
+++ b/crates/plumgate/tests/charts.rs
@@ -1,7 +1,10 @@
 //! State charts: what the parser refuses, and what the charts of the program allow.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use plumgate::attempt::{ATTEMPT_CHART, AttemptEvent, AttemptRun};
-use plumgate::chart::{NODE_CHART, StateChart};
+use plumgate::chart::{ChartRun, NODE_CHART, StateChart};
 use plumgate::lease::LEASE_CHART;
 use plumgate::{Error, RunOutcome};
 
@@ -95,3 +98,86 @@
     );
     assert_eq!(run.state(), "queued");
 }
+
+/// What becomes of the requests that are open when an event is handled in a state of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestFate {
+    /// They go on.
+    GoesOn,
+    /// None is open.
+    NoneOpen,
+    /// They are cut off, as the time that the platform grants is over.
+    CutByGrace,
+}
+
+/// Events that end the process; any other one must leave open requests as they are.
+const ENDING_EVENTS: [(&str, RequestFate); 2] = [
+    ("idle", RequestFate::NoneOpen),
+    ("grace_over", RequestFate::CutByGrace),
+];
+
+/// Returns what the chart says of open requests for each state that is no end and each event of the chart.
+fn request_fates() -> Vec<(String, String, RequestFate)> {
+    let table: toml::Table = NODE_CHART.parse().expect("a table");
+    let states = table["states"].as_table().expect("states");
+    let transitions = |state: &str| {
+        states[state]
+            .get("on")
+            .and_then(|on| on.as_table())
+            .cloned()
+    };
+    let events: BTreeSet<String> = states
+        .keys()
+        .filter_map(|state| transitions(state))
+        .flat_map(|on| on.keys().cloned().collect::<Vec<_>>())
+        .collect();
+    let mut fates = Vec::new();
+    for state in states.keys() {
+        let Some(on) = transitions(state) else {
+            continue;
+        };
+        for event in &events {
+            let ends = on
+                .get(event)
+                .is_some_and(|next| transitions(next.as_str().expect("a state")).is_none());
+            let ending = ENDING_EVENTS.iter().find(|(name, _)| name == event);
+            let fate = match (ends, ending) {
+                (false, _) => RequestFate::GoesOn,
+                (true, Some((_, fate))) => *fate,
+                (true, None) => RequestFate::CutByGrace,
+            };
+            fates.push((state.clone(), event.clone(), fate));
+        }
+    }
+    fates
+}
+
+// Guards against a signal that ends a node while requests are open, in whatever state.
+#[test]
+fn only_the_end_of_the_grace_cuts_open_requests() {
+    let cut: Vec<_> = request_fates()
+        .into_iter()
+        .filter(|(_, _, fate)| *fate == RequestFate::CutByGrace)
+        .map(|(state, event, _)| (state, event))
+        .collect();
+    assert_eq!(cut, [("draining".to_owned(), "grace_over".to_owned())]);
+}
+
+// Guards against a repeated signal that shortens the time in which the balancer still sends callers.
+#[test]
+fn repeated_stop_changes_nothing() {
+    let chart = Arc::new(StateChart::read("node", NODE_CHART).expect("no findings"));
+    for events in [
+        ["configured", "stop"].as_slice(),
+        &["configured", "stop", "balancer_lag_over"],
+        &["stop"],
+    ] {
+        let mut run = ChartRun::new(chart.clone());
+        for event in events {
+            run.apply(event).expect("expected");
+        }
+        let state = run.state().to_owned();
+        assert!(!run.is_ended(), "{events:?}");
+        assert!(!run.expects("stop"), "{events:?}: in {state}");
+    }
+}
