node: a repeated stop changes nothing

Cause: the chart of the node's lifecycle had transitions for a further `stop`: draining -> stopped, announcing -> draining (which the gateway guarded against by the state's name), starting -> stopped. Evidence: charts.rs lists each state and event and what becomes of open requests; two of them besides the end of the grace ended the process with requests open. The product's own daemon shares the chart: a second SIGTERM no longer skips the balancer's lag, a third no longer ends it (OPERATORS.md promised both; "a graceful shutdown cuts off no request in flight" goes first). SIGKILL remains.

--- a/crates/plumgate-node/src/gateway/lifecycle.rs
+++ b/crates/plumgate-node/src/gateway/lifecycle.rs
@@ -45,15 +45,14 @@
         }
     }
 
-    /// Handles a request to stop. A repeated request does not shorten the wait for the balancer: callers that
-    /// still arrive would be cut off.
+    /// Handles a request to stop. A repeated request changes nothing.
     pub(crate) fn stop<C: Clock, W>(&mut self, shared: &GatewayShared<C, W>) {
         let now = shared.clock.now();
         shared.stop_requested_at.get_or_init(|| now);
         // What this node alone knows of streams is sent to others before it ends.
         shared.origins().stop();
         shared.origins_queued.notify(usize::MAX);
-        if self.run.state() != "announcing" && self.run.expects("stop") {
+        if self.run.expects("stop") {
             self.enter("stop", shared);
         }
     }
--- a/crates/plumgate-node/src/lifecycle.rs
+++ b/crates/plumgate-node/src/lifecycle.rs
@@ -42,7 +42,7 @@
         }
     }
 
-    /// Begins a graceful stop; each further call skips the wait of the current stage.
+    /// Begins a graceful stop; a further call changes nothing.
     pub(crate) fn stop<C: Clock>(&mut self, shared: &NodeShared<C>) {
         if self.run.expects("stop") {
             self.enter("stop", shared);
--- a/crates/plumgated/src/main.rs
+++ b/crates/plumgated/src/main.rs
@@ -58,7 +58,7 @@
     ExitCode::SUCCESS
 }
 
-/// Stops the node on SIGTERM or SIGINT; each further signal skips the wait of the current stage of the stop.
+/// Stops the node on SIGTERM or SIGINT; a further signal changes nothing.
 async fn stop_on_signals(stop: impl Fn()) {
     let Ok(mut signals) = Signals::new([Signal::Term, Signal::Int]) else {
         return;
