gateway: decides which runs a node that stops may begin

NodeStop knows the end of the process from the first stop on, and RunTimes what the runs of a route took lately; no I/O, given times (docs/design/stops.md). Nothing asks them yet.

--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod events;
 pub mod exchange;
+pub mod node_stop;
 pub(crate) mod notice_keys;
 pub mod origins;
 pub mod placement;
@@ -19,6 +20,7 @@
 pub mod reachability;
 pub mod read_ahead;
 pub mod run_race;
+pub mod run_times;
 pub mod server_choices;
 pub mod servers;
 pub mod shares;
@@ -47,6 +49,7 @@
     NodeEntry, PartLocation, PoolDemand, ReceivedClock, ReceivedStatement, ReceivedUsage, SumKey,
     SumRow, SumTable, SumTopic,
 };
+pub use node_stop::{NodeStop, RunPlan};
 pub use origins::{
     HistoryReport, LookupId, LookupState, OriginFinding, OriginMessage, OriginPacket,
     OriginQuestion, OriginSource, OriginState, STREAM_LIFETIME, StreamKey, StreamOrigin,
@@ -74,6 +77,7 @@
 };
 pub use read_ahead::{ReadAheadBounds, ReadAheadTable, ReadAheadUse, StreamNumber};
 pub use run_race::{RaceAction, RaceEvent, RunRace};
+pub use run_times::{RunForecast, RunTime, RunTimes};
 pub use server_choices::{ServerChoice, ServerChoices};
 pub use servers::{IncarnationId, ServerEntry, ServerState, ServerTable};
 pub use shares::{ShareAssessment, ShareCounts, ShareHolder, ShareTicket, WorkspaceShares};
