gateway: the end of a stop is fixed when it begins

Callers saw: streams cut because a reload shortened the grace while the node was draining; a reload that extended it kept the process until the platform killed it. Cause: the end was computed from the grace in force at each tick. The platform counts from its own SIGTERM under the grace of that moment. Change: the first stop fixes the end (NodeStop); further stops and reloads don't move it.

--- a/crates/plumgate-node/src/gateway/lifecycle.rs
+++ b/crates/plumgate-node/src/gateway/lifecycle.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use plumgate::chart::{ChartRun, NODE_CHART, StateChart};
+use plumgate::gateway::NodeStop;
 
 use super::shared::GatewayShared;
 use crate::clock::Clock;
@@ -13,8 +14,6 @@
 /// Time for which the balancer still sends new connections after the node reports itself as not ready: two
 /// checks, one second apart, and the time that one takes.
 const BALANCER_LAG: Duration = Duration::from_millis(2_400);
-/// Part of the grace period that is reserved for ending the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(300);
 
 /// State of a gateway node's lifecycle.
 pub(crate) struct GatewayLifecycle {
@@ -48,7 +47,8 @@
     /// Handles a request to stop. A repeated request changes nothing.
     pub(crate) fn stop<C: Clock, W>(&mut self, shared: &GatewayShared<C, W>) {
         let now = shared.clock.now();
-        shared.stop_requested_at.get_or_init(|| now);
+        let grace = shared.bounds.load().grace;
+        shared.stop.get_or_init(|| NodeStop::new(now, grace));
         // What this node alone knows of streams is sent to others before it ends.
         shared.origins().stop();
         shared.origins_queued.notify(usize::MAX);
@@ -64,15 +64,12 @@
             return;
         };
         let elapsed = now.saturating_duration_since(entered_at);
-        let requested_at = shared.stop_requested_at.get();
-        let stopping_for =
-            requested_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(*at));
-        let grace = shared.bounds.load().grace;
+        let is_over = shared.stop.get().is_some_and(|stop| now >= stop.ends_at());
         if self.run.state() == "announcing" && elapsed >= BALANCER_LAG {
             self.enter("balancer_lag_over", shared);
         } else if self.run.state() == "draining" && shared.is_idle() {
             self.enter("idle", shared);
-        } else if self.run.state() == "draining" && stopping_for + EXIT_RESERVE >= grace {
+        } else if self.run.state() == "draining" && is_over {
             self.enter("grace_over", shared);
         }
     }
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -11,9 +11,9 @@
 use futures_lite::FutureExt;
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
-    FreshnessLease, GatewayConfig, LoadTable, PathTable, PlacementOptions, QuarantineTable,
-    ReadAheadBounds, ReadAheadTable, ServerStatements, StreamOrigins, TunnelGate, TunnelPeers,
-    WindowBudget, WorkspaceShares,
+    FreshnessLease, GatewayConfig, LoadTable, NodeStop, PathTable, PlacementOptions,
+    QuarantineTable, ReadAheadBounds, ReadAheadTable, ServerStatements, StreamOrigins, TunnelGate,
+    TunnelPeers, WindowBudget, WorkspaceShares,
 };
 use plumgate::ids::WorkspaceId;
 
@@ -51,8 +51,8 @@
     pub(crate) config: ArcSwapOption<GatewayConfig>,
     /// State of the node's lifecycle.
     pub(crate) lifecycle: ArcSwap<LifecycleView>,
-    /// Time at which the node was first asked to stop.
-    pub(crate) stop_requested_at: OnceLock<Instant>,
+    /// Stop of the node, once it was asked to stop.
+    pub(crate) stop: OnceLock<NodeStop>,
     /// Page on the state of the duties, for operators.
     pub(crate) duties_page: ArcSwap<String>,
     /// Operators' bounds, as last read.
@@ -134,7 +134,7 @@
             }),
             duties_page: ArcSwap::from_pointee(String::new()),
             bounds: ArcSwap::from_pointee(bounds),
-            stop_requested_at: OnceLock::new(),
+            stop: OnceLock::new(),
             server_probed: Event::new(),
             lifecycle_changed: Event::new(),
             links: LinkPool::default(),
@@ -369,23 +369,22 @@
             && self.open_tunnels.load(Ordering::SeqCst) == 0
     }
 
-    /// Returns how long before `at` the node was asked to stop, and what was left of the grace then; `None` before that.
+    /// Returns how long before `at` the node was asked to stop, and what was left of its time then; `None` before that.
     pub(crate) fn stop_age(&self, at: Instant) -> Option<StopAge> {
-        let age = at.checked_duration_since(*self.stop_requested_at.get()?)?;
-        let grace = self.bounds.load().grace;
+        let stop = self.stop.get()?;
         Some(StopAge {
-            age,
-            left: grace.saturating_sub(age),
+            age: at.checked_duration_since(stop.requested_at())?,
+            left: stop.ends_at().saturating_duration_since(at),
         })
     }
 }
 
-/// Time since a node was asked to stop, and what is left of its grace.
+/// Time since a node was asked to stop, and until its process ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct StopAge {
     /// Time since the first request to stop.
     pub(crate) age: Duration,
-    /// Rest of the grace.
+    /// Time until the process ends at the latest.
     pub(crate) left: Duration,
 }
 
