--- a/crates/plumgate-node/src/gateway/exchange/origins.rs
+++ b/crates/plumgate-node/src/gateway/exchange/origins.rs
@@ -19,13 +19,16 @@
         }
         let now = self.shared.clock.boot_time();
         let mut origins = self.shared.origins();
+        let before = origins.history().complete_since();
         for (from, message) in messages {
             origins.receive(from, message, now);
         }
         if origins.has_messages(now) {
             self.shared.origins_queued.notify(usize::MAX);
         }
+        let since = origins.history().complete_since();
         drop(origins);
+        self.shared.record_history("told", before, since);
         self.shared.origins_changed.notify(usize::MAX);
     }
 
--- a/crates/plumgate-node/src/gateway/stream_origins.rs
+++ b/crates/plumgate-node/src/gateway/stream_origins.rs
@@ -6,7 +6,7 @@
 use hyper::StatusCode;
 use plumgate::gateway::{
     BootTime, LookupId, LookupState, OriginFinding, OriginQuestion, OriginSource, OriginState,
-    RepeatKind, ServerEntry, StreamKey, StreamOrigin,
+    RepeatKind, ServerEntry, StreamKey, StreamOrigin, VersionHistory,
 };
 use plumgate::ids::PoolId;
 
@@ -51,6 +51,37 @@
         self.origins_changed.notify(usize::MAX);
     }
 
+    /// Changes the history of versions, and logs it if the time for which it is complete begins elsewhere then.
+    pub(crate) fn change_history(
+        &self,
+        cause: &'static str,
+        change: impl FnOnce(&mut VersionHistory),
+    ) {
+        let mut origins = self.origins();
+        let before = origins.history().complete_since();
+        change(origins.history());
+        let since = origins.history().complete_since();
+        drop(origins);
+        self.record_history(cause, before, since);
+    }
+
+    /// Logs the time for which the history of versions is complete, if it begins elsewhere than before.
+    pub(crate) fn record_history(
+        &self,
+        cause: &'static str,
+        before: Option<BootTime>,
+        since: Option<BootTime>,
+    ) {
+        let (Some(since), true) = (since, since != before) else {
+            return;
+        };
+        let reach = self.clock.boot_time().saturating_sub(since);
+        LogLine::new("version_history")
+            .with("cause", cause)
+            .with("reach_ms", reach.as_millis())
+            .info(&self.log);
+    }
+
     /// Returns the age up to which a server that may restart under its id counts as the known incarnation.
     pub(crate) fn max_entry_age(&self) -> Duration {
         if self.has_recent_peers() {
@@ -237,6 +268,13 @@
             .get_or_create(&labels)
             .inc();
         let waited = self.clock.now().saturating_duration_since(request.arrived);
+        let now = self.clock.boot_time();
+        let millis_ago = |at: BootTime| now.saturating_sub(at).as_millis();
+        let (since, known_at) = {
+            let mut origins = self.origins();
+            let history = origins.history();
+            (history.complete_since(), history.known_at())
+        };
         LogLine::new("stream_origin")
             .with("request", &request.id)
             .with_some("resumes", request.metadata.resumed.attempt())
@@ -250,6 +288,8 @@
             .with_some("source", source.map(OriginSource::as_str))
             .with_some("refused", bound.as_ref().err().map(|error| error.kind))
             .with("ms", waited.as_millis())
+            .with_some("reach_ms", since.map(millis_ago))
+            .with_some("view_age_ms", known_at.map(millis_ago))
             .info(&self.log);
     }
 }
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -107,7 +107,8 @@
         if !is_first {
             self.record_source_failure();
             let boot_time = self.shared.clock.boot_time();
-            self.shared.origins().history().restart(boot_time);
+            self.shared
+                .change_history("era", |history| history.restart(boot_time));
             self.servers
                 .borrow_mut()
                 .on_store_restored(self.shared.clock.now());
@@ -223,7 +224,8 @@
         };
         self.sync_state().record_read(topic, requested_at);
         if topic == SourceTopic::Servers && is_full_read {
-            self.shared.origins().history().restart(requested_at);
+            self.shared
+                .change_history("read", |history| history.restart(requested_at));
         }
         self.publish_age();
         if topic == SourceTopic::Config {
--- a/crates/plumgate-node/src/gateway/view_snapshots.rs
+++ b/crates/plumgate-node/src/gateway/view_snapshots.rs
@@ -95,12 +95,12 @@
         requested_at: BootTime,
     ) {
         let now = self.shared.clock.boot_time();
-        let mut origins = self.shared.origins();
-        match (history, known_at) {
-            (Some(history), _) => origins.history().adopt(history, requested_at, now),
-            (None, Some(known_at)) => origins.history().restart(known_at),
-            (None, None) => origins.history().restart(now),
-        }
+        self.shared
+            .change_history("snapshot", |own| match (history, known_at) {
+                (Some(history), _) => own.adopt(history, requested_at, now),
+                (None, Some(known_at)) => own.restart(known_at),
+                (None, None) => own.restart(now),
+            });
     }
 
     /// Returns the configuration in force, encoded for other nodes; `None` if there is none.
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -53,7 +53,7 @@
 pub use origins::{
     HistoryReport, LookupId, LookupState, OriginFinding, OriginMessage, OriginPacket,
     OriginQuestion, OriginSource, OriginState, STREAM_LIFETIME, StreamKey, StreamOrigin,
-    StreamOrigins,
+    StreamOrigins, VersionHistory,
 };
 pub use placement::{
     ExpiredLoan, GroupChange, LoadTable, PlaceMessage, PlaceRound, PlacementOptions,
--- a/crates/plumgate/src/gateway/origins/history.rs
+++ b/crates/plumgate/src/gateway/origins/history.rs
@@ -54,6 +54,16 @@
         self.complete_since = self.complete_since.max(Some(since));
     }
 
+    /// Returns the start of the time for which all versions are known; `None` before the first read of the servers.
+    pub fn complete_since(&self) -> Option<BootTime> {
+        self.complete_since
+    }
+
+    /// Returns when the known servers were last complete.
+    pub fn known_at(&self) -> Option<BootTime> {
+        self.known_at
+    }
+
     /// Records that the known servers were complete at a time.
     pub fn set_known_at(&mut self, known_at: BootTime) {
         self.known_at = self.known_at.max(Some(known_at));
