origins: tests of kills of all nodes; a version that came and went unseen is ruled out (red)

What callers saw: a resumption was answered 200 and ran to its end at v1, while the first part was from v1.1. Cause: a node that gets no answers from the store (timeouts, refusals) goes on with the feed afterwards. The feed holds the last state of each row: of a server that came and went meanwhile only its removal. The node doesn't know the server, drops the removal, and its history of versions goes on without a gap. Once the nodes that knew the version are killed, the history is all that is left.

--- a/crates/plumgate/tests/stream_origins.rs
+++ b/crates/plumgate/tests/stream_origins.rs
@@ -11,6 +11,8 @@
 const SCHEDULES: u64 = 50;
 /// Number of schedules of the larger fleet.
 const LARGE_SCHEDULES: u64 = 3;
+/// Number of schedules in which the fleet is killed.
+const KILL_SCHEDULES: u64 = 200;
 
 fn run(plan: FleetPlan) -> FleetOutcome {
     let outcome = OriginFleet::new(plan).run();
@@ -70,6 +72,23 @@
     assert!(share > 0.5, "{share:.3} of the resumptions went on");
 }
 
+/// Guards against a text that is joined from two versions after all nodes, or all but one, were killed in a release.
+#[test]
+fn kill_of_the_fleet_joins_no_two_versions() {
+    let outcomes: Vec<FleetOutcome> = (0..KILL_SCHEDULES)
+        .map(|seed| OriginFleet::new(FleetPlan::with_fleet_kills(seed)).run())
+        .collect();
+    let mixed = outcomes.iter().enumerate();
+    let mixed: Vec<String> = mixed
+        .flat_map(|(seed, outcome)| {
+            let streams = outcome.mixed.iter();
+            streams.map(move |stream| format!("seed {seed}: {stream}"))
+        })
+        .collect();
+    println!("{:.3} of the resumptions went on", share(&outcomes));
+    assert!(mixed.is_empty(), "{mixed:#?}");
+}
+
 /// Guards against messages on days with one version, beyond the history that each node asks for when it starts.
 #[test]
 fn day_with_one_version_sends_nothing() {
