origins: the removal of a server that was never known begins a new history of versions

What callers saw: a resumption was answered 200 and ran to its end at v1, while the first part was from v1.1. Cause: after calls without an answer a node goes on with the store's feed, which holds the last state of each row. Of a server that came and went meanwhile it has the removal only, and the node dropped it, as it didn't know the server. Its history of versions went on as if without a gap. Why it works: a removal of a server that was never known proves that something was missed, so the history begins anew. Others that saw the server extend it again, with its version. Without the check origin_lookups never_known is red.

--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -195,6 +195,7 @@
                     let grace_period = self
                         .grace_period(now)
                         .or(unconfirmed.then_some(UNCONFIRMED_GRACE_PERIOD));
+                    self.observe_removal(&id);
                     self.remove_server(&id, grace_period, "told");
                 }
                 ServerUpdate::Unusable(id) => self.remove_server(&id, None, "told"),
--- a/crates/plumgate-node/src/gateway/view_servers.rs
+++ b/crates/plumgate-node/src/gateway/view_servers.rs
@@ -27,7 +27,10 @@
         for update in &updates {
             match update {
                 ServerUpdate::Entry(entry) => self.put_servers(vec![entry.clone()], "watched"),
-                ServerUpdate::Removed { id, .. } => self.remove_server(id, grace_period, "watched"),
+                ServerUpdate::Removed { id, .. } => {
+                    self.observe_removal(id);
+                    self.remove_server(id, grace_period, "watched");
+                }
                 ServerUpdate::Unusable(id) => self.remove_server(id, None, "watched"),
             }
         }
@@ -84,6 +87,14 @@
         self.publish(&changes, source);
     }
 
+    /// Records in the history of versions that the entry of a server was removed, which may never have been known.
+    pub(super) fn observe_removal(&self, id: &ServerId) {
+        let now = self.shared.clock.boot_time();
+        self.shared.change_history("unseen_server", |history| {
+            history.observe_removal(id, now);
+        });
+    }
+
     pub(super) fn remove_server(
         &self,
         id: &ServerId,
--- a/crates/plumgate/src/gateway/origins/history.rs
+++ b/crates/plumgate/src/gateway/origins/history.rs
@@ -44,6 +44,8 @@
     present: BTreeMap<ServerId, (u32, KnownVersion)>,
     /// Versions that left, with the time at which they were last known to be present.
     departed: HashMap<(u32, KnownVersion), BootTime>,
+    /// Servers that left, with the time.
+    departed_servers: HashMap<ServerId, BootTime>,
     /// Pools of each route, by the names of both.
     routes: HashMap<String, Vec<PoolId>>,
 }
@@ -82,6 +84,17 @@
     pub fn remove(&mut self, server: &ServerId, now: BootTime) {
         if let Some(version) = self.present.remove(server) {
             self.departed.insert(version, now);
+            self.departed_servers.insert(server.clone(), now);
+        }
+    }
+
+    /// Records that the entry of a server was removed. If the server was never known, a new history begins: the changes
+    /// of the store name the last state of each entry only, so its version came and went unseen.
+    pub fn observe_removal(&mut self, server: &ServerId, now: BootTime) {
+        let is_known =
+            self.present.contains_key(server) || self.departed_servers.contains_key(server);
+        if !is_known {
+            self.restart(now);
         }
     }
 
@@ -215,7 +228,8 @@
 
     /// Removes versions that left so long ago that no stream can have begun there.
     pub(crate) fn remove_expired(&mut self, now: BootTime) {
-        self.departed
-            .retain(|_, at| now.saturating_sub(*at) <= VERSION_RETENTION);
+        let is_recent = |at: &mut BootTime| now.saturating_sub(*at) <= VERSION_RETENTION;
+        self.departed.retain(|_, at| is_recent(at));
+        self.departed_servers.retain(|_, at| is_recent(at));
     }
 }
--- a/crates/plumgate/tests/origin_fleet/mod.rs
+++ b/crates/plumgate/tests/origin_fleet/mod.rs
@@ -631,7 +631,9 @@
                         node.view.insert(id, entry);
                     }
                     StoreChange::Removed(entry) => {
-                        node.origins.history().remove(&entry.id, now);
+                        let history = node.origins.history();
+                        history.observe_removal(&entry.id, now);
+                        history.remove(&entry.id, now);
                         node.view.remove(&id);
                     }
                 }
--- a/crates/plumgate/tests/origin_lookups.rs
+++ b/crates/plumgate/tests/origin_lookups.rs
@@ -140,6 +140,25 @@
     );
 }
 
+/// Guards against a version that came and went while this node read nothing, and against a new history for each removal
+/// that is reported twice.
+#[test]
+fn removal_of_a_server_that_was_never_known_begins_a_new_history() {
+    let unnamed = OriginQuestion {
+        key: None,
+        ..question("")
+    };
+    let known = OriginFinding::Known(origin("v1"), OriginSource::SingleVersion);
+    let mut origins = settled_node(&["v1", "v1"]);
+    for _ in 0..2 {
+        origins.history().observe_removal(&"s1".into(), START);
+        origins.history().remove(&"s1".into(), START);
+    }
+    assert_eq!(look_up(&mut origins, &unnamed).0, known);
+    origins.history().observe_removal(&"s9".into(), START);
+    assert_eq!(look_up(&mut origins, &unnamed).0, OriginFinding::Unknown);
+}
+
 /// Guards against a server without a version, or a route that moved here, beside which one version looks like the only.
 #[test]
 fn unknown_versions_count_as_others() {
