log: places of a node at a brittle server that rejects its request

Cause: a rejection of a node's own request was not logged, only those that other nodes reported; whether the node sent beyond its places, and which nodes it dealt them out among, could not be seen.

--- a/crates/plumgate-node/src/gateway/metrics/places.rs
+++ b/crates/plumgate-node/src/gateway/metrics/places.rs
@@ -1,5 +1,6 @@
 //! Metrics of brittle servers and of the places at them.
 
+use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
@@ -12,6 +13,8 @@
     pub(crate) lent: Gauge,
     /// Places at brittle servers that this node has borrowed from others.
     pub(crate) borrowed: Gauge,
+    /// Requests of this node that brittle servers rejected for want of room.
+    pub(crate) rejections: Counter,
 }
 
 impl PlaceMetrics {
@@ -32,5 +35,10 @@
             "Places at brittle servers that this node has borrowed from others",
             self.borrowed.clone(),
         );
+        registry.register(
+            "brittle_rejections",
+            "Requests of this node that brittle servers rejected for want of room",
+            self.rejections.clone(),
+        );
     }
 }
--- a/crates/plumgate-node/src/gateway/server_notices.rs
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -122,6 +122,9 @@
         let mut statements = self.statements();
         let is_changed = statements.record_brittle(server, statement, is_rejection, times);
         drop(statements);
+        if is_rejection {
+            self.log_rejection(server);
+        }
         if !is_changed {
             return;
         }
@@ -140,6 +143,26 @@
             .info(&self.log);
     }
 
+    /// Logs and counts that a brittle server rejected a request of this node for want of room.
+    fn log_rejection(&self, server: &ServerEntry) {
+        let places = self.loads().place_use(&server.id, self.clock.now());
+        let Some(places) = places else {
+            return;
+        };
+        self.metrics.places.rejections.inc();
+        LogLine::new("server_rejection")
+            .with("server", &server.id)
+            .with("life", format!("{:016x}", server.incarnation_id()))
+            .with("source", "answer")
+            .with("in_flight", places.in_flight)
+            .with("own_places", places.own)
+            .with("lent", places.lent)
+            .with("borrowed", places.borrowed)
+            .with("nodes", places.nodes)
+            .with("rank", places.rank)
+            .info(&self.log);
+    }
+
     /// Handles other nodes' reports of rejections by brittle servers.
     pub(crate) fn on_peer_rejections(&self, servers: &[IncarnationId]) {
         if servers.is_empty() {
@@ -251,6 +274,7 @@
     /// Renders the operators' page: one line per server that has a rate limit or a notice.
     pub(crate) fn statements_page(&self) -> String {
         let now = self.clock.boot_time();
+        let clock_now = self.clock.now();
         let loads = self.loads();
         let statements = self.statements();
         let mut page = String::new();
@@ -258,7 +282,8 @@
             let rate = statements.limits.rate(server);
             let leaving = statements.notices.leaving_since(server);
             let rest = statements.notices.rest_left(server, now);
-            if rate.is_none() && leaving.is_none() && rest.is_none() {
+            let places = loads.place_use(&server.id, clock_now);
+            if rate.is_none() && leaving.is_none() && rest.is_none() && places.is_none() {
                 continue;
             }
             // Writing to a string does not fail.
@@ -280,6 +305,18 @@
             if let Some(rest) = rest {
                 let _ = write!(page, " rest_ms={}", rest.as_millis());
             }
+            if let Some(places) = places {
+                let _ = write!(
+                    page,
+                    " in_flight={} own_places={} lent={} borrowed={} nodes={} rank={}",
+                    places.in_flight,
+                    places.own,
+                    places.lent,
+                    places.borrowed,
+                    places.nodes,
+                    places.rank
+                );
+            }
             page.push('\n');
         }
         page
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -56,7 +56,7 @@
     StreamOrigins, VersionHistory,
 };
 pub use placement::{
-    ExpiredLoan, GroupChange, LoadTable, PlaceMessage, PlaceRound, PlacementOptions,
+    ExpiredLoan, GroupChange, LoadTable, PlaceMessage, PlaceRound, PlaceUse, PlacementOptions,
     PlacementPolicy, PlacementRequest, PoolMemoryUse, ProfileChange, ProfileCounts, ServerPick,
 };
 pub use prompt::{PromptPart, PromptShape};
--- a/crates/plumgate/src/gateway/placement/mod.rs
+++ b/crates/plumgate/src/gateway/placement/mod.rs
@@ -28,3 +28,4 @@
 pub use place_exchange::PlaceRound;
 pub use place_loans::{ExpiredLoan, PlaceMessage};
 pub use profiles::{ProfileChange, ProfileCounts};
+pub use server_room::PlaceUse;
--- a/crates/plumgate/src/gateway/placement/place_exchange.rs
+++ b/crates/plumgate/src/gateway/placement/place_exchange.rs
@@ -5,10 +5,11 @@
 use super::choice::PlacementRequest;
 use super::load::LoadTable;
 use super::place_loans::{ExpiredLoan, LoanId, PlaceMessage};
+use super::server_room::PlaceUse;
 use crate::gateway::exchange::messages::pool_key;
 use crate::gateway::servers::IncarnationId;
 use crate::gateway::statements::SendRefusal;
-use crate::ids::NodeId;
+use crate::ids::{NodeId, ServerId};
 
 /// Number of nodes that are asked for a place in one round.
 const ASKED_NODES: usize = 3;
@@ -82,6 +83,11 @@
         answer
     }
 
+    /// Returns this node's places at a server and their use; none if the server is not brittle.
+    pub fn place_use(&self, server: &ServerId, now: Instant) -> Option<PlaceUse> {
+        self.servers.get(server)?.place_use(now)
+    }
+
     /// Returns the numbers of places that are lent and borrowed.
     pub fn loan_counts(&self) -> (usize, usize) {
         self.loans.counts()
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -6,7 +6,7 @@
 use super::choice::{PlacementOptions, PlacementRequest, SendDeferral};
 use super::engine_memory::ServerMemory;
 use super::profiles::{ServerPace, ServerProfile};
-use super::server_room::{PlaceShare, ServerRoom};
+use super::server_room::{PlaceShare, PlaceUse, ServerRoom};
 use crate::gateway::config::StreamClass;
 use crate::gateway::prompt::{MIN_TRACKED_TOKENS, PromptShape};
 use crate::gateway::rate_limit::RequestRate;
@@ -288,6 +288,12 @@
         }
     }
 
+    /// Returns this node's places at the server and their use; none if it is not brittle.
+    pub(crate) fn place_use(&self, now: Instant) -> Option<PlaceUse> {
+        let room = self.room.as_ref()?;
+        Some(room.place_use(self.own.in_flight, now))
+    }
+
     /// Returns how many places of its room this node may use but doesn't; no limit without a room.
     pub(crate) fn idle_places(&self, now: Instant) -> usize {
         let room = self.room.as_ref();
--- a/crates/plumgate/src/gateway/placement/server_room.rs
+++ b/crates/plumgate/src/gateway/placement/server_room.rs
@@ -33,6 +33,23 @@
     }
 }
 
+/// Places of one node at a brittle server, and how many are in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlaceUse {
+    /// Requests of this node in flight there.
+    pub in_flight: u32,
+    /// Places that this node owns, those that it lent included.
+    pub own: usize,
+    /// Places that it lent to other nodes.
+    pub lent: usize,
+    /// Places that it borrowed from other nodes.
+    pub borrowed: usize,
+    /// Number of nodes among which the places are dealt out, as known to this one.
+    pub nodes: usize,
+    /// Number of these nodes before this one.
+    pub rank: usize,
+}
+
 /// Room of one server.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerRoom {
@@ -117,6 +134,18 @@
         !self.is_closed(now) && self.idle_places(in_flight, now) > 0
     }
 
+    /// Returns this node's places and their use, with this many requests in flight.
+    pub(crate) fn place_use(&self, in_flight: u32, now: Instant) -> PlaceUse {
+        PlaceUse {
+            in_flight,
+            own: self.share.places(self.capacity(now) as usize),
+            lent: self.lent,
+            borrowed: self.borrowed,
+            nodes: self.share.rank.nodes,
+            rank: self.share.rank.rank,
+        }
+    }
+
     /// Returns the number of this node's places that it has not lent.
     fn own_places(&self, now: Instant) -> usize {
         let places = self.share.places(self.capacity(now) as usize);
