--- a/crates/plumgate/examples/loan_costs.rs
+++ b/crates/plumgate/examples/loan_costs.rs
@@ -18,20 +18,14 @@
     for (nodes, servers) in FLEETS {
         for states in [false, true] {
             let plan = BrittlePlan {
-                nodes,
-                servers,
-                slots: 64,
                 places: 32,
                 places_later: 4,
                 rejection_limit: 8,
                 run_seconds: 1.0,
                 load: 0.5,
-                burst_load: 1.3,
                 seconds: SECONDS,
                 states,
-                joined_one_by_one: false,
-                lost_messages: 0.0,
-                seed: 1,
+                ..BrittlePlan::new(nodes, servers, 64, 1)
             };
             let result = BrittleFleet::new(plan).run();
             let per_node = |amount: f64| amount / SECONDS / nodes as f64;
--- a/crates/plumgate/tests/brittle_fleet/mod.rs
+++ b/crates/plumgate/tests/brittle_fleet/mod.rs
@@ -27,6 +27,12 @@
 const FEWER_PLACES_AT: f64 = 3.0;
 /// Time in seconds that a request waits for room.
 const PATIENCE: f64 = 0.3;
+/// Longest time in seconds until a node knows a change of the servers.
+const VIEW_DELAY: f64 = 0.1;
+/// Speeds of the servers in turn, if they differ.
+const SPEEDS: [f64; 4] = [0.55, 1.2, 1.2, 1.2];
+/// Interval in seconds at which late nodes register.
+const JOIN_INTERVAL: f64 = 0.5;
 /// Number of data centres.
 const DATA_CENTRES: usize = 3;
 /// Maximum number of servers that are tried for one request.
@@ -56,9 +62,60 @@
     pub(crate) joined_one_by_one: bool,
     /// Share of the messages between nodes that are lost.
     pub(crate) lost_messages: f64,
+    /// Interval in seconds at which servers restart one after the other once fewer requests may wait.
+    pub(crate) restart_interval: Option<f64>,
+    /// Whether a server that restarts has another id.
+    pub(crate) has_new_ids: bool,
+    /// Whether the speeds of the servers differ by two and more.
+    pub(crate) has_mixed_speeds: bool,
+    /// Number of nodes that register one after the other, twice a second, once fewer requests may wait. The other
+    /// nodes learn of them by their messages.
+    pub(crate) late_nodes: usize,
     pub(crate) seed: u64,
 }
 
+impl BrittlePlan {
+    /// Returns a plan in which the servers neither restart nor differ.
+    pub(crate) fn new(nodes: usize, servers: usize, slots: u32, seed: u64) -> Self {
+        Self {
+            nodes,
+            servers,
+            slots,
+            places: 6,
+            places_later: 1,
+            rejection_limit: 12,
+            run_seconds: 0.8,
+            load: 0.7,
+            burst_load: 1.3,
+            seconds: 20.0,
+            states: true,
+            joined_one_by_one: false,
+            lost_messages: 0.0,
+            restart_interval: None,
+            has_new_ids: false,
+            has_mixed_speeds: false,
+            late_nodes: 0,
+            seed,
+        }
+    }
+
+    /// Returns the number of nodes, as many in each data centre.
+    fn all_nodes(&self) -> usize {
+        self.nodes.div_ceil(DATA_CENTRES) * DATA_CENTRES
+    }
+
+    fn nodes_at_start(&self) -> usize {
+        self.all_nodes() - self.late_nodes
+    }
+
+    /// Returns the number of nodes that have registered.
+    fn nodes_at(&self, at: f64) -> usize {
+        let joined = (at - FEWER_PLACES_AT).max(0.0) / JOIN_INTERVAL;
+        self.all_nodes()
+            .min(self.nodes_at_start() + joined as usize)
+    }
+}
+
 /// Results of a run.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct BrittleResult {
@@ -106,6 +163,13 @@
     starts: u64,
 }
 
+/// Change of the servers that one node does not know yet.
+struct PendingChange {
+    node: usize,
+    due: f64,
+    change: ServerChange,
+}
+
 struct Pending {
     node: usize,
     sent: f64,
@@ -116,10 +180,14 @@
 pub(crate) struct BrittleFleet {
     plan: BrittlePlan,
     rng: fastrand::Rng,
+    delay_rng: fastrand::Rng,
     start: Instant,
     nodes: Vec<SimNode>,
     servers: Vec<SimServer>,
     pending: Vec<Pending>,
+    changes: Vec<PendingChange>,
+    /// Number of servers that have restarted without a fall.
+    restarted: usize,
     pool: PoolId,
     result: BrittleResult,
 }
@@ -144,7 +212,8 @@
             let mut exchange = LoadExchange::new(entry.clone());
             let earlier = joined.split(|joined| joined.node == entry.node).next();
             let register = earlier.filter(|_| plan.joined_one_by_one);
-            exchange.set_nodes(register.unwrap_or(&entries).to_vec());
+            let first_nodes = &entries[..plan.nodes_at_start().max(index as usize - 999)];
+            exchange.set_nodes(register.unwrap_or(first_nodes).to_vec());
             let mut statements = ServerStatements::new(true, index, Duration::from_secs(2));
             statements.set_config(&config());
             SimNode {
@@ -157,10 +226,13 @@
         });
         let mut fleet = Self {
             rng: fastrand::Rng::with_seed(plan.seed),
+            delay_rng: fastrand::Rng::with_seed(!plan.seed),
             start: Instant::now(),
             nodes: nodes.collect(),
             servers: (0..plan.servers).map(|_| SimServer::default()).collect(),
             pending: Vec::new(),
+            changes: Vec::new(),
+            restarted: 0,
             pool: "models".into(),
             result: BrittleResult::default(),
             plan,
@@ -168,6 +240,7 @@
         for server in 0..plan.servers {
             fleet.register(server, 0.0);
         }
+        fleet.apply_changes(f64::INFINITY);
         fleet
     }
 
@@ -175,7 +248,9 @@
         let steps = (self.plan.seconds / STEP) as u64;
         for step in 0..steps {
             let at = step as f64 * STEP;
+            self.stop_next_server(at);
             self.restart_servers(at);
+            self.apply_changes(at);
             self.end_runs(at);
             if step % ROUND_STEPS == 0 {
                 self.exchange(at);
@@ -191,21 +266,86 @@
     }
 
     fn entry(&self, server: usize) -> ServerEntry {
+        let starts = self.servers[server].starts;
+        // New ids sort anywhere among the others.
+        let order = fastrand::Rng::with_seed(server as u64 * 1_000 + starts).u16(..);
+        let id = if self.plan.has_new_ids {
+            format!("server-{order:04x}-{starts}-{server}")
+        } else {
+            format!("server-{server}")
+        };
         ServerEntry {
             slots: self.plan.slots,
-            start_time: Some(self.servers[server].starts),
-            ..server_entry(&format!("server-{server}"))
+            start_time: Some(starts),
+            ..server_entry(&id)
         }
     }
 
     fn register(&mut self, server: usize, at: f64) {
-        let (entry, now) = (self.entry(server), self.now(at));
-        let change = match self.servers[server].starts {
-            0 => ServerChange::Changed(entry),
-            _ => ServerChange::Restarted(entry),
+        let entry = self.entry(server);
+        let is_restart = self.servers[server].starts > 0 && !self.plan.has_new_ids;
+        let change = if is_restart {
+            ServerChange::Restarted(entry)
+        } else {
+            ServerChange::Changed(entry)
         };
-        for node in &mut self.nodes {
-            node.table.apply(&change, now);
+        self.announce(&change, at);
+    }
+
+    /// Lets each node learn of a change of the servers within the longest delay.
+    fn announce(&mut self, change: &ServerChange, at: f64) {
+        for node in 0..self.nodes.len() {
+            self.changes.push(PendingChange {
+                node,
+                due: at + VIEW_DELAY * self.delay_rng.f64(),
+                change: change.clone(),
+            });
+        }
+    }
+
+    fn apply_changes(&mut self, at: f64) {
+        let now = self.now(at.min(self.plan.seconds));
+        let now = if at.is_finite() { now } else { self.start };
+        let (due, later) = std::mem::take(&mut self.changes)
+            .into_iter()
+            .partition(|change| change.due <= at);
+        self.changes = later;
+        let due: Vec<PendingChange> = due;
+        for PendingChange { node, change, .. } in due {
+            self.nodes[node].table.apply(&change, now);
+        }
+    }
+
+    /// Stops the next server in turn if one is due.
+    fn stop_next_server(&mut self, at: f64) {
+        let Some(interval) = self.plan.restart_interval else {
+            return;
+        };
+        if at < FEWER_PLACES_AT + (self.restarted + 1) as f64 * interval {
+            return;
+        }
+        let server = self.restarted % self.plan.servers;
+        self.restarted += 1;
+        if self.servers[server].down_until.is_none() {
+            self.stop_server(server, at);
+        }
+    }
+
+    /// Stops a server, which loses its requests.
+    fn stop_server(&mut self, server: usize, at: f64) {
+        let removed = ServerChange::Removed(self.entry(server).id);
+        let state = &mut self.servers[server];
+        state.rejections.clear();
+        state.down_until = Some(at + DOWN_SECONDS);
+        let running = state.running.drain(..);
+        let lost: Vec<SimRun> = running.chain(state.waiting.drain(..)).collect();
+        let now = self.now(at);
+        for run in lost {
+            let table = &mut self.nodes[run.node].table;
+            table.finish(run.ticket, WorkOutcome::Broken, now);
+        }
+        if self.plan.has_new_ids {
+            self.announce(&removed, at);
         }
     }
 
@@ -240,14 +380,19 @@
                 let Some(mut run) = self.servers[server].waiting.pop_front() else {
                     break;
                 };
-                run.ends = at + self.run_time();
+                run.ends = at + self.run_time(server);
                 self.servers[server].running.push(run);
             }
         }
     }
 
-    fn run_time(&mut self) -> f64 {
-        self.plan.run_seconds * (0.5 + self.rng.f64())
+    fn run_time(&mut self, server: usize) -> f64 {
+        let speed = if self.plan.has_mixed_speeds {
+            SPEEDS[server % SPEEDS.len()]
+        } else {
+            1.0
+        };
+        self.plan.run_seconds * (0.5 + self.rng.f64()) / speed
     }
 
     /// Hands the statement of an answer to a node.
@@ -283,7 +428,8 @@
             unix_ms: UNIX_MS + (at * 1e3) as u64,
         };
         let mut packets: Vec<(SocketAddr, SocketAddr, Vec<u8>)> = Vec::new();
-        for node in &mut self.nodes {
+        let active = self.plan.nodes_at(at);
+        for node in &mut self.nodes[..active] {
             node.table.exchange_with(&mut node.exchange, moment.now);
             let own = node
                 .exchange
@@ -304,7 +450,11 @@
             if self.plan.lost_messages > 0.0 && self.rng.f64() < self.plan.lost_messages {
                 continue;
             }
-            let node = &mut self.nodes[usize::from(to.port() - 1_000)];
+            let node = usize::from(to.port() - 1_000);
+            if node >= active {
+                continue;
+            }
+            let node = &mut self.nodes[node];
             let received = node.exchange.receive(&bytes, from, &mut node.sync, moment);
             received.expect("a valid message");
             let (answers, _, reported) = node.statements.receive(&mut node.exchange, time);
@@ -335,7 +485,7 @@
         let expected = load * capacity / self.plan.run_seconds * STEP;
         let count = expected.floor() as usize + usize::from(self.rng.f64() < expected.fract());
         for _ in 0..count {
-            let node = self.rng.usize(..self.nodes.len());
+            let node = self.rng.usize(..self.plan.nodes_at(at));
             self.pending.push(Pending {
                 node,
                 sent: at,
@@ -376,6 +526,11 @@
             let number = pick.server.id.rsplit('-').next();
             let server: usize = number.and_then(|text| text.parse().ok()).expect("an index");
             request.tried.push(pick.server.id.clone());
+            if pick.server.start_time != Some(self.servers[server].starts) {
+                let table = &mut self.nodes[request.node].table;
+                table.finish(ticket, WorkOutcome::Refused, now);
+                continue;
+            }
             match self.offer(server, request.node, ticket, at) {
                 None => return SendResult::Accepted,
                 Some((ticket, outcome)) => {
@@ -402,7 +557,7 @@
         } else {
             self.plan.places_later
         };
-        let ends = at + self.run_time();
+        let ends = at + self.run_time(server);
         let run = SimRun { node, ticket, ends };
         let state = &mut self.servers[server];
         if state.running.len() < self.plan.slots as usize {
@@ -426,19 +581,8 @@
         if state.rejections.len() as u32 <= self.plan.rejection_limit {
             return;
         }
-        state.rejections.clear();
-        state.down_until = Some(at + DOWN_SECONDS);
         self.result.falls += 1;
-        let lost: Vec<SimRun> = state
-            .running
-            .drain(..)
-            .chain(state.waiting.drain(..))
-            .collect();
-        let now = self.now(at);
-        for run in lost {
-            let table = &mut self.nodes[run.node].table;
-            table.finish(run.ticket, WorkOutcome::Broken, now);
-        }
+        self.stop_server(server, at);
     }
 }
 
--- a/crates/plumgate/tests/brittle_servers.rs
+++ b/crates/plumgate/tests/brittle_servers.rs
@@ -7,22 +7,7 @@
 
 /// Returns a plan: this many nodes, and a burst over the capacity of the servers.
 fn plan(nodes: usize, seed: u64) -> BrittlePlan {
-    BrittlePlan {
-        nodes,
-        servers: 6,
-        slots: 32,
-        places: 6,
-        places_later: 1,
-        rejection_limit: 12,
-        run_seconds: 0.8,
-        load: 0.7,
-        burst_load: 1.3,
-        seconds: 20.0,
-        states: true,
-        joined_one_by_one: false,
-        lost_messages: 0.0,
-        seed,
-    }
+    BrittlePlan::new(nodes, 6, 32, seed)
 }
 
 /// Returns the number of falls that are tolerated in one time of brittle servers.
