place rooms: servers that come or go move no places at other servers

Cause: the places of all servers of a pool were dealt out as one sequence. A server that came or went shifted all places after it, and their new owners sent beside the former owners' requests. A fall is such a change too, so that falls brought more falls. Class: what many nodes deal out alone depends on more than the thing that is dealt out. Change: the owner of a server's first place follows from its incarnation alone.

--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -156,18 +156,12 @@
         if self.servers.values().any(ServerLoad::is_brittle) {
             self.ranks.prepare(exchange, now);
         }
-        let mut slots_before: HashMap<PoolId, usize> = HashMap::new();
         for load in self.servers.values_mut() {
             if counts_peers {
                 load.peers = exchange.peer_work(&load.entry, now);
             }
-            let dealt = slots_before.entry(load.entry.pool.clone()).or_default();
-            let share = PlaceShare {
-                rank,
-                slots_before: *dealt,
-            };
-            *dealt += load.entry.slots as usize;
-            load.set_share(share);
+            let incarnation = load.incarnation();
+            load.set_share(PlaceShare { rank, incarnation });
             // Looked up by server: comparing each location with each server is too much work for a small VM.
             for part in parts.remove(&server_key(&load.entry)).unwrap_or_default() {
                 load.record_part(part, now);
--- a/crates/plumgate/src/gateway/placement/server_room.rs
+++ b/crates/plumgate/src/gateway/placement/server_room.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::place_ranks::NodeRank;
+use crate::gateway::servers::IncarnationId;
 
 /// Time after a rejection in which no request is sent to the server: until all nodes know it, and the load that they
 /// report includes what was sent before.
@@ -19,17 +20,18 @@
 pub(crate) struct PlaceShare {
     /// Rank of the node.
     pub(crate) rank: NodeRank,
-    /// Slots of the servers that come before this one: the places of all servers are dealt out as one sequence, so
-    /// that each node has as many.
-    pub(crate) slots_before: usize,
+    /// The incarnation of the server. It decides which node owns the first place, whatever other servers there are:
+    /// their coming and going must not move places that are in use.
+    pub(crate) incarnation: IncarnationId,
 }
 
 impl PlaceShare {
     /// Returns how many places of a server of this capacity are this node's own.
     fn places(&self, capacity: usize) -> usize {
         let NodeRank { nodes, rank } = self.rank;
-        let dealt = |end: usize| (end + nodes - 1 - rank) / nodes;
-        dealt(self.slots_before + capacity) - dealt(self.slots_before)
+        let first_owner = (self.incarnation % nodes as u64) as usize;
+        let first_own = (rank + nodes - first_owner) % nodes;
+        capacity.saturating_sub(first_own).div_ceil(nodes)
     }
 }
 
@@ -76,7 +78,7 @@
             rejected_at: None,
             share: PlaceShare {
                 rank: NodeRank { nodes: 1, rank: 0 },
-                slots_before: 0,
+                incarnation: 0,
             },
             lent: 0,
             borrowed: 0,
