tunnels: nodes that stop do not use up the nodes that are asked

Callers of a node that is cut off from its servers got 503 while the nodes of its data centre stopped together, though a node of another data centre reached the server.

Cause: a stopping node answered "busy"; it counted among the six nodes that are asked for one connection, and was asked again 100 ms later. With six or more stopping nodes nearby, no other one was asked, and the server counted as unreachable for 400 ms.

Evidence: tunnel_stops::requests_are_served_while_most_nodes_that_may_be_asked_stop, before the change: 20 of 20 requests refused; near-0 asked six nodes in 7 ms, each result=busy, the others ended as connect_paused.

Fix: a stopping node says so (reply byte 9; still "busy" to nodes of the previous build, which do not name themselves). It is not asked again for a second, and does not count among the six; the 200 ms for all of them bind as before.

--- a/crates/plumgate-node/src/gateway/tunnels.rs
+++ b/crates/plumgate-node/src/gateway/tunnels.rs
@@ -36,7 +36,7 @@
 const SERVER_TIMEOUT: Duration = Duration::from_millis(80);
 /// Maximum time for which a tunnel is requested, at one node after another.
 pub(crate) const TUNNEL_TIMEOUT: Duration = Duration::from_millis(200);
-/// Maximum number of nodes that are asked for one connection, one after another.
+/// Maximum number of nodes that are asked for one connection, one after another; those that stop don't count.
 const MAX_PEERS_ASKED: usize = 6;
 /// Maximum number of tunnels that this node keeps open for others.
 const MAX_TUNNELS: u64 = 400;
@@ -68,9 +68,9 @@
     purpose: ConnectionPurpose<'_>,
     deadline: Instant,
 ) -> Result<HttpLink, ConnectFailure> {
-    let mut tried = Vec::new();
+    let (mut tried, mut asked) = (Vec::new(), 0);
     let mut failure = ConnectFailure::Silent;
-    while tried.len() < MAX_PEERS_ASKED {
+    while asked < MAX_PEERS_ASKED {
         let now = shared.clock.now();
         let Some(peer) = shared.tunnel_peers().choose(&tried, now) else {
             break;
@@ -83,6 +83,7 @@
         if result == TunnelResult::ServerRefused {
             failure = ConnectFailure::Refused;
         }
+        asked += usize::from(result != TunnelResult::Stopping);
         tried.push(peer.node);
         if shared.clock.now() >= deadline {
             break;
@@ -137,6 +138,7 @@
         TunnelRefusal::ServerSilent | TunnelRefusal::UnknownServer => TunnelResult::Failed,
         TunnelRefusal::CutOff => TunnelResult::CutOff,
         TunnelRefusal::Busy => TunnelResult::Busy,
+        TunnelRefusal::Stopping => TunnelResult::Stopping,
         TunnelRefusal::Invalid => TunnelResult::Unsupported,
     };
     (result, None)
@@ -208,8 +210,13 @@
         shared.record_refused_request(error);
         TunnelRefusal::Invalid
     })?;
-    let has_room = shared.open_tunnels.load(Ordering::SeqCst) <= MAX_TUNNELS;
-    if !has_room || !shared.lifecycle.load().ready {
+    if !shared.lifecycle.load().ready {
+        return Err(match user {
+            Some(_) => TunnelRefusal::Stopping,
+            None => TunnelRefusal::Busy,
+        });
+    }
+    if shared.open_tunnels.load(Ordering::SeqCst) > MAX_TUNNELS {
         return Err(TunnelRefusal::Busy);
     }
     let server = shared.loads().entry(&wanted.id.into()).cloned();
--- a/crates/plumgate/src/gateway/reachability/tunnel_messages.rs
+++ b/crates/plumgate/src/gateway/reachability/tunnel_messages.rs
@@ -60,14 +60,16 @@
     UnknownServer,
     /// This node doesn't reach the server either.
     CutOff,
-    /// This node has no room, or is stopping.
+    /// This node has no room. To a node of an older build also: it is stopping.
     Busy,
+    /// This node is stopping, or not ready yet.
+    Stopping,
     /// The request was forged, repeated, too old or malformed.
     Invalid,
 }
 
 /// The answers with their bytes. None is the first byte of an HTTP answer, which an older build would send.
-const REPLIES: [(TunnelReply, u8); 8] = [
+const REPLIES: [(TunnelReply, u8); 9] = [
     (TunnelReply::Opened, 1),
     (TunnelReply::Refused(TunnelRefusal::ServerRefused), 2),
     (TunnelReply::Refused(TunnelRefusal::ServerSilent), 3),
@@ -76,6 +78,7 @@
     (TunnelReply::Refused(TunnelRefusal::Busy), 6),
     (TunnelReply::Refused(TunnelRefusal::Invalid), 7),
     (TunnelReply::OpenedMarked, 8),
+    (TunnelReply::Refused(TunnelRefusal::Stopping), 9),
 ];
 
 impl TunnelReply {
@@ -88,6 +91,7 @@
             Self::Refused(TunnelRefusal::UnknownServer) => "unknown_server",
             Self::Refused(TunnelRefusal::CutOff) => "cut_off",
             Self::Refused(TunnelRefusal::Busy) => "busy",
+            Self::Refused(TunnelRefusal::Stopping) => "stopping",
             Self::Refused(TunnelRefusal::Invalid) => "invalid",
         }
     }
--- a/crates/plumgate/src/gateway/reachability/tunnel_peers.rs
+++ b/crates/plumgate/src/gateway/reachability/tunnel_peers.rs
@@ -10,6 +10,8 @@
 const CUT_OFF_PAUSE: Duration = Duration::from_millis(500);
 /// Pause of a node that has no room.
 const BUSY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause of a node that is stopping, or not ready yet.
+const STOPPING_PAUSE: Duration = Duration::from_secs(1);
 /// Pause of a node that gave no answer; doubled by each further one.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(500);
 /// Time for which a node that did not reach a server is asked after all others.
@@ -30,8 +32,10 @@
     Failed,
     /// The other node does not reach the server either, and did not try.
     CutOff,
-    /// The other node has no room, or is stopping.
+    /// The other node has no room.
     Busy,
+    /// The other node is stopping, or not ready yet.
+    Stopping,
     /// No answer arrived in time, or the connection to the other node failed.
     Unanswered,
     /// The other node does not know the message.
@@ -47,6 +51,7 @@
             Self::Failed => "failed",
             Self::CutOff => "cut_off",
             Self::Busy => "busy",
+            Self::Stopping => "stopping",
             Self::Unanswered => "unanswered",
             Self::Unsupported => "unsupported",
         }
@@ -163,6 +168,7 @@
             }
             TunnelResult::CutOff => CUT_OFF_PAUSE,
             TunnelResult::Busy => BUSY_PAUSE,
+            TunnelResult::Stopping => STOPPING_PAUSE,
             TunnelResult::Unanswered => UNANSWERED_PAUSE * (1 << peer.failures),
             TunnelResult::Unsupported => UNSUPPORTED_PAUSE,
         };
