--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -12,6 +12,7 @@
 use super::incarnations::ServerIncarnation;
 use super::metrics::{AnswerEndLabels, OutcomeLabels, ReasonLabels};
 use super::ports::WireFormat;
+use super::request::PATH_LOST;
 use super::run::RelayRun;
 use crate::clock::Clock;
 use crate::log::LogLine;
@@ -210,6 +211,7 @@
 fn closed_by(reason: &str) -> &'static str {
     match reason {
         "broken" | "cut" | "closed_before_send" => "server",
+        PATH_LOST => "path",
         "connect_refused" | "connect_silent" | "connect_paused" => "none",
         _ => "node",
     }
