gateway: a node that stops begins only runs that can end before it does

Cause: nothing compared the time that a run needs with what was left of the process. The same for retries, resumptions at another server and races with a second one. Change: before the body is read, before each choice of a server and before each further run the node asks NodeStop. Expected times are learnt by route (RunTimes). Refused requests get 503 as not run with `Connection: close` and Retry-After 20 ms. A run of which nothing is known begins while the balancer still sends new connections. `start_refused` names what was compared.

--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -19,6 +19,7 @@
 use super::ports::{RequestMetadata, WireFormat};
 use super::request::RelayRequest;
 use super::shared::GatewayShared;
+use super::stopping::{StartCheck, stopping_error};
 use crate::caller_error::CallerError;
 use crate::clock::{Clock, until};
 
@@ -60,6 +61,16 @@
     let workspace = find_workspace(shared, &config, &route, &metadata)?;
     let timeout = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let due = arrived + timeout.min(route.timeout);
+    let check = StartCheck {
+        request: &id,
+        route: &route,
+        due,
+        output_hint: metadata.output_hint,
+        wait: Duration::ZERO,
+    };
+    if !shared.may_start(&check) {
+        return Err(stopping_error());
+    }
     let mut hasher = IdentityHasher::new(RequestHead {
         workspace: workspace.map(|owner| &owner.workspace),
         method: head.method.as_str(),
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 mod snapshot_requests;
 mod snapshots;
 mod source_calls;
+mod stopping;
 mod stream;
 mod stream_content;
 mod stream_origins;
--- a/crates/plumgate-node/src/gateway/relay/server_choice.rs
+++ b/crates/plumgate-node/src/gateway/relay/server_choice.rs
@@ -122,6 +122,7 @@
         let ServerChoice::Server(pick) = choice else {
             return self.without_server(&choice, &placement, AdmissionMoment { now, spread });
         };
+        self.check_start(pick.wait)?;
         if !std::mem::replace(&mut self.is_demand_recorded, true) {
             let mut loads = self.shared.loads();
             loads.record_demand(&self.request.pool, &pick, now);
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -156,6 +156,9 @@
 
     /// Counts and logs the outcome of the request.
     pub(crate) fn report(&mut self, outcome: RunOutcome, reason: &'static str, status: StatusCode) {
+        if outcome == RunOutcome::Answered && status.is_success() {
+            self.record_run_time();
+        }
         self.log_end(outcome, reason, Some(status));
     }
 }
--- a/crates/plumgate-node/src/gateway/run.rs
+++ b/crates/plumgate-node/src/gateway/run.rs
@@ -331,6 +331,7 @@
         may_run_again(RunOutcome::Unknown, self.request.route.kind.is_repeatable())
             && self.has_attempts_left()
             && self.time_left() > MIN_ATTEMPT_TIME
+            && self.may_start(Duration::ZERO)
             && !matches!(self.quarantine_verdict(), RequestVerdict::Block(_))
     }
 
--- a/crates/plumgate-node/src/gateway/second_run.rs
+++ b/crates/plumgate-node/src/gateway/second_run.rs
@@ -130,6 +130,9 @@
                 }
                 ServerChoice::None => return None,
             };
+            if !self.may_start(pick.wait) {
+                return None;
+            }
             match self.request_permit(&pick).await {
                 Ok(permit) => return Some((*pick, permit)),
                 Err(_) => self.choices.record_refusal(SendRefusal::Limited),
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -12,8 +12,8 @@
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
     FreshnessLease, GatewayConfig, LoadTable, NodeStop, PathTable, PlacementOptions,
-    QuarantineTable, ReadAheadBounds, ReadAheadTable, ServerStatements, StreamOrigins, TunnelGate,
-    TunnelPeers, WindowBudget, WorkspaceShares,
+    QuarantineTable, ReadAheadBounds, ReadAheadTable, RunTimes, ServerStatements, StreamOrigins,
+    TunnelGate, TunnelPeers, WindowBudget, WorkspaceShares,
 };
 use plumgate::ids::WorkspaceId;
 
@@ -89,6 +89,7 @@
     usage: Mutex<UsageTally>,
     shares: Mutex<WorkspaceShares>,
     waiting: Mutex<WaitState>,
+    pub(super) run_times: Mutex<RunTimes>,
     /// Difference between the Unix time that the nodes agree on and the time since the VM started, in
     /// milliseconds.
     pub(crate) unix_offset_ms: AtomicI64,
@@ -168,6 +169,7 @@
             usage: Mutex::default(),
             shares: Mutex::new(WorkspaceShares::new(options.switches)),
             waiting: Mutex::default(),
+            run_times: Mutex::default(),
             unix_offset_ms: AtomicI64::new(0),
             rng: Mutex::new(fastrand::Rng::with_seed(options.node_seed())),
             open_requests: Mutex::default(),
--- /dev/null
+++ b/crates/plumgate-node/src/gateway/stopping.rs
@@ -0,0 +1,130 @@
+//! Runs of a node that stops: which ones may begin, and the refusal of the others.
+
+use std::sync::{MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use hyper::StatusCode;
+use plumgate::RunOutcome;
+use plumgate::gateway::{GatewayRoute, RunForecast, RunPlan, RunTime, RunTimes};
+
+use super::ports::WireFormat;
+use super::run::RelayRun;
+use super::shared::GatewayShared;
+use crate::caller_error::CallerError;
+use crate::clock::Clock;
+use crate::log::LogLine;
+
+/// Reason of a refusal because the process ends too soon.
+pub(crate) const STOPPING: &str = "node_stopping";
+/// Delay that a caller is asked for: its next connection leads to another node.
+const STOPPING_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Run that a node may begin.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StartCheck<'a> {
+    /// Id of the request.
+    pub(crate) request: &'a str,
+    /// Route of the request.
+    pub(crate) route: &'a GatewayRoute,
+    /// Time limit of the request.
+    pub(crate) due: Instant,
+    /// Length of the answer that the caller expects.
+    pub(crate) output_hint: Option<u32>,
+    /// Predicted time until the answer begins.
+    pub(crate) wait: Duration,
+}
+
+/// Returns the refusal of a request that can't end before the process does.
+pub(crate) fn stopping_error() -> CallerError {
+    CallerError::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        STOPPING,
+        "this node stops before the request could end; it was not run",
+        STOPPING_RETRY_DELAY,
+    )
+}
+
+impl<C: Clock, W> GatewayShared<C, W> {
+    /// Returns the times that runs took lately.
+    pub(crate) fn run_times(&self) -> MutexGuard<'_, RunTimes> {
+        let locked = self.run_times.lock();
+        locked.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether a run may begin now, and logs if it may not because the node stops.
+    pub(crate) fn may_start(&self, check: &StartCheck<'_>) -> bool {
+        let Some(stop) = self.stop.get() else {
+            return true;
+        };
+        let now = self.clock.now();
+        let forecast = RunForecast {
+            route: &check.route.name,
+            wait: check.wait,
+            output_hint: check.output_hint,
+        };
+        let plan = RunPlan {
+            due: check.due,
+            expected: self.run_times().expected(&forecast),
+        };
+        if stop.allows(&plan, now) {
+            return true;
+        }
+        let due_in = check.due.saturating_duration_since(now);
+        LogLine::new("start_refused")
+            .with("request", check.request)
+            .with("route", &check.route.name)
+            .with_some(
+                "expected_ms",
+                plan.expected.map(|expected| expected.as_millis()),
+            )
+            .with("due_in_ms", due_in.as_millis())
+            .with_stop_age(self.stop_age(now))
+            .info(&self.log);
+        false
+    }
+}
+
+impl<C: Clock, W: WireFormat> RelayRun<C, W> {
+    /// Returns whether a further run of the request may begin now, at a server with this predicted wait.
+    pub(crate) fn may_start(&self, wait: Duration) -> bool {
+        self.shared.may_start(&StartCheck {
+            request: &self.request.id,
+            route: &self.request.route,
+            due: self.request.due,
+            output_hint: self.request.metadata.output_hint,
+            wait,
+        })
+    }
+
+    /// Fails if a further run of the request may not begin now.
+    pub(crate) fn check_start(&self, wait: Duration) -> Result<(), CallerError> {
+        if self.may_start(wait) {
+            return Ok(());
+        }
+        Err(match self.run.outcome() {
+            RunOutcome::NotRun => stopping_error(),
+            RunOutcome::Unknown | RunOutcome::Answered => CallerError::unknown(
+                STOPPING,
+                "this node stops; the request may have run, and is not sent again",
+            ),
+        })
+    }
+
+    /// Records the time of a complete run at the only server that was tried.
+    pub(crate) fn record_run_time(&self) {
+        let (Some(started_at), Some(first_byte), [_]) =
+            (self.attempt_started_at, self.first_byte, &self.tried[..])
+        else {
+            return;
+        };
+        let first_at = self.request.arrived + first_byte;
+        let now = self.shared.clock.now();
+        let time = RunTime {
+            first: first_at.saturating_duration_since(started_at),
+            rest: now.saturating_duration_since(first_at),
+            output_hint: self.request.metadata.output_hint,
+        };
+        let route = &self.request.route.name;
+        self.shared.run_times().record(route, time);
+    }
+}
--- a/crates/plumgate/src/gateway/node_stop.rs
+++ b/crates/plumgate/src/gateway/node_stop.rs
@@ -6,6 +6,8 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
 /// Time before the end of the process by which the last answer should be complete.
 const ANSWER_RESERVE: Duration = Duration::from_millis(400);
+/// Share of a stop that a run of which nothing is known is given.
+const UNKNOWN_SHARE: f64 = 0.6;
 /// Factor by which a run may take longer than expected.
 const TIME_MARGIN: f64 = 1.25;
 
@@ -53,7 +55,10 @@
     /// Returns whether a run may begin: its time limit ends, or it is expected to end, before the process does.
     pub fn allows(&self, plan: &RunPlan, now: Instant) -> bool {
         let until = self.answers_until();
-        let fits = |expected: Duration| now + expected.mul_f64(TIME_MARGIN) <= until;
-        plan.due <= until || plan.expected.is_some_and(fits)
+        let needed = plan.expected.map_or_else(
+            || (self.ends_at - self.requested_at).mul_f64(UNKNOWN_SHARE),
+            |expected| expected.mul_f64(TIME_MARGIN),
+        );
+        plan.due <= until || now + needed <= until
     }
 }
