gateway: a body that does not arrive before a node ends is refused

Callers saw: a request whose body was still arriving at the end of the drain got no answer. Cause: a body was read until the request's time limit, whatever was left of the process.

--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_lite::future;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -202,7 +203,16 @@
             frame
         })
         .collect();
-    match until(&shared.clock, due, read).await {
+    let stopping = async {
+        shared.wait_for_last_start().await;
+        None
+    };
+    let read = async { Some(until(&shared.clock, due, read).await) };
+    // A body that is not complete by then is refused while its caller can still be told.
+    let Some(read_result) = future::or(read, stopping).await else {
+        return Err(stopping_error());
+    };
+    match read_result {
         Some(Ok(collected)) => Ok(collected.to_bytes()),
         Some(Err(error)) if error.is::<LengthLimitError>() => {
             let message = format!("the body is larger than {} bytes", limits.body_bytes);
--- a/crates/plumgate-node/src/gateway/stopping.rs
+++ b/crates/plumgate-node/src/gateway/stopping.rs
@@ -82,6 +82,18 @@
             .info(&self.log);
         false
     }
+
+    /// Waits until a node that stops can begin no further run.
+    pub(crate) async fn wait_for_last_start(&self) {
+        loop {
+            let changed = self.lifecycle_changed.listen();
+            if let Some(stop) = self.stop.get() {
+                self.clock.sleep_until(stop.answers_until()).await;
+                return;
+            }
+            changed.await;
+        }
+    }
 }
 
 impl<C: Clock, W: WireFormat> RelayRun<C, W> {
