gateway: a stop does not reset answers that callers have not read yet

Cause: a connection closed because the node leaves was closed at once; a request that crosses the close is answered by a reset, which drops what the system still holds for the caller. Change: such a connection is first closed for writing, and what arrives is read and discarded, as after a last answer. That lasts up to 2 s now, so that a caller may stop reading for a second.

--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -211,7 +211,7 @@
     };
     report_end(&shared, reason, &activity, &delivery, stream.get_ref());
     let is_reset = delivery.reset_if_truncated(&shared.clock, &stream).await;
-    let is_open = reason == CloseReason::Served && activity.summary().caller_end.is_none();
+    let is_open = reason != CloseReason::Expired && activity.summary().caller_end.is_none();
     if is_open && !is_reset {
         discard_rest(&shared.clock, &stream).await;
     }
--- a/crates/plumgate-node/src/gateway/connection_close.rs
+++ b/crates/plumgate-node/src/gateway/connection_close.rs
@@ -23,7 +23,7 @@
 /// Time for which the rest of a rejected request may make no progress.
 const MAX_DISCARD_STALL: Duration = Duration::from_secs(2);
 /// Time for which what a caller still sends is read after the node has closed its own side.
-const LINGER_TIME: Duration = Duration::from_secs(1);
+const LINGER_TIME: Duration = Duration::from_secs(2);
 /// Size of the buffer for what is discarded, in bytes.
 const DISCARD_BUFFER: usize = 4 * 1024;
 
