place rooms: a server that restarts is not the own one of every node

Servers saw: with 81 nodes and 4 brittle servers of 6 slots, of which one a second restarts, 6 falls in 14 s where 2 are tolerated. Cause: the room of a server that was added counted its node as the only one until the next round of the exchange, up to 100 ms later. Each node had all places of an empty server, which all prefer. Class: a default that grants everything until the truth is known. Change: the table keeps the node's rank and deals it out when it adds a server.

--- a/crates/plumgate/src/gateway/placement/candidates.rs
+++ b/crates/plumgate/src/gateway/placement/candidates.rs
@@ -109,8 +109,9 @@
 
     /// Sets whether a server is brittle: such a server gets no request for which it probably has no room.
     pub fn set_brittle(&mut self, server: &ServerId, is_brittle: bool, now: Instant) {
+        let rank = self.own_rank;
         if let Some(load) = self.servers.get_mut(server) {
-            load.set_brittle(is_brittle, now);
+            load.set_brittle(is_brittle, rank, now);
         }
         self.set_untried_brittle(now);
     }
@@ -119,20 +120,22 @@
     /// would find out too late.
     fn set_untried_brittle(&mut self, now: Instant) {
         let brittle = self.servers.values().filter(|load| load.is_brittle());
+        let rank = self.own_rank;
         let pools: BTreeSet<PoolId> = brittle.map(|load| load.entry.pool.clone()).collect();
         for load in self.servers.values_mut() {
             if load.answered_at.is_none() && pools.contains(&load.entry.pool) {
-                load.set_brittle(true, now);
+                load.set_brittle(true, rank, now);
             }
         }
     }
 
     /// Sets which servers are brittle. `boot` and `now` are the same moment on the two clocks.
     pub fn set_all_brittle(&mut self, brittle: &BrittleTable, boot: BootTime, now: Instant) {
+        let rank = self.own_rank;
         for load in self.servers.values_mut() {
             let is_brittle = brittle.limit(load.incarnation(), boot).is_some();
             let is_untried = load.answered_at.is_none() && load.is_brittle();
-            load.set_brittle(is_brittle || is_untried, now);
+            load.set_brittle(is_brittle || is_untried, rank, now);
         }
         self.set_untried_brittle(now);
     }
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -13,11 +13,11 @@
 use super::engine_memory::{EngineMemory, MemoryReservation};
 use super::groups::GroupShares;
 use super::place_loans::PlaceLoans;
-use super::place_ranks::PlaceRanks;
+use super::place_ranks::{NodeRank, PlaceRanks};
 use super::prefill_speed::PrefillSpeeds;
 use super::profiles::{ProfileChange, ProfileCounts, ProfileTable};
 use super::server_load::{CostPrediction, ServerLoad, TokenCosts};
-use super::server_room::PlaceShare;
+
 use crate::duty::{CapacityType, PoolLoad};
 use crate::gateway::config::StreamClass;
 use crate::gateway::exchange::LoadExchange;
@@ -65,6 +65,8 @@
     pub(super) loans: PlaceLoans,
     /// Ranks by which places at brittle servers are dealt out.
     pub(super) ranks: PlaceRanks,
+    /// Rank of this node as of the last round of the exchange.
+    pub(super) own_rank: NodeRank,
     /// Memory of the engines of each pool.
     pub(super) memory: EngineMemory,
 }
@@ -85,6 +87,7 @@
             demand: DemandMeter::default(),
             loans: PlaceLoans::default(),
             ranks: PlaceRanks::default(),
+            own_rank: NodeRank::ALONE,
             memory: EngineMemory::default(),
         }
     }
@@ -129,7 +132,7 @@
         let of_pool = self.servers.values();
         let mut of_pool = of_pool.filter(|load| load.entry.pool == entry.pool);
         let mut load = ServerLoad::new(entry.clone(), now);
-        load.set_brittle(of_pool.any(ServerLoad::is_brittle), now);
+        load.set_brittle(of_pool.any(ServerLoad::is_brittle), self.own_rank, now);
         self.servers.insert(entry.id.clone(), load);
     }
 
@@ -153,6 +156,7 @@
         }
         let counts_peers = self.has(PolicyPart::Exchange);
         let rank = self.ranks.own_rank(exchange, now);
+        self.own_rank = rank;
         if self.servers.values().any(ServerLoad::is_brittle) {
             self.ranks.prepare(exchange, now);
         }
@@ -160,8 +164,7 @@
             if counts_peers {
                 load.peers = exchange.peer_work(&load.entry, now);
             }
-            let incarnation = load.incarnation();
-            load.set_share(PlaceShare { rank, incarnation });
+            load.set_rank(rank);
             // Looked up by server: comparing each location with each server is too much work for a small VM.
             for part in parts.remove(&server_key(&load.entry)).unwrap_or_default() {
                 load.record_part(part, now);
--- a/crates/plumgate/src/gateway/placement/place_ranks.rs
+++ b/crates/plumgate/src/gateway/placement/place_ranks.rs
@@ -23,6 +23,11 @@
     pub(crate) rank: usize,
 }
 
+impl NodeRank {
+    /// Rank of a node that knows no others.
+    pub(crate) const ALONE: Self = Self { nodes: 1, rank: 0 };
+}
+
 #[derive(Debug)]
 struct ReceivedRank {
     from: NodeId,
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -5,6 +5,7 @@
 
 use super::choice::{PlacementOptions, PlacementRequest, SendDeferral};
 use super::engine_memory::ServerMemory;
+use super::place_ranks::NodeRank;
 use super::profiles::{ServerPace, ServerProfile};
 use super::server_room::{PlaceShare, PlaceUse, ServerRoom};
 use crate::gateway::config::StreamClass;
@@ -253,10 +254,14 @@
             .max_by_key(|deferral| deferral.until)
     }
 
-    /// Sets whether the server is brittle.
-    pub(crate) fn set_brittle(&mut self, is_brittle: bool, now: Instant) {
+    /// Sets whether the server is brittle. This node's rank decides which of its places are this node's own.
+    pub(crate) fn set_brittle(&mut self, is_brittle: bool, rank: NodeRank, now: Instant) {
         match (is_brittle, &self.room) {
-            (true, None) => self.room = Some(ServerRoom::new(self.entry.slots, now)),
+            (true, None) => {
+                let incarnation = self.incarnation;
+                let share = PlaceShare { rank, incarnation };
+                self.room = Some(ServerRoom::new(self.entry.slots, share, now));
+            }
             (false, Some(_)) => self.room = None,
             (true, Some(_)) | (false, None) => {}
         }
@@ -274,10 +279,11 @@
         }
     }
 
-    /// Sets which places of its room are this node's own.
-    pub(crate) fn set_share(&mut self, share: PlaceShare) {
+    /// Sets the rank that decides which places of its room are this node's own.
+    pub(crate) fn set_rank(&mut self, rank: NodeRank) {
+        let incarnation = self.incarnation;
         if let Some(room) = &mut self.room {
-            room.set_share(share);
+            room.set_share(PlaceShare { rank, incarnation });
         }
     }
 
--- a/crates/plumgate/src/gateway/placement/server_room.rs
+++ b/crates/plumgate/src/gateway/placement/server_room.rs
@@ -69,17 +69,14 @@
 
 impl ServerRoom {
     /// Creates the room of a server of which no rejection is known.
-    pub(crate) fn new(slots: u32, now: Instant) -> Self {
+    pub(crate) fn new(slots: u32, share: PlaceShare, now: Instant) -> Self {
         let slots = f64::from(slots.max(1));
         Self {
             slots,
             capacity: slots,
             capacity_at: now,
             rejected_at: None,
-            share: PlaceShare {
-                rank: NodeRank { nodes: 1, rank: 0 },
-                incarnation: 0,
-            },
+            share,
             lent: 0,
             borrowed: 0,
         }
