--- a/crates/plumgate/tests/brittle_changes.rs
+++ b/crates/plumgate/tests/brittle_changes.rs
@@ -70,6 +70,19 @@
     }
 }
 
+/// Guards against a pool whose nodes forget that its servers are brittle while none of them is up.
+#[test]
+fn servers_that_return_after_all_were_gone_are_known_as_brittle() {
+    for seed in 0..2 {
+        check_falls(BrittlePlan {
+            restart_interval: Some(1.0),
+            has_new_ids: true,
+            seconds: 14.0,
+            ..few_slots_plan(81, seed)
+        });
+    }
+}
+
 /// Guards against places that change their owners when nodes register.
 #[test]
 fn nodes_that_register_bring_no_server_down() {
