place rooms: a pool stays known as brittle while none of its servers is up

Servers saw: with 81 nodes and 4 brittle servers of 6 slots, which restart one a second under new ids, 6 falls in 14 s where 2 are tolerated. Cause: a server that was added counted as brittle if another one of its pool did. Between 7 and 8 s all four were gone; those that returned counted as sound at every node until its first answer. Also by reading: a server that counted as brittle and never answered a node did so for good, as nothing was looked at any more once the last statement had lapsed. Class: what is known of a group is kept at its members and goes with them. Change: the table keeps until when each pool counts as brittle (30 s after the last statement, not after an answer without one), and servers that have not answered count as brittle for that long. Not run: a test of the part found by reading.

--- a/crates/plumgate-node/src/gateway/exchange/rounds.rs
+++ b/crates/plumgate-node/src/gateway/exchange/rounds.rs
@@ -82,7 +82,7 @@
         }
         let is_known = |id| loads.entries().any(|entry| entry.incarnation_id() == id);
         statements.notices.remove_expired(moment.boot, is_known);
-        if !statements.brittle.is_empty() {
+        if !statements.brittle.is_empty() || loads.has_brittle() {
             statements.brittle.remove_expired(moment.boot);
             loads.set_all_brittle(&statements.brittle, moment.boot, moment.now);
         }
--- a/crates/plumgate/src/gateway/placement/candidates.rs
+++ b/crates/plumgate/src/gateway/placement/candidates.rs
@@ -1,7 +1,6 @@
 //! Selection of the servers that may receive a request, by what they reported themselves and by what this
 //! node observed of them.
 
-use std::collections::BTreeSet;
 use std::time::Instant;
 
 use super::choice::{PlacementRequest, SendDeferral};
@@ -10,7 +9,9 @@
 use crate::gateway::origins::StreamOrigin;
 use crate::gateway::rate_limit::BootTime;
 use crate::gateway::servers::{IncarnationId, ServerEntry};
-use crate::gateway::statements::{BrittleTable, NoticeTable, ServerAvailability};
+use crate::gateway::statements::{
+    BrittleTable, NoticeTable, STATEMENT_RETENTION, ServerAvailability,
+};
 use crate::ids::{PoolId, ServerId};
 
 impl LoadTable {
@@ -110,34 +111,57 @@
     /// Sets whether a server is brittle: such a server gets no request for which it probably has no room.
     pub fn set_brittle(&mut self, server: &ServerId, is_brittle: bool, now: Instant) {
         let rank = self.own_rank;
-        if let Some(load) = self.servers.get_mut(server) {
-            load.set_brittle(is_brittle, rank, now);
+        let Some(load) = self.servers.get_mut(server) else {
+            return;
+        };
+        load.set_brittle(is_brittle, rank, now);
+        let pool = load.entry.pool.clone();
+        if is_brittle {
+            self.brittle_until.insert(pool, now + STATEMENT_RETENTION);
+            self.set_untried_brittle(now);
+        } else {
+            self.brittle_until.remove(&pool);
         }
-        self.set_untried_brittle(now);
     }
 
-    /// Counts servers that have not answered this node as brittle if another one of their pool is: the first burst
-    /// would find out too late.
+    /// Counts servers that have not answered this node as brittle where others of their pool stated it: the first
+    /// burst would find out too late.
     fn set_untried_brittle(&mut self, now: Instant) {
-        let brittle = self.servers.values().filter(|load| load.is_brittle());
         let rank = self.own_rank;
-        let pools: BTreeSet<PoolId> = brittle.map(|load| load.entry.pool.clone()).collect();
-        for load in self.servers.values_mut() {
-            if load.answered_at.is_none() && pools.contains(&load.entry.pool) {
+        let untried = self.servers.values_mut();
+        for load in untried.filter(|load| load.answered_at.is_none()) {
+            if self.brittle_until.contains_key(&load.entry.pool) {
                 load.set_brittle(true, rank, now);
             }
         }
     }
 
+    /// Returns whether servers of a pool are brittle, or were so lately.
+    pub(super) fn is_pool_brittle(&self, pool: &PoolId, now: Instant) -> bool {
+        let until = self.brittle_until.get(pool);
+        until.is_some_and(|until| now < *until)
+    }
+
+    /// Returns whether any server counts as brittle.
+    pub fn has_brittle(&self) -> bool {
+        self.servers.values().any(ServerLoad::is_brittle)
+    }
+
     /// Sets which servers are brittle. `boot` and `now` are the same moment on the two clocks.
     pub fn set_all_brittle(&mut self, brittle: &BrittleTable, boot: BootTime, now: Instant) {
         let rank = self.own_rank;
+        let states = |load: &ServerLoad| brittle.limit(load.incarnation(), boot).is_some();
+        for load in self.servers.values().filter(|load| states(load)) {
+            let pool = load.entry.pool.clone();
+            self.brittle_until.insert(pool, now + STATEMENT_RETENTION);
+        }
+        self.brittle_until.retain(|_, until| now < *until);
         for load in self.servers.values_mut() {
-            let is_brittle = brittle.limit(load.incarnation(), boot).is_some();
-            let is_untried = load.answered_at.is_none() && load.is_brittle();
-            load.set_brittle(is_brittle || is_untried, rank, now);
+            let is_untried = load.answered_at.is_none();
+            let is_pool_brittle = self.brittle_until.contains_key(&load.entry.pool);
+            let is_brittle = states(load) || is_untried && is_pool_brittle;
+            load.set_brittle(is_brittle, rank, now);
         }
-        self.set_untried_brittle(now);
     }
 
     /// Records that other nodes' requests were rejected by brittle servers for want of room.
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -65,6 +65,8 @@
     pub(super) loans: PlaceLoans,
     /// Ranks by which places at brittle servers are dealt out.
     pub(super) ranks: PlaceRanks,
+    /// Until when servers of a pool that have not answered this node count as brittle, since others stated it.
+    pub(super) brittle_until: BTreeMap<PoolId, Instant>,
     /// Rank of this node as of the last round of the exchange.
     pub(super) own_rank: NodeRank,
     /// Memory of the engines of each pool.
@@ -87,6 +89,7 @@
             demand: DemandMeter::default(),
             loans: PlaceLoans::default(),
             ranks: PlaceRanks::default(),
+            brittle_until: BTreeMap::new(),
             own_rank: NodeRank::ALONE,
             memory: EngineMemory::default(),
         }
@@ -126,13 +129,12 @@
         }
     }
 
-    /// Adds an incarnation of a server. Where other servers of its pool are brittle, so is this one until it answers:
-    /// it is empty, and all nodes prefer it.
+    /// Adds an incarnation of a server. Where servers of its pool are brittle or were so lately, so is this one until it
+    /// answers: it is empty, and all nodes prefer it.
     fn add(&mut self, entry: &ServerEntry, now: Instant) {
-        let of_pool = self.servers.values();
-        let mut of_pool = of_pool.filter(|load| load.entry.pool == entry.pool);
         let mut load = ServerLoad::new(entry.clone(), now);
-        load.set_brittle(of_pool.any(ServerLoad::is_brittle), self.own_rank, now);
+        let is_brittle = self.is_pool_brittle(&entry.pool, now);
+        load.set_brittle(is_brittle, self.own_rank, now);
         self.servers.insert(entry.id.clone(), load);
     }
 
@@ -157,7 +159,7 @@
         let counts_peers = self.has(PolicyPart::Exchange);
         let rank = self.ranks.own_rank(exchange, now);
         self.own_rank = rank;
-        if self.servers.values().any(ServerLoad::is_brittle) {
+        if self.has_brittle() {
             self.ranks.prepare(exchange, now);
         }
         for load in self.servers.values_mut() {
--- a/crates/plumgate/src/gateway/statements/brittle_table.rs
+++ b/crates/plumgate/src/gateway/statements/brittle_table.rs
@@ -10,7 +10,7 @@
 use crate::gateway::servers::IncarnationId;
 
 /// Time for which a statement applies after the last answer that repeated it.
-const STATEMENT_RETENTION: Duration = Duration::from_secs(30);
+pub(crate) const STATEMENT_RETENTION: Duration = Duration::from_secs(30);
 /// Number of rounds in which a statement or a rejection is reported, so that at least one message arrives.
 const REPORT_ROUNDS: u32 = 2;
 /// Time after a rejection in which further ones at the same server are not reported again.
--- a/crates/plumgate/src/gateway/statements/mod.rs
+++ b/crates/plumgate/src/gateway/statements/mod.rs
@@ -9,7 +9,7 @@
 mod server_statements;
 mod statement;
 
-pub(crate) use brittle_table::BrittleReport;
+pub(crate) use brittle_table::{BrittleReport, STATEMENT_RETENTION};
 pub use brittle_table::{BrittleTable, RejectionLimit};
 pub(crate) use leave_reports::LeaveReport;
 pub use leave_reports::{LeaveEvent, ReportedEvents};
