store: unreadable rows and a page that repeats don't stop other rows

What callers saw: nothing yet; found while the reads of pages were looked through. A row without a key, or with one that is no text, made the whole answer malformed, and a page that comes again was asked for without end, so that a node that had started never got servers (RECOVER). Cause: an answer was decoded as a whole, and nothing asked whether a page leads on. Why it works: each row is decoded by itself; rows that are not beyond the last key are left out; a page with none beyond it ends the read as partial. A partial read adds entries and removes none: what is missing may exist. Other nodes read all servers again after it, as after a full read. event=rows_left_out and source_rows_left_out_total say what was left out.

--- a/crates/plumgate-node/src/gateway/metrics/fleet.rs
+++ b/crates/plumgate-node/src/gateway/metrics/fleet.rs
@@ -17,6 +17,15 @@
     pub(crate) result: &'static str,
 }
 
+/// Labels of rows of the source that were left out.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct LeftOutLabels {
+    /// Topic of the rows.
+    pub(crate) topic: &'static str,
+    /// Reason for which they were left out.
+    pub(crate) reason: &'static str,
+}
+
 /// Readiness of the node, known servers and nodes, and messages and calls by which they are known.
 #[derive(Default)]
 pub(crate) struct FleetMetrics {
@@ -32,6 +41,8 @@
     pub(crate) peer_refused: Counter,
     /// Calls to the source.
     pub(crate) source_calls: Family<SourceCallLabels, Counter>,
+    /// Rows of the source that were left out, and pages that were not reached.
+    pub(crate) source_rows_left_out: Family<LeftOutLabels, Counter>,
 }
 
 impl FleetMetrics {
@@ -59,5 +70,10 @@
             "Calls to the store",
             self.source_calls.clone(),
         );
+        registry.register(
+            "source_rows_left_out",
+            "Rows of the store left out, and pages not reached",
+            self.source_rows_left_out.clone(),
+        );
     }
 }
--- a/crates/plumgate-node/src/gateway/metrics/mod.rs
+++ b/crates/plumgate-node/src/gateway/metrics/mod.rs
@@ -28,7 +28,7 @@
 use prometheus_client::registry::Registry;
 
 pub(crate) use duties::DutyCallLabels;
-pub(crate) use fleet::SourceCallLabels;
+pub(crate) use fleet::{LeftOutLabels, SourceCallLabels};
 pub(crate) use labels::{PoolLabels, ReasonLabels};
 pub(crate) use notices::NoticeLabels;
 pub(crate) use paths::ServerConnectionLabels;
--- a/crates/plumgate-node/src/gateway/ports.rs
+++ b/crates/plumgate-node/src/gateway/ports.rs
@@ -40,6 +40,19 @@
     pub version: StoreVersion,
     /// Events in the order of their versions.
     pub events: Vec<SourceEvent>,
+    /// What the answer contained and the events don't.
+    pub left_out: RowsLeftOut,
+}
+
+/// Rows of an answer of the source that were left out, so that they don't stop the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RowsLeftOut {
+    /// Number of rows without a key, or with fields of other types.
+    pub unreadable: usize,
+    /// Number of rows that a page repeated.
+    pub repeated: usize,
+    /// Whether further rows could not be reached. Those that are missing may exist.
+    pub is_partial: bool,
 }
 
 /// Error of a call to the source.
--- a/crates/plumgate-node/src/gateway/source_calls.rs
+++ b/crates/plumgate-node/src/gateway/source_calls.rs
@@ -1,7 +1,7 @@
 //! Counts and logs a node's calls to the source by their cause.
 
-use super::metrics::SourceCallLabels;
-use super::ports::SourceTopic;
+use super::metrics::{LeftOutLabels, SourceCallLabels};
+use super::ports::{RowsLeftOut, SourceTopic};
 use super::shared::GatewayShared;
 use crate::clock::Clock;
 use crate::log::LogLine;
@@ -87,3 +87,31 @@
         .with("result", labels.result)
         .info(&shared.log);
 }
+
+/// Records the rows of an answer that were left out.
+pub(crate) fn record_rows_left_out<C: Clock, W>(
+    shared: &GatewayShared<C, W>,
+    topic: SourceTopic,
+    left_out: RowsLeftOut,
+) {
+    if left_out == RowsLeftOut::default() {
+        return;
+    }
+    let topic = topic.as_str();
+    let metrics = &shared.metrics.fleet.source_rows_left_out;
+    let counts = [
+        ("unreadable", left_out.unreadable),
+        ("repeated", left_out.repeated),
+        ("unreached_page", usize::from(left_out.is_partial)),
+    ];
+    for (reason, count) in counts {
+        let labels = LeftOutLabels { topic, reason };
+        metrics.get_or_create(&labels).inc_by(count as u64);
+    }
+    LogLine::new("rows_left_out")
+        .with("topic", topic)
+        .with("unreadable", left_out.unreadable)
+        .with("repeated", left_out.repeated)
+        .with("partial", left_out.is_partial)
+        .warn(&shared.log);
+}
--- a/crates/plumgate-node/src/gateway/view.rs
+++ b/crates/plumgate-node/src/gateway/view.rs
@@ -16,6 +16,7 @@
 use super::ports::{SourceChange, SourceEvent};
 use super::shared::GatewayShared;
 use super::snapshot_requests::SnapshotRequests;
+use super::source_calls::record_rows_left_out;
 use crate::clock::{Clock, until};
 use crate::log::LogLine;
 
@@ -216,6 +217,7 @@
         requested_at: Duration,
     ) -> bool {
         self.set_era(change.version.era);
+        record_rows_left_out(&self.shared, topic, change.left_out);
         let has_new_config = match topic {
             SourceTopic::Config => self.apply_configs(change),
             SourceTopic::Servers => {
--- a/crates/plumgate-node/src/gateway/view_servers.rs
+++ b/crates/plumgate-node/src/gateway/view_servers.rs
@@ -19,7 +19,7 @@
         let updates: Vec<ServerUpdate> = events
             .filter_map(|event| self.server_update(event, grace_period.is_some()))
             .collect();
-        if is_full_read {
+        if is_full_read && !change.left_out.is_partial {
             self.replace_servers(updates, grace_period);
             self.sync_state().restart_log(change.version);
             return;
@@ -34,7 +34,11 @@
                 ServerUpdate::Unusable(id) => self.remove_server(id, None, "watched"),
             }
         }
-        self.sync_state().extend_log(change.version, updates);
+        if is_full_read {
+            self.sync_state().restart_log(change.version);
+        } else {
+            self.sync_state().extend_log(change.version, updates);
+        }
     }
 
     /// Converts an event of the source to an update of a server.
