gateway: estimates of runs count races, and what was received already

Callers saw: nothing yet; found by the test of further runs (retry, resumption, race) at a node that stops. Cause: only runs at a single server were learnt. A repeatable request that takes long is raced, so that routes with long runs looked fast, or unknown, and a second run of 4 s began where 4 s did not fit safely. The other way round, a stream that breaks after most of its events was judged as if all of its answer were to come, and was not resumed though it would have ended in time. Change: runs that several servers were asked for count from their arrival, those that reached their time limit count too, and a resumption needs what is left of the answer.

--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -68,6 +68,7 @@
         due,
         output_hint: metadata.output_hint,
         wait: Duration::ZERO,
+        received_for: Duration::ZERO,
     };
     if !shared.may_start(&check) {
         return Err(stopping_error());
--- a/crates/plumgate-node/src/gateway/relay_report.rs
+++ b/crates/plumgate-node/src/gateway/relay_report.rs
@@ -17,6 +17,9 @@
 use crate::clock::Clock;
 use crate::log::LogLine;
 
+/// Reason of a request whose time limit was reached.
+const TIMED_OUT: &str = "timeout";
+
 impl<C: Clock, W: WireFormat> RelayRun<C, W> {
     /// Records that the first byte of the answer is sent to the caller.
     pub(crate) fn observe_first_byte(&mut self) {
@@ -156,7 +159,8 @@
 
     /// Counts and logs the outcome of the request.
     pub(crate) fn report(&mut self, outcome: RunOutcome, reason: &'static str, status: StatusCode) {
-        if outcome == RunOutcome::Answered && status.is_success() {
+        let is_complete = outcome == RunOutcome::Answered && status.is_success();
+        if is_complete || reason == TIMED_OUT {
             self.record_run_time();
         }
         self.log_end(outcome, reason, Some(status));
--- a/crates/plumgate-node/src/gateway/stopping.rs
+++ b/crates/plumgate-node/src/gateway/stopping.rs
@@ -32,6 +32,8 @@
     pub(crate) output_hint: Option<u32>,
     /// Predicted time until the answer begins.
     pub(crate) wait: Duration,
+    /// Time for which a stream that may be resumed was received.
+    pub(crate) received_for: Duration,
 }
 
 /// Returns the refusal of a request that can't end before the process does.
@@ -61,6 +63,7 @@
             route: &check.route.name,
             wait: check.wait,
             output_hint: check.output_hint,
+            received_for: check.received_for,
         };
         let plan = RunPlan {
             due: check.due,
@@ -99,12 +102,17 @@
 impl<C: Clock, W: WireFormat> RelayRun<C, W> {
     /// Returns whether a further run of the request may begin now, at a server with this predicted wait.
     pub(crate) fn may_start(&self, wait: Duration) -> bool {
+        let begun_at = self.first_byte.map(|took| self.request.arrived + took);
+        let received_for = begun_at.map_or(Duration::ZERO, |at| {
+            self.shared.clock.now().saturating_duration_since(at)
+        });
         self.shared.may_start(&StartCheck {
             request: &self.request.id,
             route: &self.request.route,
             due: self.request.due,
             output_hint: self.request.metadata.output_hint,
             wait,
+            received_for,
         })
     }
 
@@ -122,15 +130,19 @@
         })
     }
 
-    /// Records the time of a complete run at the only server that was tried.
+    /// Records the time of a run that has ended. It counts from the arrival if several servers were tried: runs that
+    /// take long are tried at several, and an estimate without them would be too short.
     pub(crate) fn record_run_time(&self) {
-        let (Some(started_at), Some(first_byte), [_]) =
-            (self.attempt_started_at, self.first_byte, &self.tried[..])
-        else {
+        let Some(attempt_started_at) = self.attempt_started_at else {
             return;
         };
-        let first_at = self.request.arrived + first_byte;
+        let started_at = match &self.tried[..] {
+            [_] => attempt_started_at,
+            _ => self.request.arrived,
+        };
         let now = self.shared.clock.now();
+        let first_byte = self.first_byte.map(|took| self.request.arrived + took);
+        let first_at = first_byte.unwrap_or(now);
         let time = RunTime {
             first: first_at.saturating_duration_since(started_at),
             rest: now.saturating_duration_since(first_at),
--- a/crates/plumgate/src/gateway/run_times.rs
+++ b/crates/plumgate/src/gateway/run_times.rs
@@ -32,6 +32,8 @@
     pub wait: Duration,
     /// Length of the answer in tokens that the caller expects.
     pub output_hint: Option<u32>,
+    /// Time for which the answer was received from an earlier server; the run goes on after that part.
+    pub received_for: Duration,
 }
 
 /// Times that runs took, by route.
@@ -83,7 +85,7 @@
             .output_hint
             .and_then(|tokens| Some(times.pace.quantile()?.saturating_mul(tokens)));
         let rest = paced.or_else(|| times.rest.quantile())?;
-        Some(first.saturating_add(rest))
+        Some(first.saturating_add(rest.saturating_sub(forecast.received_for)))
     }
 }
 
--- a/crates/plumgate/tests/node_stop.rs
+++ b/crates/plumgate/tests/node_stop.rs
@@ -21,6 +21,7 @@
         route: "chat",
         wait: MS * wait,
         output_hint,
+        received_for: Duration::ZERO,
     }
 }
 
@@ -100,3 +101,16 @@
     assert_eq!(times.expected(&forecast(0, Some(10))), Some(MS * 400));
     assert_eq!(times.expected(&forecast(0, Some(400))), Some(MS * 8_200));
 }
+
+#[test]
+fn resumed_run_needs_what_is_left_of_the_answer() {
+    let mut times = RunTimes::default();
+    (0..4).for_each(|_| times.record("chat", time(200, 4_000, None)));
+    for (received_for, expected) in [(0, 4_200), (3_000, 1_200), (9_000, 200)] {
+        let forecast = RunForecast {
+            received_for: MS * received_for,
+            ..forecast(0, None)
+        };
+        assert_eq!(times.expected(&forecast), Some(MS * expected));
+    }
+}
