place rooms: ranks stay as they are while servers are brittle

Servers saw: with 81 nodes, 15 of which registered one after the other, and 140 brittle servers of 16 slots, 229 falls in 14 s where 16 are tolerated. Cause: places are dealt out by the number of nodes and the rank among them. A node that registered shifted all ranks after its own, and with another number of nodes all places; the new owners sent beside the requests of the former ones. Class: as of the sequence of places: a change elsewhere moves what is in use. Change: from 2 s after the first statement on (before servers accept less) each node keeps its rank and each collector the ranks that it deals out; nodes that it did not know then own no place and borrow. Remains: a collector that takes over after nodes registered in a time of brittleness deals them places too; nodes that were told before keep theirs.

--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -157,11 +157,9 @@
                 .exchange_with(&mut self.servers, exchange, now);
         }
         let counts_peers = self.has(PolicyPart::Exchange);
-        let rank = self.ranks.own_rank(exchange, now);
+        let are_brittle = self.brittle_until.values().any(|until| now < *until);
+        let rank = self.ranks.update(exchange, are_brittle, now);
         self.own_rank = rank;
-        if self.has_brittle() {
-            self.ranks.prepare(exchange, now);
-        }
         for load in self.servers.values_mut() {
             if counts_peers {
                 load.peers = exchange.peer_work(&load.entry, now);
--- a/crates/plumgate/src/gateway/placement/server_room.rs
+++ b/crates/plumgate/src/gateway/placement/server_room.rs
@@ -29,6 +29,9 @@
     /// Returns how many places of a server of this capacity are this node's own.
     fn places(&self, capacity: usize) -> usize {
         let NodeRank { nodes, rank } = self.rank;
+        if !self.rank.owns_places() {
+            return 0;
+        }
         let first_owner = (self.incarnation % nodes as u64) as usize;
         let first_own = (rank + nodes - first_owner) % nodes;
         capacity.saturating_sub(first_own).div_ceil(nodes)
