--- a/crates/plumgate/tests/server_limits_random.rs
+++ b/crates/plumgate/tests/server_limits_random.rs
@@ -12,6 +12,8 @@
 const SCHEDULES: u64 = 40;
 /// The same for long schedules.
 const LONG_SCHEDULES: u64 = 8;
+/// The same for schedules over a large fleet.
+const GROWN_SCHEDULES: u64 = 1;
 /// Steps of a schedule.
 const STEPS: u32 = 12;
 /// The first seed; `PLUMGATE_SEED` sets another one.
@@ -44,6 +46,12 @@
     steps: 25,
 };
 
+/// Schedules over a large fleet.
+const GROWN: ScheduleSet = ScheduleSet {
+    shapes: &[(3, 27)],
+    steps: 10,
+};
+
 /// Runs one short schedule; an error describes by how much the limit was exceeded.
 fn run_schedule(seed: u64) -> Result<(), String> {
     run_schedule_of(SHORT, seed)
@@ -139,6 +147,12 @@
     assert_none_breaks(LONG, LONG_SCHEDULES);
 }
 
+/// Guards against the same at 81 nodes.
+#[test]
+fn no_schedule_of_faults_at_81_nodes_breaks_a_limit() {
+    assert_none_breaks(GROWN, GROWN_SCHEDULES);
+}
+
 fn assert_none_breaks(set: ScheduleSet, count: u64) {
     let first = from_environment("PLUMGATE_SEED", FIRST_SEED);
     let count = from_environment("PLUMGATE_SCHEDULES", count);
