log: values with control characters are quoted

What operators would see: lines of the log that a name or key from outside ends, or that a terminal takes for commands; a value that can't be told from another one. Cause: only space, quote, '=' and line feed led to quotes. Evidence: log_lines::any_value_is_read_back_from_its_line, before: failed for "\0" (drawn by quickcheck). Why it works: each control character and each kind of space is escaped, and a test reads each drawn value back from its line.

--- a/crates/plumgate-node/src/log.rs
+++ b/crates/plumgate-node/src/log.rs
@@ -60,10 +60,11 @@
         }
     }
 
-    /// Appends a pair. A value is quoted if it is empty or has a space, a quote, `=` or a line break.
+    /// Appends a pair. A value is quoted, with escapes, if it is empty or has a space, a quote, `=` or a control
+    /// character.
     pub fn with(mut self, key: &str, value: impl Display) -> Self {
         let value = value.to_string();
-        let plain = !value.is_empty() && !value.contains([' ', '"', '=', '\n']);
+        let plain = !value.is_empty() && value.chars().all(is_plain);
         let written = if plain {
             write!(self.text, " {key}={value}")
         } else {
@@ -105,3 +106,7 @@
         spdlog::log!(logger: log, level, "{}", self.text);
     }
 }
+
+fn is_plain(character: char) -> bool {
+    !character.is_whitespace() && !character.is_control() && !matches!(character, '"' | '=')
+}
