cli: any label's text is read back from its metrics page

A property test over drawn label values, written by the nodes' library and read by the tool's parser.

--- a/crates/plumgate-cli/tests/exposition.rs
+++ b/crates/plumgate-cli/tests/exposition.rs
@@ -5,6 +5,11 @@
 mod exposition;
 
 use exposition::{LineError, MetricsPage};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::registry::Registry;
+use quickcheck::quickcheck;
 
 const PAGE: &str = include_str!("pages/gateway.txt");
 
@@ -51,6 +56,23 @@
     assert_eq!(value, 1.5);
 }
 
+quickcheck! {
+    /// Guards against a label's text from outside that ends a line of a metrics page, or is read as another one.
+    fn any_label_is_read_back_from_its_page(text: String) -> bool {
+        let requests = Family::<Vec<(String, String)>, Counter>::default();
+        let labels = vec![("pool".to_owned(), text.clone())];
+        requests.get_or_create(&labels).inc();
+        let mut registry = Registry::default();
+        registry.register("requests", "Requests", requests);
+        let mut page = String::new();
+        encode(&mut page, &registry).expect("a page");
+        let page = MetricsPage::parse(&page);
+        let mut values = page.values("requests_total");
+        let is_same = values.next().is_some_and(|(labels, _)| labels["pool"] == text);
+        is_same && page.errors().is_empty()
+    }
+}
+
 /// Guards against panics, and lines that are dropped silently, on damaged pages.
 #[test]
 fn every_line_of_a_damaged_page_is_read_or_reported() {
