platform client: names in paths are percent-encoded

What callers would see: a lease of the data centre or model whose name has a slash, a space or a question mark is read and written as another row; a name that makes the path invalid becomes '/'. Names of letters, digits, '-', '.', '_' and '~' are written as before.

--- a/crates/plumgate-node/src/http.rs
+++ b/crates/plumgate-node/src/http.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response, StatusCode};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
 
@@ -34,6 +35,18 @@
 /// keepalive probes too, in place of their number.
 pub const MAX_UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(3);
 
+/// Characters that are encoded in a segment of a path or a value of a query: all but the unreserved ones of RFC 3986.
+const URL_TEXT: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
+/// Encodes a text of any characters as a segment of a path or a value of a query.
+pub fn encode_url_text(text: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(text, URL_TEXT)
+}
+
 /// Opens a TCP stream that fails when the peer becomes unreachable.
 ///
 /// A middlebox may drop the connection's state, or a data centre may be cut off: then nothing arrives any more,
--- a/crates/plumgate-node/src/platform.rs
+++ b/crates/plumgate-node/src/platform.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Clock;
-use crate::http::{OutgoingRequest, fetch_once};
+use crate::http::{OutgoingRequest, encode_url_text, fetch_once};
 
 /// Timeout of a call to the platform.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -126,7 +126,7 @@
         table: &str,
         row: &str,
     ) -> ReadAnswer<TableRow<T>> {
-        let bytes = self.read(&format!("/table/{table}/{row}")).await?;
+        let bytes = self.read(&row_path(table, row)).await?;
         bytes.map(|bytes| parse(&bytes)).transpose()
     }
 
@@ -142,7 +142,7 @@
         let Ok(body) = serde_json::to_vec(value) else {
             return WriteAnswer::Refused;
         };
-        let path = format!("/table/{table}/{row}");
+        let path = row_path(table, row);
         let mut request = self.request(Method::PUT, &path, body.into());
         let (name, value) = match condition {
             WriteCondition::Absent => (header::IF_NONE_MATCH, "*".to_owned()),
@@ -167,12 +167,12 @@
 
     /// Reads an object.
     pub async fn read_object(&self, name: &str) -> ReadAnswer<Bytes> {
-        self.read(&format!("/objects/{name}")).await
+        self.read(&object_path(name)).await
     }
 
     /// Writes an object; returns whether the platform confirmed it.
     pub async fn write_object(&self, name: &str, body: Bytes, lifetime: Option<Duration>) -> bool {
-        let mut request = self.request(Method::PUT, &format!("/objects/{name}"), body);
+        let mut request = self.request(Method::PUT, &object_path(name), body);
         if let Some(lifetime) = lifetime {
             request
                 .headers_mut()
@@ -203,7 +203,7 @@
     fn request(&self, method: Method, path: &str, body: Bytes) -> OutgoingRequest {
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
-        // Names of rows and objects are digests or validated names, so the path always parses.
+        // Names are encoded, so the path always parses.
         *request.uri_mut() = path.parse().unwrap_or_default();
         if let Ok(host) = self.address.to_string().parse() {
             request.headers_mut().insert(header::HOST, host);
@@ -225,6 +225,14 @@
     }
 }
 
+fn row_path(table: &str, row: &str) -> String {
+    format!("/table/{table}/{}", encode_url_text(row))
+}
+
+fn object_path(name: &str) -> String {
+    format!("/objects/{}", encode_url_text(name))
+}
+
 fn parse<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, ReadFailure> {
     serde_json::from_slice(bytes).map_err(|_| ReadFailure::Malformed)
 }
