gateway: a server that runs a request is not chosen again beside itself

Cause (by the review, not seen in a run): the place of a server whose path was lost is kept as an index of the tried servers. When the first server of a race is kept, the order changes, and the index named that server: a further silence could send the request to it again, beside its first run. Change: the index is cleared with the new order.

--- a/crates/plumgate-node/src/gateway/second_run.rs
+++ b/crates/plumgate-node/src/gateway/second_run.rs
@@ -83,6 +83,7 @@
         }
         self.tried.retain(|tried| tried != server);
         self.tried.push(server.clone());
+        self.path_lost_at = None;
         self.attempt_started_at = started_at;
         self.apply(AttemptEvent::FirstAnswers);
     }
