gateway: a stopping node expects a run to take as long as the longest lately

Change: the longest of the last 64 runs of the route, with the same margin. A refusal costs the caller a connection to another node; a cut costs it the answer.

--- a/crates/plumgate/src/gateway/run_times.rs
+++ b/crates/plumgate/src/gateway/run_times.rs
@@ -7,8 +7,6 @@
 const KEPT_RUNS: usize = 64;
 /// Number of runs from which an estimate is made.
 const MIN_RUNS: usize = 3;
-/// Share of the kept runs that took no longer than the estimate.
-const QUANTILE: f64 = 0.95;
 /// Maximum number of routes that are kept.
 const MAX_ROUTES: usize = 4_096;
 
@@ -80,11 +78,11 @@
     /// Returns the time that a run is expected to take at most; `None` if too little is known of its route.
     pub fn expected(&self, forecast: &RunForecast<'_>) -> Option<Duration> {
         let times = self.routes.get(forecast.route)?;
-        let first = times.first.quantile()?.max(forecast.wait);
+        let first = times.first.longest()?.max(forecast.wait);
         let paced = forecast
             .output_hint
-            .and_then(|tokens| Some(times.pace.quantile()?.saturating_mul(tokens)));
-        let rest = paced.or_else(|| times.rest.quantile())?;
+            .and_then(|tokens| Some(times.pace.longest()?.saturating_mul(tokens)));
+        let rest = paced.or_else(|| times.rest.longest())?;
         Some(first.saturating_add(rest.saturating_sub(forecast.received_for)))
     }
 }
@@ -99,14 +97,9 @@
         }
     }
 
-    /// Returns the time that most of the runs did not exceed, if there are enough.
-    fn quantile(&self) -> Option<Duration> {
-        if self.times.len() < MIN_RUNS {
-            return None;
-        }
-        let mut sorted = self.times.clone();
-        sorted.sort_unstable();
-        let index = (sorted.len() as f64 * QUANTILE) as usize;
-        sorted.get(index.min(sorted.len() - 1)).copied()
+    /// Returns the longest of the times, if there are enough.
+    fn longest(&self) -> Option<Duration> {
+        let longest = self.times.iter().max().copied();
+        longest.filter(|_| self.times.len() >= MIN_RUNS)
     }
 }
