gateway: a check of a server that was not tried says nothing of the server

Cause (by the review): when the first check of a server got no response, the next ones within 0.4 s were not tried (connect_paused) and counted as refused, so that whole answers without framing of a live server counted as truncated.

--- a/crates/plumgate-node/src/gateway/incarnations.rs
+++ b/crates/plumgate-node/src/gateway/incarnations.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Returns whether the server is known to have failed at a time.
+    pub(crate) fn has_failed_at(&self, ended_at: BootTime) -> bool {
+        self.evidence().sign(ended_at, ended_at) == ServerSign::Failed
+    }
+
     fn evidence(&self) -> FailureEvidence {
         let last_failure = self.last_failure_us.load(Ordering::SeqCst);
         FailureEvidence {
--- a/crates/plumgate-node/src/gateway/server_check.rs
+++ b/crates/plumgate-node/src/gateway/server_check.rs
@@ -29,8 +29,14 @@
         let waited = self.clock.boot_time().saturating_sub(ended_at);
         self.clock.sleep(CHECK_DELAY.saturating_sub(waited)).await;
         let check = self.check_server(server).await;
-        if check == ServerCheck::Refused {
-            incarnation.record_failure(ended_at);
+        match check {
+            ServerCheck::Refused => incarnation.record_failure(ended_at),
+            ServerCheck::Reached => {}
+            // Another answer that ended at the same moment may have been checked before the server was given up.
+            ServerCheck::Silent if incarnation.has_failed_at(ended_at) => {
+                return (ServerSign::Failed, Some(check));
+            }
+            ServerCheck::Silent => {}
         }
         (check.into(), Some(check))
     }
@@ -42,8 +48,8 @@
         let opened = open_server(self, server, purpose, deadline).await;
         match opened {
             Ok(_) => ServerCheck::Reached,
-            Err(ConnectFailure::Refused | ConnectFailure::Paused) => ServerCheck::Refused,
-            Err(ConnectFailure::Silent) => ServerCheck::Silent,
+            Err(ConnectFailure::Refused) => ServerCheck::Refused,
+            Err(ConnectFailure::Silent | ConnectFailure::Paused) => ServerCheck::Silent,
         }
     }
 }
