--- a/crates/plumgate/tests/place_loans.rs
+++ b/crates/plumgate/tests/place_loans.rs
@@ -7,8 +7,8 @@
 use entries::{node_entries, server_entry};
 use plumgate::gateway::servers::ServerChange;
 use plumgate::gateway::{
-    LoadExchange, LoadTable, PlaceMessage, PlaceRound, PlacementOptions, PlacementRequest,
-    ServerEntry, StreamClass, WorkOutcome, WorkTicket,
+    BrittleTable, LoadExchange, LoadTable, PlaceMessage, PlaceRound, PlacementOptions,
+    PlacementRequest, ServerEntry, StreamClass, WorkOutcome, WorkTicket,
 };
 use plumgate::ids::{NodeId, PoolId};
 
@@ -225,3 +225,16 @@
     assert_eq!(first, second);
     assert_eq!(lender.table.loan_counts(), (1, 0));
 }
+
+/// Guards against a server that counts as brittle for good because it never answered this node.
+#[test]
+fn server_that_never_answered_is_sound_again_some_time_after_the_last_statement() {
+    let now = Instant::now();
+    let (mut node, _) = nodes(now);
+    assert_eq!(node.begin(3, now), 2);
+    let later = now + Duration::from_secs(120);
+    let boot = Duration::from_secs(120);
+    let nothing_stated = BrittleTable::default();
+    node.table.set_all_brittle(&nothing_stated, boot, later);
+    assert_eq!(node.begin(3, later), 3);
+}
