tests: golden sessions end by the clock

Change: one stop, then the clock is advanced until the node has ended, within the time that a session may take. The comment of Node::stop says what it does.

--- a/crates/plumgate-node/src/node.rs
+++ b/crates/plumgate-node/src/node.rs
@@ -99,7 +99,7 @@
         self.addresses
     }
 
-    /// Begins a graceful stop; each further call skips the wait of the current stage.
+    /// Begins a graceful stop; further calls change nothing.
     pub fn stop(&self) {
         // Sending fails if the control thread has already exited, and then the node has stopped.
         let _ = self.control.try_send(ControlEvent::Stop);
--- a/crates/plumgate-standin/tests/golden.rs
+++ b/crates/plumgate-standin/tests/golden.rs
@@ -332,11 +332,16 @@
 
     fn stop(&mut self) {
         let Some(node) = self.node.take() else { return };
-        for _ in 0..3 {
-            node.stop();
+        node.stop();
+        let joining = std::thread::spawn(move || node.join());
+        let start = Instant::now();
+        while !joining.is_finished() {
+            assert!(start.elapsed() < MAX_WAIT, "the node has not stopped");
+            // Lets the balancer's lag pass.
+            self.clock.advance(Duration::from_millis(100));
+            sleep(Duration::from_millis(2));
         }
-        // The control thread handles stops while the clock is paused, and exits on the third.
-        node.join();
+        joining.join().expect("no panic");
     }
 }
 
