brittle servers: a node that starts takes no more than its part

Cause: a default that grants everything until the truth is known. A process that has just started had rank 0 of 1, so all places, until it had read the register of nodes, and nobody told it that servers are brittle. A collector that had just started dealt out ranks by the nodes that it had heard of. Change: no places without a rank; places that a change of the rank gives count after 1 s; a collector deals ranks once it has read the register, and repeats each round which pools are brittle; a process sends nothing in its first two rounds after a message of another node, and without one for 0.3 to 0.8 s. Places lie on a circle, so that nodes that count a few nodes more or less own nearly the same. In the same places: a loan is used only as long as its lender confirms it; an abandoned request occupies its place for 0.5 s more; a request without room asks owners of places at once (before: once in 100 ms, any nodes), as most of 81 nodes own none and refused three quarters of what came to them. A log line tells each rank and what it rests on.

--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -128,7 +128,7 @@
             text_response(StatusCode::OK, shared.statements_page())
         } else if path.starts_with(QUARANTINE_PATH) {
             shared.serve_quarantine(request.method(), path)
-        } else if shared.is_ready() {
+        } else if shared.is_ready() && !shared.is_starting() {
             text_response(StatusCode::OK, "ready\n")
         } else {
             text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
--- a/crates/plumgate-node/src/gateway/exchange/mod.rs
+++ b/crates/plumgate-node/src/gateway/exchange/mod.rs
@@ -10,7 +10,7 @@
 use std::net::UdpSocket;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -25,6 +25,9 @@
 use crate::clock::Clock;
 use crate::log::LogLine;
 
+/// Shortest time between two requests for places at brittle servers.
+const PLACE_REQUEST_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Connection of one node to the other nodes.
 pub(crate) struct PeerExchange<C, W> {
     shared: Arc<GatewayShared<C, W>>,
@@ -110,6 +113,10 @@
         executor
             .spawn(async move { requester.request_permits().await })
             .detach();
+        let borrower = exchange.clone();
+        executor
+            .spawn(async move { borrower.request_places().await })
+            .detach();
         let sender = exchange.clone();
         executor
             .spawn(async move { sender.send_origins().await })
@@ -143,6 +150,25 @@
         }
     }
 
+    /// Asks other nodes for places at brittle servers as soon as requests wait for them.
+    async fn request_places(&self) {
+        loop {
+            self.shared.places_wanted.listen().await;
+            let packets = {
+                let exchange = self.exchange.borrow();
+                let now = self.shared.clock.now();
+                let nodes = exchange.other_nodes().map(|entry| &entry.node);
+                let messages = self.shared.loads().request_places(nodes, now);
+                let time = self.message_time();
+                self.shared
+                    .statements()
+                    .place_packets(&exchange, messages, time)
+            };
+            self.send_all(packets).await;
+            self.shared.clock.sleep(PLACE_REQUEST_INTERVAL).await;
+        }
+    }
+
     /// Sends messages to other nodes.
     async fn send_all(&self, packets: Vec<ExchangePacket>) {
         for (address, bytes) in packets {
--- a/crates/plumgate-node/src/gateway/exchange/rounds.rs
+++ b/crates/plumgate-node/src/gateway/exchange/rounds.rs
@@ -40,6 +40,9 @@
         let mut loads = self.shared.loads();
         let mut exchange = self.exchange.borrow_mut();
         loads.exchange_with(&mut exchange, moment.now);
+        if let Some(change) = loads.take_rank_change() {
+            self.shared.log_rank_change(change);
+        }
         self.report_memory(&loads, moment.now);
         self.exchange_quarantine(&mut exchange, moment.now);
         if let Some(duties) = &self.duties {
--- a/crates/plumgate-node/src/gateway/relay/server_choice.rs
+++ b/crates/plumgate-node/src/gateway/relay/server_choice.rs
@@ -87,6 +87,9 @@
             }
             return Ok(());
         };
+        if deferral.cause == SendRefusal::NoRoom {
+            self.shared.places_wanted.notify(1);
+        }
         let deferred_for = deferral.until.saturating_duration_since(now);
         let waited = now.saturating_duration_since(self.request.arrived);
         if waited + deferred_for <= self.max_wait() {
--- a/crates/plumgate-node/src/gateway/server_notices.rs
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -4,7 +4,7 @@
 
 use plumgate::gateway::{
     AnswerTimes, BrittleStatement, ExpiredLoan, IncarnationId, LeaveEvent, LeaveStatement,
-    NoticeChange, RestStatement, SendRefusal, ServerEntry, ServerStatement,
+    NoticeChange, RankChange, RestStatement, SendRefusal, ServerEntry, ServerStatement,
 };
 
 use super::metrics::{NoticeLabels, ReasonLabels};
@@ -188,6 +188,15 @@
         }
     }
 
+    /// Logs this node's rank among those that own places at brittle servers.
+    pub(crate) fn log_rank_change(&self, change: RankChange) {
+        LogLine::new("place_rank")
+            .with("nodes", change.nodes)
+            .with("rank", change.rank)
+            .with("source", change.source.as_str())
+            .info(&self.log);
+    }
+
     fn record_malformed(&self, notice: &'static str, server: &ServerEntry) {
         let labels = NoticeLabels {
             notice,
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -61,6 +61,8 @@
     pub(crate) server_probed: Event,
     /// Event that is notified when permits for limited servers are needed.
     pub(crate) permits_requested: Event,
+    /// Notified when a request finds no room at brittle servers.
+    pub(crate) places_wanted: Event,
     /// Event that is notified when requests for permits were answered.
     pub(crate) permits_answered: Event,
     /// Event that is notified when messages about the origins of streams are to be sent.
@@ -123,6 +125,10 @@
             .with_policy(options.policy)
             .with_switches(options.switches)
             .with_seed(options.seed);
+        let loads = match options.peer_listen {
+            Some(_) => LoadTable::new(placement).with_start(clock.now()),
+            None => LoadTable::new(placement),
+        };
         Self {
             clock,
             log,
@@ -142,7 +148,7 @@
             incarnations: ServerIncarnations::default(),
             executor: Arc::new(Executor::new()),
             lease: Mutex::new(FreshnessLease::new(bounds.max_key_age)),
-            loads: Mutex::new(LoadTable::new(placement)),
+            loads: Mutex::new(loads),
             budget: Mutex::new(budget),
             read_ahead: Mutex::new(ReadAheadTable::new(ReadAheadBounds::new(
                 options.read_ahead_bytes,
@@ -154,6 +160,7 @@
                 bounds.drain,
             )),
             permits_requested: Event::new(),
+            places_wanted: Event::new(),
             permits_answered: Event::new(),
             paths: Mutex::default(),
             tunnel_peers: Mutex::new(TunnelPeers::new(
@@ -364,6 +371,12 @@
         self.lifecycle.load().ready && self.allows_ready()
     }
 
+    /// Returns whether this node sends nothing yet as its process has just started.
+    pub(crate) fn is_starting(&self) -> bool {
+        let now = self.clock.now();
+        self.loads().is_starting(now)
+    }
+
     /// Returns whether neither requests, connections nor tunnels of other nodes are open.
     pub(crate) fn is_idle(&self) -> bool {
         self.open_requests() == 0
--- a/crates/plumgate/src/gateway/exchange/load_exchange/mod.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange/mod.rs
@@ -68,6 +68,8 @@
     received_notices: Vec<ReceivedNotice>,
     collector: Option<NodeId>,
     collector_received_at: Option<Instant>,
+    /// When the first message of another node was received.
+    first_heard_at: Option<Instant>,
     /// Rounds in which this node was the collector.
     rounds: u32,
     /// Rounds left in which this node still announces to its data centre that another node collects.
@@ -95,6 +97,7 @@
             received_notices: Vec::new(),
             collector: None,
             collector_received_at: None,
+            first_heard_at: None,
             rounds: 0,
             handover_rounds: 0,
             collecting_since: None,
@@ -114,6 +117,41 @@
         self.peers.entries()
     }
 
+    /// Returns the id of this node.
+    pub(crate) fn own_node(&self) -> &NodeId {
+        &self.peers.own().node
+    }
+
+    /// Returns when the first message of another node was received.
+    pub(crate) fn first_heard_at(&self) -> Option<Instant> {
+        self.first_heard_at
+    }
+
+    /// Returns the nodes that a collector tells what servers state: those of its data centre and the collectors of the
+    /// others. There are none if this node is not the collector.
+    pub(crate) fn statement_recipients(&self) -> Vec<NodeId> {
+        let view = self.peer_view();
+        if view.collector.is_some() {
+            return Vec::new();
+        }
+        let foreign = view.foreign.into_values().flatten();
+        let all = foreign.chain(view.members);
+        all.map(|(node, _)| node).collect()
+    }
+
+    /// Returns all known nodes, this one included, in the order of their ranks.
+    pub(crate) fn node_order(&self) -> Vec<NodeId> {
+        let own = self.peers.own();
+        let mut nodes: Vec<&NodeEntry> = self.peers.entries().chain([own]).collect();
+        nodes.sort_by_key(|entry| (&entry.data_centre, &entry.node));
+        nodes.into_iter().map(|entry| entry.node.clone()).collect()
+    }
+
+    /// Returns whether the register of nodes has been read.
+    pub(crate) fn has_register(&self) -> bool {
+        self.peers.is_complete()
+    }
+
     /// Returns the number of known nodes, this one included.
     pub fn node_count(&self) -> usize {
         self.peers.count()
--- a/crates/plumgate/src/gateway/exchange/load_exchange/receive.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange/receive.rs
@@ -35,6 +35,7 @@
         if node == self.peers.own().node {
             return Ok(SyncOutcome::default());
         }
+        self.first_heard_at.get_or_insert(now);
         let data_centre: DataCentreId = message.data_centre.as_str().into();
         // A node that registered after this one last read the register becomes known by its messages.
         self.peers.upsert(NodeEntry {
--- a/crates/plumgate/src/gateway/exchange/peers.rs
+++ b/crates/plumgate/src/gateway/exchange/peers.rs
@@ -86,6 +86,11 @@
         &self.own
     }
 
+    /// Returns whether the register has been read.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
     /// Replaces the known nodes by those of the register.
     pub(crate) fn set_nodes(&mut self, entries: Vec<NodeEntry>) {
         let known: BTreeSet<&NodeId> = entries.iter().map(|entry| &entry.node).collect();
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -57,7 +57,8 @@
 };
 pub use placement::{
     ExpiredLoan, GroupChange, LoadTable, PlaceMessage, PlaceRound, PlaceUse, PlacementOptions,
-    PlacementPolicy, PlacementRequest, PoolMemoryUse, ProfileChange, ProfileCounts, ServerPick,
+    PlacementPolicy, PlacementRequest, PoolMemoryUse, ProfileChange, ProfileCounts, RankChange,
+    RankSource, ServerPick,
 };
 pub use prompt::{PromptPart, PromptShape};
 pub use quarantine::{
--- a/crates/plumgate/src/gateway/placement/candidates.rs
+++ b/crates/plumgate/src/gateway/placement/candidates.rs
@@ -9,15 +9,16 @@
 use crate::gateway::origins::StreamOrigin;
 use crate::gateway::rate_limit::BootTime;
 use crate::gateway::servers::{IncarnationId, ServerEntry};
-use crate::gateway::statements::{
-    BrittleTable, NoticeTable, STATEMENT_RETENTION, ServerAvailability,
-};
+use crate::gateway::statements::{BrittleTable, NoticeTable, SendRefusal, ServerAvailability};
 use crate::ids::{PoolId, ServerId};
 
 impl LoadTable {
     /// Returns the servers that may receive the request. Servers that look unhealthy or unreachable are
     /// returned only where there is no other, and leaving servers only where no other accepts work.
     pub(super) fn candidates(&self, request: &PlacementRequest<'_>, now: Instant) -> Vec<ServerId> {
+        if self.is_starting(now) {
+            return Vec::new();
+        }
         let are_doubted = self.are_unconfirmed_doubted(request.pool);
         let available: Vec<&ServerLoad> = self
             .of_pool(request)
@@ -90,6 +91,10 @@
     /// Returns the earliest time at which one of the servers that could take the request is no longer
     /// deferred, or `None` where none is deferred.
     pub fn deferral(&self, request: &PlacementRequest<'_>, now: Instant) -> Option<SendDeferral> {
+        if let Some(until) = self.starting_until(now) {
+            let cause = SendRefusal::Starting;
+            return Some(SendDeferral { until, cause });
+        }
         let untried = self
             .of_pool(request)
             .filter(|load| load.accepts_work() && !request.avoid.contains(&load.entry.id));
@@ -110,38 +115,32 @@
 
     /// Sets whether a server is brittle: such a server gets no request for which it probably has no room.
     pub fn set_brittle(&mut self, server: &ServerId, is_brittle: bool, now: Instant) {
-        let rank = self.own_rank;
+        let ranks = self.own_ranks;
         let Some(load) = self.servers.get_mut(server) else {
             return;
         };
-        load.set_brittle(is_brittle, rank, now);
+        load.set_brittle(is_brittle, ranks, now);
         let pool = load.entry.pool.clone();
         if is_brittle {
-            self.brittle_until.insert(pool, now + STATEMENT_RETENTION);
+            self.brittle_pools.record_brittle(&pool, now);
             self.set_untried_brittle(now);
         } else {
-            self.brittle_until.remove(&pool);
+            self.brittle_pools.record_sound(&pool, now);
         }
     }
 
     /// Counts servers that have not answered this node as brittle where others of their pool stated it: the first
     /// burst would find out too late.
-    fn set_untried_brittle(&mut self, now: Instant) {
-        let rank = self.own_rank;
+    pub(super) fn set_untried_brittle(&mut self, now: Instant) {
+        let ranks = self.own_ranks;
         let untried = self.servers.values_mut();
         for load in untried.filter(|load| load.answered_at.is_none()) {
-            if self.brittle_until.contains_key(&load.entry.pool) {
-                load.set_brittle(true, rank, now);
+            if self.brittle_pools.contains(&load.entry.pool, now) {
+                load.set_brittle(true, ranks, now);
             }
         }
     }
 
-    /// Returns whether servers of a pool are brittle, or were so lately.
-    pub(super) fn is_pool_brittle(&self, pool: &PoolId, now: Instant) -> bool {
-        let until = self.brittle_until.get(pool);
-        until.is_some_and(|until| now < *until)
-    }
-
     /// Returns whether any server counts as brittle.
     pub fn has_brittle(&self) -> bool {
         self.servers.values().any(ServerLoad::is_brittle)
@@ -149,18 +148,20 @@
 
     /// Sets which servers are brittle. `boot` and `now` are the same moment on the two clocks.
     pub fn set_all_brittle(&mut self, brittle: &BrittleTable, boot: BootTime, now: Instant) {
-        let rank = self.own_rank;
-        let states = |load: &ServerLoad| brittle.limit(load.incarnation(), boot).is_some();
-        for load in self.servers.values().filter(|load| states(load)) {
-            let pool = load.entry.pool.clone();
-            self.brittle_until.insert(pool, now + STATEMENT_RETENTION);
+        let ranks = self.own_ranks;
+        self.brittle_pools.remove_expired(now);
+        for load in self.servers.values() {
+            let age = brittle.statement_age(load.incarnation(), boot);
+            if let Some(stated_at) = age.and_then(|age| now.checked_sub(age)) {
+                self.brittle_pools
+                    .record_brittle(&load.entry.pool, stated_at);
+            }
         }
-        self.brittle_until.retain(|_, until| now < *until);
         for load in self.servers.values_mut() {
+            let states = brittle.limit(load.incarnation(), boot).is_some();
             let is_untried = load.answered_at.is_none();
-            let is_pool_brittle = self.brittle_until.contains_key(&load.entry.pool);
-            let is_brittle = states(load) || is_untried && is_pool_brittle;
-            load.set_brittle(is_brittle, rank, now);
+            let is_pool_brittle = self.brittle_pools.contains(&load.entry.pool, now);
+            load.set_brittle(states || is_untried && is_pool_brittle, ranks, now);
         }
     }
 
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::affinity::PreferredServers;
+use super::brittle_pools::BrittlePools;
 use super::cache_holder::CacheHolder;
 use super::choice::{PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
 use super::data_centres::DataCentreTable;
@@ -13,10 +14,11 @@
 use super::engine_memory::{EngineMemory, MemoryReservation};
 use super::groups::GroupShares;
 use super::place_loans::PlaceLoans;
-use super::place_ranks::{NodeRank, PlaceRanks};
+use super::place_ranks::{NodeRank, PlaceRanks, RankChange, RankUse};
 use super::prefill_speed::PrefillSpeeds;
 use super::profiles::{ProfileChange, ProfileCounts, ProfileTable};
 use super::server_load::{CostPrediction, ServerLoad, TokenCosts};
+use super::start_phase::StartPhase;
 
 use crate::duty::{CapacityType, PoolLoad};
 use crate::gateway::config::StreamClass;
@@ -27,7 +29,7 @@
 use crate::gateway::servers::{ServerChange, ServerEntry};
 use crate::gateway::switches::PolicyPart;
 use crate::gateway::work::{PauseSample, ServerWork, URGENCY_LEVELS, WorkOutcome, WorkTicket};
-use crate::ids::{DataCentreId, PoolId, ServerId};
+use crate::ids::{DataCentreId, NodeId, PoolId, ServerId};
 
 /// Number of servers of the group sampled for a request that has no preferred server. Short streams answered
 /// in time at 64 nodes of a simulated fleet: 0.82 with the best of all servers, 0.97 with the best of three
@@ -65,10 +67,16 @@
     pub(super) loans: PlaceLoans,
     /// Ranks by which places at brittle servers are dealt out.
     pub(super) ranks: PlaceRanks,
-    /// Until when servers of a pool that have not answered this node count as brittle, since others stated it.
-    pub(super) brittle_until: BTreeMap<PoolId, Instant>,
+    /// Pools whose servers count as brittle until they have answered this node, since others stated it.
+    pub(super) brittle_pools: BrittlePools,
+    /// Nodes that are told these pools in this round.
+    pub(super) told_nodes: Vec<NodeId>,
+    /// All known nodes by their ranks; empty while no server is brittle.
+    pub(super) node_order: Vec<NodeId>,
+    /// First moments of the process; none once they are over.
+    pub(super) start_phase: Option<StartPhase>,
     /// Rank of this node as of the last round of the exchange.
-    pub(super) own_rank: NodeRank,
+    pub(super) own_ranks: RankUse,
     /// Memory of the engines of each pool.
     pub(super) memory: EngineMemory,
 }
@@ -89,12 +97,24 @@
             demand: DemandMeter::default(),
             loans: PlaceLoans::default(),
             ranks: PlaceRanks::default(),
-            brittle_until: BTreeMap::new(),
-            own_rank: NodeRank::ALONE,
+            brittle_pools: BrittlePools::default(),
+            told_nodes: Vec::new(),
+            node_order: Vec::new(),
+            start_phase: None,
+            own_ranks: RankUse::new(NodeRank { nodes: 1, rank: 0 }),
             memory: EngineMemory::default(),
         }
     }
 
+    /// Marks the process of this node as one that has just started: it sends nothing until it had the time to be told
+    /// what the other nodes know, and owns no places of brittle servers until it is told which.
+    pub fn with_start(mut self, now: Instant) -> Self {
+        self.start_phase = Some(StartPhase::new(now, &mut self.rng));
+        self.ranks.begin_start(now);
+        self.own_ranks = RankUse::new(NodeRank::NONE);
+        self
+    }
+
     /// Returns the current entry of a server.
     pub fn entry(&self, server: &ServerId) -> Option<&ServerEntry> {
         self.servers.get(server).map(|load| &load.entry)
@@ -133,8 +153,8 @@
     /// answers: it is empty, and all nodes prefer it.
     fn add(&mut self, entry: &ServerEntry, now: Instant) {
         let mut load = ServerLoad::new(entry.clone(), now);
-        let is_brittle = self.is_pool_brittle(&entry.pool, now);
-        load.set_brittle(is_brittle, self.own_rank, now);
+        let is_brittle = self.brittle_pools.contains(&entry.pool, now);
+        load.set_brittle(is_brittle, self.own_ranks, now);
         self.servers.insert(entry.id.clone(), load);
     }
 
@@ -157,14 +177,19 @@
                 .exchange_with(&mut self.servers, exchange, now);
         }
         let counts_peers = self.has(PolicyPart::Exchange);
-        let are_brittle = self.brittle_until.values().any(|until| now < *until);
-        let rank = self.ranks.update(exchange, are_brittle, now);
-        self.own_rank = rank;
+        self.update_start_phase(exchange, now);
+        let are_brittle = self.brittle_pools.has_any(now);
+        (self.told_nodes, self.node_order) = match are_brittle {
+            true => (exchange.statement_recipients(), exchange.node_order()),
+            false => (Vec::new(), Vec::new()),
+        };
+        let ranks = self.ranks.update(exchange, are_brittle, now);
+        self.own_ranks = ranks;
         for load in self.servers.values_mut() {
             if counts_peers {
                 load.peers = exchange.peer_work(&load.entry, now);
             }
-            load.set_rank(rank);
+            load.set_ranks(ranks);
             // Looked up by server: comparing each location with each server is too much work for a small VM.
             for part in parts.remove(&server_key(&load.entry)).unwrap_or_default() {
                 load.record_part(part, now);
@@ -173,6 +198,34 @@
         self.exchange_memory(exchange, now);
     }
 
+    /// Returns this node's rank while servers are brittle, if it has changed since the last call.
+    pub fn take_rank_change(&mut self) -> Option<RankChange> {
+        self.ranks.take_change()
+    }
+
+    /// Ends the first moments of the process once the other nodes had the time to tell this one what they know.
+    fn update_start_phase(&mut self, exchange: &LoadExchange, now: Instant) {
+        if let Some(phase) = &mut self.start_phase {
+            if let Some(heard_at) = exchange.first_heard_at() {
+                phase.record_heard(heard_at);
+            }
+            if phase.ends_at() <= now {
+                self.start_phase = None;
+            }
+        }
+    }
+
+    /// Returns until when this node sends nothing as its process has just started.
+    pub(super) fn starting_until(&self, now: Instant) -> Option<Instant> {
+        let ends_at = self.start_phase.map(|phase| phase.ends_at());
+        ends_at.filter(|ends_at| now < *ends_at)
+    }
+
+    /// Returns whether this node sends nothing yet as its process has just started.
+    pub fn is_starting(&self, now: Instant) -> bool {
+        self.starting_until(now).is_some()
+    }
+
     pub(super) fn has(&self, part: PolicyPart) -> bool {
         self.options.switches.has(part)
     }
@@ -486,6 +539,9 @@
         let pending = &mut load.own.pending_prefill[ticket.urgency];
         *pending = pending.saturating_sub(ticket.prefill_tokens);
         load.record_outcome(outcome, now);
+        if matches!(outcome, WorkOutcome::Inconclusive | WorkOutcome::TimedOut) {
+            load.record_abandoned(now);
+        }
         let data_centre = &load.entry.data_centre;
         match outcome {
             WorkOutcome::Answered | WorkOutcome::Full | WorkOutcome::Refused => {
--- a/crates/plumgate/src/gateway/placement/mod.rs
+++ b/crates/plumgate/src/gateway/placement/mod.rs
@@ -4,6 +4,7 @@
 pub mod data_centres;
 
 mod affinity;
+mod brittle_pools;
 mod cache_holder;
 mod choice;
 mod demand;
@@ -19,6 +20,7 @@
 mod profiles;
 mod server_load;
 mod server_room;
+mod start_phase;
 
 pub use choice::{PlacementOptions, PlacementPolicy, PlacementRequest, ServerPick};
 pub(crate) use engine_memory::MemoryReservation;
@@ -27,5 +29,6 @@
 pub use load::LoadTable;
 pub use place_exchange::PlaceRound;
 pub use place_loans::{ExpiredLoan, PlaceMessage};
+pub use place_ranks::{RankChange, RankSource};
 pub use profiles::{ProfileChange, ProfileCounts};
 pub use server_room::PlaceUse;
--- a/crates/plumgate/src/gateway/placement/place_exchange.rs
+++ b/crates/plumgate/src/gateway/placement/place_exchange.rs
@@ -9,10 +9,12 @@
 use crate::gateway::exchange::messages::pool_key;
 use crate::gateway::servers::IncarnationId;
 use crate::gateway::statements::SendRefusal;
-use crate::ids::{NodeId, ServerId};
+use crate::ids::{NodeId, PoolId, ServerId};
 
-/// Number of nodes that are asked for a place in one round.
+/// Number of nodes that are asked for a place at once.
 const ASKED_NODES: usize = 3;
+/// Number of draws for each of them.
+const MAX_DRAWS: usize = 4;
 
 /// What one round brings about.
 #[derive(Debug, Default)]
@@ -35,22 +37,64 @@
         self.give_back_idle(now);
         let mut messages = self.loans.due_reports(now);
         messages.extend(self.ranks.take_messages());
+        messages.extend(self.pool_messages(now));
+        messages.extend(self.request_places(nodes, now));
+        self.update_rooms(now);
+        PlaceRound { messages, expired }
+    }
+
+    /// Asks some nodes for places where requests wait for room: those that own places there, as far as the given other
+    /// nodes tell which these are.
+    pub fn request_places<'a>(
+        &mut self,
+        nodes: impl Iterator<Item = &'a NodeId>,
+        now: Instant,
+    ) -> Vec<(NodeId, PlaceMessage)> {
         let wanted = self.loans.wanted_pools(now);
-        let nodes: Vec<&NodeId> = match wanted.is_empty() {
+        let others: Vec<&NodeId> = match wanted.is_empty() {
             true => Vec::new(),
             false => nodes.collect(),
         };
+        let mut messages = Vec::new();
         for pool in wanted {
-            let pool = pool_key(&pool);
-            for node in self.rng.choose_multiple(nodes.iter(), ASKED_NODES) {
+            for lender in self.lenders(&pool, &others) {
                 let loan = self.rng.u64(..);
-                let node = NodeId::clone(node);
-                self.loans.record_request(loan, node.clone(), now);
-                messages.push((node, PlaceMessage::Request { loan, pool }));
+                self.loans.record_request(loan, lender.clone(), now);
+                let pool = pool_key(&pool);
+                messages.push((lender, PlaceMessage::Request { loan, pool }));
             }
         }
-        self.update_rooms();
-        PlaceRound { messages, expired }
+        messages
+    }
+
+    /// Returns whether requests wait for room.
+    pub fn wants_places(&self, now: Instant) -> bool {
+        !self.loans.wanted_pools(now).is_empty()
+    }
+
+    /// Draws nodes that own places at the servers of a pool.
+    fn lenders(&mut self, pool: &PoolId, others: &[&NodeId]) -> Vec<NodeId> {
+        let rooms = self.servers.values();
+        let rooms = rooms.filter(|load| load.entry.pool == *pool);
+        let rooms: Vec<_> = rooms.filter_map(|load| load.room()).collect();
+        let mut lenders: Vec<NodeId> = Vec::with_capacity(ASKED_NODES);
+        for _ in 0..ASKED_NODES * MAX_DRAWS {
+            let Some(room) = self.rng.choice(&rooms) else {
+                break;
+            };
+            let owner = room.draw_owner(&mut self.rng);
+            let known = self.node_order.get(owner.rank);
+            let known = known.filter(|_| owner.nodes == self.node_order.len());
+            let lender = known.or_else(|| self.rng.choice(others).copied());
+            let lender = lender.filter(|lender| others.contains(lender));
+            if let Some(lender) = lender.filter(|lender| !lenders.contains(lender)) {
+                lenders.push(lender.clone());
+            }
+            if lenders.len() == ASKED_NODES {
+                break;
+            }
+        }
+        lenders
     }
 
     /// Handles a message of another node, and returns the answer if there is one.
@@ -67,22 +111,38 @@
                 None
             }
             PlaceMessage::Rank { nodes, rank } => {
-                self.ranks.receive(from, *nodes, *rank, now);
+                self.ranks.receive(*nodes, *rank);
                 None
             }
             PlaceMessage::Report { kept, ended } => {
                 let loans = self.loans.apply_report(from, kept, ended, now);
-                (!loans.is_empty()).then_some(PlaceMessage::Recall { loans })
+                (!kept.is_empty()).then_some(PlaceMessage::Recall { loans })
+            }
+            PlaceMessage::Pools { pools } => {
+                self.brittle_pools.apply(pools, now);
+                self.set_untried_brittle(now);
+                None
             }
             PlaceMessage::Recall { loans } => {
                 self.loans.recall(loans, from);
                 None
             }
         };
-        self.update_rooms();
+        self.update_rooms(now);
         answer
     }
 
+    /// Returns the messages that tell other nodes which pools have brittle servers, from a collector.
+    fn pool_messages(&mut self, now: Instant) -> Vec<(NodeId, PlaceMessage)> {
+        let pools = self.brittle_pools.reports(now);
+        let nodes = std::mem::take(&mut self.told_nodes).into_iter();
+        let messages = nodes.map(|node| {
+            let pools = pools.clone();
+            (node, PlaceMessage::Pools { pools })
+        });
+        messages.collect()
+    }
+
     /// Returns this node's places at a server and their use; none if the server is not brittle.
     pub fn place_use(&self, server: &ServerId, now: Instant) -> Option<PlaceUse> {
         self.servers.get(server)?.place_use(now)
@@ -134,21 +194,23 @@
                 None => usize::MAX,
             };
             self.loans.give_back(server, idle);
-            self.update_room(server);
+            self.update_room(server, now);
         }
     }
 
-    fn update_rooms(&mut self) {
+    fn update_rooms(&mut self, now: Instant) {
         for load in self.servers.values_mut() {
             let server = load.incarnation();
-            load.set_loans(self.loans.lent_at(server), self.loans.borrowed_at(server));
+            let borrowed = self.loans.borrowed_at(server, now);
+            load.set_loans(self.loans.lent_at(server), borrowed);
         }
     }
 
-    fn update_room(&mut self, server: IncarnationId) {
+    fn update_room(&mut self, server: IncarnationId, now: Instant) {
         let loads = self.servers.values_mut();
         for load in loads.filter(|load| load.incarnation() == server) {
-            load.set_loans(self.loans.lent_at(server), self.loans.borrowed_at(server));
+            let borrowed = self.loans.borrowed_at(server, now);
+            load.set_loans(self.loans.lent_at(server), borrowed);
         }
     }
 }
--- a/crates/plumgate/src/gateway/placement/place_loans.rs
+++ b/crates/plumgate/src/gateway/placement/place_loans.rs
@@ -2,14 +2,16 @@
 //!
 //! A node whose requests wait for room asks a few other nodes, chosen at random. One that has an idle place of its
 //! own lends it and does not use it until the borrower reports that the loan has ended, or reports nothing for
-//! [`LOAN_LIFETIME`]. Messages may be lost: a lost loan is idle for that time. A borrower that was cut off for longer
-//! gives the place up as soon as it hears from the lender again.
+//! [`LOAN_LIFETIME`]. Messages may be lost: a lost loan is idle for that time. The lender confirms reports. A borrower
+//! sends no request to a place whose loan was not confirmed for [`CONFIRMED_TIME`], and gives it up once it hears
+//! from the lender that the loan has ended.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use super::brittle_pools::BrittlePoolReport;
 use crate::gateway::servers::IncarnationId;
 use crate::ids::{NodeId, PoolId};
 
@@ -21,6 +23,9 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(300);
 /// Time after the last report of a loan after which its lender uses the place again.
 const LOAN_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Time for which a confirmed loan may be used, from before the report that was confirmed: shorter than
+/// [`LOAN_LIFETIME`], which the lender counts from the receipt of the report.
+const CONFIRMED_TIME: Duration = Duration::from_millis(1_200);
 /// Number of rounds in which the end of a loan is reported, so that at least one message arrives.
 const END_ROUNDS: u32 = 2;
 /// Maximum number of loans in one message, so that it fits into one network packet.
@@ -60,11 +65,16 @@
         /// Loans that have ended.
         ended: Vec<u64>,
     },
-    /// Tells a borrower which of its reported loans the lender does not know any more.
+    /// Confirms a borrower's report, and names those of its loans that the lender does not know any more.
     Recall {
         /// Ids of the loans.
         loans: Vec<u64>,
     },
+    /// Tells a node which pools have brittle servers.
+    Pools {
+        /// The pools.
+        pools: Vec<BrittlePoolReport>,
+    },
 }
 
 /// Loan that ended because its borrower no longer reported it.
@@ -86,6 +96,17 @@
 struct BorrowedPlace {
     server: IncarnationId,
     lender: NodeId,
+    /// When the request or report was sent that the lender last confirmed.
+    confirmed_at: Instant,
+}
+
+/// Places that a node has borrowed at a server, and may use.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct BorrowedPlaces {
+    /// Number of places.
+    pub(crate) count: usize,
+    /// Until when all of them may be used.
+    pub(crate) until: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -122,7 +143,8 @@
     lent: BTreeMap<LoanId, LentPlace>,
     /// Loans that ended, as long as that is reported.
     ended: Vec<EndedLoan>,
-    renewed_at: Option<Instant>,
+    /// When the last two reports on used loans were sent, the older one first.
+    reported_at: [Option<Instant>; 2],
 }
 
 impl PlaceLoans {
@@ -165,16 +187,20 @@
             return;
         }
         let request = self.requests.remove(&loan);
-        let is_current = request.is_some_and(|request| {
+        let request = request.filter(|request| {
             let age = now.saturating_duration_since(request.requested_at);
             request.lender == *lender && age < MAX_REQUEST_AGE
         });
-        if !is_current {
+        let Some(request) = request else {
             self.ended.push(EndedLoan::new(loan, lender.clone()));
             return;
-        }
-        let lender = lender.clone();
-        self.borrowed.insert(loan, BorrowedPlace { server, lender });
+        };
+        let place = BorrowedPlace {
+            server,
+            lender: request.lender,
+            confirmed_at: request.requested_at,
+        };
+        self.borrowed.insert(loan, place);
     }
 
     /// Gives back a number of places at a server.
@@ -238,10 +264,17 @@
         unknown
     }
 
-    /// Gives up places that their lender uses again.
+    /// Gives up places that their lender uses again. The lender has confirmed its other loans.
     pub(crate) fn recall(&mut self, loans: &[LoanId], lender: &NodeId) {
         self.borrowed
             .retain(|loan, place| place.lender != *lender || !loans.contains(loan));
+        // The confirmed report may be the one before the last.
+        if let [Some(confirmed_at), _] = self.reported_at {
+            let places = self.borrowed.values_mut();
+            places
+                .filter(|place| place.lender == *lender)
+                .for_each(|place| place.confirmed_at = place.confirmed_at.max(confirmed_at));
+        }
     }
 
     /// Removes old requests, and returns the loans that were not reported for too long.
@@ -269,11 +302,10 @@
             report.1.push(ended.loan);
         }
         self.ended.retain(|ended| ended.reports_left > 0);
-        let is_due = self
-            .renewed_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= RENEWAL_INTERVAL);
+        let [_, last] = self.reported_at;
+        let is_due = last.is_none_or(|at| now.saturating_duration_since(at) >= RENEWAL_INTERVAL);
         if is_due {
-            self.renewed_at = Some(now);
+            self.reported_at = [last, Some(now)];
             for (loan, place) in &self.borrowed {
                 let report = reports.entry(place.lender.clone()).or_default();
                 report.0.push(*loan);
@@ -297,10 +329,17 @@
         lent.filter(|place| place.server == server).count()
     }
 
-    /// Returns how many places at a server are borrowed.
-    pub(crate) fn borrowed_at(&self, server: IncarnationId) -> usize {
+    /// Returns the places that are borrowed at a server and may be used.
+    pub(crate) fn borrowed_at(&self, server: IncarnationId, now: Instant) -> BorrowedPlaces {
         let borrowed = self.borrowed.values();
-        borrowed.filter(|place| place.server == server).count()
+        let ends = borrowed
+            .filter(|place| place.server == server)
+            .map(|place| place.confirmed_at + CONFIRMED_TIME)
+            .filter(|until| now < *until);
+        BorrowedPlaces {
+            count: ends.clone().count(),
+            until: ends.min(),
+        }
     }
 
     /// Returns the servers of all borrowed places.
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -5,7 +5,8 @@
 
 use super::choice::{PlacementOptions, PlacementRequest, SendDeferral};
 use super::engine_memory::ServerMemory;
-use super::place_ranks::NodeRank;
+use super::place_loans::BorrowedPlaces;
+use super::place_ranks::RankUse;
 use super::profiles::{ServerPace, ServerProfile};
 use super::server_room::{PlaceShare, PlaceUse, ServerRoom};
 use crate::gateway::config::StreamClass;
@@ -255,11 +256,11 @@
     }
 
     /// Sets whether the server is brittle. This node's rank decides which of its places are this node's own.
-    pub(crate) fn set_brittle(&mut self, is_brittle: bool, rank: NodeRank, now: Instant) {
+    pub(crate) fn set_brittle(&mut self, is_brittle: bool, ranks: RankUse, now: Instant) {
         match (is_brittle, &self.room) {
             (true, None) => {
                 let incarnation = self.incarnation;
-                let share = PlaceShare { rank, incarnation };
+                let share = PlaceShare { ranks, incarnation };
                 self.room = Some(ServerRoom::new(self.entry.slots, share, now));
             }
             (false, Some(_)) => self.room = None,
@@ -272,6 +273,11 @@
         self.room.is_some()
     }
 
+    /// Returns its room, if it is brittle.
+    pub(super) fn room(&self) -> Option<&ServerRoom> {
+        self.room.as_ref()
+    }
+
     /// Records that the server rejected a request of some node for want of room.
     pub(crate) fn record_rejection(&mut self, now: Instant) {
         if let Some(room) = &mut self.room {
@@ -279,21 +285,28 @@
         }
     }
 
-    /// Sets the rank that decides which places of its room are this node's own.
-    pub(crate) fn set_rank(&mut self, rank: NodeRank) {
+    /// Sets the ranks that decide which places of its room are this node's own.
+    pub(crate) fn set_ranks(&mut self, ranks: RankUse) {
         let incarnation = self.incarnation;
         if let Some(room) = &mut self.room {
-            room.set_share(PlaceShare { rank, incarnation });
+            room.set_share(PlaceShare { ranks, incarnation });
         }
     }
 
     /// Sets how many places of its room are lent to other nodes and borrowed from them.
-    pub(crate) fn set_loans(&mut self, lent: usize, borrowed: usize) {
+    pub(crate) fn set_loans(&mut self, lent: usize, borrowed: BorrowedPlaces) {
         if let Some(room) = &mut self.room {
             room.set_loans(lent, borrowed);
         }
     }
 
+    /// Records that a request ended at this node before the server had ended it.
+    pub(crate) fn record_abandoned(&mut self, now: Instant) {
+        if let Some(room) = &mut self.room {
+            room.record_abandoned(now);
+        }
+    }
+
     /// Returns this node's places at the server and their use; none if it is not brittle.
     pub(crate) fn place_use(&self, now: Instant) -> Option<PlaceUse> {
         let room = self.room.as_ref()?;
--- a/crates/plumgate/src/gateway/placement/server_room.rs
+++ b/crates/plumgate/src/gateway/placement/server_room.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use super::place_ranks::NodeRank;
+use super::place_loans::BorrowedPlaces;
+use super::place_ranks::{NodeRank, RankUse};
 use crate::gateway::servers::IncarnationId;
 
 /// Time after a rejection in which no request is sent to the server: until all nodes know it, and the load that they
@@ -12,29 +13,60 @@
 const REDUCTION: f64 = 0.95;
 /// Share of the server's slots by which its known capacity grows each second without a rejection.
 const GROWTH_PER_SECOND: f64 = 0.05;
+/// Time for which a server may work on a request after this node has closed its connection.
+const LINGER_TIME: Duration = Duration::from_millis(500);
 /// Time after which a request that found no room tries again.
-const RETRY_TIME: Duration = Duration::from_millis(50);
+const RETRY_TIME: Duration = Duration::from_millis(10);
+
+/// Number of positions on the circle on which nodes and places lie.
+const CIRCLE: u128 = 1 << 64;
 
 /// What decides which places of a server are a node's own. All nodes derive their places from it without messages.
+///
+/// The places of a server lie on a circle at equal distances, the first one where the server's incarnation says: other
+/// servers may come and go without moving places that are in use. Each node owns the places on its part of the circle.
+/// Nodes that differ by a few in what they know of the number of nodes own nearly the same parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PlaceShare {
     /// Rank of the node.
-    pub(crate) rank: NodeRank,
-    /// The incarnation of the server. It decides which node owns the first place, whatever other servers there are:
-    /// their coming and going must not move places that are in use.
+    pub(crate) ranks: RankUse,
+    /// The incarnation of the server.
     pub(crate) incarnation: IncarnationId,
 }
 
 impl PlaceShare {
-    /// Returns how many places of a server of this capacity are this node's own.
-    fn places(&self, capacity: usize) -> usize {
-        let NodeRank { nodes, rank } = self.rank;
-        if !self.rank.owns_places() {
+    /// Returns the rank of the node that owns a place, and the number of nodes.
+    pub(super) fn owner(&self, place: usize, slots: usize) -> NodeRank {
+        let nodes = self.ranks.rank.nodes;
+        let distance = CIRCLE / slots.max(1) as u128;
+        let position = (u128::from(self.incarnation) + place as u128 * distance) % CIRCLE;
+        let rank = (position * nodes as u128 / CIRCLE) as usize;
+        NodeRank { nodes, rank }
+    }
+
+    /// Returns how many of the first places of a server with this many slots are this node's own.
+    fn places(&self, count: usize, slots: usize) -> usize {
+        let RankUse { rank, earlier } = self.ranks;
+        let ranks = [Some(rank), earlier].into_iter().flatten();
+        let places = ranks.map(|rank| self.places_of(rank, count, slots));
+        places.min().unwrap_or_default()
+    }
+
+    fn places_of(&self, rank: NodeRank, count: usize, slots: usize) -> usize {
+        if !rank.owns_places() {
             return 0;
         }
-        let first_owner = (self.incarnation % nodes as u64) as usize;
-        let first_own = (rank + nodes - first_owner) % nodes;
-        capacity.saturating_sub(first_own).div_ceil(nodes)
+        let NodeRank { nodes, rank } = rank;
+        let distance = CIRCLE / slots.max(1) as u128;
+        let bound = |rank: usize| rank as u128 * CIRCLE / nodes as u128;
+        let (begin, end) = (bound(rank), bound(rank + 1));
+        let offset = u128::from(self.incarnation);
+        // From the first place on.
+        let begin_after = (begin + CIRCLE - offset) % CIRCLE;
+        let end_after = begin_after + (end - begin);
+        let before = |position: u128| (position.div_ceil(distance) as usize).min(count);
+        let beyond = end_after.saturating_sub(CIRCLE);
+        before(end_after) - before(begin_after) + before(beyond)
     }
 }
 
@@ -67,7 +99,9 @@
     /// Places of this node that others use.
     lent: usize,
     /// Places of others that this node uses.
-    borrowed: usize,
+    borrowed: BorrowedPlaces,
+    /// When requests ended here that the server may still work on.
+    abandoned: Vec<Instant>,
 }
 
 impl ServerRoom {
@@ -81,7 +115,8 @@
             rejected_at: None,
             share,
             lent: 0,
-            borrowed: 0,
+            borrowed: BorrowedPlaces::default(),
+            abandoned: Vec::new(),
         }
     }
 
@@ -91,7 +126,7 @@
     }
 
     /// Sets how many places are lent to other nodes and borrowed from them.
-    pub(crate) fn set_loans(&mut self, lent: usize, borrowed: usize) {
+    pub(crate) fn set_loans(&mut self, lent: usize, borrowed: BorrowedPlaces) {
         self.lent = lent;
         self.borrowed = borrowed;
     }
@@ -102,6 +137,12 @@
         (self.capacity + growth).min(self.slots)
     }
 
+    /// Draws one of its places, and returns the rank of the node that owns it.
+    pub(super) fn draw_owner(&self, rng: &mut fastrand::Rng) -> NodeRank {
+        let slots = self.slots as usize;
+        self.share.owner(rng.usize(..slots), slots)
+    }
+
     /// Records that the server rejected a request of some node.
     pub(crate) fn record_rejection(&mut self, now: Instant) {
         let is_repeated = self.is_closed(now);
@@ -119,8 +160,27 @@
 
     /// Returns how many places this node may use but doesn't, with this many requests in flight.
     pub(crate) fn idle_places(&self, in_flight: u32, now: Instant) -> usize {
-        let usable = self.own_places(now) + self.borrowed;
-        usable.saturating_sub(in_flight as usize)
+        let usable = self.own_places(now) + self.borrowed_places(now);
+        usable.saturating_sub(in_flight as usize + self.abandoned_requests(now))
+    }
+
+    /// Returns how many places this node has borrowed and may use.
+    fn borrowed_places(&self, now: Instant) -> usize {
+        let is_confirmed = self.borrowed.until.is_some_and(|until| now < until);
+        if is_confirmed { self.borrowed.count } else { 0 }
+    }
+
+    /// Records that a request ended here before the server had ended it.
+    pub(crate) fn record_abandoned(&mut self, now: Instant) {
+        self.abandoned
+            .retain(|at| now.saturating_duration_since(*at) < LINGER_TIME);
+        self.abandoned.push(now);
+    }
+
+    fn abandoned_requests(&self, now: Instant) -> usize {
+        let recent = self.abandoned.iter();
+        let recent = recent.filter(|at| now.saturating_duration_since(**at) < LINGER_TIME);
+        recent.count()
     }
 
     /// Returns how many idle places this node may lend.
@@ -140,18 +200,22 @@
     pub(crate) fn place_use(&self, in_flight: u32, now: Instant) -> PlaceUse {
         PlaceUse {
             in_flight,
-            own: self.share.places(self.capacity(now) as usize),
+            own: self.all_own_places(now),
             lent: self.lent,
-            borrowed: self.borrowed,
-            nodes: self.share.rank.nodes,
-            rank: self.share.rank.rank,
+            borrowed: self.borrowed_places(now),
+            nodes: self.share.ranks.rank.nodes,
+            rank: self.share.ranks.rank.rank,
         }
     }
 
     /// Returns the number of this node's places that it has not lent.
     fn own_places(&self, now: Instant) -> usize {
-        let places = self.share.places(self.capacity(now) as usize);
-        places.saturating_sub(self.lent)
+        self.all_own_places(now).saturating_sub(self.lent)
+    }
+
+    fn all_own_places(&self, now: Instant) -> usize {
+        let capacity = self.capacity(now) as usize;
+        self.share.places(capacity, self.slots as usize)
     }
 
     /// Returns when to ask again for room.
--- a/crates/plumgate/src/gateway/statements/brittle_table.rs
+++ b/crates/plumgate/src/gateway/statements/brittle_table.rs
@@ -64,6 +64,12 @@
         is_retained.then_some(server.limit)
     }
 
+    /// Returns the time since the request was sent whose answer last stated that an incarnation is brittle.
+    pub fn statement_age(&self, incarnation: IncarnationId, now: BootTime) -> Option<Duration> {
+        let server = self.servers.get(&incarnation)?;
+        Some(now.saturating_sub(server.stated_at))
+    }
+
     /// Records whether an answer to a request that was sent at `sent` states that its server is brittle. Returns
     /// whether that changes what is known.
     pub fn record_statement(
--- a/crates/plumgate/src/gateway/statements/server_statements.rs
+++ b/crates/plumgate/src/gateway/statements/server_statements.rs
@@ -46,6 +46,8 @@
     Resting,
     /// The server is brittle and probably has no room.
     NoRoom,
+    /// The process of this node has just started and does not know what the other nodes know of the servers.
+    Starting,
     /// The server's software is no longer known to be of the version that began the stream.
     OtherVersion,
 }
@@ -58,6 +60,7 @@
             Self::Leaving => "server_leaving",
             Self::Resting => "server_rest",
             Self::NoRoom => "server_no_room",
+            Self::Starting => "node_starting",
             Self::OtherVersion => "server_version",
         }
     }
--- a/crates/plumgate/tests/brittle_fleet/mod.rs
+++ b/crates/plumgate/tests/brittle_fleet/mod.rs
@@ -20,6 +20,8 @@
 const STEP: f64 = 0.005;
 /// Steps between two rounds of the exchange.
 const ROUND_STEPS: u64 = 20;
+/// Steps between two requests of a node for places.
+const REQUEST_STEPS: u64 = 2;
 /// Time in seconds that a server is away after it fell over.
 const DOWN_SECONDS: f64 = 4.0;
 /// Begin and end of the burst in seconds.
@@ -358,6 +360,9 @@
             }
             self.arrive(at);
             self.send_pending(at);
+            if step % REQUEST_STEPS == 0 {
+                self.request_places(at);
+            }
         }
         self.result
     }
@@ -401,6 +406,7 @@
     fn start_node(&mut self, node: usize, at: f64) {
         let starts = self.nodes[node].starts + 1;
         let mut started = SimNode::new(&self.entries[node], starts);
+        started.table = started.table.with_start(self.now(at));
         started.reads_register_at = Some(at + REGISTER_DELAY * (1.0 + self.delay_rng.f64()));
         let outage = self.plan.outage.expect("an outage");
         started.serves_from = at + outage.callers_after;
@@ -615,6 +621,26 @@
         self.deliver(packets, at);
     }
 
+    /// Lets the nodes whose requests wait for room ask others for places.
+    fn request_places(&mut self, at: f64) {
+        let time = message_time(at);
+        let now = self.now(at);
+        let mut packets = Vec::new();
+        for node in self.nodes.iter_mut().filter(|node| node.is_up) {
+            if !node.table.wants_places(now) {
+                continue;
+            }
+            let others = node.exchange.other_nodes().map(|entry| &entry.node);
+            let messages = node.table.request_places(others, now);
+            let places = node
+                .statements
+                .place_packets(&node.exchange, messages, time);
+            let from = node.entry.address;
+            packets.extend(places.into_iter().map(|(to, bytes)| (to, from, bytes)));
+        }
+        self.deliver(packets, at);
+    }
+
     /// Delivers messages, and those that answer them.
     fn deliver(&mut self, mut packets: Vec<(SocketAddr, SocketAddr, Vec<u8>)>, at: f64) {
         let active = self.plan.nodes_at(at);
