servers: odd entries of other writers are refused, and keep no server out for good

Found beside it: an entry under a sound server's id with a start time in the future was taken as a restart, and the server's own entries, which started earlier, were left out until its row was removed. Cause: the start time decides which of two entries is newer, and nothing bounded it. Change: an entry whose start time lies more than a minute ahead is refused. An incarnation that started earlier and goes on writing, three times with higher counts, is the running one.

--- a/crates/plumgate-node/src/gateway/view_servers.rs
+++ b/crates/plumgate-node/src/gateway/view_servers.rs
@@ -11,6 +11,9 @@
 use crate::clock::Clock;
 use crate::log::LogLine;
 
+/// Time by which the clock of a server may be ahead of this node's.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(60);
+
 impl<C: Clock, W: Send + Sync + 'static> FleetView<C, W> {
     /// Applies the source's changes of servers.
     pub(super) fn apply_servers(&self, change: SourceChange, is_full_read: bool) {
@@ -41,19 +44,31 @@
         }
     }
 
+    /// Returns whether an entry states a start time that no server can have yet.
+    fn starts_in_future(&self, entry: &ServerEntry) -> bool {
+        let latest = self.shared.clock.unix_ms() + MAX_CLOCK_LEAD.as_millis() as u64;
+        entry.start_time.is_some_and(|start| start > latest)
+    }
+
+    /// Logs why the entry of a server is not used.
+    fn unusable(&self, id: ServerId, finding: &'static str) -> ServerUpdate {
+        LogLine::new("finding")
+            .with("topic", SourceTopic::Servers.as_str())
+            .with("server", &id)
+            .with("finding", finding)
+            .warn(&self.shared.log);
+        ServerUpdate::Unusable(id)
+    }
+
     /// Converts an event of the source to an update of a server.
     fn server_update(&self, event: SourceEvent, unconfirmed: bool) -> Option<ServerUpdate> {
         match event {
             SourceEvent::Server(entry) if self.servers.borrow().is_foreign(&entry) => {
-                LogLine::new("finding")
-                    .with("topic", SourceTopic::Servers.as_str())
-                    .with("server", &entry.id)
-                    .with(
-                        "finding",
-                        "the entry lacks the start time that it had before",
-                    )
-                    .warn(&self.shared.log);
-                Some(ServerUpdate::Unusable(entry.id))
+                let finding = "the entry lacks the start time that it had before";
+                Some(self.unusable(entry.id, finding))
+            }
+            SourceEvent::Server(entry) if self.starts_in_future(&entry) => {
+                Some(self.unusable(entry.id, "its start time lies in the future"))
             }
             SourceEvent::Server(entry) => Some(ServerUpdate::Entry(entry)),
             SourceEvent::ServerRemoved(id) => Some(ServerUpdate::Removed { id, unconfirmed }),
--- a/crates/plumgate/src/gateway/servers.rs
+++ b/crates/plumgate/src/gateway/servers.rs
@@ -81,6 +81,8 @@
 #[derive(Clone, Debug)]
 struct TableEntry {
     entry: ServerEntry,
+    /// Writes that were refused, as their incarnation started earlier.
+    earlier: Option<EarlierWrites>,
     /// Time until which the server stays in use although its entry was removed from the store.
     expires_at: Option<Instant>,
 }
@@ -91,6 +93,18 @@
 /// Maximum number of servers that left and are remembered: a third of a fleet of 6,500 servers at once.
 const MAX_DEPARTED: usize = 2_048;
 
+/// Number of writes of one incarnation after which its entries are accepted although one with a later start time was:
+/// a late write of an earlier incarnation is not followed by further ones.
+const MAX_EARLIER_WRITES: u32 = 3;
+
+/// Writes of an incarnation that started before the known one.
+#[derive(Clone, Copy, Debug)]
+struct EarlierWrites {
+    start_time: Option<StartTime>,
+    writes: u64,
+    count: u32,
+}
+
 /// Server that left, by the last known state of its entry.
 #[derive(Clone, Copy, Debug)]
 struct DepartedServer {
@@ -133,7 +147,8 @@
     /// A write of an earlier incarnation may be late: the store applies it after the first write of the next
     /// incarnation. If the table accepted it, requests and cached prompt parts that are lost would count again,
     /// and the requests that run at the new incarnation would be cut off. The start time distinguishes them, as it
-    /// only increases from one incarnation to the next.
+    /// only increases from one incarnation to the next. An incarnation that goes on writing is running, so that the
+    /// later start time was written by somebody else.
     pub fn put(&mut self, mut entry: ServerEntry) -> Option<ServerChange> {
         let known = self.servers.get_mut(&entry.id);
         if entry.version.is_none()
@@ -152,15 +167,16 @@
         }
         let known = self.servers.get(&entry.id);
         let known_start = known.and_then(|known| known.entry.start_time);
-        if known_start.is_some() && entry.start_time < known_start {
+        if known_start.is_some() && entry.start_time < known_start && !self.keeps_writing(&entry) {
             return None;
         }
         if self.has_old_entries && self.is_outdated(&entry) || self.undoes_draining(&entry) {
             return None;
         }
-        let is_restarted = known_start.is_some() && entry.start_time > known_start;
+        let is_restarted = known_start.is_some() && entry.start_time != known_start;
         let row = TableEntry {
             entry: entry.clone(),
+            earlier: None,
             expires_at: None,
         };
         self.servers.insert(entry.id.clone(), row);
@@ -170,6 +186,29 @@
         Some(ServerChange::Changed(entry))
     }
 
+    /// Records a write of an incarnation that started before the known one. Returns whether it was written several
+    /// times since.
+    fn keeps_writing(&mut self, entry: &ServerEntry) -> bool {
+        let Some(known) = self.servers.get_mut(&entry.id) else {
+            return false;
+        };
+        let same = known
+            .earlier
+            .filter(|earlier| earlier.start_time == entry.start_time);
+        let count = match same {
+            _ if entry.start_time.is_none() => return false,
+            Some(earlier) if entry.writes <= earlier.writes => return false,
+            Some(earlier) => earlier.count + 1,
+            None => 1,
+        };
+        known.earlier = Some(EarlierWrites {
+            start_time: entry.start_time,
+            writes: entry.writes,
+            count,
+        });
+        count >= MAX_EARLIER_WRITES
+    }
+
     /// Allows for outdated entries after the store was restored from a backup.
     pub fn on_store_restored(&mut self, now: Instant) {
         self.has_old_entries = true;
--- a/crates/plumgate/tests/gateway_servers.rs
+++ b/crates/plumgate/tests/gateway_servers.rs
@@ -199,3 +199,25 @@
     let newer = table.put(row(ServerState::Ready, 6));
     assert!(matches!(newer, Some(ServerChange::Changed(_))));
 }
+
+/// Guards against a server that is never used again, as another writer has stated a later start time under its id.
+#[test]
+fn server_that_keeps_writing_is_used_again_after_an_entry_of_another_writer() {
+    let mut table = ServerTable::new();
+    let own = |writes| ServerEntry {
+        writes,
+        ..entry_with_start_time("a", 5)
+    };
+    table.put(own(1));
+    let foreign = ServerEntry {
+        address: ([127, 0, 0, 1], 9_999).into(),
+        writes: 1,
+        ..entry_with_start_time("a", 9)
+    };
+    assert!(table.put(foreign.clone()).is_some());
+    assert_eq!(table.put(own(2)), None, "perhaps a late write");
+    assert_eq!(table.put(own(2)), None, "the same write, read again");
+    assert_eq!(table.put(own(3)), None);
+    assert_eq!(table.put(own(4)), Some(ServerChange::Restarted(own(4))));
+    assert_eq!(ready(&table), ["a"]);
+}
