tests: callers that leave, nodes that stand still and long times of brittle servers (red)

The model of brittle servers learns callers that leave while the server works on, nodes that stand still and go on with what they knew, and servers that become brittle during the run.

--- a/crates/plumgate/tests/brittle_fleet/mod.rs
+++ b/crates/plumgate/tests/brittle_fleet/mod.rs
@@ -63,6 +63,8 @@
     pub(crate) interval: f64,
     /// Seconds after its start from which callers send to a node.
     pub(crate) callers_after: f64,
+    /// Whether the nodes stand still and go on with what they knew, instead of being killed.
+    pub(crate) stands_still: bool,
 }
 
 impl NodeOutage {
@@ -75,6 +77,16 @@
             group: usize::MAX,
             interval: 0.0,
             callers_after: 0.1,
+            stands_still: false,
+        }
+    }
+
+    /// Suspends a share of the nodes at once. What callers and other nodes send them waits until they go on.
+    pub(crate) fn suspension(share: f64, at: f64, length: f64) -> Self {
+        Self {
+            at,
+            stands_still: true,
+            ..Self::new(share, length)
         }
     }
 }
@@ -120,6 +132,16 @@
     pub(crate) late_nodes: usize,
     /// Nodes that are killed.
     pub(crate) outage: Option<NodeOutage>,
+    /// Share of the runs whose callers leave before the end.
+    pub(crate) leaving_share: f64,
+    /// Longest time in seconds for which a server works on after the connection of a request was closed.
+    pub(crate) linger: f64,
+    /// Time in seconds from which the servers state that they are brittle.
+    pub(crate) stated_from: f64,
+    /// Time in seconds from which fewer requests may wait.
+    pub(crate) narrow_at: f64,
+    /// Begin and end of the burst in seconds.
+    pub(crate) burst: (f64, f64),
     pub(crate) seed: u64,
 }
 
@@ -145,6 +167,11 @@
             has_mixed_speeds: false,
             late_nodes: 0,
             outage: None,
+            leaving_share: 0.0,
+            linger: LINGER,
+            stated_from: 0.0,
+            narrow_at: FEWER_PLACES_AT,
+            burst: BURST,
             seed,
         }
     }
@@ -192,6 +219,10 @@
 
 struct SimNode {
     is_up: bool,
+    /// Whether its process stands still.
+    is_suspended: bool,
+    /// Packets that wait while it stands still, with their senders.
+    inbox: Vec<(SocketAddr, Vec<u8>)>,
     /// Number of its process.
     starts: u64,
     /// When it reads the register, if it has not yet.
@@ -209,8 +240,11 @@
     node: usize,
     /// Number of the node's process.
     process: u64,
-    ticket: WorkTicket,
+    /// Ticket of the request; none once its caller has left.
+    ticket: Option<WorkTicket>,
     ends: f64,
+    /// When its caller leaves, if it does.
+    leaves_at: Option<f64>,
 }
 
 #[derive(Default)]
@@ -272,6 +306,8 @@
         statements.set_config(&config());
         Self {
             is_up: true,
+            is_suspended: false,
+            inbox: Vec::new(),
             starts,
             reads_register_at: None,
             serves_from: 0.0,
@@ -351,6 +387,7 @@
         for step in 0..steps {
             let at = step as f64 * STEP;
             self.change_nodes(at);
+            self.leave_runs(at);
             self.stop_next_server(at);
             self.restart_servers(at);
             self.apply_changes(at);
@@ -375,10 +412,12 @@
             .is_some_and(|change| change.at <= at)
         {
             let change = self.node_changes.pop().expect("a change");
-            if change.starts {
-                self.start_node(change.node, at);
-            } else {
-                self.kill_node(change.node, at);
+            let stands_still = self.plan.outage.is_some_and(|outage| outage.stands_still);
+            match (change.starts, stands_still) {
+                (true, false) => self.start_node(change.node, at),
+                (false, false) => self.kill_node(change.node, at),
+                (true, true) => self.resume_node(change.node, at),
+                (false, true) => self.nodes[change.node].is_suspended = true,
             }
         }
         for node in &mut self.nodes {
@@ -390,6 +429,7 @@
 
     /// Kills a node. The servers end its requests a moment later.
     fn kill_node(&mut self, node: usize, at: f64) {
+        let linger = self.plan.linger;
         self.nodes[node].is_up = false;
         self.pending.retain(|request| request.node != node);
         self.changes.retain(|change| change.node != node);
@@ -397,11 +437,49 @@
             let running = server.running.iter_mut();
             running
                 .filter(|run| run.node == node)
-                .for_each(|run| run.ends = run.ends.min(at + LINGER));
+                .for_each(|run| run.ends = run.ends.min(at + linger));
             server.waiting.retain(|run| run.node != node);
         }
     }
 
+    /// Lets a node go on that stood still. Callers' requests that wait are read as soon as the messages of other nodes.
+    fn resume_node(&mut self, node: usize, at: f64) {
+        self.nodes[node].is_suspended = false;
+        self.send_pending(at);
+        let address = self.nodes[node].entry.address;
+        let waiting = std::mem::take(&mut self.nodes[node].inbox).into_iter();
+        let packets = waiting.map(|(from, bytes)| (address, from, bytes));
+        self.deliver(packets.collect(), at);
+    }
+
+    /// Lets the callers leave whose time has come. Their servers may work on.
+    fn leave_runs(&mut self, at: f64) {
+        let now = self.now(at);
+        for server in 0..self.servers.len() {
+            for index in 0..self.servers[server].running.len() {
+                let run = &self.servers[server].running[index];
+                if run.leaves_at.is_none_or(|leaves_at| leaves_at > at) {
+                    continue;
+                }
+                let is_node_up = self.is_node_up(run);
+                let run = &mut self.servers[server].running[index];
+                run.leaves_at = None;
+                run.ends = run.ends.min(at + self.plan.linger);
+                let node = run.node;
+                if let Some(ticket) = run.ticket.take().filter(|_| is_node_up) {
+                    let table = &mut self.nodes[node].table;
+                    table.finish(ticket, WorkOutcome::Inconclusive, now);
+                }
+            }
+        }
+    }
+
+    /// Returns when the caller of a run that begins now leaves, if it does.
+    fn draw_leaving(&mut self, at: f64, ends: f64) -> Option<f64> {
+        let leaves = self.plan.leaving_share > 0.0 && self.rng.f64() < self.plan.leaving_share;
+        leaves.then(|| at + (ends - at) * self.rng.f64())
+    }
+
     /// Starts a node that knows nothing of the others.
     fn start_node(&mut self, node: usize, at: f64) {
         let starts = self.nodes[node].starts + 1;
@@ -513,8 +591,10 @@
             if !self.is_node_up(&run) {
                 continue;
             }
-            let table = &mut self.nodes[run.node].table;
-            table.finish(run.ticket, WorkOutcome::Broken, now);
+            if let Some(ticket) = run.ticket {
+                let table = &mut self.nodes[run.node].table;
+                table.finish(ticket, WorkOutcome::Broken, now);
+            }
         }
         if self.plan.has_new_ids {
             self.announce(&removed, at);
@@ -546,16 +626,19 @@
                 if !self.is_node_up(&run) {
                     continue;
                 }
-                self.result.served += 1;
-                self.answer(run.node, server, false, at);
-                let table = &mut self.nodes[run.node].table;
-                table.finish(run.ticket, WorkOutcome::Answered, now);
+                if let Some(ticket) = run.ticket {
+                    self.result.served += 1;
+                    self.answer(run.node, server, false, at);
+                    let table = &mut self.nodes[run.node].table;
+                    table.finish(ticket, WorkOutcome::Answered, now);
+                }
             }
             while self.servers[server].running.len() < self.plan.slots as usize {
                 let Some(mut run) = self.servers[server].waiting.pop_front() else {
                     break;
                 };
                 run.ends = at + self.run_time(server);
+                run.leaves_at = self.draw_leaving(at, run.ends);
                 self.servers[server].running.push(run);
             }
         }
@@ -575,8 +658,12 @@
         if !self.plan.states {
             return;
         }
+        let is_brittle = at >= self.plan.stated_from;
         let statement = ServerStatement {
-            brittle: BrittleStatement::Brittle(self.plan.rejection_limit),
+            brittle: match is_brittle {
+                true => BrittleStatement::Brittle(self.plan.rejection_limit),
+                false => BrittleStatement::Sound,
+            },
             ..ServerStatement::default()
         };
         let boot = Duration::from_secs_f64(at + 1.0);
@@ -589,7 +676,7 @@
         let node = &mut self.nodes[node];
         let statements = &mut node.statements;
         if statements.record_brittle(&entry, &statement, is_rejection, times) {
-            node.table.set_brittle(&entry.id, true, now);
+            node.table.set_brittle(&entry.id, is_brittle, now);
         }
     }
 
@@ -601,7 +688,8 @@
         let time = message_time(at);
         let mut packets: Vec<(SocketAddr, SocketAddr, Vec<u8>)> = Vec::new();
         let active = self.plan.nodes_at(at);
-        for node in self.nodes[..active].iter_mut().filter(|node| node.is_up) {
+        let running = |node: &&mut SimNode| node.is_up && !node.is_suspended;
+        for node in self.nodes[..active].iter_mut().filter(running) {
             node.table.exchange_with(&mut node.exchange, moment.now);
             let own = node
                 .exchange
@@ -626,7 +714,8 @@
         let time = message_time(at);
         let now = self.now(at);
         let mut packets = Vec::new();
-        for node in self.nodes.iter_mut().filter(|node| node.is_up) {
+        let running = |node: &&mut SimNode| node.is_up && !node.is_suspended;
+        for node in self.nodes.iter_mut().filter(running) {
             if !node.table.wants_places(now) {
                 continue;
             }
@@ -658,6 +747,10 @@
                 continue;
             }
             let node = &mut self.nodes[node];
+            if node.is_suspended {
+                node.inbox.push((from, bytes));
+                continue;
+            }
             let received = node.exchange.receive(&bytes, from, &mut node.sync, moment);
             received.expect("a valid message");
             let (answers, _, reported) = node.statements.receive(&mut node.exchange, time);
@@ -678,7 +771,8 @@
     }
 
     fn arrive(&mut self, at: f64) {
-        let in_burst = (BURST.0..BURST.1).contains(&at);
+        let (begin, end) = self.plan.burst;
+        let in_burst = (begin..end).contains(&at);
         let load = if in_burst {
             self.plan.burst_load
         } else {
@@ -713,6 +807,10 @@
 
     fn send_pending(&mut self, at: f64) {
         for mut request in std::mem::take(&mut self.pending) {
+            if self.nodes[request.node].is_suspended {
+                self.pending.push(request);
+                continue;
+            }
             match self.send(&mut request, at) {
                 SendResult::Accepted => {}
                 SendResult::Waits if at - request.sent < PATIENCE => self.pending.push(request),
@@ -769,18 +867,20 @@
         if self.servers[server].down_until.is_some() {
             return Some((ticket, WorkOutcome::Refused));
         }
-        let places = if at < FEWER_PLACES_AT {
+        let places = if at < self.plan.narrow_at {
             self.plan.places
         } else {
             self.plan.places_later
         };
         let ends = at + self.run_time(server);
         let process = self.nodes[node].starts;
+        let leaves_at = self.draw_leaving(at, ends);
         let run = SimRun {
             node,
             process,
-            ticket,
+            ticket: Some(ticket),
             ends,
+            leaves_at,
         };
         let state = &mut self.servers[server];
         if state.running.len() < self.plan.slots as usize {
@@ -794,7 +894,7 @@
         self.result.rejected += 1;
         self.answer(node, server, true, at);
         self.reject(server, at);
-        Some((run.ticket, WorkOutcome::Full))
+        run.ticket.map(|ticket| (ticket, WorkOutcome::Full))
     }
 
     fn reject(&mut self, server: usize, at: f64) {
