brittle servers: a place is free once its server can't work on the request any more

What servers saw: requests beyond their slots, and falls, while every node kept to its places. A lender used a place again 1.5 s after the last report of a borrower that stood still, whose request went on. Change: such a request occupies its place for as long as the longest of the pool's last 64 runs took, at most until its time limit. So does the last request of an expired loan. An answer that the server has ended occupies nothing. Logs: server_rejection says by what right the request was sent, and is also written where the node did not know the server as brittle; abandoned requests are shown.

--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -73,7 +73,8 @@
         }
     };
     // Another crash, or a statement of the server, may have become known while the connection was opened.
-    match work.begin_run(&order.request.suspects, order.origin, connection) {
+    let due = order.request.due;
+    match work.begin_run(&order.request.suspects, order.origin, connection, due) {
         Ok(()) => Ok(link),
         Err(RunRefusal::Disallowed(refusal)) => {
             work.set_outcome(WorkOutcome::Unsent);
--- a/crates/plumgate-node/src/gateway/guards.rs
+++ b/crates/plumgate-node/src/gateway/guards.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use plumgate::gateway::{
     AnswerTimes, BlockedRequest, BootTime, ConnectionKind, OriginState, RunFinding, RunSuspects,
@@ -148,6 +148,7 @@
         suspects: &RunSuspects,
         origin: OriginState,
         connection: ConnectionKind,
+        due: Instant,
     ) -> Result<(), RunRefusal> {
         let now = self.shared.clock.now();
         self.sent = self.shared.clock.boot_time();
@@ -156,6 +157,9 @@
         let run = quarantine.begin(suspects, &self.server, connection, now);
         self.run = Some(run.map_err(RunRefusal::Blocked)?);
         self.permit = None;
+        if let Some(ticket) = &mut self.ticket {
+            ticket.record_sent(due);
+        }
         Ok(())
     }
 
@@ -169,10 +173,22 @@
         };
         self.shared.record_limit(&self.server, statement, times);
         self.shared.record_notices(&self.server, statement, times);
+        if is_rejection {
+            let right = self.ticket.as_ref().map(WorkTicket::right);
+            self.shared
+                .log_rejection(&self.server, statement, right.unwrap_or_default());
+        }
         self.shared
             .record_brittle(&self.server, statement, is_rejection, times);
     }
 
+    /// Records that the server has ended its answer.
+    pub(crate) fn record_end(&mut self) {
+        if let Some(ticket) = &mut self.ticket {
+            ticket.record_end();
+        }
+    }
+
     /// Records that the server certainly received the request, as the head of its answer arrived.
     pub(crate) fn on_response_started(&mut self) {
         if let Some(run) = &mut self.run {
--- a/crates/plumgate-node/src/gateway/relay/full_answer.rs
+++ b/crates/plumgate-node/src/gateway/relay/full_answer.rs
@@ -61,6 +61,7 @@
         if verdict == AnswerVerdict::BrokenOff {
             return self.after_broken_answer(answer, end.end).await;
         }
+        answer.work.record_end();
         let status = answer.head.status;
         if status.is_server_error() {
             answer.work.set_outcome(WorkOutcome::Failed);
--- a/crates/plumgate-node/src/gateway/server_notices.rs
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -4,7 +4,7 @@
 
 use plumgate::gateway::{
     AnswerTimes, BrittleStatement, ExpiredLoan, IncarnationId, LeaveEvent, LeaveStatement,
-    NoticeChange, RankChange, RestStatement, SendRefusal, ServerEntry, ServerStatement,
+    NoticeChange, RankChange, RestStatement, SendRefusal, SendRight, ServerEntry, ServerStatement,
 };
 
 use super::metrics::{NoticeLabels, ReasonLabels};
@@ -122,9 +122,7 @@
         let mut statements = self.statements();
         let is_changed = statements.record_brittle(server, statement, is_rejection, times);
         drop(statements);
-        if is_rejection {
-            self.log_rejection(server);
-        }
+        let now = self.clock.now();
         if !is_changed {
             return;
         }
@@ -132,7 +130,6 @@
             BrittleStatement::Brittle(limit) => Some(limit),
             BrittleStatement::Sound | BrittleStatement::Malformed => None,
         };
-        let now = self.clock.now();
         self.loads().set_brittle(&server.id, limit.is_some(), now);
         LogLine::new("server_notice")
             .with("server", &server.id)
@@ -143,24 +140,37 @@
             .info(&self.log);
     }
 
-    /// Logs and counts that a brittle server rejected a request of this node for want of room.
-    fn log_rejection(&self, server: &ServerEntry) {
+    /// Logs and counts that a brittle server rejected a request of this node for want of room. `right` is what the
+    /// request was sent by.
+    pub(super) fn log_rejection(
+        &self,
+        server: &ServerEntry,
+        statement: &ServerStatement,
+        right: SendRight,
+    ) {
         let places = self.loads().place_use(&server.id, self.clock.now());
-        let Some(places) = places else {
+        let states_it = matches!(statement.brittle, BrittleStatement::Brittle(_));
+        if places.is_none() && !states_it {
             return;
-        };
+        }
         self.metrics.places.rejections.inc();
-        LogLine::new("server_rejection")
+        let line = LogLine::new("server_rejection")
             .with("server", &server.id)
             .with("life", format!("{:016x}", server.incarnation_id()))
             .with("source", "answer")
-            .with("in_flight", places.in_flight)
-            .with("own_places", places.own)
-            .with("lent", places.lent)
-            .with("borrowed", places.borrowed)
-            .with("nodes", places.nodes)
-            .with("rank", places.rank)
-            .info(&self.log);
+            .with("right", right.as_str());
+        let line = match places {
+            None => line,
+            Some(places) => line
+                .with("in_flight", places.in_flight)
+                .with("abandoned", places.abandoned)
+                .with("own_places", places.own)
+                .with("lent", places.lent)
+                .with("borrowed", places.borrowed)
+                .with("nodes", places.nodes)
+                .with("rank", places.rank),
+        };
+        line.info(&self.log);
     }
 
     /// Handles other nodes' reports of rejections by brittle servers.
@@ -317,8 +327,9 @@
             if let Some(places) = places {
                 let _ = write!(
                     page,
-                    " in_flight={} own_places={} lent={} borrowed={} nodes={} rank={}",
+                    " in_flight={} abandoned={} own_places={} lent={} borrowed={} nodes={} rank={}",
                     places.in_flight,
+                    places.abandoned,
                     places.own,
                     places.lent,
                     places.borrowed,
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -58,7 +58,7 @@
 pub use placement::{
     ExpiredLoan, GroupChange, LoadTable, PlaceMessage, PlaceRound, PlaceUse, PlacementOptions,
     PlacementPolicy, PlacementRequest, PoolMemoryUse, ProfileChange, ProfileCounts, RankChange,
-    RankSource, ServerPick,
+    RankSource, SendRight, ServerPick,
 };
 pub use prompt::{PromptPart, PromptShape};
 pub use quarantine::{
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -18,6 +18,7 @@
 use super::prefill_speed::PrefillSpeeds;
 use super::profiles::{ProfileChange, ProfileCounts, ProfileTable};
 use super::server_load::{CostPrediction, ServerLoad, TokenCosts};
+use super::server_room::SendRight;
 use super::start_phase::StartPhase;
 
 use crate::duty::{CapacityType, PoolLoad};
@@ -26,6 +27,7 @@
 use crate::gateway::exchange::messages::{PartLocation, PoolDemand, ServerKey, server_key};
 use crate::gateway::prompt::{MIN_TRACKED_TOKENS, PromptShape};
 use crate::gateway::rate_limit::ServerLimits;
+use crate::gateway::run_times::TimeSample;
 use crate::gateway::servers::{ServerChange, ServerEntry};
 use crate::gateway::switches::PolicyPart;
 use crate::gateway::work::{PauseSample, ServerWork, URGENCY_LEVELS, WorkOutcome, WorkTicket};
@@ -77,6 +79,8 @@
     pub(super) start_phase: Option<StartPhase>,
     /// Rank of this node as of the last round of the exchange.
     pub(super) own_ranks: RankUse,
+    /// Times that the last complete requests to each pool took.
+    pub(super) run_times: BTreeMap<PoolId, TimeSample>,
     /// Memory of the engines of each pool.
     pub(super) memory: EngineMemory,
 }
@@ -102,6 +106,7 @@
             node_order: Vec::new(),
             start_phase: None,
             own_ranks: RankUse::new(NodeRank { nodes: 1, rank: 0 }),
+            run_times: BTreeMap::new(),
             memory: EngineMemory::default(),
         }
     }
@@ -479,11 +484,15 @@
             memory: MemoryReservation::default(),
             output_events: 0,
             pending_beside: 0,
+            right: SendRight::default(),
+            due: None,
+            has_ended: false,
         };
         if let Some(load) = ticket_load(&mut self.servers, &ticket) {
             if let Some(demand) = request.memory_demand() {
                 ticket.memory = self.memory.reserve(&demand, &mut load.memory);
             }
+            ticket.right = load.send_right(now);
             load.own.in_flight += 1;
             load.own.pending_prefill[ticket.urgency] += ticket.prefill_tokens;
             let shared = request.prompt.map_or(&[][..], PromptShape::shared);
@@ -539,8 +548,20 @@
         let pending = &mut load.own.pending_prefill[ticket.urgency];
         *pending = pending.saturating_sub(ticket.prefill_tokens);
         load.record_outcome(outcome, now);
-        if matches!(outcome, WorkOutcome::Inconclusive | WorkOutcome::TimedOut) {
-            load.record_abandoned(now);
+        if let Some(due) = ticket.may_go_on_until(outcome) {
+            let times = self.run_times.get(&load.entry.pool);
+            let longest = times.and_then(TimeSample::longest);
+            let until = longest.map_or(due, |longest| due.min(ticket.started + longest));
+            load.record_abandoned(until, now);
+        } else if outcome == WorkOutcome::Answered {
+            let took = now.saturating_duration_since(ticket.started);
+            let pool = &load.entry.pool;
+            if !self.run_times.contains_key(pool) {
+                self.run_times.insert(pool.clone(), TimeSample::default());
+            }
+            if let Some(times) = self.run_times.get_mut(pool) {
+                times.record(took);
+            }
         }
         let data_centre = &load.entry.data_centre;
         match outcome {
--- a/crates/plumgate/src/gateway/placement/mod.rs
+++ b/crates/plumgate/src/gateway/placement/mod.rs
@@ -31,4 +31,4 @@
 pub use place_loans::{ExpiredLoan, PlaceMessage};
 pub use place_ranks::{RankChange, RankSource};
 pub use profiles::{ProfileChange, ProfileCounts};
-pub use server_room::PlaceUse;
+pub use server_room::{PlaceUse, SendRight};
--- a/crates/plumgate/src/gateway/placement/place_exchange.rs
+++ b/crates/plumgate/src/gateway/placement/place_exchange.rs
@@ -7,6 +7,7 @@
 use super::place_loans::{ExpiredLoan, LoanId, PlaceMessage};
 use super::server_room::PlaceUse;
 use crate::gateway::exchange::messages::pool_key;
+use crate::gateway::run_times::TimeSample;
 use crate::gateway::servers::IncarnationId;
 use crate::gateway::statements::SendRefusal;
 use crate::ids::{NodeId, PoolId, ServerId};
@@ -34,6 +35,7 @@
         now: Instant,
     ) -> PlaceRound {
         let expired = self.loans.remove_expired(now);
+        self.occupy_expired(&expired, now);
         self.give_back_idle(now);
         let mut messages = self.loans.due_reports(now);
         messages.extend(self.ranks.take_messages());
@@ -198,6 +200,20 @@
         }
     }
 
+    /// Keeps the places of expired loans occupied for as long as a run takes: the borrower may stand still or be cut off,
+    /// and its last request go on.
+    fn occupy_expired(&mut self, expired: &[ExpiredLoan], now: Instant) {
+        for loan in expired {
+            let loads = self.servers.values_mut();
+            for load in loads.filter(|load| load.incarnation() == loan.server) {
+                let times = self.run_times.get(&load.entry.pool);
+                if let Some(longest) = times.and_then(TimeSample::longest) {
+                    load.record_abandoned(now + longest, now);
+                }
+            }
+        }
+    }
+
     fn update_rooms(&mut self, now: Instant) {
         for load in self.servers.values_mut() {
             let server = load.incarnation();
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -8,7 +8,7 @@
 use super::place_loans::BorrowedPlaces;
 use super::place_ranks::RankUse;
 use super::profiles::{ServerPace, ServerProfile};
-use super::server_room::{PlaceShare, PlaceUse, ServerRoom};
+use super::server_room::{PlaceShare, PlaceUse, SendRight, ServerRoom};
 use crate::gateway::config::StreamClass;
 use crate::gateway::prompt::{MIN_TRACKED_TOKENS, PromptShape};
 use crate::gateway::rate_limit::RequestRate;
@@ -300,13 +300,21 @@
         }
     }
 
-    /// Records that a request ended at this node before the server had ended it.
-    pub(crate) fn record_abandoned(&mut self, now: Instant) {
+    /// Records that a request ended at this node that the server may work on until the given time.
+    pub(crate) fn record_abandoned(&mut self, until: Instant, now: Instant) {
         if let Some(room) = &mut self.room {
-            room.record_abandoned(now);
+            room.record_abandoned(until, now);
         }
     }
 
+    /// Returns the right by which this node may send another request.
+    pub(crate) fn send_right(&self, now: Instant) -> SendRight {
+        let room = self.room.as_ref();
+        room.map_or(SendRight::Unbound, |room| {
+            room.send_right(self.own.in_flight, now)
+        })
+    }
+
     /// Returns this node's places at the server and their use; none if it is not brittle.
     pub(crate) fn place_use(&self, now: Instant) -> Option<PlaceUse> {
         let room = self.room.as_ref()?;
--- a/crates/plumgate/src/gateway/placement/server_room.rs
+++ b/crates/plumgate/src/gateway/placement/server_room.rs
@@ -13,8 +13,6 @@
 const REDUCTION: f64 = 0.95;
 /// Share of the server's slots by which its known capacity grows each second without a rejection.
 const GROWTH_PER_SECOND: f64 = 0.05;
-/// Time for which a server may work on a request after this node has closed its connection.
-const LINGER_TIME: Duration = Duration::from_millis(500);
 /// Time after which a request that found no room tries again.
 const RETRY_TIME: Duration = Duration::from_millis(10);
 
@@ -70,11 +68,39 @@
     }
 }
 
+/// By what right a request is sent to a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SendRight {
+    /// This node doesn't know the server as brittle, so that no place is needed.
+    #[default]
+    Unbound,
+    /// A place that this node owns.
+    OwnPlace,
+    /// A place that another node lent.
+    BorrowedPlace,
+    /// None: all places were in use.
+    None,
+}
+
+impl SendRight {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unbound => "unbound",
+            Self::OwnPlace => "own_place",
+            Self::BorrowedPlace => "borrowed_place",
+            Self::None => "none",
+        }
+    }
+}
+
 /// Places of one node at a brittle server, and how many are in use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlaceUse {
     /// Requests of this node in flight there.
     pub in_flight: u32,
+    /// Requests that have ended at this node and that the server may still work on.
+    pub abandoned: usize,
     /// Places that this node owns, those that it lent included.
     pub own: usize,
     /// Places that it lent to other nodes.
@@ -100,7 +126,7 @@
     lent: usize,
     /// Places of others that this node uses.
     borrowed: BorrowedPlaces,
-    /// When requests ended here that the server may still work on.
+    /// Until when the server may work on requests that have ended here.
     abandoned: Vec<Instant>,
 }
 
@@ -170,17 +196,30 @@
         if is_confirmed { self.borrowed.count } else { 0 }
     }
 
-    /// Records that a request ended here before the server had ended it.
-    pub(crate) fn record_abandoned(&mut self, now: Instant) {
-        self.abandoned
-            .retain(|at| now.saturating_duration_since(*at) < LINGER_TIME);
-        self.abandoned.push(now);
+    /// Records that a request ended here that the server may work on until the given time.
+    pub(crate) fn record_abandoned(&mut self, until: Instant, now: Instant) {
+        self.abandoned.retain(|until| now < *until);
+        if now < until {
+            self.abandoned.push(until);
+        }
     }
 
     fn abandoned_requests(&self, now: Instant) -> usize {
-        let recent = self.abandoned.iter();
-        let recent = recent.filter(|at| now.saturating_duration_since(**at) < LINGER_TIME);
-        recent.count()
+        let occupied = self.abandoned.iter().filter(|until| now < **until);
+        occupied.count()
+    }
+
+    /// Returns the right by which this node may send another request.
+    pub(crate) fn send_right(&self, in_flight: u32, now: Instant) -> SendRight {
+        let used = in_flight as usize + self.abandoned_requests(now);
+        let own = self.own_places(now);
+        if used < own {
+            SendRight::OwnPlace
+        } else if used < own + self.borrowed_places(now) {
+            SendRight::BorrowedPlace
+        } else {
+            SendRight::None
+        }
     }
 
     /// Returns how many idle places this node may lend.
@@ -200,6 +239,7 @@
     pub(crate) fn place_use(&self, in_flight: u32, now: Instant) -> PlaceUse {
         PlaceUse {
             in_flight,
+            abandoned: self.abandoned_requests(now),
             own: self.all_own_places(now),
             lent: self.lent,
             borrowed: self.borrowed_places(now),
--- a/crates/plumgate/src/gateway/run_times.rs
+++ b/crates/plumgate/src/gateway/run_times.rs
@@ -51,7 +51,7 @@
 
 /// Last times of one kind.
 #[derive(Clone, Debug, Default)]
-struct TimeSample {
+pub(crate) struct TimeSample {
     times: Vec<Duration>,
     next: usize,
 }
@@ -88,7 +88,8 @@
 }
 
 impl TimeSample {
-    fn record(&mut self, time: Duration) {
+    /// Records a time, in place of the oldest one.
+    pub(crate) fn record(&mut self, time: Duration) {
         if self.times.len() < KEPT_RUNS {
             self.times.push(time);
         } else {
@@ -98,7 +99,7 @@
     }
 
     /// Returns the longest of the times, if there are enough.
-    fn longest(&self) -> Option<Duration> {
+    pub(crate) fn longest(&self) -> Option<Duration> {
         let longest = self.times.iter().max().copied();
         longest.filter(|_| self.times.len() >= MIN_RUNS)
     }
--- a/crates/plumgate/src/gateway/work.rs
+++ b/crates/plumgate/src/gateway/work.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::placement::MemoryReservation;
+use super::placement::{MemoryReservation, SendRight};
 use super::servers::StartTime;
 use crate::ids::ServerId;
 
@@ -61,6 +61,12 @@
     pub(crate) output_events: u32,
     /// Most prompt tokens that were known to be pending at the server when the answer began and when it ended.
     pub(crate) pending_beside: u64,
+    /// By what right the request is sent.
+    pub(crate) right: SendRight,
+    /// Time limit of the request, once it was sent.
+    pub(crate) due: Option<Instant>,
+    /// Whether the server has ended the answer.
+    pub(crate) has_ended: bool,
 }
 
 impl WorkTicket {
@@ -69,6 +75,26 @@
         &self.server
     }
 
+    /// Returns by what right the request is sent to its server.
+    pub fn right(&self) -> SendRight {
+        self.right
+    }
+
+    /// Records that the request was sent. The server stops work on it at its time limit.
+    pub fn record_sent(&mut self, due: Instant) {
+        self.due = Some(due);
+    }
+
+    /// Records that the server has ended its answer.
+    pub fn record_end(&mut self) {
+        self.has_ended = true;
+    }
+
+    /// Returns until when the server may work on a request that has ended here, at the latest; `None` if it doesn't.
+    pub(crate) fn may_go_on_until(&self, outcome: WorkOutcome) -> Option<Instant> {
+        self.due.filter(|_| !self.has_ended && outcome.may_go_on())
+    }
+
     /// Records a pause between two events of the answer; of an answer whose beginning was received from another server,
     /// none counts.
     pub fn record_pause(&mut self, pause: Duration) {
@@ -142,3 +168,18 @@
     /// The outcome is no evidence for or against the server.
     Inconclusive,
 }
+
+impl WorkOutcome {
+    /// Returns whether a server that received the request may work on it after it has ended at this node.
+    fn may_go_on(self) -> bool {
+        match self {
+            Self::Failed | Self::Broken | Self::TimedOut | Self::Inconclusive => true,
+            Self::Answered
+            | Self::Restarted
+            | Self::Unsent
+            | Self::Refused
+            | Self::Unreachable
+            | Self::Full => false,
+        }
+    }
+}
--- a/crates/plumgate/tests/brittle_fleet/mod.rs
+++ b/crates/plumgate/tests/brittle_fleet/mod.rs
@@ -36,6 +36,8 @@
 const SPEEDS: [f64; 4] = [0.55, 1.2, 1.2, 1.2];
 /// Interval in seconds at which late nodes register.
 const JOIN_INTERVAL: f64 = 0.5;
+/// Time limit of a request.
+const TIME_LIMIT: Duration = Duration::from_secs(12);
 /// Number of data centres.
 const DATA_CENTRES: usize = 3;
 /// Maximum number of servers that are tried for one request.
@@ -837,7 +839,8 @@
             let Some(pick) = table.pick(&placement, now) else {
                 return SendResult::Waits;
             };
-            let ticket = table.start(&pick, &placement, now);
+            let mut ticket = table.start(&pick, &placement, now);
+            ticket.record_sent(now + TIME_LIMIT);
             let number = pick.server.id.rsplit('-').next();
             let server: usize = number.and_then(|text| text.parse().ok()).expect("an index");
             request.tried.push(pick.server.id.clone());
