brittle servers: what a node doesn't know of a server binds it as well

What servers saw: falls, by nodes that believed them sound. Cause: a default that grants everything until the truth is known, at nodes that are not new. A statement is reported once and kept for 30 s from the server's last answer to the node itself. A node that stood still, or that hears from a server every half minute only, counted it as sound, while the repeated news that its pool is brittle bound only servers that had never answered. Change: a server is bound by its pool until it tells this node, in the answer to a request sent after the pool's first statement, that it is not brittle. A node that ran no round for 1 s sends nothing until it has heard the others for two rounds.

--- a/crates/plumgate-node/src/gateway/server_notices.rs
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -123,6 +123,11 @@
         let is_changed = statements.record_brittle(server, statement, is_rejection, times);
         drop(statements);
         let now = self.clock.now();
+        if statement.brittle == BrittleStatement::Sound {
+            let age = times.seen.saturating_sub(times.sent);
+            let sent = now.checked_sub(age).unwrap_or(now);
+            self.loads().record_sound(&server.id, sent);
+        }
         if !is_changed {
             return;
         }
--- a/crates/plumgate/src/gateway/exchange/load_exchange/mod.rs
+++ b/crates/plumgate/src/gateway/exchange/load_exchange/mod.rs
@@ -68,7 +68,7 @@
     received_notices: Vec<ReceivedNotice>,
     collector: Option<NodeId>,
     collector_received_at: Option<Instant>,
-    /// When the first message of another node was received.
+    /// When the first message of another node was received, since the start or the last restart of hearing.
     first_heard_at: Option<Instant>,
     /// Rounds in which this node was the collector.
     rounds: u32,
@@ -122,11 +122,16 @@
         &self.peers.own().node
     }
 
-    /// Returns when the first message of another node was received.
+    /// Returns when the first message of another node was received, since the start or the last restart of hearing.
     pub(crate) fn first_heard_at(&self) -> Option<Instant> {
         self.first_heard_at
     }
 
+    /// Forgets when messages of other nodes were received: this node stood still, and what it knows is outdated.
+    pub(crate) fn restart_hearing(&mut self) {
+        self.first_heard_at = None;
+    }
+
     /// Returns the nodes that a collector tells what servers state: those of its data centre and the collectors of the
     /// others. There are none if this node is not the collector.
     pub(crate) fn statement_recipients(&self) -> Vec<NodeId> {
--- a/crates/plumgate/src/gateway/placement/brittle_pools.rs
+++ b/crates/plumgate/src/gateway/placement/brittle_pools.rs
@@ -23,9 +23,11 @@
     stated_ms: u32,
 }
 
-/// Last statements of the servers of one pool.
+/// Statements of the servers of one pool.
 #[derive(Clone, Copy, Debug, Default)]
 struct PoolStatement {
+    /// When an answer first stated that its server is brittle, since the pool was last sound.
+    began_at: Option<Instant>,
     /// When an answer last stated that its server is brittle.
     stated_at: Option<Instant>,
     /// When an answer to this node last stated no such thing.
@@ -47,20 +49,23 @@
 
 impl BrittlePools {
     /// Records that a server of a pool stated that it is brittle.
-    pub(super) fn record_brittle(&mut self, pool: &str, stated_at: Instant) {
-        self.record(pool_key(pool), stated_at);
+    pub(super) fn record_brittle(&mut self, pool: &str, stated_at: Instant, now: Instant) {
+        self.record(pool_key(pool), stated_at, now);
     }
 
     /// Records that a server of a pool stated that it is not brittle.
-    pub(super) fn record_sound(&mut self, pool: &str, now: Instant) {
+    pub(super) fn record_sound(&mut self, pool: &str, stated_at: Instant) {
         if let Some(statement) = self.pools.get_mut(&pool_key(pool)) {
-            statement.sound_at = Some(now);
+            statement.sound_at = statement.sound_at.max(Some(stated_at));
         }
     }
 
-    fn record(&mut self, pool: u32, stated_at: Instant) {
+    fn record(&mut self, pool: u32, stated_at: Instant, now: Instant) {
         if self.pools.len() < MAX_POOLS || self.pools.contains_key(&pool) {
             let statement = self.pools.entry(pool).or_default();
+            if !statement.is_brittle(now) {
+                statement.began_at = Some(stated_at);
+            }
             statement.stated_at = statement.stated_at.max(Some(stated_at));
         }
     }
@@ -71,6 +76,14 @@
         statement.is_some_and(|statement| statement.is_brittle(now))
     }
 
+    /// Returns whether a server counts as brittle because others of its pool are: it has told this node nothing else
+    /// since the first of them stated it.
+    pub(super) fn bind(&self, pool: &str, sound_at: Option<Instant>, now: Instant) -> bool {
+        let statement = self.pools.get(&pool_key(pool));
+        let statement = statement.filter(|statement| statement.is_brittle(now));
+        statement.is_some_and(|statement| sound_at <= statement.began_at)
+    }
+
     /// Returns whether there is such a pool.
     pub(super) fn has_any(&self, now: Instant) -> bool {
         let mut statements = self.pools.values();
@@ -105,7 +118,7 @@
         for report in reports {
             let age = Duration::from_millis(report.stated_ms.into());
             if let Some(stated_at) = now.checked_sub(age) {
-                self.record(report.pool, stated_at);
+                self.record(report.pool, stated_at, now);
             }
         }
     }
--- a/crates/plumgate/src/gateway/placement/candidates.rs
+++ b/crates/plumgate/src/gateway/placement/candidates.rs
@@ -122,20 +122,33 @@
         load.set_brittle(is_brittle, ranks, now);
         let pool = load.entry.pool.clone();
         if is_brittle {
-            self.brittle_pools.record_brittle(&pool, now);
-            self.set_untried_brittle(now);
+            load.sound_at = None;
+            self.brittle_pools.record_brittle(&pool, now, now);
+            self.bind_pool_servers(now);
         } else {
             self.brittle_pools.record_sound(&pool, now);
         }
     }
 
-    /// Counts servers that have not answered this node as brittle where others of their pool stated it: the first
+    /// Records that a server told this node that it is not brittle, in the answer to a request sent at the given time.
+    pub fn record_sound(&mut self, server: &ServerId, sent: Instant) {
+        if let Some(load) = self.servers.get_mut(server) {
+            load.sound_at = load.sound_at.max(Some(sent));
+            if load.is_brittle() {
+                self.brittle_pools.record_sound(&load.entry.pool, sent);
+            }
+        }
+    }
+
+    /// Counts servers as brittle that have not answered this node since others of their pool stated it: the first
     /// burst would find out too late.
-    pub(super) fn set_untried_brittle(&mut self, now: Instant) {
+    pub(super) fn bind_pool_servers(&mut self, now: Instant) {
         let ranks = self.own_ranks;
-        let untried = self.servers.values_mut();
-        for load in untried.filter(|load| load.answered_at.is_none()) {
-            if self.brittle_pools.contains(&load.entry.pool, now) {
+        for load in self.servers.values_mut() {
+            if self
+                .brittle_pools
+                .bind(&load.entry.pool, load.sound_at, now)
+            {
                 load.set_brittle(true, ranks, now);
             }
         }
@@ -154,14 +167,15 @@
             let age = brittle.statement_age(load.incarnation(), boot);
             if let Some(stated_at) = age.and_then(|age| now.checked_sub(age)) {
                 self.brittle_pools
-                    .record_brittle(&load.entry.pool, stated_at);
+                    .record_brittle(&load.entry.pool, stated_at, now);
             }
         }
         for load in self.servers.values_mut() {
             let states = brittle.limit(load.incarnation(), boot).is_some();
-            let is_untried = load.answered_at.is_none();
-            let is_pool_brittle = self.brittle_pools.contains(&load.entry.pool, now);
-            load.set_brittle(states || is_untried && is_pool_brittle, ranks, now);
+            let is_bound = self
+                .brittle_pools
+                .bind(&load.entry.pool, load.sound_at, now);
+            load.set_brittle(states || is_bound, ranks, now);
         }
     }
 
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -44,6 +44,12 @@
 /// servers help.
 const INTERACTIVE_OVERFLOW_SECONDS: f64 = 0.15;
 
+/// Time without a round of the exchange from which on other nodes may have learnt and reported meanwhile what this one
+/// doesn't know.
+const STALL_TIME: Duration = Duration::from_secs(1);
+/// Time within which a node that runs has its next round.
+const ROUND_TIME: Duration = Duration::from_millis(100);
+
 /// Shared tokens from which on a prompt is long, so that a slow server is no preferred one: it would take some 0.2 s to
 /// prefill them.
 const MIN_LONG_TOKENS: u64 = 4_000;
@@ -79,6 +85,8 @@
     pub(super) start_phase: Option<StartPhase>,
     /// Rank of this node as of the last round of the exchange.
     pub(super) own_ranks: RankUse,
+    /// When the last round of the exchange was run.
+    exchanged_at: Option<Instant>,
     /// Times that the last complete requests to each pool took.
     pub(super) run_times: BTreeMap<PoolId, TimeSample>,
     /// Memory of the engines of each pool.
@@ -106,6 +114,7 @@
             node_order: Vec::new(),
             start_phase: None,
             own_ranks: RankUse::new(NodeRank { nodes: 1, rank: 0 }),
+            exchanged_at: None,
             run_times: BTreeMap::new(),
             memory: EngineMemory::default(),
         }
@@ -182,6 +191,11 @@
                 .exchange_with(&mut self.servers, exchange, now);
         }
         let counts_peers = self.has(PolicyPart::Exchange);
+        if self.has_stood_still(now) && exchange.other_nodes().next().is_some() {
+            exchange.restart_hearing();
+            self.start_phase = Some(StartPhase::new(now, &mut self.rng));
+        }
+        self.exchanged_at = Some(now);
         self.update_start_phase(exchange, now);
         let are_brittle = self.brittle_pools.has_any(now);
         (self.told_nodes, self.node_order) = match are_brittle {
@@ -220,13 +234,21 @@
         }
     }
 
-    /// Returns until when this node sends nothing as its process has just started.
+    /// Returns whether this node has run no round of the exchange for so long that what it knows of the servers may be
+    /// outdated.
+    fn has_stood_still(&self, now: Instant) -> bool {
+        self.exchanged_at
+            .is_some_and(|at| now.saturating_duration_since(at) >= STALL_TIME)
+    }
+
+    /// Returns until when this node sends nothing as its process has just started, or stood still.
     pub(super) fn starting_until(&self, now: Instant) -> Option<Instant> {
         let ends_at = self.start_phase.map(|phase| phase.ends_at());
-        ends_at.filter(|ends_at| now < *ends_at)
+        let ends_at = ends_at.filter(|ends_at| now < *ends_at);
+        ends_at.or_else(|| self.has_stood_still(now).then(|| now + ROUND_TIME))
     }
 
-    /// Returns whether this node sends nothing yet as its process has just started.
+    /// Returns whether this node sends nothing yet as its process has just started, or stood still.
     pub fn is_starting(&self, now: Instant) -> bool {
         self.starting_until(now).is_some()
     }
@@ -550,8 +572,9 @@
         load.record_outcome(outcome, now);
         if let Some(due) = ticket.may_go_on_until(outcome) {
             let times = self.run_times.get(&load.entry.pool);
-            let longest = times.and_then(TimeSample::longest);
-            let until = longest.map_or(due, |longest| due.min(ticket.started + longest));
+            let elapsed = now.saturating_duration_since(ticket.started);
+            let end = times.and_then(|times| times.likely_end(elapsed));
+            let until = end.map_or(due, |end| due.min(ticket.started + end));
             load.record_abandoned(until, now);
         } else if outcome == WorkOutcome::Answered {
             let took = now.saturating_duration_since(ticket.started);
--- a/crates/plumgate/src/gateway/placement/place_exchange.rs
+++ b/crates/plumgate/src/gateway/placement/place_exchange.rs
@@ -122,7 +122,7 @@
             }
             PlaceMessage::Pools { pools } => {
                 self.brittle_pools.apply(pools, now);
-                self.set_untried_brittle(now);
+                self.bind_pool_servers(now);
                 None
             }
             PlaceMessage::Recall { loans } => {
--- a/crates/plumgate/src/gateway/placement/server_load.rs
+++ b/crates/plumgate/src/gateway/placement/server_load.rs
@@ -99,6 +99,8 @@
     deferred_until: Vec<(u8, Instant)>,
     /// Its room, if it stated that it is brittle.
     room: Option<ServerRoom>,
+    /// When the request was sent whose answer last told this node that it is not brittle.
+    pub(crate) sound_at: Option<Instant>,
     /// Whether its entry is missing, perhaps because of an outage of the store.
     is_unconfirmed: bool,
     pub(super) parts: HashMap<u64, Instant>,
@@ -159,6 +161,7 @@
             limit: None,
             deferred_until: Vec::new(),
             room: None,
+            sound_at: None,
             is_unconfirmed: false,
             parts: HashMap::new(),
             part_order: VecDeque::new(),
--- a/crates/plumgate/src/gateway/run_times.rs
+++ b/crates/plumgate/src/gateway/run_times.rs
@@ -7,6 +7,8 @@
 const KEPT_RUNS: usize = 64;
 /// Number of runs from which an estimate is made.
 const MIN_RUNS: usize = 3;
+/// Share of the runs that end within the time by which a run is expected to end.
+const LIKELY_SHARE: f64 = 0.75;
 /// Maximum number of routes that are kept.
 const MAX_ROUTES: usize = 4_096;
 
@@ -98,6 +100,17 @@
         }
     }
 
+    /// Returns the time by which most of the runs that took longer than `elapsed` ended, if there are enough.
+    pub(crate) fn likely_end(&self, elapsed: Duration) -> Option<Duration> {
+        let longer = self.times.iter().copied().filter(|time| *time > elapsed);
+        let mut longer: Vec<Duration> = longer.collect();
+        longer.sort_unstable();
+        let last = longer.len().checked_sub(1)?;
+        let index = (last as f64 * LIKELY_SHARE).round() as usize;
+        let end = longer.get(index).copied();
+        end.filter(|_| self.times.len() >= MIN_RUNS)
+    }
+
     /// Returns the longest of the times, if there are enough.
     pub(crate) fn longest(&self) -> Option<Duration> {
         let longest = self.times.iter().max().copied();
--- a/crates/plumgate/tests/brittle_fleet/mod.rs
+++ b/crates/plumgate/tests/brittle_fleet/mod.rs
@@ -676,6 +676,9 @@
         };
         let (entry, now) = (self.entry(server), self.now(at));
         let node = &mut self.nodes[node];
+        if !is_brittle {
+            node.table.record_sound(&entry.id, now);
+        }
         let statements = &mut node.statements;
         if statements.record_brittle(&entry, &statement, is_rejection, times) {
             node.table.set_brittle(&entry.id, is_brittle, now);
