stops: a request late in a stop goes by its time limit alone

What callers saw: requests on kept connections late in the grace were passed on and cut at its end, with an error at best, among them requests that may run once. Cause: the longest of a route's last 64 runs is no bound of the next one. Change: once the balancer sends no more connections (2.4 s after the stop was requested), a request that no server has received begins only if its own time limit ends before the process does; else it is refused as not run, at once, with Connection: close. Before that, and for further runs of a request that a server may have run, the estimate counts as before. A refusal costs the caller of a kept connection one connection, once.

--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -69,6 +69,7 @@
         output_hint: metadata.output_hint,
         wait: Duration::ZERO,
         received_for: Duration::ZERO,
+        is_first: true,
     };
     if !shared.may_start(&check) {
         return Err(stopping_error());
--- a/crates/plumgate-node/src/gateway/lifecycle.rs
+++ b/crates/plumgate-node/src/gateway/lifecycle.rs
@@ -2,19 +2,15 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use plumgate::chart::{ChartRun, NODE_CHART, StateChart};
-use plumgate::gateway::NodeStop;
+use plumgate::gateway::{BALANCER_LAG, NodeStop};
 
 use super::shared::GatewayShared;
 use crate::clock::Clock;
 use crate::lifecycle::{enter_state, state_line};
 
-/// Time for which the balancer still sends new connections after the node reports itself as not ready: two
-/// checks, one second apart, and the time that one takes.
-const BALANCER_LAG: Duration = Duration::from_millis(2_400);
-
 /// State of a gateway node's lifecycle.
 pub(crate) struct GatewayLifecycle {
     run: ChartRun,
--- a/crates/plumgate-node/src/gateway/stopping.rs
+++ b/crates/plumgate-node/src/gateway/stopping.rs
@@ -36,6 +36,8 @@
     pub(crate) wait: Duration,
     /// Time for which a stream that may be resumed was received.
     pub(crate) received_for: Duration,
+    /// Whether no server has received the request yet.
+    pub(crate) is_first: bool,
 }
 
 /// Returns the refusal of a request that can't end before the process does.
@@ -70,6 +72,7 @@
         let plan = RunPlan {
             due: check.due,
             expected: self.run_times().expected(&forecast),
+            is_first: check.is_first,
         };
         if stop.allows(&plan, now) {
             return true;
@@ -83,6 +86,7 @@
                 plan.expected.map(|expected| expected.as_millis()),
             )
             .with("due_in_ms", due_in.as_millis())
+            .with("first", check.is_first)
             .with_stop_age(self.stop_age(now))
             .info(&self.log);
         false
@@ -131,6 +135,7 @@
             output_hint: self.request.metadata.output_hint,
             wait,
             received_for,
+            is_first: self.run.outcome() == RunOutcome::NotRun,
         })
     }
 
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -49,7 +49,7 @@
     NodeEntry, PartLocation, PoolDemand, ReceivedClock, ReceivedStatement, ReceivedUsage, SumKey,
     SumRow, SumTable, SumTopic,
 };
-pub use node_stop::{NodeStop, RunPlan};
+pub use node_stop::{BALANCER_LAG, NodeStop, RunPlan};
 pub use origins::{
     HistoryReport, LookupId, LookupState, OriginFinding, OriginMessage, OriginPacket,
     OriginQuestion, OriginSource, OriginState, STREAM_LIFETIME, StreamKey, StreamOrigin,
--- a/crates/plumgate/src/gateway/node_stop.rs
+++ b/crates/plumgate/src/gateway/node_stop.rs
@@ -8,6 +8,9 @@
 const ANSWER_RESERVE: Duration = Duration::from_millis(400);
 /// Time before the end of the process at which requests without an answer fail, so that their callers get an error.
 const FAILURE_RESERVE: Duration = Duration::from_millis(100);
+/// Time for which the balancer still sends new connections after the node reports itself as not ready: two checks, one
+/// second apart, and the time that one takes.
+pub const BALANCER_LAG: Duration = Duration::from_millis(2_400);
 /// Share of a stop that a run of which nothing is known is given.
 const UNKNOWN_SHARE: f64 = 0.6;
 /// Factor by which a run may take longer than expected.
@@ -27,6 +30,8 @@
     pub due: Instant,
     /// Time that the run is expected to take, if that is known.
     pub expected: Option<Duration>,
+    /// Whether no server has received the request yet, so that it can be refused as not run.
+    pub is_first: bool,
 }
 
 impl NodeStop {
@@ -60,13 +65,17 @@
         at.map_or(self.requested_at, |at| at.max(self.requested_at))
     }
 
-    /// Returns whether a run may begin: its time limit ends, or it is expected to end, before the process does.
+    /// Returns whether a run may begin: its time limit ends before the process does, or it is expected to.
+    ///
+    /// Once the balancer sends no more connections, a request that no server has received goes by its time limit alone:
+    /// no estimate is a bound, and the refusal sends its caller to another node for good.
     pub fn allows(&self, plan: &RunPlan, now: Instant) -> bool {
         let until = self.answers_until();
         let needed = plan.expected.map_or_else(
             || (self.ends_at - self.requested_at).mul_f64(UNKNOWN_SHARE),
             |expected| expected.mul_f64(TIME_MARGIN),
         );
-        plan.due <= until || now + needed <= until
+        let may_estimate = !plan.is_first || now < self.requested_at + BALANCER_LAG;
+        plan.due <= until || may_estimate && now + needed <= until
     }
 }
