memory: what a node holds for requests comes from one account

What callers saw (a report of other operators): a faulty server sent bytes without end, the node that had called it ran out of memory, and the requests of its other callers ended with it. Cause: bounds for each answer (8 MiB), each event and each body, but none for their sum; and a request body was copied into the write buffer of the HTTP library while its server read slowly, so that it was held twice. Without memory a body is refused before it is read (503, not run), an answer is passed on as it arrives, an event ends its stream visibly. Bodies are sent in pieces of 16 KiB. Two faults in one commit, as they share the account.

--- a/crates/plumgate-node/src/attempt/request.rs
+++ b/crates/plumgate-node/src/attempt/request.rs
@@ -3,13 +3,12 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{HeaderMap, Method, Request};
 
 use super::{LAST_EVENT_HEADER, PRIORITY_HEADER, ServerAttempt};
 use crate::clock::Clock;
-use crate::http::{OutgoingRequest, REQUEST_ID_HEADER};
+use crate::http::{OutgoingRequest, REQUEST_ID_HEADER, RequestBody};
 
 impl<C: Clock> ServerAttempt<'_, C> {
     /// Returns whether the response belongs to this run; a response without a request id passes.
@@ -46,7 +45,7 @@
     }
 
     pub(super) fn build(&self, method: Method, path: &str, body: Bytes) -> OutgoingRequest {
-        let mut request = Request::new(Full::new(body));
+        let mut request = Request::new(RequestBody::new(body));
         *request.method_mut() = method;
         *request.uri_mut() = path.parse().unwrap_or_default();
         let headers = request.headers_mut();
--- a/crates/plumgate-node/src/gateway/attempt.rs
+++ b/crates/plumgate-node/src/gateway/attempt.rs
@@ -5,12 +5,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT};
 use hyper::{Request, Response, Version};
-use plumgate::gateway::{BodyEnd, ConnectionKind, RepeatKind, WorkOutcome};
+use plumgate::gateway::{ConnectionKind, RepeatKind, WorkOutcome};
 
 use super::answer::remove_connection_headers;
 use super::connection_cause::ConnectionPurpose;
@@ -20,12 +18,12 @@
     AttemptEnd, AttemptOrder, AttemptOutcome, PATH_LOST, RESTARTED, ServerAnswer,
 };
 use super::retry_payment::RetryPayment;
-use super::server_body::{BodyInput, ServerBody};
+use super::server_body::ServerBody;
 use super::server_connection::{ConnectFailure, open_server};
 use super::server_limits::SendCause;
 use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
-use crate::http::OutgoingRequest;
+use crate::http::{OutgoingRequest, RequestBody};
 use crate::link::{HttpLink, LinkError};
 
 /// Time after the request's deadline for which the node still waits for the server's own answer.
@@ -179,7 +177,7 @@
     order: &AttemptOrder,
 ) -> OutgoingRequest {
     let request = &order.request;
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    let mut outgoing = Request::new(RequestBody::new(request.body.clone()));
     *outgoing.method_mut() = request.head.method.clone();
     *outgoing.version_mut() = Version::HTTP_11;
     // Servers accept the path alone, whatever form of the target the caller used.
@@ -258,24 +256,3 @@
         }
     }
 }
-
-/// A body exceeds its maximum size.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct BodyTooLarge;
-
-/// Reads a body of at most `max_bytes` until its bytes end.
-pub(crate) async fn collect_body(
-    body: &mut ServerBody,
-    max_bytes: usize,
-) -> Result<(Bytes, BodyEnd), BodyTooLarge> {
-    let mut buffer = bytes::BytesMut::new();
-    loop {
-        match body.next().await {
-            BodyInput::Bytes(bytes) => buffer.extend_from_slice(&bytes),
-            BodyInput::End(end) => return Ok((buffer.freeze(), end)),
-        }
-        if buffer.len() > max_bytes {
-            return Err(BodyTooLarge);
-        }
-    }
-}
--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -3,17 +3,17 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::future;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::StatusCode;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use plumgate::gateway::{
-    CallerLimits, GatewayConfig, GatewayRoute, IdentityHasher, KeyOwner, OriginState, RequestHead,
-    RouteMatch, RunSuspects,
+    CallerLimits, GatewayConfig, GatewayRoute, IdentityHasher, KeyOwner, MemoryHold, OriginState,
+    RequestHead, RouteMatch, RunSuspects,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -30,6 +30,8 @@
 /// Retry delay while this node is cut off from the other nodes too. Those most likely serve, and the caller's next
 /// connection leads to one of them.
 const CUT_OFF_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Retry delay while this node has no memory for a request: most of those that hold some end within it.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Time limit of a request whose headers state none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -80,7 +82,14 @@
         host: host(&head),
         path: head.uri.path_and_query().map_or("", PathAndQuery::as_str),
     });
-    let body = read_body(shared, body, config.limits, due, &mut hasher).await?;
+    let mut memory = shared.hold_memory();
+    let reading = BodyReading {
+        limits: config.limits,
+        due,
+        memory: &mut memory,
+        hasher: &mut hasher,
+    };
+    let body = read_body(shared, body, &id, reading).await?;
     let Some(pool) = route.pool_for(xxh3_64(id.as_bytes())).cloned() else {
         return Err(stale(shared, "no_pool", "the route leads nowhere now"));
     };
@@ -100,6 +109,7 @@
         },
         head,
         body,
+        memory,
         metadata,
         arrived,
         due,
@@ -190,33 +200,85 @@
     CallerError::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, message, retry_after)
 }
 
+/// How the body of a request is read.
+struct BodyReading<'a> {
+    limits: CallerLimits,
+    due: Instant,
+    memory: &'a mut MemoryHold,
+    hasher: &'a mut IdentityHasher,
+}
+
+/// Why a body was not read to its end.
+enum BodyError {
+    /// It is larger than allowed.
+    TooLarge,
+    /// This node has no memory for it.
+    NoMemory,
+    /// The connection broke, or the framing is invalid.
+    Broken,
+}
+
+impl BodyReading<'_> {
+    /// Reads a body to its end. An announced length counts before anything is read.
+    async fn collect(&mut self, body: &mut Incoming) -> Result<Bytes, BodyError> {
+        let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        self.hold(announced)?;
+        let mut first: Option<Bytes> = None;
+        let mut buffer = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| BodyError::Broken)?;
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            self.hasher.update(&bytes);
+            let received = first.as_ref().map_or(0, Bytes::len) + buffer.len() + bytes.len();
+            self.hold(received.max(announced))?;
+            match first.take() {
+                // Most bodies arrive in one piece, which needs no copy.
+                None if buffer.is_empty() => first = Some(bytes),
+                earlier => {
+                    if let Some(earlier) = earlier {
+                        buffer.reserve(announced.max(received));
+                        buffer.extend_from_slice(&earlier);
+                    }
+                    buffer.extend_from_slice(&bytes);
+                }
+            }
+        }
+        Ok(first.unwrap_or_else(|| buffer.freeze()))
+    }
+
+    fn hold(&mut self, bytes: usize) -> Result<(), BodyError> {
+        if bytes > self.limits.body_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        if !self.memory.resize(bytes) {
+            return Err(BodyError::NoMemory);
+        }
+        Ok(())
+    }
+}
+
 async fn read_body<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     body: &mut Incoming,
-    limits: CallerLimits,
-    due: Instant,
-    hasher: &mut IdentityHasher,
+    id: &str,
+    mut reading: BodyReading<'_>,
 ) -> Result<Bytes, CallerError> {
-    let read = Limited::new(body, limits.body_bytes)
-        .map_frame(|frame| {
-            if let Some(bytes) = frame.data_ref() {
-                hasher.update(bytes);
-            }
-            frame
-        })
-        .collect();
+    let limits = reading.limits;
     let stopping = async {
         shared.wait_for_last_start().await;
         None
     };
-    let read = async { Some(until(&shared.clock, due, read).await) };
+    let due = reading.due;
+    let read = async { Some(until(&shared.clock, due, reading.collect(body)).await) };
     // A body that is not complete by then is refused while its caller can still be told.
     let Some(read_result) = future::or(read, stopping).await else {
         return Err(stopping_error());
     };
     match read_result {
-        Some(Ok(collected)) => Ok(collected.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => {
+        Some(Ok(collected)) => Ok(collected),
+        Some(Err(BodyError::TooLarge)) => {
             let message = format!("the body is larger than {} bytes", limits.body_bytes);
             Err(CallerError::invalid(
                 StatusCode::PAYLOAD_TOO_LARGE,
@@ -224,7 +286,16 @@
                 message,
             ))
         }
-        Some(Err(_)) => Err(CallerError::invalid(
+        Some(Err(BodyError::NoMemory)) => {
+            shared.log_memory_refusal(id, "request_body");
+            Err(CallerError::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no_memory",
+                "this node has no memory for the body now; the request was not run",
+                MEMORY_RETRY_DELAY,
+            ))
+        }
+        Some(Err(BodyError::Broken)) => Err(CallerError::invalid(
             StatusCode::BAD_REQUEST,
             "bad_body",
             "the body could not be read",
--- a/crates/plumgate-node/src/gateway/metrics/mod.rs
+++ b/crates/plumgate-node/src/gateway/metrics/mod.rs
@@ -17,6 +17,7 @@
 mod quarantine;
 mod rate_limit;
 mod read_ahead;
+mod request_memory;
 mod requests;
 mod retries;
 mod shares;
@@ -48,6 +49,7 @@
 use quarantine::QuarantineMetrics;
 use rate_limit::RateLimitMetrics;
 use read_ahead::ReadAheadMetrics;
+use request_memory::RequestMemoryMetrics;
 use requests::RequestMetrics;
 use retries::RetryMetrics;
 use shares::ShareMetrics;
@@ -71,6 +73,8 @@
     pub(crate) quarantine: QuarantineMetrics,
     /// Bytes and streams that are held for slow callers.
     pub(crate) read_ahead: ReadAheadMetrics,
+    /// Memory that is held for requests.
+    pub(crate) request_memory: RequestMemoryMetrics,
     /// Predicted use of the memory of engines, and requests refused for want of it.
     pub(crate) memory: MemoryMetrics,
     /// Servers with a rate limit, and the permits to send to them.
@@ -113,6 +117,7 @@
         self.config.register(&mut registry);
         self.quarantine.register(&mut registry);
         self.read_ahead.register(&mut registry);
+        self.request_memory.register(&mut registry);
         self.memory.register(&mut registry);
         self.rate_limit.register(&mut registry);
         self.notices.register(&mut registry);
--- a/crates/plumgate-node/src/gateway/options.rs
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -115,6 +115,8 @@
 
 /// Bytes that may be held for slow callers where the memory of the VM is not known.
 const DEFAULT_READ_AHEAD_BYTES: usize = 16 * 1024 * 1024;
+/// Bytes that may be held for requests where the memory of the VM is not known.
+const DEFAULT_REQUEST_BYTES: usize = 32 * 1024 * 1024;
 
 /// Options of a gateway node.
 #[derive(Clone, Debug)]
@@ -147,6 +149,8 @@
     pub server_host: Option<HostTranslation>,
     /// Bytes that may be held for callers that read slowly.
     pub read_ahead_bytes: usize,
+    /// Bytes that may be held for requests: their bodies, and what was read of answers and not passed on.
+    pub request_bytes: usize,
 }
 
 impl GatewayOptions {
@@ -172,6 +176,7 @@
             duties: None,
             server_host: None,
             read_ahead_bytes: DEFAULT_READ_AHEAD_BYTES,
+            request_bytes: DEFAULT_REQUEST_BYTES,
         }
     }
 
@@ -207,6 +212,12 @@
         self
     }
 
+    /// Sets how many bytes may be held for requests.
+    pub fn with_request_memory(mut self, bytes: usize) -> Self {
+        self.request_bytes = bytes;
+        self
+    }
+
     /// Sets the address for metrics.
     pub fn with_metrics(mut self, listen: SocketAddr) -> Self {
         self.metrics_listen = Some(listen);
--- a/crates/plumgate-node/src/gateway/relay/mod.rs
+++ b/crates/plumgate-node/src/gateway/relay/mod.rs
@@ -45,11 +45,19 @@
 /// Result of the choice of a server and of the attempt there.
 enum RunStep<C: Clock, W: WireFormat> {
     /// The answer is relayed as a stream.
-    Stream(Box<ServerAnswer<C, W>>),
+    Stream(Box<BegunAnswer<C, W>>),
     /// The request goes on in another way.
     Next(NextStep),
 }
 
+/// Answer that is relayed while it arrives.
+pub(crate) struct BegunAnswer<C: Clock, W: WireFormat> {
+    /// The answer.
+    pub(crate) answer: ServerAnswer<C, W>,
+    /// First bytes of the body, if it was to be read whole and turned out to be too long for that.
+    pub(crate) prefix: Option<Bytes>,
+}
+
 impl<C: Clock, W: WireFormat> RelayRun<C, W> {
     /// Tries servers until one answers.
     pub(crate) async fn answer(
@@ -77,16 +85,17 @@
         };
         match self.try_server(&pick, permit).await {
             AttemptOutcome::Answer(answer) if self.begins_stream(&answer) => {
-                RunStep::Stream(answer)
+                let (answer, prefix) = (*answer, None);
+                RunStep::Stream(Box::new(BegunAnswer { answer, prefix }))
             }
-            outcome => RunStep::Next(self.after_attempt(&pick, outcome).await),
+            outcome => self.after_attempt(&pick, outcome).await,
         }
     }
 
     /// Begins to relay a stream, while its chunks arrive.
     fn relay_stream(
         self,
-        answer: ServerAnswer<C, W>,
+        answer: BegunAnswer<C, W>,
     ) -> Response<GatewayBody<impl Stream<Item = StreamChunk> + Send + use<C, W>>> {
         let owner = StreamOwner {
             request: self.request.id.clone(),
@@ -102,9 +111,9 @@
         &mut self,
         pick: &ServerPick,
         outcome: AttemptOutcome<C, W>,
-    ) -> NextStep {
-        match outcome {
-            AttemptOutcome::Answer(answer) => self.relay_full_body(*answer).await,
+    ) -> RunStep<C, W> {
+        let next = match outcome {
+            AttemptOutcome::Answer(answer) => return self.relay_full_body(*answer).await,
             AttemptOutcome::NotRun { reason, arrived } => self.after_refusal(reason, arrived),
             AttemptOutcome::Disallowed(refusal) => self.after_disallowed(pick, refusal),
             AttemptOutcome::InDoubt(reason) => {
@@ -116,7 +125,8 @@
                 reason,
                 "no backend server answers; the request may have run",
             )),
-        }
+        };
+        RunStep::Next(next)
     }
 
     /// Sends the request to a server. If a repeatable request gets no answer in time, another server is asked too.
--- a/crates/plumgate-node/src/gateway/request.rs
+++ b/crates/plumgate-node/src/gateway/request.rs
@@ -9,7 +9,8 @@
 use hyper::http::request::Parts;
 use hyper::http::response;
 use plumgate::gateway::{
-    GatewayRoute, OriginState, PlacementRequest, RunSuspects, SendRefusal, ServerEntry, StreamClass,
+    GatewayRoute, MemoryHold, OriginState, PlacementRequest, RunSuspects, SendRefusal, ServerEntry,
+    StreamClass,
 };
 use plumgate::ids::{PoolId, ServerId, WorkspaceId};
 
@@ -53,6 +54,8 @@
     pub(crate) head: Parts,
     /// Complete body.
     pub(crate) body: Bytes,
+    /// Memory that the body takes.
+    pub(crate) memory: MemoryHold,
     /// Values read from the head.
     pub(crate) metadata: RequestMetadata,
     /// Time at which the request arrived.
--- a/crates/plumgate-node/src/gateway/server_notices.rs
+++ b/crates/plumgate-node/src/gateway/server_notices.rs
@@ -357,6 +357,10 @@
         drop(statements);
         let (lent, borrowed) = self.loads().loan_counts();
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics
+            .request_memory
+            .bytes
+            .set(gauge(self.memory.held_bytes()));
         self.metrics.places.lent.set(gauge(lent));
         self.metrics.places.borrowed.set(gauge(borrowed));
         self.metrics.places.brittle_servers.set(gauge(brittle));
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -11,9 +11,9 @@
 use futures_lite::FutureExt;
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
-    FreshnessLease, GatewayConfig, LoadTable, NodeStop, PathTable, PlacementOptions,
-    QuarantineTable, ReadAheadBounds, ReadAheadTable, RunTimes, ServerStatements, StreamOrigins,
-    TunnelGate, TunnelPeers, WindowBudget, WorkspaceShares,
+    FreshnessLease, GatewayConfig, LoadTable, MemoryAccount, MemoryHold, NodeStop, PathTable,
+    PlacementOptions, QuarantineTable, ReadAheadBounds, ReadAheadTable, RunTimes, ServerStatements,
+    StreamOrigins, TunnelGate, TunnelPeers, WindowBudget, WorkspaceShares,
 };
 use plumgate::ids::WorkspaceId;
 
@@ -82,6 +82,8 @@
     budget: Mutex<WindowBudget>,
     quarantine: Mutex<QuarantineTable>,
     read_ahead: Mutex<ReadAheadTable>,
+    /// Memory that is held for requests.
+    pub(crate) memory: Arc<MemoryAccount>,
     statements: Mutex<ServerStatements>,
     paths: Mutex<PathTable>,
     tunnel_peers: Mutex<TunnelPeers>,
@@ -153,6 +155,7 @@
             read_ahead: Mutex::new(ReadAheadTable::new(ReadAheadBounds::new(
                 options.read_ahead_bytes,
             ))),
+            memory: Arc::new(MemoryAccount::new(options.request_bytes)),
             quarantine: Mutex::new(QuarantineTable::new(options.peer_listen.is_some())),
             statements: Mutex::new(ServerStatements::new(
                 options.peer_listen.is_some(),
@@ -240,6 +243,21 @@
         lock(&self.read_ahead)
     }
 
+    /// Returns a hold of the memory that is held for requests; it holds nothing yet.
+    pub(crate) fn hold_memory(&self) -> MemoryHold {
+        MemoryHold::new(self.memory.clone())
+    }
+
+    /// Logs and counts that there was no memory for a part of a request.
+    pub(crate) fn log_memory_refusal(&self, request: &str, part: &'static str) {
+        self.metrics.request_memory.refusals.inc();
+        LogLine::new("memory_refused")
+            .with("request", request)
+            .with("part", part)
+            .with("held_bytes", self.memory.held_bytes())
+            .warn(&self.log);
+    }
+
     /// Publishes what is held for slow callers.
     pub(crate) fn publish_read_ahead(&self) {
         let held = self.read_ahead().held();
--- a/crates/plumgate-node/src/gateway/snapshots.rs
+++ b/crates/plumgate-node/src/gateway/snapshots.rs
@@ -14,7 +14,7 @@
 use async_channel::Receiver;
 use async_io::Async;
 use displaydoc::Display;
-use http_body_util::Full;
+
 use hyper::header::HOST;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,7 +26,7 @@
 use super::view::FleetView;
 use crate::body::AnswerBody;
 use crate::clock::{Clock, until};
-use crate::http::{fetch_once, text_response};
+use crate::http::{RequestBody, fetch_once, text_response};
 
 /// Path of the configuration's snapshot.
 const CONFIG_PATH: &str = "/config";
@@ -106,7 +106,7 @@
     };
     let request = Request::get(path)
         .header(HOST, address.to_string())
-        .body(Full::default())
+        .body(RequestBody::default())
         .map_err(SnapshotError::InvalidRequest)?;
     let deadline = clock.now() + FETCH_TIMEOUT;
     let fetching = fetch_once(address, request, MAX_SNAPSHOT_BYTES);
--- a/crates/plumgate-node/src/gateway/stream.rs
+++ b/crates/plumgate-node/src/gateway/stream.rs
@@ -13,14 +13,15 @@
 use plumgate::RunOutcome;
 use plumgate::attempt::AttemptEvent;
 use plumgate::gateway::{
-    AnswerEnd, AnswerVerdict, BodyEnd, OriginState, RaceAction, RaceEvent, RepeatKind, RunRace,
-    ServerEntry, ServerSign, WorkOutcome,
+    AnswerEnd, AnswerVerdict, BodyEnd, MemoryHold, OriginState, RaceAction, RaceEvent, RepeatKind,
+    RunRace, ServerEntry, ServerSign, WorkOutcome,
 };
 use plumgate::ids::ServerId;
 
 use super::answer::{StreamChunk, remove_content_length};
 use super::guards::WorkGuard;
 use super::ports::WireFormat;
+use super::relay::BegunAnswer;
 use super::request::{BROKEN_OFF, PATH_LOST, RESTARTED, SILENT, ServerAnswer};
 use super::run::RelayRun;
 use super::second_run::{ASK_PAUSE, FirstOf, SecondOutcome, first_of};
@@ -52,6 +53,11 @@
     asks_at: Option<Instant>,
     /// Time at which the first event of a run was received, until the run is recorded.
     first_chunk: Option<Instant>,
+    /// First bytes of an answer that was to be read whole, until they are passed on.
+    prefix: Option<Bytes>,
+    /// Memory of what is held back until an event is complete.
+    memory: MemoryHold,
+    status: StatusCode,
     is_finished: bool,
 }
 
@@ -103,19 +109,29 @@
     /// Creates the relay of a stream whose head was received. Returns the head for the caller and the relay.
     pub(crate) fn begin(
         mut run: RelayRun<C, W>,
-        answer: ServerAnswer<C, W>,
+        begun: BegunAnswer<C, W>,
     ) -> (response::Parts, Self) {
-        run.apply(AttemptEvent::HeadReceived);
-        if run.request.route.kind == RepeatKind::Stream {
+        let BegunAnswer { answer, prefix } = begun;
+        if prefix.is_none() {
+            run.apply(AttemptEvent::HeadReceived);
+        }
+        if run.request.route.kind == RepeatKind::Stream || prefix.is_some() {
             // The request can't be sent again, so its body is no longer needed.
             if let Some(request) = Arc::get_mut(&mut run.request) {
                 request.body = Bytes::new();
+                request.memory.resize(0);
             }
         }
         let (mut head, source) = StreamSource::new(answer);
         remove_content_length(&mut head.headers);
-        let content = StreamContent::new(&head.headers, run.request.metadata.resume_after);
+        let content = match prefix {
+            Some(_) => StreamContent::Opaque,
+            None => StreamContent::new(&head.headers, run.request.metadata.resume_after),
+        };
         let relay = Self {
+            prefix,
+            memory: run.shared.hold_memory(),
+            status: head.status,
             run,
             source: Some(source),
             beginner: None,
@@ -146,6 +162,10 @@
         if self.is_finished {
             return None;
         }
+        if let Some(prefix) = self.prefix.take() {
+            self.on_chunk();
+            return Some(Ok(Frame::data(prefix)));
+        }
         loop {
             let input = match self.next_input().await {
                 StreamInput::Silent => self.race().await,
@@ -153,7 +173,9 @@
             };
             match input {
                 StreamInput::Bytes(bytes) => {
-                    if let Some(bytes) = self.content.push(bytes) {
+                    let chunk = self.content.push(bytes);
+                    let has_memory = self.memory.resize(self.content.partial().len());
+                    if let Some(bytes) = chunk {
                         self.fix_origin();
                         self.on_chunk();
                         return Some(Ok(Frame::data(bytes)));
@@ -161,6 +183,11 @@
                     if self.content.is_overlong() {
                         return self.abort("overlong_event");
                     }
+                    if !has_memory {
+                        let shared = &self.run.shared;
+                        shared.log_memory_refusal(&self.run.request.id, "event");
+                        return self.abort("no_memory");
+                    }
                 }
                 StreamInput::End => return self.finish(),
                 StreamInput::Failed(reason) => {
@@ -400,7 +427,8 @@
             }
         }
         self.last_chunk = Some(now);
-        let is_resumable = self.run.request.route.kind == RepeatKind::ResumableStream;
+        let is_resumable = self.run.request.route.kind == RepeatKind::ResumableStream
+            && self.content.events().is_some();
         self.asks_at = is_resumable.then(|| now + SILENCE_TIMEOUT);
     }
 
@@ -421,8 +449,7 @@
         self.record_output();
         self.set_outcome(WorkOutcome::Answered);
         self.run.apply(AttemptEvent::Finished);
-        self.run
-            .report(RunOutcome::Answered, "server", StatusCode::OK);
+        self.run.report(RunOutcome::Answered, "server", self.status);
         let rest = Bytes::copy_from_slice(self.content.partial());
         (!rest.is_empty()).then(|| Ok(Frame::data(rest)))
     }
@@ -443,7 +470,7 @@
     fn abort(&mut self, reason: &'static str) -> Option<StreamChunk> {
         self.is_finished = true;
         self.record_run(Duration::ZERO);
-        self.run.report(RunOutcome::Unknown, reason, StatusCode::OK);
+        self.run.report(RunOutcome::Unknown, reason, self.status);
         Some(Err(AnswerTruncated))
     }
 
--- a/crates/plumgate-node/src/http.rs
+++ b/crates/plumgate-node/src/http.rs
@@ -1,15 +1,18 @@
 //! HTTP helpers shared by the node's clients and servers: connections, reads of complete bodies, simple responses.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use async_io::Async;
 use bytes::Bytes;
 use futures_lite::future;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response, StatusCode};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
@@ -21,11 +24,50 @@
 /// Header with the request's id, on calls to servers and on answers to callers.
 pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
 
+/// Largest piece of a request's body that is handed to the HTTP library at once.
+const BODY_PIECE: usize = 16 * 1024;
+
+/// Body of a request to a backend server or the platform. It is sent in pieces: the HTTP library copies each into its
+/// write buffer, and a body that was handed over at once would be held twice while its server reads slowly.
+#[derive(Clone, Debug, Default)]
+pub struct RequestBody(Bytes);
+
+impl RequestBody {
+    /// Creates a body of these bytes.
+    pub fn new(bytes: impl Into<Bytes>) -> Self {
+        Self(bytes.into())
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.0.is_empty() {
+            return Poll::Ready(None);
+        }
+        let length = self.0.len().min(BODY_PIECE);
+        Poll::Ready(Some(Ok(Frame::data(self.0.split_to(length)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.0.len() as u64)
+    }
+}
+
 /// Request to a backend server or the platform.
-pub type OutgoingRequest = Request<Full<Bytes>>;
+pub type OutgoingRequest = Request<RequestBody>;
 
 /// Open connection to a backend server or the platform, ready for one request.
-pub(crate) type OpenConnection = SendRequest<Full<Bytes>>;
+pub(crate) type OpenConnection = SendRequest<RequestBody>;
 
 /// Idle time after which TCP keepalive probes a connection, and the interval between probes.
 pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/plumgate-node/src/link.rs
+++ b/crates/plumgate-node/src/link.rs
@@ -12,14 +12,14 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use futures_lite::{AsyncRead, AsyncWrite, future};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use plumgate::ids::NodeId;
 use smol_hyper::rt::FuturesIo;
 
-use crate::http::{OutgoingRequest, open_call_stream, open_stream};
+use crate::http::{OutgoingRequest, RequestBody, open_call_stream, open_stream};
 use crate::tunnel_stream::{PathLossFlag, TunnelStream};
 
 /// Size of the read buffer in bytes: holds a small answer completely, or many stream events.
@@ -156,14 +156,14 @@
 }
 
 /// Driver of a connection.
-type LinkDriver = Connection<FuturesIo<BoundedStream>, Full<Bytes>>;
+type LinkDriver = Connection<FuturesIo<BoundedStream>, RequestBody>;
 
 /// HTTP/1 connection for one request at a time.
 ///
 /// Its methods also drive the connection. Dropping it closes the connection at once, which signals to the
 /// server that the caller has disconnected.
 pub struct HttpLink {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     driver: Option<LinkDriver>,
     /// Node through which the connection leads, if it is a tunnel.
     helper: Option<NodeId>,
--- a/crates/plumgate-node/src/observe.rs
+++ b/crates/plumgate-node/src/observe.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{Request, StatusCode, header};
 use plumgate::config::{FleetConfig, Server, ServerKind};
 use plumgate::ids::{ConfigVersion, ServerId};
@@ -13,7 +12,7 @@
 use plumgate::route::LoadReport;
 
 use crate::clock::Clock;
-use crate::http::fetch_once;
+use crate::http::{RequestBody, fetch_once};
 use crate::shared::NodeShared;
 
 /// Interval between two polls of a server, and timeout of a poll.
@@ -72,7 +71,7 @@
     server: Server,
 ) -> Option<(ServerId, LoadReport)> {
     let request = Request::get("/load").header(header::HOST, server.address.to_string());
-    let request = request.body(Full::new(Bytes::new())).ok()?;
+    let request = request.body(RequestBody::new(Bytes::new())).ok()?;
     let deadline = shared.clock.now() + POLL_INTERVAL;
     let fetch = fetch_once(server.address, request, MAX_REPORT_BYTES);
     let (status, _, body) = shared.until(deadline, fetch).await?.ok()?;
--- a/crates/plumgate-node/src/orders.rs
+++ b/crates/plumgate-node/src/orders.rs
@@ -7,7 +7,6 @@
 
 use async_channel::Sender;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, header};
 use plumgate::config::{FleetConfig, Server, ServerKind};
 use plumgate::ids::{FencingNumber, PoolId, ServerId};
@@ -18,7 +17,7 @@
 use serde_json::json;
 
 use crate::clock::Clock;
-use crate::http::{OutgoingRequest, fetch_once};
+use crate::http::{OutgoingRequest, RequestBody, fetch_once};
 use crate::log::LogLine;
 use crate::platform::{PlatformClient, TableRow, WriteAnswer, WriteCondition};
 use crate::shared::NodeShared;
@@ -325,7 +324,7 @@
 }
 
 fn request(method: Method, path: &str, host: &str, body: String) -> OutgoingRequest {
-    let mut request = Request::new(Full::new(Bytes::from(body)));
+    let mut request = Request::new(RequestBody::new(Bytes::from(body)));
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().unwrap_or_default();
     if let Ok(host) = host.parse() {
--- a/crates/plumgate-node/src/platform.rs
+++ b/crates/plumgate-node/src/platform.rs
@@ -8,14 +8,13 @@
 
 use bytes::Bytes;
 use futures_lite::future;
-use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, StatusCode, header};
 use plumgate::claim::RowVersion;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Clock;
-use crate::http::{OutgoingRequest, encode_url_text, fetch_once};
+use crate::http::{OutgoingRequest, RequestBody, encode_url_text, fetch_once};
 
 /// Timeout of a call to the platform.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -201,7 +200,7 @@
     }
 
     fn request(&self, method: Method, path: &str, body: Bytes) -> OutgoingRequest {
-        let mut request = Request::new(Full::new(body));
+        let mut request = Request::new(RequestBody::new(body));
         *request.method_mut() = method;
         // Names are encoded, so the path always parses.
         *request.uri_mut() = path.parse().unwrap_or_default();
--- a/crates/plumgate-node/src/status.rs
+++ b/crates/plumgate-node/src/status.rs
@@ -9,14 +9,14 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use futures_lite::future;
-use http_body_util::{Full, LengthLimitError};
+use http_body_util::LengthLimitError;
 use hyper::{Request, StatusCode, header};
 use plumgate::gateway::AnswerFraming;
 use plumgate::ids::{ConfigVersion, TierRank};
 use serde::{Deserialize, Serialize};
 
 use crate::answer_framing::header_framing;
-use crate::http::fetch_once;
+use crate::http::{RequestBody, fetch_once};
 
 /// Timeout for a node's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -130,7 +130,7 @@
 ) -> Result<Bytes, PageError> {
     let request = Request::get(path).header(header::HOST, address.to_string());
     let request = request
-        .body(Full::new(Bytes::new()))
+        .body(RequestBody::new(Bytes::new()))
         .map_err(|error| PageError::Connection(io::Error::other(error)))?;
     let late = async {
         Timer::after(timeout).await;
--- a/crates/plumgate/src/gateway/mod.rs
+++ b/crates/plumgate/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod events;
 pub mod exchange;
+pub mod memory_account;
 pub mod node_stop;
 pub(crate) mod notice_keys;
 pub mod origins;
@@ -49,6 +50,7 @@
     NodeEntry, PartLocation, PoolDemand, ReceivedClock, ReceivedStatement, ReceivedUsage, SumKey,
     SumRow, SumTable, SumTopic,
 };
+pub use memory_account::{MemoryAccount, MemoryHold};
 pub use node_stop::{BALANCER_LAG, NodeStop, RunPlan};
 pub use origins::{
     HistoryReport, LookupId, LookupState, OriginFinding, OriginMessage, OriginPacket,
