--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -128,7 +128,9 @@
             .with_switches(options.switches)
             .with_seed(options.seed);
         let loads = match options.peer_listen {
-            Some(_) => LoadTable::new(placement).with_start(clock.now()),
+            Some(_) => LoadTable::new(placement)
+                .with_start(clock.now())
+                .with_stall_check(),
             None => LoadTable::new(placement),
         };
         Self {
--- a/crates/plumgate/src/gateway/placement/load.rs
+++ b/crates/plumgate/src/gateway/placement/load.rs
@@ -87,6 +87,8 @@
     pub(super) own_ranks: RankUse,
     /// When the last round of the exchange was run.
     exchanged_at: Option<Instant>,
+    /// Whether the node sends nothing once it stood still, until it has heard the others.
+    checks_stalls: bool,
     /// Times that the last complete requests to each pool took.
     pub(super) run_times: BTreeMap<PoolId, TimeSample>,
     /// Memory of the engines of each pool.
@@ -115,6 +117,7 @@
             start_phase: None,
             own_ranks: RankUse::new(NodeRank { nodes: 1, rank: 0 }),
             exchanged_at: None,
+            checks_stalls: false,
             run_times: BTreeMap::new(),
             memory: EngineMemory::default(),
         }
@@ -129,6 +132,12 @@
         self
     }
 
+    /// Lets the node send nothing once it stood still, until it has heard what the others learnt meanwhile.
+    pub fn with_stall_check(mut self) -> Self {
+        self.checks_stalls = true;
+        self
+    }
+
     /// Returns the current entry of a server.
     pub fn entry(&self, server: &ServerId) -> Option<&ServerEntry> {
         self.servers.get(server).map(|load| &load.entry)
@@ -237,8 +246,8 @@
     /// Returns whether this node has run no round of the exchange for so long that what it knows of the servers may be
     /// outdated.
     fn has_stood_still(&self, now: Instant) -> bool {
-        self.exchanged_at
-            .is_some_and(|at| now.saturating_duration_since(at) >= STALL_TIME)
+        let is_late = |at: Instant| now.saturating_duration_since(at) >= STALL_TIME;
+        self.checks_stalls && self.exchanged_at.is_some_and(is_late)
     }
 
     /// Returns until when this node sends nothing as its process has just started, or stood still.
