tests: crowds of callers that stop short, at both programs (red)

Callers saw: processes that ran out of memory, and none to answer them, while others sent many legal bodies at once and stopped short of their end, or sent bodies in tiny chunks or beyond the limit.

Each test lets one kind of crowd meet a real process on the loopback, with a limit on memory (64 MB of a gateway, 128 MB of the daemon of the own interface) or on descriptors (400 and 300) in its settings, and checks three things while the crowd stays connected and after it has left: the process lives, its memory with what lies unread on its callers' connections and its open descriptors stay under the stated ones, and an ordinary request is answered. One runs at a time, and scripts/test runs them beside nothing else.

--- a/crates/plumgate-standin/src/lib.rs
+++ b/crates/plumgate-standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod caller_crowd;
 pub mod engine;
 pub mod http;
 pub mod link;
--- a/crates/plumgate-standin/tests/fleet/mod.rs
+++ b/crates/plumgate-standin/tests/fleet/mod.rs
@@ -94,6 +94,11 @@
             .map(|status| status.code().unwrap_or(-1))
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the log of the process.
     pub(crate) fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
