caller connections: their number follows from memory and descriptors

Callers saw: nodes killed for memory, or with no descriptors left for servers and other callers, while a crowd opened connections and stopped short in a head or a body, or sent what nobody read.

Change: a table without I/O (plumgate::callers) holds the connections of either program. Their number follows from the memory that is left beside the process, requests and answers, and from the descriptors, half of which stay for servers and an eighth for the store, nodes, probes and operators. At the limit the connection with the oldest activity closes, one that receives a body last, one that has received its request never; a request that arrives meanwhile keeps its connection. The listener asks for receive buffers of 16 KiB. Probes and operators have 64 connections of their own. A connection's task is allocated once instead of being copied into the future that awaits it.

--- a/crates/plumgate-node/src/admin.rs
+++ b/crates/plumgate-node/src/admin.rs
@@ -9,6 +9,7 @@
 
 use crate::body::AnswerBody;
 use crate::clock::Clock;
+use crate::connection_activity::ConnectionActivity;
 use crate::http::{json_response, text_response};
 use crate::metrics::RankLabels;
 use crate::shared::NodeShared;
@@ -38,6 +39,7 @@
 pub(crate) async fn serve_operator<C: Clock>(
     shared: Arc<NodeShared<C>>,
     request: Request<Incoming>,
+    _activity: Arc<ConnectionActivity<C>>,
 ) -> Response<AnswerBody> {
     let path = request.uri().path();
     if let Some(response) = health_response(&shared, path) {
--- a/crates/plumgate-node/src/callers.rs
+++ b/crates/plumgate-node/src/callers.rs
@@ -23,6 +23,7 @@
 use crate::caller_error::{CallerError, set_request_id};
 use crate::caller_sink::CallerAnswer;
 use crate::clock::Clock;
+use crate::connection_activity::ConnectionActivity;
 use crate::http::json_response;
 use crate::relay::relay_request;
 use crate::shared::NodeShared;
@@ -56,12 +57,15 @@
 pub(crate) async fn serve_caller<C: Clock>(
     shared: Arc<NodeShared<C>>,
     request: Request<Incoming>,
+    activity: Arc<ConnectionActivity<C>>,
 ) -> Response<AnswerBody> {
     if let Some(response) = health_response(&shared, request.uri().path()) {
         return response;
     }
     let id = shared.new_request_id();
-    match parse_request(&shared, request, &id).await {
+    let parsed = parse_request(&shared, request, &id).await;
+    activity.set_receives_body(false);
+    match parsed {
         Ok(ParsedRequest::Models(models)) => {
             let mut response = json_response(StatusCode::OK, &models);
             set_request_id(response.headers_mut(), &id);
--- a/crates/plumgate-node/src/gateway/connection.rs
+++ b/crates/plumgate-node/src/connection_activity.rs
@@ -10,10 +10,12 @@
 use event_listener::{Event, EventListener};
 use futures_lite::{AsyncRead, AsyncWrite};
 use hyper::body::{Body, Frame, SizeHint};
+use plumgate::callers::ConnectionPhase;
 use plumgate::gateway::{CallerActivity, CallerLimits};
 
+use crate::caller_connections::ConnectionSlot;
 use crate::caller_stream::DeliveryStream;
-use crate::clock::Clock;
+use crate::clock::{Clock, until};
 
 /// What a caller did to its side of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,8 +42,10 @@
 }
 
 /// Activity of a connection, shared by its stream, its answers and the task that closes it.
-pub(crate) struct ConnectionActivity<C> {
+pub(crate) struct ConnectionActivity<C: Clock> {
     state: Mutex<CallerActivity>,
+    /// Room of the connection among all others.
+    slot: ConnectionSlot<C>,
     record: Mutex<ConnectionRecord>,
     changed: Event,
     clock: C,
@@ -49,9 +53,10 @@
 
 impl<C: Clock> ConnectionActivity<C> {
     /// Creates the activity of a connection that was just opened.
-    pub(crate) fn new(limits: CallerLimits, clock: C) -> Self {
+    pub(crate) fn new(limits: CallerLimits, slot: ConnectionSlot<C>, clock: C) -> Self {
         Self {
             state: Mutex::new(CallerActivity::new(limits, clock.now())),
+            slot,
             record: Mutex::default(),
             changed: Event::new(),
             clock,
@@ -60,7 +65,7 @@
 
     /// Records that the head of a request was received; the guard is held until the answer ended.
     pub(crate) fn begin_request(self: &Arc<Self>, limits: CallerLimits) -> ConnectionHold<C> {
-        self.state().begin_request(limits);
+        self.change(|state| state.begin_request(limits));
         self.record().requests += 1;
         ConnectionHold {
             activity: self.clone(),
@@ -69,12 +74,27 @@
 
     /// Keeps the connection open until the guard is dropped.
     pub(crate) fn hold(self: &Arc<Self>) -> ConnectionHold<C> {
-        self.state().hold();
+        self.change(CallerActivity::hold);
         ConnectionHold {
             activity: self.clone(),
         }
     }
 
+    /// Records whether the body of the last request is being received or discarded.
+    pub(crate) fn set_receives_body(&self, receives_body: bool) {
+        self.change(|state| state.set_receives_body(receives_body));
+    }
+
+    /// Completes when the connection must close to make room for another one.
+    pub(crate) async fn displaced(&self) {
+        self.slot.displaced().await;
+    }
+
+    /// Records that the connection only discards what its caller still sends.
+    pub(crate) fn begin_discard(&self) {
+        self.slot.set_phase(ConnectionPhase::Idle);
+    }
+
     /// Records the id of the request that is answered.
     pub(crate) fn name_request(&self, id: &str) {
         self.record().last_request = Some(id.to_owned());
@@ -104,13 +124,13 @@
 
     fn on_bytes(&self, count: usize) {
         self.record().received += count;
-        if self.state().on_bytes(self.clock.now()) {
+        if self.change(|state| state.on_bytes(self.clock.now())) {
             self.changed.notify(usize::MAX);
         }
     }
 
     fn on_unsent(&self) {
-        self.state().on_unsent(self.clock.now());
+        self.change(|state| state.on_unsent(self.clock.now()));
     }
 
     fn on_progress(&self) {
@@ -118,7 +138,7 @@
     }
 
     fn on_sent(&self) {
-        if self.state().on_sent(self.clock.now()) {
+        if self.change(|state| state.on_sent(self.clock.now())) {
             self.changed.notify(usize::MAX);
         }
     }
@@ -129,11 +149,38 @@
         self.state().closes_at(limits, is_stopping)
     }
 
+    /// Completes when the connection was idle, received the head of a request, or did not take its answer, for too
+    /// long.
+    pub(crate) async fn expired(&self, limits: CallerLimits) {
+        loop {
+            let changed = self.listen();
+            match self.closes_at(limits, false) {
+                Some(at) if self.clock.now() >= at => return,
+                Some(at) => {
+                    let _ = until(&self.clock, at, changed).await;
+                }
+                None => changed.await,
+            }
+        }
+    }
+
     /// Returns a listener that completes when the activity changes.
     pub(crate) fn listen(&self) -> EventListener {
         self.changed.listen()
     }
 
+    /// Changes the activity, and what is known of it where the room for connections is decided on.
+    fn change<T>(&self, change: impl FnOnce(&mut CallerActivity) -> T) -> T {
+        let mut state = self.state();
+        let earlier = state.phase();
+        let result = change(&mut state);
+        let phase = state.phase();
+        if phase != earlier {
+            self.slot.set_phase(phase);
+        }
+        result
+    }
+
     fn state(&self) -> MutexGuard<'_, CallerActivity> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -150,7 +197,8 @@
 
 impl<C: Clock> Drop for ConnectionHold<C> {
     fn drop(&mut self) {
-        self.activity.state().release(self.activity.clock.now());
+        let now = self.activity.clock.now();
+        self.activity.change(|state| state.release(now));
         self.activity.record().received = 0;
         self.activity.changed.notify(usize::MAX);
     }
@@ -195,7 +243,7 @@
 }
 
 /// Stream of a caller that records when bytes are received and sent.
-pub(crate) struct CallerStream<C> {
+pub(crate) struct CallerStream<C: Clock> {
     stream: DeliveryStream,
     activity: Arc<ConnectionActivity<C>>,
 }
--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -18,9 +18,9 @@
 
 use super::answer::{GatewayBody, StreamChunk, announce_close, own_answer};
 use super::checks::accept;
-use super::connection::{CallerStream, ConnectionActivity, GuardedBody};
 use super::connection_close::{
-    CloseReason, discard_body, discard_rest, is_last, is_too_long, limits, wait_for_close,
+    CloseReason, discard_body, discard_rest, is_last, is_too_long, limits, read_buffer,
+    wait_for_close,
 };
 use super::connection_report::report_end;
 use super::duties::DUTIES_PATH;
@@ -32,9 +32,11 @@
 use super::server_notices::STATEMENTS_PATH;
 use super::shared::GatewayShared;
 use super::suspects::QUARANTINE_PATH;
+use crate::caller_connections::ConnectionSlot;
 use crate::caller_error::CallerError;
 use crate::caller_stream::{AnswerDelivery, DeliveryBody, DeliveryStream};
 use crate::clock::Clock;
+use crate::connection_activity::{CallerStream, ConnectionActivity, GuardedBody};
 use crate::http::text_response;
 use crate::log::LogLine;
 
@@ -42,8 +44,6 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum number of header lines of a request.
 const MAX_HEADERS: usize = 100;
-/// Smallest size of the read buffer in bytes, however small the limit on heads is; hyper panics below 8 KiB.
-const MIN_READ_BUFFER: usize = 16 * 1024;
 
 /// Error type of an answer to a request whose task panicked.
 const INTERNAL_ERROR: &str = "internal_error";
@@ -64,10 +64,17 @@
         };
         match future::or(closing, accepted).await {
             Some(Ok((stream, _))) => {
-                let serving = serve_connection(shared.clone(), stream);
-                shared.spawn_guarded("caller_connection", serving);
+                shared.update_max_connections();
+                // A connection without a slot closes unread: its caller goes to another node.
+                if let Some(slot) = shared.connections.admit().await {
+                    let serving = serve_connection(shared.clone(), stream, slot);
+                    shared.spawn_guarded("caller_connection", serving);
+                }
+            }
+            Some(Err(error)) => {
+                shared.connections.make_room();
+                pause_accepting(&shared, &error).await;
             }
-            Some(Err(error)) => pause_accepting(&shared, &error).await,
             None => return,
         }
     }
@@ -92,8 +99,10 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let serving = serve_probes(shared.clone(), stream);
-                shared.spawn_guarded("probe_connection", serving);
+                if let Some(slot) = shared.probes.admit().await {
+                    let serving = serve_probes(shared.clone(), stream, slot);
+                    shared.spawn_guarded("probe_connection", serving);
+                }
             }
             Err(error) => pause_accepting(&shared, &error).await,
         }
@@ -115,6 +124,7 @@
 async fn serve_probes<C: Clock, W: WireFormat>(
     shared: Arc<GatewayShared<C, W>>,
     stream: Async<TcpStream>,
+    slot: ConnectionSlot<C>,
 ) {
     let service = service_fn(|request: Request<Incoming>| {
         let path = request.uri().path();
@@ -138,19 +148,24 @@
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .serve_connection(FuturesIo::new(stream), service);
-    // An error of a probe's connection concerns only the prober.
-    let _ = connection.await;
+    let served = async {
+        // An error of a probe's connection concerns only the prober.
+        let _ = connection.await;
+    };
+    future::or(served, slot.displaced()).await;
 }
 
 async fn serve_connection<C: Clock + Unpin, W: WireFormat>(
     shared: Arc<GatewayShared<C, W>>,
     stream: Async<TcpStream>,
+    slot: ConnectionSlot<C>,
 ) {
     // Without Nagle's algorithm, as small chunks of a stream must not be delayed.
     let _ = stream.get_ref().set_nodelay(true);
     let _guard = ConnectionGuard::new(shared.clone());
     let limits = limits(&shared);
-    let activity = Arc::new(ConnectionActivity::new(limits, shared.clock.clone()));
+    let activity = ConnectionActivity::new(limits, slot, shared.clock.clone());
+    let activity = Arc::new(activity);
     let delivery = Arc::new(AnswerDelivery::default());
     let stream = Arc::new(stream);
     let slot = Arc::new(AnswerSlot::new(shared.clone()));
@@ -185,7 +200,7 @@
         let connection = http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(None)
-            .max_buf_size(limits.head_bytes.max(MIN_READ_BUFFER))
+            .max_buf_size(read_buffer(limits))
             .max_headers(MAX_HEADERS)
             .serve_connection(FuturesIo::new(caller_stream), service);
         let served = async {
@@ -197,24 +212,28 @@
             delivery.flush_expired(&shared.clock).await;
             CloseReason::Expired
         };
+        let displaced = async {
+            activity.displaced().await;
+            CloseReason::Displaced
+        };
         let stalled = async {
             slot.read_ahead().await;
             CloseReason::Expired
         };
-        future::or(
-            served,
-            future::or(
-                stalled,
-                future::or(expired, wait_for_close(&shared, &activity)),
-            ),
-        )
-        .await
+        let limited = future::or(displaced, wait_for_close(&shared, &activity));
+        future::or(served, future::or(stalled, future::or(expired, limited))).await
     };
     report_end(&shared, reason, &activity, &delivery, stream.get_ref());
     let is_reset = delivery.reset_if_truncated(&shared.clock, &stream).await;
-    let is_open = reason != CloseReason::Expired && activity.summary().caller_end.is_none();
+    let is_open = matches!(reason, CloseReason::Served | CloseReason::Leaving)
+        && activity.summary().caller_end.is_none();
     if is_open && !is_reset {
-        discard_rest(&shared.clock, &stream).await;
+        activity.begin_discard();
+        future::or(
+            activity.displaced(),
+            Box::pin(discard_rest(&shared.clock, &stream)),
+        )
+        .await;
     }
 }
 
@@ -255,7 +274,10 @@
     activity.name_request(&id);
     let resumed = metadata.resumed.clone();
     let awaits_continue = head.headers.contains_key(EXPECT);
-    let accepted = match accept(shared, head, &mut body, metadata, arrived).await {
+    activity.set_receives_body(!body.is_end_stream());
+    let accepted = accept(shared, head, &mut body, metadata, arrived).await;
+    activity.set_receives_body(false);
+    let accepted = match accepted {
         Ok(request) => shared.bind_origin(request).await,
         Err(error) => Err(error),
     };
@@ -275,6 +297,7 @@
             if awaits_continue || is_too_long(&body) {
                 announce_close(&mut response);
             } else if !body.is_end_stream() {
+                activity.set_receives_body(true);
                 let discarding = discard_body(shared.clock.clone(), body, activity.hold());
                 shared.spawn_guarded("discard_body", discarding);
             }
--- a/crates/plumgate-node/src/gateway/connection_close.rs
+++ b/crates/plumgate-node/src/gateway/connection_close.rs
@@ -12,10 +12,12 @@
 use hyper::header::CONNECTION;
 use plumgate::gateway::CallerLimits;
 
-use super::connection::{ConnectionActivity, ConnectionHold};
 use super::shared::GatewayShared;
 use crate::clock::{Clock, until};
+use crate::connection_activity::{ConnectionActivity, ConnectionHold};
 
+/// Smallest size of the read buffer in bytes, however small the limit on heads is; hyper panics below 8 KiB.
+const MIN_READ_BUFFER: usize = 16 * 1024;
 /// Maximum size of the rest of a rejected request that is read, in bytes.
 const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
 /// Time for which the rest of a rejected request is read.
@@ -36,6 +38,8 @@
     Expired,
     /// The node is leaving.
     Leaving,
+    /// The connection made room for another one.
+    Displaced,
 }
 
 /// Completes when a connection should close: it was idle, or received the head of a request, for too long, or the
@@ -77,6 +81,11 @@
         .map_or_else(CallerLimits::default, |config| config.limits)
 }
 
+/// Returns the size of the read buffer of a connection in bytes.
+pub(crate) fn read_buffer(limits: CallerLimits) -> usize {
+    limits.head_bytes.max(MIN_READ_BUFFER)
+}
+
 /// Returns whether an answer says that the connection closes.
 pub(crate) fn is_last<B>(response: &Response<B>) -> bool {
     let connection = response.headers().get(CONNECTION);
--- a/crates/plumgate-node/src/gateway/connection_report.rs
+++ b/crates/plumgate-node/src/gateway/connection_report.rs
@@ -2,12 +2,12 @@
 
 use std::net::TcpStream;
 
-use super::connection::{CallerEnd, ConnectionActivity};
 use super::connection_close::CloseReason;
 use super::metrics::ConnectionEndLabels;
 use super::shared::GatewayShared;
 use crate::caller_stream::AnswerDelivery;
 use crate::clock::Clock;
+use crate::connection_activity::{CallerEnd, ConnectionActivity};
 use crate::log::LogLine;
 
 /// Maximum number of unread bytes that are counted.
@@ -47,6 +47,7 @@
             (CloseReason::Served, None) => by_node("after_answer"),
             (CloseReason::Expired, _) => by_node("expired"),
             (CloseReason::Leaving, _) => by_node("leaving"),
+            (CloseReason::Displaced, _) => by_node("displaced"),
         }
     }
 }
--- a/crates/plumgate-node/src/gateway/metrics/mod.rs
+++ b/crates/plumgate-node/src/gateway/metrics/mod.rs
@@ -35,6 +35,7 @@
 pub(crate) use paths::ServerConnectionLabels;
 pub(crate) use requests::{AnswerEndLabels, ConnectionEndLabels, OutcomeLabels};
 
+use crate::caller_connections::ConnectionMetrics;
 use config::ConfigMetrics;
 use duties::DutyMetrics;
 use fleet::FleetMetrics;
@@ -73,6 +74,8 @@
     pub(crate) quarantine: QuarantineMetrics,
     /// Bytes and streams that are held for slow callers.
     pub(crate) read_ahead: ReadAheadMetrics,
+    /// Connections of callers.
+    pub(crate) connections: ConnectionMetrics,
     /// Memory that is held for requests.
     pub(crate) request_memory: RequestMemoryMetrics,
     /// Predicted use of the memory of engines, and requests refused for want of it.
@@ -117,6 +120,7 @@
         self.config.register(&mut registry);
         self.quarantine.register(&mut registry);
         self.read_ahead.register(&mut registry);
+        self.connections.register(&mut registry);
         self.request_memory.register(&mut registry);
         self.memory.register(&mut registry);
         self.rate_limit.register(&mut registry);
--- a/crates/plumgate-node/src/gateway/mod.rs
+++ b/crates/plumgate-node/src/gateway/mod.rs
@@ -10,7 +10,6 @@
 mod caller;
 mod carried_tunnels;
 mod checks;
-mod connection;
 mod connection_cause;
 mod connection_close;
 mod connection_report;
--- a/crates/plumgate-node/src/gateway/node.rs
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -16,7 +16,7 @@
 use crate::clock::Clock;
 use crate::errors::Result;
 use crate::log::{EventLog, LogLine};
-use crate::node::{bind, local_address, spawn_thread};
+use crate::node::{bind, bind_callers, local_address, spawn_thread};
 
 /// Maximum number of signals that wait for the control thread.
 const MAX_PENDING_SIGNALS: usize = 16;
@@ -73,7 +73,7 @@
         let (signals, signal_receiver) = async_channel::bounded(MAX_PENDING_SIGNALS);
         // Fixed addresses are bound before those whose port the system may choose.
         let peer_listener = bind_peer_listener(&options, &log);
-        let callers = bind(options.listen)?;
+        let callers = bind_callers(options.listen)?;
         let probes = bind(options.ready_listen)?;
         let metrics = options.metrics_listen.map(bind).transpose()?;
         let addresses = GatewayAddresses {
--- a/crates/plumgate-node/src/gateway/options.rs
+++ b/crates/plumgate-node/src/gateway/options.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use plumgate::callers::{ConnectionBounds, MachineLimits};
 use plumgate::gateway::{BudgetBounds, NodeCapacity, PlacementPolicy, PolicySwitches};
 use plumgate::ids::{DataCentreId, NodeId};
 use xxhash_rust::xxh3::xxh3_64;
@@ -117,6 +118,12 @@
 const DEFAULT_READ_AHEAD_BYTES: usize = 16 * 1024 * 1024;
 /// Bytes that may be held for requests where the memory of the VM is not known.
 const DEFAULT_REQUEST_BYTES: usize = 32 * 1024 * 1024;
+/// Limits of a VM where they are not known.
+const DEFAULT_MACHINE: MachineLimits = MachineLimits {
+    memory_bytes: 256 * 1024 * 1024,
+    reserved_bytes: DEFAULT_READ_AHEAD_BYTES + DEFAULT_REQUEST_BYTES,
+    descriptors: 4_096,
+};
 
 /// Options of a gateway node.
 #[derive(Clone, Debug)]
@@ -151,6 +158,8 @@
     pub read_ahead_bytes: usize,
     /// Bytes that may be held for requests: their bodies, and what was read of answers and not passed on.
     pub request_bytes: usize,
+    /// What limits the number of callers' connections.
+    pub connection_bounds: ConnectionBounds,
 }
 
 impl GatewayOptions {
@@ -177,6 +186,7 @@
             server_host: None,
             read_ahead_bytes: DEFAULT_READ_AHEAD_BYTES,
             request_bytes: DEFAULT_REQUEST_BYTES,
+            connection_bounds: ConnectionBounds::new(DEFAULT_MACHINE),
         }
     }
 
@@ -218,6 +228,12 @@
         self
     }
 
+    /// Sets what limits the number of callers' connections.
+    pub fn with_connection_bounds(mut self, bounds: ConnectionBounds) -> Self {
+        self.connection_bounds = bounds;
+        self
+    }
+
     /// Sets the address for metrics.
     pub fn with_metrics(mut self, listen: SocketAddr) -> Self {
         self.metrics_listen = Some(listen);
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -11,19 +11,21 @@
 use futures_lite::FutureExt;
 use plumgate::duty::{ReportTimes, UsageTally};
 use plumgate::gateway::{
-    FreshnessLease, GatewayConfig, LoadTable, MemoryAccount, MemoryHold, NodeStop, PathTable,
-    PlacementOptions, QuarantineTable, ReadAheadBounds, ReadAheadTable, RunTimes, ServerStatements,
-    StreamOrigins, TunnelGate, TunnelPeers, WindowBudget, WorkspaceShares,
+    CallerLimits, FreshnessLease, GatewayConfig, LoadTable, MemoryAccount, MemoryHold, NodeStop,
+    PathTable, PlacementOptions, QuarantineTable, ReadAheadBounds, ReadAheadTable, RunTimes,
+    ServerStatements, StreamOrigins, TunnelGate, TunnelPeers, WindowBudget, WorkspaceShares,
 };
 use plumgate::ids::WorkspaceId;
 
 use super::carried_tunnels::CarriedTunnels;
+use super::connection_close::{limits, read_buffer};
 use super::incarnations::ServerIncarnations;
 use super::links::LinkPool;
 use super::metrics::GatewayMetrics;
 use super::open_requests::OpenRequests;
 use super::options::{GatewayBounds, GatewayOptions};
 use super::waiting::WaitState;
+use crate::caller_connections::CallerConnections;
 use crate::clock::Clock;
 use crate::log::{EventLog, LogLine};
 use crate::shared::LifecycleView;
@@ -84,6 +86,10 @@
     read_ahead: Mutex<ReadAheadTable>,
     /// Memory that is held for requests.
     pub(crate) memory: Arc<MemoryAccount>,
+    /// Connections of callers.
+    pub(crate) connections: Arc<CallerConnections<C>>,
+    /// Connections of the balancer's probes and of operators.
+    pub(crate) probes: Arc<CallerConnections<C>>,
     statements: Mutex<ServerStatements>,
     paths: Mutex<PathTable>,
     tunnel_peers: Mutex<TunnelPeers>,
@@ -133,11 +139,23 @@
                 .with_stall_check(),
             None => LoadTable::new(placement),
         };
+        let memory = Arc::new(MemoryAccount::new(options.request_bytes));
+        let metrics = GatewayMetrics::new();
+        let max_connections = options
+            .connection_bounds
+            .max_connections(read_buffer(CallerLimits::default()));
+        let connections = CallerConnections::new(
+            max_connections,
+            clock.clone(),
+            log.clone(),
+            metrics.connections.clone(),
+        );
+        let probes = CallerConnections::for_operators(clock.clone(), log.clone());
         Self {
             clock,
             log,
             wire,
-            metrics: GatewayMetrics::new(),
+            metrics,
             config: ArcSwapOption::empty(),
             lifecycle: ArcSwap::from_pointee(LifecycleView {
                 state: "starting".to_owned(),
@@ -157,7 +175,9 @@
             read_ahead: Mutex::new(ReadAheadTable::new(ReadAheadBounds::new(
                 options.read_ahead_bytes,
             ))),
-            memory: Arc::new(MemoryAccount::new(options.request_bytes)),
+            memory,
+            connections: Arc::new(connections),
+            probes: Arc::new(probes),
             quarantine: Mutex::new(QuarantineTable::new(options.peer_listen.is_some())),
             statements: Mutex::new(ServerStatements::new(
                 options.peer_listen.is_some(),
@@ -201,6 +221,8 @@
         W: Send + Sync + 'static,
     {
         let shared = self.clone();
+        // Allocated by itself: the future that awaits it holds a second copy otherwise.
+        let task = Box::pin(task);
         let guarded = async move {
             if AssertUnwindSafe(task).catch_unwind().await.is_err() {
                 LogLine::new("task_panicked")
@@ -250,6 +272,13 @@
         MemoryHold::new(self.memory.clone())
     }
 
+    /// Sets the maximum number of callers' connections by the limits in force.
+    pub(crate) fn update_max_connections(&self) {
+        let bounds = self.options.connection_bounds;
+        let max_connections = bounds.max_connections(read_buffer(limits(self)));
+        self.connections.set_max_connections(max_connections);
+    }
+
     /// Logs and counts that there was no memory for a part of a request.
     pub(crate) fn log_memory_refusal(&self, request: &str, part: &'static str) {
         self.metrics.request_memory.refusals.inc();
--- a/crates/plumgate-node/src/metrics.rs
+++ b/crates/plumgate-node/src/metrics.rs
@@ -9,6 +9,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::caller_connections::ConnectionMetrics;
+
 /// Upper bounds of the histogram buckets in seconds.
 const TIME_BUCKETS: [f64; 12] = [
     0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 1.2, 2.5, 5.0, 15.0, 60.0,
@@ -54,6 +56,8 @@
 #[derive(Debug)]
 pub(crate) struct NodeMetrics {
     registry: Registry,
+    /// Connections of callers.
+    pub(crate) connections: ConnectionMetrics,
     /// Requests that ended.
     pub(crate) requests: Family<OutcomeLabels, Counter>,
     /// Requests refused as not run, by reason.
@@ -90,6 +94,7 @@
         let mut registry = Registry::with_prefix("plumgate");
         let time_histogram = || Histogram::new(TIME_BUCKETS);
         let metrics = Self {
+            connections: ConnectionMetrics::default(),
             requests: Family::default(),
             refusals: Family::default(),
             failed_attempts: Family::default(),
@@ -114,6 +119,7 @@
     }
 
     fn register(&self, registry: &mut Registry) {
+        self.connections.register(registry);
         registry.register("requests", "Requests that ended", self.requests.clone());
         registry.register(
             "refusals",
--- a/crates/plumgate-node/src/node.rs
+++ b/crates/plumgate-node/src/node.rs
@@ -4,26 +4,32 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::future;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
+use plumgate::callers::RECEIVE_BUFFER;
 use plumgate::dispatch::{DispatchOptions, Dispatcher};
+use plumgate::gateway::CallerLimits;
 use plumgate::membership::MemberTable;
 use plumgate::route::RouteOptions;
 use plumgate::wire::{NodeDigest, PeerKey};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use socket2::SockRef;
 
 use crate::admin::serve_operator;
 use crate::body::AnswerBody;
+use crate::caller_connections::{CallerConnections, ConnectionSlot};
 use crate::caller_stream::{AnswerDelivery, DeliveryBody, DeliveryStream};
 use crate::callers::serve_caller;
 use crate::clock::Clock;
+use crate::connection_activity::{CallerStream, ConnectionActivity, GuardedBody};
 use crate::control::ControlLoop;
 use crate::errors::{Error, Result};
 use crate::log::{EventLog, LogLine};
@@ -32,9 +38,11 @@
 use crate::shared::{ControlEvent, NodeShared};
 
 /// Maximum size of the head of a request in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of header lines in a request.
 const MAX_HEADERS: usize = 100;
+/// Pause after a failure to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Capacity of the queue of events to the control thread, most of them peer messages.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
 
@@ -58,9 +66,13 @@
 
 impl Node {
     /// Binds all addresses and starts the threads; returns an error if either fails.
-    pub fn start<C: Clock>(settings: NodeSettings, clock: C, log: EventLog) -> Result<Self> {
+    pub fn start<C: Clock + Unpin>(
+        settings: NodeSettings,
+        clock: C,
+        log: EventLog,
+    ) -> Result<Self> {
         let (control, events) = async_channel::bounded(EVENT_QUEUE_CAPACITY);
-        let callers = bind(settings.listen)?;
+        let callers = bind_callers(settings.listen)?;
         let operators = bind(settings.admin_listen)?;
         let inbox = PeerInbox::listen(settings.peer_listen, control.clone())?;
         let addresses = NodeAddresses {
@@ -82,9 +94,11 @@
             control.clone(),
         ));
         log_start(&shared, addresses);
-        let caller_task = accept_loop(shared.clone(), callers, serve_caller);
+        let room = shared.callers.clone();
+        let caller_task = accept_loop(shared.clone(), room, callers, serve_caller);
         shared.executor.spawn(caller_task).detach();
-        let operator_task = accept_loop(shared.clone(), operators, serve_operator);
+        let room = shared.operators.clone();
+        let operator_task = accept_loop(shared.clone(), room, operators, serve_operator);
         shared.executor.spawn(operator_task).detach();
         let threads = start_threads(&shared, events, inbox)?;
         Ok(Self {
@@ -126,6 +140,16 @@
     Async::<TcpListener>::bind(address).map_err(|error| Error::Listen(address, error))
 }
 
+/// Binds the listener for callers, whose connections have small receive buffers: what callers send and the node does
+/// not read is bounded by their number.
+pub(crate) fn bind_callers(address: SocketAddr) -> Result<Async<TcpListener>> {
+    let listener = bind(address)?;
+    let socket = SockRef::from(listener.get_ref());
+    let limited = socket.set_recv_buffer_size(RECEIVE_BUFFER);
+    limited.map_err(|error| Error::Listen(address, error))?;
+    Ok(listener)
+}
+
 pub(crate) fn local_address(listener: &Async<TcpListener>, requested: SocketAddr) -> SocketAddr {
     listener.get_ref().local_addr().unwrap_or(requested)
 }
@@ -200,33 +224,53 @@
 }
 
 /// Accepts connections while the node runs, and serves each in a task of its own.
-async fn accept_loop<C, S, F>(shared: Arc<NodeShared<C>>, listener: Async<TcpListener>, serve: S)
-where
-    C: Clock,
-    S: Fn(Arc<NodeShared<C>>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+async fn accept_loop<C, S, F>(
+    shared: Arc<NodeShared<C>>,
+    room: Arc<CallerConnections<C>>,
+    listener: Async<TcpListener>,
+    serve: S,
+) where
+    C: Clock + Unpin,
+    S: Fn(Arc<NodeShared<C>>, Request<Incoming>, Arc<ConnectionActivity<C>>) -> F
+        + Copy
+        + Send
+        + Sync
+        + 'static,
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let task = serve_connection(shared.clone(), stream, serve);
-                shared.executor.spawn(task).detach();
+                // A connection without a slot closes unread.
+                if let Some(slot) = room.admit().await {
+                    let task = serve_connection(shared.clone(), stream, slot, serve);
+                    shared.executor.spawn(Box::pin(task)).detach();
+                }
             }
             // Most likely the process is out of file descriptors: new connections wait until others close.
-            Err(_) => {
-                shared
-                    .clock
-                    .sleep(std::time::Duration::from_millis(20))
-                    .await
+            Err(error) => {
+                LogLine::new("accept_failed")
+                    .with("error", error)
+                    .warn(&shared.log);
+                room.make_room();
+                shared.clock.sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
-async fn serve_connection<C, S, F>(shared: Arc<NodeShared<C>>, stream: Async<TcpStream>, serve: S)
-where
-    C: Clock,
-    S: Fn(Arc<NodeShared<C>>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+async fn serve_connection<C, S, F>(
+    shared: Arc<NodeShared<C>>,
+    stream: Async<TcpStream>,
+    slot: ConnectionSlot<C>,
+    serve: S,
+) where
+    C: Clock + Unpin,
+    S: Fn(Arc<NodeShared<C>>, Request<Incoming>, Arc<ConnectionActivity<C>>) -> F
+        + Copy
+        + Send
+        + Sync
+        + 'static,
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
     // Nagle's algorithm would delay the small writes of a stream.
@@ -234,24 +278,33 @@
     let _open = shared.open_connection();
     let delivery = Arc::new(AnswerDelivery::default());
     let stream = Arc::new(stream);
+    let limits = caller_limits(&shared);
+    let activity = Arc::new(ConnectionActivity::new(limits, slot, shared.clock.clone()));
     let service = service_fn(|request: Request<Incoming>| {
         delivery.begin_answer(request.version());
-        let answer = serve(shared.clone(), request);
+        let hold = activity.begin_request(limits);
+        activity.set_receives_body(!request.body().is_end_stream());
+        let answer = serve(shared.clone(), request, activity.clone());
         let delivery = delivery.clone();
-        async move {
+        let activity = activity.clone();
+        // Allocated for the duration of a request only: most connections are idle.
+        Box::pin(async move {
             let response = answer.await;
+            activity.set_receives_body(false);
+            activity.on_answer(false);
             Ok::<_, std::convert::Infallible>(
-                response.map(|body| DeliveryBody::new(body, delivery)),
+                response.map(|body| GuardedBody::new(DeliveryBody::new(body, delivery), hold)),
             )
-        }
+        })
     });
     let delivery_stream = DeliveryStream::new(stream.clone(), delivery.clone());
+    let caller_stream = CallerStream::new(delivery_stream, activity.clone());
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(shared.settings.header_timeout)
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEADERS)
-        .serve_connection(FuturesIo::new(delivery_stream), service);
+        .serve_connection(FuturesIo::new(caller_stream), service);
     let mut connection = std::pin::pin!(connection);
     let closing = shared.closing.listen();
     let mut is_served = false;
@@ -260,27 +313,41 @@
             closing.await;
             false
         };
-        let served = serve_until_flushed(&shared, connection.as_mut(), &delivery);
+        let served = serve_until_flushed(&shared, connection.as_mut(), &delivery, &activity);
         is_served = future::or(served, closed).await;
     }
     if !is_served {
         // The request in flight is answered completely before the connection closes.
         connection.as_mut().graceful_shutdown();
-        serve_until_flushed(&shared, connection.as_mut(), &delivery).await;
+        serve_until_flushed(&shared, connection.as_mut(), &delivery, &activity).await;
     }
     delivery.reset_if_truncated(&shared.clock, &stream).await;
 }
 
-/// Serves a connection until it ends, or its caller does not take the rest of a truncated answer. Returns true.
+/// Returns the limits on callers' connections.
+fn caller_limits<C: Clock>(shared: &NodeShared<C>) -> CallerLimits {
+    CallerLimits {
+        head_bytes: MAX_HEAD_BYTES,
+        body_bytes: shared.settings.body_bytes,
+        head_timeout: shared.settings.header_timeout,
+        idle_timeout: shared.settings.header_timeout,
+    }
+}
+
+/// Serves a connection until it ends, makes room for another one, or its caller does not take an answer. Returns true.
 async fn serve_until_flushed<C: Clock, T>(
     shared: &NodeShared<C>,
     connection: impl Future<Output = T>,
     delivery: &AnswerDelivery,
+    activity: &ConnectionActivity<C>,
 ) -> bool {
     let served = async {
         // An error of a caller's connection concerns only the caller.
         let _ = connection.await;
     };
-    future::or(served, delivery.flush_expired(&shared.clock)).await;
+    let limits = caller_limits(shared);
+    let ended = future::or(activity.displaced(), activity.expired(limits));
+    let expired = future::or(delivery.flush_expired(&shared.clock), ended);
+    future::or(served, expired).await;
     true
 }
--- a/crates/plumgate-node/src/settings.rs
+++ b/crates/plumgate-node/src/settings.rs
@@ -3,12 +3,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use plumgate::callers::{ConnectionBounds, MachineLimits};
 use plumgate::dispatch::QueuePolicy;
 use plumgate::ids::{DataCentreId, NodeId};
 use plumgate::route::RoutePolicy;
 
 /// Default for the largest body of a request in bytes.
 const DEFAULT_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Default for the memory of the process in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 256 * 1024 * 1024;
+/// Default for the number of file descriptors of the process.
+const DEFAULT_DESCRIPTORS: usize = 1_024;
+/// Share of the memory that bodies of requests may take, as a divisor.
+const REQUEST_DIVISOR: usize = 4;
 
 /// Settings of a node, with builder methods for those that have defaults.
 #[derive(Clone, Debug)]
@@ -39,6 +46,10 @@
     pub header_timeout: Duration,
     /// The largest body of a request in bytes.
     pub body_bytes: usize,
+    /// The memory of the process in bytes.
+    pub memory_bytes: usize,
+    /// The number of file descriptors of the process.
+    pub descriptors: usize,
     /// The seed of all random choices.
     pub seed: u64,
     /// The policy by which a server is chosen.
@@ -70,12 +81,35 @@
             grace: Duration::from_secs(60),
             header_timeout: Duration::from_secs(10),
             body_bytes: DEFAULT_BODY_BYTES,
+            memory_bytes: DEFAULT_MEMORY_BYTES,
+            descriptors: DEFAULT_DESCRIPTORS,
             seed: 0,
             route_policy: RoutePolicy::default(),
             queue_policy: QueuePolicy::default(),
         }
     }
 
+    /// Sets the memory of the process in bytes, and the number of its file descriptors.
+    pub fn with_machine(mut self, memory_bytes: usize, descriptors: usize) -> Self {
+        self.memory_bytes = memory_bytes;
+        self.descriptors = descriptors;
+        self
+    }
+
+    /// Returns how many bytes may be held for bodies of requests.
+    pub fn request_bytes(&self) -> usize {
+        self.memory_bytes / REQUEST_DIVISOR
+    }
+
+    /// Returns what limits the number of callers' connections.
+    pub(crate) fn connection_bounds(&self) -> ConnectionBounds {
+        ConnectionBounds::new(MachineLimits {
+            memory_bytes: self.memory_bytes,
+            reserved_bytes: self.request_bytes(),
+            descriptors: self.descriptors,
+        })
+    }
+
     /// Sets the address for operators.
     pub fn with_admin_listen(mut self, address: SocketAddr) -> Self {
         self.admin_listen = address;
--- a/crates/plumgate-node/src/shared.rs
+++ b/crates/plumgate-node/src/shared.rs
@@ -19,10 +19,12 @@
 use plumgate::limits::{PermitGrant, SlotDemand};
 use plumgate::route::RouteChoice;
 
+use crate::caller_connections::CallerConnections;
 use crate::clock::Clock;
 use crate::connection_pool::ConnectionPool;
 use crate::log::{EventLog, LogLine};
 use crate::metrics::NodeMetrics;
+use crate::node::MAX_HEAD_BYTES;
 use crate::platform::PlatformClient;
 use crate::settings::NodeSettings;
 
@@ -93,6 +95,10 @@
     pub(crate) lifecycle: ArcSwap<LifecycleView>,
     /// Connections to backend servers.
     pub(crate) connections: ConnectionPool,
+    /// Connections of callers.
+    pub(crate) callers: Arc<CallerConnections<C>>,
+    /// Connections of operators.
+    pub(crate) operators: Arc<CallerConnections<C>>,
     /// The client of the platform.
     pub(crate) platform: PlatformClient<C>,
     /// The executor that the traffic threads run.
@@ -120,12 +126,23 @@
         control: Sender<ControlEvent>,
     ) -> Self {
         let platform = PlatformClient::new(settings.platform, clock.clone());
+        let metrics = NodeMetrics::new();
+        let max_connections = settings.connection_bounds().max_connections(MAX_HEAD_BYTES);
+        let callers = CallerConnections::new(
+            max_connections,
+            clock.clone(),
+            log.clone(),
+            metrics.connections.clone(),
+        );
+        let operators = CallerConnections::for_operators(clock.clone(), log.clone());
         let incarnation = clock.unix_ms();
         Self {
             settings,
             clock,
             log,
-            metrics: NodeMetrics::new(),
+            metrics,
+            callers: Arc::new(callers),
+            operators: Arc::new(operators),
             config: ArcSwapOption::empty(),
             members: ArcSwap::default(),
             lifecycle: ArcSwap::from_pointee(LifecycleView {
--- a/crates/plumgate/src/gateway/caller_activity.rs
+++ b/crates/plumgate/src/gateway/caller_activity.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::config::CallerLimits;
+use crate::callers::ConnectionPhase;
 
 /// Time for which a connection stays open beyond the idle limit that callers know, so that a request sent at the
 /// limit does not cross the close.
@@ -27,6 +28,8 @@
     rest: RestState,
     /// Requests that are answered, and rejected ones of which the rest is read.
     holds: u32,
+    /// Whether the body of the last request is still being received or discarded.
+    receives_body: bool,
     /// Time of the last progress in sending an answer, if bytes of it are unsent.
     unsent_since: Option<Instant>,
     /// Idle limit when the last request began.
@@ -41,6 +44,7 @@
         Self {
             rest: RestState::Idle(now),
             holds: 0,
+            receives_body: false,
             unsent_since: None,
             known_idle: limits.idle_timeout,
             has_open_answer: false,
@@ -59,9 +63,26 @@
     /// Records that the head of a request was received, which is answered from now on.
     pub fn begin_request(&mut self, limits: CallerLimits) {
         self.known_idle = limits.idle_timeout;
+        self.receives_body = false;
         self.hold();
     }
 
+    /// Records whether the body of the last request is being received or discarded.
+    pub fn set_receives_body(&mut self, receives_body: bool) {
+        self.receives_body = receives_body;
+    }
+
+    /// Returns what the connection does.
+    pub fn phase(&self) -> ConnectionPhase {
+        match self.rest {
+            _ if self.unsent_since.is_some() => ConnectionPhase::Answering,
+            _ if self.holds > 0 && self.receives_body => ConnectionPhase::Body,
+            _ if self.holds > 0 => ConnectionPhase::Answering,
+            RestState::Idle(_) => ConnectionPhase::Idle,
+            RestState::Head(_) => ConnectionPhase::Head,
+        }
+    }
+
     /// Keeps the connection open until it is released.
     pub fn hold(&mut self) {
         self.holds += 1;
--- a/crates/plumgate/src/lib.rs
+++ b/crates/plumgate/src/lib.rs
@@ -54,6 +54,7 @@
 #![forbid(unsafe_code)]
 
 pub mod attempt;
+pub mod callers;
 pub mod chart;
 pub mod claim;
 pub mod config;
--- a/crates/plumgated/src/flags.rs
+++ b/crates/plumgated/src/flags.rs
@@ -8,12 +8,24 @@
 use plumgate::route::RoutePolicy;
 use plumgate::{FileFinding, FindingList};
 use plumgate_node::NodeSettings;
+use rustix::process::{Resource, getrlimit};
 use spdlog::{Level, LevelFilter};
 
 /// Shortest shared secret of the nodes in bytes.
 const MIN_KEY_BYTES: usize = 16;
 /// Largest number of traffic threads.
 const MAX_THREADS: u64 = 64;
+/// Bytes in a megabyte.
+const BYTES_PER_MB: usize = 1024 * 1024;
+/// Smallest memory of a process in megabytes.
+const MIN_MEMORY_MB: u64 = 64;
+/// Smallest and largest number of file descriptors.
+const MIN_DESCRIPTORS: u64 = 128;
+const MAX_DESCRIPTORS: u64 = 1 << 20;
+/// Descriptors that are kept for the process itself.
+const FILE_DESCRIPTORS: usize = 32;
+/// Number of bodies of the largest size for which there is memory at least.
+const BODIES_AT_ONCE: usize = 4;
 /// Largest duration of any setting in milliseconds: one day.
 const MAX_DURATION_MS: u64 = 86_400_000;
 
@@ -41,7 +53,7 @@
     help: &'static str,
 }
 
-const FLAGS: [FlagSpec; 17] = [
+const FLAGS: [FlagSpec; 19] = [
     flag("node", "PLUMGATE_NODE", None, "Name of this VM"),
     flag(
         "data-centre",
@@ -121,6 +133,18 @@
         Some("8388608"),
         "Largest body of a request in bytes",
     ),
+    flag(
+        "memory-mb",
+        "PLUMGATE_MEMORY_MB",
+        Some("256"),
+        "Memory of this process in megabytes, which limits bodies and connections of callers",
+    ),
+    flag(
+        "max-descriptors",
+        "PLUMGATE_MAX_DESCRIPTORS",
+        Some(""),
+        "File descriptors of this process, which limit connections of callers; the system's limit if empty",
+    ),
     flag(
         "seed",
         "PLUMGATE_SEED",
@@ -199,6 +223,8 @@
         .with_policies(reader.route_policy(), reader.queue_policy());
     settings.header_timeout = reader.milliseconds("header-timeout-ms");
     settings.body_bytes = reader.number("body-bytes", 1, 1 << 30) as usize;
+    settings = settings.with_machine(reader.memory_bytes(), reader.descriptors());
+    reader.check_body_bytes(&settings);
     let log_level = reader.log_level();
     if reader.findings.is_empty() {
         Ok(DaemonSettings {
@@ -320,6 +346,30 @@
         self.number("seed", 0, u64::MAX)
     }
 
+    fn memory_bytes(&mut self) -> usize {
+        self.number("memory-mb", MIN_MEMORY_MB, 1 << 20) as usize * BYTES_PER_MB
+    }
+
+    /// Reads the number of file descriptors that sockets may use.
+    fn descriptors(&mut self) -> usize {
+        let descriptors = if self.text("max-descriptors").is_empty() {
+            let limit = getrlimit(Resource::Nofile).current;
+            limit.unwrap_or(MAX_DESCRIPTORS).min(MAX_DESCRIPTORS)
+        } else {
+            self.number("max-descriptors", MIN_DESCRIPTORS, MAX_DESCRIPTORS)
+        };
+        (descriptors as usize).saturating_sub(FILE_DESCRIPTORS)
+    }
+
+    /// Checks that a body of the largest size can be held in calm.
+    fn check_body_bytes(&mut self, settings: &NodeSettings) {
+        let largest = settings.request_bytes() / BODIES_AT_ONCE;
+        if settings.body_bytes > largest {
+            let message = format!("is more than {largest}, a sixteenth of the memory");
+            self.report("body-bytes", message);
+        }
+    }
+
     fn choice<T: Copy>(&mut self, name: &str, choices: &[(&str, T)]) -> Option<T> {
         let text = self.text(name);
         let found = choices
