request bodies: held by capacity, and given up by those that arrive slowly

Callers saw: the daemon of the own interface took 268 to 670 MB for 64 callers with bodies of 4 MB; a gateway refused ordinary requests for want of memory while bodies that stopped short held all of it.

Cause: the own interface had no account of its memory at all, and kept each chunk as a piece that holds the connection's whole read buffer. The gateway counted a body's length, not its buffer, and nothing took memory from a body that makes no progress before its caller's own time limit.

Change: both programs read bodies by one reader (body_reader). Where memory is short the bodies that arrive most slowly and are half a second old give it up (503, not run) before others are refused.

Which bodies go is tested without I/O (caller_limits).

--- a/crates/plumgate-node/src/call.rs
+++ b/crates/plumgate-node/src/call.rs
@@ -1,11 +1,13 @@
 //! A validated request: its properties, and the call that is sent to a backend server.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::Method;
 use hyper::header::HeaderValue;
 use plumgate::dispatch::RequestTicket;
+use plumgate::gateway::MemoryHold;
 
 /// HTTP call that is sent to a backend server.
 #[derive(Clone, Debug)]
@@ -31,6 +33,8 @@
     pub(crate) ticket: RequestTicket,
     /// Call that is sent to a backend server.
     pub(crate) call: BackendCall,
+    /// Counts the memory of the body until the request has ended.
+    pub(crate) _memory: Arc<MemoryHold>,
     /// Idempotency key, which is the same across the caller's own retries.
     pub(crate) key: Option<String>,
     /// Digest of the request, to detect a key that is reused for another request.
--- a/crates/plumgate-node/src/callers.rs
+++ b/crates/plumgate-node/src/callers.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use plumgate::config::{FleetConfig, RequestClass, ServerKind, Workspace, key_digest};
 use plumgate::dispatch::RequestTicket;
+use plumgate::gateway::MemoryHold;
 use plumgate::ids::{PoolId, RequestId};
 use serde::Deserialize;
 use serde_json::json;
@@ -19,6 +19,7 @@
 
 use crate::admin::health_response;
 use crate::body::AnswerBody;
+use crate::body_reader::{BodyError, BodyLimits};
 use crate::call::{BackendCall, CallerRequest};
 use crate::caller_error::{CallerError, set_request_id};
 use crate::caller_sink::CallerAnswer;
@@ -160,13 +161,14 @@
             message,
         ));
     }
-    let body = read_body(shared, body).await?;
+    let (body, memory) = read_body(shared, body).await?;
     let builder = RequestBuilder {
         shared,
         config: &config,
         workspace: &workspace,
         head: &head,
         body,
+        memory: Arc::new(memory),
         id,
     };
     let request = if is_model {
@@ -201,37 +203,19 @@
     json!({ "object": "list", "data": models })
 }
 
-async fn read_body<C: Clock>(shared: &NodeShared<C>, body: Incoming) -> Result<Bytes, CallerError> {
-    let limit = shared.settings.body_bytes;
+async fn read_body<C: Clock>(
+    shared: &NodeShared<C>,
+    mut body: Incoming,
+) -> Result<(Bytes, MemoryHold), CallerError> {
+    let limits = BodyLimits {
+        max_bytes: shared.settings.body_bytes,
+        progress_timeout: shared.settings.header_timeout,
+    };
     let deadline = shared.clock.now() + shared.settings.header_timeout;
-    let reading = Limited::new(body, limit).collect();
-    match shared.until(deadline, reading).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            let message = format!("the body is larger than {limit} bytes");
-            Err(CallerError::invalid(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "too_large",
-                message,
-            ))
-        }
-        Some(Err(_)) => {
-            let message = "the body could not be read";
-            Err(CallerError::invalid(
-                StatusCode::BAD_REQUEST,
-                "invalid_request_error",
-                message,
-            ))
-        }
-        None => {
-            let message = "the body did not come in time";
-            Err(CallerError::invalid(
-                StatusCode::REQUEST_TIMEOUT,
-                "timeout",
-                message,
-            ))
-        }
-    }
+    let reading = shared.bodies.read(&shared.clock, limits, &mut body, |_| {});
+    let read_result = shared.until(deadline, reading).await;
+    let read_result = read_result.unwrap_or(Err(BodyError::Stalled));
+    read_result.map_err(|error| error.to_caller_error(limits))
 }
 
 /// Builds the request to be run from a caller's HTTP request.
@@ -241,6 +225,7 @@
     workspace: &'a Workspace,
     head: &'a Parts,
     body: Bytes,
+    memory: Arc<MemoryHold>,
     id: &'a RequestId,
 }
 
@@ -375,6 +360,7 @@
         Ok(CallerRequest {
             ticket,
             call,
+            _memory: self.memory.clone(),
             key,
             digest: key_digest(&text),
             key_lifetime: self.config.rules.key_lifetime,
--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_lite::future;
-use http_body_util::BodyExt;
 use hyper::StatusCode;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
@@ -21,6 +20,7 @@
 use super::request::RelayRequest;
 use super::shared::GatewayShared;
 use super::stopping::{StartCheck, stopping_error};
+use crate::body_reader::{BodyError, BodyLimits};
 use crate::caller_error::CallerError;
 use crate::clock::{Clock, until};
 
@@ -30,8 +30,6 @@
 /// Retry delay while this node is cut off from the other nodes too. Those most likely serve, and the caller's next
 /// connection leads to one of them.
 const CUT_OFF_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Retry delay while this node has no memory for a request: most of those that hold some end within it.
-const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Time limit of a request whose headers state none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -82,14 +80,7 @@
         host: host(&head),
         path: head.uri.path_and_query().map_or("", PathAndQuery::as_str),
     });
-    let mut memory = shared.hold_memory();
-    let reading = BodyReading {
-        limits: config.limits,
-        due,
-        memory: &mut memory,
-        hasher: &mut hasher,
-    };
-    let body = read_body(shared, body, &id, reading).await?;
+    let (body, memory) = read_body(shared, body, &id, config.limits, due, &mut hasher).await?;
     let Some(pool) = route.pool_for(xxh3_64(id.as_bytes())).cloned() else {
         return Err(stale(shared, "no_pool", "the route leads nowhere now"));
     };
@@ -200,110 +191,39 @@
     CallerError::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, message, retry_after)
 }
 
-/// How the body of a request is read.
-struct BodyReading<'a> {
-    limits: CallerLimits,
-    due: Instant,
-    memory: &'a mut MemoryHold,
-    hasher: &'a mut IdentityHasher,
-}
-
-/// Why a body was not read to its end.
-enum BodyError {
-    /// It is larger than allowed.
-    TooLarge,
-    /// This node has no memory for it.
-    NoMemory,
-    /// The connection broke, or the framing is invalid.
-    Broken,
-}
-
-impl BodyReading<'_> {
-    /// Reads a body to its end. An announced length counts before anything is read.
-    async fn collect(&mut self, body: &mut Incoming) -> Result<Bytes, BodyError> {
-        let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-        self.hold(announced)?;
-        let mut first: Option<Bytes> = None;
-        let mut buffer = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| BodyError::Broken)?;
-            let Ok(bytes) = frame.into_data() else {
-                continue;
-            };
-            self.hasher.update(&bytes);
-            let received = first.as_ref().map_or(0, Bytes::len) + buffer.len() + bytes.len();
-            self.hold(received.max(announced))?;
-            match first.take() {
-                // Most bodies arrive in one piece, which needs no copy.
-                None if buffer.is_empty() => first = Some(bytes),
-                earlier => {
-                    if let Some(earlier) = earlier {
-                        buffer.reserve(announced.max(received));
-                        buffer.extend_from_slice(&earlier);
-                    }
-                    buffer.extend_from_slice(&bytes);
-                }
-            }
-        }
-        Ok(first.unwrap_or_else(|| buffer.freeze()))
-    }
-
-    fn hold(&mut self, bytes: usize) -> Result<(), BodyError> {
-        if bytes > self.limits.body_bytes {
-            return Err(BodyError::TooLarge);
-        }
-        if !self.memory.resize(bytes) {
-            return Err(BodyError::NoMemory);
-        }
-        Ok(())
-    }
-}
-
 async fn read_body<C: Clock, W>(
     shared: &GatewayShared<C, W>,
     body: &mut Incoming,
     id: &str,
-    mut reading: BodyReading<'_>,
-) -> Result<Bytes, CallerError> {
-    let limits = reading.limits;
+    limits: CallerLimits,
+    due: Instant,
+    hasher: &mut IdentityHasher,
+) -> Result<(Bytes, MemoryHold), CallerError> {
+    let body_limits = BodyLimits {
+        max_bytes: limits.body_bytes,
+        progress_timeout: limits.head_timeout,
+    };
     let stopping = async {
         shared.wait_for_last_start().await;
         None
     };
-    let due = reading.due;
-    let read = async { Some(until(&shared.clock, due, reading.collect(body)).await) };
+    let reading = shared
+        .bodies
+        .read(&shared.clock, body_limits, body, |bytes| {
+            hasher.update(bytes);
+        });
+    let read = async { Some(until(&shared.clock, due, reading).await) };
     // A body that is not complete by then is refused while its caller can still be told.
     let Some(read_result) = future::or(read, stopping).await else {
         return Err(stopping_error());
     };
-    match read_result {
-        Some(Ok(collected)) => Ok(collected),
-        Some(Err(BodyError::TooLarge)) => {
-            let message = format!("the body is larger than {} bytes", limits.body_bytes);
-            Err(CallerError::invalid(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "too_large",
-                message,
-            ))
-        }
-        Some(Err(BodyError::NoMemory)) => {
-            shared.log_memory_refusal(id, "request_body");
-            Err(CallerError::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no_memory",
-                "this node has no memory for the body now; the request was not run",
-                MEMORY_RETRY_DELAY,
-            ))
-        }
-        Some(Err(BodyError::Broken)) => Err(CallerError::invalid(
-            StatusCode::BAD_REQUEST,
-            "bad_body",
-            "the body could not be read",
-        )),
-        None => Err(CallerError::invalid(
-            StatusCode::REQUEST_TIMEOUT,
-            "body_timeout",
-            "the body did not come in time",
-        )),
+    let error = match read_result {
+        Some(Ok(collected)) => return Ok(collected),
+        Some(Err(error)) => error,
+        None => BodyError::Stalled,
+    };
+    if matches!(error, BodyError::NoMemory | BodyError::Revoked) {
+        shared.log_memory_refusal(id, "request_body");
     }
+    Err(error.to_caller_error(body_limits))
 }
--- a/crates/plumgate-node/src/gateway/shared.rs
+++ b/crates/plumgate-node/src/gateway/shared.rs
@@ -25,6 +25,7 @@
 use super::open_requests::OpenRequests;
 use super::options::{GatewayBounds, GatewayOptions};
 use super::waiting::WaitState;
+use crate::body_reader::BodyReader;
 use crate::caller_connections::CallerConnections;
 use crate::clock::Clock;
 use crate::log::{EventLog, LogLine};
@@ -86,6 +87,8 @@
     read_ahead: Mutex<ReadAheadTable>,
     /// Memory that is held for requests.
     pub(crate) memory: Arc<MemoryAccount>,
+    /// Reader of the bodies of requests.
+    pub(crate) bodies: BodyReader,
     /// Connections of callers.
     pub(crate) connections: Arc<CallerConnections<C>>,
     /// Connections of the balancer's probes and of operators.
@@ -175,6 +178,7 @@
             read_ahead: Mutex::new(ReadAheadTable::new(ReadAheadBounds::new(
                 options.read_ahead_bytes,
             ))),
+            bodies: BodyReader::new(memory.clone()),
             memory,
             connections: Arc::new(connections),
             probes: Arc::new(probes),
--- a/crates/plumgate-node/src/lib.rs
+++ b/crates/plumgate-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod body_reader;
 mod call;
 mod caller_connections;
 mod caller_error;
--- a/crates/plumgate-node/src/shared.rs
+++ b/crates/plumgate-node/src/shared.rs
@@ -15,10 +15,12 @@
 use plumgate::dispatch::{
     AttemptOutcome, DispatchAction, Dispatcher, RefusalReason, RequestTicket, StartOrder,
 };
+use plumgate::gateway::MemoryAccount;
 use plumgate::ids::{PoolId, RequestId, ServerId, TierRank, WorkspaceId};
 use plumgate::limits::{PermitGrant, SlotDemand};
 use plumgate::route::RouteChoice;
 
+use crate::body_reader::BodyReader;
 use crate::caller_connections::CallerConnections;
 use crate::clock::Clock;
 use crate::connection_pool::ConnectionPool;
@@ -99,6 +101,8 @@
     pub(crate) callers: Arc<CallerConnections<C>>,
     /// Connections of operators.
     pub(crate) operators: Arc<CallerConnections<C>>,
+    /// Reader of the bodies of requests.
+    pub(crate) bodies: BodyReader,
     /// The client of the platform.
     pub(crate) platform: PlatformClient<C>,
     /// The executor that the traffic threads run.
@@ -126,6 +130,7 @@
         control: Sender<ControlEvent>,
     ) -> Self {
         let platform = PlatformClient::new(settings.platform, clock.clone());
+        let memory = Arc::new(MemoryAccount::new(settings.request_bytes()));
         let metrics = NodeMetrics::new();
         let max_connections = settings.connection_bounds().max_connections(MAX_HEAD_BYTES);
         let callers = CallerConnections::new(
@@ -143,6 +148,7 @@
             metrics,
             callers: Arc::new(callers),
             operators: Arc::new(operators),
+            bodies: BodyReader::new(memory),
             config: ArcSwapOption::empty(),
             members: ArcSwap::default(),
             lifecycle: ArcSwap::from_pointee(LifecycleView {
--- a/crates/plumgate/src/gateway/memory_account.rs
+++ b/crates/plumgate/src/gateway/memory_account.rs
@@ -70,6 +70,17 @@
         }
         updated.is_ok()
     }
+
+    /// Returns how many bytes others must release before this hold can have `bytes` bytes; `None` if no request can
+    /// have that much.
+    pub fn missing_bytes(&self, bytes: usize) -> Option<usize> {
+        let free_needed = bytes.saturating_mul(FREE_DIVISOR);
+        if free_needed > self.account.total_bytes {
+            return None;
+        }
+        let others = self.account.held_bytes().saturating_sub(self.bytes);
+        Some((free_needed + others).saturating_sub(self.account.total_bytes))
+    }
 }
 
 impl Drop for MemoryHold {
--- a/crates/plumgate/tests/caller_limits.rs
+++ b/crates/plumgate/tests/caller_limits.rs
@@ -1,11 +1,13 @@
-//! Which connections of callers end if a node holds too many.
+//! Which connections and bodies of callers end if a node holds too many.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use plumgate::callers::{
-    ConnectionBounds, ConnectionId, ConnectionPhase, ConnectionTable, MachineLimits,
+    BodyTable, ConnectionBounds, ConnectionId, ConnectionPhase, ConnectionTable, MachineLimits,
 };
+use plumgate::gateway::{MemoryAccount, MemoryHold};
 use quickcheck::quickcheck;
 
 const MAX_CONNECTIONS: usize = 8;
@@ -104,3 +106,35 @@
     assert!(!table.is_closing(id));
     assert_eq!((table.closing(), table.close_one(now)), (0, None));
 }
+
+/// Guards against bodies that hold memory and stop short while others find none.
+#[test]
+fn slowest_bodies_give_up_their_memory() {
+    let mut table = BodyTable::default();
+    let start = Instant::now();
+    let [stalled, slow, fast] = [0, 10, 900].map(|received| {
+        let id = table.begin(start);
+        table.record(id, received, 1_000);
+        id
+    });
+    let now = start + Duration::from_secs(1);
+    let newcomer = table.begin(now);
+    table.record(newcomer, 0, 1_000);
+    let needed_by = table.begin(now);
+    assert_eq!(table.revoke(1_500, needed_by, now), [stalled, slow]);
+    assert_eq!(table.revoke(5_000, needed_by, now), [fast]);
+    assert!(!table.remove(stalled) && table.remove(newcomer));
+}
+
+/// Guards against bodies that give up their memory for one that can't have enough of it.
+#[test]
+fn missing_bytes_leave_room_for_the_hold() {
+    let account = Arc::new(MemoryAccount::new(1_000));
+    let mut others = MemoryHold::new(account.clone());
+    assert!(others.resize(250));
+    let mut hold = MemoryHold::new(account);
+    assert_eq!(hold.missing_bytes(251), None);
+    let missing = hold.missing_bytes(240).expect("a size that is possible");
+    assert!(!hold.resize(240));
+    assert!(others.resize(250 - missing) && hold.resize(240));
+}
