--- a/crates/plumgate-node/src/gateway/node.rs
+++ b/crates/plumgate-node/src/gateway/node.rs
@@ -73,7 +73,7 @@
         let (signals, signal_receiver) = async_channel::bounded(MAX_PENDING_SIGNALS);
         // Fixed addresses are bound before those whose port the system may choose.
         let peer_listener = bind_peer_listener(&options, &log);
-        let callers = bind_callers(options.listen)?;
+        let callers = bind_callers(options.listen, &log)?;
         let probes = bind(options.ready_listen)?;
         let metrics = options.metrics_listen.map(bind).transpose()?;
         let addresses = GatewayAddresses {
--- a/crates/plumgate-node/src/node.rs
+++ b/crates/plumgate-node/src/node.rs
@@ -72,7 +72,7 @@
         log: EventLog,
     ) -> Result<Self> {
         let (control, events) = async_channel::bounded(EVENT_QUEUE_CAPACITY);
-        let callers = bind_callers(settings.listen)?;
+        let callers = bind_callers(settings.listen, &log)?;
         let operators = bind(settings.admin_listen)?;
         let inbox = PeerInbox::listen(settings.peer_listen, control.clone())?;
         let addresses = NodeAddresses {
@@ -142,11 +142,15 @@
 
 /// Binds the listener for callers, whose connections have small receive buffers: what callers send and the node does
 /// not read is bounded by their number.
-pub(crate) fn bind_callers(address: SocketAddr) -> Result<Async<TcpListener>> {
+pub(crate) fn bind_callers(address: SocketAddr, log: &EventLog) -> Result<Async<TcpListener>> {
     let listener = bind(address)?;
     let socket = SockRef::from(listener.get_ref());
-    let limited = socket.set_recv_buffer_size(RECEIVE_BUFFER);
-    limited.map_err(|error| Error::Listen(address, error))?;
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER) {
+        LogLine::new("receive_buffer_unset")
+            .with("address", address)
+            .with("error", error)
+            .warn(log);
+    }
     Ok(listener)
 }
 
