refusals: read what callers still send, and send those of a stopping node elsewhere

Callers saw, since their receive buffers are small and slow bodies are refused: a reset in place of 413 at the own interface, for a body over the limit that was still being sent; and 408 without Retry-After where a stopping node had refused with 503 and sent them to another node.

Cause: the own interface closed with unread bytes, which before had found room in the system's buffers; and a body without progress was refused by its own timeout, whether or not the node stops.

Change: the own interface lingers as the gateway does: it closes its side, and discards what still arrives, twice the largest body and two seconds at the most, and gives up at once if the room is needed. A body that makes no progress at a stopping node is refused as not run with 503, Retry-After and Connection: close.

--- a/crates/plumgate-node/src/caller_stream.rs
+++ b/crates/plumgate-node/src/caller_stream.rs
@@ -4,7 +4,7 @@
 //! streams to callers of HTTP/1.0, is truncated by a reset. In both cases the bytes before are sent first.
 
 use std::io;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -14,15 +14,19 @@
 use async_io::Async;
 use atomic_waker::AtomicWaker;
 use event_listener::Event;
-use futures_lite::{AsyncRead, AsyncWrite};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
 use hyper::Version;
 use hyper::body::{Body, Frame, SizeHint};
 use socket2::SockRef;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, until};
 
 /// Time for which a truncated answer waits for a caller that reads nothing.
 const MAX_STALL: Duration = Duration::from_secs(2);
+/// Time for which what a caller still sends is read after the node has closed its own side.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+/// Size of the buffer for what is discarded, in bytes.
+const DISCARD_BUFFER: usize = 4 * 1024;
 /// Time between the last bytes and a reset, which discards what has not been received.
 const RESET_DELAY: Duration = Duration::from_millis(100);
 
@@ -225,3 +229,24 @@
         self.body.size_hint()
     }
 }
+
+/// Closes the node's side of a connection, and reads what the caller still sends until it closes its own,
+/// or has sent `max_bytes` more. A close with unread bytes would reset the connection, and the caller could lose the answer.
+pub(crate) async fn discard_rest<C: Clock>(clock: &C, stream: &Async<TcpStream>, max_bytes: usize) {
+    // An error means that the connection has ended already.
+    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let reading = async {
+        let mut stream = stream;
+        let mut buffer = [0; DISCARD_BUFFER];
+        let mut left = max_bytes;
+        while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+            left = left.saturating_sub(count);
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    let _ = until(clock, clock.now() + LINGER_TIME, reading).await;
+}
--- a/crates/plumgate-node/src/gateway/caller.rs
+++ b/crates/plumgate-node/src/gateway/caller.rs
@@ -19,7 +19,7 @@
 use super::answer::{GatewayBody, StreamChunk, announce_close, own_answer};
 use super::checks::accept;
 use super::connection_close::{
-    CloseReason, discard_body, discard_rest, is_last, is_too_long, limits, read_buffer,
+    CloseReason, MAX_DISCARDED_BYTES, discard_body, is_last, is_too_long, limits, read_buffer,
     wait_for_close,
 };
 use super::connection_report::report_end;
@@ -34,7 +34,7 @@
 use super::suspects::QUARANTINE_PATH;
 use crate::caller_connections::ConnectionSlot;
 use crate::caller_error::CallerError;
-use crate::caller_stream::{AnswerDelivery, DeliveryBody, DeliveryStream};
+use crate::caller_stream::{AnswerDelivery, DeliveryBody, DeliveryStream, discard_rest};
 use crate::clock::Clock;
 use crate::connection_activity::{CallerStream, ConnectionActivity, GuardedBody};
 use crate::http::text_response;
@@ -231,7 +231,7 @@
         activity.begin_discard();
         future::or(
             activity.displaced(),
-            Box::pin(discard_rest(&shared.clock, &stream)),
+            Box::pin(discard_rest(&shared.clock, &stream, MAX_DISCARDED_BYTES)),
         )
         .await;
     }
--- a/crates/plumgate-node/src/gateway/checks.rs
+++ b/crates/plumgate-node/src/gateway/checks.rs
@@ -222,6 +222,10 @@
         Some(Err(error)) => error,
         None => BodyError::Stalled,
     };
+    // Its caller does better at another node.
+    if error == BodyError::Stalled && shared.stop.get().is_some() {
+        return Err(stopping_error());
+    }
     if matches!(error, BodyError::NoMemory | BodyError::Revoked) {
         shared.log_memory_refusal(id, "request_body");
     }
--- a/crates/plumgate-node/src/gateway/connection_close.rs
+++ b/crates/plumgate-node/src/gateway/connection_close.rs
@@ -1,11 +1,9 @@
 //! When a caller's connection closes, and what is read of it before that: a close with unread bytes resets the
 //! connection, and the caller could lose the answer.
 
-use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
-use async_io::Async;
-use futures_lite::{AsyncReadExt, future};
+use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Incoming};
@@ -19,15 +17,11 @@
 /// Smallest size of the read buffer in bytes, however small the limit on heads is; hyper panics below 8 KiB.
 const MIN_READ_BUFFER: usize = 16 * 1024;
 /// Maximum size of the rest of a rejected request that is read, in bytes.
-const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+pub(crate) const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
 /// Time for which the rest of a rejected request is read.
 const MAX_DISCARD_TIME: Duration = Duration::from_secs(10);
 /// Time for which the rest of a rejected request may make no progress.
 const MAX_DISCARD_STALL: Duration = Duration::from_secs(2);
-/// Time for which what a caller still sends is read after the node has closed its own side.
-const LINGER_TIME: Duration = Duration::from_secs(2);
-/// Size of the buffer for what is discarded, in bytes.
-const DISCARD_BUFFER: usize = 4 * 1024;
 
 /// Reason for which a connection closes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -115,23 +109,3 @@
         }
     }
 }
-
-/// Closes the node's side of a connection, and reads what the caller still sends until it closes its own.
-pub(crate) async fn discard_rest<C: Clock>(clock: &C, stream: &Async<TcpStream>) {
-    // An error means that the connection has ended already.
-    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
-        return;
-    }
-    let reading = async {
-        let mut stream = stream;
-        let mut buffer = [0; DISCARD_BUFFER];
-        let mut left = MAX_DISCARDED_BYTES;
-        while let Ok(count @ 1..) = stream.read(&mut buffer).await {
-            left = left.saturating_sub(count);
-            if left == 0 {
-                return;
-            }
-        }
-    };
-    let _ = until(clock, clock.now() + LINGER_TIME, reading).await;
-}
--- a/crates/plumgate-node/src/node.rs
+++ b/crates/plumgate-node/src/node.rs
@@ -26,7 +26,7 @@
 use crate::admin::serve_operator;
 use crate::body::AnswerBody;
 use crate::caller_connections::{CallerConnections, ConnectionSlot};
-use crate::caller_stream::{AnswerDelivery, DeliveryBody, DeliveryStream};
+use crate::caller_stream::{AnswerDelivery, DeliveryBody, DeliveryStream, discard_rest};
 use crate::callers::serve_caller;
 use crate::clock::Clock;
 use crate::connection_activity::{CallerStream, ConnectionActivity, GuardedBody};
@@ -41,6 +41,8 @@
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of header lines in a request.
 const MAX_HEADERS: usize = 100;
+/// Number of bodies of the largest size that are read and discarded after a refusal.
+const DISCARDED_BODIES: usize = 2;
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Capacity of the queue of events to the control thread, most of them peer messages.
@@ -311,21 +313,32 @@
         .serve_connection(FuturesIo::new(caller_stream), service);
     let mut connection = std::pin::pin!(connection);
     let closing = shared.closing.listen();
-    let mut is_served = false;
+    let mut end = None;
     if !shared.lifecycle.load().closing {
         let closed = async {
             closing.await;
-            false
+            None
         };
-        let served = serve_until_flushed(&shared, connection.as_mut(), &delivery, &activity);
-        is_served = future::or(served, closed).await;
+        let served = async {
+            Some(serve_until_flushed(&shared, connection.as_mut(), &delivery, &activity).await)
+        };
+        end = future::or(served, closed).await;
     }
-    if !is_served {
-        // The request in flight is answered completely before the connection closes.
-        connection.as_mut().graceful_shutdown();
-        serve_until_flushed(&shared, connection.as_mut(), &delivery, &activity).await;
+    let end = match end {
+        Some(end) => end,
+        None => {
+            // The request in flight is answered completely before the connection closes.
+            connection.as_mut().graceful_shutdown();
+            serve_until_flushed(&shared, connection.as_mut(), &delivery, &activity).await
+        }
+    };
+    let is_reset = delivery.reset_if_truncated(&shared.clock, &stream).await;
+    if end == ServiceEnd::Served && !is_reset && activity.summary().caller_end.is_none() {
+        activity.begin_discard();
+        let max_bytes = DISCARDED_BODIES * shared.settings.body_bytes;
+        let discarding = Box::pin(discard_rest(&shared.clock, &stream, max_bytes));
+        future::or(activity.displaced(), discarding).await;
     }
-    delivery.reset_if_truncated(&shared.clock, &stream).await;
 }
 
 /// Returns the limits on callers' connections.
@@ -338,20 +351,32 @@
     }
 }
 
-/// Serves a connection until it ends, makes room for another one, or its caller does not take an answer. Returns true.
+/// How the service of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServiceEnd {
+    /// The connection ended, or its last answer was sent.
+    Served,
+    /// The connection made room for another one, or its caller did not take an answer.
+    Abandoned,
+}
+
+/// Serves a connection until it ends, makes room for another one, or its caller does not take an answer.
 async fn serve_until_flushed<C: Clock, T>(
     shared: &NodeShared<C>,
     connection: impl Future<Output = T>,
     delivery: &AnswerDelivery,
     activity: &ConnectionActivity<C>,
-) -> bool {
+) -> ServiceEnd {
     let served = async {
         // An error of a caller's connection concerns only the caller.
         let _ = connection.await;
+        ServiceEnd::Served
     };
     let limits = caller_limits(shared);
     let ended = future::or(activity.displaced(), activity.expired(limits));
-    let expired = future::or(delivery.flush_expired(&shared.clock), ended);
-    future::or(served, expired).await;
-    true
+    let abandoned = async {
+        future::or(delivery.flush_expired(&shared.clock), ended).await;
+        ServiceEnd::Abandoned
+    };
+    future::or(served, abandoned).await
 }
