--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,52 @@
+//! Small stand-ins for the platform, its servers and its consumers, and the scenarios of the cases of this review.
+//! Only the standard library is used.
+
+mod client;
+mod http;
+mod json;
+mod node;
+mod record;
+mod server;
+mod store;
+
+mod case_earlier_start;
+mod case_slow_readers;
+
+use std::process::exit;
+
+/// Exit code if the case could not run.
+pub const NOT_RUN: i32 = 2;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (arguments.next(), arguments.next()) else {
+        eprintln!("usage: standin CASE FOLDER, in the root of the repository");
+        exit(NOT_RUN);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    // A case that hangs counts as one that could not run.
+    std::thread::spawn(|| {
+        std::thread::sleep(std::time::Duration::from_secs(110));
+        node::kill_all();
+        eprintln!("the case took too long");
+        exit(NOT_RUN);
+    });
+    let record = record::Record::new(std::path::Path::new(&folder));
+    let result = match case.as_str() {
+        "slow-readers" => case_slow_readers::run(&record, has_trouble),
+        "earlier-start" => case_earlier_start::run(&record, has_trouble),
+        _ => Err(format!("there is no case {case}")),
+    };
+    node::kill_all();
+    let code = match &result {
+        Ok(true) => 0,
+        Ok(false) => 1,
+        Err(_) => NOT_RUN,
+    };
+    match &result {
+        Ok(true) => record.note("result: the rule held"),
+        Ok(false) => record.note("result: the rule was broken"),
+        Err(error) => record.note(&format!("result: the case could not run: {error}")),
+    }
+    exit(code);
+}
