--- a/review/standin-2/case_earlier_start.rs
+++ b/review/standin-2/case_earlier_start.rs
@@ -31,6 +31,7 @@
         after: Duration::from_millis(60),
         bytes: 800,
         events: None,
+        unframed: None,
     }
 }
 
--- a/review/standin-2/case_slow_readers.rs
+++ b/review/standin-2/case_slow_readers.rs
@@ -38,18 +38,21 @@
             after: Duration::from_millis(30),
             bytes: ANSWER_BYTES,
             events: None,
+            unframed: None,
         }
     } else if head.target().starts_with("/posting/") {
         Reply {
             after: Duration::from_millis(300),
             bytes: 800,
             events: None,
+            unframed: None,
         }
     } else {
         Reply {
             after: Duration::from_millis(30),
             bytes: 800,
             events: None,
+            unframed: None,
         }
     }
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,7 +9,9 @@
 mod server;
 mod store;
 
+mod case_cut_answer;
 mod case_earlier_start;
+mod case_full_node;
 mod case_slow_readers;
 
 use std::process::exit;
@@ -24,6 +26,9 @@
         exit(NOT_RUN);
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    if case == case_cut_answer::SERVER {
+        case_cut_answer::serve(&folder);
+    }
     // A case that hangs counts as one that could not run.
     std::thread::spawn(|| {
         std::thread::sleep(std::time::Duration::from_secs(110));
@@ -33,7 +38,9 @@
     });
     let record = record::Record::new(std::path::Path::new(&folder));
     let result = match case.as_str() {
+        "full-node" => case_full_node::run(&record, has_trouble),
         "slow-readers" => case_slow_readers::run(&record, has_trouble),
+        "cut-answer" => case_cut_answer::run(&record, has_trouble),
         "earlier-start" => case_earlier_start::run(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -34,6 +34,11 @@
     unsafe { kill(pid as i32, signal) };
 }
 
+/// Counts a process that this run started, so that it ends with the run.
+pub fn record_started(pid: u32) {
+    STARTED.lock().unwrap().push(pid);
+}
+
 /// Settings of a node that a case chooses.
 #[derive(Clone, Debug)]
 pub struct NodePlan {
@@ -131,7 +136,7 @@
         let errors = output.try_clone().map_err(|error| error.to_string())?;
         let child = process.stdout(output).stderr(errors).spawn();
         let child = child.map_err(|error| format!("{}: {error}", command[0]))?;
-        STARTED.lock().unwrap().push(child.id());
+        record_started(child.id());
         record.note(&format!("node {} starts at {ip}:{front}", plan.name));
         Ok(Self {
             child,
@@ -166,7 +171,8 @@
         Err("the node does not become ready".to_owned())
     }
 
-    fn is_ready(&self) -> bool {
+    /// Returns whether the node answers that it is ready.
+    pub fn is_ready(&self) -> bool {
         use std::io::{Read, Write};
         let Ok(mut stream) = TcpStream::connect(self.ready) else {
             return false;
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -22,6 +22,8 @@
     pub bytes: usize,
     /// Number of events of a stream and the pause before each; without it the answer is plain.
     pub events: Option<(u32, Duration)>,
+    /// Time between the two halves of an answer without a length, which ends with its channel.
+    pub unframed: Option<Duration>,
 }
 
 /// Server of one case.
@@ -138,6 +140,10 @@
             let headers = format!(
                 "X-Attempt-Id: {id}\r\nX-Response-Seal: seal-{id}\r\nContent-Type: application/octet-stream\r\nKeep-Alive: timeout=20\r\n"
             );
+            if let Some(pause) = reply.unframed {
+                let _ = write_unframed(&mut writer, &headers, reply.bytes, pause);
+                return;
+            }
             let written = match reply.events {
                 Some(events) => write_stream(&mut writer, &id, events),
                 None => write_answer(&mut writer, "200 OK", &headers, &vec![b'x'; reply.bytes]),
@@ -166,3 +172,20 @@
     }
     stream.write_all(b"0\r\n\r\n")
 }
+
+/// Writes an answer without a length in two halves; the end of the channel is its end.
+fn write_unframed(
+    stream: &mut TcpStream,
+    headers: &str,
+    bytes: usize,
+    pause: Duration,
+) -> std::io::Result<()> {
+    write!(
+        stream,
+        "HTTP/1.1 200 OK\r\n{headers}Connection: close\r\n\r\n"
+    )?;
+    stream.write_all(&vec![b'x'; bytes / 2])?;
+    std::thread::sleep(pause);
+    stream.write_all(&vec![b'x'; bytes - bytes / 2])?;
+    stream.shutdown(std::net::Shutdown::Write)
+}
