--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -149,3 +149,28 @@
     answer.is_complete = answer.received == length;
     answer
 }
+
+/// Sends a request on an open channel and returns all that is read until the end of the channel or of a body in
+/// chunks.
+pub fn send_for_text(mut stream: &TcpStream, call: &Call<'_>) -> io::Result<String> {
+    let text = format!(
+        "{} {} HTTP/1.1\r\nHost: {}\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\nAuthorization: Token {}\r\nContent-Length: 4\r\n\r\nbody",
+        call.method,
+        call.path,
+        call.host,
+        call.id,
+        call.deadline.as_millis(),
+        call.key
+    );
+    stream.write_all(text.as_bytes())?;
+    stream.set_read_timeout(Some(call.deadline))?;
+    let mut received = Vec::new();
+    let mut buffer = [0; 4096];
+    while !received.ends_with(b"\r\n0\r\n\r\n") {
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => break,
+            Ok(count) => received.extend_from_slice(&buffer[..count]),
+        }
+    }
+    Ok(String::from_utf8_lossy(&received).into_owned())
+}
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -12,6 +12,7 @@
 mod case_cut_answer;
 mod case_earlier_start;
 mod case_full_node;
+mod case_other_version;
 mod case_slow_readers;
 
 use std::process::exit;
@@ -39,6 +40,7 @@
     let record = record::Record::new(std::path::Path::new(&folder));
     let result = match case.as_str() {
         "full-node" => case_full_node::run(&record, has_trouble),
+        "other-version" => case_other_version::run(&record, has_trouble),
         "slow-readers" => case_slow_readers::run(&record, has_trouble),
         "cut-answer" => case_cut_answer::run(&record, has_trouble),
         "earlier-start" => case_earlier_start::run(&record, has_trouble),
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -33,6 +33,8 @@
     pub address: SocketAddr,
     /// Slots that its entry states.
     pub slots: u32,
+    /// Version of its software, which each event names.
+    pub version: Arc<Mutex<&'static str>>,
     runs: Arc<Mutex<Vec<Run>>>,
     /// Connections of the current incarnation.
     open: Arc<Mutex<Vec<TcpStream>>>,
@@ -48,6 +50,7 @@
             id: id.to_owned(),
             address: listener.local_addr()?,
             slots,
+            version: Arc::new(Mutex::new("v1")),
             runs: Arc::default(),
             open: Arc::default(),
             is_down: Arc::default(),
@@ -145,7 +148,10 @@
                 return;
             }
             let written = match reply.events {
-                Some(events) => write_stream(&mut writer, &id, events),
+                Some(events) => {
+                    let version = *self.version.lock().unwrap();
+                    write_stream(&mut writer, &id, version, read_resumed(&head), events)
+                }
                 None => write_answer(&mut writer, "200 OK", &headers, &vec![b'x'; reply.bytes]),
             };
             if written.is_err() {
@@ -155,19 +161,29 @@
     }
 }
 
-/// Writes a stream of events in chunks.
+/// Returns the number of the last event that the consumer has; 0 for a new stream.
+fn read_resumed(head: &Head) -> u32 {
+    let number = head
+        .header("last-event-id")
+        .and_then(|number| number.parse().ok());
+    number.unwrap_or(0)
+}
+
+/// Writes the events of a stream after a number, in chunks.
 fn write_stream(
     stream: &mut TcpStream,
     id: &str,
+    version: &str,
+    after: u32,
     (events, pause): (u32, Duration),
 ) -> std::io::Result<()> {
     write!(
         stream,
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: seal-{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     )?;
-    for number in 1..=events {
+    for number in after + 1..=events {
         std::thread::sleep(pause);
-        let event = format!("id: {number}\ndata: {id} {number}\n\n");
+        let event = format!("id: {number}\ndata: {version} {id} {number}\n\n");
         write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
     }
     stream.write_all(b"0\r\n\r\n")
