review: case 6 needs nothing but a killed server

Cause: after the first check of a killed server was refused, none is made for 400 ms, and a check that isn't made counts as no sign that the server failed. Answers without a length whose ends the node sees meanwhile pass as complete.

Change: the script leaves the companion alone and lets the consumers read long answers at some 20 Mbit/s, so that their ends are seen one after the other. The states of the companion stay as variants (COMPANION).

--- a/review/standin-2/case_cut_answer.rs
+++ b/review/standin-2/case_cut_answer.rs
@@ -1,4 +1,5 @@
-//! A server ends while it sends answers without a length, at a node whose only companion was lost before.
+//! A server ends while it sends answers without a length. Its consumers read at the speed of their links; or its
+//! answers are short, and the node's only companion was lost, frozen or told to stop before.
 
 use std::io::{BufRead, BufReader};
 use std::process::{Command, Stdio};
@@ -14,8 +15,12 @@
 
 const HOST: &str = "loans.example";
 const KEY: &str = "key-1";
-const ANSWER_BYTES: usize = 800;
-const REQUESTS: usize = 24;
+/// Answer with a companion that runs: more than a node reads ahead of its consumers.
+const LONG: (usize, Duration) = (10_000_000, Duration::from_millis(3_000));
+/// Answer otherwise.
+const SHORT: (usize, Duration) = (800, Duration::from_millis(400));
+/// Slots of a server.
+const SLOTS: usize = 4;
 /// Servers of the service, each a process of its own; one of them ends.
 const SERVERS: usize = 4;
 /// First argument of a server's process.
@@ -23,22 +28,27 @@
 
 fn config() -> String {
     format!(
-        r#"{{"version":7,"routes":[{{"name":"r-1","host":"{HOST}","prefix":"/posting/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":300,"priority":2,"service":"servicing-app","maxAttempts":1,"public":false}}],"services":[{{"name":"servicing-app","healthPath":"/health","maxConnections":550,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1}}]}}"#
+        r#"{{"version":7,"routes":[{{"name":"r-1","host":"{HOST}","prefix":"/posting/","kind":"non_idempotent","timeoutMs":15000,"targetLatencyMs":300,"priority":2,"service":"servicing-app","maxAttempts":1,"public":false}}],"services":[{{"name":"servicing-app","healthPath":"/health","maxConnections":550,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1}}]}}"#
     )
 }
 
-fn reply(_: &Head) -> Reply {
+fn reply(head: &Head) -> Reply {
+    let (bytes, pause) = if head.target().starts_with("/posting/long") {
+        LONG
+    } else {
+        SHORT
+    };
     Reply {
         after: Duration::from_millis(60),
-        bytes: ANSWER_BYTES,
+        bytes,
         events: None,
-        unframed: Some(Duration::from_millis(400)),
+        unframed: Some(pause),
     }
 }
 
 /// Runs a server until the process is killed; tells its address and its runs on its output.
 pub fn serve(id: &str) -> ! {
-    let server = Server::start(id, 6, reply).expect("a server");
+    let server = Server::start(id, SLOTS as u32, reply).expect("a server");
     println!("{}", server.address);
     let mut told = 0;
     loop {
@@ -94,14 +104,21 @@
 
 /// Returns whether the rule held.
 pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
-    let companion_end = std::env::var("COMPANION").unwrap_or_else(|_| "lost".to_owned());
+    let companion_end = std::env::var("COMPANION").unwrap_or_else(|_| "kept".to_owned());
+    let is_long = companion_end == "kept";
+    let (bytes, path) = if is_long {
+        (LONG.0, "/posting/long")
+    } else {
+        (SHORT.0, "/posting/short")
+    };
+    let requests = SERVERS * SLOTS;
     let store = Store::start().map_err(|error| error.to_string())?;
     store.put("op", "config", Some(&config()));
     let mut servers = Vec::new();
     for number in 1..=SERVERS {
         let server = ServerProcess::start(&format!("i-{number}"))?;
         let entry = format!(
-            r#"{{"service":"servicing-app","address":"{}","zone":"tx-central-a","version":"v1","slots":6,"state":"ready","coldRemainingMs":0,"sequence":1}}"#,
+            r#"{{"service":"servicing-app","address":"{}","zone":"tx-central-a","version":"v1","slots":{SLOTS},"state":"ready","coldRemainingMs":0,"sequence":1}}"#,
             server.address
         );
         store.put("servers", &server.id, Some(&entry));
@@ -134,31 +151,33 @@
     }
     let front = client::v4(node.front);
     let mut callers = Vec::new();
-    for number in 0..REQUESTS {
+    for number in 0..requests {
         let record = record.clone();
         callers.push(std::thread::spawn(move || {
             let id = format!("c-{number}");
-            let answer = client::open(front, None).and_then(|stream| {
+            // Links of some 19 to 26 Mbit/s.
+            let pause = Duration::from_micros(20_000 + 500 * number as u64);
+            let answer = client::open(front, is_long.then_some(64 * 1024)).and_then(|stream| {
                 client::send(
                     &stream,
                     &Call {
                         method: "POST",
                         host: HOST,
-                        path: "/posting/1",
+                        path,
                         id: &id,
                         key: KEY,
-                        deadline: Duration::from_millis(3_000),
-                        pace: None,
+                        deadline: Duration::from_millis(15_000),
+                        pace: is_long.then_some((64 * 1024, pause)),
                     },
                 )
             });
             record.note(&format!("{id}: {answer:?}"));
             answer.is_ok_and(|answer| {
-                answer.status == 200 && answer.is_complete && answer.received != ANSWER_BYTES
+                answer.status == 200 && answer.is_complete && answer.received < bytes
             })
         }));
     }
-    std::thread::sleep(Duration::from_millis(250));
+    std::thread::sleep(Duration::from_millis(if is_long { 500 } else { 250 }));
     if has_trouble {
         let busiest = servers
             .iter()
@@ -180,7 +199,7 @@
         .map(|server| server.runs.lock().unwrap().len())
         .sum();
     record.note(&format!(
-        "{mixed} of {REQUESTS} consumers got a part of their answer as a complete success; {runs} requests ran"
+        "{mixed} of {requests} consumers got a part of their answer as a complete success; {runs} requests ran"
     ));
     Ok(mixed == 0 && node.runs())
 }
