--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10, with the compiler alone: they use only the standard library.
+# Builds the stand-ins of the cases 6 to 9, with the compiler alone: they use only the standard library.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
